--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,941 @@
+// Package choice holds every decision of a root: which replica gets a part, when to call again, when to
+// answer, what to turn away, whom to trust. The adapter (package wire today, our own protocol later) calls the
+// methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides of
+// that door, Settings and Port, are defined in interface.go. Nothing here is shared between roots.
+//
+// The rule throughout is least marginal load first: a part of work D goes to the replica of least D*(Q+D/2).
+// All that departs from it does so through Q, through D, or through the set of candidates; docs/design.md
+// lists the departures and when each acts.
+package choice
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	gain       = 0.1         // weight of a new sample in running means; scale-free
+	lateBy     = 4           // a call is overdue this many mean deviations past the mean, as in TCP (RFC 6298)
+	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
+	hundred    = 100 * Millisecond
+	epsilon    = 1e-4 // weights are sums of rounded shares
+)
+
+type state int
+
+const (
+	arriving     state = iota
+	gathering          // its parts are asked for
+	betweenSteps       // first answer given, parts of the second step awaited
+	merged
+	rejected
+	aborted
+	left // the client has gone
+)
+
+// Query is one query; the fields in capitals are filled in at the door.
+type Query struct {
+	Deadline         Time
+	Vertical, Tenant int
+	Retry            bool
+	Parts            []*Part // of the present step
+
+	state       state
+	v           *Vertical
+	slo         Time // an answer that leaves by then counts in full
+	need, floor float64
+	partial     bool // the first step's answer was not whole
+	late        bool // the SLO time was dealt with
+}
+
+// Over tells whether the query has had its final answer.
+func (q *Query) Over() bool { return q.state >= merged }
+
+// Part is the share of a query that one shard must answer.
+type Part struct {
+	Shard        int
+	Weight, Hint float64
+
+	query *Query
+	calls []*LeafCall
+	in    bool // its answer is in
+	over  bool // no answer can come any more
+}
+
+// LeafCall is one call to one server for one part.
+type LeafCall struct {
+	Part *Part
+	Leaf *Leaf
+
+	sent              Time
+	d, ahead          float64 // its work, and the load it met with
+	reports           int     // reports of the leaf that had come when it was sent
+	outcome           Outcome
+	ended             bool
+	released          bool // no longer in the sums of its leaf
+	overdue, streamed bool
+}
+
+// Ended tells whether the outcome has come.
+func (c *LeafCall) Ended() bool { return c.ended }
+
+// mayHaveRun: anything not proved otherwise may have run, or may do so yet.
+func (c *LeafCall) mayHaveRun() bool {
+	return !c.ended || c.outcome != Full && c.outcome != NoConnection && c.outcome != Moot
+}
+
+// Leaf is one server as this root sees it.
+type Leaf struct {
+	cell      int
+	condition Condition
+	started   Time // of its process, 0: long past
+
+	out      []*LeafCall // calls whose outcome has not come, oldest first
+	own      float64     // D of calls out
+	since    float64     // D of calls out that were sent after the last report
+	reports  int
+	reported float64 // queue in the last report, as D
+	service  float64 // service time in the last report, where it has one
+	ghost    float64 // D of abandoned calls that may still run, as of ghostAt
+	ghostAt  Time
+	log      []sent // calls in the last FallTime
+
+	pace    float64 // its time for a unit of load against that of its peers
+	paceAt  Time
+	strikes float64 // failures not yet made good
+	until   Time    // not trusted before
+	lastOK  Time
+	probed  Time
+	probing bool
+}
+
+type sent struct {
+	at Time
+	d  float64
+}
+
+type due struct {
+	at  Time
+	seq int
+	q   *Query
+	c   *LeafCall
+}
+
+type dues []due
+
+func (d dues) Len() int { return len(d) }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	x := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return x
+}
+
+// Root is one instance.
+type Root struct {
+	set     *Settings
+	port    Port
+	now     Time
+	started Time
+	draws   uint64
+
+	leaves  []*Leaf
+	holders [][]*Leaf // by shard
+
+	pace, dev float64 // time for a unit of load: mean and mean deviation over all leaves
+	unit      float64 // mean D
+	density   float64 // mean utility per work
+
+	dues  dues
+	seq   int
+	armed Time // the next wake-up asked for
+	sweep Time
+
+	taken   []Time // queries and parts taken within the budget's window
+	further []Time // calls beyond a part's first within it
+	rates   []float64
+	ratesAt Time
+
+	watchTries int
+	asked      Time
+	watching   bool
+}
+
+// NewRoot starts an instance that knows nothing but its settings.
+func NewRoot(s *Settings, port Port, now Time) *Root {
+	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
+		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now}
+	if s.AskForList {
+		r.watch()
+	}
+	r.arm()
+	return r
+}
+
+func (r *Root) draw() uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], r.set.Seed)
+	binary.LittleEndian.PutUint64(b[8:], r.draws)
+	r.draws++
+	h := fnv.New64a()
+	h.Write(b[:])
+	return h.Sum64()
+}
+
+// chance is a draw from [0, 1).
+func (r *Root) chance() float64 { return float64(r.draw()>>11) / (1 << 53) }
+
+// ---- the ordinary path ----
+
+// Take takes a query with its parts.
+func (r *Root) Take(now Time, q *Query, parts []*Part) {
+	r.now = now
+	q.v = &r.set.Verticals[q.Vertical]
+	q.Parts, q.need, q.floor = parts, q.v.Need, q.v.Floor
+	work := 0.0
+	for _, p := range parts {
+		p.query = q
+		work += r.work(p)
+	}
+	q.slo = min(now+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
+	r.count(q, work)
+	if !r.admit(q, work) {
+		r.move(q, rejected)
+		return
+	}
+	r.move(q, gathering)
+	r.at(q.slo, q, nil)
+	r.at(r.last(q), q, nil)
+	r.settle(q)
+	r.arm()
+}
+
+// settle brings a query as far as it can go now. On the ordinary path that is: score every part, send the
+// cheapest ones that make a whole answer, each to its best replica; and when they are in, merge.
+func (r *Root) settle(q *Query) {
+	if q.state != gathering {
+		return
+	}
+	in, coming, possible := 0.0, 0.0, 0.0
+	for _, p := range q.Parts {
+		switch {
+		case p.in:
+			in += p.Weight
+		case p.awaited():
+			coming += p.Weight
+		case p.pending() || r.hope(p):
+			possible += p.Weight
+		}
+	}
+	if in >= q.need-epsilon {
+		r.move(q, merged)
+		return
+	}
+	if r.now >= r.last(q) || r.now >= q.slo && q.v.LateUtility == 0 || in+coming+possible < q.need-epsilon {
+		r.giveUp(q, in)
+		return
+	}
+	if r.now >= q.slo && in >= q.floor-epsilon && q.v.PartialEarns*in/q.need > q.v.LateUtility {
+		r.move(q, merged)
+		return
+	}
+	for in+coming < q.need-epsilon {
+		var part *Part
+		var leaf *Leaf
+		least, ties := math.Inf(1), uint64(0)
+		for _, p := range q.Parts {
+			if p.in || p.awaited() {
+				continue
+			}
+			l, score := r.best(p)
+			if l == nil || score > least {
+				continue
+			}
+			if score < least {
+				ties = 0
+			}
+			if ties++; ties == 1 || r.draw()%ties == 0 {
+				part, leaf, least = p, l, score
+			}
+		}
+		if part == nil {
+			r.at(r.now+sweepEvery, q, nil) // barred for now: budget, cold servers, earlier calls still out
+			return
+		}
+		r.call(part, leaf)
+		coming += part.Weight
+	}
+}
+
+// best is the replica of least marginal load for a part among those it may go to, with the score.
+func (r *Root) best(p *Part) (*Leaf, float64) {
+	var leaf *Leaf
+	d, least, class, ties := r.work(p), math.Inf(1), 4, uint64(0)
+	for _, l := range r.holders[p.Shard] {
+		if !r.may(p, l) {
+			continue
+		}
+		c := r.standing(p, l)
+		score := d * (r.queue(l) + d/2) * r.slowness(l)
+		if c > class || c == class && score > least {
+			continue
+		}
+		if c < class || score < least {
+			ties = 0
+		}
+		if ties++; ties == 1 || r.draw()%ties == 0 {
+			leaf, least, class = l, score, c
+		}
+	}
+	return leaf, least
+}
+
+// work is D.
+func (r *Root) work(p *Part) float64 {
+	if p.Hint > 0 {
+		return p.Hint
+	}
+	return 1
+}
+
+// call is the one way to a leaf; may has been asked.
+func (r *Root) call(p *Part, l *Leaf) {
+	d := r.work(p)
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, ahead: r.queue(l) + 2*d, reports: l.reports}
+	if len(p.calls) > 0 {
+		r.further = append(r.further, r.now)
+	}
+	p.calls = append(p.calls, c)
+	l.out = append(l.out, c)
+	l.own += d
+	l.since += d
+	l.log = append(l.log, sent{r.now, d})
+	r.port.Call(c, r.last(p.query)-r.now)
+	r.at(r.now+r.patience(c), nil, c)
+}
+
+// move is the one way from state to state.
+func (r *Root) move(q *Query, to state) {
+	if to == merged {
+		in := 0.0
+		for _, p := range q.Parts {
+			if p.in {
+				in += p.Weight
+			}
+		}
+		whole := in >= q.need-epsilon && !q.partial
+		if q.v.SecondStep > 0 && q.state == gathering && q.need == q.v.Need && q.slo >= 0 && !q.late {
+			to, q.partial, q.late = betweenSteps, !whole, true
+		}
+		q.state = to
+		r.port.Merge(q, whole)
+	} else {
+		q.state = to
+		switch to {
+		case rejected:
+			r.port.Reject(q, r.holdOff())
+		case aborted:
+			r.port.Abort(q)
+		}
+	}
+	if !q.Over() {
+		return
+	}
+	for _, p := range q.Parts {
+		for _, c := range p.calls {
+			r.abandon(c)
+		}
+	}
+}
+
+// giveUp ends a query that cannot become whole in time, at once: with what is in if that is enough.
+func (r *Root) giveUp(q *Query, in float64) {
+	switch {
+	case in >= q.floor-epsilon && in > 0:
+		r.move(q, merged)
+	case r.harmless(q):
+		r.move(q, rejected)
+	default:
+		r.move(q, aborted)
+	}
+}
+
+// harmless: may the client be told that asking again does no harm?
+func (r *Root) harmless(q *Query) bool {
+	if q.v.Effect == Repeatable {
+		return true
+	}
+	for _, p := range q.Parts {
+		if slices.ContainsFunc(p.calls, (*LeafCall).mayHaveRun) {
+			return false
+		}
+	}
+	return !q.late
+}
+
+// last is when a query must have its final answer: two ticks early, as a wake-up comes up to a tick late.
+func (r *Root) last(q *Query) Time { return q.Deadline - 2*r.set.Tick }
+
+// ---- what a part may do ----
+
+// pending: a call is out.
+func (p *Part) pending() bool {
+	return slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return !c.ended })
+}
+
+// awaited: a call is out and there is no reason yet to think it lost.
+func (p *Part) awaited() bool {
+	return slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return !c.ended && !c.overdue })
+}
+
+// hope: some call may be made for the part, now or later.
+func (r *Root) hope(p *Part) bool {
+	return r.again(p) && slices.ContainsFunc(r.holders[p.Shard], func(l *Leaf) bool { return l.condition == Ready })
+}
+
+// again: do the part's earlier calls leave room for one more?
+func (r *Root) again(p *Part) bool {
+	if p.in || p.over || len(p.calls) >= r.set.MaxCalls {
+		return false
+	}
+	v := p.query.v
+	for _, c := range p.calls {
+		if !c.mayHaveRun() {
+			continue
+		}
+		if v.Effect == SideEffecting {
+			return false
+		}
+		if v.Effect == Deduplicated && r.now-c.sent > v.DedupWindow-r.set.Tick {
+			return false
+		}
+	}
+	return true
+}
+
+// may guards the rules: every call passes here.
+func (r *Root) may(p *Part, l *Leaf) bool {
+	if l.condition != Ready || p.query.state != gathering || r.now >= r.last(p.query) || !r.again(p) {
+		return false
+	}
+	for _, c := range p.calls {
+		if !c.ended && (!r.set.SecondCopies || c.Leaf == l) {
+			return false
+		}
+	}
+	if len(p.calls) > 0 && !r.budget() {
+		return false
+	}
+	return r.warmEnough(l, r.work(p))
+}
+
+// budget: does the window leave room for one further call? Edges are taken the strict way.
+func (r *Root) budget() bool {
+	if !r.set.BudgetSet {
+		return true
+	}
+	w := r.set.BudgetWindow
+	r.further = after(r.further, r.now-w-r.set.Tick)
+	r.taken = after(r.taken, r.now-w+r.set.Tick)
+	return float64(len(r.further)+1) <= r.set.BudgetSpare+r.set.BudgetRatio*float64(len(r.taken))
+}
+
+func after(times []Time, t Time) []Time {
+	for len(times) > 0 && times[0] < t {
+		times = times[1:]
+	}
+	return times
+}
+
+// capacity is the least part of its full capacity that a leaf can have by now.
+func (r *Root) capacity(l *Leaf) float64 {
+	age := r.now - l.started
+	if l.started == 0 || age >= r.set.ColdTime {
+		return 1
+	}
+	return r.set.ColdShare + (1-r.set.ColdShare)*max(float64(age)/float64(r.set.ColdTime), 0)
+}
+
+// warmEnough keeps a cold leaf from being pushed over. Warm leaves bear what they get, so a cold one may get
+// the same part of that from every root as its capacity allows times half the stated multiple, in any window;
+// summed over the roots this holds however unevenly they are loaded. One call is always allowed: else a root
+// with little to send would never send any. A root that started after the leaf did waits a window, as its
+// predecessor may have spent all.
+func (r *Root) warmEnough(l *Leaf, d float64) bool {
+	c := r.capacity(l)
+	if c >= 1 || r.set.FallTime == 0 {
+		return true
+	}
+	if l.started < r.started && r.now < r.started+r.set.FallTime {
+		return false
+	}
+	here := r.recent(l)
+	if here == 0 {
+		return true
+	}
+	sum, n := 0.0, 0
+	for _, o := range r.leaves {
+		if o.condition == Ready && r.capacity(o) >= 1 {
+			sum += r.recent(o)
+			n++
+		}
+	}
+	return n > 0 && here+d <= sum/float64(n)*min(1, r.set.FallMultiple*c/2)
+}
+
+// recent is the work sent to a leaf within one window of the cold rule.
+func (r *Root) recent(l *Leaf) float64 {
+	for len(l.log) > 0 && l.log[0].at < r.now-r.set.FallTime-r.set.Tick {
+		l.log = l.log[1:]
+	}
+	sum := 0.0
+	for _, s := range l.log {
+		sum += s.d
+	}
+	return sum
+}
+
+// ---- what a leaf is worth ----
+
+// queue is Q.
+func (r *Root) queue(l *Leaf) float64 {
+	return max(l.reported+l.since, l.own+r.ghosts(l))
+}
+
+// ghosts is the work of abandoned calls that may still run; it fades over the time that calls take.
+func (r *Root) ghosts(l *Leaf) float64 {
+	if l.ghost == 0 {
+		return 0
+	}
+	fade := max(r.pace*2*r.unit, 1)
+	return l.ghost * math.Exp(-float64(r.now-l.ghostAt)/fade)
+}
+
+// slowness is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
+// one that comes back, so a stalled leaf looks slower the longer it is silent.
+func (r *Root) slowness(l *Leaf) float64 {
+	s := l.pace
+	if s == 0 {
+		s = 1
+	}
+	if len(l.out) > 0 && r.pace > 0 {
+		c := l.out[0]
+		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace)
+	}
+	return s / r.capacity(l) * (1 + l.strikes)
+}
+
+// standing orders candidates before their score does: sound ones first, then those that failed this very
+// part, then those not trusted; if none is better, the least bad is used. A distrusted leaf whose time is
+// up may have one call at a time until it has made its failures good.
+func (r *Root) standing(p *Part, l *Leaf) int {
+	s := 0
+	if slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return c.Leaf == l }) {
+		s = 1
+	}
+	if l.strikes >= 0.5 && !r.allStruck() && (r.now < l.until || len(l.out) > 0 || p.query.v.Effect == SideEffecting) {
+		s += 2
+	}
+	return s
+}
+
+// allStruck: when most leaves fail, the cause is not in the leaves.
+func (r *Root) allStruck() bool {
+	n, all := 0, 0
+	for _, l := range r.leaves {
+		if l.condition == Ready {
+			all++
+			if l.strikes >= 0.5 {
+				n++
+			}
+		}
+	}
+	return 2*n > all
+}
+
+// strike notes a failure of a leaf.
+func (r *Root) strike(l *Leaf) {
+	l.strikes = min(l.strikes+1, 5)
+	base := max(r.pace*4*r.unit, float64(hundred))
+	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
+}
+
+// learn takes a sample of a leaf's time for a unit of load.
+func (r *Root) learn(l *Leaf, x float64) {
+	if r.pace == 0 {
+		r.pace, r.dev = x, x/2
+	}
+	top := r.pace + 2*lateBy*r.dev
+	r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
+	r.pace += gain / 4 * (min(x, top) - r.pace)
+	if l.pace == 0 {
+		l.pace = 1
+	}
+	l.pace += 2 * gain * (min(x/r.pace, 20) - l.pace)
+}
+
+// patience is how long a call may take before it counts as overdue.
+func (r *Root) patience(c *LeafCall) Time {
+	if r.pace == 0 {
+		return c.Part.query.v.SLO / 3
+	}
+	return Time((r.pace+lateBy*r.dev)*c.ahead) + 2*r.set.Tick
+}
+
+// ---- what comes back ----
+
+// Outcome takes the end of a leaf call. It may come after the query's end, or more than once.
+func (r *Root) Outcome(now Time, c *LeafCall, o Outcome, elapsed Time, final bool, rep *Report) {
+	r.now = now
+	if c.ended {
+		return
+	}
+	l, p := c.Leaf, c.Part
+	c.ended, c.outcome = true, o
+	if i := slices.Index(l.out, c); i >= 0 {
+		l.out = slices.Delete(l.out, i, i+1)
+	}
+	silent := float64(elapsed) / c.ahead
+	switch o {
+	case OK:
+		r.learn(l, silent)
+		l.strikes = max(l.strikes-1, 0)
+		l.lastOK = now
+	case Failed, Reset, NoConnection:
+		r.strike(l)
+	case Full:
+		l.reported = max(l.reported, 4*r.unit+l.own)
+		r.strike(l)
+	case TimedOut, Cancelled:
+		if x := silent; r.pace > 0 && x > r.pace*max(l.pace, 1) {
+			r.learn(l, x)
+		}
+	}
+	r.release(c, o == TimedOut || o == Cancelled)
+	if rep != nil {
+		r.report(l, rep)
+	}
+	if o == OK && !p.query.Over() && !p.over {
+		p.in = true
+		for _, other := range p.calls {
+			r.abandon(other)
+		}
+	}
+	if final && o != OK {
+		p.over = true
+	}
+	r.settle(p.query)
+	r.arm()
+}
+
+// release takes a call out of its leaf's sums; what may still run there fades.
+func (r *Root) release(c *LeafCall, lingers bool) {
+	if c.released {
+		return
+	}
+	c.released = true
+	l := c.Leaf
+	l.own = max(l.own-c.d, 0)
+	if c.reports == l.reports {
+		l.since = max(l.since-c.d, 0)
+	}
+	if lingers {
+		l.ghost, l.ghostAt = r.ghosts(l)+c.d, r.now
+	}
+}
+
+// abandon calls off a call that is of no more use.
+func (r *Root) abandon(c *LeafCall) {
+	if !c.ended && r.set.MayCancel && !c.streamed {
+		r.port.Cancel(c)
+	}
+}
+
+// overdue: a call has had more than its time.
+func (r *Root) overdue(c *LeafCall) {
+	q, l := c.Part.query, c.Leaf
+	if c.ended || c.streamed || c.overdue {
+		return
+	}
+	c.overdue = true
+	if l.lastOK < c.sent && r.now >= l.until {
+		r.strike(l)
+	}
+	if q.Over() {
+		return
+	}
+	if !r.set.SecondCopies && r.set.MayCancel && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
+		r.port.Cancel(c)
+	}
+	r.settle(q)
+}
+
+// elsewhere: is another replica better than waiting for a call?
+func (r *Root) elsewhere(c *LeafCall) bool {
+	for _, l := range r.holders[c.Part.Shard] {
+		if l != c.Leaf && l.condition == Ready && r.standing(c.Part, l) < 2 && r.slowness(l) < r.slowness(c.Leaf) {
+			return true
+		}
+	}
+	return false
+}
+
+// report takes a load report: whatever it holds becomes a queue, as D.
+func (r *Root) report(l *Leaf, rep *Report) {
+	unit := max(r.unit, 1e-9)
+	busy := func(u float64) float64 { u = min(max(u, 0), 0.95); return u / (1 - u) * unit }
+	l.reports++
+	l.since = 0
+	if rep.Has[ServiceTime] {
+		l.service = rep.Value[ServiceTime]
+	}
+	switch {
+	case rep.Has[Waiting]:
+		l.reported = rep.Value[Waiting] * unit
+	case rep.Has[Active]:
+		l.reported = rep.Value[Active] * unit
+	case rep.Has[Utilisation]:
+		l.reported = busy(rep.Value[Utilisation])
+	case rep.Has[ServiceTime]:
+		least := math.Inf(1)
+		for _, o := range r.leaves {
+			if o.service > 0 {
+				least = min(least, o.service)
+			}
+		}
+		l.reported = max(l.service/least-1, 0) * unit
+	default:
+		l.reported = 0
+	}
+}
+
+// Started: the answer to a call has begun to come; it belongs to the client now.
+func (r *Root) Started(now Time, c *LeafCall) { c.streamed = true }
+
+// Leave: the client has gone.
+func (r *Root) Leave(now Time, q *Query) {
+	r.now = now
+	if !q.Over() {
+		r.move(q, left)
+	}
+}
+
+// SecondStep takes the parts that the first answer has brought.
+func (r *Root) SecondStep(now Time, q *Query, parts []*Part) {
+	r.now = now
+	if q.state != betweenSteps {
+		return
+	}
+	q.Parts, q.need = parts, 1
+	if q.v.Floor >= q.v.Need {
+		q.floor = 1
+	}
+	for _, p := range parts {
+		p.query = q
+	}
+	r.move(q, gathering)
+	r.settle(q)
+	r.arm()
+}
+
+// Probed takes the outcome of a probe.
+func (r *Root) Probed(now Time, l *Leaf, o Outcome, rep *Report) {
+	r.now = now
+	l.probing = false
+	if o == OK && rep != nil {
+		r.report(l, rep)
+	} else if o != OK && now >= l.until {
+		r.strike(l)
+	}
+	r.arm()
+}
+
+// ---- whom to take in ----
+
+// count keeps the books on what comes in.
+func (r *Root) count(q *Query, work float64) {
+	for range len(q.Parts) + 1 {
+		r.taken = append(r.taken, r.now)
+	}
+	if r.set.BudgetWindow > 0 {
+		r.taken = after(r.taken, r.now-r.set.BudgetWindow)
+	}
+	n := float64(len(q.Parts))
+	if r.unit == 0 {
+		r.unit = work / n
+	}
+	r.unit += gain / 4 * (work/n - r.unit)
+	fade := math.Exp(-float64(r.now-r.ratesAt) / float64(20*hundred))
+	for i := range r.rates {
+		r.rates[i] *= fade
+	}
+	r.rates[q.Tenant] += float64(1000*Millisecond) / float64(20*hundred)
+	r.ratesAt = r.now
+}
+
+// admit turns away at once what could not meet its SLO time. What earns less for its work must fit more
+// easily, so that under pressure the rest finds room.
+func (r *Root) admit(q *Query, work float64) bool {
+	u := q.v.Utility
+	if !r.set.UtilityByWork {
+		u /= work * q.need
+	}
+	if r.density == 0 {
+		r.density = u
+	}
+	r.density += gain / 4 * (u - r.density)
+	if t := q.Tenant; t < len(r.set.Tenants) && r.set.Tenants[t].PerSecond > 0 &&
+		r.rates[t]*float64(r.set.Roots) > 1.2*r.set.Tenants[t].PerSecond {
+		u *= r.set.OverShareUtility
+	}
+	if r.pace == 0 {
+		return true
+	}
+	room := float64(q.slo-r.now) * min(max(u/r.density, 0.3), 1)
+	fit := 0.0
+	for _, p := range q.Parts {
+		least := math.Inf(1)
+		for _, l := range r.holders[p.Shard] {
+			if l.condition == Ready {
+				least = min(least, r.pace*r.slowness(l)*(r.queue(l)+2*r.work(p)))
+			}
+		}
+		if least <= room {
+			fit += p.Weight
+		}
+	}
+	return fit >= min(q.need, q.floor)-epsilon
+}
+
+// holdOff is how long a client should stay away: about as long as the load ahead takes.
+func (r *Root) holdOff() Time {
+	if !r.set.HoldOff {
+		return 0
+	}
+	return min(Time(r.pace*8*r.unit), r.set.MaxHoldOff)
+}
+
+// ---- the list ----
+
+// List takes news of the servers: changes, or a complete list.
+func (r *Root) List(now Time, entries []Entry, full, cached bool) {
+	r.now = now
+	if !cached {
+		r.watching, r.watchTries = true, 0
+	}
+	listed := map[*Leaf]bool{}
+	var lost []*LeafCall
+	for _, e := range entries {
+		l := e.Leaf
+		listed[l] = true
+		if !slices.Contains(r.leaves, l) {
+			r.leaves = append(r.leaves, l)
+		}
+		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
+			lost = append(lost, l.out...)
+			l.pace, l.strikes, l.reported, l.since, l.ghost = 0, 0, 0, 0, 0
+		}
+		if e.Condition == Gone {
+			lost = append(lost, l.out...)
+		}
+		l.cell, l.condition, l.started = e.Cell, e.Condition, e.Started
+	}
+	if full {
+		for _, l := range r.leaves {
+			if !listed[l] {
+				l.condition = Gone
+				lost = append(lost, l.out...)
+			}
+		}
+	}
+	for s := range r.holders {
+		r.holders[s] = r.holders[s][:0]
+		for _, l := range r.leaves {
+			if (l.cell-s%r.set.Cells+r.set.Cells)%r.set.Cells < r.set.Span && l.condition != Gone {
+				r.holders[s] = append(r.holders[s], l)
+			}
+		}
+	}
+	for _, c := range lost {
+		c.overdue = true
+		r.settle(c.Part.query)
+	}
+	r.arm()
+}
+
+// ListFailed: the list could not be had, or the watch on it broke.
+func (r *Root) ListFailed(now Time) {
+	r.now = now
+	r.watching = false
+	r.watchTries++
+	r.arm()
+}
+
+func (r *Root) watch() {
+	r.asked = r.now
+	r.port.Watch()
+}
+
+// ---- time ----
+
+func (r *Root) at(t Time, q *Query, c *LeafCall) {
+	r.seq++
+	heap.Push(&r.dues, due{t, r.seq, q, c})
+}
+
+// arm asks for the next wake-up.
+func (r *Root) arm() {
+	next := r.sweep
+	if len(r.dues) > 0 {
+		next = min(next, r.dues[0].at)
+	}
+	next = max(next, r.now+1)
+	if r.armed <= r.now || next < r.armed {
+		r.armed = next
+		r.port.Wake(next)
+	}
+}
+
+// Awake is called at the times asked for.
+func (r *Root) Awake(now Time) {
+	r.now = now
+	for len(r.dues) > 0 && r.dues[0].at <= now {
+		d := heap.Pop(&r.dues).(due)
+		if d.c != nil {
+			r.overdue(d.c)
+		} else {
+			r.settle(d.q)
+		}
+	}
+	if now >= r.sweep {
+		r.periodic()
+		r.sweep = now + sweepEvery
+	}
+	r.arm()
+}
+
+// periodic work: the watch on the list, and probes where reports come no other way.
+func (r *Root) periodic() {
+	if r.set.AskForList && !r.watching {
+		wait := Time(float64(5*hundred) * math.Exp2(float64(min(r.watchTries, 3))) * (0.5 + r.chance()))
+		if r.now >= r.asked+wait {
+			r.watch()
+		}
+	}
+	if !r.set.MayProbe || !r.set.ProbeReports {
+		return
+	}
+	for _, l := range r.leaves {
+		if l.condition == Ready && !l.probing && r.now >= l.probed+8*hundred {
+			l.probed, l.probing = r.now, true
+			r.port.Probe(l)
+		}
+	}
+}
