--- a/wire/host.go
+++ b/wire/host.go
@@ -131,9 +131,8 @@
 	switch name {
 	case "NEW_REQUEST":
 		return in.request(f)
-	case "SHUTDOWN": // what it said in this batch is void too: it may name what its successor was never given
-		in.fresh, in.said = nil, nil
-		delete(h.instances, h.named)
+	case "SHUTDOWN":
+		in.kill()
 		return f.end()
 	}
 	if err := in.take(); err != nil {
@@ -233,6 +232,9 @@
 	if err != nil {
 		return err
 	}
+	if old := h.instances[h.named]; old != nil {
+		old.kill()
+	}
 	in := &instance{host: h, name: h.named, verticals: len(s.Verticals), shards: s.Shards,
 		tenants: max(len(s.Tenants), 1), leaves: map[string]*choice.Leaf{}, nodes: map[*choice.Leaf]string{},
 		held: map[string]*held{}, parts: map[*choice.Part]*held{}, queries: map[*choice.Query]*held{},
@@ -243,6 +245,13 @@
 	return nil
 }
 
+// kill makes an instance void, with what it said in this batch: that may name what its successor was never
+// given.
+func (in *instance) kill() {
+	in.fresh, in.said = nil, nil
+	delete(in.host.instances, in.name)
+}
+
 // held is a query or a part that this instance was given and still keeps.
 type held struct {
 	id     string
