Cold rule by answered work, copies throttled, admission by the median call time

Change: the cold budget counts answered work only, second copies of calls that are out are limited to a tenth of first calls, admission follows the median of call time against SLO time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,9 +19,13 @@
 const (
 	gain       = 0.1         // weight of a new sample in running means; scale-free
 	lateBy     = 4           // a call is overdue this many mean deviations past the mean, as in TCP (RFC 6298)
+	copyShare  = 0.1         // second copies for each first call, whatever the budget: they add load when there
+	copiesMost = 10          // is least room for it; and how many may be saved up for a sudden stall
 	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
 	hundred    = 100 * Millisecond
-	epsilon    = 1e-4 // weights are sums of rounded shares
+	memory     = 32        // how many of the last calls or queries are looked at
+	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
+	epsilon    = 1e-4      // weights are sums of rounded shares
 )
 
 type state int
@@ -101,7 +105,8 @@
 	service  float64 // service time in the last report, where it has one
 	ghost    float64 // D of abandoned calls that may still run, as of ghostAt
 	ghostAt  Time
-	log      []sent // calls in the last FallTime
+	sent     []amount // work sent to it in the last FallTime
+	done     []amount // work it answered in that time
 
 	pace    float64 // its time for a unit of load against that of its peers
 	paceAt  Time
@@ -112,11 +117,23 @@
 	probing bool
 }
 
-type sent struct {
+type amount struct {
 	at Time
 	d  float64
 }
 
+// recent is the sum of what was noted since a time; older entries are let go.
+func recent(log *[]amount, since Time) float64 {
+	sum := 0.0
+	for len(*log) > 0 && (*log)[0].at < since {
+		*log = (*log)[1:]
+	}
+	for _, a := range *log {
+		sum += a.d
+	}
+	return sum
+}
+
 type due struct {
 	at  Time
 	seq int
@@ -149,9 +166,10 @@
 	leaves  []*Leaf
 	holders [][]*Leaf // by shard
 
-	pace, dev float64 // time for a unit of load: mean and mean deviation over all leaves
-	unit      float64 // mean D
-	density   float64 // mean utility per work
+	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
+	unit      float64   // mean D
+	times     []amount  // of the last calls, against the SLO time
+	utilities []float64 // of the last queries, per work
 
 	dues  dues
 	seq   int
@@ -160,6 +178,7 @@
 
 	taken   []Time // queries and parts taken within the budget's window
 	further []Time // calls beyond a part's first within it
+	copies  float64
 	rates   []float64
 	ratesAt Time
 
@@ -171,7 +190,7 @@
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
-		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now}
+		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, copies: copiesMost}
 	if s.AskForList {
 		r.watch()
 	}
@@ -311,12 +330,17 @@
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, ahead: r.queue(l) + 2*d, reports: l.reports}
 	if len(p.calls) > 0 {
 		r.further = append(r.further, r.now)
+	} else {
+		r.copies = min(r.copies+copyShare, copiesMost)
+	}
+	if p.pending() {
+		r.copies--
 	}
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	l.own += d
 	l.since += d
-	l.log = append(l.log, sent{r.now, d})
+	l.sent = append(l.sent, amount{r.now, d})
 	r.port.Call(c, r.last(p.query)-r.now)
 	r.at(r.now+r.patience(c), nil, c)
 }
@@ -430,7 +454,7 @@
 			return false
 		}
 	}
-	if len(p.calls) > 0 && !r.budget() {
+	if p.pending() && r.copies < 1 || len(p.calls) > 0 && !r.budget() {
 		return false
 	}
 	return r.warmEnough(l, r.work(p))
@@ -463,11 +487,12 @@
 	return r.set.ColdShare + (1-r.set.ColdShare)*max(float64(age)/float64(r.set.ColdTime), 0)
 }
 
-// warmEnough keeps a cold leaf from being pushed over. Warm leaves bear what they get, so a cold one may get
-// the same part of that from every root as its capacity allows times half the stated multiple, in any window;
-// summed over the roots this holds however unevenly they are loaded. One call is always allowed: else a root
-// with little to send would never send any. A root that started after the leaf did waits a window, as its
-// predecessor may have spent all.
+// warmEnough keeps a cold leaf from being pushed over. What warm leaves answer shows what a leaf can do: a
+// cold one may be sent, in any window, the same part of this root's share of that as its capacity allows times
+// half the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a flood
+// of calls does not raise it, as only answers count. One call is always allowed: else a root with little to
+// send would never send any. A root that started after the leaf did waits a window, as its predecessor may
+// have spent all.
 func (r *Root) warmEnough(l *Leaf, d float64) bool {
 	c := r.capacity(l)
 	if c >= 1 || r.set.FallTime == 0 {
@@ -476,32 +501,21 @@
 	if l.started < r.started && r.now < r.started+r.set.FallTime {
 		return false
 	}
-	here := r.recent(l)
+	window := r.now - r.set.FallTime - r.set.Tick
+	here := recent(&l.sent, window)
 	if here == 0 {
 		return true
 	}
 	sum, n := 0.0, 0
 	for _, o := range r.leaves {
 		if o.condition == Ready && r.capacity(o) >= 1 {
-			sum += r.recent(o)
+			sum += recent(&o.done, window)
 			n++
 		}
 	}
 	return n > 0 && here+d <= sum/float64(n)*min(1, r.set.FallMultiple*c/2)
 }
 
-// recent is the work sent to a leaf within one window of the cold rule.
-func (r *Root) recent(l *Leaf) float64 {
-	for len(l.log) > 0 && l.log[0].at < r.now-r.set.FallTime-r.set.Tick {
-		l.log = l.log[1:]
-	}
-	sum := 0.0
-	for _, s := range l.log {
-		sum += s.d
-	}
-	return sum
-}
-
 // ---- what a leaf is worth ----
 
 // queue is Q.
@@ -603,9 +617,16 @@
 		l.out = slices.Delete(l.out, i, i+1)
 	}
 	silent := float64(elapsed) / c.ahead
+	if o == OK || o == TimedOut || o == Cancelled {
+		r.times = append(r.times, amount{now, float64(elapsed) / float64(p.query.v.SLO)})
+		if len(r.times) > memory {
+			r.times = r.times[1:]
+		}
+	}
 	switch o {
 	case OK:
 		r.learn(l, silent)
+		l.done = append(l.done, amount{now, c.d})
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
 	case Failed, Reset, NoConnection:
@@ -787,31 +808,40 @@
 	if !r.set.UtilityByWork {
 		u /= work * q.need
 	}
-	if r.density == 0 {
-		r.density = u
-	}
-	r.density += gain / 4 * (u - r.density)
 	if t := q.Tenant; t < len(r.set.Tenants) && r.set.Tenants[t].PerSecond > 0 &&
 		r.rates[t]*float64(r.set.Roots) > 1.2*r.set.Tenants[t].PerSecond {
 		u *= r.set.OverShareUtility
 	}
-	if r.pace == 0 {
-		return true
+	r.utilities = append(r.utilities, u)
+	if len(r.utilities) > memory {
+		r.utilities = r.utilities[1:]
 	}
-	room := float64(q.slo-r.now) * min(max(u/r.density, 0.3), 1)
-	fit := 0.0
-	for _, p := range q.Parts {
-		least := math.Inf(1)
-		for _, l := range r.holders[p.Shard] {
-			if l.condition == Ready {
-				least = min(least, r.pace*r.slowness(l)*(r.queue(l)+2*r.work(p)))
-			}
+	below := 0.0
+	for _, o := range r.utilities {
+		if o < u {
+			below++
+		} else if o == u {
+			below += r.chance()
 		}
-		if least <= room {
-			fit += p.Weight
+	}
+	return r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
+}
+
+// pressure is the median, over the last calls, of the time they took against their SLO times. A median: a few
+// stalled or failing leaves do not move it, and what is slow everywhere does. Old calls do not count, so that a
+// root which turns all away tries again.
+func (r *Root) pressure() float64 {
+	var x []float64
+	for _, t := range r.times {
+		if r.now-t.at < 20*hundred {
+			x = append(x, t.d)
 		}
 	}
-	return fit >= min(q.need, q.floor)-epsilon
+	if len(x) < memory/4 {
+		return 0
+	}
+	slices.Sort(x)
+	return x[len(x)/2]
 }
 
 // holdOff is how long a client should stay away: about as long as the load ahead takes.
