Evidence fades without news; utilisation counts as four parts at most

Change: reports and pace drift back to the peers' over the longest SLO time; utilisation above 0.8 says no more than 'busy'. It guards against any report that lags or freezes; it may send a part to a server that is still bad once in a horizon.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -102,6 +102,7 @@
 	since    float64     // D of calls out that were sent after the last report
 	reports  int
 	reported float64 // queue in the last report, as D
+	reportAt Time
 	service  float64 // service time in the last report, where it has one
 	ghost    float64 // D of abandoned calls that may still run, as of ghostAt
 	ghostAt  Time
@@ -168,6 +169,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
 	times     []amount  // of the last calls, against the SLO time
 	utilities []float64 // of the last queries, per work
 
@@ -191,6 +193,9 @@
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
 		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, copies: copiesMost}
+	for _, v := range s.Verticals {
+		r.horizon = max(r.horizon, v.SLO)
+	}
 	if s.AskForList {
 		r.watch()
 	}
@@ -520,7 +525,13 @@
 
 // queue is Q.
 func (r *Root) queue(l *Leaf) float64 {
-	return max(l.reported+l.since, l.own+r.ghosts(l))
+	return max(l.reported*r.fade(l.reportAt)+l.since, l.own+r.ghosts(l))
+}
+
+// fade is how much is left of what was learnt at a time: without news a leaf drifts back to what its peers
+// are, or one seen at its worst would never be asked again, and never be seen better.
+func (r *Root) fade(since Time) float64 {
+	return math.Exp(-float64(r.now-since) / float64(r.horizon))
 }
 
 // ghosts is the work of abandoned calls that may still run; it fades over the time that calls take.
@@ -535,8 +546,8 @@
 // slowness is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
 func (r *Root) slowness(l *Leaf) float64 {
-	s := l.pace
-	if s == 0 {
+	s := 1 + (l.pace-1)*r.fade(l.paceAt)
+	if l.paceAt == 0 {
 		s = 1
 	}
 	if len(l.out) > 0 && r.pace > 0 {
@@ -589,10 +600,12 @@
 	top := r.pace + 2*lateBy*r.dev
 	r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 	r.pace += gain / 4 * (min(x, top) - r.pace)
-	if l.pace == 0 {
+	if l.paceAt == 0 {
 		l.pace = 1
 	}
+	l.pace = 1 + (l.pace-1)*r.fade(l.paceAt)
 	l.pace += 2 * gain * (min(x/r.pace, 20) - l.pace)
+	l.paceAt = r.now
 }
 
 // patience is how long a call may take before it counts as overdue.
@@ -632,7 +645,7 @@
 	case Failed, Reset, NoConnection:
 		r.strike(l)
 	case Full:
-		l.reported = max(l.reported, 4*r.unit+l.own)
+		l.reported, l.reportAt = max(l.reported, 4*r.unit+l.own), now
 		r.strike(l)
 	case TimedOut, Cancelled:
 		if x := silent; r.pace > 0 && x > r.pace*max(l.pace, 1) {
@@ -711,9 +724,9 @@
 // report takes a load report: whatever it holds becomes a queue, as D.
 func (r *Root) report(l *Leaf, rep *Report) {
 	unit := max(r.unit, 1e-9)
-	busy := func(u float64) float64 { u = min(max(u, 0), 0.95); return u / (1 - u) * unit }
+	busy := func(u float64) float64 { u = min(max(u, 0), 0.8); return u / (1 - u) * unit }
 	l.reports++
-	l.since = 0
+	l.since, l.reportAt = 0, r.now
 	if rep.Has[ServiceTime] {
 		l.service = rep.Value[ServiceTime]
 	}
@@ -870,7 +883,7 @@
 		}
 		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
 			lost = append(lost, l.out...)
-			l.pace, l.strikes, l.reported, l.since, l.ghost = 0, 0, 0, 0, 0
+			l.paceAt, l.strikes, l.reported, l.since, l.ghost = 0, 0, 0, 0, 0
 		}
 		if e.Condition == Gone {
 			lost = append(lost, l.out...)
