--- a/choice/choice.go
+++ b/choice/choice.go
@@ -346,7 +346,11 @@
 	l.own += d
 	l.since += d
 	l.sent = append(l.sent, amount{r.now, d})
-	r.port.Call(c, r.last(p.query)-r.now)
+	until := r.last(p.query)
+	if r.now < p.query.slo && p.query.v.LateUtility < 0.5 {
+		until = p.query.slo
+	}
+	r.port.Call(c, until-r.now)
 	r.at(r.now+r.patience(c), nil, c)
 }
 
