--- a/choice/choice.go
+++ b/choice/choice.go
@@ -169,7 +169,6 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
-	patience  []Time    // by vertical: the longest that a client has waited for one try
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
 	times     []amount  // of the last calls, against the SLO time
 	utilities []float64 // of the last queries, per work
@@ -194,7 +193,6 @@
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
 		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, copies: copiesMost}
-	r.patience = make([]Time, len(s.Verticals))
 	for _, v := range s.Verticals {
 		r.horizon = max(r.horizon, v.SLO)
 	}
@@ -230,11 +228,7 @@
 		p.query = q
 		work += r.work(p)
 	}
-	r.patience[q.Vertical] = max(r.patience[q.Vertical], q.Deadline-now)
 	q.slo = min(now+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
-	if q.Deadline-now < r.patience[q.Vertical]-2*r.set.Tick {
-		q.slo -= max(q.v.Deadline-(q.Deadline-now), 0) // a retry: what is left tells when its first try began
-	}
 	r.count(q, work)
 	if !r.admit(q, work) {
 		r.move(q, rejected)
@@ -354,10 +348,10 @@
 	l.sent = append(l.sent, amount{r.now, d})
 	until := r.last(p.query)
 	if r.now < p.query.slo && p.query.v.LateUtility < 0.5 {
-		until = p.query.slo
+		until = min(until, p.query.slo+Time(r.pace*3*d))
 	}
 	r.port.Call(c, until-r.now)
-	r.at(r.now+r.allowed(c), nil, c)
+	r.at(r.now+r.patience(c), nil, c)
 }
 
 // move is the one way from state to state.
@@ -618,8 +612,8 @@
 	l.paceAt = r.now
 }
 
-// allowed is how long a call may take before it counts as overdue.
-func (r *Root) allowed(c *LeafCall) Time {
+// patience is how long a call may take before it counts as overdue.
+func (r *Root) patience(c *LeafCall) Time {
 	if r.pace == 0 {
 		return c.Part.query.v.SLO / 3
 	}
@@ -835,12 +829,6 @@
 		r.rates[t]*float64(r.set.Roots) > 1.2*r.set.Tenants[t].PerSecond {
 		u *= r.set.OverShareUtility
 	}
-	if r.now >= q.slo {
-		u *= q.v.LateUtility
-	}
-	if u == 0 {
-		return false
-	}
 	r.utilities = append(r.utilities, u)
 	if len(r.utilities) > memory {
 		r.utilities = r.utilities[1:]
