Only parts of more than usual work run on past the SLO time

Guards against cutting off and asking again what is merely heavy; harms where hints are far too high.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -348,7 +348,7 @@
 	l.sent = append(l.sent, amount{r.now, d})
 	until := r.last(p.query)
 	if r.now < p.query.slo && p.query.v.LateUtility < 0.5 {
-		until = min(until, p.query.slo+Time(r.pace*3*d))
+		until = min(until, p.query.slo+Time(r.pace*3*max(d-r.unit, 0)))
 	}
 	r.port.Call(c, until-r.now)
 	r.at(r.now+r.patience(c), nil, c)
