--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	copiesMost = 10          // is least room for it; and how many may be saved up for a sudden stall
 	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
 	hundred    = 100 * Millisecond
+	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
 	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
 	epsilon    = 1e-4      // weights are sums of rounded shares
@@ -93,6 +94,7 @@
 
 // Leaf is one server as this root sees it.
 type Leaf struct {
+	zone      int
 	cell      int
 	condition Condition
 	started   Time // of its process, 0: long past
@@ -307,7 +309,7 @@
 			continue
 		}
 		c := r.standing(p, l)
-		score := d * (r.queue(l) + d/2) * r.slowness(l)
+		score := d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l)
 		if c > class || c == class && score > least {
 			continue
 		}
@@ -321,6 +323,15 @@
 	return leaf, least
 }
 
+// away is what a crossing of zones adds to Q, in parts: it costs, so a leaf nearby is taken unless it is that
+// much busier.
+func (r *Root) away(l *Leaf) float64 {
+	if l.zone == r.set.Zone {
+		return 0
+	}
+	return crossing * r.set.CrossZone
+}
+
 // work is D.
 func (r *Root) work(p *Part) float64 {
 	if p.Hint > 0 {
@@ -892,7 +903,7 @@
 		if e.Condition == Gone {
 			lost = append(lost, l.out...)
 		}
-		l.cell, l.condition, l.started = e.Cell, e.Condition, e.Started
+		l.zone, l.cell, l.condition, l.started = e.Zone, e.Cell, e.Condition, e.Started
 	}
 	if full {
 		for _, l := range r.leaves {
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -84,6 +84,8 @@
 	Seed      uint64
 	Roots     int
 	Tick      Time
+	Zone      int
+	CrossZone float64 // price of a part that crosses zones, as a portion of what it earns
 	Shards    int
 	Cells     int
 	Span      int
@@ -116,6 +118,7 @@
 // Entry is one line of the list of servers.
 type Entry struct {
 	Leaf      *Leaf
+	Zone      int
 	Cell      int
 	Condition Condition
 	Started   Time // 0: long past
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -201,7 +201,7 @@
 	}
 	var l listed
 	l.node = f.node("node")
-	f.integer("failure_domain", 0, 1<<20)
+	l.entry.Zone = int(f.integer("failure_domain", 0, 1<<20))
 	f.integer("kind", 0, 1<<20)
 	l.entry.Cell = int(f.integerOr("cell", 0, 1<<20, 0))
 	l.entry.Condition = choice.Condition(f.integer("condition", 0, 2))
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -12,6 +12,7 @@
 func decodeFacts(seed uint64, text string) (*choice.Settings, error) {
 	var w struct {
 		Balancers int
+		Zone      int
 		Tick      float64
 		Caps      struct {
 			Cancel        bool
@@ -57,6 +58,9 @@
 			AllowancePerS float64 `json:"allowance_per_s"`
 			Portion       float64
 		}
+		Tariffs struct {
+			CrossZone float64 `json:"cross_zone"`
+		}
 		WorthBy string `json:"worth_by"`
 	}
 	if err := json.Unmarshal([]byte(text), &w); err != nil {
@@ -66,7 +70,7 @@
 		return nil, errors.New("facts: classes, slices, sets or span are missing")
 	}
 	s := &choice.Settings{
-		Seed: seed, Roots: max(w.Balancers, 1), Tick: ceilTime(w.Tick),
+		Seed: seed, Roots: max(w.Balancers, 1), Zone: w.Zone, CrossZone: w.Tariffs.CrossZone, Tick: ceilTime(w.Tick),
 		Shards: w.FamilyInfo.Slices, Cells: w.FamilyInfo.Sets, Span: w.FamilyInfo.Span,
 		OverShareUtility: w.OverShareWorth, UtilityByWork: w.WorthBy == "work",
 		MaxCalls: max(w.Caps.MaxAttempts, 1), SecondCopies: w.Caps.SecondCopies, MayCancel: w.Caps.Cancel,
