--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	hundred    = 100 * Millisecond
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
-	easy, hard = 0.25, 0.5 // pressure at which the least useful queries, and all, are turned away
+	easy, hard = 0.5, 1.0 // pressure at which the least useful queries, and all, are turned away
 	epsilon    = 1e-4      // weights are sums of rounded shares
 )
 
