--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	hundred    = 100 * Millisecond
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
-	easy, hard = 0.5, 1.0 // pressure at which the least useful queries, and all, are turned away
+	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
 	epsilon    = 1e-4      // weights are sums of rounded shares
 )
 
@@ -856,7 +856,8 @@
 }
 
 // pressure is the median, over the last calls, of the time they took against their SLO times. A median: a few
-// stalled or failing leaves do not move it, and what is slow everywhere does. Old calls do not count, so that a
+// stalled or failing leaves do not move it, and what is slow everywhere does. Calls that are still out count
+// once they are older than that, so that a jam shows before its first answers come. Old calls do not count, so that a
 // root which turns all away tries again.
 func (r *Root) pressure() float64 {
 	var x []float64
@@ -869,6 +870,15 @@
 		return 0
 	}
 	slices.Sort(x)
+	median := x[len(x)/2]
+	for _, l := range r.leaves {
+		for _, c := range l.out {
+			if t := float64(r.now-c.sent) / float64(c.Part.query.v.SLO); t > median {
+				x = append(x, t)
+			}
+		}
+	}
+	slices.Sort(x)
 	return x[len(x)/2]
 }
 
