--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1001,7 +1001,7 @@
 		return
 	}
 	for _, l := range r.leaves {
-		if l.condition == Ready && !l.probing && r.now >= l.probed+8*hundred {
+		if l.condition == Ready && !l.probing && r.now >= l.probed+r.horizon {
 			l.probed, l.probing = r.now, true
 			r.port.Probe(l)
 		}
