--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	Leaf *Leaf
 
 	sent              Time
-	d, ahead          float64 // its work, and the load it met with
+	d, ahead, crowd   float64 // its work, the load it met at its leaf, the calls it met in all
 	reports           int     // reports of the leaf that had come when it was sent
 	outcome           Outcome
 	ended             bool
@@ -172,7 +172,7 @@
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
-	times     []amount  // of the last calls, against the SLO time
+	times     []float64 // strain of the last calls
 	utilities []float64 // of the last queries, per work
 
 	dues  dues
@@ -343,7 +343,7 @@
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.work(p)
-	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, ahead: r.queue(l) + 2*d, reports: l.reports}
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, ahead: r.queue(l) + 2*d, crowd: r.crowd(), reports: l.reports}
 	if len(p.calls) > 0 {
 		r.further = append(r.further, r.now)
 	} else {
@@ -646,7 +646,7 @@
 	}
 	silent := float64(elapsed) / c.ahead
 	if o == OK || o == TimedOut || o == Cancelled {
-		r.times = append(r.times, amount{now, float64(elapsed) / float64(p.query.v.SLO)})
+		r.times = append(r.times, r.strain(c, elapsed))
 		if len(r.times) > memory {
 			r.times = r.times[1:]
 		}
@@ -855,31 +855,42 @@
 	return r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
 }
 
-// pressure is the median, over the last calls, of the time they took against their SLO times. A median: a few
-// stalled or failing leaves do not move it, and what is slow everywhere does. Calls that are still out count
-// once they are older than that, so that a jam shows before its first answers come. Old calls do not count, so that a
-// root which turns all away tries again.
+// pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
+// from the crowd of calls each met to the present one. A median: a few stalled or failing leaves do not move
+// it, and what is slow everywhere does. Calls that are still out count once they are older than that, so that
+// a jam shows before its first answers come; and as the crowd thins out, so does the pressure, with no wait.
 func (r *Root) pressure() float64 {
-	var x []float64
-	for _, t := range r.times {
-		if r.now-t.at < 20*hundred {
-			x = append(x, t.d)
-		}
-	}
-	if len(x) < memory/4 {
+	if len(r.times) < memory/4 {
 		return 0
 	}
-	slices.Sort(x)
+	x := slices.Sorted(slices.Values(r.times))
 	median := x[len(x)/2]
 	for _, l := range r.leaves {
 		for _, c := range l.out {
-			if t := float64(r.now-c.sent) / float64(c.Part.query.v.SLO); t > median {
+			if t := r.strain(c, r.now-c.sent); t > median {
 				x = append(x, t)
 			}
 		}
 	}
 	slices.Sort(x)
-	return x[len(x)/2]
+	return x[len(x)/2] * r.crowd()
+}
+
+// strain is a call's time against its SLO time, for each call in the crowd that it met.
+func (r *Root) strain(c *LeafCall, t Time) float64 {
+	return float64(t) / float64(c.Part.query.v.SLO) / c.crowd
+}
+
+// crowd is the number of calls out, and one more for each leaf: an empty fleet takes its time too.
+func (r *Root) crowd() float64 {
+	n := 0
+	for _, l := range r.leaves {
+		n += len(l.out)
+		if l.condition == Ready {
+			n++
+		}
+	}
+	return float64(n)
 }
 
 // holdOff is how long a client should stay away: about as long as the load ahead takes.
