--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,8 @@
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
 	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
-	epsilon    = 1e-4      // weights are sums of rounded shares
+	never      = Time(math.MaxInt64)
+	epsilon    = 1e-4 // weights are sums of rounded shares
 )
 
 type state int
@@ -45,7 +46,6 @@
 type Query struct {
 	Deadline         Time
 	Vertical, Tenant int
-	Retry            bool
 	Parts            []*Part // of the present step
 
 	state       state
@@ -53,7 +53,7 @@
 	slo         Time // an answer that leaves by then counts in full
 	need, floor float64
 	partial     bool // the first step's answer was not whole
-	late        bool // the SLO time was dealt with
+	stepped     bool // the first step was answered
 }
 
 // Over tells whether the query has had its final answer.
@@ -82,6 +82,7 @@
 	ended             bool
 	released          bool // no longer in the sums of its leaf
 	overdue, streamed bool
+	calledOff         bool
 }
 
 // Ended tells whether the outcome has come.
@@ -186,15 +187,14 @@
 	rates   []float64
 	ratesAt Time
 
-	watchTries int
-	asked      Time
-	watching   bool
+	askAt    Time // when to ask for the list again
+	failures int  // of asking, in a row
 }
 
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
-		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, copies: copiesMost}
+		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never, copies: copiesMost}
 	for _, v := range s.Verticals {
 		r.horizon = max(r.horizon, v.SLO)
 	}
@@ -246,6 +246,9 @@
 // settle brings a query as far as it can go now. On the ordinary path that is: score every part, send the
 // cheapest ones that make a whole answer, each to its best replica; and when they are in, merge.
 func (r *Root) settle(q *Query) {
+	if q.state == betweenSteps && r.now >= r.last(q) {
+		r.move(q, aborted)
+	}
 	if q.state != gathering {
 		return
 	}
@@ -275,20 +278,13 @@
 	for in+coming < q.need-epsilon {
 		var part *Part
 		var leaf *Leaf
-		least, ties := math.Inf(1), uint64(0)
+		least, ties := worst, uint64(0)
 		for _, p := range q.Parts {
 			if p.in || p.awaited() {
 				continue
 			}
-			l, score := r.best(p)
-			if l == nil || score > least {
-				continue
-			}
-			if score < least {
-				ties = 0
-			}
-			if ties++; ties == 1 || r.draw()%ties == 0 {
-				part, leaf, least = p, l, score
+			if l, s := r.best(p); l != nil && r.beats(s, least, &ties) {
+				part, leaf, least = p, l, s
 			}
 		}
 		if part == nil {
@@ -300,24 +296,36 @@
 	}
 }
 
+// score is a marginal load. Candidates of a lower standing go first, whatever their load; on the ordinary
+// path all have standing 0.
+type score struct {
+	standing int
+	load     float64
+}
+
+var worst = score{math.MaxInt, math.Inf(1)}
+
+// beats tells whether a score is the least so far; ties are settled by a random draw.
+func (r *Root) beats(s, least score, ties *uint64) bool {
+	if s.standing != least.standing || s.load != least.load {
+		*ties = 1
+		return s.standing < least.standing || s.standing == least.standing && s.load < least.load
+	}
+	*ties++
+	return r.draw()%*ties == 0
+}
+
 // best is the replica of least marginal load for a part among those it may go to, with the score.
-func (r *Root) best(p *Part) (*Leaf, float64) {
+func (r *Root) best(p *Part) (*Leaf, score) {
 	var leaf *Leaf
-	d, least, class, ties := r.work(p), math.Inf(1), 4, uint64(0)
+	d, least, ties := r.work(p), worst, uint64(0)
 	for _, l := range r.holders[p.Shard] {
 		if !r.may(p, l) {
 			continue
 		}
-		c := r.standing(p, l)
-		score := d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l)
-		if c > class || c == class && score > least {
-			continue
-		}
-		if c < class || score < least {
-			ties = 0
-		}
-		if ties++; ties == 1 || r.draw()%ties == 0 {
-			leaf, least, class = l, score, c
+		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l)}
+		if r.beats(s, least, &ties) {
+			leaf, least = l, s
 		}
 	}
 	return leaf, least
@@ -375,8 +383,8 @@
 			}
 		}
 		whole := in >= q.need-epsilon && !q.partial
-		if q.v.SecondStep > 0 && q.state == gathering && q.need == q.v.Need && q.slo >= 0 && !q.late {
-			to, q.partial, q.late = betweenSteps, !whole, true
+		if q.v.SecondStep > 0 && !q.stepped {
+			to, q.partial, q.stepped = betweenSteps, !whole, true
 		}
 		q.state = to
 		r.port.Merge(q, whole)
@@ -421,7 +429,7 @@
 			return false
 		}
 	}
-	return !q.late
+	return !q.stepped
 }
 
 // last is when a query must have its final answer: two ticks early, as a wake-up comes up to a tick late.
@@ -702,7 +710,8 @@
 
 // abandon calls off a call that is of no more use.
 func (r *Root) abandon(c *LeafCall) {
-	if !c.ended && r.set.MayCancel && !c.streamed {
+	if !c.ended && r.set.MayCancel && !c.streamed && !c.calledOff {
+		c.calledOff = true
 		r.port.Cancel(c)
 	}
 }
@@ -714,14 +723,14 @@
 		return
 	}
 	c.overdue = true
-	if l.lastOK < c.sent && r.now >= l.until {
+	if l.lastOK <= c.sent && c.sent >= l.started && r.now >= l.until {
 		r.strike(l)
 	}
 	if q.Over() {
 		return
 	}
-	if !r.set.SecondCopies && r.set.MayCancel && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
-		r.port.Cancel(c)
+	if !r.set.SecondCopies && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
+		r.abandon(c)
 	}
 	r.settle(q)
 }
@@ -907,7 +916,7 @@
 func (r *Root) List(now Time, entries []Entry, full, cached bool) {
 	r.now = now
 	if !cached {
-		r.watching, r.watchTries = true, 0
+		r.askAt, r.failures = never, 0
 	}
 	listed := map[*Leaf]bool{}
 	var lost []*LeafCall
@@ -920,6 +929,7 @@
 		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
 			lost = append(lost, l.out...)
 			l.paceAt, l.strikes, l.reported, l.since, l.ghost = 0, 0, 0, 0, 0
+			l.sent = nil
 		}
 		if e.Condition == Gone {
 			lost = append(lost, l.out...)
@@ -943,8 +953,7 @@
 		}
 	}
 	for _, c := range lost {
-		c.overdue = true
-		r.settle(c.Part.query)
+		r.overdue(c)
 	}
 	r.arm()
 }
@@ -952,13 +961,14 @@
 // ListFailed: the list could not be had, or the watch on it broke.
 func (r *Root) ListFailed(now Time) {
 	r.now = now
-	r.watching = false
-	r.watchTries++
+	r.failures = min(r.failures+1, 4)
+	r.askAt = now + Time(float64(2*hundred)*math.Exp2(float64(r.failures))*(0.5+r.chance()))
 	r.arm()
 }
 
+// watch asks for the list and its changes. Its answer ends the waiting; should none come, it asks again.
 func (r *Root) watch() {
-	r.asked = r.now
+	r.askAt = r.now + 100*hundred
 	r.port.Watch()
 }
 
@@ -1002,11 +1012,8 @@
 
 // periodic work: the watch on the list, and probes where reports come no other way.
 func (r *Root) periodic() {
-	if r.set.AskForList && !r.watching {
-		wait := Time(float64(5*hundred) * math.Exp2(float64(min(r.watchTries, 3))) * (0.5 + r.chance()))
-		if r.now >= r.asked+wait {
-			r.watch()
-		}
+	if r.now >= r.askAt {
+		r.watch()
 	}
 	if !r.set.MayProbe || !r.set.ProbeReports {
 		return
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,276 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+func anyHalf(s *Settings)    { s.Verticals[0].Need, s.Verticals[0].Floor = 0.5, 0.5 }
+func noCopies(s *Settings)   { s.SecondCopies = false }
+func sideEffect(s *Settings) { s.Verticals[0].Effect, s.Verticals[0].LateUtility = SideEffecting, 0 }
+
+func queued(n float64) *Report {
+	rep := new(Report)
+	rep.Set(Waiting, n)
+	return rep
+}
+
+// answer ends the first calls of a query's parts well.
+func (st *stage) answer(query, parts int, rep *Report) {
+	for i := range parts {
+		st.end(fmt.Sprintf("q%d.%d#0", query, i), OK, rep)
+	}
+}
+
+// warm gives the root a history: n queries of two parts, each call 100 ms.
+func (st *stage) warm(n int) {
+	for range n {
+		st.query(0, 0, 0)
+		st.pass(100)
+		st.answer(st.n, 2, nil)
+	}
+	st.out.Reset()
+}
+
+func TestAllPartsGoWhereReportsAreLeast(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	st.query(0, 0, 0, 0)
+	st.pass(100)
+	st.end("q1.0#0", OK, queued(5))
+	st.end("q1.1#0", OK, queued(0))
+	st.end("q1.2#0", OK, queued(2))
+	st.query(0, 0, 0, 0)
+	st.check("all-parts")
+}
+
+func TestAnyNSendsTheCheapest(t *testing.T) {
+	st := play(t, 3, plain(anyHalf))
+	st.query(0, 9, 2, 7, 1)
+	st.pass(50)
+	st.end("q1.3#0", OK, nil)
+	st.end("q1.1#0", OK, nil)
+	st.check("any-n")
+}
+
+func TestTiesAreDrawn(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	for seed := range uint64(4) {
+		st.set.Seed = seed
+		st.r = NewRoot(st.set, st, st.now)
+		for i, l := range st.leafs {
+			*l = Leaf{}
+			st.leafs[i] = l
+		}
+		st.say("seed %d", seed)
+		st.list(true, Ready, st.leafs...)
+		st.query(0, 0)
+	}
+	st.check("ties")
+}
+
+func TestFailedPartOfAnyNIsReplaced(t *testing.T) {
+	st := play(t, 2, plain(anyHalf))
+	st.query(0, 4, 1, 1, 4)
+	st.pass(5)
+	st.end("q1.1#0", Failed, nil) // its other replica is cheaper than an unsent part of four times the work
+	st.end("q1.1#1", Failed, nil)
+	st.check("any-n-failed")
+}
+
+func TestSideEffectingIsNeverSentTwice(t *testing.T) {
+	st := play(t, 2, plain(sideEffect))
+	st.query(0, 0)
+	st.pass(5)
+	st.end("q1.0#0", NoConnection, nil) // proved not run
+	st.pass(5)
+	st.end("q1.0#1", Failed, nil) // may have run
+	st.query(0, 0)
+	st.pass(1100) // no outcome by the SLO time, after which it is worth nothing
+	st.check("side-effecting")
+}
+
+func TestSideEffectingIsRejectedWhileNothingRan(t *testing.T) {
+	st := play(t, 1, plain(func(s *Settings) { sideEffect(s); s.MaxCalls = 1 }))
+	st.query(0, 0)
+	st.end("q1.0#0", Full, nil)
+	st.check("side-effecting-not-run")
+}
+
+func TestDeduplicatedOnlyWithinItsWindow(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.Verticals[0].Effect = Deduplicated }))
+	st.query(0, 0)
+	st.pass(100)
+	st.end("q1.0#0", Failed, nil)
+	st.pass(450) // 550 ms since the first: past the window of 500
+	st.end("q1.0#1", Failed, nil)
+	st.check("deduplicated")
+}
+
+func TestBarredSecondCopyWaitsForTheCancelled(t *testing.T) {
+	st := play(t, 2, plain(noCopies))
+	st.warm(4)
+	st.query(0, 0)
+	st.pass(600)
+	st.end("q5.0#0", Cancelled, nil)
+	st.check("no-second-copies")
+}
+
+func TestLateAnswerCrossesTheCancel(t *testing.T) {
+	st := play(t, 2, plain(noCopies))
+	st.warm(4)
+	st.query(0, 0)
+	st.pass(600)
+	st.end("q5.0#0", OK, nil)
+	st.check("cancel-crosses-answer")
+}
+
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) {
+		s.BudgetSet, s.BudgetSpare, s.BudgetRatio, s.BudgetWindow = true, 1, 0, 10000
+	}))
+	st.query(0, 0, 0)
+	st.end("q1.0#0", Failed, nil)
+	st.end("q1.1#0", Failed, nil) // the window has no room for a second
+	st.pass(1200)
+	st.check("budget")
+}
+
+func TestColdLeafGetsOneCallAWindow(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(2)
+	st.restart(st.leafs[0])
+	for range 6 {
+		st.query(0, 0, 0)
+		st.pass(10)
+	}
+	st.check("cold")
+}
+
+func TestRestartedRootLeavesColdLeavesAlone(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.leafs[0].started = st.now - 1
+	st.list(true, Ready, st.leafs...)
+	st.query(0, 0, 0)
+	st.pass(2100)
+	st.query(0, 0, 0)
+	st.check("cold-after-restart")
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	st.list(false, Draining, st.leafs[0])
+	st.list(false, Gone, st.leafs[1])
+	st.query(0, 0, 0, 0)
+	st.list(false, Draining, st.leafs[2])
+	st.query(0, 0)
+	st.check("drain")
+}
+
+func TestNothingToSendTo(t *testing.T) {
+	st := play(t, 0, plain(nil))
+	st.query(0, 0)
+	st.list(true, Ready, new(Leaf))
+	st.set.Verticals[0].Deadline = -1 // out of time when it comes
+	st.query(0, 0)
+	st.check("no-replica")
+}
+
+func TestPartialAnswerAtTheSLOTime(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) {
+		v := &s.Verticals[0]
+		v.Floor, v.PartialEarns, v.LateUtility, s.SecondCopies, s.MayCancel = 0.5, 0.8, 0, false, false
+	}))
+	st.query(0, 0, 0)
+	st.pass(100)
+	st.end("q1.0#0", OK, nil)
+	st.pass(1000)
+	st.check("partial")
+}
+
+func TestSecondStep(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.Verticals[0].SecondStep = 1 }))
+	q := st.query(0, 0)
+	st.end("q1.0#0", OK, nil)
+	p := &Part{Shard: 0, Weight: 1}
+	st.names[p] = "q1.step"
+	st.r.SecondStep(st.now, q, []*Part{p})
+	st.pass(20)
+	st.end("q1.step#0", OK, nil)
+	st.query(0, 0)
+	st.end("q2.0#0", OK, nil) // its second step never comes
+	st.pass(3000)
+	st.check("second-step")
+}
+
+// One server takes parts and answers none: its parts go elsewhere, it gets one trial after a while, and an
+// answer that does come makes good.
+func TestStalledLeafIsFoundOutAndTried(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	l := st.leafs[0]
+	st.list(false, Draining, st.leafs[1])
+	st.query(0, 0)
+	st.list(false, Ready, st.leafs[1])
+	st.pass(450)
+	st.say("strikes of %s: %.0f", st.names[l], l.strikes)
+	st.end("q7.0#1", OK, nil)
+	for range 4 {
+		st.query(0, 0, 0)
+		st.pass(60)
+		st.answer(st.n, 2, nil)
+	}
+	st.end("q7.0#0", OK, nil)
+	st.say("strikes of %s: %.0f", st.names[l], l.strikes)
+	st.query(0, 0, 0)
+	st.check("stalled")
+}
+
+// When every server is slow none of them is to blame.
+func TestSharedFailureCondemnsNone(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(2)
+	st.query(0, 0, 0)
+	st.end("q3.0#0", Failed, nil)
+	st.end("q3.1#0", Failed, nil)
+	st.query(0, 0, 0)
+	st.check("shared-failure")
+}
+
+func TestOverloadTurnsAwayTheLeastUseful(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) {
+		s.Verticals = append(s.Verticals, s.Verticals[0])
+		s.Verticals[1].Utility = 9
+	}))
+	st.warm(16)
+	for range 12 {
+		st.query(0, 0)
+		st.query(1, 0)
+		st.pass(10)
+	}
+	st.check("overload")
+}
+
+// A server seen at its worst reports no more, as it gets no more parts; it must not be shunned for ever.
+func TestOldReportsFade(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(4)
+	st.query(0, 0)
+	st.query(0, 0)
+	st.end("q5.0#0", OK, queued(9))
+	st.end("q6.0#0", OK, queued(1))
+	for range 4 {
+		st.say("Q: %.1f and %.1f", st.r.queue(st.leafs[0]), st.r.queue(st.leafs[1]))
+		st.pass(1000)
+	}
+	st.check("old-reports")
+}
+
+func TestListThatCannotBeReached(t *testing.T) {
+	st := play(t, 1, plain(func(s *Settings) { s.AskForList = true }))
+	for range 4 {
+		st.say("list failed")
+		st.r.ListFailed(st.now)
+		st.pass(6000)
+	}
+	st.check("list-failed")
+}
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -112,7 +112,6 @@
 	ColdTime     Time
 	FallMultiple float64
 	FallTime     Time
-	AskEvery     Time // how long a list may go unasked
 }
 
 // Entry is one line of the list of servers.
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -45,7 +45,6 @@
 		OverShareWorth float64 `json:"over_share_worth"`
 		Report         struct{ Via string }
 		Rules          struct {
-			AskEvery      float64  `json:"ask_every"`
 			BudgetWindow  *float64 `json:"budget_window"`
 			SpareAttempts float64  `json:"spare_attempts"`
 			ResendRatio   float64  `json:"resend_ratio"`
@@ -76,7 +75,7 @@
 		MaxCalls: max(w.Caps.MaxAttempts, 1), SecondCopies: w.Caps.SecondCopies, MayCancel: w.Caps.Cancel,
 		MayProbe: w.Caps.MayProbe, HoldOff: w.Caps.RetryAfter, MaxHoldOff: floorTime(w.Caps.MaxRetryAfter),
 		ProbeReports: w.Report.Via == "on_probe", AskForList: w.MembershipMode == "on_request",
-		AskEvery:  floorTime(w.Rules.AskEvery),
+
 		ColdShare: w.Rules.ColdShare, ColdTime: ceilTime(w.Rules.Cold),
 		FallMultiple: w.Rules.FallMultiple, FallTime: ceilTime(w.Rules.Fall),
 	}
--- a/wire/host.go
+++ b/wire/host.go
@@ -350,7 +350,7 @@
 	if heft < 1 || heft != math.Trunc(heft) || heft > 1<<20 {
 		return fmt.Errorf("a query of %v parts", heft)
 	}
-	q := &choice.Query{Deadline: deadline, Vertical: vertical, Tenant: tenant, Retry: options&2 != 0}
+	q := &choice.Query{Deadline: deadline, Vertical: vertical, Tenant: tenant}
 	h := &held{id: id, number: number, q: q, awaits: int(heft)}
 	in.held[id], in.queries[q], in.numbers[number] = h, h, h
 	in.fresh = h
