--- a/choice/choice.go
+++ b/choice/choice.go
@@ -861,7 +861,7 @@
 			below += r.chance()
 		}
 	}
-	return r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
+	return max(r.pressure(), hard*r.forecast(q)) <= easy+(hard-easy)*below/float64(len(r.utilities))
 }
 
 // pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
@@ -885,6 +885,29 @@
 	return x[len(x)/2] * r.crowd()
 }
 
+// forecast is what share of its SLO time a query would take if each part went to its best replica now: the
+// fleet may have room where the few leaves that hold the query's shards have none.
+func (r *Root) forecast(q *Query) float64 {
+	var times []amount
+	for _, p := range q.Parts {
+		least := math.Inf(1)
+		for _, l := range r.holders[p.Shard] {
+			if l.condition == Ready {
+				least = min(least, r.pace*r.slowness(l)/(1+l.strikes)*(r.queue(l)+2*r.work(p)))
+			}
+		}
+		times = append(times, amount{Time(min(least, 1e9)), p.Weight})
+	}
+	slices.SortFunc(times, func(a, b amount) int { return int(a.at - b.at) })
+	in := 0.0
+	for _, t := range times {
+		if in += t.d; in >= q.need-epsilon {
+			return float64(t.at) / float64(max(q.slo-r.now, 1))
+		}
+	}
+	return 0 // no replica to be had: settle ends it
+}
+
 // strain is a call's time against its SLO time, for each call in the crowd that it met.
 func (r *Root) strain(c *LeafCall, t Time) float64 {
 	return float64(t) / float64(c.Part.query.v.SLO) / c.crowd
