--- a/choice/choice.go
+++ b/choice/choice.go
@@ -861,7 +861,7 @@
 			below += r.chance()
 		}
 	}
-	return max(r.pressure(), hard*r.forecast(q)) <= easy+(hard-easy)*below/float64(len(r.utilities))
+	return r.forecast(q) < 1.5 && r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
 }
 
 // pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
