--- a/choice/choice.go
+++ b/choice/choice.go
@@ -861,7 +861,7 @@
 			below += r.chance()
 		}
 	}
-	return r.forecast(q) < 1.5 && r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
+	return max(r.pressure(), r.forecast(q)) <= easy+(hard-easy)*below/float64(len(r.utilities))
 }
 
 // pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
@@ -885,24 +885,24 @@
 	return x[len(x)/2] * r.crowd()
 }
 
-// forecast is what share of its SLO time a query would take if each part went to its best replica now: the
-// fleet may have room where the few leaves that hold the query's shards have none.
+// forecast is what share of its SLO time a query's parts would wait, each at its best replica: the fleet may
+// have room where the few leaves that hold the query's shards have none.
 func (r *Root) forecast(q *Query) float64 {
-	var times []amount
+	var waits []amount
 	for _, p := range q.Parts {
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
 			if l.condition == Ready {
-				least = min(least, r.pace*r.slowness(l)/(1+l.strikes)*(r.queue(l)+2*r.work(p)))
+				least = min(least, r.pace*r.slowness(l)/(1+l.strikes)*r.queue(l))
 			}
 		}
-		times = append(times, amount{Time(min(least, 1e9)), p.Weight})
+		waits = append(waits, amount{Time(min(least, 1e9)), p.Weight})
 	}
-	slices.SortFunc(times, func(a, b amount) int { return int(a.at - b.at) })
+	slices.SortFunc(waits, func(a, b amount) int { return int(a.at - b.at) })
 	in := 0.0
-	for _, t := range times {
-		if in += t.d; in >= q.need-epsilon {
-			return float64(t.at) / float64(max(q.slo-r.now, 1))
+	for _, w := range waits {
+		if in += w.d; in >= q.need-epsilon {
+			return float64(w.at) / float64(max(q.slo-r.now, 1))
 		}
 	}
 	return 0 // no replica to be had: settle ends it
