--- a/choice/choice.go
+++ b/choice/choice.go
@@ -478,8 +478,8 @@
 		return false
 	}
 	for _, c := range p.calls {
-		if !c.ended && (!r.set.SecondCopies || c.Leaf == l) {
-			return false
+		if !c.ended && (!r.set.SecondCopies || c.Leaf == l || r.expect(p, l) > r.now-c.sent) {
+			return false // a copy must promise to end sooner than the call has been out
 		}
 	}
 	if p.pending() && r.copies < 1 || len(p.calls) > 0 && !r.budget() {
@@ -488,6 +488,11 @@
 	return r.warmEnough(l, r.work(p))
 }
 
+// expect is how long a call to a leaf should take.
+func (r *Root) expect(p *Part, l *Leaf) Time {
+	return Time(r.pace * r.slowness(l) * (r.queue(l) + 2*r.work(p)))
+}
+
 // budget: does the window leave room for one further call? Edges are taken the strict way.
 func (r *Root) budget() bool {
 	if !r.set.BudgetSet {
@@ -861,7 +866,7 @@
 			below += r.chance()
 		}
 	}
-	return max(r.pressure(), r.forecast(q)) <= easy+(hard-easy)*below/float64(len(r.utilities))
+	return r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
 }
 
 // pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
@@ -885,29 +890,6 @@
 	return x[len(x)/2] * r.crowd()
 }
 
-// forecast is what share of its SLO time a query's parts would wait, each at its best replica: the fleet may
-// have room where the few leaves that hold the query's shards have none.
-func (r *Root) forecast(q *Query) float64 {
-	var waits []amount
-	for _, p := range q.Parts {
-		least := math.Inf(1)
-		for _, l := range r.holders[p.Shard] {
-			if l.condition == Ready {
-				least = min(least, r.pace*r.slowness(l)/(1+l.strikes)*r.queue(l))
-			}
-		}
-		waits = append(waits, amount{Time(min(least, 1e9)), p.Weight})
-	}
-	slices.SortFunc(waits, func(a, b amount) int { return int(a.at - b.at) })
-	in := 0.0
-	for _, w := range waits {
-		if in += w.d; in >= q.need-epsilon {
-			return float64(w.at) / float64(max(q.slo-r.now, 1))
-		}
-	}
-	return 0 // no replica to be had: settle ends it
-}
-
 // strain is a call's time against its SLO time, for each call in the crowd that it met.
 func (r *Root) strain(c *LeafCall, t Time) float64 {
 	return float64(t) / float64(c.Part.query.v.SLO) / c.crowd
