--- a/choice/choice.go
+++ b/choice/choice.go
@@ -88,6 +88,9 @@
 // Ended tells whether the outcome has come.
 func (c *LeafCall) Ended() bool { return c.ended }
 
+// worthWaiting: does a late answer earn enough that work may be begun for it?
+func (v *Vertical) worthWaiting() bool { return v.LateUtility >= 0.5 }
+
 // mayHaveRun: anything not proved otherwise may have run, or may do so yet.
 func (c *LeafCall) mayHaveRun() bool {
 	return !c.ended || c.outcome != Full && c.outcome != NoConnection && c.outcome != Moot
@@ -366,7 +369,7 @@
 	l.since += d
 	l.sent = append(l.sent, amount{r.now, d})
 	until := r.last(p.query)
-	if r.now < p.query.slo && p.query.v.LateUtility < 0.5 {
+	if !p.query.v.worthWaiting() {
 		until = min(until, p.query.slo+Time(r.pace*3*max(d-r.unit, 0)))
 	}
 	r.port.Call(c, until-r.now)
@@ -454,7 +457,7 @@
 
 // again: do the part's earlier calls leave room for one more?
 func (r *Root) again(p *Part) bool {
-	if p.in || p.over || len(p.calls) >= r.set.MaxCalls {
+	if p.in || p.over || len(p.calls) >= r.set.MaxCalls || r.now >= p.query.slo && !p.query.v.worthWaiting() {
 		return false
 	}
 	v := p.query.v
@@ -478,8 +481,8 @@
 		return false
 	}
 	for _, c := range p.calls {
-		if !c.ended && (!r.set.SecondCopies || c.Leaf == l || r.expect(p, l) > r.now-c.sent) {
-			return false // a copy must promise to end sooner than the call has been out
+		if !c.ended && (!r.set.SecondCopies || c.Leaf == l) {
+			return false
 		}
 	}
 	if p.pending() && r.copies < 1 || len(p.calls) > 0 && !r.budget() {
@@ -488,11 +491,6 @@
 	return r.warmEnough(l, r.work(p))
 }
 
-// expect is how long a call to a leaf should take.
-func (r *Root) expect(p *Part, l *Leaf) Time {
-	return Time(r.pace * r.slowness(l) * (r.queue(l) + 2*r.work(p)))
-}
-
 // budget: does the window leave room for one further call? Edges are taken the strict way.
 func (r *Root) budget() bool {
 	if !r.set.BudgetSet {
