--- a/choice/choice.go
+++ b/choice/choice.go
@@ -864,7 +864,9 @@
 			below += r.chance()
 		}
 	}
-	return r.pressure() <= easy+(hard-easy)*below/float64(len(r.utilities))
+	// Impatient clients, who would leave before the SLO time, need answers so much sooner.
+	time := min(q.slo, r.last(q)) - r.now
+	return r.pressure()*float64(q.v.SLO) <= float64(time)*(easy+(hard-easy)*below/float64(len(r.utilities)))
 }
 
 // pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
