--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // Package choice holds every decision of a root: which replica gets a part, when to call again, when to
-// answer, what to turn away, whom to trust. The adapter (package wire today, our own protocol later) calls the
-// methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides of
-// that door, Settings and Port, are defined in interface.go. Nothing here is shared between roots.
+// answer, what to turn away, whom to trust. The adapter (package wire today, our own protocol later) calls
+// the methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides
+// of that door, Settings and Port, are defined in interface.go. Nothing here is shared between roots.
 //
 // The rule throughout is least marginal load first: a part of work D goes to the replica of least D*(Q+D/2).
 // All that departs from it does so through Q, through D, or through the set of candidates; docs/design.md
@@ -9,7 +9,6 @@
 package choice
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -18,9 +17,9 @@
 
 const (
 	gain       = 0.1         // weight of a new sample in running means; scale-free
-	lateBy     = 4           // a call is overdue this many mean deviations past the mean, as in TCP (RFC 6298)
-	copyShare  = 0.1         // second copies for each first call, whatever the budget: they add load when there
-	copiesMost = 10          // is least room for it; and how many may be saved up for a sudden stall
+	lateBy     = 4           // mean deviations past the mean at which a call is overdue, as in RFC 6298
+	copyShare  = 0.1         // second copies for each first call, whatever the budget: they add load
+	copiesMost = 10          // when there is least room; and how many are saved up for a sudden stall
 	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
 	hundred    = 100 * Millisecond
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -80,7 +79,6 @@
 	reports           int     // reports of the leaf that had come when it was sent
 	outcome           Outcome
 	ended             bool
-	released          bool // no longer in the sums of its leaf
 	overdue, streamed bool
 	calledOff         bool
 }
@@ -141,25 +139,11 @@
 	return sum
 }
 
+// due is a time at which a query, or a call that is still out, must be looked at again.
 type due struct {
-	at  Time
-	seq int
-	q   *Query
-	c   *LeafCall
-}
-
-type dues []due
-
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
-}
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	x := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return x
+	at Time
+	q  *Query
+	c  *LeafCall
 }
 
 // Root is one instance.
@@ -179,9 +163,8 @@
 	times     []float64 // strain of the last calls
 	utilities []float64 // of the last queries, per work
 
-	dues  dues
-	seq   int
-	armed Time // the next wake-up asked for
+	dues  []due // soonest first
+	armed Time  // the next wake-up asked for
 	sweep Time
 
 	taken   []Time // queries and parts taken within the budget's window
@@ -197,7 +180,8 @@
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
-		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never, copies: copiesMost}
+		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never,
+		copies: copiesMost}
 	for _, v := range s.Verticals {
 		r.horizon = max(r.horizon, v.SLO)
 	}
@@ -354,15 +338,17 @@
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.work(p)
-	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, ahead: r.queue(l) + 2*d, crowd: r.crowd(), reports: l.reports}
-	if len(p.calls) > 0 {
-		r.further = append(r.further, r.now)
-	} else {
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
+		ahead: r.queue(l) + 2*d} // 2: a server works on several parts at once, so the first ones hardly wait
+	switch {
+	case len(p.calls) == 0:
 		r.copies = min(r.copies+copyShare, copiesMost)
-	}
-	if p.pending() {
+	case p.pending():
 		r.copies--
 	}
+	if len(p.calls) > 0 && r.set.BudgetSet {
+		r.further = append(r.further, r.now)
+	}
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	l.own += d
@@ -452,7 +438,8 @@
 
 // hope: some call may be made for the part, now or later.
 func (r *Root) hope(p *Part) bool {
-	return r.again(p) && slices.ContainsFunc(r.holders[p.Shard], func(l *Leaf) bool { return l.condition == Ready })
+	ready := func(l *Leaf) bool { return l.condition == Ready }
+	return r.again(p) && slices.ContainsFunc(r.holders[p.Shard], ready)
 }
 
 // again: do the part's earlier calls leave room for one more?
@@ -519,9 +506,9 @@
 }
 
 // warmEnough keeps a cold leaf from being pushed over. What warm leaves answer shows what a leaf can do: a
-// cold one may be sent, in any window, the same part of this root's share of that as its capacity allows times
-// half the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a flood
-// of calls does not raise it, as only answers count. One call is always allowed: else a root with little to
+// cold one may be sent, in any window, the part of this root's share of that which its capacity allows,
+// times half the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a
+// flood of calls does not raise it, as only answers count. One call is always allowed: else a root with little to
 // send would never send any. A root that started after the leaf did waits a window, as its predecessor may
 // have spent all.
 func (r *Root) warmEnough(l *Leaf, d float64) bool {
@@ -591,7 +578,8 @@
 	if slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return c.Leaf == l }) {
 		s = 1
 	}
-	if l.strikes >= 0.5 && !r.allStruck() && (r.now < l.until || len(l.out) > 0 || p.query.v.Effect == SideEffecting) {
+	if l.strikes > 0 && !r.allStruck() &&
+		(r.now < l.until || len(l.out) > 0 || p.query.v.Effect == SideEffecting) {
 		s += 2
 	}
 	return s
@@ -603,7 +591,7 @@
 	for _, l := range r.leaves {
 		if l.condition == Ready {
 			all++
-			if l.strikes >= 0.5 {
+			if l.strikes > 0 {
 				n++
 			}
 		}
@@ -655,7 +643,7 @@
 	if i := slices.Index(l.out, c); i >= 0 {
 		l.out = slices.Delete(l.out, i, i+1)
 	}
-	silent := float64(elapsed) / c.ahead
+	took := float64(elapsed) / c.ahead
 	if o == OK || o == TimedOut || o == Cancelled {
 		r.times = append(r.times, r.strain(c, elapsed))
 		if len(r.times) > memory {
@@ -664,7 +652,7 @@
 	}
 	switch o {
 	case OK:
-		r.learn(l, silent)
+		r.learn(l, took)
 		l.done = append(l.done, amount{now, c.d})
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
@@ -674,8 +662,8 @@
 		l.reported, l.reportAt = max(l.reported, 4*r.unit+l.own), now
 		r.strike(l)
 	case TimedOut, Cancelled:
-		if x := silent; r.pace > 0 && x > r.pace*max(l.pace, 1) {
-			r.learn(l, x)
+		if r.pace > 0 && took > r.pace*max(l.pace, 1) { // at least that long
+			r.learn(l, took)
 		}
 	}
 	r.release(c, o == TimedOut || o == Cancelled)
@@ -697,10 +685,6 @@
 
 // release takes a call out of its leaf's sums; what may still run there fades.
 func (r *Root) release(c *LeafCall, lingers bool) {
-	if c.released {
-		return
-	}
-	c.released = true
 	l := c.Leaf
 	l.own = max(l.own-c.d, 0)
 	if c.reports == l.reports {
@@ -741,7 +725,8 @@
 // elsewhere: is another replica better than waiting for a call?
 func (r *Root) elsewhere(c *LeafCall) bool {
 	for _, l := range r.holders[c.Part.Shard] {
-		if l != c.Leaf && l.condition == Ready && r.standing(c.Part, l) < 2 && r.slowness(l) < r.slowness(c.Leaf) {
+		sound := l != c.Leaf && l.condition == Ready && r.standing(c.Part, l) < 2
+		if sound && r.slowness(l) < r.slowness(c.Leaf) {
 			return true
 		}
 	}
@@ -822,11 +807,9 @@
 
 // count keeps the books on what comes in.
 func (r *Root) count(q *Query, work float64) {
-	for range len(q.Parts) + 1 {
-		r.taken = append(r.taken, r.now)
-	}
-	if r.set.BudgetWindow > 0 {
+	if r.set.BudgetSet {
 		r.taken = after(r.taken, r.now-r.set.BudgetWindow)
+		r.taken = append(r.taken, slices.Repeat([]Time{r.now}, len(q.Parts)+1)...)
 	}
 	n := float64(len(q.Parts))
 	if r.unit == 0 {
@@ -980,8 +963,8 @@
 // ---- time ----
 
 func (r *Root) at(t Time, q *Query, c *LeafCall) {
-	r.seq++
-	heap.Push(&r.dues, due{t, r.seq, q, c})
+	i, _ := slices.BinarySearchFunc(r.dues, t+1, func(d due, t Time) int { return int(d.at - t) })
+	r.dues = slices.Insert(r.dues, i, due{t, q, c})
 }
 
 // arm asks for the next wake-up.
@@ -1001,7 +984,8 @@
 func (r *Root) Awake(now Time) {
 	r.now = now
 	for len(r.dues) > 0 && r.dues[0].at <= now {
-		d := heap.Pop(&r.dues).(due)
+		d := r.dues[0]
+		r.dues = r.dues[1:]
 		if d.c != nil {
 			r.overdue(d.c)
 		} else {
@@ -1015,16 +999,16 @@
 	r.arm()
 }
 
-// periodic work: the watch on the list, and probes where reports come no other way.
+// periodic work: the watch on the list, old entries, and probes where reports come no other way.
 func (r *Root) periodic() {
 	if r.now >= r.askAt {
 		r.watch()
 	}
-	if !r.set.MayProbe || !r.set.ProbeReports {
-		return
-	}
 	for _, l := range r.leaves {
-		if l.condition == Ready && !l.probing && r.now >= l.probed+r.horizon {
+		recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
+		recent(&l.done, r.now-r.set.FallTime-r.set.Tick)
+		wanted := r.set.MayProbe && r.set.ProbeReports && l.condition == Ready
+		if wanted && !l.probing && r.now >= l.probed+r.horizon {
 			l.probed, l.probing = r.now, true
 			r.port.Probe(l)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -127,6 +127,7 @@
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
 	st := play(t, 3, plain(func(s *Settings) {
 		s.BudgetSet, s.BudgetSpare, s.BudgetRatio, s.BudgetWindow = true, 1, 0, 10000
+		s.Verticals[0].LateUtility = 0.8
 	}))
 	st.query(0, 0, 0)
 	st.end("q1.0#0", Failed, nil)
@@ -250,6 +251,30 @@
 	st.check("overload")
 }
 
+// Incident 1: clients that leave long before the SLO time, and come again, cost work that answers nobody.
+func TestImpatientClientsAreTurnedAway(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(16)
+	st.set.Verticals[0].Deadline = 2000
+	for range 5 {
+		st.query(0, 0, 0)
+	}
+	st.check("impatient")
+}
+
+// A late answer earns little here: what could not be had by the SLO time is not asked for again.
+func TestNothingIsBegunForALateAnswer(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(4)
+	st.query(0, 0, 0)
+	st.pass(90)
+	st.end("q5.0#0", OK, nil)
+	st.pass(920)
+	st.end("q5.1#0", TimedOut, nil)
+	st.end("q5.1#1", TimedOut, nil)
+	st.check("late")
+}
+
 // A server seen at its worst reports no more, as it gets no more parts; it must not be shunned for ever.
 func TestOldReportsFade(t *testing.T) {
 	st := play(t, 2, plain(nil))
