--- a/choice/choice.go
+++ b/choice/choice.go
@@ -644,11 +644,14 @@
 		l.out = slices.Delete(l.out, i, i+1)
 	}
 	took := float64(elapsed) / c.ahead
-	if o == OK || o == TimedOut || o == Cancelled {
-		r.times = append(r.times, r.strain(c, elapsed))
-		if len(r.times) > memory {
-			r.times = r.times[1:]
-		}
+	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
+	strain := r.strain(c, elapsed)
+	if o == Full {
+		strain = r.strain(c, p.query.v.SLO)
+	}
+	if o == OK || strain > r.median(nil) {
+		r.times = append(r.times, strain)
+		r.times = r.times[max(len(r.times)-memory, 0):]
 	}
 	switch o {
 	case OK:
@@ -857,20 +860,25 @@
 // it, and what is slow everywhere does. Calls that are still out count once they are older than that, so that
 // a jam shows before its first answers come; and as the crowd thins out, so does the pressure, with no wait.
 func (r *Root) pressure() float64 {
-	if len(r.times) < memory/4 {
-		return 0
-	}
-	x := slices.Sorted(slices.Values(r.times))
-	median := x[len(x)/2]
+	var out []float64
+	median := r.median(nil)
 	for _, l := range r.leaves {
 		for _, c := range l.out {
 			if t := r.strain(c, r.now-c.sent); t > median {
-				x = append(x, t)
+				out = append(out, t)
 			}
 		}
 	}
-	slices.Sort(x)
-	return x[len(x)/2] * r.crowd()
+	return r.median(out) * r.crowd()
+}
+
+// median is that of the last calls' strain and some more; 0 while there are too few.
+func (r *Root) median(more []float64) float64 {
+	if len(r.times) < memory/4 {
+		return 0
+	}
+	x := slices.Sorted(slices.Values(slices.Concat(r.times, more)))
+	return x[len(x)/2]
 }
 
 // strain is a call's time against its SLO time, for each call in the crowd that it met.
