Queries whose shard has no sound replica are turned away at once

Cause: while a set of servers cannot answer, its queries cost work in every other set and come again. It may turn away queries of a shard whose replicas were each struck once by chance, for a few call times.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,6 +122,8 @@
 	probing bool
 }
 
+func (l *Leaf) ready() bool { return l.condition == Ready }
+
 type amount struct {
 	at Time
 	d  float64
@@ -413,12 +415,8 @@
 	if q.v.Effect == Repeatable {
 		return true
 	}
-	for _, p := range q.Parts {
-		if slices.ContainsFunc(p.calls, (*LeafCall).mayHaveRun) {
-			return false
-		}
-	}
-	return !q.stepped
+	ran := func(p *Part) bool { return slices.ContainsFunc(p.calls, (*LeafCall).mayHaveRun) }
+	return !q.stepped && !slices.ContainsFunc(q.Parts, ran)
 }
 
 // last is when a query must have its final answer: two ticks early, as a wake-up comes up to a tick late.
@@ -438,8 +436,7 @@
 
 // hope: some call may be made for the part, now or later.
 func (r *Root) hope(p *Part) bool {
-	ready := func(l *Leaf) bool { return l.condition == Ready }
-	return r.again(p) && slices.ContainsFunc(r.holders[p.Shard], ready)
+	return r.again(p) && slices.ContainsFunc(r.holders[p.Shard], (*Leaf).ready)
 }
 
 // again: do the part's earlier calls leave room for one more?
@@ -452,10 +449,7 @@
 		if !c.mayHaveRun() {
 			continue
 		}
-		if v.Effect == SideEffecting {
-			return false
-		}
-		if v.Effect == Deduplicated && r.now-c.sent > v.DedupWindow-r.set.Tick {
+		if v.Effect == SideEffecting || v.Effect == Deduplicated && r.now-c.sent > v.DedupWindow-r.set.Tick {
 			return false
 		}
 	}
@@ -559,10 +553,7 @@
 // slowness is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
 func (r *Root) slowness(l *Leaf) float64 {
-	s := 1 + (l.pace-1)*r.fade(l.paceAt)
-	if l.paceAt == 0 {
-		s = 1
-	}
+	s := r.paceOf(l)
 	if len(l.out) > 0 && r.pace > 0 {
 		c := l.out[0]
 		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace)
@@ -578,13 +569,19 @@
 	if slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return c.Leaf == l }) {
 		s = 1
 	}
-	if l.strikes > 0 && !r.allStruck() &&
-		(r.now < l.until || len(l.out) > 0 || p.query.v.Effect == SideEffecting) {
+	if r.shunned(l) || l.strikes > 0 && p.query.v.Effect == SideEffecting {
 		s += 2
 	}
 	return s
 }
 
+// shunned: a struck leaf whose time is not up, or which has its one call out.
+func (r *Root) shunned(l *Leaf) bool {
+	return l.strikes > 0 && (r.now < l.until || len(l.out) > 0) && !r.allStruck()
+}
+
+func (r *Root) sound(l *Leaf) bool { return l.condition == Ready && !r.shunned(l) }
+
 // allStruck: when most leaves fail, the cause is not in the leaves.
 func (r *Root) allStruck() bool {
 	n, all := 0, 0
@@ -606,6 +603,13 @@
 	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
 }
 
+func (r *Root) paceOf(l *Leaf) float64 {
+	if l.paceAt == 0 {
+		return 1
+	}
+	return 1 + (l.pace-1)*r.fade(l.paceAt)
+}
+
 // learn takes a sample of a leaf's time for a unit of load.
 func (r *Root) learn(l *Leaf, x float64) {
 	if r.pace == 0 {
@@ -614,10 +618,7 @@
 	top := r.pace + 2*lateBy*r.dev
 	r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 	r.pace += gain / 4 * (min(x, top) - r.pace)
-	if l.paceAt == 0 {
-		l.pace = 1
-	}
-	l.pace = 1 + (l.pace-1)*r.fade(l.paceAt)
+	l.pace = r.paceOf(l)
 	l.pace += 2 * gain * (min(x/r.pace, 20) - l.pace)
 	l.paceAt = r.now
 }
@@ -727,19 +728,14 @@
 
 // elsewhere: is another replica better than waiting for a call?
 func (r *Root) elsewhere(c *LeafCall) bool {
-	for _, l := range r.holders[c.Part.Shard] {
-		sound := l != c.Leaf && l.condition == Ready && r.standing(c.Part, l) < 2
-		if sound && r.slowness(l) < r.slowness(c.Leaf) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.holders[c.Part.Shard], func(l *Leaf) bool {
+		return l != c.Leaf && r.sound(l) && r.slowness(l) < r.slowness(c.Leaf)
+	})
 }
 
 // report takes a load report: whatever it holds becomes a queue, as D.
 func (r *Root) report(l *Leaf, rep *Report) {
 	unit := max(r.unit, 1e-9)
-	busy := func(u float64) float64 { u = min(max(u, 0), 0.8); return u / (1 - u) * unit }
 	l.reports++
 	l.since, l.reportAt = 0, r.now
 	if rep.Has[ServiceTime] {
@@ -751,7 +747,8 @@
 	case rep.Has[Active]:
 		l.reported = rep.Value[Active] * unit
 	case rep.Has[Utilisation]:
-		l.reported = busy(rep.Value[Utilisation])
+		u := min(max(rep.Value[Utilisation], 0), 0.8) // above, it says no more than that cores are busy
+		l.reported = u / (1 - u) * unit
 	case rep.Has[ServiceTime]:
 		least := math.Inf(1)
 		for _, o := range r.leaves {
@@ -839,9 +836,7 @@
 		u *= r.set.OverShareUtility
 	}
 	r.utilities = append(r.utilities, u)
-	if len(r.utilities) > memory {
-		r.utilities = r.utilities[1:]
-	}
+	r.utilities = r.utilities[max(len(r.utilities)-memory, 0):]
 	below := 0.0
 	for _, o := range r.utilities {
 		if o < u {
@@ -850,6 +845,16 @@
 			below += r.chance()
 		}
 	}
+	// A shard whose replicas are all shunned is left to recover; its queries would only be work in vain.
+	reach := 0.0
+	for _, p := range q.Parts {
+		if slices.ContainsFunc(r.holders[p.Shard], r.sound) {
+			reach += p.Weight
+		}
+	}
+	if reach < min(q.need, q.floor)-epsilon {
+		return false
+	}
 	// Impatient clients, who would leave before the SLO time, need answers so much sooner.
 	time := min(q.slo, r.last(q)) - r.now
 	return r.pressure()*float64(q.v.SLO) <= float64(time)*(easy+(hard-easy)*below/float64(len(r.utilities)))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -299,3 +299,40 @@
 	}
 	st.check("list-failed")
 }
+
+// Incident 6: a query that fails at once calls its other parts off; that must not look like speed.
+func TestCutOffCallsAreNotQuickOnes(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(8)
+	before := st.r.median(nil)
+	for range 4 {
+		st.query(0, 0)
+		st.pass(1)
+		st.end(fmt.Sprintf("q%d.0#0", st.n), Cancelled, nil)
+	}
+	st.say("median strain unchanged: %v", st.r.median(nil) == before)
+	for i := range 20 {
+		st.query(0, 0)
+		st.end(fmt.Sprintf("q%d.0#0", st.n), Full, nil)
+		if i == 0 || i == 19 {
+			st.say("median strain is of full queues: %v", st.r.median(nil) > before)
+		}
+	}
+	st.check("cut-off")
+}
+
+// All replicas of the shard fail, those of others do not: its queries are turned away but for a trial now and then.
+func TestShardOutOfReach(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.Cells, s.MaxCalls = 3, 1 }))
+	for i, l := range st.leafs {
+		l.cell = i
+		st.r.List(st.now, []Entry{{Leaf: l, Cell: i, Condition: Ready}}, false, false)
+	}
+	st.query(0, 0)
+	st.end("q1.0#0", Failed, nil)
+	for range 3 {
+		st.query(0, 0)
+		st.pass(80)
+	}
+	st.check("shard-out-of-reach")
+}
