Pressure is forgotten after the horizon

The last 32 samples were full queues, and with nothing sent nothing replaced them. Told from a fleet that is down by the list, which had all servers back by 0:21, and by the roots sending nothing at all.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -162,7 +162,7 @@
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
-	times     []float64 // strain of the last calls
+	times     []amount  // strain of the last calls
 	utilities []float64 // of the last queries, per work
 
 	dues  []due // soonest first
@@ -640,7 +640,7 @@
 		strain = r.strain(c, p.query.v.SLO)
 	}
 	if o == OK || strain > r.median(nil) {
-		r.times = append(r.times, strain)
+		r.times = append(r.times, amount{now, strain})
 		r.times = r.times[max(len(r.times)-memory, 0):]
 	}
 	switch o {
@@ -875,12 +875,17 @@
 	return r.median(out) * r.crowd()
 }
 
-// median is that of the last calls' strain and some more; 0 while there are too few.
-func (r *Root) median(more []float64) float64 {
+// median is that of the last calls' strain and some more; 0 while there are too few. Calls of before the
+// horizon are forgotten, or a root that turns all away would never learn that the trouble is over.
+func (r *Root) median(x []float64) float64 {
+	recent(&r.times, r.now-r.horizon)
 	if len(r.times) < memory/4 {
 		return 0
 	}
-	x := slices.Sorted(slices.Values(slices.Concat(r.times, more)))
+	for _, t := range r.times {
+		x = append(x, t.d)
+	}
+	slices.Sort(x)
 	return x[len(x)/2]
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -337,3 +337,22 @@
 	}
 	st.check("shard-out-of-reach")
 }
+
+// Incident 7: after a storm of full queues nothing more is sent, so nothing new is learnt; the root must come back.
+func TestPressureIsForgottenWhenNothingIsSent(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(8)
+	for range 12 {
+		st.query(0, 0, 0, 0, 0)
+		for i := range 4 {
+			if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
+				st.end(name, Full, nil)
+			}
+		}
+	}
+	st.out.Reset()
+	st.query(0, 0)
+	st.pass(2500)
+	st.query(0, 0)
+	st.check("forgotten")
+}
