--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
 	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
+	coldPart   = 0.75      // of what a cold leaf could bear: the rest is for chance and for rough hints
 	never      = Time(math.MaxInt64)
 	epsilon    = 1e-4 // weights are sums of rounded shares
 )
@@ -161,6 +162,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
 	times     []amount  // strain of the last calls
 	utilities []float64 // of the last queries, per work
@@ -493,8 +495,8 @@
 
 // warmEnough keeps a cold leaf from being pushed over. What warm leaves answer shows what a leaf can do: a
 // cold one may be sent, in any window, the part of this root's share of that which its capacity allows,
-// times half the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a
-// flood of calls does not raise it, as only answers count. One call is always allowed: else a root with little to
+// times most of the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a
+// flood of calls does not raise it, as only answers count. It is remembered, as all may be cold. One call is always allowed: else a root with little to
 // send would never send any. A root that started after the leaf did waits a window, as its predecessor may
 // have spent all.
 func (r *Root) warmEnough(l *Leaf, d float64) bool {
@@ -505,19 +507,8 @@
 	if l.started < r.started && r.now < r.started+r.set.FallTime {
 		return false
 	}
-	window := r.now - r.set.FallTime - r.set.Tick
-	here := recent(&l.sent, window)
-	if here == 0 {
-		return true
-	}
-	sum, n := 0.0, 0
-	for _, o := range r.leaves {
-		if o.condition == Ready && r.capacity(o) >= 1 {
-			sum += recent(&o.done, window)
-			n++
-		}
-	}
-	return n > 0 && here+d <= sum/float64(n)*min(1, r.set.FallMultiple*c/2)
+	here := recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
+	return here == 0 || here+d <= r.bears*r.set.FallMultiple*c*coldPart
 }
 
 // ---- what a leaf is worth ----
@@ -1020,13 +1011,19 @@
 	if r.now >= r.askAt {
 		r.watch()
 	}
+	done, warm := 0.0, 0.0
 	for _, l := range r.leaves {
 		recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
-		recent(&l.done, r.now-r.set.FallTime-r.set.Tick)
+		if d := recent(&l.done, r.now-r.set.FallTime); l.ready() && r.capacity(l) >= 1 {
+			done, warm = done+d, warm+1
+		}
 		wanted := r.set.MayProbe && r.set.ProbeReports && l.condition == Ready
 		if wanted && !l.probing && r.now >= l.probed+r.horizon {
 			l.probed, l.probing = r.now, true
 			r.port.Probe(l)
 		}
 	}
+	if 2*warm > float64(len(r.leaves)) && !r.allStruck() {
+		r.bears += gain * (done/warm - r.bears)
+	}
 }
