--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,7 +24,7 @@
 	hundred    = 100 * Millisecond
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
-	easy, hard = 0.35, 0.7 // pressure at which the least useful queries, and all, are turned away
+	easy, hard = 0.35, 0.7 // of the shortest SLO time: where the least useful queries, and all, are turned away
 	coldPart   = 0.75      // of what a cold leaf could bear: the rest is for chance and for rough hints
 	never      = Time(math.MaxInt64)
 	epsilon    = 1e-4 // weights are sums of rounded shares
@@ -163,6 +163,7 @@
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
+	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
 	times     []amount  // strain of the last calls
 	utilities []float64 // of the last queries, per work
@@ -185,9 +186,9 @@
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
 		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never,
-		copies: copiesMost}
+		tight: never, copies: copiesMost}
 	for _, v := range s.Verticals {
-		r.horizon = max(r.horizon, v.SLO)
+		r.horizon, r.tight = max(r.horizon, v.SLO), min(r.tight, v.SLO)
 	}
 	if s.AskForList {
 		r.watch()
@@ -826,9 +827,8 @@
 		}
 	}
 	// Impatient clients, who would leave before the SLO time, need answers so much sooner.
-	time := float64(min(q.slo, r.last(q)) - r.now)
-	strain := max(r.pressure()*float64(q.v.SLO), r.wait(q)) / time
-	return time > 0 && strain <= easy+(hard-easy)*below/float64(len(r.utilities))
+	time := float64(min(q.slo-r.now, r.last(q)-r.now, r.tight))
+	return max(r.pressure(), r.wait(q)) <= time*(easy+(hard-easy)*below/float64(len(r.utilities)))
 }
 
 // wait is how long the query's parts would queue, each at its best sound replica: the fleet may have room
@@ -849,7 +849,7 @@
 	return waits[max(int(math.Ceil(min(q.need, q.floor)*float64(len(waits))-epsilon)), 1)-1]
 }
 
-// pressure is what share of its SLO time a call sent now would take: the median over the last calls, scaled
+// pressure is the time that a call sent now would take: the median over the last calls, scaled
 // from the crowd of calls each met to the present one. A median: a few stalled or failing leaves do not move
 // it, and what is slow everywhere does. Calls that are still out count once they are older than that, so that
 // a jam shows before its first answers come; and as the crowd thins out, so does the pressure, with no wait.
@@ -880,9 +880,9 @@
 	return x[len(x)/2]
 }
 
-// strain is a call's time against its SLO time, for each call in the crowd that it met.
+// strain is a call's time for each call in the crowd that it met.
 func (r *Root) strain(c *LeafCall, t Time) float64 {
-	return float64(t) / float64(c.Part.query.v.SLO) / c.crowd
+	return float64(t) / c.crowd
 }
 
 // crowd is the number of calls out, and one more for each leaf: an empty fleet takes its time too.
