--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,7 @@
 
 const (
 	gain       = 0.1         // weight of a new sample in running means; scale-free
-	lateBy     = 4           // mean deviations past the mean at which a call is overdue, as in RFC 6298
+	lateBy     = 5           // mean deviations past the mean at which a call is overdue, after RFC 6298
 	copyShare  = 0.1         // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10          // when there is least room; and how many are saved up for a sudden stall
 	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
@@ -538,7 +538,7 @@
 		c := l.out[0]
 		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace)
 	}
-	return s / r.capacity(l) * (1 + l.strikes)
+	return s * (1 + l.strikes)
 }
 
 // standing orders candidates before their score does: sound ones first, then those that failed this very
@@ -641,10 +641,7 @@
 		l.done = append(l.done, amount{now, c.d})
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
-	case Failed, Reset, NoConnection:
-		r.strike(l)
-	case Full:
-		l.reported, l.reportAt = max(l.reported, 4*r.unit+l.own), now
+	case Failed, Reset, NoConnection, Full:
 		r.strike(l)
 	case TimedOut, Cancelled:
 		if r.pace > 0 && took > r.pace*max(l.pace, 1) { // at least that long
