Where copies are barred a call is called off only when a new one just fits

Also: tuned values named at the top, tenants' rates over two horizons, a probe turned away is no strike, one look again a query.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,8 +24,12 @@
 	hundred    = 100 * Millisecond
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
-	easy, hard = 0.35, 0.7 // of the shortest SLO time: where the least useful queries, and all, are turned away
+	easy, hard = 0.35, 0.7 // of the shortest SLO time: the least useful queries, and all, are turned away
 	coldPart   = 0.75      // of what a cold leaf could bear: the rest is for chance and for rough hints
+	mostStruck = 5         // strikes that count: shunned for up to 2^4 times four call times, then tried
+	overShare  = 1.2       // of its allowance that a tenant may send: one root's view of that is rough
+	busiest    = 0.8       // utilisation above which a report says no more than that cores are busy
+	enough     = 0.5       // portion of the utility for which late answers are worth beginning work
 	never      = Time(math.MaxInt64)
 	epsilon    = 1e-4 // weights are sums of rounded shares
 )
@@ -52,6 +56,7 @@
 	v           *Vertical
 	slo         Time // an answer that leaves by then counts in full
 	need, floor float64
+	retryAt     Time // when to look again for calls that are barred now
 	partial     bool // the first step's answer was not whole
 	stepped     bool // the first step was answered
 }
@@ -88,7 +93,7 @@
 func (c *LeafCall) Ended() bool { return c.ended }
 
 // worthWaiting: does a late answer earn enough that work may be begun for it?
-func (v *Vertical) worthWaiting() bool { return v.LateUtility >= 0.5 }
+func (v *Vertical) worthWaiting() bool { return v.LateUtility >= enough }
 
 // mayHaveRun: anything not proved otherwise may have run, or may do so yet.
 func (c *LeafCall) mayHaveRun() bool {
@@ -279,8 +284,11 @@
 				part, leaf, least = p, l, s
 			}
 		}
-		if part == nil {
-			r.at(r.now+sweepEvery, q, nil) // barred for now: budget, cold servers, earlier calls still out
+		if part == nil { // barred for now: budget, cold servers, earlier calls still out
+			if q.retryAt <= r.now {
+				q.retryAt = r.now + sweepEvery
+				r.at(q.retryAt, q, nil)
+			}
 			return
 		}
 		r.call(part, leaf)
@@ -345,15 +353,11 @@
 	d := r.work(p)
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
 		ahead: r.queue(l) + 2*d} // 2: a server works on several parts at once, so the first ones hardly wait
-	switch {
-	case len(p.calls) == 0:
+	if len(p.calls) == 0 {
 		r.copies = min(r.copies+copyShare, copiesMost)
-	case p.pending():
+	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
-	if len(p.calls) > 0 && r.set.BudgetSet {
-		r.further = append(r.further, amount{r.now, 1})
-	}
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	l.own += d
@@ -480,8 +484,8 @@
 	if !r.set.BudgetSet {
 		return true
 	}
-	w := r.set.BudgetWindow
-	further, taken := recent(&r.further, r.now-w-r.set.Tick), recent(&r.taken, r.now-w+r.set.Tick)
+	start := r.now - r.set.BudgetWindow
+	further, taken := recent(&r.further, start-r.set.Tick), recent(&r.taken, start+r.set.Tick)
 	return further+1 <= r.set.BudgetSpare+r.set.BudgetRatio*taken
 }
 
@@ -497,9 +501,9 @@
 // warmEnough keeps a cold leaf from being pushed over. What warm leaves answer shows what a leaf can do: a
 // cold one may be sent, in any window, the part of this root's share of that which its capacity allows,
 // times most of the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a
-// flood of calls does not raise it, as only answers count. It is remembered, as all may be cold. One call is always allowed: else a root with little to
-// send would never send any. A root that started after the leaf did waits a window, as its predecessor may
-// have spent all.
+// flood of calls does not raise it, as only answers count. It is remembered, as all may be cold. One call is
+// always allowed: else a root with little to send would never send any. A root that started after the leaf
+// did waits a window, as its predecessor may have spent all.
 func (r *Root) warmEnough(l *Leaf, d float64) bool {
 	c := r.capacity(l)
 	if c >= 1 || r.set.FallTime == 0 {
@@ -578,7 +582,7 @@
 
 // strike notes a failure of a leaf.
 func (r *Root) strike(l *Leaf) {
-	l.strikes = min(l.strikes+1, 5)
+	l.strikes = min(l.strikes+1, mostStruck)
 	base := max(r.pace*4*r.unit, float64(hundred))
 	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
 }
@@ -607,7 +611,7 @@
 // patience is how long a call may take before it counts as overdue.
 func (r *Root) patience(c *LeafCall) Time {
 	if r.pace == 0 {
-		return c.Part.query.v.SLO / 3
+		return c.Part.query.v.SLO * 2 / 3 // nothing is known yet
 	}
 	return Time((r.pace+lateBy*r.dev)*c.ahead) + 2*r.set.Tick
 }
@@ -622,9 +626,7 @@
 	}
 	l, p := c.Leaf, c.Part
 	c.ended, c.outcome = true, o
-	if i := slices.Index(l.out, c); i >= 0 {
-		l.out = slices.Delete(l.out, i, i+1)
-	}
+	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
 	took := float64(elapsed) / c.ahead
 	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
 	strain := r.strain(c, elapsed)
@@ -699,6 +701,12 @@
 		return
 	}
 	if !r.set.SecondCopies && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
+		// Asking elsewhere gives up what may be nearly done, so it waits as long as a new call still fits.
+		if latest := q.slo - Time((r.pace+2*r.dev)*2*c.d); r.now < latest {
+			c.overdue = false
+			r.at(latest, nil, c)
+			return
+		}
 		r.abandon(c)
 	}
 	r.settle(q)
@@ -725,7 +733,7 @@
 	case rep.Has[Active]:
 		l.reported = rep.Value[Active] * unit
 	case rep.Has[Utilisation]:
-		u := min(max(rep.Value[Utilisation], 0), 0.8) // above, it says no more than that cores are busy
+		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
 	case rep.Has[ServiceTime]:
 		least := math.Inf(1)
@@ -757,8 +765,7 @@
 	if q.state != betweenSteps {
 		return
 	}
-	q.Parts, q.need = parts, 1
-	if q.v.Floor >= q.v.Need {
+	if q.Parts, q.need = parts, 1; q.v.Floor >= q.v.Need {
 		q.floor = 1
 	}
 	for _, p := range parts {
@@ -775,7 +782,7 @@
 	l.probing = false
 	if o == OK && rep != nil {
 		r.report(l, rep)
-	} else if o != OK && now >= l.until {
+	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.until {
 		r.strike(l)
 	}
 	r.arm()
@@ -785,20 +792,16 @@
 
 // count keeps the books on what comes in.
 func (r *Root) count(q *Query, work float64) {
-	if r.set.BudgetSet {
-		recent(&r.taken, r.now-r.set.BudgetWindow)
-		r.taken = append(r.taken, amount{r.now, float64(len(q.Parts) + 1)})
-	}
+	r.taken = append(r.taken, amount{r.now, float64(len(q.Parts) + 1)})
 	n := float64(len(q.Parts))
 	if r.unit == 0 {
 		r.unit = work / n
 	}
 	r.unit += gain / 4 * (work/n - r.unit)
-	fade := math.Exp(-float64(r.now-r.ratesAt) / float64(20*hundred))
-	for i := range r.rates {
-		r.rates[i] *= fade
+	for i := range r.rates { // over two horizons: tenants' shares change slowly
+		r.rates[i] *= math.Sqrt(r.fade(r.ratesAt))
 	}
-	r.rates[q.Tenant] += float64(1000*Millisecond) / float64(20*hundred)
+	r.rates[q.Tenant] += float64(1000*Millisecond) / float64(2*r.horizon)
 	r.ratesAt = r.now
 }
 
@@ -810,7 +813,7 @@
 		u /= work * q.need
 	}
 	if t := q.Tenant; t < len(r.set.Tenants) && r.set.Tenants[t].PerSecond > 0 &&
-		r.rates[t]*float64(r.set.Roots) > 1.2*r.set.Tenants[t].PerSecond {
+		r.rates[t]*float64(r.set.Roots) > overShare*r.set.Tenants[t].PerSecond {
 		u *= r.set.OverShareUtility
 	}
 	r.utilities = append(r.utilities, u)
@@ -1008,6 +1011,8 @@
 	if r.now >= r.askAt {
 		r.watch()
 	}
+	recent(&r.further, r.now-r.set.BudgetWindow-r.set.Tick)
+	recent(&r.taken, r.now-r.set.BudgetWindow)
 	done, warm := 0.0, 0.0
 	for _, l := range r.leaves {
 		recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
--- a/wire/host.go
+++ b/wire/host.go
@@ -167,7 +167,10 @@
 		return nil
 	case "PROBE_DONE":
 		l, err := in.leaf(f.node("node"))
-		o := f.outcome("how")
+		o, known := outcomes[f.id("how")]
+		if !known {
+			o = choice.Failed // a reason of the probe's own
+		}
 		f.number("elapsed")
 		rep := f.report("gauge")
 		if e := f.end(); e != nil || err != nil {
