--- a/choice/choice.go
+++ b/choice/choice.go
@@ -735,14 +735,15 @@
 	case rep.Has[Utilisation]:
 		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
-	case rep.Has[ServiceTime]:
-		least := math.Inf(1)
+	case l.service > 0: // by what it exceeds the peers'; the least of them may be next to nothing
+		var all []float64
 		for _, o := range r.leaves {
 			if o.service > 0 {
-				least = min(least, o.service)
+				all = append(all, o.service)
 			}
 		}
-		l.reported = max(l.service/least-1, 0) * unit
+		slices.Sort(all)
+		l.reported = min(l.service/max(all[len(all)/2], epsilon), busiest/(1-busiest)) * unit
 	default:
 		l.reported = 0
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -358,3 +358,19 @@
 	st.query(0, 0)
 	st.check("forgotten")
 }
+
+// Incident 10: right after a start the least service time is next to nothing; that must not make all others look jammed.
+func TestServiceTimeIsHeldAgainstThePeers(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	st.query(0, 0, 0, 0)
+	st.pass(100)
+	for i, ms := range []float64{0.1, 150, 100} {
+		rep := new(Report)
+		rep.Set(ServiceTime, ms)
+		st.end(fmt.Sprintf("q1.%d#0", i), OK, rep)
+	}
+	for _, l := range st.leafs {
+		st.say("Q of %s: %.1f", st.names[l], st.r.queue(l))
+	}
+	st.check("service-time")
+}
