--- a/choice/choice.go
+++ b/choice/choice.go
@@ -594,15 +594,17 @@
 	return 1 + (l.pace-1)*r.fade(l.paceAt)
 }
 
-// learn takes a sample of a leaf's time for a unit of load.
-func (r *Root) learn(l *Leaf, x float64) {
+// learn takes a sample of a leaf's time for a unit of load. Only answers tell of all leaves; a call cut off
+// tells of its leaf alone, or lost calls would teach patience.
+func (r *Root) learn(l *Leaf, x float64, answered bool) {
 	x = max(x, epsilon) // an answer in no time at all must not make the mean 0
 	if r.pace == 0 {
 		r.pace, r.dev = x, x/2
 	}
-	top := r.pace + 2*lateBy*r.dev
-	r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
-	r.pace += gain / 4 * (min(x, top) - r.pace)
+	if top := r.pace + 2*lateBy*r.dev; answered {
+		r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
+		r.pace += gain / 4 * (min(x, top) - r.pace)
+	}
 	l.pace = r.paceOf(l)
 	l.pace += 2 * gain * (min(x/r.pace, 20) - l.pace)
 	l.paceAt = r.now
@@ -639,7 +641,7 @@
 	}
 	switch o {
 	case OK:
-		r.learn(l, took)
+		r.learn(l, took, true)
 		l.done = append(l.done, amount{now, c.d})
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
@@ -647,7 +649,7 @@
 		r.strike(l)
 	case TimedOut, Cancelled:
 		if r.pace > 0 && took > r.pace*max(l.pace, 1) { // at least that long
-			r.learn(l, took)
+			r.learn(l, took, false)
 		}
 	}
 	r.release(c, o == TimedOut || o == Cancelled)
