--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,17 +16,17 @@
 )
 
 const (
-	gain       = 0.1         // weight of a new sample in running means; scale-free
-	lateBy     = 5           // mean deviations past the mean at which a call is overdue, after RFC 6298
-	copyShare  = 0.1         // second copies for each first call, whatever the budget: they add load
-	copiesMost = 10          // when there is least room; and how many are saved up for a sudden stall
-	sweepEvery = 2 * hundred // periodic work; a few times within the shortest SLO times that make sense
-	hundred    = 100 * Millisecond
+	gain       = 0.1               // weight of a new sample in running means; scale-free
+	lateBy     = 5                 // mean deviations past the mean at which a call is overdue, after RFC 6298
+	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
+	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
+	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
+
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
 	easy, hard = 0.35, 0.7 // of the shortest SLO time: the least useful queries, and all, are turned away
 	coldPart   = 0.75      // of what a cold leaf could bear: the rest is for chance and for rough hints
-	mostStruck = 5         // strikes that count: shunned for up to 2^4 times four call times, then tried
+	mostStruck = 5         // strikes that count: shunned for up to 2^4 times two call times, then tried
 	overShare  = 1.2       // of its allowance that a tenant may send: one root's view of that is rough
 	busiest    = 0.8       // utilisation above which a report says no more than that cores are busy
 	enough     = 0.5       // portion of the utility for which late answers are worth beginning work
@@ -80,13 +80,12 @@
 	Part *Part
 	Leaf *Leaf
 
-	sent              Time
-	d, ahead, crowd   float64 // its work, the load it met at its leaf, the calls it met in all
-	reports           int     // reports of the leaf that had come when it was sent
-	outcome           Outcome
-	ended             bool
-	overdue, streamed bool
-	calledOff         bool
+	sent            Time
+	d, ahead, crowd float64 // its work, the load it met at its leaf, the calls it met in all
+	reports         int     // reports of the leaf that had come when it was sent
+	outcome         Outcome
+
+	ended, overdue, streamed, calledOff bool
 }
 
 // Ended tells whether the outcome has come.
@@ -340,6 +339,10 @@
 	return crossing * r.set.CrossZone
 }
 
+// alone is the time that work of d takes at a leaf with nothing else to do. 2: a server works on several
+// parts at once, so the first ones hardly wait.
+func (r *Root) alone(d float64) float64 { return r.pace * 2 * d }
+
 // work is D.
 func (r *Root) work(p *Part) float64 {
 	if p.Hint > 0 {
@@ -352,7 +355,7 @@
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.work(p)
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
-		ahead: r.queue(l) + 2*d} // 2: a server works on several parts at once, so the first ones hardly wait
+		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		r.copies = min(r.copies+copyShare, copiesMost)
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
@@ -365,7 +368,7 @@
 	l.sent = append(l.sent, amount{r.now, d})
 	until := r.last(p.query)
 	if !p.query.v.worthWaiting() {
-		until = min(until, p.query.slo+Time(r.pace*3*max(d-r.unit, 0)))
+		until = min(until, p.query.slo+Time(1.5*r.alone(max(d-r.unit, 0))))
 	}
 	r.port.Call(c, until-r.now)
 	r.at(r.now+r.patience(c), nil, c)
@@ -531,7 +534,7 @@
 
 // ghosts is the work of abandoned calls that may still run; it fades over the time that calls take.
 func (r *Root) ghosts(l *Leaf) float64 {
-	return l.ghost * math.Exp(-float64(r.now-l.ghostAt)/max(r.pace*2*r.unit, 1))
+	return l.ghost * math.Exp(-float64(r.now-l.ghostAt)/max(r.alone(r.unit), 1))
 }
 
 // slowness is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
@@ -583,7 +586,7 @@
 // strike notes a failure of a leaf.
 func (r *Root) strike(l *Leaf) {
 	l.strikes = min(l.strikes+1, mostStruck)
-	base := max(r.pace*4*r.unit, float64(hundred))
+	base := max(2*r.alone(r.unit), float64(sweepEvery/2))
 	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
 }
 
@@ -905,7 +908,7 @@
 	if !r.set.HoldOff {
 		return 0
 	}
-	return min(Time(r.pace*8*r.unit), r.set.MaxHoldOff)
+	return min(Time(4*r.alone(r.unit)), r.set.MaxHoldOff)
 }
 
 // ---- the list ----
@@ -960,13 +963,13 @@
 func (r *Root) ListFailed(now Time) {
 	r.now = now
 	r.failures = min(r.failures+1, 4)
-	r.askAt = now + Time(float64(2*hundred)*math.Exp2(float64(r.failures))*(0.5+r.chance()))
+	r.askAt = now + Time(float64(sweepEvery)*math.Exp2(float64(r.failures))*(0.5+r.chance()))
 	r.arm()
 }
 
 // watch asks for the list and its changes. Its answer ends the waiting; should none come, it asks again.
 func (r *Root) watch() {
-	r.askAt = r.now + 100*hundred
+	r.askAt = r.now + 50*sweepEvery
 	r.port.Watch()
 }
 
