Read again: one sum of answered parts, one test of readiness, tempo apart from strikes

The weight that is in was summed in two places; the wait divided out the strikes that slowness had multiplied in; half of the readiness tests did not use the method; two tests had the same storm of full queues; the tenants' portion was decoded and never read; a list that make had made was checked for nil.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,6 +64,17 @@
 // Over tells whether the query has had its final answer.
 func (q *Query) Over() bool { return q.state >= merged }
 
+// in is the weight of the parts whose answers are in.
+func (q *Query) in() float64 {
+	sum := 0.0
+	for _, p := range q.Parts {
+		if p.in {
+			sum += p.Weight
+		}
+	}
+	return sum
+}
+
 // Part is the share of a query that one shard must answer.
 type Part struct {
 	Shard        int
@@ -248,11 +259,10 @@
 	if q.state != gathering {
 		return
 	}
-	in, coming, possible := 0.0, 0.0, 0.0
+	in, coming, possible := q.in(), 0.0, 0.0
 	for _, p := range q.Parts {
 		switch {
 		case p.in:
-			in += p.Weight
 		case p.awaited():
 			coming += p.Weight
 		case p.pending() || r.hope(p):
@@ -264,7 +274,7 @@
 		return
 	}
 	if r.now >= r.last(q) || r.now >= q.slo && q.v.LateUtility == 0 || in+coming+possible < q.need-epsilon {
-		r.giveUp(q, in)
+		r.giveUp(q)
 		return
 	}
 	if r.now >= q.slo && in >= q.floor-epsilon && q.v.PartialEarns*in/q.need > q.v.LateUtility {
@@ -377,13 +387,7 @@
 // move is the one way from state to state.
 func (r *Root) move(q *Query, to state) {
 	if to == merged {
-		in := 0.0
-		for _, p := range q.Parts {
-			if p.in {
-				in += p.Weight
-			}
-		}
-		whole := in >= q.need-epsilon && !q.partial
+		whole := q.in() >= q.need-epsilon && !q.partial
 		if q.v.SecondStep > 0 && !q.stepped {
 			to, q.partial, q.stepped = betweenSteps, !whole, true
 		}
@@ -409,8 +413,8 @@
 }
 
 // giveUp ends a query that cannot become whole in time, at once: with what is in if that is enough.
-func (r *Root) giveUp(q *Query, in float64) {
-	switch {
+func (r *Root) giveUp(q *Query) {
+	switch in := q.in(); {
 	case in >= q.floor-epsilon && in > 0:
 		r.move(q, merged)
 	case r.harmless(q):
@@ -455,20 +459,15 @@
 		return false
 	}
 	v := p.query.v
-	for _, c := range p.calls {
-		if !c.mayHaveRun() {
-			continue
-		}
-		if v.Effect == SideEffecting || v.Effect == Deduplicated && r.now-c.sent > v.DedupWindow-r.set.Tick {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(p.calls, func(c *LeafCall) bool {
+		gone := v.Effect == Deduplicated && r.now-c.sent > v.DedupWindow-r.set.Tick
+		return c.mayHaveRun() && (v.Effect == SideEffecting || gone)
+	})
 }
 
 // may guards the rules: every call passes here.
 func (r *Root) may(p *Part, l *Leaf) bool {
-	if l.condition != Ready || p.query.state != gathering || r.now >= r.last(p.query) || !r.again(p) {
+	if !l.ready() || p.query.state != gathering || r.now >= r.last(p.query) || !r.again(p) {
 		return false
 	}
 	for _, c := range p.calls {
@@ -537,15 +536,18 @@
 	return l.ghost * math.Exp(-float64(r.now-l.ghostAt)/max(r.alone(r.unit), 1))
 }
 
-// slowness is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
+// slowness is a leaf's tempo with its failures counted in.
+func (r *Root) slowness(l *Leaf) float64 { return r.tempo(l) * (1 + l.strikes) }
+
+// tempo is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
-func (r *Root) slowness(l *Leaf) float64 {
+func (r *Root) tempo(l *Leaf) float64 {
 	s := r.paceOf(l)
 	if len(l.out) > 0 && r.pace > 0 {
 		c := l.out[0]
 		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace)
 	}
-	return s * (1 + l.strikes)
+	return s
 }
 
 // standing orders candidates before their score does: sound ones first, then those that failed this very
@@ -567,13 +569,13 @@
 	return l.strikes > 0 && (r.now < l.until || len(l.out) > 0) && !r.allStruck()
 }
 
-func (r *Root) sound(l *Leaf) bool { return l.condition == Ready && !r.shunned(l) }
+func (r *Root) sound(l *Leaf) bool { return l.ready() && !r.shunned(l) }
 
 // allStruck: when most leaves fail, the cause is not in the leaves.
 func (r *Root) allStruck() bool {
 	n, all := 0, 0
 	for _, l := range r.leaves {
-		if l.condition == Ready {
+		if l.ready() {
 			all++
 			if l.strikes > 0 {
 				n++
@@ -634,9 +636,9 @@
 	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
 	took := float64(elapsed) / c.ahead
 	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
-	strain := r.strain(c, elapsed)
+	strain := c.strain(elapsed)
 	if o == Full {
-		strain = r.strain(c, p.query.v.SLO)
+		strain = c.strain(p.query.v.SLO)
 	}
 	if o == OK || strain > r.median(nil) {
 		r.times = append(r.times, amount{now, strain})
@@ -740,7 +742,7 @@
 	case rep.Has[Utilisation]:
 		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
-	case l.service > 0: // by what it exceeds the peers'; the least of them may be next to nothing
+	case l.service > 0: // against the peers' median: the least of them may be next to nothing
 		var all []float64
 		for _, o := range r.leaves {
 			if o.service > 0 {
@@ -846,7 +848,7 @@
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
 			if r.sound(l) {
-				least = min(least, r.pace*r.slowness(l)/(1+l.strikes)*r.queue(l))
+				least = min(least, r.pace*r.tempo(l)*r.queue(l))
 			}
 		}
 		waits = append(waits, least)
@@ -864,7 +866,7 @@
 	median := r.median(nil)
 	for _, l := range r.leaves {
 		for _, c := range l.out {
-			if t := r.strain(c, r.now-c.sent); t > median {
+			if t := c.strain(r.now - c.sent); t > median {
 				out = append(out, t)
 			}
 		}
@@ -887,16 +889,14 @@
 }
 
 // strain is a call's time for each call in the crowd that it met.
-func (r *Root) strain(c *LeafCall, t Time) float64 {
-	return float64(t) / c.crowd
-}
+func (c *LeafCall) strain(t Time) float64 { return float64(t) / c.crowd }
 
 // crowd is the number of calls out, and one more for each leaf: an empty fleet takes its time too.
 func (r *Root) crowd() float64 {
 	n := 0
 	for _, l := range r.leaves {
 		n += len(l.out)
-		if l.condition == Ready {
+		if l.ready() {
 			n++
 		}
 	}
@@ -1025,7 +1025,7 @@
 		if d := recent(&l.done, r.now-r.set.FallTime); l.ready() && r.capacity(l) >= 1 {
 			done, warm = done+d, warm+1
 		}
-		wanted := r.set.MayProbe && r.set.ProbeReports && l.condition == Ready
+		wanted := r.set.MayProbe && r.set.ProbeReports && l.ready()
 		if wanted && !l.probing && r.now >= l.probed+r.horizon {
 			l.probed, l.probing = r.now, true
 			r.port.Probe(l)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+// storm sends n queries of four parts whose first calls all meet full queues.
+func (st *stage) storm(n int) {
+	for range n {
+		st.query(0, 0, 0, 0, 0)
+		for i := range 4 {
+			if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
+				st.end(name, Full, nil)
+			}
+		}
+	}
+}
+
 // warm gives the root a history: n queries of two parts, each call 100 ms.
 func (st *stage) warm(n int) {
 	for range n {
@@ -57,9 +69,8 @@
 	for seed := range uint64(4) {
 		st.set.Seed = seed
 		st.r = NewRoot(st.set, st, st.now)
-		for i, l := range st.leafs {
+		for _, l := range st.leafs {
 			*l = Leaf{}
-			st.leafs[i] = l
 		}
 		st.say("seed %d", seed)
 		st.list(true, Ready, st.leafs...)
@@ -305,18 +316,12 @@
 		st.end(fmt.Sprintf("q%d.0#0", st.n), Cancelled, nil)
 	}
 	st.say("median strain unchanged: %v", st.r.median(nil) == before)
-	for range 12 {
-		st.query(0, 0, 0, 0, 0)
-		for i := range 4 {
-			if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
-				st.end(name, Full, nil)
-			}
-		}
-	}
+	st.storm(12)
 	st.check("cut-off")
 }
 
-// All replicas of the shard fail, those of others do not: its queries are turned away but for a trial now and then.
+// All replicas of the shard fail, those of others do not: its queries are turned away but for a trial now and
+// then.
 func TestShardOutOfReach(t *testing.T) {
 	st := play(t, 3, plain(func(s *Settings) { s.Cells, s.MaxCalls = 3, 1 }))
 	for i, l := range st.leafs {
@@ -332,18 +337,12 @@
 	st.check("shard-out-of-reach")
 }
 
-// Incident 7: after a storm of full queues nothing more is sent, so nothing new is learnt; the root must come back.
+// Incident 7: after a storm of full queues nothing more is sent, so nothing new is learnt; the root must come
+// back.
 func TestPressureIsForgottenWhenNothingIsSent(t *testing.T) {
 	st := play(t, 2, plain(func(s *Settings) { s.MaxCalls = 1 }))
 	st.warm(8)
-	for range 6 {
-		st.query(0, 0, 0, 0, 0)
-		for i := range 4 {
-			if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
-				st.end(name, Full, nil)
-			}
-		}
-	}
+	st.storm(6)
 	st.out.Reset()
 	for range 3 {
 		st.say("pressure of %.0f ms, and nothing is sent", st.r.pressure()/10)
@@ -353,7 +352,8 @@
 	st.check("forgotten")
 }
 
-// Incident 10: right after a start the least service time is next to nothing; that must not make all others look jammed.
+// Incident 10: right after a start the least service time is next to nothing; that must not make all others
+// look jammed.
 func TestServiceTimeIsHeldAgainstThePeers(t *testing.T) {
 	st := play(t, 3, plain(nil))
 	st.query(0, 0, 0, 0)
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -75,7 +75,6 @@
 
 // Tenant is one of those who share the service.
 type Tenant struct {
-	Portion   float64
 	PerSecond float64 // queries a second within its share, over all roots; 0 where none is stated
 }
 
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -55,7 +55,6 @@
 		}
 		Tenants []struct {
 			AllowancePerS float64 `json:"allowance_per_s"`
-			Portion       float64
 		}
 		Tariffs struct {
 			CrossZone float64 `json:"cross_zone"`
@@ -69,13 +68,13 @@
 		return nil, errors.New("facts: classes, slices, sets or span are missing")
 	}
 	s := &choice.Settings{
-		Seed: seed, Roots: max(w.Balancers, 1), Zone: w.Zone, CrossZone: w.Tariffs.CrossZone, Tick: ceilTime(w.Tick),
+		Seed: seed, Roots: max(w.Balancers, 1), Tick: ceilTime(w.Tick),
+		Zone: w.Zone, CrossZone: w.Tariffs.CrossZone,
 		Shards: w.FamilyInfo.Slices, Cells: w.FamilyInfo.Sets, Span: w.FamilyInfo.Span,
 		OverShareUtility: w.OverShareWorth, UtilityByWork: w.WorthBy == "work",
 		MaxCalls: max(w.Caps.MaxAttempts, 1), SecondCopies: w.Caps.SecondCopies, MayCancel: w.Caps.Cancel,
 		MayProbe: w.Caps.MayProbe, HoldOff: w.Caps.RetryAfter, MaxHoldOff: floorTime(w.Caps.MaxRetryAfter),
 		ProbeReports: w.Report.Via == "on_probe", AskForList: w.MembershipMode == "on_request",
-
 		ColdShare: w.Rules.ColdShare, ColdTime: ceilTime(w.Rules.Cold),
 		FallMultiple: w.Rules.FallMultiple, FallTime: ceilTime(w.Rules.Fall),
 	}
@@ -112,7 +111,7 @@
 		s.Verticals = append(s.Verticals, v)
 	}
 	for _, t := range w.Tenants {
-		s.Tenants = append(s.Tenants, choice.Tenant{Portion: t.Portion, PerSecond: t.AllowancePerS})
+		s.Tenants = append(s.Tenants, choice.Tenant{PerSecond: t.AllowancePerS})
 	}
 	return s, nil
 }
--- a/wire/host.go
+++ b/wire/host.go
@@ -215,9 +215,6 @@
 		list = append(list, l)
 	}
 	h.lists[ref] = list
-	if h.lists[ref] == nil {
-		h.lists[ref] = []listed{}
-	}
 	return nil
 }
 
