--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,6 +20,8 @@
 	lateBy     = 5                 // mean deviations past the mean at which a call is overdue, after RFC 6298
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
+	linkStep   = 0.15              // by which the running median over a zone moves
+	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -129,8 +131,7 @@
 	sent     []amount // work sent to it in the last FallTime
 	done     []amount // work it answered in that time
 
-	pace    float64 // its time for a unit of load against that of its peers
-	paceAt  Time
+	pace    tempo
 	strikes float64 // failures not yet made good
 	until   Time    // not trusted before
 	lastOK  Time
@@ -140,6 +141,19 @@
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
 
+// tempo is the time that calls took against what was expected: a running mean, less 1, as of a time.
+type tempo struct {
+	excess float64
+	at     Time
+}
+
+// link is the way to a zone with all that its leaves share: the logarithm of a running median of tempos there,
+// as a few bad leaves must not move it.
+type link struct {
+	log float64
+	at  Time
+}
+
 type amount struct {
 	at Time
 	d  float64
@@ -173,6 +187,7 @@
 	draws   uint64
 
 	leaves  []*Leaf
+	links   []link    // by zone
 	holders [][]*Leaf // by shard
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
@@ -190,6 +205,7 @@
 	taken   []amount // queries and parts taken within the budget's window
 	further []amount // calls beyond a part's first within it
 	copies  float64
+	probes  float64 // that may be sent now
 	rates   []float64
 	ratesAt Time
 
@@ -371,6 +387,7 @@
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
+	r.probes = min(r.probes+probeShare, copiesMost)
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	l.own += d
@@ -542,12 +559,12 @@
 // tempo is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
 func (r *Root) tempo(l *Leaf) float64 {
-	s := r.paceOf(l)
+	s, link := r.ratio(l.pace), r.way(l)
 	if len(l.out) > 0 && r.pace > 0 {
 		c := l.out[0]
-		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace)
+		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace/link)
 	}
-	return s
+	return s * link
 }
 
 // standing orders candidates before their score does: sound ones first, then those that failed this very
@@ -587,16 +604,47 @@
 
 // strike notes a failure of a leaf.
 func (r *Root) strike(l *Leaf) {
+	r.learnLink(l, math.Inf(1))
+	if r.way(l) > 1 {
+		return
+	}
 	l.strikes = min(l.strikes+1, mostStruck)
 	base := max(2*r.alone(r.unit), float64(sweepEvery/2))
 	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
 }
 
-func (r *Root) paceOf(l *Leaf) float64 {
-	if l.paceAt == 0 {
-		return 1
+// ratio is what is left of a tempo by now.
+func (r *Root) ratio(t tempo) float64 { return 1 + t.excess*r.fade(t.at) }
+
+// note takes a sample into a tempo.
+func (r *Root) note(t *tempo, x float64) {
+	*t = tempo{r.ratio(*t) - 1 + 2*gain*(x-r.ratio(*t)), r.now}
+}
+
+// way is how much slower the leaves of a zone are than those of the best one, if more than chance would make
+// them: then the link is at fault, or what they share, and none of them.
+func (r *Root) way(l *Leaf) float64 {
+	least := 0.0
+	for zone := range r.links {
+		least = min(least, r.level(zone))
+	}
+	if worse := r.level(l.zone) - least; worse > math.Ln2 {
+		return math.Exp(worse)
 	}
-	return 1 + (l.pace-1)*r.fade(l.paceAt)
+	return 1
+}
+
+func (r *Root) level(zone int) float64 { return r.links[zone].log * r.fade(r.links[zone].at) }
+
+// learnLink moves a zone's running median a step towards a sample.
+func (r *Root) learnLink(l *Leaf, x float64) {
+	level := r.level(l.zone)
+	if math.Log(x) > level {
+		level += linkStep
+	} else {
+		level -= linkStep
+	}
+	r.links[l.zone] = link{level, r.now}
 }
 
 // learn takes a sample of a leaf's time for a unit of load. Only answers tell of all leaves; a call cut off
@@ -610,9 +658,9 @@
 		r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 		r.pace += gain / 4 * (min(x, top) - r.pace)
 	}
-	l.pace = r.paceOf(l)
-	l.pace += 2 * gain * (min(x/r.pace, 20) - l.pace)
-	l.paceAt = r.now
+	x = min(x/r.pace, 20)
+	r.note(&l.pace, x/r.way(l))
+	r.learnLink(l, x)
 }
 
 // patience is how long a call may take before it counts as overdue.
@@ -620,7 +668,7 @@
 	if r.pace == 0 {
 		return c.Part.query.v.SLO * 2 / 3 // nothing is known yet
 	}
-	return Time((r.pace+lateBy*r.dev)*c.ahead) + 2*r.set.Tick
+	return Time((r.pace*r.way(c.Leaf)+lateBy*r.dev)*c.ahead) + 2*r.set.Tick
 }
 
 // ---- what comes back ----
@@ -653,7 +701,7 @@
 	case Failed, Reset, NoConnection, Full:
 		r.strike(l)
 	case TimedOut, Cancelled:
-		if r.pace > 0 && took > r.pace*max(l.pace, 1) { // at least that long
+		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace), 1)*r.way(l) { // at least that long
 			r.learn(l, took, false)
 		}
 	}
@@ -927,9 +975,12 @@
 		if !slices.Contains(r.leaves, l) {
 			r.leaves = append(r.leaves, l)
 		}
+		if missing := e.Zone + 1 - len(r.links); missing > 0 {
+			r.links = append(r.links, make([]link, missing)...)
+		}
 		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
 			lost = append(lost, l.out...)
-			l.paceAt, l.strikes, l.reported, l.since, l.ghost = 0, 0, 0, 0, 0
+			l.pace, l.strikes, l.reported, l.since, l.ghost = tempo{}, 0, 0, 0, 0
 			l.sent = nil
 		}
 		if e.Condition == Gone {
@@ -1026,7 +1077,8 @@
 			done, warm = done+d, warm+1
 		}
 		wanted := r.set.MayProbe && r.set.ProbeReports && l.ready()
-		if wanted && !l.probing && r.now >= l.probed+r.horizon {
+		if wanted && !l.probing && r.now >= l.probed+r.horizon && r.probes >= 1 {
+			r.probes--
 			l.probed, l.probing = r.now, true
 			r.port.Probe(l)
 		}
