--- a/choice/choice.go
+++ b/choice/choice.go
@@ -206,6 +206,7 @@
 	further []amount // calls beyond a part's first within it
 	copies  float64
 	probes  float64 // that may be sent now
+	calls   float64 // sent since the start
 	rates   []float64
 	ratesAt Time
 
@@ -388,6 +389,7 @@
 		r.copies--
 	}
 	r.probes = min(r.probes+probeShare, copiesMost)
+	r.calls++
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	l.own += d
@@ -614,7 +616,15 @@
 }
 
 // ratio is what is left of a tempo by now.
-func (r *Root) ratio(t tempo) float64 { return 1 + t.excess*r.fade(t.at) }
+func (r *Root) ratio(t tempo) float64 {
+	return 1 + t.excess*math.Exp(-float64(r.now-t.at)/r.hold())
+}
+
+// hold is how long evidence on one leaf holds: where there are so many that the root calls each but rarely,
+// as long as it takes to come round to one again; else the horizon.
+func (r *Root) hold() float64 {
+	return max(float64(r.horizon), float64(r.now-r.started)*float64(len(r.leaves))/max(r.calls, 1))
+}
 
 // note takes a sample into a tempo.
 func (r *Root) note(t *tempo, x float64) {
