--- a/choice/choice.go
+++ b/choice/choice.go
@@ -192,6 +192,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	failing   float64   // running share of calls that failed
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
@@ -585,24 +586,13 @@
 
 // shunned: a struck leaf whose time is not up, or which has its one call out.
 func (r *Root) shunned(l *Leaf) bool {
-	return l.strikes > 0 && (r.now < l.until || len(l.out) > 0) && !r.allStruck()
+	return l.strikes > 0 && (r.now < l.until || len(l.out) > 0)
 }
 
-func (r *Root) sound(l *Leaf) bool { return l.ready() && !r.shunned(l) }
+func (r *Root) sound(l *Leaf) bool { return l.ready() && (!r.shunned(l) || r.allFail()) }
 
-// allStruck: when most leaves fail, the cause is not in the leaves.
-func (r *Root) allStruck() bool {
-	n, all := 0, 0
-	for _, l := range r.leaves {
-		if l.ready() {
-			all++
-			if l.strikes > 0 {
-				n++
-			}
-		}
-	}
-	return 2*n > all
-}
+// allFail: when most calls fail, the cause is not in the leaves.
+func (r *Root) allFail() bool { return r.failing > 0.5 }
 
 // strike notes a failure of a leaf.
 func (r *Root) strike(l *Leaf) {
@@ -610,6 +600,7 @@
 	if r.way(l) > 1 {
 		return
 	}
+	r.failing += gain * (1 - r.failing)
 	l.strikes = min(l.strikes+1, mostStruck)
 	base := max(2*r.alone(r.unit), float64(sweepEvery/2))
 	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
@@ -706,6 +697,7 @@
 	case OK:
 		r.learn(l, took, true)
 		l.done = append(l.done, amount{now, c.d})
+		r.failing -= gain * r.failing
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
 	case Failed, Reset, NoConnection, Full:
@@ -1093,7 +1085,7 @@
 			r.port.Probe(l)
 		}
 	}
-	if 2*warm > float64(len(r.leaves)) && !r.allStruck() {
+	if 2*warm > float64(len(r.leaves)) && !r.allFail() {
 		r.bears += gain * (done/warm - r.bears)
 	}
 }
