--- a/choice/choice.go
+++ b/choice/choice.go
@@ -141,10 +141,11 @@
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
 
-// tempo is the time that calls took against what was expected: a running mean, less 1, as of a time.
+// tempo is the time that calls took against what was expected, failures counted as long ones: a running mean
+// as of a time.
 type tempo struct {
-	excess float64
-	at     Time
+	mean float64
+	at   Time // 0: nothing is known
 }
 
 // link is the way to a zone with all that its leaves share: the logarithm of a running median of tempos there,
@@ -192,6 +193,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	common    float64   // mean tempo over all leaves, failures counted
 	failing   float64   // running share of calls that failed
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
@@ -219,7 +221,7 @@
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
 		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never,
-		tight: never, copies: copiesMost}
+		tight: never, copies: copiesMost, common: 1}
 	for _, v := range s.Verticals {
 		r.horizon, r.tight = max(r.horizon, v.SLO), min(r.tight, v.SLO)
 	}
@@ -600,6 +602,7 @@
 	if r.way(l) > 1 {
 		return
 	}
+	r.note(l, mostStruck)
 	r.failing += gain * (1 - r.failing)
 	l.strikes = min(l.strikes+1, mostStruck)
 	base := max(2*r.alone(r.unit), float64(sweepEvery/2))
@@ -608,7 +611,10 @@
 
 // ratio is what is left of a tempo by now.
 func (r *Root) ratio(t tempo) float64 {
-	return 1 + t.excess*math.Exp(-float64(r.now-t.at)/r.hold())
+	if t.at == 0 {
+		return r.common
+	}
+	return r.common + (t.mean-r.common)*math.Exp(-float64(r.now-t.at)/r.hold())
 }
 
 // hold is how long evidence on one leaf holds: where there are so many that the root calls each but rarely,
@@ -617,9 +623,11 @@
 	return max(float64(r.horizon), float64(r.now-r.started)*float64(len(r.leaves))/max(r.calls, 1))
 }
 
-// note takes a sample into a tempo.
-func (r *Root) note(t *tempo, x float64) {
-	*t = tempo{r.ratio(*t) - 1 + 2*gain*(x-r.ratio(*t)), r.now}
+// note takes a sample of a leaf's tempo. What all samples say is what is thought of a leaf that is not known:
+// while many fail, one that has answered is the better choice.
+func (r *Root) note(l *Leaf, x float64) {
+	l.pace = tempo{r.ratio(l.pace) + 2*gain*(x-r.ratio(l.pace)), r.now}
+	r.common += gain / 2 * (x - r.common)
 }
 
 // way is how much slower the leaves of a zone are than those of the best one, if more than chance would make
@@ -660,7 +668,7 @@
 		r.pace += gain / 4 * (min(x, top) - r.pace)
 	}
 	x = min(x/r.pace, 20)
-	r.note(&l.pace, x/r.way(l))
+	r.note(l, x/r.way(l))
 	r.learnLink(l, x)
 }
 
