--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 const (
 	gain       = 0.1               // weight of a new sample in running means; scale-free
 	lateBy     = 5                 // mean deviations past the mean at which a call is overdue, after RFC 6298
+	soonest    = 2                 // the same while many calls are lost
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	linkStep   = 0.15              // by which the running median over a zone moves
@@ -387,7 +388,7 @@
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
-		r.copies = min(r.copies+copyShare, copiesMost)
+		r.copies = min(r.copies+copyShare+r.failing, copiesMost)
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
@@ -677,7 +678,13 @@
 	if r.pace == 0 {
 		return c.Part.query.v.SLO * 2 / 3 // nothing is known yet
 	}
-	return Time((r.pace*r.way(c.Leaf)+lateBy*r.dev)*c.ahead) + 2*r.set.Tick
+	return Time((r.pace*r.way(c.Leaf)+r.lateBy()*r.dev)*c.ahead) + 2*r.set.Tick
+}
+
+// lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail that
+// falls off by e with each: the more calls fail, the sooner. Never under two: slow is not lost.
+func (r *Root) lateBy() float64 {
+	return min(max(math.Log(1/max(r.failing, epsilon)-1), soonest), lateBy)
 }
 
 // ---- what comes back ----
