--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,6 +195,7 @@
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
 	common    float64   // mean tempo over all leaves, failures counted
+	lost      float64   // running share of calls that were not answered
 	failing   float64   // running share of calls that failed
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
@@ -388,7 +389,7 @@
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
-		r.copies = min(r.copies+copyShare+r.failing, copiesMost)
+		r.copies = min(r.copies+copyShare+r.lost, copiesMost)
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
@@ -684,7 +685,7 @@
 // lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail that
 // falls off by e with each: the more calls fail, the sooner. Never under two: slow is not lost.
 func (r *Root) lateBy() float64 {
-	return min(max(math.Log(1/max(r.failing, epsilon)-1), soonest), lateBy)
+	return min(max(math.Log(1/max(r.lost, epsilon)-1), soonest), lateBy)
 }
 
 // ---- what comes back ----
@@ -713,11 +714,15 @@
 		r.learn(l, took, true)
 		l.done = append(l.done, amount{now, c.d})
 		r.failing -= gain * r.failing
+		r.lost -= gain / 2 * r.lost
 		l.strikes = max(l.strikes-1, 0)
 		l.lastOK = now
 	case Failed, Reset, NoConnection, Full:
 		r.strike(l)
 	case TimedOut, Cancelled:
+		if c.overdue {
+			r.lost += gain / 2 * (1 - r.lost)
+		}
 		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace), 1)*r.way(l) { // at least that long
 			r.learn(l, took, false)
 		}
