--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,15 +133,34 @@
 	done     []amount // work it answered in that time
 
 	pace    tempo
-	strikes float64 // failures not yet made good
-	until   Time    // not trusted before
-	lastOK  Time
+	trusts  []trust // in all that it does, then by vertical
 	probed  Time
 	probing bool
 }
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
 
+// trust is what failures and answers say of a leaf.
+type trust struct {
+	strikes         float64 // failures not yet made good
+	until           Time    // not trusted before
+	lastOK, lastBad Time
+}
+
+// trust is the record that counts for a vertical: its own, or the leaf's in all if that is worse, but not where
+// the vertical has been answered since. So a leaf that fails one vertical is lost to that one only, and answers
+// to others do not clear it.
+func (l *Leaf) trust(v int) *trust {
+	all, own := &l.trusts[0], &l.trusts[v+1]
+	if own.strikes >= all.strikes || own.lastOK > all.lastBad {
+		return own
+	}
+	return all
+}
+
+// both are the records that a vertical's calls go into.
+func (l *Leaf) both(v int) []*trust { return []*trust{&l.trusts[0], &l.trusts[v+1]} }
+
 // tempo is the time that calls took against what was expected, failures counted as long ones: a running mean
 // as of a time.
 type tempo struct {
@@ -354,7 +373,7 @@
 		if !r.may(p, l) {
 			continue
 		}
-		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l)}
+		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l, p.query.Vertical)}
 		if r.beats(s, least, &ties) {
 			leaf, least = l, s
 		}
@@ -561,7 +580,7 @@
 }
 
 // slowness is a leaf's tempo with its failures counted in.
-func (r *Root) slowness(l *Leaf) float64 { return r.tempo(l) * (1 + l.strikes) }
+func (r *Root) slowness(l *Leaf, v int) float64 { return r.tempo(l) * (1 + l.trust(v).strikes) }
 
 // tempo is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
@@ -582,33 +601,36 @@
 	if slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return c.Leaf == l }) {
 		s = 1
 	}
-	if r.shunned(l) || l.strikes > 0 && p.query.v.Effect == SideEffecting {
+	if v := p.query.Vertical; r.shunned(l, v) || l.trust(v).strikes > 0 && p.query.v.Effect == SideEffecting {
 		s += 2
 	}
 	return s
 }
 
 // shunned: a struck leaf whose time is not up, or which has its one call out.
-func (r *Root) shunned(l *Leaf) bool {
-	return l.strikes > 0 && (r.now < l.until || len(l.out) > 0)
+func (r *Root) shunned(l *Leaf, v int) bool {
+	t := l.trust(v)
+	return t.strikes > 0 && (r.now < t.until || len(l.out) > 0)
 }
 
-func (r *Root) sound(l *Leaf) bool { return l.ready() && (!r.shunned(l) || r.allFail()) }
+func (r *Root) sound(l *Leaf, v int) bool { return l.ready() && (!r.shunned(l, v) || r.allFail()) }
 
 // allFail: when most calls fail, the cause is not in the leaves.
 func (r *Root) allFail() bool { return r.failing > 0.5 }
 
-// strike notes a failure of a leaf.
-func (r *Root) strike(l *Leaf) {
+// strike notes a failure of a leaf, in some of its trusts.
+func (r *Root) strike(l *Leaf, in ...*trust) {
 	r.learnLink(l, math.Inf(1))
 	if r.way(l) > 1 {
 		return
 	}
 	r.note(l, mostStruck)
 	r.failing += gain * (1 - r.failing)
-	l.strikes = min(l.strikes+1, mostStruck)
-	base := max(2*r.alone(r.unit), float64(sweepEvery/2))
-	l.until = r.now + Time(base*math.Exp2(l.strikes-1)*(0.75+r.chance()/2))
+	base := max(2*r.alone(r.unit), float64(sweepEvery/2)) * (0.75 + r.chance()/2)
+	for _, t := range in {
+		t.strikes = min(t.strikes+1, mostStruck)
+		t.until, t.lastBad = r.now+Time(base*math.Exp2(t.strikes-1)), r.now
+	}
 }
 
 // ratio is what is left of a tempo by now.
@@ -696,7 +718,7 @@
 	if c.ended {
 		return
 	}
-	l, p := c.Leaf, c.Part
+	l, p, v := c.Leaf, c.Part, c.Part.query.Vertical
 	c.ended, c.outcome = true, o
 	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
 	took := float64(elapsed) / c.ahead
@@ -715,10 +737,11 @@
 		l.done = append(l.done, amount{now, c.d})
 		r.failing -= gain * r.failing
 		r.lost -= gain / 2 * r.lost
-		l.strikes = max(l.strikes-1, 0)
-		l.lastOK = now
+		for _, t := range l.both(v) {
+			t.strikes, t.lastOK = max(t.strikes-1, 0), now
+		}
 	case Failed, Reset, NoConnection, Full:
-		r.strike(l)
+		r.strike(l, l.both(v)...)
 	case TimedOut, Cancelled:
 		if c.overdue {
 			r.lost += gain / 2 * (1 - r.lost)
@@ -771,8 +794,8 @@
 		return
 	}
 	c.overdue = true
-	if l.lastOK <= c.sent && c.sent >= l.started && r.now >= l.until {
-		r.strike(l)
+	if t := &l.trusts[q.Vertical+1]; t.lastOK <= c.sent && c.sent >= l.started && r.now >= t.until {
+		r.strike(l, l.both(q.Vertical)...)
 	}
 	if q.Over() {
 		return
@@ -791,8 +814,9 @@
 
 // elsewhere: is another replica better than waiting for a call?
 func (r *Root) elsewhere(c *LeafCall) bool {
+	v := c.Part.query.Vertical
 	return slices.ContainsFunc(r.holders[c.Part.Shard], func(l *Leaf) bool {
-		return l != c.Leaf && r.sound(l) && r.slowness(l) < r.slowness(c.Leaf)
+		return l != c.Leaf && r.sound(l, v) && r.slowness(l, v) < r.slowness(c.Leaf, v)
 	})
 }
 
@@ -860,8 +884,8 @@
 	l.probing = false
 	if o == OK && rep != nil {
 		r.report(l, rep)
-	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.until {
-		r.strike(l)
+	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
+		r.strike(l, &l.trusts[0])
 	}
 	r.arm()
 }
@@ -917,7 +941,7 @@
 	for _, p := range q.Parts {
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
-			if r.sound(l) {
+			if r.sound(l, q.Vertical) {
 				least = min(least, r.pace*r.tempo(l)*r.queue(l))
 			}
 		}
@@ -996,13 +1020,15 @@
 		listed[l] = true
 		if !slices.Contains(r.leaves, l) {
 			r.leaves = append(r.leaves, l)
+			l.trusts = make([]trust, len(r.set.Verticals)+1)
 		}
 		if missing := e.Zone + 1 - len(r.links); missing > 0 {
 			r.links = append(r.links, make([]link, missing)...)
 		}
 		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
 			lost = append(lost, l.out...)
-			l.pace, l.strikes, l.reported, l.since, l.ghost = tempo{}, 0, 0, 0, 0
+			l.pace, l.reported, l.since, l.ghost = tempo{}, 0, 0, 0
+			clear(l.trusts)
 			l.sent = nil
 		}
 		if e.Condition == Gone {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -218,7 +218,7 @@
 	st.query(0, 0)
 	st.list(false, Ready, st.leafs[1])
 	st.pass(450)
-	st.say("strikes of %s: %.0f", st.names[l], l.strikes)
+	st.say("strikes of %s: %.0f", st.names[l], l.trust(0).strikes)
 	st.end("q7.0#1", OK, nil)
 	for range 4 {
 		st.query(0, 0, 0)
@@ -226,7 +226,7 @@
 		st.answer(st.n, 2, nil)
 	}
 	st.end("q7.0#0", OK, nil)
-	st.say("strikes of %s: %.0f", st.names[l], l.strikes)
+	st.say("strikes of %s: %.0f", st.names[l], l.trust(0).strikes)
 	st.query(0, 0, 0)
 	st.check("stalled")
 }
