--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,9 +18,10 @@
 const (
 	gain       = 0.1               // weight of a new sample in running means; scale-free
 	lateBy     = 5                 // mean deviations past the mean at which a call is overdue, after RFC 6298
-	soonest    = 2                 // the same while many calls are lost
+	soonest    = 1                 // the same while many calls are lost
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
+	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	linkStep   = 0.15              // by which the running median over a zone moves
 	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
@@ -164,8 +165,8 @@
 // tempo is the time that calls took against what was expected, failures counted as long ones: a running mean
 // as of a time.
 type tempo struct {
-	mean float64
-	at   Time // 0: nothing is known
+	mean, n float64 // n: samples, faded
+	at      Time    // 0: nothing is known
 }
 
 // link is the way to a zone with all that its leaves share: the logarithm of a running median of tempos there,
@@ -638,19 +639,21 @@
 	if t.at == 0 {
 		return r.common
 	}
-	return r.common + (t.mean-r.common)*math.Exp(-float64(r.now-t.at)/r.hold())
+	return r.common + (t.mean-r.common)*r.left(t)
 }
 
-// hold is how long evidence on one leaf holds: where there are so many that the root calls each but rarely,
-// as long as it takes to come round to one again; else the horizon.
-func (r *Root) hold() float64 {
-	return max(float64(r.horizon), float64(r.now-r.started)*float64(len(r.leaves))/max(r.calls, 1))
+// left is how much of the evidence on one leaf still holds. Where there are so many leaves that the root calls
+// each but rarely, it holds for as long as it takes to come round to one a few times; else for the horizon.
+func (r *Root) left(t tempo) float64 {
+	round := float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
+	return math.Exp(-float64(r.now-t.at) / max(float64(r.horizon), rounds*round))
 }
 
 // note takes a sample of a leaf's tempo. What all samples say is what is thought of a leaf that is not known:
 // while many fail, one that has answered is the better choice.
 func (r *Root) note(l *Leaf, x float64) {
-	l.pace = tempo{r.ratio(l.pace) + 2*gain*(x-r.ratio(l.pace)), r.now}
+	n, mean := l.pace.n*r.left(l.pace)+1, r.ratio(l.pace)
+	l.pace = tempo{mean + max(2*gain, 1/(n+1))*(x-mean), n, r.now}
 	r.common += gain / 2 * (x - r.common)
 }
 
