Each query probes the replicas it may go to and waits a few ticks for them

A report that is older than a few hundred ms says nothing at a call a minute; one asked for now does.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,7 @@
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	linkStep   = 0.15              // by which the running median over a zone moves
-	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
+	probeShare = 1.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -60,6 +60,8 @@
 	v           *Vertical
 	slo         Time // an answer that leaves by then counts in full
 	need, floor float64
+	asked       int
+	askedUntil  Time // when it no longer waits for probes
 	retryAt     Time // when to look again for calls that are barred now
 	partial     bool // the first step's answer was not whole
 	stepped     bool // the first step was answered
@@ -137,6 +139,7 @@
 	trusts  []trust // in all that it does, then by vertical
 	probed  Time
 	probing bool
+	awaited []*Query // that wait for a probe's outcome
 }
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
@@ -288,17 +291,44 @@
 	r.move(q, gathering)
 	r.at(q.slo, q, nil)
 	r.at(r.last(q), q, nil)
+	r.ask(q)
 	r.settle(q)
 	r.arm()
 }
 
+// ask probes the leaves that a query may go to, where reports come no other way.
+func (r *Root) ask(q *Query) {
+	if !r.set.MayProbe || !r.set.ProbeReports {
+		return
+	}
+	for _, p := range q.Parts {
+		r.probes = min(r.probes+probeShare, 4*copiesMost)
+		for _, l := range r.holders[p.Shard] {
+			if !l.ready() {
+				continue
+			}
+			if !l.probing && r.now >= l.reportAt+sweepEvery && r.probes >= 1 {
+				r.probes--
+				l.probing = true
+				r.port.Probe(l)
+				l.awaited = append(l.awaited, q)
+				q.asked++
+			}
+		}
+	}
+	if q.asked > 0 {
+		q.askedUntil = r.now + 4*r.set.Tick
+		r.at(q.askedUntil, q, nil)
+	}
+}
+
 // settle brings a query as far as it can go now. On the ordinary path that is: score every part, send the
 // cheapest ones that make a whole answer, each to its best replica; and when they are in, merge.
 func (r *Root) settle(q *Query) {
 	if q.state == betweenSteps && r.now >= r.last(q) {
 		r.move(q, aborted)
 	}
-	if q.state != gathering {
+	if q.state != gathering || q.asked > 0 && r.now < q.askedUntil {
 		return
 	}
 	in, coming, possible := q.in(), 0.0, 0.0
@@ -413,7 +443,6 @@
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
-	r.probes = min(r.probes+probeShare, copiesMost)
 	r.calls++
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
@@ -890,6 +919,13 @@
 	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
 		r.strike(l, &l.trusts[0])
 	}
+	waiting := l.awaited
+	l.awaited = nil
+	for _, q := range waiting {
+		if q.asked--; q.asked == 0 {
+			r.settle(q)
+		}
+	}
 	r.arm()
 }
 
@@ -1127,12 +1163,6 @@
 		if d := recent(&l.done, r.now-r.set.FallTime); l.ready() && r.capacity(l) >= 1 {
 			done, warm = done+d, warm+1
 		}
-		wanted := r.set.MayProbe && r.set.ProbeReports && l.ready()
-		if wanted && !l.probing && r.now >= l.probed+r.horizon && r.probes >= 1 {
-			r.probes--
-			l.probed, l.probing = r.now, true
-			r.port.Probe(l)
-		}
 	}
 	if 2*warm > float64(len(r.leaves)) && !r.allFail() {
 		r.bears += gain * (done/warm - r.bears)
