--- a/choice/choice.go
+++ b/choice/choice.go
@@ -217,6 +217,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	usual     float64   // mean of reported queues
 	common    float64   // mean tempo over all leaves, failures counted
 	lost      float64   // running share of calls that were not answered
 	failing   float64   // running share of calls that failed
@@ -307,7 +308,7 @@
 			if !l.ready() {
 				continue
 			}
-			if !l.probing && r.now >= l.reportAt+sweepEvery && r.probes >= 1 {
+			if !l.probing && r.now >= l.reportAt+Time(2*r.alone(r.unit)) && r.probes >= 1 {
 				r.probes--
 				l.probing = true
 				r.port.Probe(l)
@@ -595,7 +596,7 @@
 
 // queue is Q.
 func (r *Root) queue(l *Leaf) float64 {
-	return max(l.reported*r.fade(l.reportAt)+l.since, l.own+r.ghosts(l))
+	return max(r.usual+(l.reported-r.usual)*r.fade(l.reportAt)+l.since, l.own+r.ghosts(l))
 }
 
 // fade is how much is left of what was learnt at a time: without news a leaf drifts back to what its peers
@@ -880,6 +881,7 @@
 	default:
 		l.reported = 0
 	}
+	r.usual += gain / 4 * (l.reported - r.usual)
 }
 
 // Started: the answer to a call has begun to come; it belongs to the client now.
