--- a/choice/choice.go
+++ b/choice/choice.go
@@ -209,6 +209,8 @@
 	port    Port
 	now     Time
 	started Time
+	resumed Time // when it last found that it had stood still, and for how long
+	stood   Time
 	draws   uint64
 
 	leaves  []*Leaf
@@ -236,6 +238,7 @@
 	copies  float64
 	probes  float64 // that may be sent now
 	calls   float64 // sent since the start
+	tries   []Time  // by vertical: the longest that a client has allowed for a try
 	rates   []float64
 	ratesAt Time
 
@@ -246,7 +249,7 @@
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
-		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never,
+		rates: make([]float64, max(len(s.Tenants), 1)), tries: make([]Time, len(s.Verticals)), ratesAt: now, sweep: now, askAt: never,
 		tight: never, copies: copiesMost, common: 1}
 	for _, v := range s.Verticals {
 		r.horizon, r.tight = max(r.horizon, v.SLO), min(r.tight, v.SLO)
@@ -273,9 +276,18 @@
 
 // ---- the ordinary path ----
 
+// enter notes the time. A root that stood still finds all that came meanwhile in one turn, in any order: what it
+// is told in that turn took longer for its own sake, and verdicts wait for the answers.
+func (r *Root) enter(now Time) {
+	if now-r.now > 2*sweepEvery {
+		r.resumed, r.stood = now, now-r.now
+	}
+	r.now = now
+}
+
 // Take takes a query with its parts.
 func (r *Root) Take(now Time, q *Query, parts []*Part) {
-	r.now = now
+	r.enter(now)
 	q.v = &r.set.Verticals[q.Vertical]
 	q.Parts, q.need, q.floor = parts, q.v.Need, q.v.Floor
 	work := 0.0
@@ -283,7 +295,13 @@
 		p.query = q
 		work += r.work(p)
 	}
-	q.slo = min(now+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
+	arrived := now
+	if left := q.Deadline - now; r.resumed == now { // it may have waited: clients all give a try the same time
+		arrived -= min(max(r.tries[q.Vertical]-left, 0), r.stood)
+	} else {
+		r.tries[q.Vertical] = max(r.tries[q.Vertical], left)
+	}
+	q.slo = min(arrived+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
 	r.count(q, work)
 	if !r.admit(q, work) {
 		r.move(q, rejected)
@@ -747,7 +765,7 @@
 
 // Outcome takes the end of a leaf call. It may come after the query's end, or more than once.
 func (r *Root) Outcome(now Time, c *LeafCall, o Outcome, elapsed Time, final bool, rep *Report) {
-	r.now = now
+	r.enter(now)
 	if c.ended {
 		return
 	}
@@ -760,13 +778,15 @@
 	if o == Full {
 		strain = c.strain(p.query.v.SLO)
 	}
-	if o == OK || strain > r.median(nil) {
+	if r.resumed != now && (o == OK || strain > r.median(nil)) {
 		r.times = append(r.times, amount{now, strain})
 		r.times = r.times[max(len(r.times)-memory, 0):]
 	}
 	switch o {
 	case OK:
-		r.learn(l, took, true)
+		if r.resumed != now {
+			r.learn(l, took, true)
+		}
 		l.done = append(l.done, amount{now, c.d})
 		r.failing -= gain * r.failing
 		r.lost -= gain / 2 * r.lost
@@ -776,7 +796,7 @@
 	case Failed, Reset, NoConnection, Full:
 		r.strike(l, l.both(v)...)
 	case TimedOut, Cancelled:
-		if c.overdue {
+		if c.overdue && r.resumed != now {
 			r.lost += gain / 2 * (1 - r.lost)
 		}
 		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace), 1)*r.way(l) { // at least that long
@@ -889,7 +909,7 @@
 
 // Leave: the client has gone.
 func (r *Root) Leave(now Time, q *Query) {
-	r.now = now
+	r.enter(now)
 	if !q.Over() {
 		r.move(q, left)
 	}
@@ -897,7 +917,7 @@
 
 // SecondStep takes the parts that the first answer has brought.
 func (r *Root) SecondStep(now Time, q *Query, parts []*Part) {
-	r.now = now
+	r.enter(now)
 	if q.state != betweenSteps {
 		return
 	}
@@ -914,7 +934,7 @@
 
 // Probed takes the outcome of a probe.
 func (r *Root) Probed(now Time, l *Leaf, o Outcome, rep *Report) {
-	r.now = now
+	r.enter(now)
 	l.probing = false
 	if o == OK && rep != nil {
 		r.report(l, rep)
@@ -1050,7 +1070,7 @@
 
 // List takes news of the servers: changes, or a complete list.
 func (r *Root) List(now Time, entries []Entry, full, cached bool) {
-	r.now = now
+	r.enter(now)
 	if !cached {
 		r.askAt, r.failures = never, 0
 	}
@@ -1101,7 +1121,7 @@
 
 // ListFailed: the list could not be had, or the watch on it broke.
 func (r *Root) ListFailed(now Time) {
-	r.now = now
+	r.enter(now)
 	r.failures = min(r.failures+1, 4)
 	r.askAt = now + Time(float64(sweepEvery)*math.Exp2(float64(r.failures))*(0.5+r.chance()))
 	r.arm()
@@ -1135,8 +1155,8 @@
 
 // Awake is called at the times asked for.
 func (r *Root) Awake(now Time) {
-	r.now = now
-	for len(r.dues) > 0 && r.dues[0].at <= now {
+	r.enter(now)
+	for len(r.dues) > 0 && r.dues[0].at <= now && r.resumed != now {
 		d := r.dues[0]
 		r.dues = r.dues[1:]
 		if d.c != nil {
