--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
-	linkStep   = 0.15              // by which the running median over a zone moves
+	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 1.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
@@ -129,7 +129,6 @@
 	reports  int
 	reported float64 // queue in the last report, as D
 	reportAt Time
-	service  float64 // service time in the last report, where it has one
 	ghost    float64 // D of abandoned calls that may still run, as of ghostAt
 	ghostAt  Time
 	sent     []amount // work sent to it in the last FallTime
@@ -219,6 +218,7 @@
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
+	service   float64   // logarithm of the median of reported service times
 	usual     float64   // mean of reported queues
 	common    float64   // mean tempo over all leaves, failures counted
 	lost      float64   // running share of calls that were not answered
@@ -722,13 +722,15 @@
 
 // learnLink moves a zone's running median a step towards a sample.
 func (r *Root) learnLink(l *Leaf, x float64) {
-	level := r.level(l.zone)
+	r.links[l.zone] = link{step(r.level(l.zone), x), r.now}
+}
+
+// step moves the logarithm of a running median towards a sample.
+func step(level, x float64) float64 {
 	if math.Log(x) > level {
-		level += linkStep
-	} else {
-		level -= linkStep
+		return level + medianStep
 	}
-	r.links[l.zone] = link{level, r.now}
+	return level - medianStep
 }
 
 // learn takes a sample of a leaf's time for a unit of load. Only answers tell of all leaves; a call cut off
@@ -878,8 +880,13 @@
 	unit := max(r.unit, 1e-9)
 	l.reports++
 	l.since, l.reportAt = 0, r.now
-	if rep.Has[ServiceTime] {
-		l.service = rep.Value[ServiceTime]
+	service := max(rep.Value[ServiceTime], epsilon)
+	if rep.Has[ServiceTime] { // against the peers' median: the least of them may be next to nothing
+		if r.service == 0 {
+			r.service = math.Log(service)
+		}
+		r.service = step(r.service, service)
+		service /= math.Exp(r.service)
 	}
 	switch {
 	case rep.Has[Waiting]:
@@ -889,15 +896,8 @@
 	case rep.Has[Utilisation]:
 		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
-	case l.service > 0: // against the peers' median: the least of them may be next to nothing
-		var all []float64
-		for _, o := range r.leaves {
-			if o.service > 0 {
-				all = append(all, o.service)
-			}
-		}
-		slices.Sort(all)
-		l.reported = min(l.service/max(all[len(all)/2], epsilon), busiest/(1-busiest)) * unit
+	case rep.Has[ServiceTime]:
+		l.reported = min(service, busiest/(1-busiest)) * unit
 	default:
 		l.reported = 0
 	}
