--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,10 +97,10 @@
 	Part *Part
 	Leaf *Leaf
 
-	sent            Time
-	d, ahead, crowd float64 // its work, the load it met at its leaf, the calls it met in all
-	reports         int     // reports of the leaf that had come when it was sent
-	outcome         Outcome
+	sent     Time
+	d, ahead float64 // its work, the load it met at its leaf
+	reports  int     // reports of the leaf that had come when it was sent
+	outcome  Outcome
 
 	ended, overdue, streamed, calledOff bool
 }
@@ -455,7 +455,7 @@
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.work(p)
-	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports,
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		r.copies = min(r.copies+copyShare+r.lost, copiesMost)
@@ -776,12 +776,12 @@
 	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
 	took := float64(elapsed) / c.ahead
 	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
-	strain := c.strain(elapsed)
+	time := float64(elapsed)
 	if o == Full {
-		strain = c.strain(p.query.v.SLO)
+		time = float64(p.query.v.SLO)
 	}
-	if r.resumed != now && (o == OK || strain > r.median(nil)) {
-		r.times = append(r.times, amount{now, strain})
+	if r.resumed != now && (o == OK || time > r.pressure()) {
+		r.times = append(r.times, amount{now, time})
 		r.times = r.times[max(len(r.times)-memory, 0):]
 	}
 	switch o {
@@ -1012,30 +1012,16 @@
 	return waits[max(int(math.Ceil(min(q.need, q.floor)*float64(len(waits))-epsilon)), 1)-1]
 }
 
-// pressure is the time that a call sent now would take: the median over the last calls, scaled
-// from the crowd of calls each met to the present one. A median: a few stalled or failing leaves do not move
-// it, and what is slow everywhere does. Calls that are still out count once they are older than that, so that
-// a jam shows before its first answers come; and as the crowd thins out, so does the pressure, with no wait.
+// pressure is the time that a call sent now would take: the median over the last calls. A median: a few stalled
+// or failing leaves do not move it, and what is slow everywhere does.
+// It is 0 while there are too few calls. Those of before the horizon are forgotten, or a root that turns all
+// away would never learn that the trouble is over.
 func (r *Root) pressure() float64 {
-	var out []float64
-	median := r.median(nil)
-	for _, l := range r.leaves {
-		for _, c := range l.out {
-			if t := c.strain(r.now - c.sent); t > median {
-				out = append(out, t)
-			}
-		}
-	}
-	return r.median(out) * r.crowd()
-}
-
-// median is that of the last calls' strain and some more; 0 while there are too few. Calls of before the
-// horizon are forgotten, or a root that turns all away would never learn that the trouble is over.
-func (r *Root) median(x []float64) float64 {
 	recent(&r.times, r.now-r.horizon)
 	if len(r.times) < memory/4 {
 		return 0
 	}
+	var x []float64
 	for _, t := range r.times {
 		x = append(x, t.d)
 	}
@@ -1043,21 +1029,6 @@
 	return x[len(x)/2]
 }
 
-// strain is a call's time for each call in the crowd that it met.
-func (c *LeafCall) strain(t Time) float64 { return float64(t) / c.crowd }
-
-// crowd is the number of calls out, and one more for each leaf: an empty fleet takes its time too.
-func (r *Root) crowd() float64 {
-	n := 0
-	for _, l := range r.leaves {
-		n += len(l.out)
-		if l.ready() {
-			n++
-		}
-	}
-	return float64(n)
-}
-
 // holdOff is how long a client should stay away: about as long as the load ahead takes.
 func (r *Root) holdOff() Time {
 	if !r.set.HoldOff {
