--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,10 +97,10 @@
 	Part *Part
 	Leaf *Leaf
 
-	sent     Time
-	d, ahead float64 // its work, the load it met at its leaf
-	reports  int     // reports of the leaf that had come when it was sent
-	outcome  Outcome
+	sent            Time
+	d, ahead, crowd float64 // its work, the load it met at its leaf, the calls it met in all
+	reports         int     // reports of the leaf that had come when it was sent
+	outcome         Outcome
 
 	ended, overdue, streamed, calledOff bool
 }
@@ -143,6 +143,14 @@
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
 
+// ready is 1 for a leaf that takes calls.
+func ready(c Condition) float64 {
+	if c == Ready {
+		return 1
+	}
+	return 0
+}
+
 // trust is what failures and answers say of a leaf.
 type trust struct {
 	strikes         float64 // failures not yet made good
@@ -226,7 +234,8 @@
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
-	times     []amount  // strain of the last calls
+	times     []amount  // time of the last calls for each one in the crowd
+	crowd     float64   // calls out, and one more for each ready leaf: an empty fleet takes its time too
 	utilities []float64 // of the last queries, per work
 
 	dues  []due // soonest first
@@ -455,7 +464,7 @@
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.work(p)
-	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports,
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd,
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		r.copies = min(r.copies+copyShare+r.lost, copiesMost)
@@ -465,6 +474,7 @@
 	r.calls++
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
+	r.crowd++
 	l.own += d
 	l.since += d
 	l.sent = append(l.sent, amount{r.now, d})
@@ -774,6 +784,7 @@
 	l, p, v := c.Leaf, c.Part, c.Part.query.Vertical
 	c.ended, c.outcome = true, o
 	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
+	r.crowd--
 	took := float64(elapsed) / c.ahead
 	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
 	time := float64(elapsed)
@@ -781,7 +792,7 @@
 		time = float64(p.query.v.SLO)
 	}
 	if r.resumed != now && (o == OK || time > r.pressure()) {
-		r.times = append(r.times, amount{now, time})
+		r.times = append(r.times, amount{now, time / c.crowd})
 		r.times = r.times[max(len(r.times)-memory, 0):]
 	}
 	switch o {
@@ -1012,7 +1023,8 @@
 	return waits[max(int(math.Ceil(min(q.need, q.floor)*float64(len(waits))-epsilon)), 1)-1]
 }
 
-// pressure is the time that a call sent now would take: the median over the last calls. A median: a few stalled
+// pressure is the time that a call sent now would take: the median over the last calls, scaled from
+// the crowd of calls each met to the present one. A median: a few stalled
 // or failing leaves do not move it, and what is slow everywhere does.
 // It is 0 while there are too few calls. Those of before the horizon are forgotten, or a root that turns all
 // away would never learn that the trouble is over.
@@ -1026,7 +1038,7 @@
 		x = append(x, t.d)
 	}
 	slices.Sort(x)
-	return x[len(x)/2]
+	return x[len(x)/2] * r.crowd
 }
 
 // holdOff is how long a client should stay away: about as long as the load ahead takes.
@@ -1066,11 +1078,13 @@
 		if e.Condition == Gone {
 			lost = append(lost, l.out...)
 		}
+		r.crowd += ready(e.Condition) - ready(l.condition)
 		l.zone, l.cell, l.condition, l.started = e.Zone, e.Cell, e.Condition, e.Started
 	}
 	if full {
 		for _, l := range r.leaves {
 			if !listed[l] {
+				r.crowd -= ready(l.condition)
 				l.condition = Gone
 				lost = append(lost, l.out...)
 			}
