--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,8 +129,6 @@
 	reports  int
 	reported float64 // queue in the last report, as D
 	reportAt Time
-	ghost    float64 // D of abandoned calls that may still run, as of ghostAt
-	ghostAt  Time
 	sent     []amount // work sent to it in the last FallTime
 	done     []amount // work it answered in that time
 
@@ -624,7 +622,7 @@
 
 // queue is Q.
 func (r *Root) queue(l *Leaf) float64 {
-	return max(r.usual+(l.reported-r.usual)*r.fade(l.reportAt)+l.since, l.own+r.ghosts(l))
+	return max(r.usual+(l.reported-r.usual)*r.fade(l.reportAt)+l.since, l.own)
 }
 
 // fade is how much is left of what was learnt at a time: without news a leaf drifts back to what its peers
@@ -633,11 +631,6 @@
 	return math.Exp(-float64(r.now-since) / float64(r.horizon))
 }
 
-// ghosts is the work of abandoned calls that may still run; it fades over the time that calls take.
-func (r *Root) ghosts(l *Leaf) float64 {
-	return l.ghost * math.Exp(-float64(r.now-l.ghostAt)/max(r.alone(r.unit), 1))
-}
-
 // slowness is a leaf's tempo with its failures counted in.
 func (r *Root) slowness(l *Leaf, v int) float64 { return r.tempo(l) * (1 + l.trust(v).strikes) }
 
@@ -816,7 +809,7 @@
 			r.learn(l, took, false)
 		}
 	}
-	r.release(c, o == TimedOut || o == Cancelled)
+	r.release(c)
 	if rep != nil {
 		r.report(l, rep)
 	}
@@ -833,16 +826,13 @@
 	r.arm()
 }
 
-// release takes a call out of its leaf's sums; what may still run there fades.
-func (r *Root) release(c *LeafCall, lingers bool) {
+// release takes a call out of its leaf's sums.
+func (r *Root) release(c *LeafCall) {
 	l := c.Leaf
 	l.own = max(l.own-c.d, 0)
 	if c.reports == l.reports {
 		l.since = max(l.since-c.d, 0)
 	}
-	if lingers {
-		l.ghost, l.ghostAt = r.ghosts(l)+c.d, r.now
-	}
 }
 
 // abandon calls off a call that is of no more use.
@@ -1071,7 +1061,7 @@
 		}
 		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
 			lost = append(lost, l.out...)
-			l.pace, l.reported, l.since, l.ghost = tempo{}, 0, 0, 0
+			l.pace, l.reported, l.since = tempo{}, 0, 0
 			clear(l.trusts)
 			l.sent = nil
 		}
