--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,7 @@
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	medianStep = 0.15              // by which the logarithm of a running median moves
-	probeShare = 1.25              // probes for each leaf call: they have a price, and there are many roots
+	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -328,7 +328,7 @@
 		return
 	}
 	for _, p := range q.Parts {
-		r.probes = min(r.probes+probeShare, 4*copiesMost)
+		r.probes = min(r.probes+min(probeShare+r.usual/r.unit, 1), 4*copiesMost)
 		for _, l := range r.holders[p.Shard] {
 			if !l.ready() {
 				continue
