--- a/choice/choice.go
+++ b/choice/choice.go
@@ -124,8 +124,10 @@
 	started   Time // of its process, 0: long past
 
 	out      []*LeafCall // calls whose outcome has not come, oldest first
-	own      float64     // D of calls out
-	since    float64     // D of calls out that were sent after the last report
+	turn     Time        // of its last call, and the parts that went out in that turn
+	joined   int
+	own      float64 // D of calls out
+	since    float64 // D of calls out that were sent after the last report
 	reports  int
 	reported float64 // queue in the last report, as D
 	reportAt Time
@@ -425,11 +427,12 @@
 // best is the replica of least marginal load for a part among those it may go to, with the score.
 func (r *Root) best(p *Part) (*Leaf, score) {
 	var leaf *Leaf
-	d, least, ties := r.work(p), worst, uint64(0)
+	least, ties := worst, uint64(0)
 	for _, l := range r.holders[p.Shard] {
 		if !r.may(p, l) {
 			continue
 		}
+		d := r.load(p, l)
 		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l, p.query.Vertical)}
 		if r.beats(s, least, &ties) {
 			leaf, least = l, s
@@ -459,9 +462,17 @@
 	return 1
 }
 
+// load is D at a leaf: what a call costs beside its parts is saved by a part that joins one of this turn.
+func (r *Root) load(p *Part, l *Leaf) float64 {
+	if p.Hint <= 0 || l.turn == r.now && l.joined < r.set.Batch { // without hints D is in no unit of time
+		return r.work(p)
+	}
+	return p.Hint + r.set.Overhead
+}
+
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
-	d := r.work(p)
+	d := r.load(p, l)
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd,
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
@@ -473,6 +484,10 @@
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
 	r.crowd++
+	if l.turn != r.now {
+		l.turn, l.joined = r.now, 0
+	}
+	l.joined++
 	l.own += d
 	l.since += d
 	l.sent = append(l.sent, amount{r.now, d})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -309,13 +309,13 @@
 func TestCutOffCallsAreNotQuickOnes(t *testing.T) {
 	st := play(t, 2, plain(nil))
 	st.warm(8)
-	before := st.r.median(nil)
+	before := st.r.pressure()
 	for range 4 {
 		st.query(0, 0)
 		st.pass(1)
 		st.end(fmt.Sprintf("q%d.0#0", st.n), Cancelled, nil)
 	}
-	st.say("median strain unchanged: %v", st.r.median(nil) == before)
+	st.say("pressure unchanged: %v", st.r.pressure() == before)
 	st.storm(12)
 	st.check("cut-off")
 }
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -94,6 +94,9 @@
 	OverShareUtility float64
 	UtilityByWork    bool
 
+	Batch    int     // parts that travel to a server as one call if they leave in one turn
+	Overhead float64 // work of a call beside its parts, in the unit of hints
+
 	MaxCalls     int
 	SecondCopies bool
 	MayCancel    bool
--- a/wire/facts.go
+++ b/wire/facts.go
@@ -71,6 +71,7 @@
 		Seed: seed, Roots: max(w.Balancers, 1), Tick: ceilTime(w.Tick),
 		Zone: w.Zone, CrossZone: w.Tariffs.CrossZone,
 		Shards: w.FamilyInfo.Slices, Cells: w.FamilyInfo.Sets, Span: w.FamilyInfo.Span,
+		Batch: w.FamilyInfo.Batch, Overhead: max(w.FamilyInfo.Overhead, 0),
 		OverShareUtility: w.OverShareWorth, UtilityByWork: w.WorthBy == "work",
 		MaxCalls: max(w.Caps.MaxAttempts, 1), SecondCopies: w.Caps.SecondCopies, MayCancel: w.Caps.Cancel,
 		MayProbe: w.Caps.MayProbe, HoldOff: w.Caps.RetryAfter, MaxHoldOff: floorTime(w.Caps.MaxRetryAfter),
