--- a/choice/choice.go
+++ b/choice/choice.go
@@ -216,8 +216,7 @@
 	port    Port
 	now     Time
 	started Time
-	resumed Time // when it last found that it had stood still, and for how long
-	stood   Time
+	resumed Time // when it last found that it had stood still
 	draws   uint64
 
 	leaves  []*Leaf
@@ -258,7 +257,7 @@
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
-		rates: make([]float64, max(len(s.Tenants), 1)), tries: make([]Time, len(s.Verticals)), ratesAt: now, sweep: now, askAt: never,
+		rates: make([]float64, max(len(s.Tenants), 1)), ratesAt: now, sweep: now, askAt: never,
 		tight: never, copies: copiesMost, common: 1}
 	for _, v := range s.Verticals {
 		r.horizon, r.tight = max(r.horizon, v.SLO), min(r.tight, v.SLO)
@@ -289,7 +288,7 @@
 // is told in that turn took longer for its own sake, and verdicts wait for the answers.
 func (r *Root) enter(now Time) {
 	if now-r.now > 2*sweepEvery {
-		r.resumed, r.stood = now, now-r.now
+		r.resumed = now
 	}
 	r.now = now
 }
@@ -304,13 +303,7 @@
 		p.query = q
 		work += r.work(p)
 	}
-	arrived := now
-	if left := q.Deadline - now; r.resumed == now { // it may have waited: clients all give a try the same time
-		arrived -= min(max(r.tries[q.Vertical]-left, 0), r.stood)
-	} else {
-		r.tries[q.Vertical] = max(r.tries[q.Vertical], left)
-	}
-	q.slo = min(arrived+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
+	q.slo = min(now+q.v.SLO+Time(q.v.SLOStretch*work*float64(Millisecond)), now+q.v.Deadline) - 2*r.set.Tick
 	r.count(q, work)
 	if !r.admit(q, work) {
 		r.move(q, rejected)
