--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,7 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
@@ -22,6 +23,7 @@
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
+	linkWorse  = 3                 // times slower than the best zone at which the link is at fault
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
@@ -143,14 +145,6 @@
 
 func (l *Leaf) ready() bool { return l.condition == Ready }
 
-// ready is 1 for a leaf that takes calls.
-func ready(c Condition) float64 {
-	if c == Ready {
-		return 1
-	}
-	return 0
-}
-
 // trust is what failures and answers say of a leaf.
 type trust struct {
 	strikes         float64 // failures not yet made good
@@ -203,6 +197,18 @@
 	return sum
 }
 
+// noteLast keeps the last few of a log.
+func noteLast(log *[]amount, a amount) {
+	*log = append(*log, a)
+	*log = (*log)[max(len(*log)-memory, 0):]
+}
+
+// middle is the median of what was noted.
+func middle(log []amount) float64 {
+	sorted := slices.SortedFunc(slices.Values(log), func(a, b amount) int { return cmp.Compare(a.d, b.d) })
+	return sorted[len(sorted)/2].d
+}
+
 // due is a time at which a query, or a call that is still out, must be looked at again.
 type due struct {
 	at Time
@@ -220,21 +226,22 @@
 	draws   uint64
 
 	leaves  []*Leaf
+	ready   int       // leaves that take calls
+	struck  int       // leaves with strikes
+	out     int       // calls out
 	links   []link    // by zone
 	holders [][]*Leaf // by shard
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
 	unit      float64   // mean D
-	service   float64   // logarithm of the median of reported service times
+	services  []amount  // the last service times reported
 	usual     float64   // mean of reported queues
 	common    float64   // mean tempo over all leaves, failures counted
 	lost      float64   // running share of calls that were not answered
-	failing   float64   // running share of calls that failed
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
 	times     []amount  // time of the last calls for each one in the crowd
-	crowd     float64   // calls out, and one more for each ready leaf: an empty fleet takes its time too
 	utilities []float64 // of the last queries, per work
 
 	dues  []due // soonest first
@@ -466,7 +473,7 @@
 // call is the one way to a leaf; may has been asked.
 func (r *Root) call(p *Part, l *Leaf) {
 	d := r.load(p, l)
-	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd,
+	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		r.copies = min(r.copies+copyShare+r.lost, copiesMost)
@@ -476,7 +483,7 @@
 	r.calls++
 	p.calls = append(p.calls, c)
 	l.out = append(l.out, c)
-	r.crowd++
+	r.out++
 	if l.turn != r.now {
 		l.turn, l.joined = r.now, 0
 	}
@@ -653,18 +660,14 @@
 	return s * link
 }
 
-// standing orders candidates before their score does: sound ones first, then those that failed this very
-// part, then those not trusted; if none is better, the least bad is used. A distrusted leaf whose time is
+// standing orders candidates before their score does: sound ones first, then those not trusted; if none is
+// better, the least bad is used. A distrusted leaf whose time is
 // up may have one call at a time until it has made its failures good.
 func (r *Root) standing(p *Part, l *Leaf) int {
-	s := 0
-	if slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return c.Leaf == l }) {
-		s = 1
-	}
 	if v := p.query.Vertical; r.shunned(l, v) || l.trust(v).strikes > 0 && p.query.v.Effect == SideEffecting {
-		s += 2
+		return 1
 	}
-	return s
+	return 0
 }
 
 // shunned: a struck leaf whose time is not up, or which has its one call out.
@@ -673,10 +676,10 @@
 	return t.strikes > 0 && (r.now < t.until || len(l.out) > 0)
 }
 
-func (r *Root) sound(l *Leaf, v int) bool { return l.ready() && (!r.shunned(l, v) || r.allFail()) }
+func (r *Root) sound(l *Leaf, v int) bool { return l.ready() && (!r.shunned(l, v) || r.allStruck()) }
 
-// allFail: when most calls fail, the cause is not in the leaves.
-func (r *Root) allFail() bool { return r.failing > 0.5 }
+// allStruck: when most leaves fail, the cause is not in the leaves.
+func (r *Root) allStruck() bool { return 2*r.struck > r.ready }
 
 // strike notes a failure of a leaf, in some of its trusts.
 func (r *Root) strike(l *Leaf, in ...*trust) {
@@ -685,7 +688,9 @@
 		return
 	}
 	r.note(l, mostStruck)
-	r.failing += gain * (1 - r.failing)
+	if l.trusts[0].strikes == 0 {
+		r.struck++
+	}
 	base := max(2*r.alone(r.unit), float64(sweepEvery/2)) * (0.75 + r.chance()/2)
 	for _, t := range in {
 		t.strikes = min(t.strikes+1, mostStruck)
@@ -723,7 +728,7 @@
 	for zone := range r.links {
 		least = min(least, r.level(zone))
 	}
-	if worse := r.level(l.zone) - least; worse > math.Ln2 {
+	if worse := r.level(l.zone) - least; math.Exp(worse) > linkWorse {
 		return math.Exp(worse)
 	}
 	return 1
@@ -785,7 +790,7 @@
 	l, p, v := c.Leaf, c.Part, c.Part.query.Vertical
 	c.ended, c.outcome = true, o
 	l.out = slices.DeleteFunc(l.out, func(o *LeafCall) bool { return o == c })
-	r.crowd--
+	r.out--
 	took := float64(elapsed) / c.ahead
 	// A call cut off has taken at least so long; one turned away by a full queue would have taken too long.
 	time := float64(elapsed)
@@ -793,8 +798,7 @@
 		time = float64(p.query.v.SLO)
 	}
 	if r.resumed != now && (o == OK || time > r.pressure()) {
-		r.times = append(r.times, amount{now, time / c.crowd})
-		r.times = r.times[max(len(r.times)-memory, 0):]
+		noteLast(&r.times, amount{now, time / c.crowd})
 	}
 	switch o {
 	case OK:
@@ -802,8 +806,10 @@
 			r.learn(l, took, true)
 		}
 		l.done = append(l.done, amount{now, c.d})
-		r.failing -= gain * r.failing
 		r.lost -= gain / 2 * r.lost
+		if l.trusts[0].strikes == 1 {
+			r.struck--
+		}
 		for _, t := range l.both(v) {
 			t.strikes, t.lastOK = max(t.strikes-1, 0), now
 		}
@@ -889,13 +895,8 @@
 	unit := max(r.unit, 1e-9)
 	l.reports++
 	l.since, l.reportAt = 0, r.now
-	service := max(rep.Value[ServiceTime], epsilon)
-	if rep.Has[ServiceTime] { // against the peers' median: the least of them may be next to nothing
-		if r.service == 0 {
-			r.service = math.Log(service)
-		}
-		r.service = step(r.service, service)
-		service /= math.Exp(r.service)
+	if rep.Has[ServiceTime] {
+		noteLast(&r.services, amount{r.now, rep.Value[ServiceTime]})
 	}
 	switch {
 	case rep.Has[Waiting]:
@@ -906,7 +907,8 @@
 		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
 	case rep.Has[ServiceTime]:
-		l.reported = min(service, busiest/(1-busiest)) * unit
+		of := max(middle(r.services), epsilon) // the least of them may be next to nothing
+		l.reported = min(rep.Value[ServiceTime]/of, busiest/(1-busiest)) * unit
 	default:
 		l.reported = 0
 	}
@@ -1031,14 +1033,12 @@
 	if len(r.times) < memory/4 {
 		return 0
 	}
-	var x []float64
-	for _, t := range r.times {
-		x = append(x, t.d)
-	}
-	slices.Sort(x)
-	return x[len(x)/2] * r.crowd
+	return middle(r.times) * r.crowd()
 }
 
+// crowd is the number of calls out, and one more for each ready leaf: an empty fleet takes its time too.
+func (r *Root) crowd() float64 { return float64(r.out + r.ready) }
+
 // holdOff is how long a client should stay away: about as long as the load ahead takes.
 func (r *Root) holdOff() Time {
 	if !r.set.HoldOff {
@@ -1076,18 +1076,25 @@
 		if e.Condition == Gone {
 			lost = append(lost, l.out...)
 		}
-		r.crowd += ready(e.Condition) - ready(l.condition)
 		l.zone, l.cell, l.condition, l.started = e.Zone, e.Cell, e.Condition, e.Started
 	}
 	if full {
 		for _, l := range r.leaves {
 			if !listed[l] {
-				r.crowd -= ready(l.condition)
 				l.condition = Gone
 				lost = append(lost, l.out...)
 			}
 		}
 	}
+	r.ready, r.struck = 0, 0
+	for _, l := range r.leaves {
+		if l.ready() {
+			r.ready++
+		}
+		if l.trusts[0].strikes > 0 {
+			r.struck++
+		}
+	}
 	for s := range r.holders {
 		r.holders[s] = r.holders[s][:0]
 		for _, l := range r.leaves {
@@ -1169,7 +1176,7 @@
 			done, warm = done+d, warm+1
 		}
 	}
-	if 2*warm > float64(len(r.leaves)) && !r.allFail() {
+	if 2*warm > float64(len(r.leaves)) && !r.allStruck() {
 		r.bears += gain * (done/warm - r.bears)
 	}
 }
