Calls to a cold leaf by chance where a root's share is under one

Many roots with little to send each had one call a window for every cold leaf: with 160 of them 32 s of work in a window that bears 3.6. Now the total holds by the settings' number of roots. The list is taken in without shards times servers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,8 +133,9 @@
 	reports  int
 	reported float64 // queue in the last report, as D
 	reportAt Time
-	sent     []amount // work sent to it in the last FallTime
-	done     []amount // work it answered in that time
+	sent     []amount // work sent to it while it was cold
+	window   Time     // of the cold rule, counted from its start: the first not yet drawn for
+	lucky    bool     // one call may be sent in the last one drawn for
 
 	pace    tempo
 	trusts  []trust // in all that it does, then by vertical
@@ -238,6 +239,7 @@
 	usual     float64   // mean of reported queues
 	common    float64   // mean tempo over all leaves, failures counted
 	lost      float64   // running share of calls that were not answered
+	done      []amount  // work answered in the last window of the cold rule
 	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
 	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
 	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
@@ -490,7 +492,9 @@
 	l.joined++
 	l.own += d
 	l.since += d
-	l.sent = append(l.sent, amount{r.now, d})
+	if r.capacity(l) < 1 {
+		l.sent = append(l.sent, amount{r.now, d})
+	}
 	until := r.last(p.query)
 	if !p.query.v.worthWaiting() {
 		until = min(until, p.query.slo+Time(1.5*r.alone(max(d-r.unit, 0))))
@@ -618,9 +622,10 @@
 // warmEnough keeps a cold leaf from being pushed over. What warm leaves answer shows what a leaf can do: a
 // cold one may be sent, in any window, the part of this root's share of that which its capacity allows,
 // times most of the stated multiple. Summed over the roots that holds however unevenly they are loaded, and a
-// flood of calls does not raise it, as only answers count. It is remembered, as all may be cold. One call is
-// always allowed: else a root with little to send would never send any. A root that started after the leaf
-// did waits a window, as its predecessor may have spent all.
+// flood of calls does not raise it, as only answers count. It is remembered, as all may be cold. A share of
+// less than one call becomes the chance of one in a window, so that many roots with little to send do not add
+// up; a root that knows no share yet takes one call a window for all roots. A root that started after the
+// leaf did waits a window, as its predecessor may have spent all.
 func (r *Root) warmEnough(l *Leaf, d float64) bool {
 	c := r.capacity(l)
 	if c >= 1 || r.set.FallTime == 0 {
@@ -630,7 +635,14 @@
 		return false
 	}
 	here := recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
-	return here == 0 || here+d <= r.bears*r.set.FallMultiple*c*coldPart
+	share := r.bears * r.set.FallMultiple * c * coldPart
+	if here > 0 || share >= d {
+		return here+d <= share
+	}
+	if window := (r.now - l.started) / r.set.FallTime; window >= l.window {
+		l.window, l.lucky = window+1, r.chance() < max(share/d, 1/float64(r.set.Roots))
+	}
+	return l.lucky
 }
 
 // ---- what a leaf is worth ----
@@ -805,7 +817,7 @@
 		if r.resumed != now {
 			r.learn(l, took, true)
 		}
-		l.done = append(l.done, amount{now, c.d})
+		r.done = append(r.done, amount{now, c.d})
 		r.lost -= gain / 2 * r.lost
 		if l.trusts[0].strikes == 1 {
 			r.struck--
@@ -1055,50 +1067,49 @@
 	if !cached {
 		r.askAt, r.failures = never, 0
 	}
-	listed := map[*Leaf]bool{}
 	var lost []*LeafCall
+	ended := func(l *Leaf) { // a new process has none of the old one's work or faults
+		lost = append(lost, l.out...)
+		l.pace, l.reported, l.since = tempo{}, 0, 0
+		clear(l.trusts)
+	}
+	listed := map[*Leaf]bool{}
 	for _, e := range entries {
 		l := e.Leaf
 		listed[l] = true
-		if !slices.Contains(r.leaves, l) {
+		if l.trusts == nil {
 			r.leaves = append(r.leaves, l)
 			l.trusts = make([]trust, len(r.set.Verticals)+1)
 		}
 		if missing := e.Zone + 1 - len(r.links); missing > 0 {
 			r.links = append(r.links, make([]link, missing)...)
 		}
-		if e.Started != l.started && e.Started > 0 { // a new process has none of the old one's work or faults
-			lost = append(lost, l.out...)
-			l.pace, l.reported, l.since = tempo{}, 0, 0
-			clear(l.trusts)
-			l.sent = nil
-		}
-		if e.Condition == Gone {
-			lost = append(lost, l.out...)
+		if e.Started != l.started && e.Started > 0 {
+			ended(l)
+			l.sent, l.window = nil, 0
 		}
 		l.zone, l.cell, l.condition, l.started = e.Zone, e.Cell, e.Condition, e.Started
 	}
-	if full {
-		for _, l := range r.leaves {
-			if !listed[l] {
-				l.condition = Gone
-				lost = append(lost, l.out...)
-			}
-		}
+	for s := range r.holders {
+		r.holders[s] = r.holders[s][:0]
 	}
 	r.ready, r.struck = 0, 0
 	for _, l := range r.leaves {
+		if full && !listed[l] {
+			l.condition = Gone
+		}
+		if l.condition == Gone {
+			ended(l)
+			continue
+		}
 		if l.ready() {
 			r.ready++
 		}
 		if l.trusts[0].strikes > 0 {
 			r.struck++
 		}
-	}
-	for s := range r.holders {
-		r.holders[s] = r.holders[s][:0]
-		for _, l := range r.leaves {
-			if (l.cell-s%r.set.Cells+r.set.Cells)%r.set.Cells < r.set.Span && l.condition != Gone {
+		for j := range min(r.set.Span, r.set.Cells) {
+			for s := ((l.cell-j)%r.set.Cells + r.set.Cells) % r.set.Cells; s < r.set.Shards; s += r.set.Cells {
 				r.holders[s] = append(r.holders[s], l)
 			}
 		}
@@ -1169,11 +1180,10 @@
 	}
 	recent(&r.further, r.now-r.set.BudgetWindow-r.set.Tick)
 	recent(&r.taken, r.now-r.set.BudgetWindow)
-	done, warm := 0.0, 0.0
+	done, warm := recent(&r.done, r.now-r.set.FallTime), 0.0
 	for _, l := range r.leaves {
-		recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
-		if d := recent(&l.done, r.now-r.set.FallTime); l.ready() && r.capacity(l) >= 1 {
-			done, warm = done+d, warm+1
+		if l.ready() && r.capacity(l) >= 1 {
+			warm++
 		}
 	}
 	if 2*warm > float64(len(r.leaves)) && !r.allStruck() {
