--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,8 @@
 // Package choice holds every decision of a root: which replica gets a part, when to call again, when to
 // answer, what to turn away, whom to trust. The adapter (package wire today, our own protocol later) calls
 // the methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides
-// of that door, Settings and Port, are defined in interface.go. Nothing here is shared between roots.
+// of that door, Settings and Port, are defined in interface.go; state.go holds what a root keeps. Nothing
+// here is shared between roots.
 //
 // The rule throughout is least marginal load first: a part of work D goes to the replica of least D*(Q+D/2).
 // All that departs from it does so through Q, through D, or through the set of candidates; docs/design.md
@@ -9,9 +10,6 @@
 package choice
 
 import (
-	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -40,76 +38,6 @@
 	epsilon    = 1e-4 // weights are sums of rounded shares
 )
 
-type state int
-
-const (
-	arriving     state = iota
-	gathering          // its parts are asked for
-	betweenSteps       // first answer given, parts of the second step awaited
-	merged
-	rejected
-	aborted
-	left // the client has gone
-)
-
-// Query is one query; the fields in capitals are filled in at the door.
-type Query struct {
-	Deadline         Time
-	Vertical, Tenant int
-	Parts            []*Part // of the present step
-
-	state       state
-	v           *Vertical
-	slo         Time // an answer that leaves by then counts in full
-	need, floor float64
-	asked       int
-	askedUntil  Time // when it no longer waits for probes
-	retryAt     Time // when to look again for calls that are barred now
-	partial     bool // the first step's answer was not whole
-	stepped     bool // the first step was answered
-}
-
-// Over tells whether the query has had its final answer.
-func (q *Query) Over() bool { return q.state >= merged }
-
-// in is the weight of the parts whose answers are in.
-func (q *Query) in() float64 {
-	sum := 0.0
-	for _, p := range q.Parts {
-		if p.in {
-			sum += p.Weight
-		}
-	}
-	return sum
-}
-
-// Part is the share of a query that one shard must answer.
-type Part struct {
-	Shard        int
-	Weight, Hint float64
-
-	query *Query
-	calls []*LeafCall
-	in    bool // its answer is in
-	over  bool // no answer can come any more
-}
-
-// LeafCall is one call to one server for one part.
-type LeafCall struct {
-	Part *Part
-	Leaf *Leaf
-
-	sent            Time
-	d, ahead, crowd float64 // its work, the load it met at its leaf, the calls it met in all
-	reports         int     // reports of the leaf that had come when it was sent
-	outcome         Outcome
-
-	ended, overdue, streamed, calledOff bool
-}
-
-// Ended tells whether the outcome has come.
-func (c *LeafCall) Ended() bool { return c.ended }
-
 // worthWaiting: does a late answer earn enough that work may be begun for it?
 func (v *Vertical) worthWaiting() bool { return v.LateUtility >= enough }
 
@@ -118,44 +46,9 @@
 	return !c.ended || c.outcome != Full && c.outcome != NoConnection && c.outcome != Moot
 }
 
-// Leaf is one server as this root sees it.
-type Leaf struct {
-	zone      int
-	cell      int
-	condition Condition
-	started   Time // of its process, 0: long past
-
-	out      []*LeafCall // calls whose outcome has not come, oldest first
-	turn     Time        // of its last call, and the parts that went out in that turn
-	joined   int
-	own      float64 // D of calls out
-	since    float64 // D of calls out that were sent after the last report
-	reports  int
-	reported float64 // queue in the last report, as D
-	reportAt Time
-	sent     []amount // work sent to it while it was cold
-	window   Time     // of the cold rule, counted from its start: the first not yet drawn for
-	lucky    bool     // one call may be sent in the last one drawn for
-
-	pace    tempo
-	trusts  []trust // in all that it does, then by vertical
-	probed  Time
-	probing bool
-	awaited []*Query // that wait for a probe's outcome
-}
-
-func (l *Leaf) ready() bool { return l.condition == Ready }
-
-// trust is what failures and answers say of a leaf.
-type trust struct {
-	strikes         float64 // failures not yet made good
-	until           Time    // not trusted before
-	lastOK, lastBad Time
-}
-
-// trust is the record that counts for a vertical: its own, or the leaf's in all if that is worse, but not where
-// the vertical has been answered since. So a leaf that fails one vertical is lost to that one only, and answers
-// to others do not clear it.
+// trust is the record that counts for a vertical: its own, or the leaf's in all if that is worse, but not
+// where the vertical has been answered since. So a leaf that fails one vertical is lost to that one only,
+// and answers to others do not clear it.
 func (l *Leaf) trust(v int) *trust {
 	all, own := &l.trusts[0], &l.trusts[v+1]
 	if own.strikes >= all.strikes || own.lastOK > all.lastBad {
@@ -167,102 +60,6 @@
 // both are the records that a vertical's calls go into.
 func (l *Leaf) both(v int) []*trust { return []*trust{&l.trusts[0], &l.trusts[v+1]} }
 
-// tempo is the time that calls took against what was expected, failures counted as long ones: a running mean
-// as of a time.
-type tempo struct {
-	mean, n float64 // n: samples, faded
-	at      Time    // 0: nothing is known
-}
-
-// link is the way to a zone with all that its leaves share: the logarithm of a running median of tempos there,
-// as a few bad leaves must not move it.
-type link struct {
-	log float64
-	at  Time
-}
-
-type amount struct {
-	at Time
-	d  float64
-}
-
-// recent is the sum of what was noted since a time; older entries are let go.
-func recent(log *[]amount, since Time) float64 {
-	sum := 0.0
-	for len(*log) > 0 && (*log)[0].at < since {
-		*log = (*log)[1:]
-	}
-	for _, a := range *log {
-		sum += a.d
-	}
-	return sum
-}
-
-// noteLast keeps the last few of a log.
-func noteLast(log *[]amount, a amount) {
-	*log = append(*log, a)
-	*log = (*log)[max(len(*log)-memory, 0):]
-}
-
-// middle is the median of what was noted.
-func middle(log []amount) float64 {
-	sorted := slices.SortedFunc(slices.Values(log), func(a, b amount) int { return cmp.Compare(a.d, b.d) })
-	return sorted[len(sorted)/2].d
-}
-
-// due is a time at which a query, or a call that is still out, must be looked at again.
-type due struct {
-	at Time
-	q  *Query
-	c  *LeafCall
-}
-
-// Root is one instance.
-type Root struct {
-	set     *Settings
-	port    Port
-	now     Time
-	started Time
-	resumed Time // when it last found that it had stood still
-	draws   uint64
-
-	leaves  []*Leaf
-	ready   int       // leaves that take calls
-	struck  int       // leaves with strikes
-	out     int       // calls out
-	links   []link    // by zone
-	holders [][]*Leaf // by shard
-
-	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
-	unit      float64   // mean D
-	services  []amount  // the last service times reported
-	usual     float64   // mean of reported queues
-	common    float64   // mean tempo over all leaves, failures counted
-	lost      float64   // running share of calls that were not answered
-	done      []amount  // work answered in the last window of the cold rule
-	bears     float64   // running mean of the work that a warm leaf answers in a window of the cold rule
-	tight     Time      // the shortest SLO time: longer queues would starve its vertical and serve no more
-	horizon   Time      // how long evidence holds: the longest SLO time, past which no query would feel it
-	times     []amount  // time of the last calls for each one in the crowd
-	utilities []float64 // of the last queries, per work
-
-	dues  []due // soonest first
-	armed Time  // the next wake-up asked for
-	sweep Time
-
-	taken   []amount // queries and parts taken within the budget's window
-	further []amount // calls beyond a part's first within it
-	copies  float64
-	probes  float64 // that may be sent now
-	calls   float64 // sent since the start
-	tries   []Time  // by vertical: the longest that a client has allowed for a try
-	rates   []float64
-	ratesAt Time
-
-	askAt    Time // when to ask for the list again
-	failures int  // of asking, in a row
-}
-
 // NewRoot starts an instance that knows nothing but its settings.
 func NewRoot(s *Settings, port Port, now Time) *Root {
 	r := &Root{set: s, port: port, now: now, started: now, holders: make([][]*Leaf, s.Shards),
@@ -278,23 +75,10 @@
 	return r
 }
 
-func (r *Root) draw() uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], r.set.Seed)
-	binary.LittleEndian.PutUint64(b[8:], r.draws)
-	r.draws++
-	h := fnv.New64a()
-	h.Write(b[:])
-	return h.Sum64()
-}
-
-// chance is a draw from [0, 1).
-func (r *Root) chance() float64 { return float64(r.draw()>>11) / (1 << 53) }
-
 // ---- the ordinary path ----
 
-// enter notes the time. A root that stood still finds all that came meanwhile in one turn, in any order: what it
-// is told in that turn took longer for its own sake, and verdicts wait for the answers.
+// enter notes the time. A root that stood still finds all that came meanwhile in one turn, in any order:
+// what it is told in that turn took longer for its own sake, and verdicts wait for the answers.
 func (r *Root) enter(now Time) {
 	if now-r.now > 2*sweepEvery {
 		r.resumed = now
@@ -718,8 +502,9 @@
 	return r.common + (t.mean-r.common)*r.left(t)
 }
 
-// left is how much of the evidence on one leaf still holds. Where there are so many leaves that the root calls
-// each but rarely, it holds for as long as it takes to come round to one a few times; else for the horizon.
+// left is how much of the evidence on one leaf still holds. Where there are so many leaves that the root
+// calls each but rarely, it holds for as long as it takes to come round to one a few times; else for the
+// horizon.
 func (r *Root) left(t tempo) float64 {
 	round := float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
 	return math.Exp(-float64(r.now-t.at) / max(float64(r.horizon), rounds*round))
@@ -785,8 +570,8 @@
 	return Time((r.pace*r.way(c.Leaf)+r.lateBy()*r.dev)*c.ahead) + 2*r.set.Tick
 }
 
-// lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail that
-// falls off by e with each: the more calls fail, the sooner. Never under two: slow is not lost.
+// lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail
+// that falls off by e with each: the more calls fail, the sooner. Never under two: slow is not lost.
 func (r *Root) lateBy() float64 {
 	return min(max(math.Log(1/max(r.lost, epsilon)-1), soonest), lateBy)
 }
@@ -810,7 +595,7 @@
 		time = float64(p.query.v.SLO)
 	}
 	if r.resumed != now && (o == OK || time > r.pressure()) {
-		noteLast(&r.times, amount{now, time / c.crowd})
+		noteLast(&r.times, amount{now, time / c.crowd}, memory)
 	}
 	switch o {
 	case OK:
@@ -908,7 +693,7 @@
 	l.reports++
 	l.since, l.reportAt = 0, r.now
 	if rep.Has[ServiceTime] {
-		noteLast(&r.services, amount{r.now, rep.Value[ServiceTime]})
+		noteLast(&r.services, amount{r.now, rep.Value[ServiceTime]}, memory)
 	}
 	switch {
 	case rep.Has[Waiting]:
@@ -1136,11 +921,6 @@
 
 // ---- time ----
 
-func (r *Root) at(t Time, q *Query, c *LeafCall) {
-	i, _ := slices.BinarySearchFunc(r.dues, t+1, func(d due, t Time) int { return int(d.at - t) })
-	r.dues = slices.Insert(r.dues, i, due{t, q, c})
-}
-
 // arm asks for the next wake-up.
 func (r *Root) arm() {
 	next := r.sweep
