--- a/choice/choice.go
+++ b/choice/choice.go
@@ -110,18 +110,21 @@
 	r.arm()
 }
 
-// ask probes the leaves that a query may go to, where reports come no other way.
+// ask probes the leaves that a query may go to, where reports come no other way. A report counts as fresh for
+// the horizon where the root's own calls tell of the rest, for less the fewer it makes to each leaf.
 func (r *Root) ask(q *Query) {
 	if !r.set.MayProbe || !r.set.ProbeReports {
 		return
 	}
+	horizon := float64(r.horizon)
+	fresh := Time(max(horizon*min(horizon/max(r.round(), 1), 1), 2*r.alone(r.unit)))
 	for _, p := range q.Parts {
 		r.probes = min(r.probes+min(probeShare+r.usual/r.unit, 1), 4*copiesMost)
 		for _, l := range r.holders[p.Shard] {
 			if !l.ready() {
 				continue
 			}
-			if !l.probing && r.now >= l.reportAt+Time(2*r.alone(r.unit)) && r.probes >= 1 {
+			if !l.probing && r.now >= l.reportAt+fresh && r.probes >= 1 {
 				r.probes--
 				l.probing = true
 				r.port.Probe(l)
@@ -506,8 +509,12 @@
 // calls each but rarely, it holds for as long as it takes to come round to one a few times; else for the
 // horizon.
 func (r *Root) left(t tempo) float64 {
-	round := float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
-	return math.Exp(-float64(r.now-t.at) / max(float64(r.horizon), rounds*round))
+	return math.Exp(-float64(r.now-t.at) / max(float64(r.horizon), rounds*r.round()))
+}
+
+// round is the time that the root takes to call each leaf once.
+func (r *Root) round() float64 {
+	return float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
 }
 
 // note takes a sample of a leaf's tempo. What all samples say is what is thought of a leaf that is not known:
