--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,8 @@
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	linkWorse  = 3                 // times slower than the best zone at which the link is at fault
+	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work heavy
+	mostSlow   = 20                // of a single sample of a tempo
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
@@ -486,7 +488,7 @@
 	if r.way(l) > 1 {
 		return
 	}
-	r.note(l, mostStruck)
+	r.noteCall(l, mostStruck)
 	if l.trusts[0].strikes == 0 {
 		r.struck++
 	}
@@ -517,11 +519,16 @@
 	return float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
 }
 
-// note takes a sample of a leaf's tempo. What all samples say is what is thought of a leaf that is not known:
-// while many fail, one that has answered is the better choice.
+// note takes a sample of a leaf's tempo.
 func (r *Root) note(l *Leaf, x float64) {
 	n, mean := l.pace.n*r.left(l.pace)+1, r.ratio(l.pace)
 	l.pace = tempo{mean + max(2*gain, 1/(n+1))*(x-mean), n, r.now}
+}
+
+// noteCall takes a sample from a call. What all calls say is what is thought of a leaf that is not known:
+// while many fail, one that has answered is the better choice.
+func (r *Root) noteCall(l *Leaf, x float64) {
+	r.note(l, x)
 	r.common += gain / 2 * (x - r.common)
 }
 
@@ -564,8 +571,8 @@
 		r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 		r.pace += gain / 4 * (min(x, top) - r.pace)
 	}
-	x = min(x/r.pace, 20)
-	r.note(l, x/r.way(l))
+	x = min(x/r.pace, mostSlow)
+	r.noteCall(l, x/r.way(l))
 	r.learnLink(l, x)
 }
 
@@ -716,6 +723,11 @@
 	default:
 		l.reported = 0
 	}
+	if rep.Has[ServiceTime] && rep.Has[Waiting] { // beside the queue; within the limit it is chance
+		if x := rep.Value[ServiceTime] / max(middle(r.services), epsilon); x > slowLeaf {
+			r.note(l, min(x, mostSlow))
+		}
+	}
 	r.usual += gain / 4 * (l.reported - r.usual)
 }
 
