Queries whose shard has only cold leaves that are barred now are turned away at once

A copy that counts said: 155 queries a 5 s given up at the SLO time, 143 without a sound leaf; whole sets had been replaced cold and their parts were held while the rest of the query was worked on in vain.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -829,7 +829,7 @@
 	for _, p := range q.Parts {
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
-			if r.sound(l, q.Vertical) {
+			if r.sound(l, q.Vertical) && r.warmEnough(l, r.work(p)) {
 				least = min(least, r.pace*r.tempo(l)*r.queue(l))
 			}
 		}
