--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,8 @@
 	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work heavy
 	mostSlow   = 20                // of a single sample of a tempo
 	medianStep = 0.15              // by which the logarithm of a running median moves
-	probeShare = 0.25              // probes for each leaf call: they have a price, and there are many roots
+	probeShare = 0.25              // probes for each part where nothing waits: they have a price
+	probesMost = 1.25              // and where much does: enough for all replicas, as neighbours share them
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -121,7 +122,7 @@
 	horizon := float64(r.horizon)
 	fresh := Time(max(horizon*min(horizon/max(r.round(), 1), 1), 2*r.alone(r.unit)))
 	for _, p := range q.Parts {
-		r.probes = min(r.probes+min(probeShare+r.usual/r.unit, 1), 4*copiesMost)
+		r.probes = min(r.probes+min(probeShare+2*r.usual/r.unit, probesMost), 4*copiesMost)
 		for _, l := range r.holders[p.Shard] {
 			if !l.ready() {
 				continue
