--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -368,3 +369,174 @@
 	}
 	st.check("service-time")
 }
+
+// zones puts every leaf but the first into another zone.
+func (st *stage) zones() {
+	for i, l := range st.leafs {
+		st.r.List(st.now, []Entry{{Leaf: l, Zone: min(i, 1), Condition: Ready}}, false, false)
+	}
+}
+
+// The way to a zone loses calls: that is the link's fault, no leaf's behind it, and parts stay near.
+func TestLinkIsBlamedNotTheLeavesBehindIt(t *testing.T) {
+	st := play(t, 5, plain(func(s *Settings) { s.Roots = 40 }))
+	st.zones()
+	st.warm(3)
+	for range 6 {
+		st.query(0, 0, 0, 0)
+		for i := range 3 {
+			name := fmt.Sprintf("q%d.%d#0", st.n, i)
+			if st.calls[name].Leaf.zone == 1 {
+				st.end(name, NoConnection, nil)
+			} else {
+				st.end(name, OK, nil)
+			}
+		}
+	}
+	st.out.Reset()
+	for _, l := range st.leafs {
+		st.say("%s: zone %d, strikes %.0f, the way there %.1f times as slow", st.names[l], l.zone,
+			l.trust(0).strikes, st.r.way(l))
+	}
+	st.query(0, 0, 0)
+	st.check("link")
+}
+
+// A leaf fails one vertical: its answers to the other do not clear it, and the other does not lose it.
+func TestLeafThatFailsOneVertical(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.Verticals = append(s.Verticals, s.Verticals[0]) }))
+	st.warm(4)
+	l := st.leafs[0]
+	for v, o := range []Outcome{Failed, OK} {
+		st.list(false, Draining, st.leafs[1])
+		st.query(v, 0)
+		st.list(false, Ready, st.leafs[1])
+		st.pass(20)
+		st.end(fmt.Sprintf("q%d.0#0", st.n), o, nil)
+		st.say("%s is sound for vertical 0: %v, for vertical 1: %v", st.names[l], st.r.sound(l, 0), st.r.sound(l, 1))
+	}
+	st.check("one-vertical")
+}
+
+// A root that stood still finds its due times before the answers that came meanwhile: no verdict until they are
+// read, and nothing is learnt from times that hold the pause.
+func TestPauseOfTheRootIsNoLeafsFault(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	pace := st.r.pace
+	st.query(0, 0, 0)
+	st.now += 900 * Millisecond
+	st.say("stood still")
+	st.r.Awake(st.now)
+	st.answer(st.n, 2, nil)
+	st.say("strikes %.0f and %.0f, pace as before: %v", st.leafs[0].trust(0).strikes, st.leafs[1].trust(0).strikes,
+		pace == st.r.pace)
+	st.check("pause")
+}
+
+// While many calls fail, a leaf that has answered is a better choice than one of which nothing is known; what
+// nobody has reported is the usual queue, not an empty one.
+func TestUnknownLeafIsNoBetterThanTheRest(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.MaxCalls = 1 }))
+	a, b, c := st.leafs[0], st.leafs[1], st.leafs[2]
+	for range 4 {
+		for i, o := range []Outcome{OK, Failed} {
+			st.list(false, Draining, a, b, c)
+			st.list(false, Ready, st.leafs[i])
+			st.query(0, 0)
+			st.pass(50)
+			if call := st.calls[fmt.Sprintf("q%d.0#0", st.n)]; call != nil {
+				st.r.Outcome(st.now, call, o, 500, false, queued(3))
+			}
+		}
+	}
+	st.out.Reset()
+	st.list(false, Ready, a, b, c)
+	for _, l := range st.leafs {
+		st.say("%s: slowness %.1f, Q %.1f", st.names[l], st.r.slowness(l, 0), st.r.queue(l))
+	}
+	st.check("unknown-leaf")
+}
+
+// The more calls are never answered, the sooner a call is held lost.
+func TestOverdueSoonerWhileCallsAreLost(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	for range 4 {
+		st.query(0, 0)
+		st.pass(1100)
+		if c := st.calls[fmt.Sprintf("q%d.0#0", st.n)]; !c.ended {
+			st.end(fmt.Sprintf("q%d.0#0", st.n), TimedOut, nil)
+		}
+		st.say("lost %.2f, overdue after %.1f deviations", st.r.lost, st.r.lateBy())
+	}
+	st.check("lost")
+}
+
+// A hundred roots with little to send see a cold leaf start: together they send it a few calls in a window, not
+// one each, and queries that have no other leaf are turned away at once.
+func TestManyRootsAndOneColdLeaf(t *testing.T) {
+	for seed, roots := range []int{1, 100} {
+		sent, rejected := 0, 0
+		for i := range roots {
+			st := play(t, 2, plain(func(s *Settings) { s.Seed, s.Roots = uint64(1000*seed+i), roots }))
+			for range 2 {
+				st.query(0, 0)
+				st.pass(50)
+				st.answer(st.n, 1, nil)
+			}
+			st.pass(1000)
+			st.list(false, Draining, st.leafs[1])
+			st.restart(st.leafs[0])
+			st.out.Reset()
+			st.query(0, 0)
+			sent += strings.Count(st.out.String(), "call q")
+			rejected += strings.Count(st.out.String(), "reject q")
+		}
+		t.Logf("%d roots: %d calls, %d rejections", roots, sent, rejected)
+		if roots == 1 && sent != 1 || roots > 1 && (sent == 0 || sent > roots/5) || sent+rejected != roots {
+			t.Errorf("%d roots sent %d calls and turned %d queries away", roots, sent, rejected)
+		}
+	}
+}
+
+// Reports come with probes alone: a query asks the replicas it may go to, and waits a few ticks for them, but not
+// for one that is silent.
+func TestQueryProbesWhatItMayGoTo(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.MayProbe, s.ProbeReports = true, true }))
+	for range 20 {
+		st.r.probes++
+	}
+	st.query(0, 0, 0)
+	st.pass(5)
+	for i, n := range []float64{4, 0} {
+		st.say("%s reports %.0f waiting", st.names[st.leafs[i]], n)
+		st.r.Probed(st.now, st.leafs[i], OK, queued(n))
+	}
+	st.pass(40)
+	st.check("probes")
+}
+
+// A part that leaves with another for the same leaf saves the overhead of a call.
+func TestPartJoinsACallOfThisTurn(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.Batch, s.Overhead = 2, 30 }))
+	st.query(0, 10, 10, 10, 10)
+	for _, l := range st.leafs {
+		st.say("%s: D sent %.0f", st.names[l], l.own)
+	}
+	st.check("joined")
+}
+
+// A leaf whose reported service time is far over its peers' is slow, whatever its queue.
+func TestSlowLeafIsKnownByItsReport(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	for i, ms := range []float64{100, 120, 800} {
+		rep := queued(0)
+		rep.Set(ServiceTime, ms)
+		st.r.Probed(st.now, st.leafs[i], OK, rep)
+	}
+	for _, l := range st.leafs {
+		st.say("%s: tempo %.1f", st.names[l], st.r.tempo(l))
+	}
+	st.check("slow-report")
+}
