Errors and resets are noted as the time they cost and one more call

So no server is the cause, and what one root sees of a server is not what it is. Each reset was noted like a call five times too long, which filled the wait at every shard: 44% rejected.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -484,12 +484,12 @@
 func (r *Root) allStruck() bool { return 2*r.struck > r.ready }
 
 // strike notes a failure of a leaf, in some of its trusts.
-func (r *Root) strike(l *Leaf, in ...*trust) {
+func (r *Root) strike(l *Leaf, cost float64, in ...*trust) {
 	r.learnLink(l, math.Inf(1))
 	if r.way(l) > 1 {
 		return
 	}
-	r.noteCall(l, mostStruck)
+	r.noteCall(l, cost)
 	if l.trusts[0].strikes == 0 {
 		r.struck++
 	}
@@ -625,8 +625,10 @@
 		for _, t := range l.both(v) {
 			t.strikes, t.lastOK = max(t.strikes-1, 0), now
 		}
-	case Failed, Reset, NoConnection, Full:
-		r.strike(l, l.both(v)...)
+	case Failed, Reset: // it costs its time and one more call
+		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
+	case NoConnection, Full:
+		r.strike(l, mostStruck, l.both(v)...)
 	case TimedOut, Cancelled:
 		if c.overdue && r.resumed != now {
 			r.lost += gain / 2 * (1 - r.lost)
@@ -677,7 +679,7 @@
 	}
 	c.overdue = true
 	if t := &l.trusts[q.Vertical+1]; t.lastOK <= c.sent && c.sent >= l.started && r.now >= t.until {
-		r.strike(l, l.both(q.Vertical)...)
+		r.strike(l, mostStruck, l.both(q.Vertical)...)
 	}
 	if q.Over() {
 		return
@@ -767,7 +769,7 @@
 	if o == OK && rep != nil {
 		r.report(l, rep)
 	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
-		r.strike(l, &l.trusts[0])
+		r.strike(l, mostStruck, &l.trusts[0])
 	}
 	waiting := l.awaited
 	l.awaited = nil
