An unsent part takes the place of an overdue one at once where copies are barred

Where copies are barred an overdue call was waited for as long as a new call still fits, also in an any-n query that has unsent parts left, whose first calls cost nobody anything. Harm: one part more where the overdue call was about to come.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -684,7 +684,8 @@
 	if q.Over() {
 		return
 	}
-	if !r.set.SecondCopies && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
+	spare := slices.ContainsFunc(q.Parts, func(p *Part) bool { return len(p.calls) == 0 && r.hope(p) })
+	if !spare && !r.set.SecondCopies && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
 		// Asking elsewhere gives up what may be nearly done, so it waits as long as a new call still fits.
 		if latest := q.slo - Time((r.pace+2*r.dev)*2*c.d); r.now < latest {
 			c.overdue = false
