--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,6 +24,7 @@
 	linkWorse  = 3                 // times slower than the best zone at which the link is at fault
 	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work heavy
 	mostSlow   = 20                // of a single sample of a tempo
+	linkHold   = 4.0               // horizons for which evidence on a link holds
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each part where nothing waits: they have a price
 	probesMost = 1.25              // and where much does: enough for all replicas, as neighbours share them
@@ -546,11 +547,18 @@
 	return 1
 }
 
-func (r *Root) level(zone int) float64 { return r.links[zone].log * r.fade(r.links[zone].at) }
+// level is the logarithm of a zone's tempo by now. It holds for longer than other evidence: each look at a
+// link that is still bad costs a call.
+func (r *Root) level(zone int) float64 {
+	return r.links[zone].log * math.Pow(r.fade(r.links[zone].at), 1/linkHold)
+}
 
-// learnLink moves a zone's running median a step towards a sample.
+// learnLink moves a zone's running median a step towards a sample. What a struck leaf does is its own fault:
+// in a small zone it would be a large part of the evidence.
 func (r *Root) learnLink(l *Leaf, x float64) {
-	r.links[l.zone] = link{step(r.level(l.zone), x), r.now}
+	if l.trusts[0].strikes == 0 {
+		r.links[l.zone] = link{step(r.level(l.zone), x), r.now}
+	}
 }
 
 // step moves the logarithm of a running median towards a sample.
