--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,8 @@
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each part where nothing waits: they have a price
 	probesMost = 1.25              // and where much does: enough for all replicas, as neighbours share them
+	probesKept = 40                // saved up for a query with many parts
+	askTicks   = 4                 // that a query waits for probes
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
 	crossing   = 10        // parts of queue that the whole utility of a part would be worth
@@ -106,10 +108,9 @@
 		r.move(q, rejected)
 		return
 	}
-	r.move(q, gathering)
 	r.at(q.slo, q, nil)
 	r.at(r.last(q), q, nil)
-	r.ask(q)
+	r.move(q, asking)
 	r.settle(q)
 	r.arm()
 }
@@ -123,12 +124,9 @@
 	horizon := float64(r.horizon)
 	fresh := Time(max(horizon*min(horizon/max(r.round(), 1), 1), 2*r.alone(r.unit)))
 	for _, p := range q.Parts {
-		r.probes = min(r.probes+min(probeShare+2*r.usual/r.unit, probesMost), 4*copiesMost)
+		r.probes = min(r.probes+min(probeShare+2*r.usual/r.unit, probesMost), probesKept)
 		for _, l := range r.holders[p.Shard] {
-			if !l.ready() {
-				continue
-			}
-			if !l.probing && r.now >= l.reportAt+fresh && r.probes >= 1 {
+			if l.ready() && !l.probing && r.now >= l.reportAt+fresh && r.probes >= 1 {
 				r.probes--
 				l.probing = true
 				r.port.Probe(l)
@@ -138,7 +136,7 @@
 		}
 	}
 	if q.asked > 0 {
-		q.askedUntil = r.now + 4*r.set.Tick
+		q.askedUntil = min(r.now+askTicks*r.set.Tick, r.last(q))
 		r.at(q.askedUntil, q, nil)
 	}
 }
@@ -146,10 +144,13 @@
 // settle brings a query as far as it can go now. On the ordinary path that is: score every part, send the
 // cheapest ones that make a whole answer, each to its best replica; and when they are in, merge.
 func (r *Root) settle(q *Query) {
+	if q.state == asking && (q.asked == 0 || r.now >= q.askedUntil) {
+		r.move(q, gathering)
+	}
 	if q.state == betweenSteps && r.now >= r.last(q) {
 		r.move(q, aborted)
 	}
-	if q.state != gathering || q.asked > 0 && r.now < q.askedUntil {
+	if q.state != gathering {
 		return
 	}
 	in, coming, possible := q.in(), 0.0, 0.0
@@ -306,6 +307,8 @@
 	} else {
 		q.state = to
 		switch to {
+		case asking:
+			r.ask(q)
 		case rejected:
 			r.port.Reject(q, r.holdOff())
 		case aborted:
--- a/choice/state.go
+++ b/choice/state.go
@@ -13,6 +13,7 @@
 
 const (
 	arriving     state = iota
+	asking             // probes of the leaves that it may go to are awaited
 	gathering          // its parts are asked for
 	betweenSteps       // first answer given, parts of the second step awaited
 	merged
@@ -31,7 +32,7 @@
 	v           *Vertical
 	slo         Time // an answer that leaves by then counts in full
 	need, floor float64
-	asked       int
+	asked       int  // probes awaited
 	askedUntil  Time // when it no longer waits for probes
 	retryAt     Time // when to look again for calls that are barred now
 	partial     bool // the first step's answer was not whole
@@ -100,7 +101,6 @@
 
 	pace    tempo
 	trusts  []trust // in all that it does, then by vertical
-	probed  Time
 	probing bool
 	awaited []*Query // that wait for a probe's outcome
 }
