--- a/choice/choice.go
+++ b/choice/choice.go
@@ -467,8 +467,8 @@
 }
 
 // standing orders candidates before their score does: sound ones first, then those not trusted; if none is
-// better, the least bad is used. A distrusted leaf whose time is
-// up may have one call at a time until it has made its failures good.
+// better, the least bad is used. A distrusted leaf whose time is up may have one call at a time until it has
+// made its failures good.
 func (r *Root) standing(p *Part, l *Leaf) int {
 	if v := p.query.Vertical; r.shunned(l, v) || l.trust(v).strikes > 0 && p.query.v.Effect == SideEffecting {
 		return 1
@@ -597,7 +597,7 @@
 }
 
 // lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail
-// that falls off by e with each: the more calls fail, the sooner. Never under two: slow is not lost.
+// that falls off by e with each: the more calls are lost, the sooner. Never under one: slow is not lost.
 func (r *Root) lateBy() float64 {
 	return min(max(math.Log(1/max(r.lost, epsilon)-1), soonest), lateBy)
 }
@@ -641,7 +641,10 @@
 	case NoConnection, Full:
 		r.strike(l, mostStruck, l.both(v)...)
 	case TimedOut, Cancelled:
-		if c.overdue && r.resumed != now {
+		if r.resumed == now {
+			break
+		}
+		if c.overdue {
 			r.lost += gain / 2 * (1 - r.lost)
 		}
 		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace), 1)*r.way(l) { // at least that long
@@ -695,6 +698,7 @@
 	if q.Over() {
 		return
 	}
+	// An unsent part can take its place: a first call, for which nothing need be called off.
 	spare := slices.ContainsFunc(q.Parts, func(p *Part) bool { return len(p.calls) == 0 && r.hope(p) })
 	if !spare && !r.set.SecondCopies && q.v.Effect != SideEffecting && r.again(c.Part) && r.elsewhere(c) {
 		// Asking elsewhere gives up what may be nearly done, so it waits as long as a new call still fits.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -540,3 +540,19 @@
 	}
 	st.check("slow-report")
 }
+
+// Where copies are barred an unsent part takes the place of an overdue one at once; nothing is called off for it.
+func TestUnsentPartTakesThePlaceOfAnOverdueOne(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { noCopies(s); anyHalf(s) }))
+	st.warm(6)
+	st.query(0, 0, 0, 0, 0)
+	st.pass(50)
+	for i := range 4 {
+		if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
+			st.end(name, OK, nil)
+			break
+		}
+	}
+	st.pass(400)
+	st.check("unsent-part")
+}
