--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -543,16 +543,15 @@
 
 // Where copies are barred an unsent part takes the place of an overdue one at once; nothing is called off for it.
 func TestUnsentPartTakesThePlaceOfAnOverdueOne(t *testing.T) {
-	st := play(t, 3, plain(func(s *Settings) { noCopies(s); anyHalf(s) }))
+	st := play(t, 3, plain(func(s *Settings) {
+		noCopies(s)
+		s.Verticals = append(s.Verticals, s.Verticals[0])
+		s.Verticals[1].Need, s.Verticals[1].Floor = 0.5, 0.5
+	}))
 	st.warm(6)
-	st.query(0, 0, 0, 0, 0)
+	st.query(1, 1, 1, 2, 2)
 	st.pass(50)
-	for i := range 4 {
-		if name := fmt.Sprintf("q%d.%d#0", st.n, i); st.calls[name] != nil {
-			st.end(name, OK, nil)
-			break
-		}
-	}
+	st.end("q7.0#0", OK, nil)
 	st.pass(400)
 	st.check("unsent-part")
 }
