Read again: one fading over a span, one ratio of service times, one way to keep the last few

Four exponentials of age were written out in four places, the service time was held against its median twice in one function, the list of utilities was cut like the other logs by hand, and the turn after a pause had no name.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -92,6 +92,9 @@
 	r.now = now
 }
 
+// paused: this is the turn in which the root found that it had stood still.
+func (r *Root) paused() bool { return r.resumed == r.now }
+
 // Take takes a query with its parts.
 func (r *Root) Take(now Time, q *Query, parts []*Part) {
 	r.enter(now)
@@ -448,8 +451,10 @@
 
 // fade is how much is left of what was learnt at a time: without news a leaf drifts back to what its peers
 // are, or one seen at its worst would never be asked again, and never be seen better.
-func (r *Root) fade(since Time) float64 {
-	return math.Exp(-float64(r.now-since) / float64(r.horizon))
+func (r *Root) fade(since Time) float64 { return r.fadeOver(since, float64(r.horizon)) }
+
+func (r *Root) fadeOver(since Time, span float64) float64 {
+	return math.Exp(-float64(r.now-since) / span)
 }
 
 // slowness is a leaf's tempo with its failures counted in.
@@ -516,7 +521,7 @@
 // calls each but rarely, it holds for as long as it takes to come round to one a few times; else for the
 // horizon.
 func (r *Root) left(t tempo) float64 {
-	return math.Exp(-float64(r.now-t.at) / max(float64(r.horizon), rounds*r.round()))
+	return r.fadeOver(t.at, max(float64(r.horizon), rounds*r.round()))
 }
 
 // round is the time that the root takes to call each leaf once.
@@ -553,7 +558,7 @@
 // level is the logarithm of a zone's tempo by now. It holds for longer than other evidence: each look at a
 // link that is still bad costs a call.
 func (r *Root) level(zone int) float64 {
-	return r.links[zone].log * math.Pow(r.fade(r.links[zone].at), 1/linkHold)
+	return r.links[zone].log * r.fadeOver(r.links[zone].at, linkHold*float64(r.horizon))
 }
 
 // learnLink moves a zone's running median a step towards a sample. What a struck leaf does is its own fault:
@@ -620,12 +625,12 @@
 	if o == Full {
 		time = float64(p.query.v.SLO)
 	}
-	if r.resumed != now && (o == OK || time > r.pressure()) {
+	if !r.paused() && (o == OK || time > r.pressure()) {
 		noteLast(&r.times, amount{now, time / c.crowd}, memory)
 	}
 	switch o {
 	case OK:
-		if r.resumed != now {
+		if !r.paused() {
 			r.learn(l, took, true)
 		}
 		r.done = append(r.done, amount{now, c.d})
@@ -641,7 +646,7 @@
 	case NoConnection, Full:
 		r.strike(l, mostStruck, l.both(v)...)
 	case TimedOut, Cancelled:
-		if r.resumed == now {
+		if r.paused() {
 			break
 		}
 		if c.overdue {
@@ -725,8 +730,10 @@
 	unit := max(r.unit, 1e-9)
 	l.reports++
 	l.since, l.reportAt = 0, r.now
+	slow := 0.0 // service time against the peers' median, as the least of them may be next to nothing
 	if rep.Has[ServiceTime] {
 		noteLast(&r.services, amount{r.now, rep.Value[ServiceTime]}, memory)
+		slow = rep.Value[ServiceTime] / max(middle(r.services), epsilon)
 	}
 	switch {
 	case rep.Has[Waiting]:
@@ -737,15 +744,12 @@
 		u := min(max(rep.Value[Utilisation], 0), busiest)
 		l.reported = u / (1 - u) * unit
 	case rep.Has[ServiceTime]:
-		of := max(middle(r.services), epsilon) // the least of them may be next to nothing
-		l.reported = min(rep.Value[ServiceTime]/of, busiest/(1-busiest)) * unit
+		l.reported = min(slow, busiest/(1-busiest)) * unit
 	default:
 		l.reported = 0
 	}
-	if rep.Has[ServiceTime] && rep.Has[Waiting] { // beside the queue; within the limit it is chance
-		if x := rep.Value[ServiceTime] / max(middle(r.services), epsilon); x > slowLeaf {
-			r.note(l, min(x, mostSlow))
-		}
+	if rep.Has[Waiting] && slow > slowLeaf { // beside the queue; within the limit it is chance
+		r.note(l, min(slow, mostSlow))
 	}
 	r.usual += gain / 4 * (l.reported - r.usual)
 }
@@ -807,10 +811,11 @@
 		r.unit = work / n
 	}
 	r.unit += gain / 4 * (work/n - r.unit)
-	for i := range r.rates { // over two horizons: tenants' shares change slowly
-		r.rates[i] *= math.Sqrt(r.fade(r.ratesAt))
+	span := 2 * float64(r.horizon) // tenants' shares change slowly
+	for i := range r.rates {
+		r.rates[i] *= r.fadeOver(r.ratesAt, span)
 	}
-	r.rates[q.Tenant] += float64(1000*Millisecond) / float64(2*r.horizon)
+	r.rates[q.Tenant] += float64(1000*Millisecond) / span
 	r.ratesAt = r.now
 }
 
@@ -825,8 +830,7 @@
 		r.rates[t]*float64(r.set.Roots) > overShare*r.set.Tenants[t].PerSecond {
 		u *= r.set.OverShareUtility
 	}
-	r.utilities = append(r.utilities, u)
-	r.utilities = r.utilities[max(len(r.utilities)-memory, 0):]
+	noteLast(&r.utilities, u, memory)
 	below := 0.0
 	for _, o := range r.utilities {
 		if o < u {
@@ -859,10 +863,9 @@
 }
 
 // pressure is the time that a call sent now would take: the median over the last calls, scaled from
-// the crowd of calls each met to the present one. A median: a few stalled
-// or failing leaves do not move it, and what is slow everywhere does.
-// It is 0 while there are too few calls. Those of before the horizon are forgotten, or a root that turns all
-// away would never learn that the trouble is over.
+// the crowd of calls each met to the present one. A median: a few stalled or failing leaves do not move it,
+// and what is slow everywhere does. It is 0 while there are too few calls. Those of before the horizon are
+// forgotten, or a root that turns all away would never learn that the trouble is over.
 func (r *Root) pressure() float64 {
 	recent(&r.times, r.now-r.horizon)
 	if len(r.times) < memory/4 {
@@ -975,7 +978,7 @@
 // Awake is called at the times asked for.
 func (r *Root) Awake(now Time) {
 	r.enter(now)
-	for len(r.dues) > 0 && r.dues[0].at <= now && r.resumed != now {
+	for len(r.dues) > 0 && r.dues[0].at <= now && !r.paused() {
 		d := r.dues[0]
 		r.dues = r.dues[1:]
 		if d.c != nil {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -504,9 +504,7 @@
 // for one that is silent.
 func TestQueryProbesWhatItMayGoTo(t *testing.T) {
 	st := play(t, 3, plain(func(s *Settings) { s.MayProbe, s.ProbeReports = true, true }))
-	for range 20 {
-		st.r.probes++
-	}
+	st.r.probes = 20
 	st.query(0, 0, 0)
 	st.pass(5)
 	for i, n := range []float64{4, 0} {
--- a/choice/state.go
+++ b/choice/state.go
@@ -146,8 +146,8 @@
 }
 
 // noteLast keeps the last few of a log.
-func noteLast(log *[]amount, a amount, most int) {
-	*log = append(*log, a)
+func noteLast[T any](log *[]T, x T, most int) {
+	*log = append(*log, x)
 	*log = (*log)[max(len(*log)-most, 0):]
 }
 
