--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,181 @@
+// Package config is the one place where configuration is read, checked and given defaults: the router's own
+// and the settings that the simulator's side is sent. It opens no socket and decides nothing; what it returns
+// is complete, so nobody else looks at the environment or fills in a missing value. A fault names its key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"moleshift/choice"
+)
+
+// What holds where nothing is stated.
+const (
+	defaultCores   = 1.0
+	defaultMemory  = 192  // MB
+	defaultSockets = 1024 // descriptors
+	leastSockets   = 32
+	leastMemory    = 16
+
+	drainFor = 700 * time.Millisecond // after SIGTERM, for which requests that come are still taken
+	keepFor  = 400 * time.Millisecond // of that, for which the front may still hand out new connections
+)
+
+// Limits is what the machine gives the program.
+type Limits struct {
+	Cores    float64
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int
+}
+
+// Server is one entry of a list of leaves, as discovery has it.
+type Server struct {
+	ID        string  `json:"instanceId"`
+	Address   string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	StartedMS float64 `json:"startedAtMs"`
+}
+
+// List is a list of leaves, whole or the entries that changed.
+type List struct {
+	Generation int64    `json:"generation"`
+	Whole      bool     `json:"reset"`
+	Servers    []Server `json:"instances"`
+}
+
+// Config is all that a router is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   List
+	Settings                *Settings
+	DrainFor, KeepFor       time.Duration
+}
+
+var conditions = map[string]choice.Condition{
+	"in_service": choice.Ready, "terminating": choice.Draining, "terminated": choice.Gone,
+}
+
+// Condition tells what the entry says of its leaf; false where it is a word that nobody knows.
+func (s *Server) Condition() (choice.Condition, bool) {
+	c, known := conditions[s.Lifecycle]
+	return c, known
+}
+
+// DecodeList reads one list of leaves and checks its entries.
+func DecodeList(text []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return List{}, jsonFault(err)
+	}
+	for i := range l.Servers {
+		if err := l.Servers[i].check(); err != nil {
+			return List{}, fmt.Errorf("instances[%d].%w", i, err)
+		}
+	}
+	return l, nil
+}
+
+func (s *Server) check() error {
+	condition, known := s.Condition()
+	switch {
+	case s.ID == "":
+		return errors.New("instanceId: missing")
+	case !known:
+		return fmt.Errorf("lifecycle: %q is unknown", s.Lifecycle)
+	case s.Cell < 0 || s.Cell > 1<<20:
+		return fmt.Errorf("cell: %d is out of range", s.Cell)
+	case s.StartedMS < 0:
+		return errors.New("startedAtMs: is negative")
+	}
+	if _, err := netip.ParseAddrPort(s.Address); err != nil && condition != choice.Gone {
+		return fmt.Errorf("hostPort: %q is no address and port", s.Address)
+	}
+	return nil
+}
+
+// Load reads the file that EDGE_CONFIG names. The other variables stand in for keys that it lacks.
+func Load(env func(string) string) (*Config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	c, err := decode(text, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func decode(text []byte, env func(string) string) (*Config, error) {
+	var w struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known, Settings               json.RawMessage
+	}
+	w.Limits = Limits{defaultCores, defaultMemory, defaultSockets}
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, jsonFault(err)
+	}
+	or := func(value, variable string) string {
+		if value == "" {
+			return env(variable)
+		}
+		return value
+	}
+	c := &Config{Name: or(w.Name, "EDGE_NAME"), Listen: or(w.Listen, "EDGE_LISTEN"),
+		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
+		DrainFor: drainFor, KeepFor: keepFor}
+	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.address); err != nil {
+			return nil, fmt.Errorf("%s: %q is no address and port", a.key, a.address)
+		}
+	}
+	switch {
+	case c.Limits.Cores <= 0:
+		return nil, errors.New("limits.cores: must be above 0")
+	case c.Limits.MemoryMB < leastMemory:
+		return nil, fmt.Errorf("limits.memory_mb: must be %d at least", leastMemory)
+	case c.Limits.Sockets < leastSockets:
+		return nil, fmt.Errorf("limits.sockets: must be %d at least", leastSockets)
+	case len(w.Settings) == 0:
+		return nil, errors.New("settings: missing")
+	}
+	var err error
+	if len(w.Known) > 0 {
+		if c.Known, err = DecodeList(w.Known); err != nil {
+			return nil, fmt.Errorf("known.%w", err)
+		}
+	}
+	if c.Settings, err = DecodeSettings(c.Seed, w.Settings); err == nil {
+		err = c.Settings.forRouter()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("settings.%w", err)
+	}
+	return c, nil
+}
+
+// seed reads hex digits; any other text serves as well.
+func seed(text string) uint64 {
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"moleshift/choice"
+	"moleshift/config"
 )
 
 // fields walks over the values of one line. The first fault sticks; later reads return zero values.
@@ -108,11 +109,6 @@
 	return x
 }
 
-// Points in time that end something are rounded down, the clock and starts up, so that rounding never
-// makes time left look longer than it is.
-func floorTime(ms float64) choice.Time { return choice.Time(math.Floor(ms*10 + 1e-6)) }
-func ceilTime(ms float64) choice.Time  { return choice.Time(math.Ceil(ms*10 - 1e-6)) }
-
 // millis prints a time in milliseconds.
 func millis(t choice.Time) string {
 	return strconv.FormatFloat(float64(t)/10, 'f', 1, 64)
@@ -161,11 +157,6 @@
 	return o
 }
 
-var measures = map[string]choice.Measure{
-	"active": choice.Active, "waiting": choice.Waiting, "cpu": choice.Utilisation,
-	"avg_ms": choice.ServiceTime, "rps": choice.ServedRate, "err_rps": choice.ErrorRate,
-}
-
 // report reads a load report; nil where none came along. Values of unknown names are skipped.
 func (f *fields) report(name string) *choice.Report {
 	w := f.word(name)
@@ -181,7 +172,7 @@
 		}
 		if x := f.float(name, v); f.err != nil {
 			return nil
-		} else if m, known := measures[k]; known {
+		} else if m, known := config.Measures[k]; known {
 			rep.Set(m, x)
 		}
 	}
@@ -206,6 +197,6 @@
 	l.entry.Cell = int(f.integerOr("cell", 0, 1<<20, 0))
 	l.entry.Condition = choice.Condition(f.integer("condition", 0, 2))
 	f.number("scale")
-	l.entry.Started = ceilTime(f.number("came_up"))
+	l.entry.Started = config.CeilTime(f.number("came_up"))
 	return l, f.end()
 }
--- a/wire/host.go
+++ b/wire/host.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"moleshift/choice"
+	"moleshift/config"
 )
 
 // Serve answers batches from in on out until in ends. A fault in what it reads ends it.
@@ -88,7 +89,7 @@
 		if h.inBatch {
 			return fmt.Errorf("the batch before has no FLUSH")
 		}
-		h.inBatch, h.now = true, ceilTime(f.number("clock"))
+		h.inBatch, h.now = true, config.CeilTime(f.number("clock"))
 		return f.end()
 	case "FLUSH":
 		if err := f.end(); err != nil {
@@ -228,10 +229,11 @@
 	if _, err := fmt.Sscan(seed, &n); err != nil {
 		return fmt.Errorf("rng_seed is no whole number: %q", seed)
 	}
-	s, err := decodeFacts(n, facts)
+	settings, err := config.DecodeSettings(n, []byte(facts))
 	if err != nil {
-		return err
+		return fmt.Errorf("facts: %w", err)
 	}
+	s := settings.Module
 	if old := h.instances[h.named]; old != nil {
 		old.kill()
 	}
@@ -301,7 +303,7 @@
 
 func (in *instance) request(f *fields) error {
 	id := f.id("id")
-	deadline := floorTime(f.number("drop_dead"))
+	deadline := config.FloorTime(f.number("drop_dead"))
 	segment := int(f.integer("segment_no", -1<<31, int64(in.shards)-1))
 	options := f.integer("options", 0, 1<<31)
 	hint := f.number("size_hint")
@@ -473,7 +475,7 @@
 	round := f.integer("round_no", 0, 1<<20)
 	_, err := in.leaf(f.node("node"))
 	o := f.outcome("how")
-	elapsed := ceilTime(f.number("elapsed"))
+	elapsed := config.CeilTime(f.number("elapsed"))
 	rep := f.report("gauge")
 	if e := f.end(); e != nil || err != nil {
 		return firstOf(e, err)
