--- /dev/null
+++ b/cmd/moleshift/main.go
@@ -0,0 +1,27 @@
+// Moleshift is the root node of a sharded search service, on sockets.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"moleshift/config"
+	"moleshift/router"
+)
+
+func main() {
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger().Level(zerolog.InfoLevel)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Fatal().Err(err).Msg("configuration")
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if err := router.Run(context.Background(), cfg, signals, log); err != nil {
+		log.Fatal().Err(err).Msg("ended by a fault")
+	}
+}
--- /dev/null
+++ b/codec/frames.go
@@ -0,0 +1,172 @@
+package codec
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"moleshift/choice"
+	"moleshift/config"
+)
+
+// The letters of frames.
+const (
+	LetterCall   = 'D'
+	LetterGiveUp = 'K'
+	LetterProbe  = 'I'
+	LetterLoad   = 'U'
+	LetterAnswer = 'O'
+	LetterBroken = 'Z'
+)
+
+// MostFrame bounds what a leaf may send in one frame: a value, and the line before it.
+const MostFrame = MostBody + 1024
+
+const frameHead = 4
+
+var (
+	errFrame  = errors.New("a frame's length is out of range")
+	errAnswer = errors.New("an answer's line is malformed")
+)
+
+// Frame is one frame without its length.
+type Frame struct {
+	Letter byte
+	Rest   []byte
+}
+
+// FrameReader reads frames from a ring as they come.
+type FrameReader struct {
+	Most int // bytes in a frame
+
+	head []byte
+	rest []byte
+	left int
+}
+
+// Next returns the next whole frame; false where the ring holds too little.
+func (f *FrameReader) Next(r *Ring) (Frame, bool, error) {
+	for r.Len() > 0 {
+		if len(f.head) < frameHead {
+			f.head = append(f.head, r.Head()[0])
+			r.Skip(1)
+			if len(f.head) < frameHead {
+				continue
+			}
+			n := binary.BigEndian.Uint32(f.head)
+			if n == 0 || int64(n) > int64(f.Most) {
+				return Frame{}, false, errFrame
+			}
+			f.left, f.rest = int(n), nil
+			continue
+		}
+		piece := r.Head()
+		piece = piece[:min(len(piece), f.left)]
+		f.rest = append(f.rest, piece...)
+		f.left -= len(piece)
+		r.Skip(len(piece))
+		if f.left == 0 {
+			frame := Frame{f.rest[0], f.rest[1:]}
+			f.head, f.rest = f.head[:0], nil
+			return frame, true, nil
+		}
+	}
+	return Frame{}, false, nil
+}
+
+// WriteFrame writes a short frame.
+func WriteFrame(w io.Writer, letter byte, rest string) error {
+	out := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
+	_, err := w.Write(append(append(out, letter), rest...))
+	return err
+}
+
+// PartSent is one part of a call. Wait is how long its answer is waited for, in milliseconds.
+type PartSent struct {
+	ID    string
+	Shard int
+	Wait  int64
+	Text  []byte
+}
+
+// WriteCall writes one call: a frame with all its parts.
+func WriteCall(w io.Writer, parts []PartSent) error {
+	var lines [][]byte
+	size := 1
+	for _, p := range parts {
+		line := append(append([]byte(p.ID), ' '), strconv.Itoa(p.Shard)...)
+		line = strconv.AppendInt(append(line, " d="...), p.Wait, 10)
+		line = append(strconv.AppendInt(append(line, ' '), int64(len(p.Text)), 10), '\n')
+		lines = append(lines, line)
+		size += len(line) + len(p.Text)
+	}
+	w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(size)), LetterCall))
+	var err error // a writer's first error stays
+	for i, p := range parts {
+		w.Write(lines[i])
+		_, err = w.Write(p.Text)
+	}
+	return err
+}
+
+// ends are the outcomes that a leaf's answer tells.
+var ends = map[string]choice.Outcome{"200": choice.OK, "500": choice.Failed, "503": choice.Full}
+
+// Answer is what a leaf answers for a part.
+type Answer struct {
+	ID      string
+	Outcome choice.Outcome
+	Report  *choice.Report // nil where none came along
+	Value   []byte
+}
+
+// ParseAnswer reads the rest of an answer's frame. The value stays where it is.
+func ParseAnswer(rest []byte) (Answer, error) {
+	line, value, found := bytes.Cut(rest, []byte{'\n'})
+	words := strings.Split(string(line), " ")
+	if !found || len(words) != 4 || words[0] == "" {
+		return Answer{}, errAnswer
+	}
+	o, known := ends[words[1]]
+	if !known {
+		return Answer{}, errAnswer
+	}
+	rep, err := ParseReport(words[3])
+	return Answer{ID: words[0], Outcome: o, Report: rep, Value: value}, err
+}
+
+// ParseReport reads a load report; nil for "-". Values of unknown names are skipped.
+func ParseReport(word string) (*choice.Report, error) {
+	if word == "-" || word == "" {
+		return nil, nil
+	}
+	rep := new(choice.Report)
+	for pair := range strings.SplitSeq(word, ",") {
+		name, value, found := strings.Cut(pair, "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if !found || err != nil || math.IsNaN(x) || math.Abs(x) > 1e15 {
+			return nil, errAnswer
+		}
+		if m, known := config.Measures[name]; known {
+			rep.Set(m, x)
+		}
+	}
+	return rep, nil
+}
+
+// ParseProbe reads the answer to a probe: a report, or just a status.
+func ParseProbe(rest []byte) (choice.Outcome, *choice.Report, error) {
+	switch word := string(rest); word {
+	case "200", "-":
+		return choice.OK, nil, nil
+	case "500":
+		return choice.Failed, nil, nil
+	default:
+		rep, err := ParseReport(word)
+		return choice.OK, rep, err
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -24,6 +24,9 @@
 	leastSockets   = 32
 	leastMemory    = 16
 
+	silence  = 7 * time.Second        // of a watch, after which it is taken for dead: three empty lines
+	mostLine = 4 << 20                // bytes of one line of a watch
+
 	drainFor = 700 * time.Millisecond // after SIGTERM, for which requests that come are still taken
 	keepFor  = 400 * time.Millisecond // of that, for which the front may still hand out new connections
 )
@@ -35,6 +38,13 @@
 	Sockets  int
 }
 
+// ClientSockets is how many descriptors clients may use, LeafSockets how many leaves may. What is left is for
+// the listener, discovery, files, and connections that are just being closed.
+func (l Limits) ClientSockets() int { return l.Sockets / 2 }
+
+// LeafSockets see ClientSockets.
+func (l Limits) LeafSockets() int { return l.Sockets / 4 }
+
 // Server is one entry of a list of leaves, as discovery has it.
 type Server struct {
 	ID        string  `json:"instanceId"`
@@ -60,6 +70,8 @@
 	Known                   List
 	Settings                *Settings
 	DrainFor, KeepFor       time.Duration
+	Silence                 time.Duration
+	MostLine                int
 }
 
 var conditions = map[string]choice.Condition{
@@ -139,7 +151,8 @@
 	}
 	c := &Config{Name: or(w.Name, "EDGE_NAME"), Listen: or(w.Listen, "EDGE_LISTEN"),
 		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
-		DrainFor: drainFor, KeepFor: keepFor}
+		DrainFor: drainFor, KeepFor: keepFor,
+		Silence: silence, MostLine: mostLine}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, err := netip.ParseAddrPort(a.address); err != nil {
 			return nil, fmt.Errorf("%s: %q is no address and port", a.key, a.address)
--- /dev/null
+++ b/router/clients.go
@@ -0,0 +1,501 @@
+package router
+
+// clients.go owns the connections of clients: it reads queries, hands them to the owner, and writes the
+// answers that the owner gives. It must never answer a query of its own accord once the owner has it, never
+// end a connection on which a query is out without a whole answer, and never hold more of them than the
+// machine's limit on descriptors leaves room for.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"moleshift/choice"
+	"moleshift/codec"
+	"moleshift/config"
+)
+
+const (
+	servedStatus  = http.StatusOK
+	refusedStatus = http.StatusServiceUnavailable
+	failedStatus  = http.StatusInternalServerError
+
+	clientRing = 4 << 10
+	healthPath = "/healthz"
+)
+
+func shardName(shard int) string { return strconv.Itoa(shard) }
+
+// asked is a query as a client sent it.
+type asked struct {
+	id               string
+	client           *client
+	body             *codec.QueryBody
+	deadline         choice.Time
+	vertical, tenant int
+}
+
+// reply is what a client is to be answered. Where text is set it stands for the rows.
+type reply struct {
+	status  int
+	holdOff time.Duration
+	whole   bool
+	rows    []codec.Row
+	text    string
+	closes  bool
+	goOn    bool // asks for the body; the query's own answer is still to come
+}
+
+// door takes in connections of clients.
+type door struct {
+	cfg       *config.Config
+	owner     *owner
+	listener  net.Listener
+	log       zerolog.Logger
+	verticals map[string]int
+	tenants   map[string]int
+	most      int // connections
+
+	mu     sync.Mutex
+	conns  map[*client]struct{}
+	freed  chan struct{} // one connection has ended
+	closed bool
+}
+
+func numbers(names []string) map[string]int {
+	m := map[string]int{}
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+func newDoor(cfg *config.Config, o *owner, l net.Listener, log zerolog.Logger) *door {
+	return &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
+		tenants: numbers(cfg.Settings.Tenants), most: cfg.Limits.ClientSockets(), conns: map[*client]struct{}{},
+		freed: make(chan struct{}, 1)}
+}
+
+// run accepts connections until the program ends.
+func (d *door) run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		d.close()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for c := range d.conns {
+			c.conn.Close()
+		}
+	})()
+	for {
+		if !d.room(ctx) {
+			return nil
+		}
+		conn, err := d.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil { // no descriptors are left, or the client has gone already
+			d.log.Warn().Err(err).Msg("could not accept")
+			select {
+			case <-ctx.Done():
+			case <-time.After(d.cfg.Settings.ConnectTimeout):
+			}
+			continue
+		}
+		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing), since: time.Now(),
+			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
+		d.mu.Lock()
+		d.conns[c] = struct{}{}
+		d.mu.Unlock()
+		d.owner.group.Go(func() error { c.read(ctx); return nil })
+		d.owner.group.Go(func() error { c.write(); return nil })
+	}
+}
+
+// room waits until one more connection may be held. An idle one makes way: the one idle for longest.
+func (d *door) room(ctx context.Context) bool {
+	for {
+		d.mu.Lock()
+		n, closed := len(d.conns), d.closed
+		var oldest *client
+		if n >= d.most {
+			for c := range d.conns {
+				if standing(c.state.Load()) == idle && (oldest == nil || c.idleSince() < oldest.idleSince()) {
+					oldest = c
+				}
+			}
+		}
+		d.mu.Unlock()
+		if closed || ctx.Err() != nil {
+			return false
+		}
+		if n < d.most {
+			return true
+		}
+		if oldest != nil {
+			oldest.closeIdle()
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-d.freed:
+		}
+	}
+}
+
+// close stops taking connections and ends those that are idle; the others end with their next answer.
+func (d *door) close() {
+	d.listener.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for c := range d.conns {
+		c.closeIdle()
+	}
+}
+
+func (d *door) closing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
+}
+
+func (d *door) empty() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.conns) == 0
+}
+
+func (d *door) gone(ctx context.Context, c *client) {
+	d.mu.Lock()
+	delete(d.conns, c)
+	d.mu.Unlock()
+	select {
+	case d.freed <- struct{}{}:
+	default:
+	}
+	d.owner.post(ctx, func(o *owner) { o.leave(c) })
+}
+
+// standing is where a connection stands with its client.
+type standing int32
+
+const (
+	idle    standing = iota // between requests, nothing read
+	reading                 // part of a request has been read
+	waiting                 // the request is whole, its answer is not out yet
+	ending
+)
+
+// client is one connection. Its reader and its writer are a goroutine each.
+type client struct {
+	door    *door
+	conn    net.Conn
+	in      *codec.Ring
+	parser  codec.Parser
+	answers chan reply // one is owed at most, and one that asks for the body
+	done    chan struct{}
+	state   atomic.Int32
+	wake    chan struct{}
+	behind  atomic.Bool // bytes that came before the answer was out wait in the ring
+	idleAt  atomic.Int64
+	since   time.Time
+	query   *query // the owner's
+
+	began time.Time // the request's first byte
+	body  *codec.QueryBody
+	bad   error // why the request can't be taken, once its framing is sure
+}
+
+func (c *client) idleSince() int64 { return c.idleAt.Load() }
+
+// turnTo changes where the connection stands, if it stood where it was thought to.
+func (c *client) turnTo(from, to standing) bool {
+	return c.state.CompareAndSwap(int32(from), int32(to))
+}
+
+// closeIdle ends the connection if nothing of a request has been read on it.
+func (c *client) closeIdle() {
+	if c.turnTo(idle, ending) {
+		c.conn.Close()
+	}
+}
+
+// answer hands the writer what to say. It never blocks, as one answer at most is owed.
+func (c *client) answer(r reply) {
+	select {
+	case c.answers <- r:
+	default:
+		c.conn.Close()
+	}
+}
+
+// read reads requests until the connection ends.
+func (c *client) read(ctx context.Context) {
+	defer c.door.gone(ctx, c)
+	defer close(c.done)
+	defer c.conn.Close()
+	for {
+		if standing(c.state.Load()) != waiting {
+			if !c.parse(ctx) {
+				return
+			}
+		}
+		if standing(c.state.Load()) == waiting {
+			c.behind.Store(c.in.Len() > 0)
+			if c.in.Len() > 0 && standing(c.state.Load()) != waiting { // the answer went out just now
+				continue
+			}
+			if c.in.Free() == 0 { // a client that sends far ahead is read no further
+				<-c.wake
+				if standing(c.state.Load()) == waiting { // the writer has ended
+					return
+				}
+				continue
+			}
+		}
+		n, err := c.in.Fill(c.conn)
+		if n > 0 && c.turnTo(idle, reading) {
+			c.began = time.Now()
+			c.conn.SetReadDeadline(c.began.Add(c.door.cfg.Settings.Longest))
+		}
+		if standing(c.state.Load()) == ending {
+			return
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.conn.SetReadDeadline(time.Time{}) // the writer woke the reader, or time is up
+			if standing(c.state.Load()) == reading {
+				end := c.began.Add(c.door.cfg.Settings.Longest)
+				c.conn.SetReadDeadline(end)
+				if !time.Now().Before(end) {
+					c.conn.SetReadDeadline(time.Time{})
+					c.refuse(&codec.Fault{Status: http.StatusRequestTimeout, Text: "the request never ended"})
+				}
+			}
+			continue
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// parse goes through what the ring holds, up to the end of one request. It is false where the connection has
+// to end.
+func (c *client) parse(ctx context.Context) bool {
+	for {
+		if c.in.Len() > 0 && c.turnTo(idle, reading) {
+			c.began = time.Now()
+			c.conn.SetReadDeadline(c.began.Add(c.door.cfg.Settings.Longest))
+		}
+		step, piece, err := c.parser.Next(c.in)
+		if err != nil {
+			c.refuse(err) // nobody can find the request's end: the connection ends with the answer
+			return true
+		}
+		switch step {
+		case codec.More:
+			if c.parser.Between() && c.in.Len() == 0 && c.turnTo(reading, idle) {
+				c.conn.SetReadDeadline(time.Time{})
+			}
+			return true
+		case codec.Begun:
+			c.body, c.bad = nil, c.check()
+			if c.parser.Head.Continues() && c.bad == nil {
+				c.answer(reply{goOn: true})
+			}
+			if c.bad == nil && c.parser.Head.Target != healthPath {
+				c.body = codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)
+			}
+		case codec.Data:
+			if c.bad == nil && c.body != nil {
+				c.bad = c.body.Feed(piece)
+			}
+		case codec.Ended:
+			c.conn.SetReadDeadline(time.Time{})
+			return c.ended(ctx)
+		}
+	}
+}
+
+// refuse answers a request that can't be taken, and ends the connection with it.
+func (c *client) refuse(err error) {
+	if c.turnTo(reading, waiting) {
+		c.answer(reply{status: statusOf(err), text: err.Error(), closes: true})
+	}
+}
+
+func statusOf(err error) int {
+	var f *codec.Fault
+	if errors.As(err, &f) {
+		return f.Status
+	}
+	return http.StatusBadRequest
+}
+
+// check looks at a request's head.
+func (c *client) check() error {
+	h := &c.parser.Head
+	if h.Target == healthPath {
+		if h.Method != http.MethodGet {
+			return &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "GET only"}
+		}
+		return nil
+	}
+	if h.Method != http.MethodPost {
+		if _, known := c.vertical(); !known {
+			return &codec.Fault{Status: http.StatusNotFound, Text: "nothing is here"}
+		}
+		return &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "POST only"}
+	}
+	_, lengths := h.Get("content-length")
+	if _, codings := h.Get("transfer-encoding"); lengths+codings == 0 {
+		return &codec.Fault{Status: http.StatusLengthRequired, Text: "a query has a body with a length"}
+	}
+	_, err := c.head()
+	return err
+}
+
+func (c *client) vertical() (int, bool) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(c.parser.Head.Target, "/"), "/")
+	name, _, _ = strings.Cut(name, "?")
+	v, known := c.door.verticals[name]
+	return v, known
+}
+
+// head reads what the head says of a query.
+func (c *client) head() (*asked, error) {
+	h := &c.parser.Head
+	a := &asked{client: c}
+	var known bool
+	if a.vertical, known = c.vertical(); !known {
+		return nil, &codec.Fault{Status: http.StatusNotFound, Text: "no such vertical"}
+	}
+	id, ids := h.Get("x-trace-id")
+	if ids != 1 || !sane(id) {
+		return nil, errors.New("X-Trace-Id: missing or malformed")
+	}
+	a.id = id
+	if name, _ := h.Get("x-customer"); len(c.door.tenants) > 0 {
+		if a.tenant, known = c.door.tenants[name]; !known {
+			return nil, errors.New("X-Customer: unknown")
+		}
+	}
+	left, times := h.Get("x-expires-in-ms")
+	ms, err := codec.Millis(left)
+	if times != 1 || err != nil {
+		return nil, errors.New("X-Expires-In-Ms: missing or malformed")
+	}
+	a.deadline = c.door.owner.clk.at(c.began) - 1 + config.FloorTime(ms)
+	return a, nil
+}
+
+// sane: a trace id stands in the lines of frames, so it must be a short word.
+func sane(id string) bool {
+	for _, b := range []byte(id) {
+		if b <= ' ' || b >= 0x7f {
+			return false
+		}
+	}
+	return id != "" && len(id) <= 64
+}
+
+// ended takes a whole request. It is false where the connection has to end.
+func (c *client) ended(ctx context.Context) bool {
+	if !c.turnTo(reading, waiting) {
+		return false
+	}
+	if c.bad == nil && c.body == nil {
+		status := http.StatusOK
+		if p := c.door.owner.phase.now(); p != Serving {
+			status = http.StatusServiceUnavailable
+		}
+		c.answer(reply{status: status, text: c.door.owner.phase.now().String(), closes: c.closes()})
+		return true
+	}
+	if c.bad == nil {
+		c.bad = c.body.End()
+	}
+	if c.bad != nil {
+		c.door.log.Debug().Err(c.bad).Str("target", c.parser.Head.Target).Msg("malformed request")
+		c.answer(reply{status: statusOf(c.bad), text: c.bad.Error(), closes: c.closes()})
+		return true
+	}
+	a, err := c.head()
+	if err != nil {
+		return false // check has asked the same
+	}
+	a.body, c.body = c.body, nil
+	c.door.owner.post(ctx, func(o *owner) { o.take(a) })
+	return true
+}
+
+func (c *client) closes() bool { return c.parser.Head.Closes() }
+
+// rouse wakes a reader that has no room to read on.
+func (c *client) rouse() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write writes answers until the connection ends.
+func (c *client) write() {
+	defer c.rouse()
+	defer c.conn.Close()
+	w := codec.NewWriter(c.conn, clientRing)
+	for {
+		select {
+		case <-c.done:
+			return
+		case r := <-c.answers:
+			c.conn.SetWriteDeadline(time.Now().Add(c.door.cfg.Settings.Longest))
+			if r.goOn {
+				w.Write(codec.AppendContinue(nil))
+				if w.Flush() != nil {
+					return
+				}
+				continue
+			}
+			closes := r.closes || c.parser.Head.Closes() || c.door.closing()
+			var body []byte
+			switch {
+			case r.text != "":
+				body = fmt.Appendf(nil, "%s\n", r.text)
+			case r.status == servedStatus:
+				body = codec.AppendAnswer(nil, r.whole, r.rows)
+			}
+			more := ""
+			if r.holdOff > 0 {
+				more = fmt.Sprintf("Retry-After: %.3f\r\n", r.holdOff.Seconds())
+			}
+			w.Write(codec.AppendResponse(nil, r.status, len(body), closes, more))
+			w.Write(body)
+			if w.Flush() != nil || closes {
+				return
+			}
+			c.idleAt.Store(int64(time.Since(c.door.owner.clk.base)))
+			if !c.turnTo(waiting, idle) {
+				return
+			}
+			if c.behind.Swap(false) {
+				c.conn.SetReadDeadline(time.Now())
+				c.rouse()
+			}
+			if c.door.closing() {
+				c.closeIdle()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/router/leaves.go
@@ -0,0 +1,536 @@
+package router
+
+// leaves.go owns the connections to leaves: it dials, writes frames, reads answers, and classes how each call
+// ended. It must never choose a leaf, never repeat a call, and never say of a part that it has not run unless
+// the last byte of its frame was not written.
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"moleshift/choice"
+	"moleshift/codec"
+	"moleshift/config"
+)
+
+const (
+	leafRing   = 8 << 10
+	mostGhosts = 512 // answers still expected on a connection for calls that were given up
+)
+
+// leaf is one server as the list has it, with the connections to it. All of it is the owner's.
+type leaf struct {
+	id      string
+	address string
+	started choice.Time
+	l       *choice.Leaf
+	conns   []*leafConn
+	sends   []*call // of this turn
+}
+
+// news takes what the list says.
+func (o *owner) news(list config.List, cached bool) {
+	entries := make([]choice.Entry, 0, len(list.Servers))
+	listed := map[*leaf]bool{}
+	for _, s := range list.Servers {
+		l := o.leaves[s.ID]
+		if l == nil {
+			l = &leaf{id: s.ID, l: new(choice.Leaf)}
+			o.leaves[s.ID], o.doors[l.l] = l, l
+		}
+		condition, _ := s.Condition()
+		e := choice.Entry{Leaf: l.l, Zone: o.zone(s.Zone), Cell: s.Cell, Condition: condition}
+		if s.StartedMS > 0 {
+			e.Started = config.CeilTime(s.StartedMS)
+		}
+		moved := condition != choice.Gone && s.Address != l.address
+		for _, c := range append([]*leafConn(nil), l.conns...) {
+			switch {
+			case c.opened < e.Started && e.Started != l.started: // to a process that is no more
+				c.close()
+			case moved || condition == choice.Gone:
+				c.retire(o)
+			}
+		}
+		if l.started = e.Started; moved {
+			l.address = s.Address
+		}
+		listed[l] = true
+		entries = append(entries, e)
+	}
+	if list.Whole {
+		for _, l := range o.leaves {
+			if !listed[l] {
+				for _, c := range append([]*leafConn(nil), l.conns...) {
+					c.retire(o)
+				}
+			}
+		}
+	}
+	o.root.List(o.now, entries, list.Whole || cached, cached)
+}
+
+// zone is a zone's number; one that the settings lack gets the next.
+func (o *owner) zone(name string) int {
+	for i, z := range o.cfg.Settings.Zones {
+		if z == name {
+			return i
+		}
+	}
+	o.cfg.Settings.Zones = append(o.cfg.Settings.Zones, name)
+	return len(o.cfg.Settings.Zones) - 1
+}
+
+// frame is what travels to a leaf at once: a call with its parts, or one short frame.
+type frame struct {
+	conn  *leafConn
+	calls []*call
+	parts []codec.PartSent
+	out   int // calls whose outcome has not been told; the owner's
+
+	letter byte // of a short frame
+	rest   string
+
+	stage stage // under the connection's lock
+	end   int64 // bytes given to the connection with the frame's last
+}
+
+type stage int
+
+const (
+	queued stage = iota
+	inRing
+	written
+	dropped
+)
+
+// leafConn is one connection to a leaf.
+type leafConn struct {
+	leaf    *leaf
+	address string
+	opened  choice.Time
+	limit   time.Duration
+	cancel  context.CancelFunc
+	wake    chan struct{}
+
+	// The owner's.
+	calls   map[string]*call // by the id of the part
+	ghosts  []string         // parts given up here whose answers may still come
+	forgot  bool             // some ghosts are no longer known
+	frames  int              // calls in the protocol's sense that are out
+	probes  []*probe         // awaited, oldest first
+	used    choice.Time
+	heard   choice.Time
+	retired bool // takes no more calls, and ends with the last that is out
+
+	mu    sync.Mutex
+	queue []*frame // not yet written, oldest first
+	conn  net.Conn
+	over  bool
+}
+
+// probe is one probe whose outcome has not been told.
+type probe struct {
+	leaf  *leaf
+	conn  *leafConn
+	ended bool
+}
+
+// flush sends what this turn has to send to the leaf: parts that leave in one turn share a call.
+func (l *leaf) flush(o *owner) {
+	sends := l.sends
+	l.sends = nil
+	most := max(o.cfg.Settings.Module.Batch, 1)
+	var f *frame
+	var frames []*frame
+	for _, k := range sends {
+		if k.ended {
+			continue
+		}
+		if f != nil && (len(f.calls) == most || f.conn.knows(k.part.id)) {
+			f = nil
+		}
+		if f == nil {
+			c := l.connFor(o, k.part.id)
+			if c == nil { // no descriptor is left for it, so it is never sent
+				o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
+				continue
+			}
+			f = &frame{conn: c}
+			c.frames++
+			frames = append(frames, f)
+		}
+		k.frame = f
+		f.calls = append(f.calls, k)
+		f.out++
+		f.conn.calls[k.part.id] = k
+		f.conn.used = o.now
+		wait := int64((k.until - o.now + choice.Millisecond - 1) / choice.Millisecond)
+		f.parts = append(f.parts, codec.PartSent{ID: k.part.id, Shard: k.part.shard, Wait: max(wait, 1),
+			Text: k.part.query.text})
+	}
+	for _, f := range frames {
+		f.conn.send(f)
+	}
+}
+
+// connFor is a connection that has room for a call, a new one if there is none. A part that was given up on a
+// connection goes over another one, as the two answers could not be told apart.
+func (l *leaf) connFor(o *owner, id string) *leafConn {
+	for _, c := range l.conns {
+		room := o.cfg.Settings.MaxStreams == 0 || c.frames < o.cfg.Settings.MaxStreams
+		if room && !c.retired && !c.knows(id) && !c.stale(o) {
+			return c
+		}
+	}
+	return l.dial(o)
+}
+
+// stale: the leaf may have closed the connection by now, or may do so before a call arrives.
+func (c *leafConn) stale(o *owner) bool {
+	idle := o.cfg.Settings.ConnIdle
+	return idle > 0 && c.frames == 0 && o.now-c.used >= tenths(idle-o.cfg.Settings.ConnectTimeout)
+}
+
+func (c *leafConn) knows(id string) bool {
+	if c.calls[id] != nil {
+		return true
+	}
+	for _, g := range c.ghosts {
+		if g == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *leaf) dial(o *owner) *leafConn {
+	if o.conns >= o.cfg.Limits.LeafSockets() {
+		o.log.Warn().Str("leaf", l.id).Msg("no socket is left for a connection")
+		return nil
+	}
+	o.conns++
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &leafConn{leaf: l, address: l.address, opened: o.now, used: o.now, heard: o.now, cancel: cancel,
+		limit: o.cfg.Settings.ConnectTimeout, wake: make(chan struct{}, 1), calls: map[string]*call{}}
+	l.conns = append(l.conns, c)
+	o.group.Go(func() error { c.run(ctx, o); return nil })
+	return c
+}
+
+// ended takes a call off the connection's books.
+func (c *leafConn) ended(o *owner, k *call) {
+	if c.calls[k.part.id] == k {
+		delete(c.calls, k.part.id)
+	}
+	if k.frame.out--; k.frame.out == 0 {
+		if c.frames--; c.frames == 0 && c.retired {
+			c.close()
+		}
+	}
+}
+
+// giveUp stops waiting for a call, and tells the leaf so where that is allowed. If not a byte of its frame has
+// been written it is taken out, and then it is known not to have run.
+func (c *leafConn) giveUp(o *owner, k *call, outcome choice.Outcome) choice.Outcome {
+	c.mu.Lock()
+	unsent := k.frame.stage == queued
+	if unsent {
+		k.frame.drop(k)
+	}
+	c.mu.Unlock()
+	if unsent {
+		return choice.NoConnection
+	}
+	if c.ghosts = append(c.ghosts, k.part.id); len(c.ghosts) > mostGhosts {
+		c.ghosts, c.forgot = c.ghosts[1:], true
+	}
+	if o.cfg.Settings.Module.MayCancel {
+		c.send(&frame{conn: c, letter: codec.LetterGiveUp, rest: k.part.id})
+	}
+	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
+	// call finds out, by a new connection, without being lost itself.
+	if outcome == choice.TimedOut && c.heard <= k.sent && o.now-k.sent >= tenths(c.limit) {
+		c.retire(o)
+	}
+	return outcome
+}
+
+// drop takes a call out of a frame that is still queued.
+func (f *frame) drop(k *call) {
+	for i, other := range f.calls {
+		if other == k {
+			f.calls = append(f.calls[:i:i], f.calls[i+1:]...)
+			f.parts = append(f.parts[:i:i], f.parts[i+1:]...)
+			break
+		}
+	}
+	if len(f.calls) == 0 {
+		f.stage = dropped
+	}
+}
+
+// retire lets the connection end with the last call on it.
+func (c *leafConn) retire(o *owner) {
+	if c.retired = true; c.frames == 0 {
+		c.close()
+	}
+}
+
+// close ends the connection; what is out on it is settled when its goroutines have ended.
+func (c *leafConn) close() {
+	c.mu.Lock()
+	c.over = true
+	conn := c.conn
+	c.mu.Unlock()
+	c.cancel()
+	if conn != nil {
+		conn.Close()
+	}
+	c.rouse()
+}
+
+func (c *leafConn) rouse() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send queues a frame. It never blocks: what may be queued is bounded by the calls that may be out.
+func (c *leafConn) send(f *frame) {
+	c.mu.Lock()
+	c.queue = append(c.queue, f)
+	c.mu.Unlock()
+	c.rouse()
+}
+
+// probe sends a probe, for load where reports come no other way.
+func (l *leaf) probe(o *owner) {
+	p := &probe{leaf: l}
+	if p.conn = l.connFor(o, ""); p.conn == nil {
+		o.later = append(o.later, func(o *owner) { o.probed(p, choice.NoConnection, nil) })
+		return
+	}
+	p.conn.probes = append(p.conn.probes, p)
+	p.conn.used = o.now
+	letter := byte(codec.LetterProbe)
+	if o.cfg.Settings.Module.ProbeReports {
+		letter = codec.LetterLoad
+	}
+	p.conn.send(&frame{conn: p.conn, letter: letter})
+	o.at(o.now+tenths(p.conn.limit), func(o *owner) { o.probed(p, choice.TimedOut, nil) })
+}
+
+func (o *owner) probed(p *probe, outcome choice.Outcome, rep *choice.Report) {
+	if !p.ended {
+		p.ended = true
+		o.root.Probed(o.now, p.leaf.l, outcome, rep)
+	}
+}
+
+// tend ends connections that have been idle, before the leaf does.
+func (o *owner) tend() {
+	for _, l := range o.leaves {
+		for _, c := range append([]*leafConn(nil), l.conns...) {
+			if c.stale(o) {
+				c.close()
+			}
+		}
+	}
+	if idle := o.cfg.Settings.ConnIdle; idle > 0 {
+		o.at(o.now+tenths(max(idle/8, o.cfg.Settings.ConnectTimeout)), (*owner).tend)
+	}
+}
+
+// run is the connection's life: it dials, then writes while another goroutine reads. When both have ended the
+// owner settles what was out.
+func (c *leafConn) run(ctx context.Context, o *owner) {
+	defer c.cancel()
+	stop := context.AfterFunc(o.ctx, c.close)
+	defer stop()
+	dialer := net.Dialer{Timeout: c.limit}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		o.post(o.ctx, func(o *owner) { c.down(o, err) })
+		return
+	}
+	c.mu.Lock()
+	c.conn = conn
+	c.mu.Unlock()
+	read := make(chan error, 1)
+	go func() {
+		err := c.read(o, conn)
+		read <- err
+		c.close()
+	}()
+	c.write(conn)
+	conn.Close()
+	err = <-read
+	o.post(o.ctx, func(o *owner) { c.down(o, err) })
+}
+
+// write writes frames until the connection ends. A frame counts as written once the connection has taken its
+// last byte.
+func (c *leafConn) write(conn net.Conn) {
+	w := codec.NewWriter(conn, leafRing)
+	var given []*frame
+	for {
+		c.mu.Lock()
+		ended := c.over
+		var f *frame
+		if len(c.queue) > 0 {
+			f, c.queue = c.queue[0], c.queue[1:]
+			if f.stage == dropped {
+				c.mu.Unlock()
+				continue
+			}
+			f.stage = inRing
+		}
+		c.mu.Unlock()
+		if ended {
+			return
+		}
+		var err error
+		if f != nil {
+			if f.letter != 0 {
+				err = codec.WriteFrame(w, f.letter, f.rest)
+			} else {
+				err = codec.WriteCall(w, f.parts)
+			}
+			if err == nil { // after an error its last byte was never given
+				f.end = w.Given
+				given = append(given, f)
+			}
+		} else {
+			err = w.Flush()
+		}
+		c.mu.Lock()
+		for len(given) > 0 && given[0].end <= w.Taken {
+			given[0].stage = written
+			given = given[1:]
+		}
+		c.mu.Unlock()
+		if err != nil {
+			return
+		}
+		if f == nil {
+			<-c.wake
+		}
+	}
+}
+
+var errUnasked = errors.New("an answer came for a part that was not asked for here")
+
+// read reads answers until the connection ends, and says why it did.
+func (c *leafConn) read(o *owner, conn net.Conn) error {
+	ring := codec.NewRing(leafRing)
+	frames := codec.FrameReader{Most: codec.MostFrame}
+	for {
+		if _, err := ring.Fill(conn); err != nil {
+			return err
+		}
+		for {
+			f, whole, err := frames.Next(ring)
+			if err != nil {
+				return err
+			}
+			if !whole {
+				break
+			}
+			switch f.Letter {
+			case codec.LetterAnswer:
+				a, err := codec.ParseAnswer(f.Rest)
+				if err != nil {
+					return err
+				}
+				o.post(o.ctx, func(o *owner) { c.answered(o, a) })
+			case codec.LetterProbe, codec.LetterLoad:
+				outcome, rep, err := codec.ParseProbe(f.Rest)
+				if err != nil {
+					return err
+				}
+				o.post(o.ctx, func(o *owner) { c.probeAnswered(o, outcome, rep) })
+			case codec.LetterBroken:
+				return errors.New("the leaf could not use a frame: " + string(f.Rest))
+			default:
+				return errors.New("a frame has an unknown letter")
+			}
+		}
+	}
+}
+
+// answered takes an answer. One that comes for a call given up touches nothing.
+func (c *leafConn) answered(o *owner, a codec.Answer) {
+	c.heard, c.used = o.now, o.now
+	if k := c.calls[a.ID]; k != nil {
+		o.end(k, a.Outcome, a.Report, a.Value)
+		return
+	}
+	for i, g := range c.ghosts {
+		if g == a.ID {
+			c.ghosts = append(c.ghosts[:i], c.ghosts[i+1:]...)
+			return
+		}
+	}
+	if !c.forgot {
+		c.fault(o, errUnasked)
+	}
+}
+
+func (c *leafConn) probeAnswered(o *owner, outcome choice.Outcome, rep *choice.Report) {
+	c.heard, c.used = o.now, o.now
+	if len(c.probes) == 0 {
+		c.fault(o, errUnasked)
+		return
+	}
+	p := c.probes[0]
+	c.probes = c.probes[1:]
+	o.probed(p, outcome, rep)
+}
+
+// fault ends a connection on which a leaf has said what makes no sense.
+func (c *leafConn) fault(o *owner, err error) {
+	o.log.Warn().Str("leaf", c.leaf.id).Err(err).Msg("leaf broke the protocol")
+	c.close()
+}
+
+// inOrder are the calls out, oldest first.
+func (c *leafConn) inOrder() []*call {
+	calls := slices.Collect(maps.Values(c.calls))
+	slices.SortFunc(calls, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.part.id, b.part.id))
+	})
+	return calls
+}
+
+// down settles what was out when the connection ended: what was written whole may have run, the rest has not.
+func (c *leafConn) down(o *owner, err error) {
+	o.conns--
+	for i, other := range c.leaf.conns {
+		if other == c {
+			c.leaf.conns = append(c.leaf.conns[:i:i], c.leaf.conns[i+1:]...)
+			break
+		}
+	}
+	if len(c.calls) > 0 || len(c.probes) > 0 {
+		o.log.Info().Str("leaf", c.leaf.id).Str("address", c.address).Int("calls", len(c.calls)).Err(err).
+			Msg("connection to leaf ended")
+	}
+	for _, k := range c.inOrder() {
+		outcome := choice.NoConnection
+		if k.frame.stage == written {
+			outcome = choice.Reset
+		}
+		o.end(k, outcome, nil, nil)
+	}
+	for _, p := range c.probes {
+		o.probed(p, choice.Reset, nil)
+	}
+}
--- /dev/null
+++ b/router/list.go
@@ -0,0 +1,156 @@
+package router
+
+// list.go owns the connection to discovery: it keeps one watch on the list of leaves and tells the owner what
+// that says, without delay. It must never judge what a change means.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"moleshift/choice"
+	"moleshift/codec"
+	"moleshift/config"
+)
+
+const listRing = 16 << 10
+
+type list struct {
+	cfg        *config.Config
+	owner      *owner
+	log        zerolog.Logger
+	generation int64
+	asked      chan struct{} // the module asks for a watch
+}
+
+func newList(cfg *config.Config, o *owner, log zerolog.Logger) *list {
+	return &list{cfg: cfg, owner: o, log: log, generation: cfg.Known.Generation, asked: make(chan struct{}, 1)}
+}
+
+// ask has a watch opened, if there is none.
+func (l *list) ask() {
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
+// again; else a watch that broke is opened anew, ever later while that fails.
+func (l *list) run(ctx context.Context) error {
+	pause := l.cfg.Settings.ConnectTimeout
+	for ctx.Err() == nil {
+		if l.cfg.Settings.Module.AskForList {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-l.asked:
+			}
+		}
+		told, err := l.watch(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		l.log.Warn().Err(err).Int64("generation", l.generation).Msg("watch on the list ended")
+		if l.cfg.Settings.Module.AskForList {
+			l.owner.post(ctx, func(o *owner) { o.root.ListFailed(o.now) })
+			continue
+		}
+		if pause = min(2*pause, l.cfg.Silence); told {
+			pause = l.cfg.Settings.ConnectTimeout
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+var (
+	errSilent = errors.New("the watch fell silent")
+	errOrder  = errors.New("the watch went back")
+	errLong   = errors.New("a line is too long")
+	errEnded  = errors.New("the watch ended")
+)
+
+// watch follows the list until the watch ends, and tells whether anything came.
+func (l *list) watch(ctx context.Context) (told bool, err error) {
+	conn, err := (&net.Dialer{Timeout: l.cfg.Settings.ConnectTimeout}).DialContext(ctx, "tcp", l.cfg.Discovery)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(l.cfg.Silence))
+	target := fmt.Sprintf("/v1/servers?follow=1&since=%d", l.generation)
+	if _, err := conn.Write(codec.AppendGet(nil, l.cfg.Discovery, target)); err != nil {
+		return false, err
+	}
+	ring, parser := codec.NewRing(listRing), codec.Parser{Responses: true}
+	var line []byte
+	for {
+		step, piece, err := parser.Next(ring)
+		if err != nil {
+			return told, err
+		}
+		switch step {
+		case codec.More:
+			if _, err := ring.Fill(conn); err != nil {
+				var late net.Error
+				if errors.As(err, &late) && late.Timeout() {
+					err = errSilent
+				}
+				return told, err
+			}
+			conn.SetDeadline(time.Now().Add(l.cfg.Silence))
+		case codec.Begun:
+			if parser.Head.Status != http.StatusOK {
+				return told, fmt.Errorf("discovery answers %d", parser.Head.Status)
+			}
+		case codec.Data:
+			for _, b := range piece {
+				if b != '\n' {
+					if line = append(line, b); len(line) > l.cfg.MostLine {
+						return told, errLong
+					}
+					continue
+				}
+				if err := l.line(ctx, line); err != nil {
+					return told, err
+				}
+				line, told = line[:0], true
+			}
+		case codec.Ended:
+			return told, errEnded
+		}
+	}
+}
+
+// line takes one line of the watch. Empty ones only show that it is alive.
+func (l *list) line(ctx context.Context, line []byte) error {
+	if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+		return nil
+	}
+	news, err := config.DecodeList(line)
+	if err != nil {
+		return err
+	}
+	if news.Generation < l.generation && !news.Whole {
+		return errOrder
+	}
+	l.generation = news.Generation
+	l.owner.post(ctx, func(o *owner) {
+		o.log.Info().Int64("generation", news.Generation).Bool("whole", news.Whole).Int("entries", len(news.Servers)).
+			Msg("list")
+		o.news(news, false)
+	})
+	return nil
+}
+
+var _ choice.Port = (*owner)(nil)
--- /dev/null
+++ b/router/owner.go
@@ -0,0 +1,363 @@
+package router
+
+// owner.go owns the module and all that is kept beside it: queries, parts, calls and their times. One
+// goroutine runs it; socket code reaches it through the queue alone. It must never wait for a socket, and
+// must never hand the module anything but from within a turn.
+
+import (
+	"container/heap"
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"moleshift/choice"
+	"moleshift/codec"
+	"moleshift/config"
+)
+
+// event is something that the owner is told.
+type event func(*owner)
+
+const queueLength = 1024 // events; who has more to tell waits
+
+type owner struct {
+	cfg   *config.Config
+	clk   clock
+	phase *life
+	log   zerolog.Logger
+	group *errgroup.Group
+	ctx   context.Context // of the program: sockets end with it
+	stop  func()
+	queue chan event
+	door  *door
+	list  *list
+
+	root    *choice.Root
+	now     choice.Time // of this turn
+	wake    choice.Time // that the module asked for
+	dues    dues
+	later   []event // for the next turn
+	queries map[string]*query
+	ids     map[*choice.Query]*query
+	parts   map[*choice.Part]*part
+	calls   map[*choice.LeafCall]*call
+	leaves  map[string]*leaf
+	doors   map[*choice.Leaf]*leaf
+	sending []*leaf // have calls that this turn has made
+	open    int     // queries and parts held
+	conns   int     // connections to leaves
+
+	keepUntil choice.Time // once draining: connections of clients are kept until then
+}
+
+// query is one query that was taken and has had no final answer.
+type query struct {
+	id     string
+	q      *choice.Query
+	text   []byte
+	parts  []*part
+	client *client
+}
+
+type part struct {
+	id    string
+	shard int
+	p     *choice.Part
+	query *query
+	in    bool
+	value []byte
+	over  bool // its query has ended
+}
+
+// call is one leaf call, until its outcome has been told.
+type call struct {
+	c     *choice.LeafCall
+	part  *part
+	leaf  *leaf
+	sent  choice.Time
+	until choice.Time
+	frame *frame // nil until the turn's end
+	ended bool
+}
+
+// due is something to be done at a time.
+type due struct {
+	at choice.Time
+	do event
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := (*d)[len(*d)-1]
+	(*d)[len(*d)-1] = due{}
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+func newOwner(ctx context.Context, cfg *config.Config, clk clock, phase *life, log zerolog.Logger, group *errgroup.Group,
+	stop func()) *owner {
+	o := &owner{cfg: cfg, clk: clk, phase: phase, log: log, group: group, ctx: ctx, stop: stop,
+		queue: make(chan event, queueLength), now: clk.now(), queries: map[string]*query{},
+		ids: map[*choice.Query]*query{}, parts: map[*choice.Part]*part{}, calls: map[*choice.LeafCall]*call{},
+		leaves: map[string]*leaf{}, doors: map[*choice.Leaf]*leaf{}}
+	o.list = newList(cfg, o, log)
+	o.root = choice.NewRoot(cfg.Settings.Module, o, o.now)
+	o.news(cfg.Known, true)
+	o.tend()
+	return o
+}
+
+// post tells the owner something. It waits while the queue is full, so only socket code may call it.
+func (o *owner) post(ctx context.Context, e event) {
+	select {
+	case o.queue <- e:
+	case <-ctx.Done():
+	}
+}
+
+// at has something done at a time.
+func (o *owner) at(t choice.Time, do event) { heap.Push(&o.dues, due{t, do}) }
+
+// run takes turns until the program ends.
+func (o *owner) run(ctx context.Context) error {
+	o.phase.move(Serving)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var told []event
+	for {
+		if len(o.later) > 0 {
+			timer.Reset(0)
+		} else {
+			timer.Reset(max(o.clk.until(o.next()), 0))
+		}
+		told = told[:0]
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-o.queue:
+			told = append(told, e)
+		case <-timer.C:
+			// What sockets hold by now is read first: an answer that has come is an answer.
+			runtime.Gosched()
+		}
+		for range len(o.queue) {
+			told = append(told, <-o.queue)
+		}
+		o.turn(told)
+		if o.phase.now() == Closing && len(o.queries) == 0 && o.door.empty() {
+			o.stop()
+			return nil
+		}
+	}
+}
+
+// next is when something is due.
+func (o *owner) next() choice.Time {
+	if len(o.dues) > 0 {
+		return min(o.wake, o.dues[0].at)
+	}
+	return o.wake
+}
+
+// turn takes all that was told, at one reading of the clock: what came first, then what became due, then
+// out goes what the module said.
+func (o *owner) turn(told []event) {
+	o.now = max(o.clk.now(), o.now)
+	later := o.later
+	o.later = nil
+	for _, e := range told {
+		e(o)
+	}
+	for _, e := range later {
+		e(o)
+	}
+	for len(o.dues) > 0 && o.dues[0].at <= o.now {
+		heap.Pop(&o.dues).(due).do(o)
+	}
+	if o.wake <= o.now {
+		o.root.Awake(o.now)
+	}
+	for _, l := range o.sending {
+		l.flush(o)
+	}
+	o.sending = o.sending[:0]
+}
+
+// take takes a query that a client has sent.
+func (o *owner) take(a *asked) {
+	if o.queries[a.id] != nil {
+		a.client.answer(reply{status: refusedStatus})
+		return
+	}
+	most := o.cfg.Settings.OpenCap
+	if most > 0 && o.open+1+len(a.body.Parts) > most {
+		a.client.answer(reply{status: refusedStatus})
+		return
+	}
+	q := &query{id: a.id, text: a.body.Text, client: a.client,
+		q: &choice.Query{Deadline: a.deadline, Vertical: a.vertical, Tenant: a.tenant}}
+	var parts []*choice.Part
+	for _, p := range a.body.Parts {
+		cp := &choice.Part{Shard: p.Shard, Weight: p.Weight, Hint: p.Hint / 1000}
+		held := &part{id: a.id + "." + shardName(p.Shard), shard: p.Shard, p: cp, query: q}
+		q.parts, parts = append(q.parts, held), append(parts, cp)
+		o.parts[cp] = held
+	}
+	o.queries[q.id], o.ids[q.q] = q, q
+	a.client.query = q
+	o.open += 1 + len(q.parts)
+	o.root.Take(o.now, q.q, parts)
+}
+
+// leave: a client has closed its connection.
+func (o *owner) leave(c *client) {
+	if q := c.query; q != nil {
+		o.root.Leave(o.now, q.q)
+		o.release(q)
+	}
+}
+
+// release lets a query go. Calls of its parts that are still out go on by themselves.
+func (o *owner) release(q *query) {
+	if o.queries[q.id] != q {
+		return
+	}
+	delete(o.queries, q.id)
+	delete(o.ids, q.q)
+	for _, p := range q.parts {
+		p.over, p.value = true, nil
+		delete(o.parts, p.p)
+	}
+	o.open -= 1 + len(q.parts)
+	q.client.query = nil
+}
+
+// end tells the outcome of a call, once.
+func (o *owner) end(c *call, outcome choice.Outcome, rep *choice.Report, value []byte) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	delete(o.calls, c.c)
+	if c.frame != nil {
+		c.frame.conn.ended(o, c)
+	}
+	p := c.part
+	if outcome == choice.OK && !p.over && !p.in {
+		p.in, p.value = true, value
+	}
+	o.log.Debug().Str("part", p.id).Str("leaf", c.leaf.id).Int("outcome", int(outcome)).
+		Int64("tenths", int64(o.now-c.sent)).Msg("call ended")
+	o.root.Outcome(o.now, c.c, outcome, o.now-c.sent, p.in || p.over, rep)
+}
+
+// expire: nobody waits for a call any longer.
+func (o *owner) expire(c *call) {
+	if c.ended {
+		return
+	}
+	outcome := choice.TimedOut
+	if c.frame != nil {
+		outcome = c.frame.conn.giveUp(o, c, outcome)
+	}
+	o.end(c, outcome, nil, nil)
+}
+
+// What follows is the root's port.
+
+// Call starts a leaf call. It goes out at the end of the turn, with the others to that leaf.
+func (o *owner) Call(c *choice.LeafCall, timeout choice.Time) {
+	p, l := o.parts[c.Part], o.doors[c.Leaf]
+	k := &call{c: c, part: p, leaf: l, sent: o.now}
+	o.calls[c] = k
+	if p == nil { // over
+		k.part = &part{over: true}
+		o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+		return
+	}
+	k.until = p.query.q.Deadline
+	if timeout != 0 {
+		k.until = min(k.until, o.now+timeout)
+	}
+	if k.until <= o.now {
+		o.later = append(o.later, func(o *owner) { o.end(k, choice.TimedOut, nil, nil) })
+		return
+	}
+	o.at(k.until, func(o *owner) { o.expire(k) })
+	if len(l.sends) == 0 {
+		o.sending = append(o.sending, l)
+	}
+	l.sends = append(l.sends, k)
+}
+
+// Cancel gives a call up. Its outcome comes in the next turn, unless another is already on its way.
+func (o *owner) Cancel(c *choice.LeafCall) {
+	k := o.calls[c]
+	if k == nil {
+		return
+	}
+	o.later = append(o.later, func(o *owner) {
+		if !k.ended {
+			if k.frame != nil {
+				k.frame.conn.giveUp(o, k, choice.Cancelled)
+			}
+			o.end(k, choice.Cancelled, nil, nil)
+		}
+	})
+}
+
+// Merge answers with the parts that are in.
+func (o *owner) Merge(q *choice.Query, whole bool) {
+	held := o.ids[q]
+	var rows []codec.Row
+	for _, p := range held.parts {
+		if p.in {
+			rows = append(rows, codec.Row{Shard: p.shard, Value: p.value})
+		}
+	}
+	o.final(held, reply{status: servedStatus, whole: whole, rows: rows})
+}
+
+// Reject turns the query away.
+func (o *owner) Reject(q *choice.Query, holdOff choice.Time) {
+	o.final(o.ids[q], reply{status: refusedStatus, holdOff: duration(holdOff)})
+}
+
+// Abort gives the query up.
+func (o *owner) Abort(q *choice.Query) { o.final(o.ids[q], reply{status: failedStatus}) }
+
+func (o *owner) final(q *query, r reply) {
+	r.closes = o.phase.now() > Serving && o.now >= o.keepUntil
+	q.client.answer(r)
+	o.release(q)
+}
+
+// Probe probes a leaf.
+func (o *owner) Probe(l *choice.Leaf) { o.doors[l].probe(o) }
+
+// Watch asks for the list and its changes.
+func (o *owner) Watch() { o.list.ask() }
+
+// Wake asks for a call of Awake; the latest request stands.
+func (o *owner) Wake(at choice.Time) { o.wake = at }
+
+// drain begins the end: what comes within the stated time is still taken.
+func (o *owner) drain() {
+	if o.phase.now() != Serving {
+		return
+	}
+	o.phase.move(Draining)
+	o.keepUntil = o.now + tenths(o.cfg.KeepFor)
+	o.at(o.now+tenths(o.cfg.DrainFor), func(o *owner) {
+		o.phase.move(Closing)
+		o.door.close()
+	})
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,122 @@
+// Package router is the program round the decision module: it takes queries from clients, carries out on
+// sockets what package choice says, and tells it what came of that. It decides nothing: no choice among
+// leaves, no time-out and no answer is made up here.
+//
+// router.go owns the start and the end of the program: the clock, the phases, the goroutines and the signals.
+// It must never touch a query, a leaf or the module.
+package router
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"moleshift/choice"
+	"moleshift/config"
+)
+
+// Phase is where the program stands between its start and its exit.
+type Phase int32
+
+const (
+	Starting Phase = iota // nothing is taken yet
+	Serving
+	Draining // told to end: what still comes is taken and answered
+	Closing  // nothing more is taken; what is open is answered, then all connections end
+	Stopped
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining", "closing", "stopped"}[p]
+}
+
+// life holds the program's phase. The owner moves it on; everybody may look.
+type life struct {
+	phase atomic.Int32
+	log   zerolog.Logger
+}
+
+func (l *life) now() Phase { return Phase(l.phase.Load()) }
+
+// move is the one way from phase to phase; there is no way back.
+func (l *life) move(to Phase) {
+	if from := l.now(); to > from {
+		l.phase.Store(int32(to))
+		l.log.Info().Stringer("from", from).Stringer("to", to).Msg("phase")
+	}
+}
+
+// clock reads times in tenths of a millisecond of Unix time that only move forward.
+type clock struct{ base time.Time }
+
+func (c clock) at(t time.Time) choice.Time {
+	since := c.base.UnixMicro() + t.Sub(c.base).Microseconds()
+	return choice.Time((since + 99) / 100)
+}
+
+func (c clock) now() choice.Time { return c.at(time.Now()) }
+
+// until is how long it is from now to a time.
+func (c clock) until(t choice.Time) time.Duration {
+	since := c.base.UnixMicro() + time.Since(c.base).Microseconds()
+	return time.Duration(int64(t)*100-since) * time.Microsecond
+}
+
+func duration(t choice.Time) time.Duration { return time.Duration(t) * (time.Millisecond / 10) }
+
+func tenths(d time.Duration) choice.Time { return choice.Time(d / (time.Millisecond / 10)) }
+
+// Run serves until it has drained after the first signal, or ends at once on the second.
+func Run(ctx context.Context, cfg *config.Config, signals <-chan os.Signal, log zerolog.Logger) error {
+	limit(cfg.Limits)
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer listener.Close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	clk := clock{time.Now()}
+	phase := &life{log: log}
+	o := newOwner(ctx, cfg, clk, phase, log, group, stop)
+	door := newDoor(cfg, o, listener, log)
+	o.door = door
+	group.Go(func() error { return o.run(ctx) })
+	group.Go(func() error { return o.list.run(ctx) })
+	group.Go(func() error { return door.run(ctx) })
+	group.Go(func() error {
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return nil
+			case s := <-signals:
+				if n > 0 {
+					return fmt.Errorf("ended at once by a second signal: %v", s)
+				}
+				log.Info().Stringer("signal", s).Msg("told to end")
+				o.post(ctx, (*owner).drain)
+			}
+		}
+	})
+	log.Info().Str("name", cfg.Name).Str("listen", listener.Addr().String()).Int("leaves", len(cfg.Known.Servers)).
+		Msg("up")
+	err = group.Wait()
+	phase.move(Stopped)
+	return err
+}
+
+// limit keeps the process within what the machine gives: the collector works harder near the memory limit.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 4 * 3)
+}
