--- a/config/config.go
+++ b/config/config.go
@@ -24,8 +24,8 @@
 	leastSockets   = 32
 	leastMemory    = 16
 
-	silence  = 7 * time.Second        // of a watch, after which it is taken for dead: three empty lines
-	mostLine = 4 << 20                // bytes of one line of a watch
+	silence  = 7 * time.Second // of a watch, after which it is taken for dead: three empty lines
+	mostLine = 4 << 20         // bytes of one line of a watch
 
 	drainFor = 700 * time.Millisecond // after SIGTERM, for which requests that come are still taken
 	keepFor  = 400 * time.Millisecond // of that, for which the front may still hand out new connections
