--- a/config/config.go
+++ b/config/config.go
@@ -24,8 +24,9 @@
 	leastSockets   = 32
 	leastMemory    = 16
 
-	silence  = 7 * time.Second // of a watch, after which it is taken for dead: three empty lines
-	mostLine = 4 << 20         // bytes of one line of a watch
+	silence   = 7 * time.Second // of a watch, after which it is taken for dead: three empty lines
+	mostCells = 1 << 20
+	mostLine  = 4 << 20 // bytes of one line of a watch
 
 	drainFor = 700 * time.Millisecond // after SIGTERM, for which requests that come are still taken
 	keepFor  = 400 * time.Millisecond // of that, for which the front may still hand out new connections
@@ -78,42 +79,32 @@
 	"in_service": choice.Ready, "terminating": choice.Draining, "terminated": choice.Gone,
 }
 
-// Condition tells what the entry says of its leaf; false where it is a word that nobody knows.
-func (s *Server) Condition() (choice.Condition, bool) {
-	c, known := conditions[s.Lifecycle]
-	return c, known
+// Condition tells what the entry says of its leaf. By a word that nobody knows it is not in service.
+func (s *Server) Condition() choice.Condition {
+	if c, known := conditions[s.Lifecycle]; known {
+		return c
+	}
+	return choice.Draining
 }
 
-// DecodeList reads one list of leaves and checks its entries.
-func DecodeList(text []byte) (List, error) {
-	var l List
+// DecodeList reads one list of leaves. Entries that nobody could act on are left out and told of, as the
+// others must not be missed for their sake.
+func DecodeList(text []byte) (l List, left []error, err error) {
 	if err := json.Unmarshal(text, &l); err != nil {
-		return List{}, jsonFault(err)
-	}
-	for i := range l.Servers {
-		if err := l.Servers[i].check(); err != nil {
-			return List{}, fmt.Errorf("instances[%d].%w", i, err)
+		return List{}, nil, jsonFault(err)
+	}
+	kept := l.Servers[:0]
+	for i, s := range l.Servers {
+		if s.ID == "" {
+			left = append(left, fmt.Errorf("instances[%d].instanceId: missing", i))
+		} else if s.Cell < 0 || s.Cell > mostCells {
+			left = append(left, fmt.Errorf("instances[%d].cell: %d is out of range", i, s.Cell))
+		} else {
+			kept = append(kept, s)
 		}
 	}
-	return l, nil
-}
-
-func (s *Server) check() error {
-	condition, known := s.Condition()
-	switch {
-	case s.ID == "":
-		return errors.New("instanceId: missing")
-	case !known:
-		return fmt.Errorf("lifecycle: %q is unknown", s.Lifecycle)
-	case s.Cell < 0 || s.Cell > 1<<20:
-		return fmt.Errorf("cell: %d is out of range", s.Cell)
-	case s.StartedMS < 0:
-		return errors.New("startedAtMs: is negative")
-	}
-	if _, err := netip.ParseAddrPort(s.Address); err != nil && condition != choice.Gone {
-		return fmt.Errorf("hostPort: %q is no address and port", s.Address)
-	}
-	return nil
+	l.Servers = kept
+	return l, left, nil
 }
 
 // Load reads the file that EDGE_CONFIG names. The other variables stand in for keys that it lacks.
@@ -170,7 +161,11 @@
 	}
 	var err error
 	if len(w.Known) > 0 {
-		if c.Known, err = DecodeList(w.Known); err != nil {
+		var left []error
+		if c.Known, left, err = DecodeList(w.Known); err == nil && len(left) > 0 {
+			err = left[0]
+		}
+		if err != nil {
 			return nil, fmt.Errorf("known.%w", err)
 		}
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -172,7 +172,11 @@
 func jsonFault(err error) error {
 	var wrong *json.UnmarshalTypeError
 	if errors.As(err, &wrong) && wrong.Field != "" {
-		return fmt.Errorf("%s: a %s does not fit", strings.ToLower(wrong.Field), wrong.Value)
+		keys := strings.Split(wrong.Field, ".") // a field without a tag is named as in the struct
+		for i, k := range keys {
+			keys[i] = strings.ToLower(k[:1]) + k[1:]
+		}
+		return fmt.Errorf("%s: value of a wrong type: %s", strings.Join(keys, "."), wrong.Value)
 	}
 	return err
 }
--- a/router/clients.go
+++ b/router/clients.go
@@ -68,7 +68,7 @@
 
 	mu     sync.Mutex
 	conns  map[*client]struct{}
-	freed  chan struct{} // one connection has ended
+	freed  chan struct{} // a connection has ended or become idle
 	closed bool
 }
 
@@ -97,9 +97,6 @@
 		}
 	})()
 	for {
-		if !d.room(ctx) {
-			return nil
-		}
 		conn, err := d.listener.Accept()
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
@@ -112,34 +109,38 @@
 			}
 			continue
 		}
-		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing), since: time.Now(),
+		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
 			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
+		c.idleAt.Store(int64(d.owner.clk.now()))
 		d.mu.Lock()
 		d.conns[c] = struct{}{}
 		d.mu.Unlock()
 		d.owner.group.Go(func() error { c.read(ctx); return nil })
 		d.owner.group.Go(func() error { c.write(); return nil })
+		if !d.makeRoom(ctx, c) {
+			return nil
+		}
 	}
 }
 
-// room waits until one more connection may be held. An idle one makes way: the one idle for longest.
-func (d *door) room(ctx context.Context) bool {
-	for {
+// makeRoom waits until no more connections are held than may be. The one that has been idle for longest makes
+// way, but not the newest, whose request is on its way.
+func (d *door) makeRoom(ctx context.Context, newest *client) bool {
+	for ctx.Err() == nil {
 		d.mu.Lock()
 		n, closed := len(d.conns), d.closed
 		var oldest *client
-		if n >= d.most {
-			for c := range d.conns {
-				if standing(c.state.Load()) == idle && (oldest == nil || c.idleSince() < oldest.idleSince()) {
-					oldest = c
-				}
+		for c := range d.conns {
+			if n > d.most && c != newest && standing(c.state.Load()) == idle &&
+				(oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
+				oldest = c
 			}
 		}
 		d.mu.Unlock()
-		if closed || ctx.Err() != nil {
+		if closed {
 			return false
 		}
-		if n < d.most {
+		if n <= d.most {
 			return true
 		}
 		if oldest != nil {
@@ -147,10 +148,18 @@
 		}
 		select {
 		case <-ctx.Done():
-			return false
 		case <-d.freed:
 		}
 	}
+	return false
+}
+
+// roomier tells that a connection has ended or become idle.
+func (d *door) roomier() {
+	select {
+	case d.freed <- struct{}{}:
+	default:
+	}
 }
 
 // close stops taking connections and ends those that are idle; the others end with their next answer.
@@ -180,10 +189,7 @@
 	d.mu.Lock()
 	delete(d.conns, c)
 	d.mu.Unlock()
-	select {
-	case d.freed <- struct{}{}:
-	default:
-	}
+	d.roomier()
 	d.owner.post(ctx, func(o *owner) { o.leave(c) })
 }
 
@@ -209,7 +215,6 @@
 	wake    chan struct{}
 	behind  atomic.Bool // bytes that came before the answer was out wait in the ring
 	idleAt  atomic.Int64
-	since   time.Time
 	query   *query // the owner's
 
 	began time.Time // the request's first byte
@@ -217,8 +222,6 @@
 	bad   error // why the request can't be taken, once its framing is sure
 }
 
-func (c *client) idleSince() int64 { return c.idleAt.Load() }
-
 // turnTo changes where the connection stands, if it stood where it was thought to.
 func (c *client) turnTo(from, to standing) bool {
 	return c.state.CompareAndSwap(int32(from), int32(to))
@@ -428,7 +431,8 @@
 	}
 	if c.bad != nil {
 		c.door.log.Debug().Err(c.bad).Str("target", c.parser.Head.Target).Msg("malformed request")
-		c.answer(reply{status: statusOf(c.bad), text: c.bad.Error(), closes: c.closes()})
+		status := statusOf(c.bad) // without a length nobody knows where the next request begins
+		c.answer(reply{status: status, text: c.bad.Error(), closes: c.closes() || status == http.StatusLengthRequired})
 		return true
 	}
 	a, err := c.head()
@@ -485,7 +489,7 @@
 			if w.Flush() != nil || closes {
 				return
 			}
-			c.idleAt.Store(int64(time.Since(c.door.owner.clk.base)))
+			c.idleAt.Store(int64(c.door.owner.clk.now()))
 			if !c.turnTo(waiting, idle) {
 				return
 			}
@@ -493,6 +497,7 @@
 				c.conn.SetReadDeadline(time.Now())
 				c.rouse()
 			}
+			c.door.roomier()
 			if c.door.closing() {
 				c.closeIdle()
 			}
--- /dev/null
+++ b/router/helpers_test.go
@@ -0,0 +1,350 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"moleshift/choice"
+	"moleshift/config"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+const settings = `{"tick":5,"zones":["a"],"caps":{"cancel":true,"connect_timeout":250,"conn_idle":30000,"open_cap":40,
+"max_streams":100,"max_attempts":2,"second_copies":true,"retry_after":true,"max_retry_after":1000},
+"classes":[{"name":"search","aim":1000,"deadline":2500,"effect":"repeatable","worth":1,"late_worth":0.1},
+{"name":"file","aim":1000,"deadline":2500,"effect":"once","worth":1}],
+"family_info":{"sets":1,"slices":4,"span":1,"batch":16},"tenants":[{"name":"acme"}]}`
+
+// stage plays a router among stand-ins, on connections without sockets and on a clock of its own, and prints
+// what they see. Lines of one moment are sorted, as goroutines run in any order.
+type stage struct {
+	t       *testing.T
+	cfg     *config.Config
+	start   time.Time
+	mu      sync.Mutex
+	out     []string
+	sorted  int
+	places  map[string]func(net.Conn) error // who is at an address; an error refuses the connection
+	doorway chan net.Conn
+	shut    chan struct{}
+	once    sync.Once
+	signals chan os.Signal
+	ended   chan error
+	feed    chan string // lines of the watch
+	tags    int
+	owner   *owner
+	told    bool // to end, by the scene
+	muted   bool
+}
+
+// play runs a scene and compares what was seen with what is kept.
+func play(t *testing.T, name string, leaves int, change func(*config.Config), scene func(*stage)) {
+	t.Helper()
+	var out string
+	synctest.Test(t, func(t *testing.T) {
+		set, err := config.DecodeSettings(1, []byte(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		st := &stage{t: t, start: time.Now(), places: map[string]func(net.Conn) error{}, doorway: make(chan net.Conn),
+			shut: make(chan struct{}), signals: make(chan os.Signal, 2), ended: make(chan error, 1),
+			feed: make(chan string)}
+		st.cfg = &config.Config{Name: "n", Listen: "door", Discovery: "list", Settings: set, Silence: 7 * time.Second,
+			MostLine: 1000, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
+			DrainFor: 700 * time.Millisecond, KeepFor: 400 * time.Millisecond}
+		st.cfg.Known = config.List{Generation: 1, Whole: true}
+		for i := range leaves {
+			st.cfg.Known.Servers = append(st.cfg.Known.Servers, server(string(rune('A'+i)), "in_service", 0))
+		}
+		st.places["list"] = st.discovery
+		if change != nil {
+			change(st.cfg)
+		}
+		scene(st)
+		if st.step(); !st.told {
+			st.muted = true
+			st.signals <- syscall.SIGTERM
+		}
+		err = <-st.ended
+		st.say("ended: %v", err)
+		st.step()
+		out = strings.Join(st.out, "\n") + "\n"
+	})
+	path := "testdata/" + name + ".txt"
+	if *update {
+		if err := os.WriteFile(path, []byte(out), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(out, "\n")); d != "" {
+		t.Errorf("%s (-want +got):\n%s", path, d)
+	}
+}
+
+func server(name, lifecycle string, started float64) config.Server {
+	return config.Server{ID: name, Address: at(name), Zone: "a", Lifecycle: lifecycle, StartedMS: started}
+}
+
+// at is the address of the leaf of a name.
+func at(name string) string { return "leaf-" + name }
+
+// serve starts the router.
+func (st *stage) serve() {
+	log := zerolog.New(st).Level(zerolog.DebugLevel)
+	p := newProgram(context.Background(), st.cfg, st, st.dial, log)
+	st.owner = p.owner
+	go func() { st.ended <- p.run(st.signals) }()
+	st.step()
+}
+
+func (st *stage) say(format string, args ...any) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.muted {
+		return
+	}
+	st.out = append(st.out, fmt.Sprintf("%7.1f  %s", float64(time.Since(st.start).Microseconds())/1000,
+		fmt.Sprintf(format, args...)))
+}
+
+// step waits until all have done what they can do now.
+func (st *stage) step() {
+	synctest.Wait()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	slices.Sort(st.out[st.sorted:])
+	st.sorted = len(st.out)
+}
+
+// pass lets time go by.
+func (st *stage) pass(ms int) {
+	st.step()
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+	st.step()
+}
+
+// Write takes the router's log.
+func (st *stage) Write(p []byte) (int, error) {
+	var line map[string]any
+	if err := json.Unmarshal(p, &line); err != nil {
+		return 0, err
+	}
+	words := fmt.Sprint("log ", line["level"], ": ", line["message"])
+	if line["level"] == "info" { // whether its reader or its writer was first to see a connection end is chance
+		delete(line, "error")
+	}
+	for _, key := range []string{"part", "leaf", "outcome", "calls", "from", "to", "entries", "generation", "error"} {
+		if v, found := line[key]; found {
+			words += fmt.Sprintf(" %s=%v", key, v)
+		}
+	}
+	if o, found := line["outcome"]; found {
+		words = strings.Replace(words, fmt.Sprintf("outcome=%v", o), outcomeNames[choice.Outcome(o.(float64))], 1)
+	}
+	st.say("%s", words)
+	return len(p), nil
+}
+
+var outcomeNames = []string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT"}
+
+// The stage is the router's listener.
+func (st *stage) Accept() (net.Conn, error) {
+	select {
+	case c := <-st.doorway:
+		return c, nil
+	case <-st.shut:
+		return nil, net.ErrClosed
+	}
+}
+func (st *stage) Close() error   { st.once.Do(func() { close(st.shut) }); return nil }
+func (st *stage) Addr() net.Addr { return &net.UnixAddr{Name: "door"} }
+
+var errRefused = errors.New("refused")
+
+// dial connects the router with who is at an address. Where nobody is, the connection never comes up.
+func (st *stage) dial(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	place := st.places[address]
+	if place == nil {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(limit):
+			return nil, errors.New("never came up")
+		}
+	}
+	here, there := net.Pipe()
+	if err := place(there); err != nil {
+		return nil, err
+	}
+	return here, nil
+}
+
+// discovery is the stand-in for the agent: it sends the lines of the feed on a watch.
+func (st *stage) discovery(conn net.Conn) error {
+	go func() {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		first, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		st.say("list: asked %s", strings.TrimSpace(first))
+		for line := first; strings.TrimSpace(line) != ""; {
+			if line, err = in.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		gone := make(chan struct{})
+		go func() { io.Copy(io.Discard, in); close(gone) }()
+		for {
+			line := ""
+			select {
+			case <-gone:
+				return
+			case line = <-st.feed:
+			case <-time.After(2 * time.Second):
+			}
+			if line == "cut" {
+				return
+			}
+			for line == "hush" {
+				<-gone
+				return
+			}
+			fmt.Fprintf(conn, "%x\r\n%s\n\r\n", len(line)+1, line)
+		}
+	}()
+	return nil
+}
+
+func (st *stage) news(generation int, whole bool, servers ...config.Server) {
+	text, _ := json.Marshal(config.List{Generation: int64(generation), Whole: whole, Servers: servers})
+	st.feed <- string(text)
+	st.step()
+}
+
+// leafAt puts a stand-in leaf in its place: it prints each frame and does with it what act says.
+func (st *stage) leafAt(name string, act func(n int, frame string, conn net.Conn)) {
+	n := 0
+	st.places[at(name)] = func(conn net.Conn) error {
+		st.say("leaf %s: connection", name)
+		go func() {
+			defer conn.Close()
+			for {
+				var head [4]byte
+				if _, err := io.ReadFull(conn, head[:]); err != nil {
+					st.say("leaf %s: connection ends", name)
+					return
+				}
+				rest := make([]byte, binary.BigEndian.Uint32(head[:]))
+				if _, err := io.ReadFull(conn, rest); err != nil {
+					return
+				}
+				st.say("leaf %s: gets %q", name, rest)
+				act(n, string(rest), conn)
+				n++
+			}
+		}()
+		return nil
+	}
+}
+
+// ids are the parts that a frame asks for.
+func ids(frame string) []string {
+	var found []string
+	for frame = frame[1:]; frame != ""; {
+		var id string
+		var shard, length int
+		line, rest, _ := strings.Cut(frame, "\n")
+		wait := ""
+		if _, err := fmt.Sscan(line, &id, &shard, &wait, &length); err != nil {
+			break
+		}
+		found, frame = append(found, id), rest[length:]
+	}
+	return found
+}
+
+func sendFrame(conn net.Conn, rest string) {
+	conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(rest))), rest...))
+}
+
+// answers serves every part at once with a value made of its id.
+func answers(_ int, frame string, conn net.Conn) {
+	switch frame[0] {
+	case 'D':
+		for _, id := range ids(frame) {
+			sendFrame(conn, "O"+id+" 200 1 latency_ms=10\nvalue of "+id)
+		}
+	case 'I', 'U':
+		sendFrame(conn, frame[:1]+"200")
+	}
+}
+
+// connect opens a client's connection; what comes back on it is printed.
+func (st *stage) connect() net.Conn {
+	here, there := net.Pipe()
+	st.tags++
+	name := fmt.Sprintf("client %d", st.tags)
+	select {
+	case st.doorway <- there:
+	case <-st.shut:
+		st.say("%s: refused", name)
+		return here
+	}
+	go func() {
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := here.Read(buf)
+			if n > 0 {
+				st.say("%s: gets %q", name, buf[:n])
+			}
+			if err != nil {
+				st.say("%s: connection ends", name)
+				return
+			}
+		}
+	}()
+	return here
+}
+
+// request is a query for some shards.
+func request(id, vertical string, ms int, shards ...int) string {
+	var parts []string
+	for _, s := range shards {
+		parts = append(parts, fmt.Sprintf(`{"id":%d,"w":%g}`, s, 1/float64(len(shards))))
+	}
+	body := fmt.Sprintf(`{"parts":[%s],"expr":"text"}`, strings.Join(parts, ","))
+	return fmt.Sprintf("POST /%s/k HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Customer: acme\r\nX-Expires-In-Ms: %d\r\n"+
+		"Content-Length: %d\r\n\r\n%s", vertical, id, ms, len(body), body)
+}
+
+// ask sends a request on a connection.
+func (st *stage) ask(conn net.Conn, raw string) {
+	io.WriteString(conn, raw)
+	st.step()
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -44,12 +45,12 @@
 			l = &leaf{id: s.ID, l: new(choice.Leaf)}
 			o.leaves[s.ID], o.doors[l.l] = l, l
 		}
-		condition, _ := s.Condition()
+		condition := s.Condition()
 		e := choice.Entry{Leaf: l.l, Zone: o.zone(s.Zone), Cell: s.Cell, Condition: condition}
 		if s.StartedMS > 0 {
 			e.Started = config.CeilTime(s.StartedMS)
 		}
-		moved := condition != choice.Gone && s.Address != l.address
+		moved := s.Address != "" && s.Address != l.address
 		for _, c := range append([]*leafConn(nil), l.conns...) {
 			switch {
 			case c.opened < e.Started && e.Started != l.started: // to a process that is no more
@@ -74,17 +75,28 @@
 		}
 	}
 	o.root.List(o.now, entries, list.Whole || cached, cached)
+	// Calls that still wait for a connection must not go out to a leaf that takes no more.
+	for _, s := range list.Servers {
+		if l := o.leaves[s.ID]; s.Condition() != choice.Ready {
+			for _, c := range l.conns {
+				for _, k := range c.inOrder() {
+					if c.withdraw(k) {
+						o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
+					}
+				}
+			}
+		}
+	}
 }
 
 // zone is a zone's number; one that the settings lack gets the next.
 func (o *owner) zone(name string) int {
-	for i, z := range o.cfg.Settings.Zones {
-		if z == name {
-			return i
-		}
+	n, known := o.zones[name]
+	if !known {
+		n = len(o.zones)
+		o.zones[name] = n
 	}
-	o.cfg.Settings.Zones = append(o.cfg.Settings.Zones, name)
-	return len(o.cfg.Settings.Zones) - 1
+	return n
 }
 
 // frame is what travels to a leaf at once: a call with its parts, or one short frame.
@@ -97,14 +109,14 @@
 	letter byte // of a short frame
 	rest   string
 
-	stage stage // under the connection's lock
-	end   int64 // bytes given to the connection with the frame's last
+	stage progress // under the connection's lock
+	end   int64    // bytes given to the connection with the frame's last
 }
 
-type stage int
+type progress int
 
 const (
-	queued stage = iota
+	queued progress = iota
 	inRing
 	written
 	dropped
@@ -127,7 +139,8 @@
 	probes  []*probe         // awaited, oldest first
 	used    choice.Time
 	heard   choice.Time
-	retired bool // takes no more calls, and ends with the last that is out
+	why     error // it was ended for
+	retired bool  // takes no more calls, and ends with the last that is out
 
 	mu    sync.Mutex
 	queue []*frame // not yet written, oldest first
@@ -153,6 +166,10 @@
 		if k.ended {
 			continue
 		}
+		if k.part.over { // its query has had its answer in this very turn
+			o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+			continue
+		}
 		if f != nil && (len(f.calls) == most || f.conn.knows(k.part.id)) {
 			f = nil
 		}
@@ -236,16 +253,20 @@
 	}
 }
 
-// giveUp stops waiting for a call, and tells the leaf so where that is allowed. If not a byte of its frame has
-// been written it is taken out, and then it is known not to have run.
-func (c *leafConn) giveUp(o *owner, k *call, outcome choice.Outcome) choice.Outcome {
+// withdraw takes a call out of its frame if not a byte of that has been written. Then it is known not to run.
+func (c *leafConn) withdraw(k *call) bool {
 	c.mu.Lock()
-	unsent := k.frame.stage == queued
-	if unsent {
+	defer c.mu.Unlock()
+	if k.frame.stage == queued {
 		k.frame.drop(k)
+		k.withdrawn = true
 	}
-	c.mu.Unlock()
-	if unsent {
+	return k.withdrawn
+}
+
+// giveUp stops waiting for a call, and tells the leaf so where that is allowed.
+func (c *leafConn) giveUp(o *owner, k *call, outcome choice.Outcome) choice.Outcome {
+	if c.withdraw(k) {
 		return choice.NoConnection
 	}
 	if c.ghosts = append(c.ghosts, k.part.id); len(c.ghosts) > mostGhosts {
@@ -256,7 +277,7 @@
 	}
 	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
 	// call finds out, by a new connection, without being lost itself.
-	if outcome == choice.TimedOut && c.heard <= k.sent && o.now-k.sent >= tenths(c.limit) {
+	if c.heard <= k.sent && o.now-k.sent >= tenths(c.limit) {
 		c.retire(o)
 	}
 	return outcome
@@ -355,8 +376,7 @@
 	defer c.cancel()
 	stop := context.AfterFunc(o.ctx, c.close)
 	defer stop()
-	dialer := net.Dialer{Timeout: c.limit}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	conn, err := o.dial(ctx, c.address, c.limit)
 	if err != nil {
 		o.post(o.ctx, func(o *owner) { c.down(o, err) })
 		return
@@ -426,7 +446,10 @@
 	}
 }
 
-var errUnasked = errors.New("an answer came for a part that was not asked for here")
+// fault is something that a leaf said and that makes no sense. The connection ends with it.
+type fault struct{ error }
+
+var errUnasked = fault{errors.New("an answer came for what was not asked for here")}
 
 // read reads answers until the connection ends, and says why it did.
 func (c *leafConn) read(o *owner, conn net.Conn) error {
@@ -439,7 +462,7 @@
 		for {
 			f, whole, err := frames.Next(ring)
 			if err != nil {
-				return err
+				return fault{err}
 			}
 			if !whole {
 				break
@@ -448,19 +471,19 @@
 			case codec.LetterAnswer:
 				a, err := codec.ParseAnswer(f.Rest)
 				if err != nil {
-					return err
+					return fault{err}
 				}
 				o.post(o.ctx, func(o *owner) { c.answered(o, a) })
 			case codec.LetterProbe, codec.LetterLoad:
 				outcome, rep, err := codec.ParseProbe(f.Rest)
 				if err != nil {
-					return err
+					return fault{err}
 				}
 				o.post(o.ctx, func(o *owner) { c.probeAnswered(o, outcome, rep) })
 			case codec.LetterBroken:
-				return errors.New("the leaf could not use a frame: " + string(f.Rest))
+				return fault{fmt.Errorf("the leaf could not use a frame: %q", f.Rest)}
 			default:
-				return errors.New("a frame has an unknown letter")
+				return fault{fmt.Errorf("a frame has the unknown letter %q", f.Letter)}
 			}
 		}
 	}
@@ -480,14 +503,16 @@
 		}
 	}
 	if !c.forgot {
-		c.fault(o, errUnasked)
+		c.why = errUnasked
+		c.close()
 	}
 }
 
 func (c *leafConn) probeAnswered(o *owner, outcome choice.Outcome, rep *choice.Report) {
 	c.heard, c.used = o.now, o.now
 	if len(c.probes) == 0 {
-		c.fault(o, errUnasked)
+		c.why = errUnasked
+		c.close()
 		return
 	}
 	p := c.probes[0]
@@ -495,12 +520,6 @@
 	o.probed(p, outcome, rep)
 }
 
-// fault ends a connection on which a leaf has said what makes no sense.
-func (c *leafConn) fault(o *owner, err error) {
-	o.log.Warn().Str("leaf", c.leaf.id).Err(err).Msg("leaf broke the protocol")
-	c.close()
-}
-
 // inOrder are the calls out, oldest first.
 func (c *leafConn) inOrder() []*call {
 	calls := slices.Collect(maps.Values(c.calls))
@@ -519,7 +538,14 @@
 			break
 		}
 	}
-	if len(c.calls) > 0 || len(c.probes) > 0 {
+	var said fault
+	if c.why != nil {
+		err = c.why
+	}
+	if errors.As(err, &said) {
+		o.log.Warn().Str("leaf", c.leaf.id).Str("address", c.address).Int("calls", len(c.calls)).Err(err).
+			Msg("leaf broke the protocol")
+	} else if len(c.calls) > 0 || len(c.probes) > 0 {
 		o.log.Info().Str("leaf", c.leaf.id).Str("address", c.address).Int("calls", len(c.calls)).Err(err).
 			Msg("connection to leaf ended")
 	}
--- a/router/list.go
+++ b/router/list.go
@@ -13,7 +13,6 @@
 
 	"github.com/rs/zerolog"
 
-	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
 )
@@ -81,7 +80,7 @@
 
 // watch follows the list until the watch ends, and tells whether anything came.
 func (l *list) watch(ctx context.Context) (told bool, err error) {
-	conn, err := (&net.Dialer{Timeout: l.cfg.Settings.ConnectTimeout}).DialContext(ctx, "tcp", l.cfg.Discovery)
+	conn, err := l.owner.dial(ctx, l.cfg.Discovery, l.cfg.Settings.ConnectTimeout)
 	if err != nil {
 		return false, err
 	}
@@ -137,10 +136,13 @@
 	if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
 		return nil
 	}
-	news, err := config.DecodeList(line)
+	news, left, err := config.DecodeList(line)
 	if err != nil {
 		return err
 	}
+	if len(left) > 0 {
+		l.log.Warn().Errs("entries", left).Msg("entries of the list left out")
+	}
 	if news.Generation < l.generation && !news.Whole {
 		return errOrder
 	}
@@ -152,5 +154,3 @@
 	})
 	return nil
 }
-
-var _ choice.Port = (*owner)(nil)
--- a/router/owner.go
+++ b/router/owner.go
@@ -7,7 +7,6 @@
 import (
 	"container/heap"
 	"context"
-	"runtime"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +25,7 @@
 type owner struct {
 	cfg   *config.Config
 	clk   clock
+	dial  dialer
 	phase *life
 	log   zerolog.Logger
 	group *errgroup.Group
@@ -46,6 +46,7 @@
 	calls   map[*choice.LeafCall]*call
 	leaves  map[string]*leaf
 	doors   map[*choice.Leaf]*leaf
+	zones   map[string]int
 	sending []*leaf // have calls that this turn has made
 	open    int     // queries and parts held
 	conns   int     // connections to leaves
@@ -69,7 +70,8 @@
 	query *query
 	in    bool
 	value []byte
-	over  bool // its query has ended
+	over  bool    // its query has ended
+	calls []*call // all that were made
 }
 
 // call is one leaf call, until its outcome has been told.
@@ -81,6 +83,8 @@
 	until choice.Time
 	frame *frame // nil until the turn's end
 	ended bool
+
+	withdrawn bool // taken back before a byte of it was written
 }
 
 // due is something to be done at a time.
@@ -102,12 +106,14 @@
 	return last
 }
 
-func newOwner(ctx context.Context, cfg *config.Config, clk clock, phase *life, log zerolog.Logger, group *errgroup.Group,
-	stop func()) *owner {
-	o := &owner{cfg: cfg, clk: clk, phase: phase, log: log, group: group, ctx: ctx, stop: stop,
+func newOwner(ctx context.Context, cfg *config.Config, dial dialer, phase *life, log zerolog.Logger,
+	group *errgroup.Group, stop func()) *owner {
+	clk := clock{time.Now()}
+	o := &owner{cfg: cfg, clk: clk, dial: dial, phase: phase, log: log, group: group, ctx: ctx, stop: stop,
 		queue: make(chan event, queueLength), now: clk.now(), queries: map[string]*query{},
 		ids: map[*choice.Query]*query{}, parts: map[*choice.Part]*part{}, calls: map[*choice.LeafCall]*call{},
-		leaves: map[string]*leaf{}, doors: map[*choice.Leaf]*leaf{}}
+		leaves: map[string]*leaf{}, doors: map[*choice.Leaf]*leaf{},
+		zones: numbers(cfg.Settings.Zones)}
 	o.list = newList(cfg, o, log)
 	o.root = choice.NewRoot(cfg.Settings.Module, o, o.now)
 	o.news(cfg.Known, true)
@@ -145,8 +151,11 @@
 		case e := <-o.queue:
 			told = append(told, e)
 		case <-timer.C:
-			// What sockets hold by now is read first: an answer that has come is an answer.
-			runtime.Gosched()
+		}
+		// A turn that is late by more than a tick comes after a pause. What sockets hold by now is then given a
+		// tick to be read, as an answer that has come is an answer, whatever has become due meanwhile.
+		if tick := o.cfg.Settings.Module.Tick; o.clk.now()-o.next() > tick {
+			told = o.gather(told, duration(tick))
 		}
 		for range len(o.queue) {
 			told = append(told, <-o.queue)
@@ -159,6 +168,20 @@
 	}
 }
 
+// gather takes what is told within a time.
+func (o *owner) gather(told []event, within time.Duration) []event {
+	end := time.NewTimer(within)
+	defer end.Stop()
+	for {
+		select {
+		case e := <-o.queue:
+			told = append(told, e)
+		case <-end.C:
+			return told
+		}
+	}
+}
+
 // next is when something is due.
 func (o *owner) next() choice.Time {
 	if len(o.dues) > 0 {
@@ -235,6 +258,11 @@
 	for _, p := range q.parts {
 		p.over, p.value = true, nil
 		delete(o.parts, p.p)
+		for _, k := range p.calls { // no part of it is sent after its answer, though it waits for a connection
+			if !k.ended && k.frame != nil && k.frame.conn.withdraw(k) {
+				o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+			}
+		}
 	}
 	o.open -= 1 + len(q.parts)
 	q.client.query = nil
@@ -283,6 +311,7 @@
 		o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
 		return
 	}
+	p.calls = append(p.calls, k)
 	k.until = p.query.q.Deadline
 	if timeout != 0 {
 		k.until = min(k.until, o.now+timeout)
@@ -336,8 +365,9 @@
 
 func (o *owner) final(q *query, r reply) {
 	r.closes = o.phase.now() > Serving && o.now >= o.keepUntil
-	q.client.answer(r)
+	client := q.client
 	o.release(q)
+	client.answer(r)
 }
 
 // Probe probes a leaf.
--- a/router/router.go
+++ b/router/router.go
@@ -75,6 +75,13 @@
 
 func tenths(d time.Duration) choice.Time { return choice.Time(d / (time.Millisecond / 10)) }
 
+// dialer opens a connection; tests put connections without sockets in its place.
+type dialer func(ctx context.Context, address string, limit time.Duration) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	return (&net.Dialer{Timeout: limit, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+}
+
 // Run serves until it has drained after the first signal, or ends at once on the second.
 func Run(ctx context.Context, cfg *config.Config, signals <-chan os.Signal, log zerolog.Logger) error {
 	limit(cfg.Limits)
@@ -82,36 +89,54 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	defer listener.Close()
+	return newProgram(ctx, cfg, listener, dialTCP, log).run(signals)
+}
+
+// program is all that runs between the start and the end.
+type program struct {
+	ctx   context.Context
+	stop  func()
+	group *errgroup.Group
+	phase *life
+	owner *owner
+	log   zerolog.Logger
+}
+
+func newProgram(ctx context.Context, cfg *config.Config, listener net.Listener, dial dialer,
+	log zerolog.Logger) *program {
 	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	clk := clock{time.Now()}
-	phase := &life{log: log}
-	o := newOwner(ctx, cfg, clk, phase, log, group, stop)
-	door := newDoor(cfg, o, listener, log)
-	o.door = door
-	group.Go(func() error { return o.run(ctx) })
-	group.Go(func() error { return o.list.run(ctx) })
-	group.Go(func() error { return door.run(ctx) })
-	group.Go(func() error {
+	p := &program{ctx: ctx, stop: stop, group: group, phase: &life{log: log}, log: log}
+	p.owner = newOwner(ctx, cfg, dial, p.phase, log, group, stop)
+	p.owner.door = newDoor(cfg, p.owner, listener, log)
+	log.Info().Str("name", cfg.Name).Str("listen", listener.Addr().String()).Int("leaves", len(cfg.Known.Servers)).
+		Msg("up")
+	return p
+}
+
+// run serves until the program has drained. Whatever part of it fails ends it whole.
+func (p *program) run(signals <-chan os.Signal) error {
+	defer p.stop()
+	for _, part := range []func(context.Context) error{p.owner.run, p.owner.list.run, p.owner.door.run} {
+		p.group.Go(func() error { return part(p.ctx) })
+	}
+	p.group.Go(func() error {
 		for n := 0; ; n++ {
 			select {
-			case <-ctx.Done():
+			case <-p.ctx.Done():
 				return nil
 			case s := <-signals:
 				if n > 0 {
 					return fmt.Errorf("ended at once by a second signal: %v", s)
 				}
-				log.Info().Stringer("signal", s).Msg("told to end")
-				o.post(ctx, (*owner).drain)
+				p.log.Info().Stringer("signal", s).Msg("told to end")
+				p.owner.post(p.ctx, (*owner).drain)
 			}
 		}
 	})
-	log.Info().Str("name", cfg.Name).Str("listen", listener.Addr().String()).Int("leaves", len(cfg.Known.Servers)).
-		Msg("up")
-	err = group.Wait()
-	phase.move(Stopped)
+	err := p.group.Wait()
+	p.owner.door.listener.Close()
+	p.phase.move(Stopped)
 	return err
 }
 
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,355 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"moleshift/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// The life of a query: parts to one leaf share a frame, the answer has each part once, the connection is kept.
+func TestLife(t *testing.T) {
+	play(t, "life", 1, nil, func(st *stage) {
+		st.leafAt("A", answers)
+		st.serve()
+		c := st.connect()
+		st.ask(c, "GET /healthz HTTP/1.1\r\n\r\n")
+		st.ask(c, request("q1", "search", 2000, 0, 3))
+		st.ask(c, request("q2", "file", 2000, 1))
+	})
+}
+
+// The outcome table, row by row. A side-effecting part is asked again only where it is known not to have run.
+func TestOutcomes(t *testing.T) {
+	rows := []struct {
+		name string
+		act  func(id string, conn net.Conn)
+	}{
+		{"served", func(id string, c net.Conn) { sendFrame(c, "O"+id+" 200 1 -\nx") }},
+		{"error", func(id string, c net.Conn) { sendFrame(c, "O"+id+" 500 1 -\n") }},
+		{"turned-away", func(id string, c net.Conn) { sendFrame(c, "O"+id+" 503 1 -\n") }},
+		{"ends-after-the-frame", func(_ string, c net.Conn) { c.Close() }},
+		{"silent", func(string, net.Conn) {}},
+		{"broken-frame", func(_ string, c net.Conn) { sendFrame(c, "Zno") }},
+		{"unknown-letter", func(_ string, c net.Conn) { sendFrame(c, "?") }},
+		{"frame-too-long", func(_ string, c net.Conn) { io.WriteString(c, "\x7f\x00\x00\x00O") }},
+		{"malformed-answer", func(id string, c net.Conn) { sendFrame(c, "O"+id+" 200\n") }},
+		{"never-asked", func(_ string, c net.Conn) { sendFrame(c, "Oother.3 200 1 -\nx") }},
+		{"cut-short", func(id string, c net.Conn) { io.WriteString(c, "\x00\x00\x00\x40O"+id+" 200 1 -\nx"); c.Close() }},
+		{"probe-never-asked", func(_ string, c net.Conn) { sendFrame(c, "I200") }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			play(t, "outcome-"+row.name, 1, nil, func(st *stage) {
+				st.leafAt("A", func(n int, frame string, conn net.Conn) {
+					if frame[0] == 'D' {
+						row.act(ids(frame)[0], conn)
+					}
+				})
+				st.serve()
+				st.ask(st.connect(), request("q1", "file", 2000, 0))
+				st.pass(2100)
+			})
+		})
+	}
+}
+
+// No connection: what was not written whole has never run, so even side-effecting parts are asked again.
+func TestNeverRan(t *testing.T) {
+	for name, place := range map[string]func(st *stage) func(net.Conn) error{
+		"refused":  func(*stage) func(net.Conn) error { return func(net.Conn) error { return errRefused } },
+		"never-up": func(*stage) func(net.Conn) error { return nil },
+		"within-the-frame": func(*stage) func(net.Conn) error {
+			return func(c net.Conn) error {
+				go func() {
+					io.ReadFull(c, make([]byte, 20))
+					c.Close()
+				}()
+				return nil
+			}
+		},
+		"not-taken": func(*stage) func(net.Conn) error { return func(net.Conn) error { return nil } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, "never-ran-"+name, 1, nil, func(st *stage) {
+				st.places[at("A")] = place(st)
+				st.serve()
+				st.ask(st.connect(), request("q1", "file", 2000, 0))
+				st.pass(2100)
+			})
+		})
+	}
+}
+
+// A late answer to a call that was given up touches nothing, not even a later call of the same part.
+func TestLateAnswer(t *testing.T) {
+	play(t, "late-answer", 1, nil, func(st *stage) {
+		var first net.Conn
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			if first == nil {
+				first = conn
+			} else if frame[0] == 'D' {
+				answers(n, frame, conn)
+			}
+		})
+		st.serve()
+		c := st.connect()
+		st.ask(c, request("q1", "search", 500, 0))
+		c.Close()
+		st.step()
+		st.ask(st.connect(), request("q1", "search", 2000, 0)) // a client may come again under the same id
+		sendFrame(first, "Oq1.0 200 1 -\nlate")
+		st.step()
+		st.ask(st.connect(), request("q2", "search", 2000, 0))
+	})
+}
+
+// A call that still waits for its connection is not sent once its query has had its answer, or once its leaf
+// takes no more.
+func TestWithdrawn(t *testing.T) {
+	for name, scene := range map[string]func(*stage){
+		"answered": func(st *stage) { st.ask(st.connect(), request("q1", "file", 100, 0)) },
+		"draining": func(st *stage) {
+			st.ask(st.connect(), request("q1", "file", 2000, 0))
+			st.news(2, false, server("A", "terminating", 0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, "withdrawn-"+name, 1, func(c *config.Config) { c.Settings.Module.MayCancel = false }, func(st *stage) {
+				st.leafAt("A", answers)
+				place := st.places[at("A")]
+				st.places[at("A")] = func(c net.Conn) error {
+					time.Sleep(200 * time.Millisecond)
+					return place(c)
+				}
+				st.serve()
+				scene(st)
+				st.pass(2100)
+			})
+		})
+	}
+}
+
+// A restarted leaf: calls on the old connections are reset, new ones go over a new connection. A leaf that
+// is gone, or has moved, keeps its connection for what is out.
+func TestRestart(t *testing.T) {
+	play(t, "restart", 1, nil, func(st *stage) {
+		quiet := true
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			if !quiet {
+				answers(n, frame, conn)
+			}
+		})
+		st.leafAt("B", answers)
+		st.serve()
+		st.ask(st.connect(), request("q1", "file", 2000, 0))
+		st.pass(10)
+		quiet = false
+		st.news(2, false, server("A", "in_service", float64(st.start.UnixMilli()+5)))
+		st.ask(st.connect(), request("q2", "search", 2000, 0))
+		st.pass(3000)
+		moved := server("A", "in_service", float64(st.start.UnixMilli()+5))
+		moved.Address = at("B")
+		st.news(3, false, moved)
+		st.ask(st.connect(), request("q3", "search", 2000, 0))
+		st.news(4, true)
+		st.ask(st.connect(), request("q4", "search", 2000, 0))
+	})
+}
+
+// What comes until well after SIGTERM is answered, on kept and on new connections; then the program ends.
+func TestDrain(t *testing.T) {
+	play(t, "drain", 1, nil, func(st *stage) {
+		var held []func()
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			held = append(held, func() { answers(n, frame, conn) })
+		})
+		st.serve()
+		busy, kept, started := st.connect(), st.connect(), st.connect()
+		st.ask(busy, request("q1", "search", 2000, 0))
+		st.ask(started, request("q2", "search", 2000, 0)[:40])
+		st.signals <- syscall.SIGTERM
+		st.told = true
+		st.pass(300)
+		st.ask(kept, "GET /healthz HTTP/1.1\r\n\r\n")
+		st.ask(kept, request("q3", "search", 2000, 0))
+		st.ask(st.connect(), request("q4", "search", 2000, 0))
+		st.pass(300)
+		for _, answer := range held[:1] {
+			answer()
+		}
+		st.pass(200)
+		st.connect()
+		st.ask(started, request("q2", "search", 2000, 0)[40:])
+		for _, answer := range held[1:] {
+			answer()
+		}
+	})
+}
+
+// A second signal ends at once, and says so.
+func TestSecondSignal(t *testing.T) {
+	play(t, "second-signal", 1, nil, func(st *stage) {
+		st.leafAt("A", func(int, string, net.Conn) {})
+		st.serve()
+		st.ask(st.connect(), request("q1", "search", 2000, 0))
+		st.signals <- syscall.SIGTERM
+		st.told = true
+		st.pass(10)
+		st.signals <- syscall.SIGTERM
+	})
+}
+
+// What clients send wrong, each on a connection of its own that is used again after it.
+func TestBadRequests(t *testing.T) {
+	good := request("q1", "search", 2000, 0)
+	play(t, "bad-requests", 1, nil, func(st *stage) {
+		st.leafAt("A", answers)
+		st.serve()
+		for _, change := range []string{
+			"POST /search/k=>GET /search/k", "POST /search/k=>POST /other/k", "POST /search/k=>GET /", "X-Trace-Id: q1=>X-No: q1",
+			"X-Trace-Id: q1=>X-Trace-Id: q 1", "X-Customer: acme=>X-Customer: nobody", "In-Ms: 2000=>In-Ms: soon",
+			`"id":0=>"id":9`, `"expr"=>"text"`, "Content-Length: =>Content-Length: 9", "Content-Length: =>Transfer-Encoding: ",
+			"HTTP/1.1=>HTTP/3", "Content-Length: 40\r\n=>", "POST /search/k HTTP/1.1\r\n=>POST /healthz HTTP/1.1\r\nExpect: 100-continue\r\n",
+		} {
+			old, new, _ := strings.Cut(change, "=>")
+			st.say("---- %q", change)
+			c := st.connect()
+			st.ask(c, strings.Replace(good, old, new, 1))
+			if !strings.HasSuffix(change, "Transfer-Encoding: ") && !strings.Contains(change, "HTTP/3") {
+				st.ask(c, request("q2", "search", 2000, 0))
+			}
+			c.Close()
+			st.step()
+		}
+	})
+}
+
+// Requests in single bytes, in chunks, back to back, twice under one id, cut off, or without an end.
+func TestOddRequests(t *testing.T) {
+	play(t, "odd-requests", 1, nil, func(st *stage) {
+		var held []func()
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			held = append(held, func() { answers(n, frame, conn) })
+		})
+		st.serve()
+		c := st.connect()
+		for _, b := range request("q1", "search", 2000, 0) {
+			io.WriteString(c, string(b))
+		}
+		io.WriteString(c, request("q2", "search", 2000, 1)+request("q3", "search", 2000, 2))
+		st.ask(st.connect(), request("q1", "search", 2000, 0))
+		for range 3 {
+			st.say("---- the leaf answers")
+			answer := held[0]
+			held = held[1:]
+			answer()
+			st.step()
+		}
+		st.say("---- chunks, after a 100")
+		c = st.connect()
+		body := `{"parts":[{"id":0,"w":1}],"expr":"text"}`
+		head := "POST /search HTTP/1.1\r\nX-Trace-Id: q4\r\nX-Customer: acme\r\nX-Expires-In-Ms: 900\r\n"
+		st.ask(c, head+"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n")
+		st.ask(c, fmt.Sprintf("5\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", body[:5], len(body)-5, body[5:]))
+		held[0]()
+		st.step()
+		st.say("---- cut off, and never ended")
+		c = st.connect()
+		st.ask(c, head)
+		c.Close()
+		st.ask(st.connect(), head)
+		st.pass(2600)
+	})
+}
+
+// The watch: a cut one, a silent one, one that goes back and one that makes no sense are opened anew.
+func TestWatch(t *testing.T) {
+	play(t, "watch", 1, nil, func(st *stage) {
+		st.serve()
+		st.news(5, false, server("B", "in_service", 0))
+		st.feed <- "cut"
+		st.pass(300)
+		st.news(4, false)
+		st.news(6, false, server("", "in_service", 0), server("B", "asleep", 0))
+		st.pass(600)
+		st.feed <- `{"generation":9,"instances":[{"instanceId":7}]}`
+		st.pass(1100)
+		st.feed <- "hush"
+		st.pass(10000)
+	})
+}
+
+// Where the list must be asked for, the module says when to try again.
+func TestAskedList(t *testing.T) {
+	play(t, "asked-list", 1, func(c *config.Config) { c.Settings.Module.AskForList = true }, func(st *stage) {
+		st.serve()
+		st.feed <- "cut"
+		st.pass(1500)
+	})
+}
+
+// Connections to leaves end before the leaf would end them; those of clients make way for new ones.
+func TestLimits(t *testing.T) {
+	play(t, "limits", 1, func(c *config.Config) { c.Limits.Sockets, c.Settings.OpenCap = 4, 3 }, func(st *stage) {
+		var held []func()
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			held = append(held, func() { answers(n, frame, conn) })
+		})
+		st.serve()
+		c := st.connect()
+		st.ask(c, request("q1", "search", 2000, 0, 1))
+		st.connect()
+		st.step()
+		d := st.connect() // the second makes way
+		st.ask(d, request("q2", "search", 2000, 0))
+		held[0]()
+		st.pass(31000)
+	})
+}
+
+// Reports that come with probes alone: probes are answered in order, and time out.
+func TestProbes(t *testing.T) {
+	change := func(c *config.Config) {
+		c.Settings.Module.MayProbe, c.Settings.Module.ProbeReports = true, true
+	}
+	play(t, "probes", 2, change, func(st *stage) {
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			if frame[0] == 'U' {
+				sendFrame(conn, "Uqueue=2,latency_ms=12")
+				return
+			}
+			answers(n, frame, conn)
+		})
+		st.leafAt("B", func(int, string, net.Conn) {})
+		st.serve()
+		st.ask(st.connect(), request("q1", "search", 2000, 0, 1, 2, 3))
+		st.ask(st.connect(), request("q2", "search", 2000, 0, 1, 2, 3))
+		st.pass(300)
+	})
+}
+
+// A turn that comes late finds answers and due times together: the answers count.
+func TestPause(t *testing.T) {
+	play(t, "pause", 1, nil, func(st *stage) {
+		var held func()
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			held = func() { answers(n, frame, conn) }
+		})
+		st.serve()
+		st.ask(st.connect(), request("q1", "search", 2000, 0))
+		st.owner.queue <- func(*owner) { time.Sleep(1500 * time.Millisecond) }
+		st.pass(500)
+		held()
+		st.pass(1500)
+	})
+}
