--- a/codec/json.go
+++ b/codec/json.go
@@ -17,7 +17,12 @@
 	literal token = 'l' // true, false or null
 )
 
-const mostDepth = 32
+const (
+	mostDepth = 32
+
+	// Weights of parts add up to 1, but each is rounded, and there may be many.
+	leastSum, mostSum = 0.5, 1.5
+)
 
 var errJSON = errors.New("malformed JSON")
 
@@ -296,7 +301,7 @@
 	if !q.partsSeen || !q.textSeen {
 		return errBody
 	}
-	if len(q.Parts) == 0 || q.sum < 0.99 || q.sum > 1.01 {
+	if len(q.Parts) == 0 || q.sum < leastSum || q.sum > mostSum {
 		return errParts
 	}
 	return nil
@@ -365,7 +370,7 @@
 
 func (q *QueryBody) partEnds() error {
 	p := q.part
-	if !q.has["id"] || !q.has["w"] || p.Weight <= 0 || p.Weight > 1.01 || p.Hint < 0 || p.Hint > 1e12 ||
+	if !q.has["id"] || !q.has["w"] || p.Weight <= 0 || p.Weight > mostSum || p.Hint < 0 || p.Hint > 1e12 ||
 		q.seen[p.Shard] {
 		return errParts
 	}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -38,53 +38,48 @@
 // news takes what the list says.
 func (o *owner) news(list config.List, cached bool) {
 	entries := make([]choice.Entry, 0, len(list.Servers))
-	listed := map[*leaf]bool{}
+	barred := map[*leaf]bool{} // takes nothing new
+	if list.Whole {
+		for _, l := range o.listed {
+			barred[l] = true
+		}
+	}
 	for _, s := range list.Servers {
 		l := o.leaves[s.ID]
 		if l == nil {
 			l = &leaf{id: s.ID, l: new(choice.Leaf)}
-			o.leaves[s.ID], o.doors[l.l] = l, l
+			o.leaves[s.ID], o.doors[l.l], o.listed = l, l, append(o.listed, l)
 		}
-		condition := s.Condition()
-		e := choice.Entry{Leaf: l.l, Zone: o.zone(s.Zone), Cell: s.Cell, Condition: condition}
+		e := choice.Entry{Leaf: l.l, Zone: o.zone(s.Zone), Cell: s.Cell, Condition: s.Condition()}
 		if s.StartedMS > 0 {
 			e.Started = config.CeilTime(s.StartedMS)
 		}
 		moved := s.Address != "" && s.Address != l.address
-		for _, c := range append([]*leafConn(nil), l.conns...) {
-			switch {
-			case c.opened < e.Started && e.Started != l.started: // to a process that is no more
-				c.close()
-			case moved || condition == choice.Gone:
-				c.retire(o)
+		for _, c := range slices.Clone(l.conns) {
+			if up := c.upSince(); up > 0 && up < e.Started && e.Started != l.started {
+				c.finish() // it leads to a process that is no more
+			} else if moved {
+				c.retire()
 			}
 		}
 		if l.started = e.Started; moved {
 			l.address = s.Address
 		}
-		listed[l] = true
+		barred[l] = e.Condition != choice.Ready
 		entries = append(entries, e)
 	}
-	if list.Whole {
-		for _, l := range o.leaves {
-			if !listed[l] {
-				for _, c := range append([]*leafConn(nil), l.conns...) {
-					c.retire(o)
-				}
-			}
-		}
-	}
 	o.root.List(o.now, entries, list.Whole || cached, cached)
-	// Calls that still wait for a connection must not go out to a leaf that takes no more.
-	for _, s := range list.Servers {
-		if l := o.leaves[s.ID]; s.Condition() != choice.Ready {
-			for _, c := range l.conns {
-				for _, k := range c.inOrder() {
-					if c.withdraw(k) {
-						o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
-					}
+	for _, l := range o.listed {
+		if !barred[l] {
+			continue
+		}
+		for _, c := range slices.Clone(l.conns) {
+			for _, k := range c.inOrder() { // those that still wait for a connection must not go out now
+				if c.withdraw(k) {
+					o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
 				}
 			}
+			c.retire()
 		}
 	}
 }
@@ -126,7 +121,6 @@
 type leafConn struct {
 	leaf    *leaf
 	address string
-	opened  choice.Time
 	limit   time.Duration
 	cancel  context.CancelFunc
 	wake    chan struct{}
@@ -145,6 +139,7 @@
 	mu    sync.Mutex
 	queue []*frame // not yet written, oldest first
 	conn  net.Conn
+	up    choice.Time // when it came up; 0: it has not yet
 	over  bool
 }
 
@@ -234,7 +229,7 @@
 	}
 	o.conns++
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &leafConn{leaf: l, address: l.address, opened: o.now, used: o.now, heard: o.now, cancel: cancel,
+	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
 		limit: o.cfg.Settings.ConnectTimeout, wake: make(chan struct{}, 1), calls: map[string]*call{}}
 	l.conns = append(l.conns, c)
 	o.group.Go(func() error { c.run(ctx, o); return nil })
@@ -257,7 +252,7 @@
 func (c *leafConn) withdraw(k *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if k.frame.stage == queued {
+	if k.frame.stage == queued && !k.withdrawn {
 		k.frame.drop(k)
 		k.withdrawn = true
 	}
@@ -278,7 +273,7 @@
 	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
 	// call finds out, by a new connection, without being lost itself.
 	if c.heard <= k.sent && o.now-k.sent >= tenths(c.limit) {
-		c.retire(o)
+		c.retire()
 	}
 	return outcome
 }
@@ -297,13 +292,25 @@
 	}
 }
 
+func (c *leafConn) upSince() choice.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.up
+}
+
 // retire lets the connection end with the last call on it.
-func (c *leafConn) retire(o *owner) {
+func (c *leafConn) retire() {
 	if c.retired = true; c.frames == 0 {
 		c.close()
 	}
 }
 
+// finish ends the connection, and no call is given to it any more.
+func (c *leafConn) finish() {
+	c.retired = true
+	c.close()
+}
+
 // close ends the connection; what is out on it is settled when its goroutines have ended.
 func (c *leafConn) close() {
 	c.mu.Lock()
@@ -346,7 +353,13 @@
 		letter = codec.LetterLoad
 	}
 	p.conn.send(&frame{conn: p.conn, letter: letter})
-	o.at(o.now+tenths(p.conn.limit), func(o *owner) { o.probed(p, choice.TimedOut, nil) })
+	sent := o.now
+	o.at(sent+tenths(p.conn.limit), func(o *owner) {
+		if !p.ended && p.conn.heard <= sent { // see giveUp
+			p.conn.retire()
+		}
+		o.probed(p, choice.TimedOut, nil)
+	})
 }
 
 func (o *owner) probed(p *probe, outcome choice.Outcome, rep *choice.Report) {
@@ -359,9 +372,9 @@
 // tend ends connections that have been idle, before the leaf does.
 func (o *owner) tend() {
 	for _, l := range o.leaves {
-		for _, c := range append([]*leafConn(nil), l.conns...) {
+		for _, c := range slices.Clone(l.conns) {
 			if c.stale(o) {
-				c.close()
+				c.finish()
 			}
 		}
 	}
@@ -382,7 +395,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.conn = conn
+	c.conn, c.up = conn, o.clk.now()
 	c.mu.Unlock()
 	read := make(chan error, 1)
 	go func() {
@@ -504,7 +517,7 @@
 	}
 	if !c.forgot {
 		c.why = errUnasked
-		c.close()
+		c.finish()
 	}
 }
 
@@ -512,7 +525,7 @@
 	c.heard, c.used = o.now, o.now
 	if len(c.probes) == 0 {
 		c.why = errUnasked
-		c.close()
+		c.finish()
 		return
 	}
 	p := c.probes[0]
--- a/router/owner.go
+++ b/router/owner.go
@@ -44,7 +44,8 @@
 	ids     map[*choice.Query]*query
 	parts   map[*choice.Part]*part
 	calls   map[*choice.LeafCall]*call
-	leaves  map[string]*leaf
+	leaves  map[string]*leaf // by instanceId
+	listed  []*leaf          // the same, in the order in which they were first listed
 	doors   map[*choice.Leaf]*leaf
 	zones   map[string]int
 	sending []*leaf // have calls that this turn has made
