A panic leaves a log line, calls beyond the stated most are never sent, each file says what it owns

Also: a request that expects a 100 and can't be taken is answered at once; a connection accepted while closing ends; discovery's connection writes through a ring like all others.

--- a/cmd/moleshift/main.go
+++ b/cmd/moleshift/main.go
@@ -1,4 +1,5 @@
-// Moleshift is the root node of a sharded search service, on sockets.
+// Moleshift is the root node of a sharded search service, on sockets. This file owns the process: its
+// environment, signals, log and exit status. It must hold nothing else; package router is the program.
 package main
 
 import (
--- a/codec/frames.go
+++ b/codec/frames.go
@@ -1,5 +1,8 @@
 package codec
 
+// frames.go owns the frames that travel to and from leaves. It must never make up an outcome or a value: a
+// line that does not read as the protocol has it is an error.
+
 import (
 	"bytes"
 	"encoding/binary"
--- a/codec/http.go
+++ b/codec/http.go
@@ -1,5 +1,8 @@
 package codec
 
+// http.go owns HTTP/1.1: messages are parsed from a ring as they come, heads are written. It must never guess
+// where a message ends: where that is told twice, or not at all, the message is a fault.
+
 import (
 	"errors"
 	"fmt"
--- a/codec/json.go
+++ b/codec/json.go
@@ -1,5 +1,8 @@
 package codec
 
+// json.go owns the JSON that travels in bodies: a scanner that takes it as it comes, the query a client sends,
+// the answer it gets. It must never hold more of a body than the query's parts, its text and one scalar.
+
 import (
 	"errors"
 	"strconv"
--- a/router/clients.go
+++ b/router/clients.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,8 +33,6 @@
 	healthPath = "/healthz"
 )
 
-func shardName(shard int) string { return strconv.Itoa(shard) }
-
 // asked is a query as a client sent it.
 type asked struct {
 	id               string
@@ -114,9 +111,13 @@
 		c.idleAt.Store(int64(d.owner.clk.now()))
 		d.mu.Lock()
 		d.conns[c] = struct{}{}
+		closed := d.closed
 		d.mu.Unlock()
 		d.owner.group.Go(func() error { c.read(ctx); return nil })
 		d.owner.group.Go(func() error { c.write(); return nil })
+		if closed { // since it was accepted
+			c.closeIdle()
+		}
 		if !d.makeRoom(ctx, c) {
 			return nil
 		}
@@ -314,10 +315,14 @@
 			return true
 		case codec.Begun:
 			c.body, c.bad = nil, c.check()
-			if c.parser.Head.Continues() && c.bad == nil {
+			if c.parser.Head.Continues() {
+				if c.bad != nil { // the body may come or not, so nobody knows where a next request begins
+					c.refuse(c.bad)
+					return true
+				}
 				c.answer(reply{goOn: true})
 			}
-			if c.bad == nil && c.parser.Head.Target != healthPath {
+			if c.bad == nil && c.parser.Head.Method == http.MethodPost {
 				c.body = codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)
 			}
 		case codec.Data:
@@ -349,7 +354,8 @@
 // check looks at a request's head.
 func (c *client) check() error {
 	h := &c.parser.Head
-	if h.Target == healthPath {
+	path, _, _ := strings.Cut(h.Target, "?")
+	if path == healthPath {
 		if h.Method != http.MethodGet {
 			return &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "GET only"}
 		}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
@@ -397,15 +399,17 @@
 	c.mu.Lock()
 	c.conn, c.up = conn, o.clk.now()
 	c.mu.Unlock()
-	read := make(chan error, 1)
-	go func() {
-		err := c.read(o, conn)
-		read <- err
-		c.close()
-	}()
-	c.write(conn)
-	conn.Close()
-	err = <-read
+	var both errgroup.Group
+	both.Go(func() error {
+		defer c.close()
+		return c.read(o, conn)
+	})
+	both.Go(func() error {
+		defer c.close()
+		c.write(conn)
+		return nil
+	})
+	err = both.Wait()
 	o.post(o.ctx, func(o *owner) { c.down(o, err) })
 }
 
--- a/router/list.go
+++ b/router/list.go
@@ -17,7 +17,10 @@
 	"moleshift/config"
 )
 
-const listRing = 16 << 10
+const (
+	listRing = 16 << 10
+	outRing  = 256
+)
 
 type list struct {
 	cfg        *config.Config
@@ -88,7 +91,9 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(l.cfg.Silence))
 	target := fmt.Sprintf("/v1/servers?follow=1&since=%d", l.generation)
-	if _, err := conn.Write(codec.AppendGet(nil, l.cfg.Discovery, target)); err != nil {
+	out := codec.NewWriter(conn, outRing)
+	out.Write(codec.AppendGet(nil, l.cfg.Discovery, target))
+	if err := out.Flush(); err != nil {
 		return false, err
 	}
 	ring, parser := codec.NewRing(listRing), codec.Parser{Responses: true}
--- a/router/owner.go
+++ b/router/owner.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -231,7 +232,7 @@
 	var parts []*choice.Part
 	for _, p := range a.body.Parts {
 		cp := &choice.Part{Shard: p.Shard, Weight: p.Weight, Hint: p.Hint / 1000}
-		held := &part{id: a.id + "." + shardName(p.Shard), shard: p.Shard, p: cp, query: q}
+		held := &part{id: a.id + "." + strconv.Itoa(p.Shard), shard: p.Shard, p: cp, query: q}
 		q.parts, parts = append(q.parts, held), append(parts, cp)
 		o.parts[cp] = held
 	}
@@ -307,7 +308,7 @@
 	p, l := o.parts[c.Part], o.doors[c.Leaf]
 	k := &call{c: c, part: p, leaf: l, sent: o.now}
 	o.calls[c] = k
-	if p == nil { // over
+	if p == nil || len(p.calls) >= o.cfg.Settings.Module.MaxCalls { // never sent
 		k.part = &part{over: true}
 		o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -117,8 +117,13 @@
 // run serves until the program has drained. Whatever part of it fails ends it whole.
 func (p *program) run(signals <-chan os.Signal) error {
 	defer p.stop()
-	for _, part := range []func(context.Context) error{p.owner.run, p.owner.list.run, p.owner.door.run} {
-		p.group.Go(func() error { return part(p.ctx) })
+	for name, part := range map[string]func(context.Context) error{
+		"owner": p.owner.run, "list": p.owner.list.run, "door": p.owner.door.run,
+	} {
+		p.group.Go(func() error {
+			defer p.lastWords(name)
+			return part(p.ctx)
+		})
 	}
 	p.group.Go(func() error {
 		for n := 0; ; n++ {
@@ -140,6 +145,14 @@
 	return err
 }
 
+// lastWords logs a panic, which then ends the program.
+func (p *program) lastWords(name string) {
+	if v := recover(); v != nil {
+		p.log.WithLevel(zerolog.FatalLevel).Str("part", name).Str("panic", fmt.Sprint(v)).Msg("panic")
+		panic(v)
+	}
+}
+
 // limit keeps the process within what the machine gives: the collector works harder near the memory limit.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
