--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,6 @@
 // Package choice holds every decision of a root: which replica gets a part, when to call again, when to
-// answer, what to turn away, whom to trust. The adapter (package wire today, our own protocol later) calls
-// the methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides
+// answer, what to turn away, whom to trust. Package router (on sockets) or wire (in the simulator) calls the
+// methods of Root, one at a time, with all that one instance is told; Root acts through Port. Both sides
 // of that door, Settings and Port, are defined in interface.go; state.go holds what a root keeps. Nothing
 // here is shared between roots.
 //
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -1,17 +1,13 @@
 package choice
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"moleshift/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew")
-
 // stage plays a root and prints what it is told and what it does.
 type stage struct {
 	t     *testing.T
@@ -106,19 +102,7 @@
 // check compares the trace with the one that is kept.
 func (st *stage) check(name string) {
 	st.t.Helper()
-	path := "testdata/" + name + ".txt"
-	if *update {
-		if err := os.WriteFile(path, []byte(st.out.String()), 0o644); err != nil {
-			st.t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		st.t.Fatal(err)
-	}
-	if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(st.out.String(), "\n")); d != "" {
-		st.t.Errorf("%s (-want +got):\n%s", path, d)
-	}
+	golden.Check(st.t, name, st.out.String())
 }
 
 func (st *stage) Call(c *LeafCall, timeout Time) {
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -4,35 +4,16 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-)
-
-var update = flag.Bool("update", false, "write the traces anew")
 
-func check(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name + ".txt"
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(got, "\n")); d != "" {
-		t.Errorf("%s (-want +got):\n%s", path, d)
-	}
-}
+	"moleshift/internal/golden"
+)
 
 // parse feeds a parser through a ring, at most so many bytes a read, and prints what it finds. Pieces of a
 // body are printed as one, so that the print does not depend on how it was fed.
@@ -113,7 +94,7 @@
 	} {
 		fmt.Fprintf(&out, "%q\n%s", m, parse(&Parser{Responses: true}, m, 64, 5))
 	}
-	check(t, "messages", out.String())
+	golden.Check(t, "messages", out.String())
 }
 
 var bodies = []string{
@@ -156,7 +137,7 @@
 	}
 	out.Write(AppendResponse(nil, 200, 5, true, "Retry-After: 0.250\r\n"))
 	out.Write(AppendAnswer(nil, true, []Row{{3, []byte("5be2")}, {9, []byte("\"\\\x01é")}}))
-	check(t, "queries", out.String()+"\n")
+	golden.Check(t, "queries", out.String()+"\n")
 }
 
 // answers prints what a stream of frames holds.
@@ -225,7 +206,7 @@
 	WriteFrame(w, LetterProbe, "")
 	w.Flush()
 	fmt.Fprintf(&out, "sent %q, taken %d of %d\n", sent.String(), w.Taken, w.Given)
-	check(t, "frames", out.String())
+	golden.Check(t, "frames", out.String())
 }
 
 // stingy takes so many bytes and then breaks.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"moleshift/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew")
-
 const good = `{"name":"n1","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":0.5,"memory_mb":64,"sockets":256},"more":[1],
 "known":{"generation":41,"reset":true,"instances":[
@@ -55,7 +52,7 @@
 		}
 		fmt.Fprintf(out, "%s\n  %s\n", change, word)
 	}
-	check(t, "faults", out.String())
+	golden.Check(t, "faults", out.String())
 }
 
 func TestWhatIsRead(t *testing.T) {
@@ -67,22 +64,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	check(t, "read", string(text)+"\n")
-}
-
-func check(t *testing.T, name, got string) {
-	t.Helper()
-	path := "testdata/" + name + ".txt"
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(got, "\n")); d != "" {
-		t.Errorf("%s (-want +got):\n%s", path, d)
-	}
+	golden.Check(t, "read", string(text)+"\n")
 }
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -19,15 +18,13 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"moleshift/choice"
 	"moleshift/config"
+	"moleshift/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew")
-
 const settings = `{"tick":5,"zones":["a"],"caps":{"cancel":true,"connect_timeout":250,"conn_idle":30000,"open_cap":40,
 "max_streams":100,"max_attempts":2,"second_copies":true,"retry_after":true,"max_retry_after":1000},
 "classes":[{"name":"search","aim":1000,"deadline":2500,"effect":"repeatable","worth":1,"late_worth":0.1},
@@ -89,19 +86,7 @@
 		st.step()
 		out = strings.Join(st.out, "\n") + "\n"
 	})
-	path := "testdata/" + name + ".txt"
-	if *update {
-		if err := os.WriteFile(path, []byte(out), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(out, "\n")); d != "" {
-		t.Errorf("%s (-want +got):\n%s", path, d)
-	}
+	golden.Check(t, name, out)
 }
 
 func server(name, lifecycle string, started float64) config.Server {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,14 +1,20 @@
 package router
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
 	"moleshift/config"
@@ -353,3 +359,59 @@
 		st.pass(1500)
 	})
 }
+
+// The same on real sockets of the loopback: one leaf that answers, and none behind the other's address.
+func TestSockets(t *testing.T) {
+	st := &stage{t: t, start: time.Now(), places: map[string]func(net.Conn) error{}}
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	door, leaf, nobody := listen(), listen(), listen()
+	nobody.Close()
+	defer leaf.Close()
+	st.leafAt("A", answers)
+	go func() {
+		for conn, err := leaf.Accept(); err == nil; conn, err = leaf.Accept() {
+			st.places[at("A")](conn)
+		}
+	}()
+	set, err := config.DecodeSettings(1, []byte(strings.Replace(settings, `"sets":1`, `"sets":2`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &config.Config{Discovery: nobody.Addr().String(), Settings: set, Silence: time.Second, MostLine: 1000,
+		Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, DrainFor: time.Millisecond}
+	cfg.Known.Servers = []config.Server{{ID: "A", Address: leaf.Addr().String(), Zone: "a", Lifecycle: "in_service"},
+		{ID: "B", Address: nobody.Addr().String(), Zone: "a", Cell: 1, Lifecycle: "in_service"}}
+	p := newProgram(context.Background(), cfg, door, dialTCP, zerolog.Nop())
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- p.run(signals) }()
+	conn, err := net.Dial("tcp", door.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in, got := bufio.NewReader(conn), ""
+	for _, raw := range []string{request("q1", "file", 2000, 0, 2), request("q2", "file", 2000, 1)} {
+		io.WriteString(conn, raw)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		got += fmt.Sprintf("%s, %v: %s\n", res.Status, err, body)
+	}
+	signals <- syscall.SIGTERM
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	want := "200 OK, <nil>: " + `{"exact":true,"rows":[{"id":0,"data":"value of q1.0"},{"id":2,"data":"value of q1.2"}]}` +
+		"\n503 Service Unavailable, <nil>: \n"
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -1,16 +1,12 @@
 package wire
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"moleshift/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew")
-
 const facts = `{"balancers":1,"tick":5,"caps":{"cancel":true,"max_attempts":2,"second_copies":true},` +
 	`"classes":[{"aim":1000,"deadline":3000,"effect":"repeatable","late_worth":0.1,"worth":1}],` +
 	`"family_info":{"sets":1,"slices":2,"span":1},"report":{"via":"inline"},"unheard_of":{"x":[1]}}`
@@ -50,19 +46,7 @@
 			if err != nil {
 				out.WriteString("stderr: " + err.Error() + "\n")
 			}
-			path := "testdata/" + name + ".txt"
-			if *update {
-				if err := os.WriteFile(path, []byte(out.String()), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			}
-			want, err := os.ReadFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if d := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(out.String(), "\n")); d != "" {
-				t.Errorf("%s (-want +got):\n%s", path, d)
-			}
+			golden.Check(t, name, out.String())
 		})
 	}
 }
