A watch on the list that is silent for 3 s is opened anew; it was 7 s, longer than news may take

Found by reading: whatever discovery tells counts as told 6 s later at the latest. With the silence at 7 s (config/config.go) and pauses of up to 7 s (router/list.go) a watch that died without a word could hide a drain for longer than that. Empty lines come every 2 s.

--- a/config/config.go
+++ b/config/config.go
@@ -24,7 +24,7 @@
 	leastSockets   = 32
 	leastMemory    = 16
 
-	silence   = 7 * time.Second // of a watch, after which it is taken for dead: three empty lines
+	silence   = 3 * time.Second // of a watch that says something every 2 s, after which it is dead
 	mostCells = 1 << 20
 	mostLine  = 4 << 20 // bytes of one line of a watch
 
--- a/router/list.go
+++ b/router/list.go
@@ -43,7 +43,8 @@
 }
 
 // run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
-// again; else a watch that broke is opened anew, ever later while that fails.
+// again; else a watch that broke is opened anew, ever later while that fails. News counts as told some seconds
+// after it was published, so the silence that ends a watch and the longest pause stay well under that together.
 func (l *list) run(ctx context.Context) error {
 	pause := l.cfg.Settings.ConnectTimeout
 	for ctx.Err() == nil {
@@ -63,7 +64,7 @@
 			l.owner.post(ctx, func(o *owner) { o.root.ListFailed(o.now) })
 			continue
 		}
-		if pause = min(2*pause, l.cfg.Silence); told {
+		if pause = min(2*pause, l.cfg.Silence/3); told {
 			pause = l.cfg.Settings.ConnectTimeout
 		}
 		select {
