Where sockets run out an idle connection to a leaf makes way, and no more clients than needed

Read from the kept trace leaf-limit: two idle clients made way for one, as the first was still counted while it ended (router/clients.go, makeRoom). Over the leaves' share, calls to further leaves were told as no connection though others were idle (router/leaves.go, dial); a fleet with more leaves than that share would have been served in part.

--- a/config/config.go
+++ b/config/config.go
@@ -44,7 +44,7 @@
 func (l Limits) ClientSockets() int { return l.Sockets / 2 }
 
 // LeafSockets see ClientSockets.
-func (l Limits) LeafSockets() int { return l.Sockets / 4 }
+func (l Limits) LeafSockets() int { return l.Sockets * 3 / 8 }
 
 // Server is one entry of a list of leaves, as discovery has it.
 type Server struct {
--- a/router/clients.go
+++ b/router/clients.go
@@ -129,11 +129,14 @@
 func (d *door) makeRoom(ctx context.Context, newest *client) bool {
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		n, closed := len(d.conns), d.closed
+		n, closed := 0, d.closed
 		var oldest *client
 		for c := range d.conns {
-			if n > d.most && c != newest && standing(c.state.Load()) == idle &&
-				(oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
+			at := standing(c.state.Load())
+			if at != ending { // those make way already
+				n++
+			}
+			if at == idle && c != newest && (oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
 				oldest = c
 			}
 		}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -225,7 +225,7 @@
 }
 
 func (l *leaf) dial(o *owner) *leafConn {
-	if o.conns >= o.cfg.Limits.LeafSockets() {
+	if o.conns >= o.cfg.Limits.LeafSockets() && !o.freeOne() {
 		o.log.Warn().Str("leaf", l.id).Msg("no socket is left for a connection")
 		return nil
 	}
@@ -238,6 +238,22 @@
 	return c
 }
 
+// freeOne ends the connection to a leaf that has been idle for longest; false where all are in use.
+func (o *owner) freeOne() bool {
+	var oldest *leafConn
+	for _, l := range o.listed {
+		for _, c := range l.conns {
+			if c.frames == 0 && !c.retired && (oldest == nil || c.used < oldest.used) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.finish()
+	}
+	return oldest != nil
+}
+
 // ended takes a call off the connection's books.
 func (c *leafConn) ended(o *owner, k *call) {
 	if c.calls[k.part.id] == k {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -323,6 +323,19 @@
 	})
 }
 
+// With a socket for one leaf only, the connection that is idle makes way; while it is in use, nothing is sent.
+func TestLeafLimit(t *testing.T) {
+	play(t, "leaf-limit", 2, func(c *config.Config) { c.Limits.Sockets = 4 }, func(st *stage) {
+		st.leafAt("A", answers)
+		st.leafAt("B", answers)
+		st.serve()
+		for i := range 4 {
+			st.ask(st.connect(), request(fmt.Sprintf("q%d", i), "search", 2000, 0))
+			st.pass(300)
+		}
+	})
+}
+
 // Reports that come with probes alone: probes are answered in order, and time out.
 func TestProbes(t *testing.T) {
 	change := func(c *config.Config) {
