--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -141,7 +141,7 @@
 	if line["level"] == "info" { // whether its reader or its writer was first to see a connection end is chance
 		delete(line, "error")
 	}
-	for _, key := range []string{"part", "leaf", "outcome", "calls", "from", "to", "entries", "generation", "error"} {
+	for _, key := range []string{"query", "status", "part", "leaf", "outcome", "calls", "from", "to", "entries", "generation", "error"} {
 		if v, found := line[key]; found {
 			words += fmt.Sprintf(" %s=%v", key, v)
 		}
--- a/router/owner.go
+++ b/router/owner.go
@@ -63,6 +63,7 @@
 	text   []byte
 	parts  []*part
 	client *client
+	taken  choice.Time
 }
 
 type part struct {
@@ -227,7 +228,7 @@
 		a.client.answer(reply{status: refusedStatus})
 		return
 	}
-	q := &query{id: a.id, text: a.body.Text, client: a.client,
+	q := &query{id: a.id, text: a.body.Text, client: a.client, taken: o.now,
 		q: &choice.Query{Deadline: a.deadline, Vertical: a.vertical, Tenant: a.tenant}}
 	var parts []*choice.Part
 	for _, p := range a.body.Parts {
@@ -367,6 +368,8 @@
 
 func (o *owner) final(q *query, r reply) {
 	r.closes = o.phase.now() > Serving && o.now >= o.keepUntil
+	o.log.Debug().Str("query", q.id).Int("vertical", q.q.Vertical).Int("parts", len(q.parts)).Int("status", r.status).
+		Bool("whole", r.whole).Int64("tenths", int64(o.now-q.taken)).Msg("query answered")
 	client := q.client
 	o.release(q)
 	client.answer(r)
