--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -370,6 +370,23 @@
 	st.check("service-time")
 }
 
+// Leaves that have served nothing yet report a time of 0. They tell of no peer: the first one that has served
+// something must not look jammed beside them, or queries are turned away from a fleet that stands idle.
+func TestServiceTimeOfNothingServed(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	st.query(0, 0, 0, 0, 0)
+	st.pass(100)
+	for i, ms := range []float64{0, 0, 0, 40} {
+		rep := new(Report)
+		rep.Set(ServiceTime, ms)
+		st.end(fmt.Sprintf("q1.%d#0", i), OK, rep)
+	}
+	for _, l := range st.leafs {
+		st.say("Q of %s: %.1f", st.names[l], st.r.queue(l))
+	}
+	st.check("nothing-served")
+}
+
 // zones puts every leaf but the first into another zone.
 func (st *stage) zones() {
 	for i, l := range st.leafs {
