--- a/choice/choice.go
+++ b/choice/choice.go
@@ -730,8 +730,9 @@
 	unit := max(r.unit, 1e-9)
 	l.reports++
 	l.since, l.reportAt = 0, r.now
-	slow := 0.0                                             // service time against the peers' median, as the least of them may be next to nothing
-	if rep.Has[ServiceTime] && rep.Value[ServiceTime] > 0 { // 0: it has served nothing, so it tells of no peer
+	// Against the peers' median, as the least may be next to nothing. 0 is of a leaf that has served nothing.
+	slow := 0.0
+	if rep.Has[ServiceTime] && rep.Value[ServiceTime] > 0 {
 		noteLast(&r.services, amount{r.now, rep.Value[ServiceTime]}, memory)
 		slow = rep.Value[ServiceTime] / max(middle(r.services), epsilon)
 	}
