--- a/router/leaves.go
+++ b/router/leaves.go
@@ -199,17 +199,17 @@
 func (l *leaf) connFor(o *owner, id string) *leafConn {
 	for _, c := range l.conns {
 		room := o.cfg.Settings.MaxStreams == 0 || c.frames < o.cfg.Settings.MaxStreams
-		if room && !c.retired && !c.knows(id) && !c.stale(o) {
+		if room && !c.retired && !c.knows(id) && !c.stale(o, 0) {
 			return c
 		}
 	}
 	return l.dial(o)
 }
 
-// stale: the leaf may have closed the connection by now, or may do so before a call arrives.
-func (c *leafConn) stale(o *owner) bool {
+// stale: within a time from now the leaf may close the connection for being idle, or has done so.
+func (c *leafConn) stale(o *owner, within choice.Time) bool {
 	idle := o.cfg.Settings.ConnIdle
-	return idle > 0 && c.frames == 0 && o.now-c.used >= tenths(idle-o.cfg.Settings.ConnectTimeout)
+	return idle > 0 && c.frames == 0 && o.now+within-c.used >= tenths(idle-o.cfg.Settings.ConnectTimeout)
 }
 
 func (c *leafConn) knows(id string) bool {
@@ -389,15 +389,16 @@
 
 // tend ends connections that have been idle, before the leaf does.
 func (o *owner) tend() {
-	for _, l := range o.leaves {
+	next := tenths(max(o.cfg.Settings.ConnIdle/8, o.cfg.Settings.ConnectTimeout))
+	for _, l := range o.listed {
 		for _, c := range slices.Clone(l.conns) {
-			if c.stale(o) {
+			if c.stale(o, next) {
 				c.finish()
 			}
 		}
 	}
-	if idle := o.cfg.Settings.ConnIdle; idle > 0 {
-		o.at(o.now+tenths(max(idle/8, o.cfg.Settings.ConnectTimeout)), (*owner).tend)
+	if o.cfg.Settings.ConnIdle > 0 {
+		o.at(o.now+next, (*owner).tend)
 	}
 }
 
