Where calls may not be cancelled a connection stays open for the late answers on it

Found by reading: to close a connection also gives up what the leaf still works on (PROTOCOL), and a retired one was closed after a time-out whatever the settings allow (router/leaves.go, retire).

--- a/router/leaves.go
+++ b/router/leaves.go
@@ -127,6 +127,8 @@
 	cancel  context.CancelFunc
 	wake    chan struct{}
 
+	mayCancel bool
+
 	// The owner's.
 	calls   map[string]*call // by the id of the part
 	ghosts  []string         // parts given up here whose answers may still come
@@ -232,7 +234,7 @@
 	o.conns++
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
-		limit: o.cfg.Settings.ConnectTimeout, wake: make(chan struct{}, 1), calls: map[string]*call{}}
+		mayCancel: o.cfg.Settings.Module.MayCancel, limit: o.cfg.Settings.ConnectTimeout, wake: make(chan struct{}, 1), calls: map[string]*call{}}
 	l.conns = append(l.conns, c)
 	o.group.Go(func() error { c.run(ctx, o); return nil })
 	return c
@@ -243,7 +245,7 @@
 	var oldest *leafConn
 	for _, l := range o.listed {
 		for _, c := range l.conns {
-			if c.frames == 0 && !c.retired && (oldest == nil || c.used < oldest.used) {
+			if c.free() && (oldest == nil || c.used < oldest.used) {
 				oldest = c
 			}
 		}
@@ -260,9 +262,8 @@
 		delete(c.calls, k.part.id)
 	}
 	if k.frame.out--; k.frame.out == 0 {
-		if c.frames--; c.frames == 0 && c.retired {
-			c.close()
-		}
+		c.frames--
+		c.letGo()
 	}
 }
 
@@ -318,11 +319,21 @@
 
 // retire lets the connection end with the last call on it.
 func (c *leafConn) retire() {
-	if c.retired = true; c.frames == 0 {
+	c.retired = true
+	c.letGo()
+}
+
+// letGo ends a retired connection with which nothing is given up any more.
+func (c *leafConn) letGo() {
+	if c.retired && c.free() {
 		c.close()
 	}
 }
 
+// free: nothing is out. To end a connection also gives up what the leaf still works on, so where that is not
+// allowed the connection stays for the late answers too, until it has been idle for its time.
+func (c *leafConn) free() bool { return c.frames == 0 && (c.mayCancel || len(c.ghosts) == 0) }
+
 // finish ends the connection, and no call is given to it any more.
 func (c *leafConn) finish() {
 	c.retired = true
@@ -533,6 +544,7 @@
 	for i, g := range c.ghosts {
 		if g == a.ID {
 			c.ghosts = append(c.ghosts[:i], c.ghosts[i+1:]...)
+			c.letGo()
 			return
 		}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -119,6 +119,26 @@
 	})
 }
 
+// Where nothing may be given up, a silent connection takes no more calls but stays open for the late answer.
+func TestLateWhereCancelsAreBarred(t *testing.T) {
+	play(t, "late-no-cancel", 1, func(c *config.Config) { c.Settings.Module.MayCancel = false }, func(st *stage) {
+		var late func()
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			if late != nil {
+				answers(n, frame, conn)
+				return
+			}
+			late = func() { answers(n, frame, conn) }
+		})
+		st.serve()
+		st.ask(st.connect(), request("q1", "file", 2000, 0))
+		st.pass(1100)
+		st.ask(st.connect(), request("q2", "search", 2000, 0))
+		st.pass(100)
+		late()
+	})
+}
+
 // A call that still waits for its connection is not sent once its query has had its answer, or once its leaf
 // takes no more.
 func TestWithdrawn(t *testing.T) {
