--- a/router/leaves.go
+++ b/router/leaves.go
@@ -140,6 +140,8 @@
 	why     error // it was ended for
 	retired bool  // takes no more calls, and ends with the last that is out
 
+	finished bool // it was ended here
+
 	mu    sync.Mutex
 	queue []*frame // not yet written, oldest first
 	conn  net.Conn
@@ -234,7 +236,8 @@
 	o.conns++
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
-		mayCancel: o.cfg.Settings.Module.MayCancel, limit: o.cfg.Settings.ConnectTimeout, wake: make(chan struct{}, 1), calls: map[string]*call{}}
+		mayCancel: o.cfg.Settings.Module.MayCancel, limit: o.cfg.Settings.ConnectTimeout,
+		wake: make(chan struct{}, 1), calls: map[string]*call{}}
 	l.conns = append(l.conns, c)
 	o.group.Go(func() error { c.run(ctx, o); return nil })
 	return c
@@ -245,7 +248,7 @@
 	var oldest *leafConn
 	for _, l := range o.listed {
 		for _, c := range l.conns {
-			if c.free() && (oldest == nil || c.used < oldest.used) {
+			if c.free() && !c.finished && (oldest == nil || c.used < oldest.used) {
 				oldest = c
 			}
 		}
@@ -286,7 +289,7 @@
 	if c.ghosts = append(c.ghosts, k.part.id); len(c.ghosts) > mostGhosts {
 		c.ghosts, c.forgot = c.ghosts[1:], true
 	}
-	if o.cfg.Settings.Module.MayCancel {
+	if c.mayCancel {
 		c.send(&frame{conn: c, letter: codec.LetterGiveUp, rest: k.part.id})
 	}
 	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
@@ -326,7 +329,7 @@
 // letGo ends a retired connection with which nothing is given up any more.
 func (c *leafConn) letGo() {
 	if c.retired && c.free() {
-		c.close()
+		c.finish()
 	}
 }
 
@@ -336,7 +339,7 @@
 
 // finish ends the connection, and no call is given to it any more.
 func (c *leafConn) finish() {
-	c.retired = true
+	c.retired, c.finished = true, true
 	c.close()
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -144,6 +144,11 @@
 func TestWithdrawn(t *testing.T) {
 	for name, scene := range map[string]func(*stage){
 		"answered": func(st *stage) { st.ask(st.connect(), request("q1", "file", 100, 0)) },
+		"left": func(st *stage) {
+			c := st.connect()
+			st.ask(c, request("q1", "file", 2000, 0))
+			c.Close()
+		},
 		"draining": func(st *stage) {
 			st.ask(st.connect(), request("q1", "file", 2000, 0))
 			st.news(2, false, server("A", "terminating", 0))
