--- a/cmd/moleshift/main.go
+++ b/cmd/moleshift/main.go
@@ -15,14 +15,14 @@
 )
 
 func main() {
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger().Level(zerolog.InfoLevel)
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		log.Fatal().Err(err).Msg("configuration")
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	if err := router.Run(context.Background(), cfg, signals, log); err != nil {
+	if err := router.Run(context.Background(), cfg, signals, log.Level(cfg.Log)); err != nil {
 		log.Fatal().Err(err).Msg("ended by a fault")
 	}
 }
--- a/config/config.go
+++ b/config/config.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"moleshift/choice"
 )
 
@@ -21,6 +23,7 @@
 	defaultCores   = 1.0
 	defaultMemory  = 192  // MB
 	defaultSockets = 1024 // descriptors
+	defaultLog     = "info"
 	leastSockets   = 32
 	leastMemory    = 16
 
@@ -68,6 +71,7 @@
 	Name, Listen, Discovery string
 	Seed                    uint64
 	Limits                  Limits
+	Log                     zerolog.Level // lines below it are left out
 	Known                   List
 	Settings                *Settings
 	DrainFor, KeepFor       time.Duration
@@ -126,11 +130,11 @@
 
 func decode(text []byte, env func(string) string) (*Config, error) {
 	var w struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        Limits
-		Known, Settings               json.RawMessage
+		Name, Listen, Discovery, Seed, Log string
+		Limits                             Limits
+		Known, Settings                    json.RawMessage
 	}
-	w.Limits = Limits{defaultCores, defaultMemory, defaultSockets}
+	w.Limits, w.Log = Limits{defaultCores, defaultMemory, defaultSockets}, defaultLog
 	if err := json.Unmarshal(text, &w); err != nil {
 		return nil, jsonFault(err)
 	}
@@ -144,6 +148,10 @@
 		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
 		DrainFor: drainFor, KeepFor: keepFor,
 		Silence: silence, MostLine: mostLine}
+	var err error
+	if c.Log, err = zerolog.ParseLevel(w.Log); err != nil || w.Log == "" {
+		return nil, fmt.Errorf("log: %q is no level", w.Log)
+	}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, err := netip.ParseAddrPort(a.address); err != nil {
 			return nil, fmt.Errorf("%s: %q is no address and port", a.key, a.address)
@@ -159,7 +167,6 @@
 	case len(w.Settings) == 0:
 		return nil, errors.New("settings: missing")
 	}
-	var err error
 	if len(w.Known) > 0 {
 		var left []error
 		if c.Known, left, err = DecodeList(w.Known); err == nil && len(left) > 0 {
