--- a/config/config.go
+++ b/config/config.go
@@ -130,9 +130,10 @@
 
 func decode(text []byte, env func(string) string) (*Config, error) {
 	var w struct {
-		Name, Listen, Discovery, Seed, Log string
-		Limits                             Limits
-		Known, Settings                    json.RawMessage
+		Name, Listen, Discovery, Seed string
+		Log                           string `json:"log_level"`
+		Limits                        Limits
+		Known, Settings               json.RawMessage
 	}
 	w.Limits, w.Log = Limits{defaultCores, defaultMemory, defaultSockets}, defaultLog
 	if err := json.Unmarshal(text, &w); err != nil {
@@ -150,7 +151,7 @@
 		Silence: silence, MostLine: mostLine}
 	var err error
 	if c.Log, err = zerolog.ParseLevel(w.Log); err != nil || w.Log == "" {
-		return nil, fmt.Errorf("log: %q is no level", w.Log)
+		return nil, fmt.Errorf("log_level: %q is no level", w.Log)
 	}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, err := netip.ParseAddrPort(a.address); err != nil {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -36,7 +36,7 @@
 		`"aim":1000=>"aim":0`, `"effect":"repeatable"=>"effect":"odd"`, `"second_step":[0]=>"second_step":[2]`,
 		`"slices":18=>"slices":0`, `"sets":3=>"need_by_class":[1.5],"sets":3`, `"span":1=>"min_share":[0],"span":1`,
 		`"instanceId":"s-1"=>"instanceId":""`, `"in_service"=>"asleep"`, `"cell":0=>"cell":-1`,
-		`"instanceId":"s-1"=>"instanceId":7`, `"open_cap":131=>"open_cap":-1`, `"name":"n1"=>"log":"loud"`,
+		`"instanceId":"s-1"=>"instanceId":7`, `"open_cap":131=>"open_cap":-1`, `"name":"n1"=>"log_level":"loud"`,
 	} {
 		old, new, _ := strings.Cut(change, "=>")
 		if !strings.Contains(good, old) {
