--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -354,37 +354,25 @@
 }
 
 // Incident 10: right after a start the least service time is next to nothing; that must not make all others
-// look jammed.
+// look jammed. Incident 29: nor must the times of 0 that leaves report which have served nothing yet, or
+// queries are turned away from a fleet that stands idle.
 func TestServiceTimeIsHeldAgainstThePeers(t *testing.T) {
-	st := play(t, 3, plain(nil))
-	st.query(0, 0, 0, 0)
-	st.pass(100)
-	for i, ms := range []float64{0.1, 150, 100} {
-		rep := new(Report)
-		rep.Set(ServiceTime, ms)
-		st.end(fmt.Sprintf("q1.%d#0", i), OK, rep)
-	}
-	for _, l := range st.leafs {
-		st.say("Q of %s: %.1f", st.names[l], st.r.queue(l))
-	}
-	st.check("service-time")
-}
-
-// Leaves that have served nothing yet report a time of 0. They tell of no peer: the first one that has served
-// something must not look jammed beside them, or queries are turned away from a fleet that stands idle.
-func TestServiceTimeOfNothingServed(t *testing.T) {
-	st := play(t, 3, plain(nil))
-	st.query(0, 0, 0, 0, 0)
-	st.pass(100)
-	for i, ms := range []float64{0, 0, 0, 40} {
-		rep := new(Report)
-		rep.Set(ServiceTime, ms)
-		st.end(fmt.Sprintf("q1.%d#0", i), OK, rep)
-	}
-	for _, l := range st.leafs {
-		st.say("Q of %s: %.1f", st.names[l], st.r.queue(l))
+	for name, times := range map[string][]float64{"service-time": {0.1, 150, 100}, "nothing-served": {0, 0, 0, 40}} {
+		t.Run(name, func(t *testing.T) {
+			st := play(t, 3, plain(nil))
+			st.query(0, make([]float64, len(times))...)
+			st.pass(100)
+			for i, ms := range times {
+				rep := new(Report)
+				rep.Set(ServiceTime, ms)
+				st.end(fmt.Sprintf("q1.%d#0", i), OK, rep)
+			}
+			for _, l := range st.leafs {
+				st.say("Q of %s: %.1f", st.names[l], st.r.queue(l))
+			}
+			st.check(name)
+		})
 	}
-	st.check("nothing-served")
 }
 
 // zones puts every leaf but the first into another zone.
