--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -283,23 +283,16 @@
 	})
 }
 
-func FuzzQueries(f *testing.F) {
-	for _, b := range bodies {
-		f.Add(b)
-	}
-	f.Fuzz(func(t *testing.T, raw string) {
-		if d := cmp.Diff(query(raw, 1<<20), query(raw, 1)); d != "" {
-			t.Error(d)
-		}
-	})
-}
+func FuzzQueries(f *testing.F) { fuzz(f, bodies, query) }
+func FuzzFrames(f *testing.F)  { fuzz(f, streams, answers) }
 
-func FuzzFrames(f *testing.F) {
-	for _, s := range streams {
+// fuzz feeds what it makes of the seeds whole and in single bytes.
+func fuzz(f *testing.F, seeds []string, show func(raw string, most int) string) {
+	for _, s := range seeds {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, raw string) {
-		if d := cmp.Diff(answers(raw, 1<<20), answers(raw, 1)); d != "" {
+		if d := cmp.Diff(show(raw, 1<<20), show(raw, 1)); d != "" {
 			t.Error(d)
 		}
 	})
--- a/codec/frames.go
+++ b/codec/frames.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"errors"
 	"io"
-	"math"
 	"strconv"
 	"strings"
 
@@ -147,16 +146,9 @@
 	if word == "-" || word == "" {
 		return nil, nil
 	}
-	rep := new(choice.Report)
-	for pair := range strings.SplitSeq(word, ",") {
-		name, value, found := strings.Cut(pair, "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if !found || err != nil || math.IsNaN(x) || math.Abs(x) > 1e15 {
-			return nil, errAnswer
-		}
-		if m, known := config.Measures[name]; known {
-			rep.Set(m, x)
-		}
+	rep, err := config.ParseReport(word, "=")
+	if err != nil {
+		return nil, errAnswer
 	}
 	return rep, nil
 }
--- a/codec/http.go
+++ b/codec/http.go
@@ -279,7 +279,6 @@
 	return s != ""
 }
 
-// Seconds and milliseconds in header fields.
 var errNumber = errors.New("no number that makes sense")
 
 // Millis reads a header's time in milliseconds.
--- a/codec/ring.go
+++ b/codec/ring.go
@@ -26,20 +26,21 @@
 // Free is how much more it can take.
 func (r *Ring) Free() int { return len(r.buf) - r.n }
 
+// room is the first stretch of what is free that lies in one piece.
+func (r *Ring) room() []byte {
+	end := (r.start + r.n) % len(r.buf)
+	return r.buf[end:min(end+r.Free(), len(r.buf))]
+}
+
 // Fill takes what one read gives. It must have room.
 func (r *Ring) Fill(from io.Reader) (int, error) {
 	if r.n == 0 {
 		r.start = 0
 	}
-	end := (r.start + r.n) % len(r.buf)
-	room := r.buf[end:]
-	if end < r.start {
-		room = r.buf[end:r.start]
-	}
 	if r.Free() == 0 {
 		return 0, io.ErrShortBuffer
 	}
-	n, err := from.Read(room)
+	n, err := from.Read(r.room())
 	r.n += n
 	return n, err
 }
@@ -56,12 +57,7 @@
 func (r *Ring) Put(p []byte) int {
 	done := 0
 	for done < len(p) && r.Free() > 0 {
-		end := (r.start + r.n) % len(r.buf)
-		room := r.buf[end:]
-		if end < r.start {
-			room = r.buf[end:r.start]
-		}
-		n := copy(room, p[done:])
+		n := copy(r.room(), p[done:])
 		r.n, done = r.n+n, done+n
 	}
 	return done
--- a/config/settings.go
+++ b/config/settings.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,14 +29,43 @@
 	Longest        time.Duration // the longest deadline of any vertical
 }
 
-// Measures are the values of load reports by name: those of the simulator's wire and those on sockets.
-var Measures = map[string]choice.Measure{
+// measures are the values of load reports by name: those of the simulator's wire and those on sockets.
+var measures = map[string]choice.Measure{
 	"active": choice.Active, "waiting": choice.Waiting, "cpu": choice.Utilisation,
 	"avg_ms": choice.ServiceTime, "rps": choice.ServedRate, "err_rps": choice.ErrorRate,
 	"inflight": choice.Active, "queue": choice.Waiting, "util": choice.Utilisation,
 	"latency_ms": choice.ServiceTime, "qps": choice.ServedRate, "eps": choice.ErrorRate,
 }
 
+// ParseReport reads a load report: pairs of a name and a value, set apart by commas, with a separator within
+// each. Values of unknown names are skipped.
+func ParseReport(text, separator string) (*choice.Report, error) {
+	rep := new(choice.Report)
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, found := strings.Cut(pair, separator)
+		if !found {
+			return nil, fmt.Errorf("holds no name and value: %q", pair)
+		}
+		x, err := ParseNumber(value)
+		if err != nil {
+			return nil, err
+		}
+		if m, known := measures[name]; known {
+			rep.Set(m, x)
+		}
+	}
+	return rep, nil
+}
+
+// ParseNumber reads a decimal number of a size that makes sense.
+func ParseNumber(text string) (float64, error) {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(x) || math.Abs(x) > 1e15 {
+		return 0, fmt.Errorf("is no number: %q", text)
+	}
+	return x, nil
+}
+
 // FloorTime and CeilTime turn milliseconds into the module's time. Points in time that end something are
 // rounded down, the clock and starts up, so that rounding never makes time left look longer than it is.
 func FloorTime(ms float64) choice.Time { return choice.Time(math.Floor(ms*10 + 1e-6)) }
@@ -108,13 +138,9 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return nil, jsonFault(err)
 	}
-	for key, bad := range map[string]bool{
-		"classes": len(w.Classes) == 0, "family_info.slices": w.FamilyInfo.Slices < 1,
-		"family_info.sets": w.FamilyInfo.Sets < 1, "family_info.span": w.FamilyInfo.Span < 1,
-	} {
-		if bad {
-			return nil, fmt.Errorf("%s: missing or out of range", key)
-		}
+	if err := firstBad([]check{{"classes", len(w.Classes) == 0}, {"family_info.slices", w.FamilyInfo.Slices < 1},
+		{"family_info.sets", w.FamilyInfo.Sets < 1}, {"family_info.span", w.FamilyInfo.Span < 1}}); err != nil {
+		return nil, err
 	}
 	s := &choice.Settings{
 		Seed: seed, Roots: max(w.Balancers, 1), Tick: CeilTime(w.Tick),
@@ -184,13 +210,25 @@
 	return err
 }
 
+// check is a key and whether its value can't be used.
+type check struct {
+	key string
+	bad bool
+}
+
+func firstBad(checks []check) error {
+	for _, c := range checks {
+		if c.bad {
+			return fmt.Errorf("%s: missing or out of range", c.key)
+		}
+	}
+	return nil
+}
+
 // forRouter checks what a router needs beyond what the simulator's side does.
 func (s *Settings) forRouter() error {
 	m := s.Module
-	checks := []struct {
-		key string
-		bad bool
-	}{
+	checks := []check{
 		{"tick", m.Tick < 1},
 		{"zone", m.Zone < 0 || m.Zone >= max(len(s.Zones), 1)},
 		{"zones", len(s.Zones) == 0},
@@ -204,10 +242,7 @@
 	seen := map[string]bool{}
 	for i, v := range m.Verticals {
 		name := s.Verticals[i]
-		checks = append(checks, []struct {
-			key string
-			bad bool
-		}{
+		checks = append(checks, []check{
 			{fmt.Sprintf("classes[%d].name", i), name == "" || seen[name]},
 			{fmt.Sprintf("classes[%d].aim", i), v.SLO <= 0},
 			{fmt.Sprintf("classes[%d].deadline", i), v.Deadline <= 0},
@@ -217,10 +252,5 @@
 		}...)
 		seen[name] = true
 	}
-	for _, c := range checks {
-		if c.bad {
-			return fmt.Errorf("%s: missing or out of range", c.key)
-		}
-	}
-	return nil
+	return firstBad(checks)
 }
--- a/router/clients.go
+++ b/router/clients.go
@@ -158,14 +158,6 @@
 	return false
 }
 
-// roomier tells that a connection has ended or become idle.
-func (d *door) roomier() {
-	select {
-	case d.freed <- struct{}{}:
-	default:
-	}
-}
-
 // close stops taking connections and ends those that are idle; the others end with their next answer.
 func (d *door) close() {
 	d.listener.Close()
@@ -193,7 +185,7 @@
 	d.mu.Lock()
 	delete(d.conns, c)
 	d.mu.Unlock()
-	d.roomier()
+	poke(d.freed)
 	d.owner.post(ctx, func(o *owner) { o.leave(c) })
 }
 
@@ -216,14 +208,14 @@
 	answers chan reply // one is owed at most, and one that asks for the body
 	done    chan struct{}
 	state   atomic.Int32
-	wake    chan struct{}
-	behind  atomic.Bool // bytes that came before the answer was out wait in the ring
+	wake    chan struct{} // for a reader that has no room to read on
+	behind  atomic.Bool   // bytes that came before the answer was out wait in the ring
 	idleAt  atomic.Int64
 	query   *query // the owner's
 
 	began time.Time // the request's first byte
-	body  *codec.QueryBody
-	bad   error // why the request can't be taken, once its framing is sure
+	asked *asked    // nil where it is no query
+	bad   error     // why the request can't be taken, once its framing is sure
 }
 
 // turnTo changes where the connection stands, if it stood where it was thought to.
@@ -271,11 +263,7 @@
 				continue
 			}
 		}
-		n, err := c.in.Fill(c.conn)
-		if n > 0 && c.turnTo(idle, reading) {
-			c.began = time.Now()
-			c.conn.SetReadDeadline(c.began.Add(c.door.cfg.Settings.Longest))
-		}
+		_, err := c.in.Fill(c.conn)
 		if standing(c.state.Load()) == ending {
 			return
 		}
@@ -317,7 +305,7 @@
 			}
 			return true
 		case codec.Begun:
-			c.body, c.bad = nil, c.check()
+			c.asked, c.bad = c.check()
 			if c.parser.Head.Continues() {
 				if c.bad != nil { // the body may come or not, so nobody knows where a next request begins
 					c.refuse(c.bad)
@@ -325,12 +313,9 @@
 				}
 				c.answer(reply{goOn: true})
 			}
-			if c.bad == nil && c.parser.Head.Method == http.MethodPost {
-				c.body = codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)
-			}
 		case codec.Data:
-			if c.bad == nil && c.body != nil {
-				c.bad = c.body.Feed(piece)
+			if c.bad == nil && c.asked != nil {
+				c.bad = c.asked.body.Feed(piece)
 			}
 		case codec.Ended:
 			c.conn.SetReadDeadline(time.Time{})
@@ -354,28 +339,27 @@
 	return http.StatusBadRequest
 }
 
-// check looks at a request's head.
-func (c *client) check() error {
+// check looks at a request's head. What it returns is nil for a look at the health.
+func (c *client) check() (*asked, error) {
 	h := &c.parser.Head
 	path, _, _ := strings.Cut(h.Target, "?")
 	if path == healthPath {
 		if h.Method != http.MethodGet {
-			return &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "GET only"}
+			return nil, &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "GET only"}
 		}
-		return nil
+		return nil, nil
 	}
 	if h.Method != http.MethodPost {
 		if _, known := c.vertical(); !known {
-			return &codec.Fault{Status: http.StatusNotFound, Text: "nothing is here"}
+			return nil, &codec.Fault{Status: http.StatusNotFound, Text: "nothing is here"}
 		}
-		return &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "POST only"}
+		return nil, &codec.Fault{Status: http.StatusMethodNotAllowed, Text: "POST only"}
 	}
 	_, lengths := h.Get("content-length")
 	if _, codings := h.Get("transfer-encoding"); lengths+codings == 0 {
-		return &codec.Fault{Status: http.StatusLengthRequired, Text: "a query has a body with a length"}
+		return nil, &codec.Fault{Status: http.StatusLengthRequired, Text: "a query has a body with a length"}
 	}
-	_, err := c.head()
-	return err
+	return c.head()
 }
 
 func (c *client) vertical() (int, bool) {
@@ -388,7 +372,7 @@
 // head reads what the head says of a query.
 func (c *client) head() (*asked, error) {
 	h := &c.parser.Head
-	a := &asked{client: c}
+	a := &asked{client: c, body: codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)}
 	var known bool
 	if a.vertical, known = c.vertical(); !known {
 		return nil, &codec.Fault{Status: http.StatusNotFound, Text: "no such vertical"}
@@ -427,45 +411,32 @@
 	if !c.turnTo(reading, waiting) {
 		return false
 	}
-	if c.bad == nil && c.body == nil {
-		status := http.StatusOK
-		if p := c.door.owner.phase.now(); p != Serving {
+	if c.bad == nil && c.asked == nil {
+		status, phase := http.StatusOK, c.door.owner.phase.now()
+		if phase != Serving {
 			status = http.StatusServiceUnavailable
 		}
-		c.answer(reply{status: status, text: c.door.owner.phase.now().String(), closes: c.closes()})
+		c.answer(reply{status: status, text: phase.String()})
 		return true
 	}
 	if c.bad == nil {
-		c.bad = c.body.End()
+		c.bad = c.asked.body.End()
 	}
 	if c.bad != nil {
 		c.door.log.Debug().Err(c.bad).Str("target", c.parser.Head.Target).Msg("malformed request")
 		status := statusOf(c.bad) // without a length nobody knows where the next request begins
-		c.answer(reply{status: status, text: c.bad.Error(), closes: c.closes() || status == http.StatusLengthRequired})
+		c.answer(reply{status: status, text: c.bad.Error(), closes: status == http.StatusLengthRequired})
 		return true
 	}
-	a, err := c.head()
-	if err != nil {
-		return false // check has asked the same
-	}
-	a.body, c.body = c.body, nil
+	a := c.asked
+	c.asked = nil
 	c.door.owner.post(ctx, func(o *owner) { o.take(a) })
 	return true
 }
 
-func (c *client) closes() bool { return c.parser.Head.Closes() }
-
-// rouse wakes a reader that has no room to read on.
-func (c *client) rouse() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // write writes answers until the connection ends.
 func (c *client) write() {
-	defer c.rouse()
+	defer poke(c.wake)
 	defer c.conn.Close()
 	w := codec.NewWriter(c.conn, clientRing)
 	for {
@@ -504,9 +475,9 @@
 			}
 			if c.behind.Swap(false) {
 				c.conn.SetReadDeadline(time.Now())
-				c.rouse()
+				poke(c.wake)
 			}
-			c.door.roomier()
+			poke(c.door.freed)
 			if c.door.closing() {
 				c.closeIdle()
 			}
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -290,6 +290,13 @@
 	}
 }
 
+// holding keeps every answer back for the scene to give.
+func holding(held *[]func()) func(int, string, net.Conn) {
+	return func(n int, frame string, conn net.Conn) {
+		*held = append(*held, func() { answers(n, frame, conn) })
+	}
+}
+
 // connect opens a client's connection; what comes back on it is printed.
 func (st *stage) connect() net.Conn {
 	here, there := net.Pipe()
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -13,7 +13,6 @@
 	"net"
 	"slices"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -57,7 +56,7 @@
 			e.Started = config.CeilTime(s.StartedMS)
 		}
 		moved := s.Address != "" && s.Address != l.address
-		for _, c := range slices.Clone(l.conns) {
+		for _, c := range l.conns {
 			if up := c.upSince(); up > 0 && up < e.Started && e.Started != l.started {
 				c.finish() // it leads to a process that is no more
 			} else if moved {
@@ -75,10 +74,10 @@
 		if !barred[l] {
 			continue
 		}
-		for _, c := range slices.Clone(l.conns) {
+		for _, c := range l.conns {
 			for _, k := range c.inOrder() { // those that still wait for a connection must not go out now
 				if c.withdraw(k) {
-					o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
+					o.endLater(k, choice.NoConnection)
 				}
 			}
 			c.retire()
@@ -99,9 +98,8 @@
 // frame is what travels to a leaf at once: a call with its parts, or one short frame.
 type frame struct {
 	conn  *leafConn
-	calls []*call
-	parts []codec.PartSent
-	out   int // calls whose outcome has not been told; the owner's
+	parts []codec.PartSent // of a call
+	out   int              // calls whose outcome has not been told; the owner's
 
 	letter byte // of a short frame
 	rest   string
@@ -123,7 +121,6 @@
 type leafConn struct {
 	leaf    *leaf
 	address string
-	limit   time.Duration
 	cancel  context.CancelFunc
 	wake    chan struct{}
 
@@ -140,8 +137,6 @@
 	why     error // it was ended for
 	retired bool  // takes no more calls, and ends with the last that is out
 
-	finished bool // it was ended here
-
 	mu    sync.Mutex
 	queue []*frame // not yet written, oldest first
 	conn  net.Conn
@@ -152,7 +147,6 @@
 // probe is one probe whose outcome has not been told.
 type probe struct {
 	leaf  *leaf
-	conn  *leafConn
 	ended bool
 }
 
@@ -168,16 +162,16 @@
 			continue
 		}
 		if k.part.over { // its query has had its answer in this very turn
-			o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+			o.endLater(k, choice.Moot)
 			continue
 		}
-		if f != nil && (len(f.calls) == most || f.conn.knows(k.part.id)) {
+		if f != nil && (len(f.parts) == most || f.conn.knows(k.part.id)) {
 			f = nil
 		}
 		if f == nil {
 			c := l.connFor(o, k.part.id)
 			if c == nil { // no descriptor is left for it, so it is never sent
-				o.later = append(o.later, func(o *owner) { o.end(k, choice.NoConnection, nil, nil) })
+				o.endLater(k, choice.NoConnection)
 				continue
 			}
 			f = &frame{conn: c}
@@ -185,12 +179,11 @@
 			frames = append(frames, f)
 		}
 		k.frame = f
-		f.calls = append(f.calls, k)
 		f.out++
 		f.conn.calls[k.part.id] = k
 		f.conn.used = o.now
 		wait := int64((k.until - o.now + choice.Millisecond - 1) / choice.Millisecond)
-		f.parts = append(f.parts, codec.PartSent{ID: k.part.id, Shard: k.part.shard, Wait: max(wait, 1),
+		f.parts = append(f.parts, codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Wait: max(wait, 1),
 			Text: k.part.query.text})
 	}
 	for _, f := range frames {
@@ -217,15 +210,7 @@
 }
 
 func (c *leafConn) knows(id string) bool {
-	if c.calls[id] != nil {
-		return true
-	}
-	for _, g := range c.ghosts {
-		if g == id {
-			return true
-		}
-	}
-	return false
+	return c.calls[id] != nil || slices.Contains(c.ghosts, id)
 }
 
 func (l *leaf) dial(o *owner) *leafConn {
@@ -236,8 +221,7 @@
 	o.conns++
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
-		mayCancel: o.cfg.Settings.Module.MayCancel, limit: o.cfg.Settings.ConnectTimeout,
-		wake: make(chan struct{}, 1), calls: map[string]*call{}}
+		mayCancel: o.cfg.Settings.Module.MayCancel, wake: make(chan struct{}, 1), calls: map[string]*call{}}
 	l.conns = append(l.conns, c)
 	o.group.Go(func() error { c.run(ctx, o); return nil })
 	return c
@@ -248,7 +232,7 @@
 	var oldest *leafConn
 	for _, l := range o.listed {
 		for _, c := range l.conns {
-			if c.free() && !c.finished && (oldest == nil || c.used < oldest.used) {
+			if c.free() && !c.retired && (oldest == nil || c.used < oldest.used) {
 				oldest = c
 			}
 		}
@@ -260,7 +244,7 @@
 }
 
 // ended takes a call off the connection's books.
-func (c *leafConn) ended(o *owner, k *call) {
+func (c *leafConn) ended(k *call) {
 	if c.calls[k.part.id] == k {
 		delete(c.calls, k.part.id)
 	}
@@ -290,11 +274,11 @@
 		c.ghosts, c.forgot = c.ghosts[1:], true
 	}
 	if c.mayCancel {
-		c.send(&frame{conn: c, letter: codec.LetterGiveUp, rest: k.part.id})
+		c.send(&frame{letter: codec.LetterGiveUp, rest: k.part.id})
 	}
 	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
 	// call finds out, by a new connection, without being lost itself.
-	if c.heard <= k.sent && o.now-k.sent >= tenths(c.limit) {
+	if c.heard <= k.sent && o.now-k.sent >= tenths(o.cfg.Settings.ConnectTimeout) {
 		c.retire()
 	}
 	return outcome
@@ -302,14 +286,8 @@
 
 // drop takes a call out of a frame that is still queued.
 func (f *frame) drop(k *call) {
-	for i, other := range f.calls {
-		if other == k {
-			f.calls = append(f.calls[:i:i], f.calls[i+1:]...)
-			f.parts = append(f.parts[:i:i], f.parts[i+1:]...)
-			break
-		}
-	}
-	if len(f.calls) == 0 {
+	f.parts = slices.DeleteFunc(f.parts, func(p codec.PartSent) bool { return p.ID == k.part.id })
+	if len(f.parts) == 0 {
 		f.stage = dropped
 	}
 }
@@ -339,7 +317,7 @@
 
 // finish ends the connection, and no call is given to it any more.
 func (c *leafConn) finish() {
-	c.retired, c.finished = true, true
+	c.retired = true
 	c.close()
 }
 
@@ -353,14 +331,7 @@
 	if conn != nil {
 		conn.Close()
 	}
-	c.rouse()
-}
-
-func (c *leafConn) rouse() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	poke(c.wake)
 }
 
 // send queues a frame. It never blocks: what may be queued is bounded by the calls that may be out.
@@ -368,27 +339,28 @@
 	c.mu.Lock()
 	c.queue = append(c.queue, f)
 	c.mu.Unlock()
-	c.rouse()
+	poke(c.wake)
 }
 
 // probe sends a probe, for load where reports come no other way.
 func (l *leaf) probe(o *owner) {
 	p := &probe{leaf: l}
-	if p.conn = l.connFor(o, ""); p.conn == nil {
+	c := l.connFor(o, "")
+	if c == nil {
 		o.later = append(o.later, func(o *owner) { o.probed(p, choice.NoConnection, nil) })
 		return
 	}
-	p.conn.probes = append(p.conn.probes, p)
-	p.conn.used = o.now
+	c.probes = append(c.probes, p)
+	c.used = o.now
 	letter := byte(codec.LetterProbe)
 	if o.cfg.Settings.Module.ProbeReports {
 		letter = codec.LetterLoad
 	}
-	p.conn.send(&frame{conn: p.conn, letter: letter})
+	c.send(&frame{letter: letter})
 	sent := o.now
-	o.at(sent+tenths(p.conn.limit), func(o *owner) {
-		if !p.ended && p.conn.heard <= sent { // see giveUp
-			p.conn.retire()
+	o.at(sent+tenths(o.cfg.Settings.ConnectTimeout), func(o *owner) {
+		if !p.ended && c.heard <= sent { // see giveUp
+			c.retire()
 		}
 		o.probed(p, choice.TimedOut, nil)
 	})
@@ -405,7 +377,7 @@
 func (o *owner) tend() {
 	next := tenths(max(o.cfg.Settings.ConnIdle/8, o.cfg.Settings.ConnectTimeout))
 	for _, l := range o.listed {
-		for _, c := range slices.Clone(l.conns) {
+		for _, c := range l.conns {
 			if c.stale(o, next) {
 				c.finish()
 			}
@@ -422,7 +394,7 @@
 	defer c.cancel()
 	stop := context.AfterFunc(o.ctx, c.close)
 	defer stop()
-	conn, err := o.dial(ctx, c.address, c.limit)
+	conn, err := o.dial(ctx, c.address, o.cfg.Settings.ConnectTimeout)
 	if err != nil {
 		o.post(o.ctx, func(o *owner) { c.down(o, err) })
 		return
@@ -544,14 +516,10 @@
 		o.end(k, a.Outcome, a.Report, a.Value)
 		return
 	}
-	for i, g := range c.ghosts {
-		if g == a.ID {
-			c.ghosts = append(c.ghosts[:i], c.ghosts[i+1:]...)
-			c.letGo()
-			return
-		}
-	}
-	if !c.forgot {
+	if i := slices.Index(c.ghosts, a.ID); i >= 0 {
+		c.ghosts = slices.Delete(c.ghosts, i, i+1)
+		c.letGo()
+	} else if !c.forgot {
 		c.why = errUnasked
 		c.finish()
 	}
@@ -581,12 +549,7 @@
 // down settles what was out when the connection ended: what was written whole may have run, the rest has not.
 func (c *leafConn) down(o *owner, err error) {
 	o.conns--
-	for i, other := range c.leaf.conns {
-		if other == c {
-			c.leaf.conns = append(c.leaf.conns[:i:i], c.leaf.conns[i+1:]...)
-			break
-		}
-	}
+	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(other *leafConn) bool { return other == c })
 	var said fault
 	if c.why != nil {
 		err = c.why
--- a/router/list.go
+++ b/router/list.go
@@ -35,12 +35,7 @@
 }
 
 // ask has a watch opened, if there is none.
-func (l *list) ask() {
-	select {
-	case l.asked <- struct{}{}:
-	default:
-	}
-}
+func (l *list) ask() { poke(l.asked) }
 
 // run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
 // again; else a watch that broke is opened anew, ever later while that fails. News counts as told some seconds
--- a/router/owner.go
+++ b/router/owner.go
@@ -68,7 +68,6 @@
 
 type part struct {
 	id    string
-	shard int
 	p     *choice.Part
 	query *query
 	in    bool
@@ -197,14 +196,11 @@
 // out goes what the module said.
 func (o *owner) turn(told []event) {
 	o.now = max(o.clk.now(), o.now)
-	later := o.later
+	told = append(told, o.later...)
 	o.later = nil
 	for _, e := range told {
 		e(o)
 	}
-	for _, e := range later {
-		e(o)
-	}
 	for len(o.dues) > 0 && o.dues[0].at <= o.now {
 		heap.Pop(&o.dues).(due).do(o)
 	}
@@ -233,7 +229,7 @@
 	var parts []*choice.Part
 	for _, p := range a.body.Parts {
 		cp := &choice.Part{Shard: p.Shard, Weight: p.Weight, Hint: p.Hint / 1000}
-		held := &part{id: a.id + "." + strconv.Itoa(p.Shard), shard: p.Shard, p: cp, query: q}
+		held := &part{id: a.id + "." + strconv.Itoa(p.Shard), p: cp, query: q}
 		q.parts, parts = append(q.parts, held), append(parts, cp)
 		o.parts[cp] = held
 	}
@@ -263,7 +259,7 @@
 		delete(o.parts, p.p)
 		for _, k := range p.calls { // no part of it is sent after its answer, though it waits for a connection
 			if !k.ended && k.frame != nil && k.frame.conn.withdraw(k) {
-				o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+				o.endLater(k, choice.Moot)
 			}
 		}
 	}
@@ -279,7 +275,7 @@
 	c.ended = true
 	delete(o.calls, c.c)
 	if c.frame != nil {
-		c.frame.conn.ended(o, c)
+		c.frame.conn.ended(c)
 	}
 	p := c.part
 	if outcome == choice.OK && !p.over && !p.in {
@@ -290,6 +286,11 @@
 	o.root.Outcome(o.now, c.c, outcome, o.now-c.sent, p.in || p.over, rep)
 }
 
+// endLater tells the outcome of a call in the next turn, unless another comes first.
+func (o *owner) endLater(c *call, outcome choice.Outcome) {
+	o.later = append(o.later, func(o *owner) { o.end(c, outcome, nil, nil) })
+}
+
 // expire: nobody waits for a call any longer.
 func (o *owner) expire(c *call) {
 	if c.ended {
@@ -311,7 +312,7 @@
 	o.calls[c] = k
 	if p == nil || len(p.calls) >= o.cfg.Settings.Module.MaxCalls { // never sent
 		k.part = &part{over: true}
-		o.later = append(o.later, func(o *owner) { o.end(k, choice.Moot, nil, nil) })
+		o.endLater(k, choice.Moot)
 		return
 	}
 	p.calls = append(p.calls, k)
@@ -320,7 +321,7 @@
 		k.until = min(k.until, o.now+timeout)
 	}
 	if k.until <= o.now {
-		o.later = append(o.later, func(o *owner) { o.end(k, choice.TimedOut, nil, nil) })
+		o.endLater(k, choice.TimedOut)
 		return
 	}
 	o.at(k.until, func(o *owner) { o.expire(k) })
@@ -352,7 +353,7 @@
 	var rows []codec.Row
 	for _, p := range held.parts {
 		if p.in {
-			rows = append(rows, codec.Row{Shard: p.shard, Value: p.value})
+			rows = append(rows, codec.Row{Shard: p.p.Shard, Value: p.value})
 		}
 	}
 	o.final(held, reply{status: servedStatus, whole: whole, rows: rows})
--- a/router/router.go
+++ b/router/router.go
@@ -58,17 +58,23 @@
 // clock reads times in tenths of a millisecond of Unix time that only move forward.
 type clock struct{ base time.Time }
 
-func (c clock) at(t time.Time) choice.Time {
-	since := c.base.UnixMicro() + t.Sub(c.base).Microseconds()
-	return choice.Time((since + 99) / 100)
-}
+func (c clock) micros(t time.Time) int64 { return c.base.UnixMicro() + t.Sub(c.base).Microseconds() }
+
+func (c clock) at(t time.Time) choice.Time { return choice.Time((c.micros(t) + 99) / 100) }
 
 func (c clock) now() choice.Time { return c.at(time.Now()) }
 
 // until is how long it is from now to a time.
 func (c clock) until(t choice.Time) time.Duration {
-	since := c.base.UnixMicro() + time.Since(c.base).Microseconds()
-	return time.Duration(int64(t)*100-since) * time.Microsecond
+	return time.Duration(int64(t)*100-c.micros(time.Now())) * time.Microsecond
+}
+
+// poke wakes whoever waits on a channel with room for one; more pokes before that are one.
+func poke(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
 }
 
 func duration(t choice.Time) time.Duration { return time.Duration(t) * (time.Millisecond / 10) }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -201,9 +201,7 @@
 func TestDrain(t *testing.T) {
 	play(t, "drain", 1, nil, func(st *stage) {
 		var held []func()
-		st.leafAt("A", func(n int, frame string, conn net.Conn) {
-			held = append(held, func() { answers(n, frame, conn) })
-		})
+		st.leafAt("A", holding(&held))
 		st.serve()
 		busy, kept, started := st.connect(), st.connect(), st.connect()
 		st.ask(busy, request("q1", "search", 2000, 0))
@@ -269,9 +267,7 @@
 func TestOddRequests(t *testing.T) {
 	play(t, "odd-requests", 1, nil, func(st *stage) {
 		var held []func()
-		st.leafAt("A", func(n int, frame string, conn net.Conn) {
-			held = append(held, func() { answers(n, frame, conn) })
-		})
+		st.leafAt("A", holding(&held))
 		st.serve()
 		c := st.connect()
 		for _, b := range request("q1", "search", 2000, 0) {
@@ -333,9 +329,7 @@
 func TestLimits(t *testing.T) {
 	play(t, "limits", 1, func(c *config.Config) { c.Limits.Sockets, c.Settings.OpenCap = 4, 3 }, func(st *stage) {
 		var held []func()
-		st.leafAt("A", func(n int, frame string, conn net.Conn) {
-			held = append(held, func() { answers(n, frame, conn) })
-		})
+		st.leafAt("A", holding(&held))
 		st.serve()
 		c := st.connect()
 		st.ask(c, request("q1", "search", 2000, 0, 1))
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 
@@ -101,10 +100,9 @@
 }
 
 func (f *fields) float(name, w string) float64 {
-	x, err := strconv.ParseFloat(w, 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || math.Abs(x) > 1e15 {
-		f.fail("%s is no number: %q", name, w)
-		return 0
+	x, err := config.ParseNumber(w)
+	if err != nil {
+		f.fail("%s %w", name, err)
 	}
 	return x
 }
@@ -163,18 +161,10 @@
 	if f.err != nil || w == "" {
 		return nil
 	}
-	rep := new(choice.Report)
-	for pair := range strings.SplitSeq(w, ",") {
-		k, v, found := strings.Cut(pair, ":")
-		if !found {
-			f.fail("%s holds no name and value: %q", name, pair)
-			return nil
-		}
-		if x := f.float(name, v); f.err != nil {
-			return nil
-		} else if m, known := config.Measures[k]; known {
-			rep.Set(m, x)
-		}
+	rep, err := config.ParseReport(w, ":")
+	if err != nil {
+		f.fail("%s %w", name, err)
+		return nil
 	}
 	return rep
 }
