SIGHUP reads the configuration anew and moves the watch on the list at once

The watch moves at once, out of a pause or a silence, from the generation it holds; what the old address told is never dropped (news is posted under the program's context, not the watch's). An address that knows less than was told is asked for the whole list: it looped on 'went back' before. Test: TestReload, TestWatch.

--- a/config/config.go
+++ b/config/config.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -186,6 +187,27 @@
 	return c, nil
 }
 
+// Reloaded is the configuration with what a newer one changes while the program runs, and the keys: those
+// taken over and those that stand until the next start. The seed and the list known at the start say nothing
+// to a program that runs.
+func (c *Config) Reloaded(to *Config) (next *Config, taken, fixed []string) {
+	n := *c
+	n.Discovery, n.Log, n.Limits = to.Discovery, to.Log, to.Limits
+	keys := func(checks ...check) (changed []string) {
+		for _, k := range checks {
+			if k.bad {
+				changed = append(changed, k.key)
+			}
+		}
+		return changed
+	}
+	to.Settings.Module.Seed = c.Settings.Module.Seed
+	return &n, keys(check{"discovery", n.Discovery != c.Discovery}, check{"log_level", n.Log != c.Log},
+			check{"limits", n.Limits != c.Limits}),
+		keys(check{"name", to.Name != c.Name}, check{"listen", to.Listen != c.Listen},
+			check{"settings", !reflect.DeepEqual(to.Settings, c.Settings)})
+}
+
 // seed reads hex digits; any other text serves as well.
 func seed(text string) uint64 {
 	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
--- a/router/clients.go
+++ b/router/clients.go
@@ -61,7 +61,7 @@
 	log       zerolog.Logger
 	verticals map[string]int
 	tenants   map[string]int
-	most      int // connections
+	most      atomic.Int64 // connections
 
 	mu     sync.Mutex
 	conns  map[*client]struct{}
@@ -78,9 +78,10 @@
 }
 
 func newDoor(cfg *config.Config, o *owner, l net.Listener, log zerolog.Logger) *door {
-	return &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
-		tenants: numbers(cfg.Settings.Tenants), most: cfg.Limits.ClientSockets(), conns: map[*client]struct{}{},
-		freed: make(chan struct{}, 1)}
+	d := &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
+		tenants: numbers(cfg.Settings.Tenants), conns: map[*client]struct{}{}, freed: make(chan struct{}, 1)}
+	d.most.Store(int64(cfg.Limits.ClientSockets()))
+	return d
 }
 
 // run accepts connections until the program ends.
@@ -144,7 +145,7 @@
 		if closed {
 			return false
 		}
-		if n <= d.most {
+		if n <= int(d.most.Load()) {
 			return true
 		}
 		if oldest != nil {
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -45,6 +45,8 @@
 	shut    chan struct{}
 	once    sync.Once
 	signals chan os.Signal
+	reloads chan os.Signal
+	load    func() (*config.Config, error)
 	ended   chan error
 	feed    chan string // lines of the watch
 	tags    int
@@ -63,7 +65,7 @@
 			t.Fatal(err)
 		}
 		st := &stage{t: t, start: time.Now(), places: map[string]func(net.Conn) error{}, doorway: make(chan net.Conn),
-			shut: make(chan struct{}), signals: make(chan os.Signal, 2), ended: make(chan error, 1),
+			shut: make(chan struct{}), signals: make(chan os.Signal, 2), reloads: make(chan os.Signal, 1), ended: make(chan error, 1),
 			feed: make(chan string)}
 		st.cfg = &config.Config{Name: "n", Listen: "door", Discovery: "list", Settings: set, Silence: 3 * time.Second,
 			MostLine: 1000, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
@@ -101,7 +103,9 @@
 	log := zerolog.New(st).Level(zerolog.DebugLevel)
 	p := newProgram(context.Background(), st.cfg, st, st.dial, log)
 	st.owner = p.owner
-	go func() { st.ended <- p.run(st.signals) }()
+	go func() {
+		st.ended <- p.run(Signals{End: st.signals, Reload: st.reloads, Load: func() (*config.Config, error) { return st.load() }})
+	}()
 	st.step()
 }
 
@@ -141,7 +145,7 @@
 	if line["level"] == "info" { // whether its reader or its writer was first to see a connection end is chance
 		delete(line, "error")
 	}
-	for _, key := range []string{"query", "status", "part", "leaf", "outcome", "calls", "from", "to", "entries", "generation", "error"} {
+	for _, key := range []string{"query", "status", "part", "leaf", "outcome", "calls", "from", "to", "entries", "generation", "taken", "keys", "error"} {
 		if v, found := line[key]; found {
 			words += fmt.Sprintf(" %s=%v", key, v)
 		}
--- a/router/list.go
+++ b/router/list.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,15 +29,40 @@
 	log        zerolog.Logger
 	generation int64
 	asked      chan struct{} // the module asks for a watch
+
+	mu      sync.Mutex
+	address string
+	cut     context.CancelFunc // ends the present watch, or the pause after it
 }
 
 func newList(cfg *config.Config, o *owner, log zerolog.Logger) *list {
-	return &list{cfg: cfg, owner: o, log: log, generation: cfg.Known.Generation, asked: make(chan struct{}, 1)}
+	return &list{cfg: cfg, owner: o, log: log, generation: cfg.Known.Generation, asked: make(chan struct{}, 1),
+		address: cfg.Discovery, cut: func() {}}
 }
 
 // ask has a watch opened, if there is none.
 func (l *list) ask() { poke(l.asked) }
 
+// move has the list watched at another address from now on, whatever goes on at the old one: the new one tells
+// what has changed since the generation that was last told.
+func (l *list) move(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address != address {
+		l.address = address
+		l.cut()
+	}
+}
+
+// attempt is where the list is watched now, and a context that ends when it moves.
+func (l *list) attempt(ctx context.Context) (context.Context, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut()
+	ctx, l.cut = context.WithCancel(ctx)
+	return ctx, l.address
+}
+
 // run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
 // again; else a watch that broke is opened anew, ever later while that fails. News counts as told some seconds
 // after it was published, so the silence that ends a watch and the longest pause stay well under that together.
@@ -50,11 +76,20 @@
 			case <-l.asked:
 			}
 		}
-		told, err := l.watch(ctx)
+		attempt, address := l.attempt(ctx)
+		told, err := l.watch(attempt, address)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if attempt.Err() != nil {
+			pause = l.cfg.Settings.ConnectTimeout
+			poke(l.asked)
+			continue
+		}
 		l.log.Warn().Err(err).Int64("generation", l.generation).Msg("watch on the list ended")
+		if errors.Is(err, errOrder) { // it knows less than was told before: only the whole list helps
+			l.generation = 0
+		}
 		if l.cfg.Settings.Module.AskForList {
 			l.owner.post(ctx, func(o *owner) { o.root.ListFailed(o.now) })
 			continue
@@ -63,7 +98,7 @@
 			pause = l.cfg.Settings.ConnectTimeout
 		}
 		select {
-		case <-ctx.Done():
+		case <-attempt.Done():
 		case <-time.After(pause):
 		}
 	}
@@ -78,8 +113,8 @@
 )
 
 // watch follows the list until the watch ends, and tells whether anything came.
-func (l *list) watch(ctx context.Context) (told bool, err error) {
-	conn, err := l.owner.dial(ctx, l.cfg.Discovery, l.cfg.Settings.ConnectTimeout)
+func (l *list) watch(ctx context.Context, address string) (told bool, err error) {
+	conn, err := l.owner.dial(ctx, address, l.cfg.Settings.ConnectTimeout)
 	if err != nil {
 		return false, err
 	}
@@ -88,7 +123,7 @@
 	conn.SetDeadline(time.Now().Add(l.cfg.Silence))
 	target := fmt.Sprintf("/v1/servers?follow=1&since=%d", l.generation)
 	out := codec.NewWriter(conn, outRing)
-	out.Write(codec.AppendGet(nil, l.cfg.Discovery, target))
+	out.Write(codec.AppendGet(nil, address, target))
 	if err := out.Flush(); err != nil {
 		return false, err
 	}
@@ -121,7 +156,7 @@
 					}
 					continue
 				}
-				if err := l.line(ctx, line); err != nil {
+				if err := l.line(line); err != nil {
 					return told, err
 				}
 				line, told = line[:0], true
@@ -133,7 +168,7 @@
 }
 
 // line takes one line of the watch. Empty ones only show that it is alive.
-func (l *list) line(ctx context.Context, line []byte) error {
+func (l *list) line(line []byte) error {
 	if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
 		return nil
 	}
@@ -148,7 +183,8 @@
 		return errOrder
 	}
 	l.generation = news.Generation
-	l.owner.post(ctx, func(o *owner) {
+	// Not bound to this watch: what counts as told must not be dropped because the list has moved just now.
+	l.owner.post(l.owner.ctx, func(o *owner) {
 		o.log.Info().Int64("generation", news.Generation).Bool("whole", news.Whole).Int("entries", len(news.Servers)).
 			Msg("list")
 		o.news(news, false)
--- a/router/owner.go
+++ b/router/owner.go
@@ -385,6 +385,20 @@
 // Wake asks for a call of Awake; the latest request stands.
 func (o *owner) Wake(at choice.Time) { o.wake = at }
 
+// reload takes over what may change while the program runs, each through the door of whom it concerns.
+func (o *owner) reload(to *config.Config) {
+	cfg, taken, fixed := o.cfg.Reloaded(to)
+	o.cfg = cfg
+	zerolog.SetGlobalLevel(cfg.Log)
+	limit(cfg.Limits)
+	o.door.most.Store(int64(cfg.Limits.ClientSockets()))
+	o.list.move(cfg.Discovery)
+	o.log.Info().Strs("taken", taken).Msg("configuration read anew")
+	if len(fixed) > 0 {
+		o.log.Warn().Strs("keys", fixed).Msg("changed, but taken over at the next start only")
+	}
+}
+
 // drain begins the end: what comes within the stated time is still taken.
 func (o *owner) drain() {
 	if o.phase.now() != Serving {
--- a/router/router.go
+++ b/router/router.go
@@ -88,8 +88,15 @@
 	return (&net.Dialer{Timeout: limit, KeepAlive: -1}).DialContext(ctx, "tcp", address)
 }
 
-// Run serves until it has drained after the first signal, or ends at once on the second.
-func Run(ctx context.Context, cfg *config.Config, signals <-chan os.Signal, log zerolog.Logger) error {
+// Signals is how the program is told to end, and to read its configuration anew.
+type Signals struct {
+	End, Reload <-chan os.Signal
+	Load        func() (*config.Config, error)
+}
+
+// Run serves until it has drained after the first signal to end, or ends at once on the second.
+func Run(ctx context.Context, cfg *config.Config, signals Signals, log zerolog.Logger) error {
+	zerolog.SetGlobalLevel(cfg.Log)
 	limit(cfg.Limits)
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -121,7 +128,7 @@
 }
 
 // run serves until the program has drained. Whatever part of it fails ends it whole.
-func (p *program) run(signals <-chan os.Signal) error {
+func (p *program) run(signals Signals) error {
 	defer p.stop()
 	for name, part := range map[string]func(context.Context) error{
 		"owner": p.owner.run, "list": p.owner.list.run, "door": p.owner.door.run,
@@ -136,7 +143,7 @@
 			select {
 			case <-p.ctx.Done():
 				return nil
-			case s := <-signals:
+			case s := <-signals.End:
 				if n > 0 {
 					return fmt.Errorf("ended at once by a second signal: %v", s)
 				}
@@ -145,12 +152,32 @@
 			}
 		}
 	})
+	p.group.Go(func() error { // apart from the others: reading a file may take its time
+		for {
+			select {
+			case <-p.ctx.Done():
+				return nil
+			case <-signals.Reload:
+				p.reload(signals.Load)
+			}
+		}
+	})
 	err := p.group.Wait()
 	p.owner.door.listener.Close()
 	p.phase.move(Stopped)
 	return err
 }
 
+// reload reads the configuration anew. A faulty one changes nothing.
+func (p *program) reload(load func() (*config.Config, error)) {
+	cfg, err := load()
+	if err != nil {
+		p.log.Error().Err(err).Msg("configuration not taken over, the old one stands")
+		return
+	}
+	p.owner.post(p.ctx, func(o *owner) { o.reload(cfg) })
+}
+
 // lastWords logs a panic, which then ends the program.
 func (p *program) lastWords(name string) {
 	if v := recover(); v != nil {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -316,6 +317,48 @@
 	})
 }
 
+// SIGHUP: the watch moves at once to where the new configuration says, from what it was told last, out of a
+// silence or a pause as well, and also while draining; a faulty file changes nothing; one that knows less than
+// was told is asked for all.
+func TestReload(t *testing.T) {
+	play(t, "reload", 1, nil, func(st *stage) {
+		st.leafAt("A", answers)
+		st.places["other"], st.places["third"] = st.discovery, st.discovery
+		next := *st.cfg
+		st.load = func() (*config.Config, error) { c := next; return &c, nil }
+		st.serve()
+		st.news(5, false, server("B", "in_service", 0))
+		st.say("---- moves")
+		next.Discovery, next.Listen = "other", "elsewhere"
+		st.reloads <- syscall.SIGHUP
+		st.step()
+		st.news(6, false, server("B", "terminated", 0))
+		st.ask(st.connect(), request("q1", "search", 2000, 0))
+		st.say("---- a faulty file")
+		good := st.load
+		st.load = func() (*config.Config, error) { return nil, errors.New("settings.tick: missing or out of range") }
+		st.reloads <- syscall.SIGHUP
+		st.pass(10)
+		st.load = good
+		st.say("---- out of a pause, to one that knows less")
+		st.feed <- "cut"
+		st.pass(10)
+		next.Discovery = "third"
+		st.reloads <- syscall.SIGHUP
+		st.pass(10)
+		st.news(3, false)
+		st.pass(600)
+		st.news(4, true, server("A", "in_service", 0))
+		st.say("---- while draining, out of a silence")
+		st.feed <- "hush"
+		st.signals <- syscall.SIGTERM
+		st.told = true
+		next.Discovery = "other"
+		st.reloads <- syscall.SIGHUP
+		st.pass(1000)
+	})
+}
+
 // Where the list must be asked for, the module says when to try again.
 func TestAskedList(t *testing.T) {
 	play(t, "asked-list", 1, func(c *config.Config) { c.Settings.Module.AskForList = true }, func(st *stage) {
@@ -421,7 +464,7 @@
 		{ID: "B", Address: nobody.Addr().String(), Zone: "a", Cell: 1, Lifecycle: "in_service"}}
 	p := newProgram(context.Background(), cfg, door, dialTCP, zerolog.Nop())
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
-	go func() { ended <- p.run(signals) }()
+	go func() { ended <- p.run(Signals{End: signals}) }()
 	conn, err := net.Dial("tcp", door.Addr().String())
 	if err != nil {
 		t.Fatal(err)
