Each call its own connection, unfinished frames end, bad clients are turned out within 2.2 s

A probe that logged the bytes before each end showed the forms: unknown letter, unknown or empty end, lengths of 0, 3, 3 GB and 4 GB, noise, a foreign id, and lengths a little too long, which held the connection until each call's own time-out. Ruled out: CPU (0.17 s in a second at most), descriptors (215 of 384), wrong values passed on (none). Changed: connFor takes the connection with the fewest calls and makes new ones up to the leaf's share of the descriptors where connections have no price; a frame that is begun must end within connect_timeout; an answer is good without its report. At the door: weights must add up to 1 but for rounding to four digits (0.5 to 1.5 was taken), times and shards are plain digits, an id that is open elsewhere is a 409 and no refusal, any malformed request ends its connection after the error (half closed and read on for 0.25 s, so that the error is not destroyed by a reset). A client has 2.2 s from connecting or from a request's first byte; idle ones end after 10 s; where all connections are held those that never asked make way first, then requests long in coming.

--- a/codec/frames.go
+++ b/codec/frames.go
@@ -50,6 +50,9 @@
 	left int
 }
 
+// Begun tells whether part of a frame has been read from the ring.
+func (f *FrameReader) Begun() bool { return len(f.head) > 0 }
+
 // Next returns the next whole frame; false where the ring holds too little.
 func (f *FrameReader) Next(r *Ring) (Frame, bool, error) {
 	for r.Len() > 0 {
@@ -137,8 +140,11 @@
 	if !known {
 		return Answer{}, errAnswer
 	}
-	rep, err := ParseReport(words[3])
-	return Answer{ID: words[0], Outcome: o, Report: rep, Value: value}, err
+	if _, err := config.ParseNumber(words[2]); err != nil && o == choice.OK {
+		return Answer{}, errAnswer
+	}
+	rep, _ := ParseReport(words[3]) // an answer is good without its report
+	return Answer{ID: words[0], Outcome: o, Report: rep, Value: value}, nil
 }
 
 // ParseReport reads a load report; nil for "-". Values of unknown names are skipped.
@@ -161,7 +167,7 @@
 	case "500":
 		return choice.Failed, nil, nil
 	default:
-		rep, err := ParseReport(word)
-		return choice.OK, rep, err
+		rep, _ := ParseReport(word) // the leaf has answered, whatever it reports
+		return choice.OK, rep, nil
 	}
 }
--- a/codec/http.go
+++ b/codec/http.go
@@ -16,6 +16,7 @@
 	MostBody   = 64 << 10
 	mostHead   = 16 << 10
 	mostFields = 100
+	mostBlank  = 4 // lines before a message
 )
 
 // Fault is a message that can't be taken, with the status that says so.
@@ -107,6 +108,7 @@
 	state parserState
 	line  []byte
 	size  int // of the head or trailers so far
+	blank int // lines before the message
 	left  int64
 	body  int64
 }
@@ -156,7 +158,7 @@
 			r.Skip(len(piece))
 			return Data, piece, nil
 		case messageEnds:
-			p.state, p.size, p.body = startLine, 0, 0
+			p.state, p.size, p.blank, p.body = startLine, 0, 0, 0
 			return Ended, nil, nil
 		}
 	}
@@ -171,6 +173,9 @@
 	switch p.state {
 	case startLine:
 		if line == "" { // left over from a message before
+			if p.blank++; p.blank > mostBlank {
+				return fault(http.StatusBadRequest, "nothing but empty lines")
+			}
 			p.size = 0
 			return nil
 		}
@@ -182,7 +187,7 @@
 			return nil
 		}
 		name, value, found := strings.Cut(line, ":")
-		if !found || !isToken(name) || strings.ContainsAny(value, "\x00\r") {
+		if !found || !isToken(name) || strings.ContainsFunc(value, isControl) {
 			return fault(http.StatusBadRequest, "a header field is malformed")
 		}
 		if len(p.Head.fields) == mostFields {
@@ -228,7 +233,7 @@
 		}
 		return nil
 	}
-	if len(words) != 3 || !isToken(words[0]) || words[1] == "" || strings.ContainsAny(words[1], "\x00\r\t") {
+	if len(words) != 3 || !isToken(words[0]) || words[1] == "" || strings.ContainsFunc(words[1], isControl) {
 		return fault(http.StatusBadRequest, "the request line is malformed")
 	}
 	p.Head.Method, p.Head.Target, p.Head.Old = words[0], words[1], words[2] == "HTTP/1.0"
@@ -246,6 +251,9 @@
 	case lengths > 1 || codings > 1 || lengths > 0 && codings > 0:
 		return fault(http.StatusBadRequest, "the body's length is told twice")
 	case codings == 1:
+		if p.Head.Old {
+			return fault(http.StatusBadRequest, "HTTP/1.0 has no chunks")
+		}
 		if !strings.EqualFold(coding, "chunked") {
 			return fault(http.StatusNotImplemented, "only chunked transfer coding is known")
 		}
@@ -268,6 +276,9 @@
 	return nil
 }
 
+// isControl: bytes that no start line and no field may hold, a tab in a field aside.
+func isControl(b rune) bool { return b < ' ' && b != '\t' || b == 0x7f }
+
 func isToken(s string) bool {
 	for i := range len(s) {
 		b := s[i]
@@ -281,13 +292,13 @@
 
 var errNumber = errors.New("no number that makes sense")
 
-// Millis reads a header's time in milliseconds.
-func Millis(value string) (float64, error) {
-	x, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(x >= 0 && x <= 1e9) {
+// Millis reads a header's time in whole milliseconds: digits and nothing else.
+func Millis(value string) (int64, error) {
+	x, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
 		return 0, errNumber
 	}
-	return x, nil
+	return int64(x), nil
 }
 
 // AppendResponse appends the head of a response with a body of so many bytes. More fields, if any, each end
--- a/codec/json.go
+++ b/codec/json.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"math"
 	"strconv"
 	"unicode/utf16"
 	"unicode/utf8"
@@ -23,8 +24,8 @@
 const (
 	mostDepth = 32
 
-	// Weights of parts add up to 1, but each is rounded, and there may be many.
-	leastSum, mostSum = 0.5, 1.5
+	// Weights of parts add up to 1, but each is rounded: to four digits at the coarsest that is taken.
+	rounding = 0.5e-4
 )
 
 var errJSON = errors.New("malformed JSON")
@@ -304,7 +305,7 @@
 	if !q.partsSeen || !q.textSeen {
 		return errBody
 	}
-	if len(q.Parts) == 0 || q.sum < leastSum || q.sum > mostSum {
+	if n := float64(len(q.Parts)); n == 0 || math.Abs(q.sum-1) > rounding*(n+1) {
 		return errParts
 	}
 	return nil
@@ -360,7 +361,8 @@
 	q.has[q.in] = true
 	switch q.in {
 	case "id":
-		if q.part.Shard = int(x); x < 0 || x >= float64(q.most) || float64(q.part.Shard) != x {
+		n, err := strconv.ParseUint(string(value), 10, 31) // plain digits: 3.0 or 3e0 names no shard
+		if q.part.Shard = int(n); err != nil || int(n) >= q.most {
 			return errParts
 		}
 	case "w":
@@ -373,7 +375,7 @@
 
 func (q *QueryBody) partEnds() error {
 	p := q.part
-	if !q.has["id"] || !q.has["w"] || p.Weight <= 0 || p.Weight > mostSum || p.Hint < 0 || p.Hint > 1e12 ||
+	if !q.has["id"] || !q.has["w"] || p.Weight <= 0 || p.Weight > 1+rounding || p.Hint < 0 || p.Hint > 1e12 ||
 		q.seen[p.Shard] {
 		return errParts
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -32,6 +32,11 @@
 	mostCells = 1 << 20
 	mostLine  = 4 << 20 // bytes of one line of a watch
 
+	requestFor = 2200 * time.Millisecond // from connecting, or from a request's first byte, to its last
+	idleFor    = 10 * time.Second        // between requests
+	lingerFor  = 250 * time.Millisecond  // for which a client is read on after an error, so that it sees that
+	lingerMost = 64 << 10                // bytes read on
+
 	drainFor = 700 * time.Millisecond // after SIGTERM, for which requests that come are still taken
 	keepFor  = 400 * time.Millisecond // of that, for which the front may still hand out new connections
 )
@@ -76,6 +81,9 @@
 	Known                   List
 	Settings                *Settings
 	DrainFor, KeepFor       time.Duration
+	RequestFor, IdleFor     time.Duration // of clients
+	LingerFor               time.Duration
+	LingerMost              int
 	Silence                 time.Duration
 	MostLine                int
 }
@@ -149,6 +157,7 @@
 	c := &Config{Name: or(w.Name, "EDGE_NAME"), Listen: or(w.Listen, "EDGE_LISTEN"),
 		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
 		DrainFor: drainFor, KeepFor: keepFor,
+		RequestFor: requestFor, IdleFor: idleFor, LingerFor: lingerFor, LingerMost: lingerMost,
 		Silence: silence, MostLine: mostLine}
 	var err error
 	if c.Log, err = zerolog.ParseLevel(w.Log); err != nil || w.Log == "" {
--- a/config/settings.go
+++ b/config/settings.go
@@ -27,6 +27,7 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // 0: connections are not closed for being idle
 	Longest        time.Duration // the longest deadline of any vertical
+	ConnPrice      float64       // of connections to leaves: making them, and having them
 }
 
 // measures are the values of load reports by name: those of the simulator's wire and those on sockets.
@@ -131,7 +132,9 @@
 			AllowancePerS float64 `json:"allowance_per_s"`
 		}
 		Tariffs struct {
-			CrossZone float64 `json:"cross_zone"`
+			CrossZone  float64 `json:"cross_zone"`
+			Connection float64
+			Handshake  float64
 		}
 		WorthBy string `json:"worth_by"`
 	}
@@ -159,7 +162,8 @@
 		s.BudgetSpare, s.BudgetRatio = w.Rules.SpareAttempts, w.Rules.ResendRatio
 	}
 	d := &Settings{Module: s, Zones: w.Zones, OpenCap: w.Caps.OpenCap, MaxStreams: w.Caps.MaxStreams,
-		ConnectTimeout: span(w.Caps.ConnectTimeout), ConnIdle: span(w.Caps.ConnIdle)}
+		ConnectTimeout: span(w.Caps.ConnectTimeout), ConnIdle: span(w.Caps.ConnIdle),
+		ConnPrice: w.Tariffs.Connection + w.Tariffs.Handshake}
 	at := func(list []float64, i int, absent float64) float64 {
 		if i < len(list) {
 			return list[i]
--- a/router/clients.go
+++ b/router/clients.go
@@ -109,7 +109,7 @@
 		}
 		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
 			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
-		c.idleAt.Store(int64(d.owner.clk.now()))
+		c.idleUntil(d.cfg.RequestFor)
 		d.mu.Lock()
 		d.conns[c] = struct{}{}
 		closed := d.closed
@@ -125,20 +125,28 @@
 	}
 }
 
-// makeRoom waits until no more connections are held than may be. The one that has been idle for longest makes
-// way, but not the newest, whose request is on its way.
+// makeRoom waits until no more connections are held than may be. One makes way that has had its last answer;
+// else the idle one whose time ends first, so one that has never asked goes before one that has; else the
+// request that has been coming for longest. The newest does not, as its request is on its way.
 func (d *door) makeRoom(ctx context.Context, newest *client) bool {
+	wait := d.cfg.Settings.ConnectTimeout
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		n, closed := 0, d.closed
-		var oldest *client
+		var first, slowest *client
 		for c := range d.conns {
 			at := standing(c.state.Load())
 			if at != ending { // those make way already
 				n++
 			}
-			if at == idle && c != newest && (oldest == nil || c.idleAt.Load() < oldest.idleAt.Load()) {
-				oldest = c
+			if c == newest {
+				continue
+			}
+			if (at == idle || at == lingering) && (first == nil || c.until.Load() < first.until.Load()) {
+				first = c
+			}
+			if at == reading && (slowest == nil || c.until.Load() < slowest.until.Load()) {
+				slowest = c
 			}
 		}
 		d.mu.Unlock()
@@ -148,12 +156,15 @@
 		if n <= int(d.most.Load()) {
 			return true
 		}
-		if oldest != nil {
-			oldest.closeIdle()
+		if first != nil {
+			first.closeIdle()
+		} else if slowest != nil && slowest.late(d.cfg.RequestFor-wait) {
+			slowest.refuse(errNeverEnded)
 		}
 		select {
 		case <-ctx.Done():
 		case <-d.freed:
+		case <-time.After(wait):
 		}
 	}
 	return false
@@ -194,9 +205,10 @@
 type standing int32
 
 const (
-	idle    standing = iota // between requests, nothing read
-	reading                 // part of a request has been read
-	waiting                 // the request is whole, its answer is not out yet
+	idle      standing = iota // between requests, nothing read
+	reading                   // part of a request has been read
+	waiting                   // the request is whole, its answer is not out yet
+	lingering                 // the last answer is out; what still comes is thrown away, for a while
 	ending
 )
 
@@ -211,10 +223,11 @@
 	state   atomic.Int32
 	wake    chan struct{} // for a reader that has no room to read on
 	behind  atomic.Bool   // bytes that came before the answer was out wait in the ring
-	idleAt  atomic.Int64
-	query   *query // the owner's
+	until   atomic.Int64  // in microseconds: when it has been idle, has been asking or has lingered for long enough
+	query   *query        // the owner's
 
 	began time.Time // the request's first byte
+	again bool      // a request has ended here before
 	asked *asked    // nil where it is no query
 	bad   error     // why the request can't be taken, once its framing is sure
 }
@@ -224,13 +237,25 @@
 	return c.state.CompareAndSwap(int32(from), int32(to))
 }
 
-// closeIdle ends the connection if nothing of a request has been read on it.
+// closeIdle ends the connection if nothing of a request has been read on it, or nothing will be.
 func (c *client) closeIdle() {
-	if c.turnTo(idle, ending) {
+	if c.turnTo(idle, ending) || c.turnTo(lingering, ending) {
 		c.conn.Close()
 	}
 }
 
+// idleUntil sets the end of the time for which the connection may stand as it does.
+func (c *client) idleUntil(limit time.Duration) {
+	end := time.Now().Add(limit)
+	c.until.Store(c.door.owner.clk.micros(end))
+	c.conn.SetReadDeadline(end)
+}
+
+// late: the end of that time is no further away than so long.
+func (c *client) late(within time.Duration) bool {
+	return c.door.owner.clk.micros(time.Now().Add(within)) >= c.until.Load()
+}
+
 // answer hands the writer what to say. It never blocks, as one answer at most is owed.
 func (c *client) answer(r reply) {
 	select {
@@ -246,10 +271,16 @@
 	defer close(c.done)
 	defer c.conn.Close()
 	for {
-		if standing(c.state.Load()) != waiting {
+		switch standing(c.state.Load()) {
+		case idle, reading:
 			if !c.parse(ctx) {
 				return
 			}
+		case lingering:
+			c.linger()
+			return
+		case ending:
+			return
 		}
 		if standing(c.state.Load()) == waiting {
 			c.behind.Store(c.in.Len() > 0)
@@ -265,18 +296,20 @@
 			}
 		}
 		_, err := c.in.Fill(c.conn)
-		if standing(c.state.Load()) == ending {
-			return
+		if at := standing(c.state.Load()); at == lingering || at == ending {
+			continue
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.conn.SetReadDeadline(time.Time{}) // the writer woke the reader, or time is up
-			if standing(c.state.Load()) == reading {
-				end := c.began.Add(c.door.cfg.Settings.Longest)
-				c.conn.SetReadDeadline(end)
-				if !time.Now().Before(end) {
-					c.conn.SetReadDeadline(time.Time{})
-					c.refuse(&codec.Fault{Status: http.StatusRequestTimeout, Text: "the request never ended"})
-				}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // the writer woke the reader, or time is up
+			switch at := standing(c.state.Load()); {
+			case at == waiting:
+				c.conn.SetReadDeadline(time.Time{})
+			case !c.late(0):
+				c.conn.SetReadDeadline(time.Now().Add(c.left()))
+			case at == idle:
+				c.closeIdle()
+			case at == reading:
+				c.conn.SetReadDeadline(time.Time{})
+				c.refuse(errNeverEnded)
 			}
 			continue
 		}
@@ -286,13 +319,34 @@
 	}
 }
 
+var errNeverEnded = &codec.Fault{Status: http.StatusRequestTimeout, Text: "the request never ended"}
+
+// left is how long the connection may stand as it does.
+func (c *client) left() time.Duration {
+	return time.Duration(c.until.Load()-c.door.owner.clk.micros(time.Now())) * time.Microsecond
+}
+
+// linger reads on for a while and throws away what comes: to end a connection with bytes unread would reset
+// it, and the client might lose the answer that says why.
+func (c *client) linger() {
+	for n := 0; n < c.door.cfg.LingerMost && standing(c.state.Load()) == lingering; {
+		c.in.Skip(c.in.Len())
+		more, err := c.in.Fill(c.conn)
+		if n += more; err != nil {
+			return
+		}
+	}
+}
+
 // parse goes through what the ring holds, up to the end of one request. It is false where the connection has
 // to end.
 func (c *client) parse(ctx context.Context) bool {
 	for {
 		if c.in.Len() > 0 && c.turnTo(idle, reading) {
-			c.began = time.Now()
-			c.conn.SetReadDeadline(c.began.Add(c.door.cfg.Settings.Longest))
+			// From here on a request's time counts; the first one's has counted since the client connected.
+			if c.began = time.Now(); c.again {
+				c.idleUntil(c.door.cfg.RequestFor)
+			}
 		}
 		step, piece, err := c.parser.Next(c.in)
 		if err != nil {
@@ -301,8 +355,8 @@
 		}
 		switch step {
 		case codec.More:
-			if c.parser.Between() && c.in.Len() == 0 && c.turnTo(reading, idle) {
-				c.conn.SetReadDeadline(time.Time{})
+			if c.parser.Between() && c.in.Len() == 0 {
+				c.turnTo(reading, idle)
 			}
 			return true
 		case codec.Begun:
@@ -320,6 +374,7 @@
 			}
 		case codec.Ended:
 			c.conn.SetReadDeadline(time.Time{})
+			c.again = true
 			return c.ended(ctx)
 		}
 	}
@@ -364,10 +419,11 @@
 }
 
 func (c *client) vertical() (int, bool) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(c.parser.Head.Target, "/"), "/")
+	path, rooted := strings.CutPrefix(c.parser.Head.Target, "/")
+	name, _, _ := strings.Cut(path, "/")
 	name, _, _ = strings.Cut(name, "?")
 	v, known := c.door.verticals[name]
-	return v, known
+	return v, known && rooted
 }
 
 // head reads what the head says of a query.
@@ -383,8 +439,8 @@
 		return nil, errors.New("X-Trace-Id: missing or malformed")
 	}
 	a.id = id
-	if name, _ := h.Get("x-customer"); len(c.door.tenants) > 0 {
-		if a.tenant, known = c.door.tenants[name]; !known {
+	if name, times := h.Get("x-customer"); len(c.door.tenants) > 0 {
+		if a.tenant, known = c.door.tenants[name]; !known || times != 1 {
 			return nil, errors.New("X-Customer: unknown")
 		}
 	}
@@ -393,7 +449,9 @@
 	if times != 1 || err != nil {
 		return nil, errors.New("X-Expires-In-Ms: missing or malformed")
 	}
-	a.deadline = c.door.owner.clk.at(c.began) - 1 + config.FloorTime(ms)
+	// A client's whole wait is stated for its vertical; one that claims more would hold its query for as long.
+	most := c.door.cfg.Settings.Module.Verticals[a.vertical].Deadline
+	a.deadline = c.door.owner.clk.at(c.began) - 1 + min(choice.Time(ms)*choice.Millisecond, most)
 	return a, nil
 }
 
@@ -425,8 +483,7 @@
 	}
 	if c.bad != nil {
 		c.door.log.Debug().Err(c.bad).Str("target", c.parser.Head.Target).Msg("malformed request")
-		status := statusOf(c.bad) // without a length nobody knows where the next request begins
-		c.answer(reply{status: status, text: c.bad.Error(), closes: status == http.StatusLengthRequired})
+		c.answer(reply{status: statusOf(c.bad), text: c.bad.Error(), closes: true})
 		return true
 	}
 	a := c.asked
@@ -438,7 +495,12 @@
 // write writes answers until the connection ends.
 func (c *client) write() {
 	defer poke(c.wake)
-	defer c.conn.Close()
+	lingers := false
+	defer func() {
+		if !lingers {
+			c.conn.Close()
+		}
+	}()
 	w := codec.NewWriter(c.conn, clientRing)
 	for {
 		select {
@@ -467,10 +529,14 @@
 			}
 			w.Write(codec.AppendResponse(nil, r.status, len(body), closes, more))
 			w.Write(body)
-			if w.Flush() != nil || closes {
+			if w.Flush() != nil {
+				return
+			}
+			if closes {
+				lingers = c.letGo()
 				return
 			}
-			c.idleAt.Store(int64(c.door.owner.clk.now()))
+			c.idleUntil(c.door.cfg.IdleFor)
 			if !c.turnTo(waiting, idle) {
 				return
 			}
@@ -485,3 +551,14 @@
 		}
 	}
 }
+
+// letGo ends the side that the client hears, and leaves the other to the reader for a while. It is false
+// where the connection can't be half ended.
+func (c *client) letGo() bool {
+	half, can := c.conn.(interface{ CloseWrite() error })
+	if !can || half.CloseWrite() != nil || !c.turnTo(waiting, lingering) {
+		return false
+	}
+	c.idleUntil(c.door.cfg.LingerFor)
+	return true
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -11,8 +11,10 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -191,15 +193,23 @@
 	}
 }
 
-// connFor is a connection that has room for a call, a new one if there is none. A part that was given up on a
-// connection goes over another one, as the two answers could not be told apart.
+// connFor is the connection with the fewest calls out of those that have room. A part that was given up on a
+// connection goes over another one, as the two answers could not be told apart. All that is out on a connection
+// is lost with it, whichever answer spoils it, and may not be asked again where it is side-effecting: so where
+// connections have no price, calls share one only once the leaf has its share of the descriptors.
 func (l *leaf) connFor(o *owner, id string) *leafConn {
+	var least *leafConn
 	for _, c := range l.conns {
 		room := o.cfg.Settings.MaxStreams == 0 || c.frames < o.cfg.Settings.MaxStreams
-		if room && !c.retired && !c.knows(id) && !c.stale(o, 0) {
-			return c
+		if room && !c.retired && !c.knows(id) && !c.stale(o, 0) && (least == nil || c.frames < least.frames) {
+			least = c
 		}
 	}
+	most := o.cfg.Limits.LeafSockets()
+	if least != nil && (least.frames == 0 || o.cfg.Settings.ConnPrice > 0 || o.conns >= most ||
+		len(l.conns) >= most/max(len(o.listed), 1)) {
+		return least
+	}
 	return l.dial(o)
 }
 
@@ -469,14 +479,27 @@
 // fault is something that a leaf said and that makes no sense. The connection ends with it.
 type fault struct{ error }
 
-var errUnasked = fault{errors.New("an answer came for what was not asked for here")}
+var (
+	errUnasked    = fault{errors.New("an answer came for what was not asked for here")}
+	errUnfinished = fault{errors.New("a frame was begun and never ended")}
+)
 
 // read reads answers until the connection ends, and says why it did.
 func (c *leafConn) read(o *owner, conn net.Conn) error {
 	ring := codec.NewRing(leafRing)
 	frames := codec.FrameReader{Most: codec.MostFrame}
+	begun, last := false, false // a frame has; this read is the last that it gets
 	for {
-		if _, err := ring.Fill(conn); err != nil {
+		n, err := ring.Fill(conn)
+		if errors.Is(err, os.ErrDeadlineExceeded) && n == 0 {
+			if last {
+				return errUnfinished
+			}
+			// After a pause of the router time is up before what came meanwhile was read: one more look.
+			last = true
+			conn.SetReadDeadline(time.Now().Add(duration(o.cfg.Settings.Module.Tick)))
+			continue
+		} else if err != nil {
 			return err
 		}
 		for {
@@ -487,6 +510,7 @@
 			if !whole {
 				break
 			}
+			begun = false
 			switch f.Letter {
 			case codec.LetterAnswer:
 				a, err := codec.ParseAnswer(f.Rest)
@@ -506,6 +530,13 @@
 				return fault{fmt.Errorf("a frame has the unknown letter %q", f.Letter)}
 			}
 		}
+		// A leaf gives an answer at once. One that is begun and does not end would hold up all that come behind.
+		if frames.Begun() && !begun {
+			conn.SetReadDeadline(time.Now().Add(o.cfg.Settings.ConnectTimeout))
+		} else if !frames.Begun() {
+			conn.SetReadDeadline(time.Time{})
+		}
+		begun, last = frames.Begun(), false
 	}
 }
 
--- a/router/owner.go
+++ b/router/owner.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -215,8 +216,8 @@
 
 // take takes a query that a client has sent.
 func (o *owner) take(a *asked) {
-	if o.queries[a.id] != nil {
-		a.client.answer(reply{status: refusedStatus})
+	if o.queries[a.id] != nil { // the sender's error, and no refusal: it says nothing of the query that is open
+		a.client.answer(reply{status: http.StatusConflict, text: "X-Trace-Id: open already", closes: true})
 		return
 	}
 	most := o.cfg.Settings.OpenCap
