Leaves that are gone are forgotten by router and module

Checked with TestLeavesThatAreGoneAreForgotten, which fails on the old text: 1,003 leaves known for 3 listed, bears 0. Tests: TestLeavesThatAreGoneAreForgotten, TestLongDay.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -903,11 +903,11 @@
 	listed := map[*Leaf]bool{}
 	for _, e := range entries {
 		l := e.Leaf
-		listed[l] = true
-		if l.trusts == nil {
+		if l.condition == Gone && !listed[l] { // not known, or forgotten since
 			r.leaves = append(r.leaves, l)
 			l.trusts = make([]trust, len(r.set.Verticals)+1)
 		}
+		listed[l] = true
 		if missing := e.Zone + 1 - len(r.links); missing > 0 {
 			r.links = append(r.links, make([]link, missing)...)
 		}
@@ -941,6 +941,8 @@
 			}
 		}
 	}
+	// Where leaves are replaced all day, what is thought of the fleet must not come to rest on those that are gone.
+	r.leaves = slices.DeleteFunc(r.leaves, func(l *Leaf) bool { return l.condition == Gone })
 	for _, c := range lost {
 		r.overdue(c)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -558,3 +558,25 @@
 	st.pass(400)
 	st.check("unsent-part")
 }
+
+// Leaves are replaced a thousand times over: what is kept stays with those that are listed, what a warm leaf
+// bears is learnt all the same, and one that comes back is known again.
+func TestLeavesThatAreGoneAreForgotten(t *testing.T) {
+	st := play(t, 3, plain(nil))
+	for i := range 1000 {
+		old, fresh := st.leafs[i%3], new(Leaf)
+		st.leafs[i%3], st.names[fresh] = fresh, "a new leaf"
+		st.list(false, Ready, fresh)
+		st.list(false, Gone, old)
+		st.query(0, 0, 0)
+		st.pass(100)
+		st.answer(st.n, 2, nil)
+	}
+	back := st.leafs[0]
+	st.list(false, Gone, back)
+	st.out.Reset()
+	st.say("known %d, ready %d, holders %d; bears some work: %v", len(st.r.leaves), st.r.ready, len(st.r.holders[0]), st.r.bears > 0)
+	st.list(false, Ready, back)
+	st.say("known %d, ready %d, holders %d", len(st.r.leaves), st.r.ready, len(st.r.holders[0]))
+	st.check("replaced")
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -36,6 +36,7 @@
 	l       *choice.Leaf
 	conns   []*leafConn
 	sends   []*call // of this turn
+	gone    bool    // from the list; forgotten with the last connection
 }
 
 // news takes what the list says.
@@ -44,7 +45,7 @@
 	barred := map[*leaf]bool{} // takes nothing new
 	if list.Whole {
 		for _, l := range o.listed {
-			barred[l] = true
+			barred[l], l.gone = true, true
 		}
 	}
 	for _, s := range list.Servers {
@@ -68,14 +69,18 @@
 		if l.started = e.Started; moved {
 			l.address = s.Address
 		}
-		barred[l] = e.Condition != choice.Ready
+		barred[l], l.gone = e.Condition != choice.Ready, e.Condition == choice.Gone
 		entries = append(entries, e)
 	}
 	o.root.List(o.now, entries, list.Whole || cached, cached)
-	for _, l := range o.listed {
+	for _, l := range slices.Clone(o.listed) {
 		if !barred[l] {
 			continue
 		}
+		for _, k := range l.sends { // nor those that this turn has made
+			o.endLater(k, choice.NoConnection)
+		}
+		l.sends = nil
 		for _, c := range l.conns {
 			for _, k := range c.inOrder() { // those that still wait for a connection must not go out now
 				if c.withdraw(k) {
@@ -84,6 +89,17 @@
 			}
 			c.retire()
 		}
+		o.forget(l)
+	}
+}
+
+// forget lets go of a leaf that is gone, once nothing is open to it. If it is listed again it is a new one. Over
+// a long day all leaves are replaced many times, so nothing may be kept for those that were.
+func (o *owner) forget(l *leaf) {
+	if l.gone && len(l.conns) == 0 && o.leaves[l.id] == l {
+		delete(o.leaves, l.id)
+		delete(o.doors, l.l)
+		o.listed = slices.DeleteFunc(o.listed, func(other *leaf) bool { return other == l })
 	}
 }
 
@@ -581,6 +597,7 @@
 func (c *leafConn) down(o *owner, err error) {
 	o.conns--
 	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(other *leafConn) bool { return other == c })
+	o.forget(c.leaf)
 	var said fault
 	if c.why != nil {
 		err = c.why
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -443,6 +443,38 @@
 	})
 }
 
+// Leaves are replaced by new ones a thousand times over, under load: nothing is kept for those that are gone,
+// and nothing for clients that are.
+func TestLongDay(t *testing.T) {
+	play(t, "long-day", 1, nil, func(st *stage) {
+		st.leafAt("A", answers)
+		st.places[at("0")] = st.places[at("A")]
+		st.muted = true
+		st.serve()
+		old := st.cfg.Known.Servers[0]
+		for i := range 1000 {
+			next := server(fmt.Sprint("leaf", i), "in_service", 0)
+			next.Address = at("0")
+			st.news(2+2*i, false, next)
+			old.Lifecycle = "terminated"
+			st.news(3+2*i, false, old)
+			old = next
+			c := st.connect()
+			st.ask(c, request(fmt.Sprint("q", i), "search", 2000, 0, 1))
+			c.Close()
+		}
+		st.pass(3000)
+		st.muted = false
+		kept := make(chan string)
+		st.owner.queue <- func(o *owner) {
+			kept <- fmt.Sprintf("kept: %d leaves, %d listed, %d doors, %d connections, %d queries, %d parts, %d calls, "+
+				"%d dues, %d clients", len(o.leaves), len(o.listed), len(o.doors), o.conns, len(o.queries), len(o.parts),
+				len(o.calls), len(o.dues), len(o.door.conns))
+		}
+		st.say("%s", <-kept)
+	})
+}
+
 // Where the list must be asked for, the module says when to try again.
 func TestAskedList(t *testing.T) {
 	play(t, "asked-list", 1, func(c *config.Config) { c.Settings.Module.AskForList = true }, func(st *stage) {
