A crossing of zones weighs in the score what its price is worth in waiting

The constant (10 parts for the whole utility) is gone: a crossing that costs a portion of the utility is weighed as a wait of that portion of the shortest SLO time, in the root's own measured pace.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,6 @@
 	askTicks   = 4                 // that a query waits for probes
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
 
-	crossing   = 10        // parts of queue that the whole utility of a part would be worth
 	memory     = 32        // how many of the last calls or queries are looked at
 	easy, hard = 0.35, 0.7 // of the shortest SLO time: the least useful queries, and all, are turned away
 	coldPart   = 0.75      // of what a cold leaf could bear: the rest is for chance and for rough hints
@@ -230,7 +229,7 @@
 			continue
 		}
 		d := r.load(p, l)
-		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l)*d + d/2) * r.slowness(l, p.query.Vertical)}
+		s := score{r.standing(p, l), d * (r.queue(l) + r.away(l) + d/2) * r.slowness(l, p.query.Vertical)}
 		if r.beats(s, least, &ties) {
 			leaf, least = l, s
 		}
@@ -238,13 +237,14 @@
 	return leaf, least
 }
 
-// away is what a crossing of zones adds to Q, in parts: it costs, so a leaf nearby is taken unless it is that
-// much busier.
+// away is what a crossing of zones adds to Q. It costs a portion of the utility; a wait is thought to cost that
+// where it takes up the same portion of the shortest SLO time. So a leaf nearby is taken unless it is that much
+// busier.
 func (r *Root) away(l *Leaf) float64 {
-	if l.zone == r.set.Zone {
+	if l.zone == r.set.Zone || r.set.CrossZone == 0 {
 		return 0
 	}
-	return crossing * r.set.CrossZone
+	return r.set.CrossZone * float64(r.tight) / max(r.pace, epsilon)
 }
 
 // alone is the time that work of d takes at a leaf with nothing else to do. 2: a server works on several
