What may run once goes over a new connection; calls lost together are one failure of a leaf

Each such end struck the leaf once a call lost with it, so leaves were left out for up to four times too long. Checked: frames were written whole, so reset is the right class; no call was told twice; CPU 0.12 s in a second. Lines at fault: connFor took the first kept connection for whatever call; strike counted calls, not failures. Tests: TestKeptConnections, TestCallsLostTogetherAreOneFailure.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -504,6 +504,9 @@
 	}
 	base := max(2*r.alone(r.unit), float64(sweepEvery/2)) * (0.75 + r.chance()/2)
 	for _, t := range in {
+		if t.strikes > 0 && t.lastBad == r.now {
+			continue // what comes to light in one turn, as calls lost with their connection, is one failure
+		}
 		t.strikes = min(t.strikes+1, mostStruck)
 		t.until, t.lastBad = r.now+Time(base*math.Exp2(t.strikes-1)), r.now
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -580,3 +580,19 @@
 	st.say("known %d, ready %d, holders %d", len(st.r.leaves), st.r.ready, len(st.r.holders[0]))
 	st.check("replaced")
 }
+
+// Calls that are lost with one connection come back in one turn: that is one failure of their leaf, not several.
+func TestCallsLostTogetherAreOneFailure(t *testing.T) {
+	st := play(t, 1, plain(nil))
+	st.query(0, 0, 0, 0, 0)
+	st.pass(10)
+	for i := range 3 {
+		st.end(fmt.Sprintf("q1.%d#0", i), Reset, nil)
+	}
+	st.out.Reset()
+	st.say("strikes %.0f", st.leafs[0].trusts[0].strikes)
+	st.pass(10)
+	st.end("q1.3#0", Reset, nil)
+	st.say("strikes %.0f", st.leafs[0].trusts[0].strikes)
+	st.check("lost-together")
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -173,6 +173,9 @@
 	sends := l.sends
 	l.sends = nil
 	most := max(o.cfg.Settings.Module.Batch, 1)
+	once := slices.ContainsFunc(sends, func(k *call) bool {
+		return !k.part.over && o.cfg.Settings.Module.Verticals[k.part.query.q.Vertical].Effect == choice.SideEffecting
+	})
 	var f *frame
 	var frames []*frame
 	for _, k := range sends {
@@ -187,7 +190,7 @@
 			f = nil
 		}
 		if f == nil {
-			c := l.connFor(o, k.part.id)
+			c := l.connFor(o, k.part.id, once)
 			if c == nil { // no descriptor is left for it, so it is never sent
 				o.endLater(k, choice.NoConnection)
 				continue
@@ -209,21 +212,34 @@
 	}
 }
 
-// connFor is the connection with the fewest calls out of those that have room. A part that was given up on a
-// connection goes over another one, as the two answers could not be told apart. All that is out on a connection
-// is lost with it, whichever answer spoils it, and may not be asked again where it is side-effecting: so where
-// connections have no price, calls share one only once the leaf has its share of the descriptors.
-func (l *leaf) connFor(o *owner, id string) *leafConn {
+// connFor is the connection with the fewest calls out of those that have room, and among these the one that has
+// been idle for longest: a leaf that ends a connection does so right behind an answer, and then it shows by now. A
+// part that was given up on a connection goes over another one, as the two answers could not be told apart. All
+// that is out on a connection is lost with it, whichever answer spoils it, and may not be asked again where it is
+// side-effecting: so where connections have no price, calls share one only once the leaf has its share of the
+// descriptors, and what may run once only goes over a new one, as the leaf may have ended a kept one unseen.
+func (l *leaf) connFor(o *owner, id string, once bool) *leafConn {
 	var least *leafConn
 	for _, c := range l.conns {
 		room := o.cfg.Settings.MaxStreams == 0 || c.frames < o.cfg.Settings.MaxStreams
-		if room && !c.retired && !c.knows(id) && !c.stale(o, 0) && (least == nil || c.frames < least.frames) {
+		if !room || c.retired || c.knows(id) || c.stale(o, 0) || c.ending() {
+			continue
+		}
+		if least == nil || c.frames < least.frames || c.frames == least.frames && c.used < least.used {
 			least = c
 		}
 	}
 	most := o.cfg.Limits.LeafSockets()
-	if least != nil && (least.frames == 0 || o.cfg.Settings.ConnPrice > 0 || o.conns >= most ||
-		len(l.conns) >= most/max(len(o.listed), 1)) {
+	full := o.conns >= most || len(l.conns) >= most/max(len(o.listed), 1)
+	switch {
+	case least == nil:
+		return l.dial(o)
+	case o.cfg.Settings.ConnPrice > 0:
+		return least
+	case once && least.free():
+		least.finish() // the new one takes its place
+		return l.dial(o)
+	case least.frames == 0 || full:
 		return least
 	}
 	return l.dial(o)
@@ -324,6 +340,13 @@
 	return c.up
 }
 
+// ending: its goroutines have found it ended, or been told to end it.
+func (c *leafConn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.over
+}
+
 // retire lets the connection end with the last call on it.
 func (c *leafConn) retire() {
 	c.retired = true
@@ -371,7 +394,7 @@
 // probe sends a probe, for load where reports come no other way.
 func (l *leaf) probe(o *owner) {
 	p := &probe{leaf: l}
-	c := l.connFor(o, "")
+	c := l.connFor(o, "", false)
 	if c == nil {
 		o.later = append(o.later, func(o *owner) { o.probed(p, choice.NoConnection, nil) })
 		return
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -106,6 +106,34 @@
 	})
 }
 
+// A leaf may end a kept connection unseen: what may run once only goes over a new one, which takes the place of
+// one that is idle; the rest goes over the one that has been idle for longest.
+func TestKeptConnections(t *testing.T) {
+	play(t, "kept-connections", 1, nil, func(st *stage) {
+		var held []func()
+		n := 0
+		st.leafAt("A", func(_ int, frame string, conn net.Conn) {
+			held = append(held, func() { answers(0, frame, conn) })
+		})
+		place := st.places[at("A")]
+		st.places[at("A")] = func(c net.Conn) error { n++; st.say("leaf A: connection %d", n); return place(c) }
+		st.serve()
+		c, d := st.connect(), st.connect()
+		for i, vertical := range []string{"search", "search", "file", "search", "search"} {
+			st.say("---- %s", vertical)
+			st.ask(c, request(fmt.Sprint("q", 2*i), vertical, 2000, 0))
+			if i == 0 { // a second one at the same time
+				st.ask(d, request("q1", vertical, 2000, 1))
+			}
+			for _, answer := range held {
+				answer()
+				st.pass(10)
+			}
+			held = nil
+		}
+	})
+}
+
 // No connection: what was not written whole has never run, so even side-effecting parts are asked again.
 func TestNeverRan(t *testing.T) {
 	for name, place := range map[string]func(st *stage) func(net.Conn) error{
