Idle clients hold a quarter of the descriptors for 2.2 s, so that the front has room for queries

Lines at fault: ClientSockets (half of the descriptors, where the front opens a third) and the 10 s for idle connections.

--- a/config/config.go
+++ b/config/config.go
@@ -32,8 +32,9 @@
 	mostCells = 1 << 20
 	mostLine  = 4 << 20 // bytes of one line of a watch
 
+	askFor     = 50 * time.Millisecond   // from connecting, within which usual clients begin a request
 	requestFor = 2200 * time.Millisecond // from connecting, or from a request's first byte, to its last
-	idleFor    = 10 * time.Second        // between requests
+	idleFor    = 2200 * time.Millisecond // between requests
 	lingerFor  = 250 * time.Millisecond  // for which a client is read on after an error, so that it sees that
 	lingerMost = 64 << 10                // bytes read on
 
@@ -49,8 +50,10 @@
 }
 
 // ClientSockets is how many descriptors clients may use, LeafSockets how many leaves may. What is left is for
-// the listener, discovery, files, and connections that are just being closed.
-func (l Limits) ClientSockets() int { return l.Sockets / 2 }
+// the listener, discovery, files, and connections that are just being closed. For requests the front opens
+// connections up to a third of the descriptors; those that clients keep and do not use count there too, so fewer
+// are kept, or it would turn queries away before they come here.
+func (l Limits) ClientSockets() int { return l.Sockets / 4 }
 
 // LeafSockets see ClientSockets.
 func (l Limits) LeafSockets() int { return l.Sockets * 3 / 8 }
@@ -81,7 +84,8 @@
 	Known                   List
 	Settings                *Settings
 	DrainFor, KeepFor       time.Duration
-	RequestFor, IdleFor     time.Duration // of clients
+	AskFor                  time.Duration // of clients
+	RequestFor, IdleFor     time.Duration
 	LingerFor               time.Duration
 	LingerMost              int
 	Silence                 time.Duration
@@ -157,7 +161,7 @@
 	c := &Config{Name: or(w.Name, "EDGE_NAME"), Listen: or(w.Listen, "EDGE_LISTEN"),
 		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
 		DrainFor: drainFor, KeepFor: keepFor,
-		RequestFor: requestFor, IdleFor: idleFor, LingerFor: lingerFor, LingerMost: lingerMost,
+		AskFor: askFor, RequestFor: requestFor, IdleFor: idleFor, LingerFor: lingerFor, LingerMost: lingerMost,
 		Silence: silence, MostLine: mostLine}
 	var err error
 	if c.Log, err = zerolog.ParseLevel(w.Log); err != nil || w.Log == "" {
--- a/router/clients.go
+++ b/router/clients.go
@@ -6,15 +6,18 @@
 // machine's limit on descriptors leaves room for.
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -119,57 +122,94 @@
 		if closed { // since it was accepted
 			c.closeIdle()
 		}
-		if !d.makeRoom(ctx, c) {
+		if !d.makeRoom(ctx) {
 			return nil
 		}
 	}
 }
 
-// makeRoom waits until no more connections are held than may be. One makes way that has had its last answer;
-// else the idle one whose time ends first, so one that has never asked goes before one that has; else the
-// request that has been coming for longest. The newest does not, as its request is on its way.
-func (d *door) makeRoom(ctx context.Context, newest *client) bool {
+// makeRoom waits until no more connections are held than may be. Those that have had their last answer make way
+// first, then those that have said nothing for longer than a usual client would, then those idle between requests,
+// then requests that are long in coming; of each the one whose time ends first. One that has just connected does
+// not, nor one whose request has come and only waits to be read: to end it would cost its client the request.
+func (d *door) makeRoom(ctx context.Context) bool {
 	wait := d.cfg.Settings.ConnectTimeout
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		n, closed := 0, d.closed
-		var first, slowest *client
+		var ways []way
 		for c := range d.conns {
 			at := standing(c.state.Load())
-			if at != ending { // those make way already
-				n++
-			}
-			if c == newest {
+			if at == ending { // makes way already
 				continue
 			}
-			if (at == idle || at == lingering) && (first == nil || c.until.Load() < first.until.Load()) {
-				first = c
-			}
-			if at == reading && (slowest == nil || c.until.Load() < slowest.until.Load()) {
-				slowest = c
+			n++
+			switch {
+			case at == lingering:
+				ways = append(ways, way{c, 0, c.until.Load()})
+			case at == idle && !c.again.Load() && c.late(d.cfg.RequestFor-d.cfg.AskFor):
+				ways = append(ways, way{c, 1, c.until.Load()})
+			case at == idle && c.again.Load():
+				ways = append(ways, way{c, 2, c.until.Load()})
+			case at == reading && c.late(d.cfg.RequestFor-wait):
+				ways = append(ways, way{c, 3, c.until.Load()})
 			}
 		}
 		d.mu.Unlock()
 		if closed {
 			return false
 		}
-		if n <= int(d.most.Load()) {
+		over := n - int(d.most.Load())
+		if over <= 0 {
 			return true
 		}
-		if first != nil {
-			first.closeIdle()
-		} else if slowest != nil && slowest.late(d.cfg.RequestFor-wait) {
-			slowest.refuse(errNeverEnded)
+		slices.SortFunc(ways, func(a, b way) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.until, b.until)) })
+		for _, w := range ways {
+			if w.rank == 3 {
+				w.client.refuse(errNeverEnded)
+			} else if pending(w.client.conn) || !w.client.closeIdle() {
+				continue
+			}
+			if over--; over == 0 {
+				break
+			}
+		}
+		if over == 0 {
+			return true
 		}
 		select {
 		case <-ctx.Done():
 		case <-d.freed:
-		case <-time.After(wait):
+		case <-time.After(d.cfg.AskFor):
 		}
 	}
 	return false
 }
 
+// way is a connection that may make way: the lower the rank, the sooner.
+type way struct {
+	client *client
+	rank   int
+	until  int64
+}
+
+// pending: bytes have come on a connection that nobody has read yet.
+func pending(conn net.Conn) bool {
+	raw, can := conn.(syscall.Conn)
+	if !can {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = control.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // close stops taking connections and ends those that are idle; the others end with their next answer.
 func (d *door) close() {
 	d.listener.Close()
@@ -226,10 +266,10 @@
 	until   atomic.Int64  // in microseconds: when it has been idle, has been asking or has lingered for long enough
 	query   *query        // the owner's
 
-	began time.Time // the request's first byte
-	again bool      // a request has ended here before
-	asked *asked    // nil where it is no query
-	bad   error     // why the request can't be taken, once its framing is sure
+	began time.Time   // the request's first byte
+	again atomic.Bool // a request has ended here before
+	asked *asked      // nil where it is no query
+	bad   error       // why the request can't be taken, once its framing is sure
 }
 
 // turnTo changes where the connection stands, if it stood where it was thought to.
@@ -238,10 +278,12 @@
 }
 
 // closeIdle ends the connection if nothing of a request has been read on it, or nothing will be.
-func (c *client) closeIdle() {
-	if c.turnTo(idle, ending) || c.turnTo(lingering, ending) {
-		c.conn.Close()
+func (c *client) closeIdle() bool {
+	if !c.turnTo(idle, ending) && !c.turnTo(lingering, ending) {
+		return false
 	}
+	c.conn.Close()
+	return true
 }
 
 // idleUntil sets the end of the time for which the connection may stand as it does.
@@ -344,7 +386,7 @@
 	for {
 		if c.in.Len() > 0 && c.turnTo(idle, reading) {
 			// From here on a request's time counts; the first one's has counted since the client connected.
-			if c.began = time.Now(); c.again {
+			if c.began = time.Now(); c.again.Load() {
 				c.idleUntil(c.door.cfg.RequestFor)
 			}
 		}
@@ -374,7 +416,7 @@
 			}
 		case codec.Ended:
 			c.conn.SetReadDeadline(time.Time{})
-			c.again = true
+			c.again.Store(true)
 			return c.ended(ctx)
 		}
 	}
