A line of the list that never ends is silence; lines bounded by 1 MB; seeds for what parsers refuse

Read, not measured: the watch's silence was counted from its last byte, so a line that drips kept a dead watch for ever, up to 4 MB of it, which is an eighth of the least memory. It counts from the last whole line now. Tests: TestWatch, and seeds for the fuzz tests of messages, queries and frames.

--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -71,6 +71,10 @@
 	"P\x00ST /a HTTP/1.1\r\n\r\n",
 	"GET /" + strings.Repeat("a", 600) + " HTTP/1.1\r\n\r\n",
 	"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 101) + "\r\n",
+	"\r\n\r\n\r\n\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+	"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"POST /a HTTP/1.1\r\nA: b\x07\r\n\r\n", "POST /a HTTP/1.1\r\nA: b\rc\r\n\r\n", "POST /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+	"POST /a HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
 }
 
 func TestMessages(t *testing.T) {
@@ -108,6 +112,9 @@
 	`{"parts":[{"id":1,"w":1}],"expr":7}`, `{"parts":[{"id":1,"w":1,"hint":-5}],"expr":"a"}`,
 	`{"parts":[{"id":1,"w":01}],"expr":"a"}`, `{"parts":[{"id":1,"w":1,}],"expr":"a"}`,
 	`{"parts":[{"id":1,"w":1}],"expr":"a` + "\n" + `"}`, strings.Repeat("[", 100), `{"expr":"\ud83dx","parts":[{"id":1,"w":1}]}`,
+	`{"parts":[{"id":1,"w":0.3333},{"id":2,"w":0.3333},{"id":3,"w":0.3333}],"expr":"a"}`,
+	`{"parts":[{"id":1,"w":0.333},{"id":2,"w":0.333},{"id":3,"w":0.333}],"expr":"a"}`, `{"parts":[{"id":1,"w":1.001}],"expr":"a"}`,
+	`{"parts":[{"id":1.0,"w":1}],"expr":"a"}`, `{"parts":[{"id":1e0,"w":1}],"expr":"a"}`, `{"parts":[{"id":1,"w":1}],"expr":"a"} x`,
 	`{"parts":[{"id":1,"id":2,"w":1}],"expr":"a"}`, `{"parts":[{"id":1,"w":1}],"parts":[{"id":2,"w":1}],"expr":"a"}`,
 }
 
@@ -188,6 +195,8 @@
 	framed("I200", "I500", "U-", "Ulatency_ms=14.5,queue=2", "U500", "Uqueue", "Zno such part"),
 	framed("Oab.3 200 184 -"), framed("Oab.3 404 0 -\n"), framed("Oab.3 200\n"), framed("Oa 200 1 util=NaN\n"),
 	framed("O 200 1 -\n"), "\x00\x00\x00\x00", "\x00\x00\x00\xff", "\xff\xff\xff\xffO", framed("I200")[:6],
+	framed("Oa 200 ? -\nv"), framed("Oa 200 1 latency_ms=?\nv"), framed("Oa 0 1 -\nv"), framed("Oa  1 -\nv"), framed("\x01a 200 1 -\nv"),
+	"\x00\x00\x00\x03Oa 200 1 -\nv", "\xb2\xd0^\x00Oa 200 1 -\nv", framed("Oa 200 1 -\nv") + "\xad\x0e\xa5\x95noise",
 }
 
 func TestFrames(t *testing.T) {
--- a/config/config.go
+++ b/config/config.go
@@ -30,7 +30,7 @@
 
 	silence   = 3 * time.Second // of a watch that says something every 2 s, after which it is dead
 	mostCells = 1 << 20
-	mostLine  = 4 << 20 // bytes of one line of a watch
+	mostLine  = 1 << 20 // bytes of one line of a watch: some thousands of leaves, within the least memory
 
 	askFor     = 50 * time.Millisecond   // from connecting, within which usual clients begin a request
 	requestFor = 2200 * time.Millisecond // from connecting, or from a request's first byte, to its last
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -218,7 +218,14 @@
 			case line = <-st.feed:
 			case <-time.After(2 * time.Second):
 			}
-			if line == "cut" {
+			switch line {
+			case "cut":
+				return
+			case "drip": // a line that never ends
+				for err == nil {
+					_, err = io.WriteString(conn, "1\r\n{\r\n")
+					time.Sleep(time.Second)
+				}
 				return
 			}
 			for line == "hush" {
--- a/router/list.go
+++ b/router/list.go
@@ -143,7 +143,6 @@
 				}
 				return told, err
 			}
-			conn.SetDeadline(time.Now().Add(l.cfg.Silence))
 		case codec.Begun:
 			if parser.Head.Status != http.StatusOK {
 				return told, fmt.Errorf("discovery answers %d", parser.Head.Status)
@@ -160,6 +159,7 @@
 					return told, err
 				}
 				line, told = line[:0], true
+				conn.SetDeadline(time.Now().Add(l.cfg.Silence)) // part of a line that never ends is silence too
 			}
 		case codec.Ended:
 			return told, errEnded
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -434,6 +434,8 @@
 		st.pass(1100)
 		st.feed <- "hush"
 		st.pass(8000)
+		st.feed <- "drip"
+		st.pass(6000)
 	})
 }
 
