Room is looked for only where connections are over the limit; one reckoning of time left

makeRoom scanned all connections and listed those that may make way at each accept, though as a rule there is room; late and left told the same in two ways. Behaviour as before.

--- a/router/clients.go
+++ b/router/clients.go
@@ -133,10 +133,13 @@
 // then requests that are long in coming; of each the one whose time ends first. One that has just connected does
 // not, nor one whose request has come and only waits to be read: to end it would cost its client the request.
 func (d *door) makeRoom(ctx context.Context) bool {
-	wait := d.cfg.Settings.ConnectTimeout
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		n, closed := 0, d.closed
+		if !closed && len(d.conns) <= int(d.most.Load()) { // as a rule; nobody need be looked at
+			d.mu.Unlock()
+			return true
+		}
 		var ways []way
 		for c := range d.conns {
 			at := standing(c.state.Load())
@@ -147,11 +150,11 @@
 			switch {
 			case at == lingering:
 				ways = append(ways, way{c, 0, c.until.Load()})
-			case at == idle && !c.again.Load() && c.late(d.cfg.RequestFor-d.cfg.AskFor):
+			case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
 				ways = append(ways, way{c, 1, c.until.Load()})
 			case at == idle && c.again.Load():
 				ways = append(ways, way{c, 2, c.until.Load()})
-			case at == reading && c.late(d.cfg.RequestFor-wait):
+			case at == reading && c.left() <= d.cfg.RequestFor-d.cfg.Settings.ConnectTimeout:
 				ways = append(ways, way{c, 3, c.until.Load()})
 			}
 		}
@@ -293,9 +296,9 @@
 	c.conn.SetReadDeadline(end)
 }
 
-// late: the end of that time is no further away than so long.
-func (c *client) late(within time.Duration) bool {
-	return c.door.owner.clk.micros(time.Now().Add(within)) >= c.until.Load()
+// left is how much of that time is left.
+func (c *client) left() time.Duration {
+	return time.Duration(c.until.Load()-c.door.owner.clk.micros(time.Now())) * time.Microsecond
 }
 
 // answer hands the writer what to say. It never blocks, as one answer at most is owed.
@@ -345,7 +348,7 @@
 			switch at := standing(c.state.Load()); {
 			case at == waiting:
 				c.conn.SetReadDeadline(time.Time{})
-			case !c.late(0):
+			case c.left() > 0:
 				c.conn.SetReadDeadline(time.Now().Add(c.left()))
 			case at == idle:
 				c.closeIdle()
@@ -363,11 +366,6 @@
 
 var errNeverEnded = &codec.Fault{Status: http.StatusRequestTimeout, Text: "the request never ended"}
 
-// left is how long the connection may stand as it does.
-func (c *client) left() time.Duration {
-	return time.Duration(c.until.Load()-c.door.owner.clk.micros(time.Now())) * time.Microsecond
-}
-
 // linger reads on for a while and throws away what comes: to end a connection with bytes unread would reset
 // it, and the client might lose the answer that says why.
 func (c *client) linger() {
