Seekers give way to one another, so an election takes beats and not leases

Drawn schedules left duties alone for 2.25 to 3 intervals where partitions came one upon the other or a leader stood still; that had been put down as holes of the construction.

A seeker now carries a lot, drawn anew each time; the lower gives way, and whoever gives way or up gives its grants back. A plan that comes after an interval's beginning counts at once, and a substitute that has just started does not wait its patience. Intervals are three leases long at least; the default lease is 600 ms.

The property test has no exceptions any more.

--- a/cmd/molelab/duties.go
+++ b/cmd/molelab/duties.go
@@ -26,7 +26,7 @@
 	Churn      bool          `help:"Leaves come and go."`
 	Loss       float64       `help:"Share of messages that are lost."`
 	Skew       time.Duration `default:"100ms" help:"The most by which two clocks differ."`
-	Lease      time.Duration `default:"1s" help:"How long a leader's right to plan holds."`
+	Lease      time.Duration `default:"600ms" help:"How long a leader's right to plan holds."`
 	Seed       uint64        `default:"1" help:"Of all that is drawn."`
 	Sockets    bool          `help:"Play in real time on loopback sockets, with gossip between the instances; kills only."`
 	Seeds      int           `default:"1" help:"Runs, each with the next seed; all are summed up."`
@@ -42,8 +42,8 @@
 		return errors.New("--interval must be four times --skew, and 100ms at least")
 	case c.Sockets && (c.Partitions > 0 || c.Pauses > 0 || c.Churn || c.Loss > 0 || c.Seeds > 1):
 		return errors.New("--sockets knows --kills alone")
-	case c.Interval < 2*c.Lease:
-		return errors.New("--interval must be twice --lease, or a leader's death is felt for longer than two of them")
+	case c.Interval < 3*c.Lease:
+		return errors.New("--interval must be three times --lease, or the loss of two leaders is felt for longer than two of them")
 	case c.Loss < 0 || c.Loss >= 1 || c.Skew < 0 || c.Lease < 100*time.Millisecond || c.For <= 0 || c.Seeds < 1:
 		return errors.New("--loss from 0 to 1, --lease from 100ms, --for and --seeds above 0")
 	}
--- a/config/file.go
+++ b/config/file.go
@@ -83,14 +83,14 @@
 	leastLease    = 100 * time.Millisecond
 	mostLease     = time.Minute
 	mostSkew      = 10 * time.Second
-	leasesInTime  = 2 // in an interval: a lease runs out and another is had before two intervals have begun
+	leasesInTime  = 3 // in an interval: two leaders may be lost one after the other and a third one has planned in time
 	skewsInTime   = 4 // least number of skews in an interval or a lease: the edges of intervals are left unused
 )
 
 // DefaultFile is what holds where nothing is stated.
 func DefaultFile() *File {
 	return &File{
-		Members: Members{Cluster: "moleshift", Seat: -1, Skew: 100 * time.Millisecond, Lease: time.Second},
+		Members: Members{Cluster: "moleshift", Seat: -1, Skew: 100 * time.Millisecond, Lease: 600 * time.Millisecond},
 		Duties: Duties{Probes: Probes{Interval: 2 * time.Second},
 			Summary: Summary{Interval: time.Minute}},
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -405,7 +405,8 @@
 
 // turn is what there is to do as an interval of a duty begins. The holder needs nobody's word. Where the plan says that
 // the holder is not there, the substitute need not wait to hear of it; nor does it wait if nobody was heard of in the
-// interval before, as two intervals would be over by then.
+// interval before, as two intervals would be over by then. So one that starts in the interval before performs at once:
+// one more probe, within the bound of double, instead of a quarter of an interval too late.
 func (n *Node) turn(d *Duty, k int64) {
 	if !n.may(d, k) {
 		return
@@ -423,11 +424,23 @@
 	}
 	if !s.has(holder) {
 		n.perform(d, k, Absent)
-	} else if d.notes > 0 && !n.known(d, k-1) {
+	} else if !n.known(d, k-1) { // also one that has just started and can't know
 		n.perform(d, k, Unheard)
 	}
 }
 
+// planned looks again at the intervals that began before the plan for them came, as after a leader's death: waiting for
+// the patience would make two intervals into two and a quarter.
+func (n *Node) planned(s Segment) {
+	for _, g := range n.groups {
+		for _, d := range g.duties {
+			if k := d.Number(n.now); d.Begin(k) >= s.From && d.Begin(k)+n.set.Skew <= n.now && !n.known(d, k) {
+				n.turn(d, k)
+			}
+		}
+	}
+}
+
 // check is what there is to do once the holder should have been heard of.
 func (n *Node) check(d *Duty, k int64) {
 	holder := d.Holder(k, n.set.Size)
@@ -556,6 +569,8 @@
 			p.left = true
 			n.port.Note(Note{Event: Left, Seat: m.Seat})
 		}
+	case Yield:
+		n.lease.yielded(n, m)
 	case Hello:
 	default:
 		n.Counts.Odd++
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -119,6 +119,48 @@
 	st.check("leader-stood-still")
 }
 
+// Two who seek at the same moment, with just a majority left: without lots and grants given back each keeps its own
+// grants, and both wait until those have run out, several times over where messages are lost.
+func TestSeekersGiveWay(t *testing.T) {
+	st := play(t, 5, "a")
+	st.quiet = true
+	st.pass(2500)
+	old := st.leader()
+	st.kill(old)
+	st.kill((old + 1) % 5)
+	a, b := st.nodes[(old+2)%5], st.nodes[(old+3)%5]
+	st.pass(368)
+	for _, s := range []*seat{a, b} {
+		s.n.enter(st.now)
+		s.n.lease.move(s.n, seeking)
+	}
+	st.say("seats %d and %d seek at once", a.seat, b.seat)
+	st.pass(60)
+	st.say("seat %d is %v, seat %d is %v", a.seat, a.n.lease.role, b.seat, b.n.lease.role)
+	st.pass(1500)
+	st.check("seekers-give-way")
+}
+
+// What is given back counts for the asking that it was given in, and before; a late word takes nothing of a later one.
+func TestYieldOfBefore(t *testing.T) {
+	st := play(t, 3, "a")
+	st.pass(1500)
+	n := st.nodes[0].n
+	l := &n.lease
+	n.enter(st.now + 2000*Millisecond) // no grant holds any more
+	boot := zero + 7
+	for _, step := range []struct {
+		kind  Kind
+		round uint32
+		free  bool // the grant, afterwards
+	}{{Ask, 4, false}, {Yield, 3, false}, {Yield, 4, true}, {Ask, 5, false}, {Yield, 4, false}, {Yield, 6, true}} {
+		n.Hear(n.now, &Message{Kind: step.kind, Seat: 1, Size: 3, Boot: boot, Round: step.round, For: 200 * Millisecond, Since: 9})
+		if is := l.free(n, 2, zero+1); is != step.free {
+			t.Errorf("after message %d of asking %d: free %v", step.kind, step.round, is)
+		}
+	}
+}
+
 // A grant that comes after the lease has ended shows nothing of the time between.
 func TestLateGrant(t *testing.T) {
 	st := play(t, 5, "a")
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -25,7 +25,8 @@
 const (
 	keptRounds = 8  // whose grants still count
 	missRounds = 2  // that a seat may leave unanswered before it counts as not there
-	mostTries  = 4  // askings of a seeker before it lets others try
+	mostTries  = 8  // askings of a seeker before it lets others try
+	mostLots   = 1 << 30
 	successors = 8  // who wait in turn when a lease has ended
 	keepPlan   = 4  // beats for which a segment is still told after its end
 	uneven     = 20 // a lease counts for a twentieth less, as clocks do not run at quite the same pace
@@ -46,7 +47,8 @@
 	// As one who grants.
 	holder      int // seat, -1: nobody
 	holderBoot  Time
-	until       Time // the grant holds
+	holderRound uint32 // the latest that it was granted in
+	until       Time   // the grant holds
 	grantsAfter Time // a start: what was granted before it is forgotten
 
 	// As one who asks.
@@ -55,6 +57,7 @@
 	ends   []Time // by seat: until when its grant is known to hold
 	valid  Time   // until when a majority's grants do, as last reckoned
 	tries  int    // askings as a seeker
+	lot    Time   // drawn by a seeker: of two that seek at once the one with the lower gives way
 	issued Time   // up to which intervals are planned
 	beatAt Time
 	halfAt Time // when seats that have not answered this beat's asking are asked once more
@@ -80,14 +83,18 @@
 
 // move is the one way from role to role.
 func (l *lease) move(n *Node, to role) {
+	from := l.role
 	l.role = to
 	switch to {
 	case following:
+		if from == seeking {
+			l.yield(n)
+		}
 		l.beatAt, l.halfAt, l.valid, l.rounds = never, never, 0, nil
 		clear(l.ends)
 		l.seekAt = l.patience(n)
 	case seeking:
-		l.tries, l.beatAt = 0, never
+		l.tries, l.beatAt, l.lot = 0, never, 1+n.chance(mostLots)
 		l.try(n)
 	case leading: // intervals of before may be another's
 		l.issued = max(l.issued, n.now+n.set.Skew)
@@ -122,6 +129,26 @@
 	l.ask(n, 2*n.set.Beat)
 }
 
+// yield gives back what a seeker was granted, by itself and by others, or all would wait for those grants to run out
+// before anyone else could have a majority. Only a seeker may: it has planned nothing under them, whereas what a leader
+// has planned reaches to its lease's end. A grant of a later asking is not meant: messages may overtake one another.
+func (l *lease) yield(n *Node) {
+	if l.holder == n.set.Seat && l.holderBoot == n.boot {
+		l.holder, l.until = -1, n.now
+	}
+	n.port.Broadcast(n.message(Yield, func(m *Message) { m.Round = l.last }))
+}
+
+// yielded takes a seeker's word that it no longer counts on its grants.
+func (l *lease) yielded(n *Node, m *Message) {
+	if l.holder == m.Seat && l.holderBoot == m.Boot && m.Round >= l.holderRound && n.now < l.until {
+		l.holder, l.until = -1, n.now
+		if l.role == following {
+			l.seekAt = min(l.seekAt, l.patience(n))
+		}
+	}
+}
+
 // patience is when this seat would ask for the lease if nobody else does: in turn behind the last leader, so that
 // votes are seldom split.
 func (l *lease) patience(n *Node) Time {
@@ -187,7 +214,7 @@
 	l.rounds = append(l.rounds, round{number: l.last, sent: n.now, length: length})
 	l.rounds = l.rounds[max(len(l.rounds)-keptRounds, 0):]
 	if l.free(n, n.set.Seat, n.boot) {
-		l.grant(n, n.set.Seat, n.boot, length)
+		l.grant(n, n.set.Seat, n.boot, l.last, length)
 		l.count(n, n.set.Seat, l.last)
 	}
 	n.port.Broadcast(l.question(n, length))
@@ -197,6 +224,9 @@
 func (l *lease) question(n *Node, length Time) *Message {
 	return n.message(Ask, func(m *Message) {
 		m.Round, m.For = l.last, length
+		if l.role == seeking {
+			m.Since = l.lot
+		}
 		for _, s := range l.segments {
 			if s.Until > n.now-keepPlan*n.set.Beat {
 				m.Plan = append(m.Plan, s)
@@ -213,8 +243,8 @@
 	return l.holder < 0 || n.now >= l.until || l.holder == seat && l.holderBoot == boot
 }
 
-func (l *lease) grant(n *Node, seat int, boot, length Time) {
-	l.holder, l.holderBoot, l.until = seat, boot, max(n.now+length, l.until)
+func (l *lease) grant(n *Node, seat int, boot Time, number uint32, length Time) {
+	l.holder, l.holderBoot, l.holderRound, l.until = seat, boot, number, max(n.now+length, l.until)
 	n.Counts.Given++
 }
 
@@ -228,19 +258,31 @@
 	for _, s := range m.Plan {
 		l.learn(n, s)
 	}
-	if n.left || n.barred || !l.free(n, m.Seat, m.Boot) {
+	if n.left || n.barred {
+		return
+	}
+	if l.role == seeking && l.givesWay(n, m) {
+		l.move(n, following)
+	}
+	if !l.free(n, m.Seat, m.Boot) {
 		return
 	}
-	if l.role != following { // it was faster, or this one's lease is over
+	if l.role != following { // this one's lease is over
 		l.move(n, following)
 	}
-	l.grant(n, m.Seat, m.Boot, m.For)
+	l.grant(n, m.Seat, m.Boot, m.Round, m.For)
 	l.seekAt = l.patience(n)
 	n.port.Send(m.Seat, n.message(Grant, func(g *Message) {
 		g.Round, g.To, g.Since = m.Round, m.Seat, m.Boot
 	}))
 }
 
+// givesWay: a seeker makes room for one that leads, and for another seeker with the higher lot. Lots are drawn anew for
+// each seeking, so one that is heard by all and hears nobody can't keep the others back for long.
+func (l *lease) givesWay(n *Node, m *Message) bool {
+	return m.Since == 0 || m.Since > l.lot || m.Since == l.lot && m.Seat > n.set.Seat
+}
+
 // granted takes a grant.
 func (l *lease) granted(n *Node, m *Message) {
 	if m.To != n.set.Seat || m.Since != n.boot {
@@ -328,6 +370,9 @@
 	}
 	i, _ := slices.BinarySearchFunc(l.segments, s.From, func(o Segment, t Time) int { return int(o.From - t) })
 	l.segments = slices.Insert(l.segments, i, s)
+	if s.From < n.now {
+		n.planned(s)
+	}
 }
 
 // forget lets go of segments in which no interval that still runs has begun.
--- a/duty/message.go
+++ b/duty/message.go
@@ -18,6 +18,7 @@
 	Done                  // results
 	Leave                 // the seat ends
 	Hello                 // the seat has started
+	Yield                 // a seeker gives its grants back
 )
 
 // Message is all that instances say. Which fields count depends on the kind.
@@ -29,10 +30,10 @@
 	Size int // seats, by its settings
 	Boot Time
 
-	Round uint32 // Ask, Grant
+	Round uint32 // Ask, Grant, Yield: the last asking that it is for
 	For   Time   // Ask: how long the lease is to hold
 	To    int    // Grant: whose lease it is
-	Since Time   // Grant: the boot of that
+	Since Time   // Grant: the boot of that; Ask: a seeker's lot, 0 of a leader
 	Plan  []Segment
 	Items []Item
 }
@@ -107,7 +108,7 @@
 // check refuses impossible values.
 func (m *Message) check() error {
 	switch {
-	case m.Kind < Ask || m.Kind > Hello:
+	case m.Kind < Ask || m.Kind > Yield:
 		return fmt.Errorf("kind %d is unknown", m.Kind)
 	case m.Size < 1 || m.Size > mostSeats:
 		return fmt.Errorf("size %d is out of range", m.Size)
--- a/lab/duties/run_test.go
+++ b/lab/duties/run_test.go
@@ -16,7 +16,10 @@
 }
 
 // Whatever befalls the instances, no interval of a leaf gets more than double, and no duty waits for over two while one
-// side has a majority and partitions do not come one upon the other: schedules are drawn at random.
+// side has a majority: schedules are drawn at random. Drawn ones found, with the mends undone one by one: seekers that
+// locked one another out for seven leases, since each kept its grants until they ran out; a substitute that had just
+// started and waited its patience though the interval before had been missed; and one that had waited as the plan came
+// after the interval's beginning.
 func TestPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := Options{
@@ -32,16 +35,15 @@
 			Skew:       time.Duration(rapid.SampledFrom([]int{0, 20, 100}).Draw(t, "skew")) * time.Millisecond,
 			Seed:       rapid.Uint64().Draw(t, "seed"),
 		}
-		o.Lease = o.Interval / time.Duration(rapid.IntRange(2, 4).Draw(t, "leases in an interval"))
-		o.Lease = max(o.Lease, 4*o.Skew)
+		o.Lease = o.Interval / time.Duration(rapid.IntRange(3, 5).Draw(t, "leases in an interval"))
+		if o.Lease < 4*o.Skew {
+			t.Skip("refused by the settings")
+		}
 		r, err := Run(o, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		// Two partitions may follow one another within a lease, and the second cut off a leader that the first has brought:
-		// and a leader that stood still is replaced late: see the holes in docs/design/duties.md. The bound of double has
-		// no such exception.
-		if r.Overprobed > 0 || r.Conflicts > 0 || r.Late > 0 && o.Partitions <= 1 && o.Pauses == 0 {
+		if r.Broken() {
 			t.Fatalf("%+v: %s\n%v", o, r.JSON(), r.Stories)
 		}
 	})
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -381,7 +381,7 @@
 		st.t.Error(err)
 		return
 	}
-	words := [...]string{"", "asks for a lease", "grants a lease", "has done", "leaves", "says hello"}[m.Kind]
+	words := [...]string{"", "asks for a lease", "grants a lease", "has done", "leaves", "says hello", "gives its grants back"}[m.Kind]
 	for _, it := range m.Items {
 		words += fmt.Sprintf(" %s (%v, %x)", it.Name, it.Why, it.Result)
 	}
