Limits: a book of memory by purpose and a door for connections, off by default

A portal without limits could starve all others, and nobody could say what memory was held for. Package limits decides, without I/O: caps by address and network, a reserve for known clients, fair shares where connections run short, floors and caps for each purpose of memory, and room for a query's values put by when it is taken. The router takes and returns all through it; every scene of its tests checks that the books come out even. With both off the door acts as before: no trace changed.

--- a/capture/recorder.go
+++ b/capture/recorder.go
@@ -100,6 +100,9 @@
 // Begun is when the recorder was made: times in a capture count from there.
 func (r *Recorder) Begun() time.Time { return r.begun }
 
+// Held is how many bytes wait to be written.
+func (r *Recorder) Held() int64 { return r.held.Load() }
+
 func size(q *Query) int64 {
 	n := int64(perQuery)
 	for i := range q.Parts {
--- a/codec/frames.go
+++ b/codec/frames.go
@@ -28,7 +28,10 @@
 // MostFrame bounds what a leaf may send in one frame: a value, and the line before it.
 const MostFrame = MostBody + 1024
 
-const frameHead = 4
+const (
+	frameHead  = 4
+	smallFrame = 1024 // for which no room is asked: what is read for it is in the ring's own size
+)
 
 var (
 	errFrame  = errors.New("a frame's length is out of range")
@@ -39,12 +42,17 @@
 type Frame struct {
 	Letter byte
 	Rest   []byte
+	Cut    bool // there was no room for it: Rest ends with the line before its value
+	Size   int  // of Rest, as room was asked for; 0: none was
 }
 
 // FrameReader reads frames from a ring as they come.
 type FrameReader struct {
-	Most int // bytes in a frame
+	Most int                 // bytes in a frame
+	Room func(size int) bool // asked once for each frame of some size; nil: there always is
 
+	size int // that there is room for
+	cut  bool
 	head []byte
 	rest []byte
 	left int
@@ -66,23 +74,51 @@
 			if n == 0 || int64(n) > int64(f.Most) {
 				return Frame{}, false, errFrame
 			}
-			f.left, f.rest = int(n), nil
+			f.left, f.rest, f.size, f.cut = int(n), nil, 0, false
+			if f.Room != nil && f.left > smallFrame {
+				if f.cut = !f.Room(f.left); !f.cut {
+					f.size = f.left
+				}
+			}
 			continue
 		}
 		piece := r.Head()
 		piece = piece[:min(len(piece), f.left)]
-		f.rest = append(f.rest, piece...)
+		if f.cut {
+			f.skip(piece)
+		} else {
+			f.rest = append(f.rest, piece...)
+		}
 		f.left -= len(piece)
 		r.Skip(len(piece))
 		if f.left == 0 {
-			frame := Frame{f.rest[0], f.rest[1:]}
-			f.head, f.rest = f.head[:0], nil
+			frame := Frame{f.rest[0], f.rest[1:], f.cut, f.size}
+			f.head, f.rest, f.size = f.head[:0], nil, 0
 			return frame, true, nil
 		}
 	}
 	return Frame{}, false, nil
 }
 
+// skip keeps the letter and the line of a frame that there is no room for, so that the connection goes on and the part's
+// fate can be told.
+func (f *FrameReader) skip(piece []byte) {
+	if len(f.rest) > 0 && f.rest[len(f.rest)-1] == '\n' || len(f.rest) >= smallFrame {
+		return
+	}
+	if i := bytes.IndexByte(piece, '\n'); i >= 0 {
+		piece = piece[:i+1]
+	}
+	f.rest = append(f.rest, piece[:min(len(piece), smallFrame-len(f.rest))]...)
+}
+
+// Drop tells how much room the frame that has begun was given, for one whose end never comes.
+func (f *FrameReader) Drop() int {
+	size := f.size
+	f.size = 0
+	return size
+}
+
 // WriteFrame writes a short frame.
 func WriteFrame(w io.Writer, letter byte, rest string) error {
 	out := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
--- a/config/config.go
+++ b/config/config.go
@@ -234,7 +234,7 @@
 	n := *c
 	n.Discovery, n.Log, n.Limits = to.Discovery, to.Log, to.Limits
 	more := *c.More
-	more.Duties = to.More.Duties
+	more.Duties, more.Admission, more.Memory = to.More.Duties, to.More.Admission, to.More.Memory
 	n.More = &more
 	keys := func(checks ...check) (changed []string) {
 		for _, k := range checks {
@@ -246,7 +246,8 @@
 	}
 	to.Settings.Module.Seed = c.Settings.Module.Seed
 	return &n, keys(check{"discovery", n.Discovery != c.Discovery}, check{"log_level", n.Log != c.Log},
-			check{"limits", n.Limits != c.Limits}, check{"duties", n.More.Duties != c.More.Duties}),
+			check{"limits", n.Limits != c.Limits}, check{"duties", n.More.Duties != c.More.Duties},
+			check{"admission", !reflect.DeepEqual(n.More.Admission, c.More.Admission)}, check{"memory", n.More.Memory != c.More.Memory}),
 		keys(check{"name", to.Name != c.Name}, check{"listen", to.Listen != c.Listen},
 			check{"settings", !reflect.DeepEqual(to.Settings, c.Settings)},
 			check{"members", !reflect.DeepEqual(to.More.Members, c.More.Members)},
--- a/config/file.go
+++ b/config/file.go
@@ -22,6 +22,9 @@
 	Duties  Duties  `yaml:"duties"`
 	Admin   Admin   `yaml:"admin"`
 	Capture Capture `yaml:"capture"`
+
+	Admission Admission `yaml:"admission"`
+	Memory    Memory    `yaml:"memory"`
 }
 
 // Capture is the recording of what is served.
@@ -36,6 +39,39 @@
 	KeyFile  string        `yaml:"key_file"`
 }
 
+// Admission is who may have a connection. Shares are of the connections that clients may have in all.
+type Admission struct {
+	Enabled     bool     `yaml:"enabled"`
+	Connections int      `yaml:"connections"` // 0: a quarter of the descriptors
+	Reserve     float64  `yaml:"reserve"`
+	PerAddress  float64  `yaml:"per_address"`
+	PerNetwork  float64  `yaml:"per_network"`
+	IPv4        int      `yaml:"ipv4_bits"`
+	IPv6        int      `yaml:"ipv6_bits"`
+	Rate        float64  `yaml:"rate"`
+	Burst       int      `yaml:"burst"`
+	Known       []string `yaml:"known"`
+	Remembered  int      `yaml:"remembered"`
+	Refusals    int      `yaml:"refusals"`
+}
+
+// Networks are the listed ones; the file was checked.
+func (a *Admission) Networks() (all []netip.Prefix) {
+	for _, text := range a.Known {
+		if p, err := netip.ParsePrefix(text); err == nil {
+			all = append(all, p.Masked())
+		}
+	}
+	return all
+}
+
+// Memory is how much of the memory limit may be held for queries, connections and the rest.
+type Memory struct {
+	Enabled  bool          `yaml:"enabled"`
+	Portion  float64       `yaml:"portion"`
+	LogEvery time.Duration `yaml:"log_every"`
+}
+
 // Admin is the page for operators.
 type Admin struct {
 	Listen string `yaml:"listen"` // empty: none
@@ -94,6 +130,9 @@
 		Duties: Duties{Probes: Probes{Interval: 2 * time.Second},
 			Summary: Summary{Interval: time.Minute}},
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
+		Admission: Admission{Reserve: 0.25, PerAddress: 0.5, PerNetwork: 0.6, IPv4: 24, IPv6: 56, Rate: 50, Burst: 100, Remembered: 16384,
+			Refusals: 16},
+		Memory: Memory{Portion: 0.4, LogEvery: time.Minute},
 	}
 }
 
@@ -168,6 +207,7 @@
 		}
 	}
 	within("capture.flush", c.Flush, 100*time.Millisecond, time.Hour)
+	f.checkLimits(doc, within)
 	if m.Skew*skewsInTime > m.Lease {
 		doc.Fault("members.lease", "%v is under %d times members.skew, %v", m.Lease, skewsInTime, m.Skew)
 	}
@@ -190,6 +230,30 @@
 	}
 }
 
+// checkLimits is what admission and memory must be.
+func (f *File) checkLimits(doc *yamlfile.Doc, within func(string, time.Duration, time.Duration, time.Duration)) {
+	a := &f.Admission
+	for _, n := range []struct {
+		key            string
+		x, least, most float64
+	}{{"admission.connections", float64(a.Connections), 0, 1 << 20}, {"admission.reserve", a.Reserve, 0, 0.9},
+		{"admission.per_address", a.PerAddress, 0, 1}, {"admission.per_network", a.PerNetwork, 0, 1},
+		{"admission.ipv4_bits", float64(a.IPv4), 8, 32}, {"admission.ipv6_bits", float64(a.IPv6), 16, 128},
+		{"admission.rate", a.Rate, 0, 1e6}, {"admission.burst", float64(a.Burst), 1, 1e6},
+		{"admission.remembered", float64(a.Remembered), 64, 1 << 22}, {"admission.refusals", float64(a.Refusals), 1, 1024},
+		{"memory.portion", f.Memory.Portion, 0.05, 0.75}} {
+		if !(n.x >= n.least && n.x <= n.most) {
+			doc.Fault(n.key, "must be from %g to %g", n.least, n.most)
+		}
+	}
+	for i, text := range a.Known {
+		if _, err := netip.ParsePrefix(text); err != nil {
+			doc.Fault(fmt.Sprintf("admission.known[%d]", i), "%q is no network such as 10.1.0.0/16", text)
+		}
+	}
+	within("memory.log_every", f.Memory.LogEvery, time.Second, 24*time.Hour)
+}
+
 // checkMembers is what must be stated once instances are to know one another.
 func (f *File) checkMembers(doc *yamlfile.Doc) {
 	m := &f.Members
@@ -253,6 +317,17 @@
 		"duties.summary: " + off(s.Enabled, "every %v by one instance, %s", s.Interval, file),
 		"capture: " + off(c.Enabled, "%g of the queries into %s, %d files of %d MB, %d MB of memory", c.Sample, c.Dir, c.Files, c.FileMB,
 			c.MemoryMB),
+		"admission: " + off(f.Admission.Enabled, "%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
+			"strangers of one network, %g new ones a second of an address", orAll(f.Admission.Connections), 100*f.Admission.Reserve,
+			100*f.Admission.PerAddress, 100*f.Admission.PerNetwork, f.Admission.Rate),
+		"memory: " + off(f.Memory.Enabled, "%.0f%% of the limit may be held, told of every %v", 100*f.Memory.Portion, f.Memory.LogEvery),
 		"admin: " + off(f.Admin.Listen != "", "on %s", f.Admin.Listen),
 	}
 }
+
+func orAll(n int) string {
+	if n == 0 {
+		return "a quarter of the descriptors as"
+	}
+	return strconv.Itoa(n)
+}
--- /dev/null
+++ b/limits/door.go
@@ -0,0 +1,477 @@
+package limits
+
+// door.go owns who may have a connection: caps by address and by network, a reserve for those who are known, and fair shares where
+// connections run short. Every change of a connection's place passes place. It must never take a connection away from a holder for
+// the sake of one that has as many, never give the reserve to a stranger, and never name for closing what the driver did not offer.
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// DoorSettings are the caps on connections of clients.
+type DoorSettings struct {
+	Enabled      bool // false: only Most counts, and nobody is told apart
+	Most         int  // connections
+	Reserve      int  // of these, for those who are known
+	PerAddress   int
+	PerNetwork   int // connections of strangers from one network
+	Bits4, Bits6 int // of an address that make its network
+	Rate         float64
+	Burst        int // new connections of an address at once, and a second
+	Listed       []netip.Prefix
+}
+
+// Verdict is what becomes of a new connection.
+type Verdict int
+
+const (
+	Admit    Verdict = iota
+	Displace         // once another makes way, see Yield
+	TurnAway         // with an answer that says when to come back
+)
+
+func (v Verdict) String() string { return [...]string{"admit", "displace", "turn away"}[v] }
+
+// Why tells what stood in the way.
+type Why int
+
+const (
+	Free Why = iota
+	TooFast
+	AddressFull
+	NetworkFull
+	AllFull
+	Exhausted // no descriptors are left
+	whys
+)
+
+func (w Why) String() string {
+	return [...]string{"free", "too many new ones", "address full", "network full", "all full", "no descriptors"}[w]
+}
+
+// holder is whose connections count together: an address, or a tenant behind it whose queries were answered lately, so that many
+// clients behind one address are not one.
+type holder struct {
+	from   netip.Addr
+	tenant int // -1: the address itself
+	count  int
+	bucket *rate.Limiter
+	used   Time
+}
+
+type holderKey struct {
+	from   netip.Addr
+	tenant int
+}
+
+// Conn is one connection of a client.
+type Conn struct {
+	From    netip.Addr
+	holder  *holder
+	network netip.Prefix
+	known   bool
+	since   Time
+	number  uint64 // in the order in which they came
+	leaving bool
+	gone    bool
+}
+
+// Known tells whether it counts as one of a client that is known.
+func (c *Conn) Known() bool { return c.known }
+
+// Standing is a connection that the driver could close without harm to a request, with how little would be lost: the lower the rank
+// the less.
+type Standing struct {
+	Conn  *Conn
+	Rank  int
+	Until Time // to which it may stand as it does
+}
+
+// DoorCounts is what the door has met.
+type DoorCounts struct {
+	Admitted, Displaced, Known int
+	Turned                     [whys]int
+}
+
+// Door is all connections of clients.
+type Door struct {
+	set      DoorSettings
+	known    *Known
+	holders  map[holderKey]*holder
+	networks map[netip.Prefix]int // strangers
+	held     int                  // not counting those that are leaving
+	strange  int                  // of strangers
+	most     int                  // less than the settings' where descriptors ran out
+	shortAt  Time
+	numbers  uint64
+
+	Counts DoorCounts
+}
+
+// ComeBack is when a client should come back that was turned away where nothing better is known.
+const ComeBack = 1000 * Millisecond
+
+const (
+	mostHolders = 4096                // addresses told apart at once; beyond that strangers count as one
+	regainEvery = 1000 * Millisecond  // without a shortage of descriptors, after which a part of the cap comes back
+	regainPart  = 8                   // that part
+	leastMost   = 4                   // connections that are kept, whatever else takes descriptors
+	never       = Time(math.MaxInt64) // see Yield
+)
+
+// NewDoor makes one. The table of known clients outlives changes of the settings.
+func NewDoor(set DoorSettings, known *Known) *Door {
+	d := &Door{known: known, holders: map[holderKey]*holder{}, networks: map[netip.Prefix]int{}}
+	d.Change(set)
+	return d
+}
+
+// Change takes over new settings, also of less than is held: then nobody is admitted until enough have gone.
+func (d *Door) Change(set DoorSettings) {
+	if set.Rate != d.set.Rate || set.Burst != d.set.Burst {
+		for _, h := range d.holders {
+			h.bucket = nil
+		}
+	}
+	d.set = set
+	d.most = set.Most
+}
+
+// Most is how many connections there may be now.
+func (d *Door) Most() int { return d.most }
+
+// Held is how many there are.
+func (d *Door) Held() int { return d.held }
+
+// Over is how many there are too many.
+func (d *Door) Over() int { return d.held - d.most }
+
+// listed: the settings name its network.
+func (d *Door) listed(from netip.Addr) bool {
+	return slices.ContainsFunc(d.set.Listed, func(p netip.Prefix) bool { return p.Contains(from) })
+}
+
+// network is the network that an address counts with.
+func (d *Door) networkOf(from netip.Addr) netip.Prefix {
+	bits := d.set.Bits6
+	if from.Is4() {
+		bits = d.set.Bits4
+	}
+	p, err := from.Prefix(bits)
+	if err != nil { // no address, or a cap that makes no sense of it: its own network
+		p = netip.PrefixFrom(from, from.BitLen())
+	}
+	return p
+}
+
+// holderOf finds or makes a holder. Beyond the bound strangers are one holder: they share what one may have.
+func (d *Door) holderOf(now Time, from netip.Addr, tenant int) *holder {
+	key := holderKey{from, tenant}
+	if h := d.holders[key]; h != nil {
+		return h
+	}
+	if len(d.holders) >= mostHolders {
+		d.forget(now)
+	}
+	if len(d.holders) >= mostHolders {
+		key = holderKey{netip.Addr{}, -1}
+		if h := d.holders[key]; h != nil {
+			return h
+		}
+	}
+	h := &holder{from: key.from, tenant: key.tenant}
+	d.holders[key] = h
+	return h
+}
+
+// forget lets go of holders that have no connection and whose bucket is full again.
+func (d *Door) forget(now Time) {
+	for key, h := range d.holders { // each by itself: the order does not matter
+		if h.count == 0 && (h.bucket == nil || float64(now-h.used)/10000*d.set.Rate >= float64(d.set.Burst)) {
+			delete(d.holders, key)
+		}
+	}
+}
+
+// clockOf is a time as the buckets have it.
+func clockOf(now Time) time.Time { return time.UnixMicro(int64(now) * 100) }
+
+// fast: the address makes new connections faster than it may.
+func (d *Door) fast(now Time, h *holder) (bool, Time) {
+	if d.set.Rate <= 0 {
+		return false, 0
+	}
+	if h.bucket == nil {
+		h.bucket = rate.NewLimiter(rate.Limit(d.set.Rate), max(d.set.Burst, 1))
+	}
+	h.used = now
+	if h.bucket.AllowN(clockOf(now), 1) {
+		return false, 0
+	}
+	return true, Time(10000/d.set.Rate) + 1
+}
+
+// place is the one way in which connections are counted: by holder, by network and in all.
+func (d *Door) place(c *Conn, h *holder, known bool, by int) {
+	h.count += by
+	d.held += by
+	if !known {
+		d.strange += by
+		if d.networks[c.network] += by; d.networks[c.network] == 0 {
+			delete(d.networks, c.network)
+		}
+	}
+}
+
+// Connect decides on a new connection. Unless it is turned away it counts from now on, also while another has still to make way
+// for it; then Gone must be told where none did.
+func (d *Door) Connect(now Time, from netip.Addr) (c *Conn, v Verdict, why Why, retry Time) {
+	d.regain(now)
+	from = from.Unmap().WithZone("")
+	d.numbers++
+	c = &Conn{From: from, since: now, number: d.numbers, network: d.networkOf(from)}
+	if !d.set.Enabled {
+		c.holder = d.holderOf(now, netip.Addr{}, -1)
+		d.place(c, c.holder, false, 1)
+		d.Counts.Admitted++
+		if why = d.Crowded(c); why != Free {
+			return c, Displace, why, 0
+		}
+		return c, Admit, Free, 0
+	}
+	listed := d.listed(from)
+	c.known = listed || d.known.Knows(now, from, -1)
+	c.holder = d.holderOf(now, from, -1)
+	if tooFast, wait := d.fast(now, c.holder); tooFast && !listed {
+		d.Counts.Turned[TooFast]++
+		return nil, TurnAway, TooFast, wait
+	}
+	d.place(c, c.holder, c.known, 1)
+	d.Counts.Admitted++
+	if c.known {
+		d.Counts.Known++
+	}
+	if why = d.Crowded(c); why != Free {
+		return c, Displace, why, 0
+	}
+	return c, Admit, Free, 0
+}
+
+// Crowded tells which cap a connection that was just counted has passed, and still passes.
+func (d *Door) Crowded(c *Conn) Why {
+	switch {
+	case !d.set.Enabled:
+		if d.held > d.most {
+			return AllFull
+		}
+		return Free
+	case d.set.PerAddress > 0 && c.holder.count > d.set.PerAddress && !d.listed(c.From):
+		return AddressFull
+	case d.set.PerNetwork > 0 && !c.known && d.networks[c.network] > d.set.PerNetwork:
+		return NetworkFull
+	case d.held > d.most, !c.known && d.strange > d.most-d.reserve():
+		return AllFull
+	}
+	return Free
+}
+
+func (d *Door) reserve() int { return min(d.set.Reserve, d.most-1) }
+
+// Yield names the connection out of those offered that makes way for a new one; nil: none does. Where an address or a network is full, one of its own; else
+// one of whoever holds the most, so that shares even out: never of a holder that would then have fewer than the newcomer, and
+// for a stranger never one of the reserve. A holder's own connection that has said nothing for long may make way for its new one.
+func (d *Door) Yield(c *Conn, why Why, offered []Standing) *Conn {
+	best := -1
+	for i := range offered {
+		if o := &offered[i]; d.mayYield(c, why, o) && (best < 0 || d.sooner(c, o, &offered[best])) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return offered[best].Conn
+}
+
+const silent = 1 // the highest rank of those that have never said anything, or will not any more
+
+func (d *Door) mayYield(c *Conn, why Why, o *Standing) bool {
+	x := o.Conn
+	if x.leaving || x.gone || x == c && d.set.Enabled {
+		return false
+	}
+	if !d.set.Enabled { // the new one too, once it has had an answer
+		return true
+	}
+	own := x.holder == c.holder && o.Rank <= silent
+	larger := x.holder.count > c.holder.count
+	switch why {
+	case AddressFull:
+		return x.holder == c.holder && o.Rank <= silent
+	case NetworkFull:
+		return x.network == c.network && !x.known && (own || larger)
+	}
+	known := d.held - d.strange
+	switch {
+	case c.known && !x.known:
+		return known <= d.reserve() || larger // within the reserve it need not be fair to strangers
+	case c.known:
+		return own || larger
+	case !x.known:
+		return own || larger
+	default: // a stranger may have what those who are known hold beyond their reserve
+		return larger && known > d.reserve() && d.strange <= d.most-d.reserve()
+	}
+}
+
+// sooner orders those that may make way.
+func (d *Door) sooner(c *Conn, a, b *Standing) bool {
+	if !d.set.Enabled {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Until, b.Until), cmp.Compare(a.Conn.number, b.Conn.number)) < 0
+	}
+	strangers := func(s *Standing) int {
+		if s.Conn.known {
+			return 1
+		}
+		return 0
+	}
+	first := 0
+	if c.known {
+		first = cmp.Compare(strangers(a), strangers(b))
+	}
+	return cmp.Or(first, cmp.Compare(b.Conn.holder.count, a.Conn.holder.count), cmp.Compare(a.Rank, b.Rank),
+		cmp.Compare(a.Until, b.Until), cmp.Compare(a.Conn.number, b.Conn.number)) < 0
+}
+
+// Refused takes back a connection for which nobody made way, and says when to come back: when the first of those offered
+// must have ended, or soon.
+func (d *Door) Refused(now Time, c *Conn, why Why, offered []Standing) (retry Time) {
+	d.Gone(c)
+	d.Counts.Admitted--
+	if c.known {
+		d.Counts.Known--
+	}
+	d.Counts.Turned[why]++
+	first := never
+	for _, o := range offered {
+		first = min(first, o.Until)
+	}
+	if first == never {
+		return ComeBack
+	}
+	return min(max(first-now, minRetry), maxRetry)
+}
+
+// Request: a query's head has been read on a connection. If the tenant is known behind this address, the connection counts as that
+// tenant's from now on, not as one of all that come from there, and does not count against their pace.
+func (d *Door) Request(now Time, c *Conn, tenant int) {
+	if !d.set.Enabled || c.gone || c.holder.tenant == tenant || !d.known.Knows(now, c.From, tenant) {
+		return
+	}
+	if c.holder.tenant < 0 && c.holder.bucket != nil {
+		c.holder.bucket.AllowN(clockOf(now), -1)
+	}
+	to := d.holderOf(now, c.From, tenant)
+	if to.from != c.From || to.tenant != tenant { // too many are told apart already
+		return
+	}
+	if !c.leaving {
+		d.place(c, c.holder, c.known, -1)
+		d.place(c, to, true, 1)
+	}
+	c.holder, c.known = to, true
+	to.used = now
+}
+
+// Answered: a query that came by a connection was answered with what was asked for.
+func (d *Door) Answered(now Time, c *Conn, tenant int) {
+	if !d.set.Enabled {
+		return
+	}
+	d.known.Answered(now, c.From, -1)
+	d.known.Answered(now, c.From, tenant)
+}
+
+// Leaving: the driver has ended a connection; its descriptor is about to be free.
+func (d *Door) Leaving(c *Conn) {
+	if !c.leaving && !c.gone {
+		c.leaving = true
+		d.place(c, c.holder, c.known, -1)
+	}
+}
+
+// Displaced: a connection has made way for a new one.
+func (d *Door) Displaced(c *Conn) {
+	d.Counts.Displaced++
+	d.Leaving(c)
+}
+
+// Gone: a connection is no more.
+func (d *Door) Gone(c *Conn) {
+	d.Leaving(c)
+	c.gone = true
+}
+
+// Short: descriptors have run out though the cap was not reached; whatever else holds them, there are not as many as were thought.
+// The cap falls under what is held and comes back by steps.
+func (d *Door) Short(now Time) {
+	d.Counts.Turned[Exhausted]++
+	d.most, d.shortAt = max(min(d.most, d.held-1), leastMost), now
+}
+
+// regain gives back a part of the cap for each while without a shortage.
+func (d *Door) regain(now Time) {
+	if d.most >= d.set.Most {
+		return
+	}
+	if n := (now - d.shortAt) / regainEvery; n > 0 {
+		d.most = min(d.most+int(n)*max(d.set.Most/regainPart, 1), d.set.Most)
+		d.shortAt += n * regainEvery
+	}
+}
+
+// Places is how many of those who are known are remembered.
+func (d *Door) Places() int { return d.known.Used() }
+
+// Share is what one holder has.
+type Share struct {
+	Holder string `json:"holder"`
+	Count  int    `json:"connections"`
+}
+
+// Largest are those who hold the most.
+func (d *Door) Largest(n int) (all []Share) {
+	for _, h := range d.holders {
+		if h.count == 0 {
+			continue
+		}
+		name := "all"
+		if h.from.IsValid() {
+			name = h.from.String()
+		}
+		if h.tenant >= 0 {
+			name += fmt.Sprintf(" tenant %d", h.tenant)
+		}
+		all = append(all, Share{name, h.count})
+	}
+	slices.SortFunc(all, func(a, b Share) int { return cmp.Or(b.Count-a.Count, cmp.Compare(a.Holder, b.Holder)) })
+	return all[:min(n, len(all))]
+}
+
+// String is the door's books in a few lines.
+func (d *Door) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "held %d of %d, strangers %d, reserve %d, holders", d.held, d.most, d.strange, d.reserve())
+	for _, s := range d.Largest(mostHolders) {
+		fmt.Fprintf(&b, " [%s: %d]", s.Holder, s.Count)
+	}
+	return b.String()
+}
--- a/router/clients.go
+++ b/router/clients.go
@@ -6,7 +6,6 @@
 // machine's limit on descriptors leaves room for.
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +24,7 @@
 	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
+	"moleshift/limits"
 )
 
 const (
@@ -54,7 +54,8 @@
 	rows    []codec.Row
 	text    string
 	closes  bool
-	goOn    bool // asks for the body; the query's own answer is still to come
+	goOn    bool         // asks for the body; the query's own answer is still to come
+	hold    *limits.Hold // given back once the answer is written
 }
 
 // door takes in connections of clients.
@@ -65,12 +66,10 @@
 	log       zerolog.Logger
 	verticals map[string]int
 	tenants   map[string]int
-	most      atomic.Int64 // connections
-
-	mu     sync.Mutex
-	conns  map[*client]struct{}
-	freed  chan struct{} // a connection has ended or become idle
-	closed bool
+	mu        sync.Mutex
+	conns     map[*client]struct{}
+	freed     chan struct{} // a connection has ended or become idle
+	closed    bool
 }
 
 func numbers(names []string) map[string]int {
@@ -82,10 +81,8 @@
 }
 
 func newDoor(cfg *config.Config, o *owner, l net.Listener, log zerolog.Logger) *door {
-	d := &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
+	return &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
 		tenants: numbers(cfg.Settings.Tenants), conns: map[*client]struct{}{}, freed: make(chan struct{}, 1)}
-	d.most.Store(int64(cfg.Limits.ClientSockets()))
-	return d
 }
 
 // run accepts connections until the program ends.
@@ -103,6 +100,9 @@
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
+		if err != nil && d.owner.gate.short(ctx, d.listener, err) {
+			continue
+		}
 		if err != nil { // no descriptors are left, or the client has gone already
 			d.log.Warn().Err(err).Msg("could not accept")
 			select {
@@ -111,7 +111,23 @@
 			}
 			continue
 		}
-		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
+		place, verdict, why, retry := d.owner.gate.connect(conn)
+		if verdict == limits.TurnAway {
+			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
+			continue
+		}
+		// Where admission is off a connection that is too many is read all the same, and none is accepted until room is made.
+		waits := !d.owner.gate.admits()
+		if verdict == limits.Displace && !waits && !d.makeRoom(ctx, place, why) {
+			if ctx.Err() != nil {
+				conn.Close()
+				return nil
+			}
+			retry := d.owner.gate.refused(place, why, d.offered())
+			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
+			continue
+		}
+		c := &client{door: d, conn: conn, place: place, in: codec.NewRing(clientRing),
 			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
 		c.idleUntil(d.cfg.RequestFor)
 		d.mu.Lock()
@@ -123,78 +139,90 @@
 		if closed { // since it was accepted
 			c.closeIdle()
 		}
-		if !d.makeRoom(ctx) {
+		if verdict == limits.Displace && waits && !d.makeRoom(ctx, place, why) {
 			return nil
 		}
 	}
 }
 
-// makeRoom waits until no more connections are held than may be. Those that have had their last answer make way
-// first, then those that have said nothing for longer than a usual client would, then those idle between requests,
-// then requests that are long in coming; of each the one whose time ends first. One that has just connected does
-// not, nor one whose request has come and only waits to be read: to end it would cost its client the request.
-func (d *door) makeRoom(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		d.mu.Lock()
-		n, closed := 0, d.closed
-		if !closed && len(d.conns) <= int(d.most.Load()) { // as a rule; nobody need be looked at
-			d.mu.Unlock()
-			return true
+// offered are the connections that could make way. Those that have had their last answer come first, then those that have said
+// nothing for longer than a usual client would, then those idle between requests, then requests that are long in coming. One that
+// has just connected is not offered, nor one whose request has come and only waits to be read: to end it would cost its client the
+// request.
+func (d *door) offered() (all []limits.Standing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		rank := -1
+		switch at := standing(c.state.Load()); {
+		case at == lingering:
+			rank = 0
+		case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
+			rank = 1
+		case at == idle && c.again.Load():
+			rank = 2
+		case at == reading && c.left() <= d.cfg.RequestFor-d.cfg.Settings.ConnectTimeout:
+			rank = 3
 		}
-		var ways []way
-		for c := range d.conns {
-			at := standing(c.state.Load())
-			if at == ending { // makes way already
-				continue
+		if rank >= 0 {
+			all = append(all, limits.Standing{Conn: c.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)})
+		}
+	}
+	return all
+}
+
+// makeRoom has connections make way, one by one as the books name them, until a new one fits. Where none can it waits until one
+// can, or, where admission is on, is false.
+func (d *door) makeRoom(ctx context.Context, place *limits.Conn, why limits.Why) bool {
+	for ctx.Err() == nil {
+		offered := d.offered()
+		for len(offered) > 0 {
+			y := d.owner.gate.yield(place, why, offered)
+			if y == nil {
+				break
 			}
-			n++
-			switch {
-			case at == lingering:
-				ways = append(ways, way{c, 0, c.until.Load()})
-			case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
-				ways = append(ways, way{c, 1, c.until.Load()})
-			case at == idle && c.again.Load():
-				ways = append(ways, way{c, 2, c.until.Load()})
-			case at == reading && c.left() <= d.cfg.RequestFor-d.cfg.Settings.ConnectTimeout:
-				ways = append(ways, way{c, 3, c.until.Load()})
+			offered = slices.DeleteFunc(offered, func(s limits.Standing) bool { return s.Conn == y })
+			c := d.at(y)
+			if c == nil {
+				continue
 			}
-		}
-		d.mu.Unlock()
-		if closed {
-			return false
-		}
-		over := n - int(d.most.Load())
-		if over <= 0 {
-			return true
-		}
-		slices.SortFunc(ways, func(a, b way) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.until, b.until)) })
-		for _, w := range ways {
-			if w.rank == 3 {
-				w.client.refuse(errNeverEnded)
-			} else if pending(w.client.conn) || !w.client.closeIdle() {
+			if standing(c.state.Load()) == reading {
+				c.refuse(errNeverEnded)
+			} else if pending(c.conn) || !c.closeIdle() {
 				continue
 			}
-			if over--; over == 0 {
-				break
+			if why = d.owner.gate.displaced(y, place); why == limits.Free {
+				return true
 			}
 		}
-		if over == 0 {
+		if why = d.owner.gate.crowded(place); why == limits.Free {
 			return true
 		}
+		if d.owner.gate.admits() {
+			return false
+		}
 		select {
 		case <-ctx.Done():
 		case <-d.freed:
 		case <-time.After(d.cfg.AskFor):
 		}
+		if d.closing() {
+			return false
+		}
 	}
 	return false
 }
 
-// way is a connection that may make way: the lower the rank, the sooner.
-type way struct {
-	client *client
-	rank   int
-	until  int64
+// at is the client that has a place.
+func (d *door) at(place *limits.Conn) *client {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		if c.place == place {
+			return c
+		}
+	}
+	return nil
 }
 
 // pending: bytes have come on a connection that nobody has read yet.
@@ -241,6 +269,8 @@
 	d.mu.Lock()
 	delete(d.conns, c)
 	d.mu.Unlock()
+	d.owner.gate.gone(c.place)
+	d.owner.gate.put(limits.Bodies, c.room)
 	poke(d.freed)
 	d.owner.post(ctx, func(o *owner) { o.leave(c) })
 }
@@ -269,6 +299,10 @@
 	behind  atomic.Bool   // bytes that came before the answer was out wait in the ring
 	until   atomic.Int64  // in microseconds: when it has been idle, has been asking or has lingered for long enough
 	query   *query        // the owner's
+	hold    *limits.Hold  // the owner's: of the last query, until its answer is written
+	place   *limits.Conn  // in the books
+	room    int           // taken for the body that is coming
+	size    int           // of the body so far
 
 	began time.Time   // the request's first byte
 	again atomic.Bool // a request has ended here before
@@ -287,6 +321,7 @@
 		return false
 	}
 	c.conn.Close()
+	c.door.owner.gate.leaving(c.place)
 	return true
 }
 
@@ -385,6 +420,7 @@
 	for {
 		if c.in.Len() > 0 && c.turnTo(idle, reading) {
 			// From here on a request's time counts; the first one's has counted since the client connected.
+			c.noBody()
 			if c.began = time.Now(); c.again.Load() {
 				c.idleUntil(c.door.cfg.RequestFor)
 			}
@@ -410,6 +446,9 @@
 				c.answer(reply{goOn: true})
 			}
 		case codec.Data:
+			if c.bad == nil && c.asked != nil && !c.fits(len(piece)) {
+				c.bad = errNoRoom
+			}
 			if c.bad == nil && c.asked != nil {
 				c.bad = c.asked.body.Feed(piece)
 			}
@@ -421,6 +460,28 @@
 	}
 }
 
+// fits takes room for more of a body.
+func (c *client) fits(more int) bool {
+	c.size += more
+	for c.room < c.size {
+		if !c.door.owner.gate.take(limits.Bodies, bodyStep) {
+			return false
+		}
+		c.room += bodyStep
+	}
+	return true
+}
+
+// noBody gives back what was taken for a body.
+func (c *client) noBody() {
+	if c.room > 0 {
+		c.door.owner.gate.put(limits.Bodies, c.room)
+	}
+	c.room, c.size = 0, 0
+}
+
+var errNoRoom = &codec.Fault{Status: refusedStatus, Text: "no room for the request's body"}
+
 // refuse answers a request that can't be taken, and ends the connection with it.
 func (c *client) refuse(err error) {
 	if c.turnTo(reading, waiting) {
@@ -488,6 +549,7 @@
 			return nil, errors.New("X-Customer: unknown")
 		}
 	}
+	c.door.owner.gate.request(c.place, a.tenant)
 	left, times := h.Get("x-expires-in-ms")
 	ms, err := codec.Millis(left)
 	if times != 1 || err != nil {
@@ -536,12 +598,22 @@
 	}
 	if c.bad != nil {
 		c.door.log.Debug().Err(c.bad).Str("target", c.parser.Head.Target).Msg("malformed request")
-		c.answer(reply{status: statusOf(c.bad), text: c.bad.Error(), closes: true})
+		r := reply{status: statusOf(c.bad), text: c.bad.Error(), closes: true}
+		if c.bad == errNoRoom {
+			r.holdOff = duration(choice.Time(limits.ComeBack))
+		}
+		c.noBody()
+		c.answer(r)
 		return true
 	}
 	a := c.asked
 	c.asked = nil
-	c.door.owner.post(ctx, func(o *owner) { o.take(a) })
+	room := c.room
+	c.room, c.size = 0, 0
+	c.door.owner.post(ctx, func(o *owner) {
+		o.take(a)
+		o.gate.put(limits.Bodies, room) // from here on its text counts with the query
+	})
 	return true
 }
 
@@ -585,6 +657,7 @@
 			if w.Flush() != nil {
 				return
 			}
+			c.door.owner.gate.done(r.hold)
 			if closes {
 				lingers = c.letGo()
 				return
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -24,6 +25,7 @@
 	"moleshift/config"
 	"moleshift/duty"
 	"moleshift/internal/golden"
+	"moleshift/limits"
 	"moleshift/member"
 )
 
@@ -90,6 +92,9 @@
 		err = <-st.ended
 		st.say("ended: %v", err)
 		st.step()
+		if st.owner != nil && err == nil { // one that is told twice to end lets go of all at once
+			st.even()
+		}
 		out = strings.Join(st.out, "\n") + "\n"
 	})
 	golden.Check(t, name, out)
@@ -107,6 +112,8 @@
 	log := zerolog.New(st).Level(zerolog.DebugLevel)
 	p := newProgram(context.Background(), st.cfg, st, st.dial, log)
 	st.owner = p.owner
+	p.owner.gate.heap = func() int64 { return 0 } // that of tests is not the router's
+	p.owner.gate.book.Strict = true // every scene is one for the books, too
 	if st.cfg.More.Members.Enabled {
 		if err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
 			st.say("joins as seat %d", set.Seat)
@@ -132,6 +139,20 @@
 		fmt.Sprintf(format, args...)))
 }
 
+// even fails unless all that was taken for clients, bodies and open queries has come back. What the last answers took may
+// still stand in the book, as nobody is told anything any more.
+func (st *stage) even() {
+	b := st.owner.gate.book
+	for _, p := range []limits.Purpose{limits.Connections, limits.Bodies, limits.Queries} {
+		if held := b.Accounts[p].Held; held != 0 {
+			st.t.Errorf("%v: %d held at the end", p, held)
+		}
+	}
+	if st.owner.gate.door.Held() != 0 || b.Uneven > 0 {
+		st.t.Errorf("%d connections held at the end, %d returns too many", st.owner.gate.door.Held(), b.Uneven)
+	}
+}
+
 // step waits until all have done what they can do now.
 func (st *stage) step() {
 	synctest.Wait()
@@ -321,9 +342,23 @@
 	}
 }
 
+// from is a connection that comes from an address.
+type from struct {
+	net.Conn
+	at net.Addr
+}
+
+func (f from) RemoteAddr() net.Addr { return f.at }
+
 // connect opens a client's connection; what comes back on it is printed.
-func (st *stage) connect() net.Conn {
+func (st *stage) connect() net.Conn { return st.connectFrom("") }
+
+// connectFrom does so from an address.
+func (st *stage) connectFrom(address string) net.Conn {
 	here, there := net.Pipe()
+	if address != "" {
+		there = from{there, net.TCPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(address), 4000))}
+	}
 	st.tags++
 	name := fmt.Sprintf("client %d", st.tags)
 	select {
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -21,6 +21,7 @@
 	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
+	"moleshift/limits"
 )
 
 const (
@@ -266,6 +267,10 @@
 		o.log.Warn().Str("leaf", l.id).Msg("no socket is left for a connection")
 		return nil
 	}
+	if !o.gate.take(limits.LeafLinks, linkBytes) {
+		o.log.Warn().Str("leaf", l.id).Msg("no memory is left for a connection")
+		return nil
+	}
 	o.conns++
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
@@ -532,7 +537,8 @@
 // read reads answers until the connection ends, and says why it did.
 func (c *leafConn) read(o *owner, conn net.Conn) error {
 	ring := codec.NewRing(leafRing)
-	frames := codec.FrameReader{Most: codec.MostFrame}
+	frames := codec.FrameReader{Most: codec.MostFrame, Room: func(n int) bool { return o.gate.take(limits.Frames, n) }}
+	defer func() { o.gate.put(limits.Frames, frames.Drop()) }()
 	begun, last := false, false // a frame has; this read is the last that it gets
 	for {
 		n, err := ring.Fill(conn)
@@ -562,7 +568,13 @@
 				if err != nil {
 					return fault{err}
 				}
-				o.post(o.ctx, func(o *owner) { c.answered(o, a) })
+				if f.Cut && a.Outcome == choice.OK { // there was no room for the value: the part has run, and nothing is known of it
+					a.Outcome, a.Value = choice.Failed, nil
+				}
+				o.post(o.ctx, func(o *owner) {
+					c.answered(o, a)
+					o.gate.put(limits.Frames, f.Size) // from here on its value counts with the query
+				})
 			case codec.LetterProbe, codec.LetterLoad:
 				outcome, rep := codec.ParseProbe(f.Rest)
 				o.post(o.ctx, func(o *owner) { c.probeAnswered(o, outcome, rep) })
@@ -622,6 +634,7 @@
 // down settles what was out when the connection ended: what was written whole may have run, the rest has not.
 func (c *leafConn) down(o *owner, err error) {
 	o.conns--
+	o.gate.put(limits.LeafLinks, linkBytes)
 	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(other *leafConn) bool { return other == c })
 	o.forget(c.leaf)
 	var said fault
--- a/router/owner.go
+++ b/router/owner.go
@@ -18,6 +18,7 @@
 	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
+	"moleshift/limits"
 )
 
 // event is something that the owner is told.
@@ -36,6 +37,7 @@
 	stop  func()
 	queue chan event
 	door  *door
+	gate  *gate
 	list  *list
 
 	sharing   *sharing   // nil unless instances know one another
@@ -70,6 +72,7 @@
 	client *client
 	taken  choice.Time
 
+	hold     *limits.Hold
 	recorded bool
 	key      uint64 // a hash of what it is about, where it is recorded
 }
@@ -127,10 +130,14 @@
 		ids: map[*choice.Query]*query{}, parts: map[*choice.Part]*part{}, calls: map[*choice.LeafCall]*call{},
 		leaves: map[string]*leaf{}, doors: map[*choice.Leaf]*leaf{},
 		zones: numbers(cfg.Settings.Zones)}
+	o.gate = newGate(cfg, clk, log)
 	o.list = newList(cfg, o, log)
 	o.root = choice.NewRoot(cfg.Settings.Module, o, o.now)
 	o.news(cfg.Known, true)
 	o.tend()
+	if cfg.More.Memory.Enabled {
+		o.at(o.now+tenths(gateEvery), (*owner).count)
+	}
 	return o
 }
 
@@ -242,7 +249,12 @@
 		a.client.answer(reply{status: refusedStatus})
 		return
 	}
-	q := &query{id: a.id, text: a.body.Text, client: a.client, taken: o.now,
+	hold, retry := o.gate.query(o.now, a.vertical, len(a.body.Text), len(a.body.Parts))
+	if hold == nil {
+		a.client.answer(reply{status: refusedStatus, holdOff: duration(retry)})
+		return
+	}
+	q := &query{id: a.id, text: a.body.Text, client: a.client, taken: o.now, hold: hold,
 		q: &choice.Query{Deadline: a.deadline, Vertical: a.vertical, Tenant: a.tenant}}
 	if o.recording != nil && o.recording.rec.Wants() {
 		q.recorded, q.key = true, o.recording.rec.Key(a.key)
@@ -255,7 +267,7 @@
 		o.parts[cp] = held
 	}
 	o.queries[q.id], o.ids[q.q] = q, q
-	a.client.query = q
+	a.client.query, a.client.hold = q, hold
 	o.open += 1 + len(q.parts)
 	o.root.Take(o.now, q.q, parts)
 }
@@ -267,6 +279,15 @@
 		o.record(q, capture.Left)
 		o.release(q)
 	}
+	o.gate.done(c.hold)
+}
+
+// count has the books count what they are not told of, for as long as memory is looked after.
+func (o *owner) count() {
+	o.gate.watch(o)
+	if o.cfg.More.Memory.Enabled {
+		o.at(o.now+tenths(gateEvery), (*owner).count)
+	}
 }
 
 // release lets a query go. Calls of its parts that are still out go on by themselves.
@@ -286,6 +307,7 @@
 		}
 	}
 	o.open -= 1 + len(q.parts)
+	o.gate.over(q.hold)
 	q.client.query = nil
 }
 
@@ -301,7 +323,12 @@
 	}
 	p := c.part
 	if outcome == choice.OK && !p.over && !p.in {
-		p.in, p.value = true, value
+		if o.gate.value(p.query.hold, len(value)) {
+			p.in, p.value = true, value
+		} else { // it has run, and what it said is lost
+			outcome = choice.Failed
+			o.log.Warn().Str("part", p.id).Str("leaf", c.leaf.id).Int("bytes", len(value)).Msg("no room for a value")
+		}
 	}
 	o.log.Debug().Str("part", p.id).Str("leaf", c.leaf.id).Int("outcome", int(outcome)).
 		Int64("tenths", int64(o.now-c.sent)).Msg("call ended")
@@ -395,6 +422,10 @@
 		Bool("whole", r.whole).Int64("tenths", int64(o.now-q.taken)).Msg("query answered")
 	client := q.client
 	o.record(q, r.final())
+	r.hold = q.hold
+	if r.status == servedStatus {
+		o.gate.answered(client.place, q.q.Tenant)
+	}
 	o.release(q)
 	client.answer(r)
 }
@@ -420,7 +451,11 @@
 	o.cfg = cfg
 	zerolog.SetGlobalLevel(cfg.Log)
 	limit(cfg.Limits)
-	o.door.most.Store(int64(cfg.Limits.ClientSockets()))
+	counted := o.gate.more.Memory.Enabled
+	o.gate.change(cfg)
+	if cfg.More.Memory.Enabled && !counted {
+		o.count()
+	}
 	o.list.move(cfg.Discovery)
 	if o.sharing != nil {
 		o.sharing.reload()
--- a/router/router.go
+++ b/router/router.go
@@ -209,6 +209,7 @@
 	})
 	err := p.group.Wait()
 	p.owner.door.listener.Close()
+	p.owner.gate.close()
 	p.phase.move(Stopped)
 	return err
 }
