--- a/lab/standin/leaf.go
+++ b/lab/standin/leaf.go
@@ -24,10 +24,11 @@
 type Leaf struct {
 	Cores    int
 	Speed    float64
-	Queue    int           // parts that may wait
-	Overhead float64       // ms of work of a call beside its parts
-	Work     time.Duration // of a part whose query does not say
-	Spread   bool          // that work is drawn, exponentially, with Work as its mean
+	Queue    int             // parts that may wait
+	Overhead float64         // ms of work of a call beside its parts
+	Work     time.Duration   // of a part whose query does not say
+	Spread   bool            // that work is drawn, exponentially, with Work as its mean
+	OnRun    func(id string) // a part begins to run; nil: nobody asks
 
 	mu      sync.Mutex
 	running int
@@ -259,6 +260,18 @@
 	return 0
 }
 
+// ValueOf is how many bytes more than usual the value of a query's parts has, by its text: "value=N" among its words.
+func ValueOf(text string) int {
+	for pair := range strings.SplitSeq(text, " ") {
+		if name, value, _ := strings.Cut(pair, "="); name == "value" {
+			if n, err := strconv.Atoi(value); err == nil && n > 0 && n <= codec.MostBody {
+				return n
+			}
+		}
+	}
+	return 0
+}
+
 // come takes a part, or turns it away.
 func (l *Leaf) come(j *job) {
 	l.mu.Lock()
@@ -295,6 +308,9 @@
 			continue
 		}
 		l.running++
+		if l.OnRun != nil {
+			l.OnRun(j.id)
+		}
 		took := time.Duration(j.ms * l.slow / l.Speed * float64(time.Millisecond))
 		end := begin.Add(took)
 		time.AfterFunc(time.Until(end), func() {
@@ -309,7 +325,8 @@
 			if !gone {
 				h := fnv.New64a()
 				fmt.Fprintf(h, "%s/%d", j.text, j.shard)
-				j.reply(codec.LetterAnswer, fmt.Sprintf("%s 200 %d %s\n%016x", j.id, h.Sum64()%1000, rep, h.Sum64()))
+				j.reply(codec.LetterAnswer, fmt.Sprintf("%s 200 %d %s\n%016x%s", j.id, h.Sum64()%1000, rep, h.Sum64(),
+					strings.Repeat("x", ValueOf(j.text))))
 			}
 		})
 	}
--- a/limits/book.go
+++ b/limits/book.go
@@ -125,6 +125,16 @@
 	return true
 }
 
+// TakeLeaving takes memory only if so much more of it would still fit afterwards.
+func (b *Book) TakeLeaving(p Purpose, n, left int64) bool {
+	if !b.fits(p, n+left) {
+		b.Accounts[p].Refused++
+		return false
+	}
+	b.move(p, n)
+	return true
+}
+
 // Return gives back what was taken.
 func (b *Book) Return(p Purpose, n int64) {
 	if n > b.Accounts[p].Held || n < 0 {
--- a/limits/door.go
+++ b/limits/door.go
@@ -123,6 +123,7 @@
 	mostHolders = 4096                // addresses told apart at once; beyond that strangers count as one
 	regainEvery = 1000 * Millisecond  // without a shortage of descriptors, after which a part of the cap comes back
 	regainPart  = 8                   // that part
+	knownPace   = 16                  // times the pace of strangers that a known address may have
 	leastMost   = 4                   // connections that are kept, whatever else takes descriptors
 	never       = Time(math.MaxInt64) // see Yield
 )
@@ -204,19 +205,27 @@
 // clockOf is a time as the buckets have it.
 func clockOf(now Time) time.Time { return time.UnixMicro(int64(now) * 100) }
 
-// fast: the address makes new connections faster than it may.
-func (d *Door) fast(now Time, h *holder) (bool, Time) {
+// fast: the address makes new connections faster than it may. One that is known may be shared by those who are served and one who
+// floods; which of them connects shows only later. So its pace is held only where it would keep the router busy with nothing else;
+// until then its silent connections make way for its new ones, see Yield.
+func (d *Door) fast(now Time, h *holder, known bool) (bool, Time) {
 	if d.set.Rate <= 0 {
 		return false, 0
 	}
+	pace := rate.Limit(d.set.Rate)
+	if known {
+		pace *= knownPace
+	}
 	if h.bucket == nil {
-		h.bucket = rate.NewLimiter(rate.Limit(d.set.Rate), max(d.set.Burst, 1))
+		h.bucket = rate.NewLimiter(pace, max(d.set.Burst, 1))
+	} else if h.bucket.Limit() != pace {
+		h.bucket.SetLimitAt(clockOf(now), pace)
 	}
 	h.used = now
 	if h.bucket.AllowN(clockOf(now), 1) {
 		return false, 0
 	}
-	return true, Time(10000/d.set.Rate) + 1
+	return true, Time(10000/float64(pace)) + 1
 }
 
 // place is the one way in which connections are counted: by holder, by network and in all.
@@ -250,7 +259,7 @@
 	listed := d.listed(from)
 	c.known = listed || d.known.Knows(now, from, -1)
 	c.holder = d.holderOf(now, from, -1)
-	if tooFast, wait := d.fast(now, c.holder); tooFast && !listed {
+	if tooFast, wait := d.fast(now, c.holder, c.known); tooFast && !listed {
 		d.Counts.Turned[TooFast]++
 		return nil, TurnAway, TooFast, wait
 	}
--- a/limits/hold.go
+++ b/limits/hold.go
@@ -9,8 +9,10 @@
 	perPart    = 512      // of a part with a call and its due
 	firstValue = 4 << 10  // thought of a part's value before any was seen
 	leastValue = 256      // put by for a part at the least
+	mostOf     = 8        // part of the cap of values that one query puts by at most
 	weighs     = 1.0 / 32 // of one query in what is thought of the next
 	spreads    = 4        // mean deviations that are put by beyond the mean
+	leaves     = 4        // times as much as a query takes must be left for others: so large ones are refused long before small ones
 	minRetry   = 100 * Millisecond
 	maxRetry   = 5000 * Millisecond
 )
@@ -57,10 +59,17 @@
 	h = &Hold{room: r, class: min(max(vertical, 0), len(r.class)-1), parts: max(parts, 1), taken: now}
 	h.text = text + perQuery + int64(h.parts)*perPart
 	h.put = r.class[h.class].expects() * int64(h.parts)
+	left := leaves * h.put
+	if most := r.book.Accounts[Values].Cap / mostOf; most > 0 { // what was thought must not bar a vertical for good
+		h.put = min(h.put, most)
+	}
+	if r.slots == 0 { // nobody to leave anything for; and somebody must be taken, or nothing would ever be learned
+		left = 0
+	}
 	if !r.book.Take(Queries, h.text) {
 		return nil, r.retry()
 	}
-	if !r.book.Take(Values, h.put) {
+	if !r.book.TakeLeaving(Values, h.put, min(left, leaves*h.put)) {
 		r.book.Return(Queries, h.text)
 		return nil, r.retry()
 	}
@@ -76,7 +85,7 @@
 	if h.over {
 		return false
 	}
-	if own := min(n, h.put); own < n && !h.room.book.Take(Values, n-own) {
+	if own := min(n, h.put); own < n && !h.room.book.TakeLeaving(Values, n-own, leaves*(n-own)) {
 		h.cut++
 		return false
 	}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -360,6 +360,16 @@
 		h.Done(900)
 	}
 	say("all done, %d open", r.Open())
+	for range 50 { // a vertical that brings more than has room is not barred for good: one at a time goes on
+		h, _ := r.Take(1000, 1, 100, 9)
+		if h == nil {
+			t.Fatal("barred")
+		}
+		for range 9 {
+			h.Value(20_000)
+		}
+		h.Done(1100)
+	}
 	golden.Check(t, "hold", out.String())
 }
 
--- a/router/admin.go
+++ b/router/admin.go
@@ -24,6 +24,7 @@
 	a := &admin{o: o}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /duties", a.duties)
+	mux.HandleFunc("GET /limits", a.limits)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout,
 		WriteTimeout: 2 * adminTimeout, IdleTimeout: 5 * adminTimeout, MaxHeaderBytes: 8 << 10}
 	return a
@@ -63,3 +64,9 @@
 		http.Error(w, "the router does not answer in time", http.StatusServiceUnavailable)
 	}
 }
+
+// limits tells the books. They have a lock of their own, so the owner is not asked.
+func (a *admin) limits(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(a.o.gate.status()) // an error is the reader's: it has gone
+}
--- a/router/clients.go
+++ b/router/clients.go
@@ -647,6 +647,7 @@
 				body = fmt.Appendf(nil, "%s\n", r.text)
 			case r.status == servedStatus:
 				body = codec.AppendAnswer(nil, r.whole, r.rows)
+				r.rows = nil // a client that reads slowly holds its answer once, not twice
 			}
 			more := ""
 			if r.holdOff > 0 {
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -113,7 +113,7 @@
 	p := newProgram(context.Background(), st.cfg, st, st.dial, log)
 	st.owner = p.owner
 	p.owner.gate.heap = func() int64 { return 0 } // that of tests is not the router's
-	p.owner.gate.book.Strict = true // every scene is one for the books, too
+	p.owner.gate.book.Strict = true               // every scene is one for the books, too
 	if st.cfg.More.Members.Enabled {
 		if err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
 			st.say("joins as seat %d", set.Seat)
