Shortage of descriptors is shared out between clients and leaves; soak; moleshift limits

The cap now follows what is really there, by the same shares, and comes back by steps; caps by address and network fall with it. What has no room is no fault of the leaf that brought it. 'molelab soak' plays floods for hours and draws what is held.

--- a/cmd/molelab/main.go
+++ b/cmd/molelab/main.go
@@ -15,6 +15,7 @@
 	Plan     planCmd     `cmd:"" help:"Say what a fleet bears: what breaks first, how many leaves a goal takes, what losses do."`
 	Validate validateCmd `cmd:"" help:"Play a load on sockets, with real routers, and in emulation, and hold them against each other."`
 	Flood    floodCmd    `cmd:"" help:"Flood a router with what bad clients do, and see whether known clients are still served."`
+	Soak     soakCmd     `cmd:"" help:"A long run with floods now and then: does what a router holds grow?"`
 	Emulate  emulateCmd  `cmd:"" help:"Play a described fleet and load in virtual time, with the real decision module in each router."`
 }
 
--- a/cmd/moleshift/duties.go
+++ b/cmd/moleshift/duties.go
@@ -22,19 +22,10 @@
 
 // Run asks and prints.
 func (s *statusCmd) Run() error {
-	client := http.Client{Timeout: s.Wait}
-	resp, err := client.Get("http://" + s.Admin + "/duties")
+	body, err := page(s.Admin, "/duties", s.Wait)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", resp.Status, body)
-	}
 	if s.JSON {
 		_, err := os.Stdout.Write(body)
 		return err
@@ -47,6 +38,24 @@
 	return nil
 }
 
+// page reads one of the router's pages for operators.
+func page(at, path string, wait time.Duration) ([]byte, error) {
+	client := http.Client{Timeout: wait}
+	resp, err := client.Get("http://" + at + path)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return body, nil
+}
+
 func printDuties(out io.Writer, d *router.DutiesStatus) {
 	plan := "no plan: no majority of the seats is heard of"
 	if d.Planned {
--- a/cmd/moleshift/main.go
+++ b/cmd/moleshift/main.go
@@ -25,6 +25,7 @@
 	Serve   serveCmd   `cmd:"" default:"1" help:"Route queries until told to end. The default."`
 	Check   checkCmd   `cmd:"" help:"Read a YAML file and tell what would run, or every fault in it."`
 	Duties  statusCmd  `cmd:"" help:"Ask a running router who performs which shared duty, and when each was last done."`
+	Limits  limitsCmd  `cmd:"" help:"Ask a running router what connections and memory it holds, for whom and for what."`
 	Version versionCmd `cmd:"" help:"Tell which build this is."`
 }
 
--- a/lab/flood/clients.go
+++ b/lab/flood/clients.go
@@ -60,10 +60,14 @@
 			conn.Close()
 		}
 	}()
-	begun, sent := time.Now(), 0
+	at, sent := time.Now().Add(time.Duration(i)*time.Second/knownRate/knownClients), 0
 	used := 0
 	for ; ctx.Err() == nil && !s.stop.Load(); sent++ {
-		at := begun.Add(time.Duration(sent)*time.Second/knownRate + time.Duration(i)*time.Second/knownRate/knownClients)
+		every := time.Second / knownRate
+		if swing := s.swing.Load(); swing > 0 {
+			every = every * 1000 / time.Duration(swing)
+		}
+		at = at.Add(every)
 		pause(ctx, time.Until(at))
 		if ctx.Err() != nil {
 			return
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -110,6 +110,7 @@
 	took   []time.Duration
 	stop   atomic.Bool
 	next   atomic.Int64
+	swing  atomic.Uint64 // thousandths of the known clients' pace; 0: as it is
 }
 
 // Run plays one run.
--- a/lab/flood/kinds.go
+++ b/lab/flood/kinds.go
@@ -27,7 +27,7 @@
 const (
 	openEvery  = 4 * time.Millisecond // between new connections of a worker
 	mostOpen   = 400                  // that a worker holds
-	soon       = 40 * time.Millisecond
+	soon       = 8 * time.Millisecond // sooner than even a connection that has just come may make way
 	largeValue = 60_000
 )
 
--- a/limits/door.go
+++ b/limits/door.go
@@ -110,6 +110,7 @@
 	held     int                  // not counting those that are leaving
 	strange  int                  // of strangers
 	most     int                  // less than the settings' where descriptors ran out
+	links    int                  // to leaves, where descriptors ran out; 0: no cap
 	shortAt  Time
 	numbers  uint64
 
@@ -120,9 +121,12 @@
 const ComeBack = 1000 * Millisecond
 
 const (
-	mostHolders = 4096                // addresses told apart at once; beyond that strangers count as one
-	regainEvery = 1000 * Millisecond  // without a shortage of descriptors, after which a part of the cap comes back
-	regainPart  = 8                   // that part
+	mostHolders = 4096               // addresses told apart at once; beyond that strangers count as one
+	regainEvery = 5000 * Millisecond // without a shortage of descriptors, after which a part of the cap comes back
+	regainPart  = 16                 // that part
+	clientsOf   = 2                  // clients have two descriptors for each three of links to leaves, as package config shares them out
+	linksOf     = 3
+	spared      = 2                   // for the list and for a file
 	knownPace   = 16                  // times the pace of strangers that a known address may have
 	leastMost   = 4                   // connections that are kept, whatever else takes descriptors
 	never       = Time(math.MaxInt64) // see Yield
@@ -282,9 +286,9 @@
 			return AllFull
 		}
 		return Free
-	case d.set.PerAddress > 0 && c.holder.count > d.set.PerAddress && !d.listed(c.From):
+	case d.set.PerAddress > 0 && c.holder.count > d.perAddress() && !d.listed(c.From):
 		return AddressFull
-	case d.set.PerNetwork > 0 && !c.known && d.networks[c.network] > d.set.PerNetwork:
+	case d.set.PerNetwork > 0 && !c.known && d.networks[c.network] > d.perNetwork():
 		return NetworkFull
 	case d.held > d.most, !c.known && d.strange > d.most-d.reserve():
 		return AllFull
@@ -292,7 +296,12 @@
 	return Free
 }
 
-func (d *Door) reserve() int { return min(d.set.Reserve, d.most-1) }
+// reserve, perAddress and perNetwork fall with the cap.
+func (d *Door) reserve() int    { return d.part(d.set.Reserve) }
+func (d *Door) perAddress() int { return max(d.part(d.set.PerAddress), 1) }
+func (d *Door) perNetwork() int { return max(d.part(d.set.PerNetwork), 1) }
+
+func (d *Door) part(of int) int { return of * d.most / max(d.set.Most, 1) }
 
 // Yield names the connection out of those offered that makes way for a new one; nil: none does. Where an address or a network is full, one of its own; else
 // one of whoever holds the most, so that shares even out: never of a holder that would then have fewer than the newcomer, and
@@ -310,21 +319,31 @@
 	return offered[best].Conn
 }
 
-const silent = 1 // the highest rank of those that have never said anything, or will not any more
+// The ranks of what is offered. Between them stand those that are idle after a request, and those whose request is long in coming.
+const (
+	Lingering = 0 // the last answer is out
+	Silent    = 1 // has said nothing for longer than usual clients take
+	Idle      = 2
+	Endless   = 3
+	Young     = 4 // has said nothing yet, which is usual; only where its holder has much more than the newcomer, or is the same
+)
 
 func (d *Door) mayYield(c *Conn, why Why, o *Standing) bool {
 	x := o.Conn
 	if x.leaving || x.gone || x == c && d.set.Enabled {
 		return false
 	}
+	if o.Rank == Young && x.holder != c.holder && x.holder.count <= c.holder.count+1 {
+		return false
+	}
 	if !d.set.Enabled { // the new one too, once it has had an answer
 		return true
 	}
-	own := x.holder == c.holder && o.Rank <= silent
+	own := x.holder == c.holder && o.Rank <= Silent
 	larger := x.holder.count > c.holder.count
 	switch why {
 	case AddressFull:
-		return x.holder == c.holder && o.Rank <= silent
+		return x.holder == c.holder && (o.Rank <= Silent || o.Rank == Young)
 	case NetworkFull:
 		return x.network == c.network && !x.known && (own || larger)
 	}
@@ -353,7 +372,7 @@
 		return 0
 	}
 	first := 0
-	if c.known {
+	if c == nil || c.known {
 		first = cmp.Compare(strangers(a), strangers(b))
 	}
 	return cmp.Or(first, cmp.Compare(b.Conn.holder.count, a.Conn.holder.count), cmp.Compare(a.Rank, b.Rank),
@@ -430,19 +449,50 @@
 }
 
 // Short: descriptors have run out though the cap was not reached; whatever else holds them, there are not as many as were thought.
-// The cap falls under what is held and comes back by steps.
-func (d *Door) Short(now Time) {
+// What clients and links to leaves hold now is about all that there is: it is shared out as the settings would, and comes back by
+// steps. Who is over the cap then makes way, see Trim.
+func (d *Door) Short(now Time, links int) {
 	d.Counts.Turned[Exhausted]++
-	d.most, d.shortAt = max(min(d.most, d.held-1), leastMost), now
+	there := d.held + links
+	d.most = max(min(d.most, there*clientsOf/(clientsOf+linksOf)), leastMost)
+	d.links = max(there-d.most-spared, leastMost)
+	d.shortAt = now
+}
+
+// Links is how many connections to leaves there may be; 0: as many as the settings say.
+func (d *Door) Links(now Time) int {
+	d.regain(now)
+	return d.links
+}
+
+// Trim names the connection out of those offered that goes where more are held than may be; nil: none, or it is not so.
+func (d *Door) Trim(offered []Standing) *Conn {
+	if d.Over() <= 0 {
+		return nil
+	}
+	best := -1
+	for i := range offered {
+		if x := offered[i].Conn; offered[i].Rank != Young && !x.leaving && !x.gone && (best < 0 || d.sooner(nil, &offered[i], &offered[best])) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return offered[best].Conn
 }
 
 // regain gives back a part of the cap for each while without a shortage.
 func (d *Door) regain(now Time) {
-	if d.most >= d.set.Most {
+	if d.most >= d.set.Most && d.links == 0 {
 		return
 	}
 	if n := (now - d.shortAt) / regainEvery; n > 0 {
-		d.most = min(d.most+int(n)*max(d.set.Most/regainPart, 1), d.set.Most)
+		step := max(d.set.Most/regainPart, 1)
+		d.most = min(d.most+int(n)*step, d.set.Most)
+		if d.links += int(n) * step; d.links >= d.set.Most*linksOf/clientsOf {
+			d.links = 0
+		}
 		d.shortAt += n * regainEvery
 	}
 }
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -80,14 +80,21 @@
 			for i := range 12 {
 				st.connect(fmt.Sprintf("10.%d.0.1", i))
 			}
-			st.d.Short(st.now)
+			st.d.Short(st.now, 8)
 			st.books()
+			st.pass(60)
+			for y := st.d.Trim(st.offered()); y != nil; y = st.d.Trim(st.offered()) {
+				st.say("%s makes way", st.names[y])
+				st.drop(y)
+			}
+			st.say("%d links to leaves", st.d.Links(st.now))
 			st.connect("10.50.0.1")
-			for range 4 {
-				st.pass(1000)
+			for range 6 {
+				st.pass(5000)
 				st.connect("10.50.0.1")
 				st.books()
 			}
+			st.say("%d links to leaves", st.d.Links(st.now))
 		},
 		// Settings change to less than is held: nobody is thrown out for that, and nobody comes in until enough have gone.
 		"less-than-held": func(st *stage) {
@@ -155,7 +162,7 @@
 				}
 			},
 			"wait":  func(t *rapid.T) { st.pass(rapid.IntRange(1, 500).Draw(t, "ms")) },
-			"short": func(t *rapid.T) { st.d.Short(st.now) },
+			"short": func(t *rapid.T) { st.d.Short(st.now, 8) },
 			"friend": func(t *rapid.T) {
 				if c := st.connect(friend); c != nil {
 					st.serve(c, 1)
@@ -415,7 +422,7 @@
 			case 7:
 				st.pass(arg * 10)
 				b.Resize(int64(size)*int64(arg)/16, Portions())
-				st.d.Short(st.now)
+				st.d.Short(st.now, 8)
 			}
 			for p, a := range b.Accounts {
 				if a.Held < 0 {
--- a/router/clients.go
+++ b/router/clients.go
@@ -101,6 +101,7 @@
 			return nil
 		}
 		if err != nil && d.owner.gate.short(ctx, d.listener, err) {
+			d.trim()
 			continue
 		}
 		if err != nil { // no descriptors are left, or the client has gone already
@@ -150,19 +151,22 @@
 // has just connected is not offered, nor one whose request has come and only waits to be read: to end it would cost its client the
 // request.
 func (d *door) offered() (all []limits.Standing) {
+	admits := d.owner.gate.admits()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.conns {
 		rank := -1
 		switch at := standing(c.state.Load()); {
 		case at == lingering:
-			rank = 0
+			rank = limits.Lingering
 		case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
-			rank = 1
+			rank = limits.Silent
 		case at == idle && c.again.Load():
-			rank = 2
+			rank = limits.Idle
 		case at == reading && c.left() <= d.cfg.RequestFor-d.cfg.Settings.ConnectTimeout:
-			rank = 3
+			rank = limits.Endless
+		case admits && at == idle && c.left() <= d.cfg.RequestFor-d.cfg.AskFor/5:
+			rank = limits.Young
 		}
 		if rank >= 0 {
 			all = append(all, limits.Standing{Conn: c.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)})
@@ -213,6 +217,21 @@
 	return false
 }
 
+// trim has connections go where fewer may be held than are.
+func (d *door) trim() {
+	offered := d.offered()
+	for {
+		y := d.owner.gate.trim(offered)
+		if y == nil {
+			return
+		}
+		offered = slices.DeleteFunc(offered, func(s limits.Standing) bool { return s.Conn == y })
+		if c := d.at(y); c != nil && standing(c.state.Load()) != reading && !pending(c.conn) {
+			c.closeIdle()
+		}
+	}
+}
+
 // at is the client that has a place.
 func (d *door) at(place *limits.Conn) *client {
 	d.mu.Lock()
--- a/router/gate.go
+++ b/router/gate.go
@@ -13,6 +13,7 @@
 	"os"
 	"runtime/metrics"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,6 +54,7 @@
 	heap  func() int64 // bytes of objects
 	spare *os.File     // given up for a moment to answer a connection when no descriptor is left
 
+	links    atomic.Int64  // connections to leaves
 	refusals chan struct{} // connections that are being answered and let go
 	unclear  int           // that could not be answered
 	drifts   int
@@ -283,15 +285,44 @@
 	}()
 }
 
+// noFiles tells whether an error says that there are no descriptors, or no memory for them in the kernel.
+func noFiles(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// shortage tells the books that descriptors have run out.
+func (g *gate) shortage() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.more.Admission.Enabled {
+		g.door.Short(g.now(), int(g.links.Load()))
+	}
+}
+
+// mostLinks is how many connections to leaves there may be at most.
+func (g *gate) mostLinks(stated int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := g.door.Links(g.now()); n > 0 {
+		return min(n, stated)
+	}
+	return stated
+}
+
+func (g *gate) trim(offered []limits.Standing) *limits.Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.door.Trim(offered)
+}
+
 // short: no descriptor was left to accept with. The spare one is given up for as long as it takes to answer one connection, at a
 // bounded rate, so that the client hears when to come back.
 func (g *gate) short(ctx context.Context, l net.Listener, err error) bool {
-	if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ENOBUFS) &&
-		!errors.Is(err, syscall.ENOMEM) {
+	if !noFiles(err) || !g.admits() {
 		return false
 	}
+	g.shortage()
 	g.mu.Lock()
-	g.door.Short(g.now())
 	spare := g.spare
 	g.spare = nil
 	g.mu.Unlock()
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -236,7 +236,7 @@
 			least = c
 		}
 	}
-	most := o.cfg.Limits.LeafSockets()
+	most := o.gate.mostLinks(o.cfg.Limits.LeafSockets())
 	full := o.conns >= most || len(l.conns) >= most/max(len(o.listed), 1)
 	switch {
 	case least == nil:
@@ -263,7 +263,7 @@
 }
 
 func (l *leaf) dial(o *owner) *leafConn {
-	if o.conns >= o.cfg.Limits.LeafSockets() && !o.freeOne() {
+	if o.conns >= o.gate.mostLinks(o.cfg.Limits.LeafSockets()) && !o.freeOne() {
 		o.log.Warn().Str("leaf", l.id).Msg("no socket is left for a connection")
 		return nil
 	}
@@ -272,6 +272,7 @@
 		return nil
 	}
 	o.conns++
+	o.gate.links.Store(int64(o.conns))
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &leafConn{leaf: l, address: l.address, used: o.now, heard: o.now, cancel: cancel,
 		mayCancel: o.cfg.Settings.Module.MayCancel, wake: make(chan struct{}, 1), calls: map[string]*call{}}
@@ -568,8 +569,8 @@
 				if err != nil {
 					return fault{err}
 				}
-				if f.Cut && a.Outcome == choice.OK { // there was no room for the value: the part has run, and nothing is known of it
-					a.Outcome, a.Value = choice.Failed, nil
+				if f.Cut && a.Outcome == choice.OK { // there was no room: the part has run, its value is lost, and that is not the leaf's fault
+					a.Outcome, a.Value = choice.Cancelled, nil
 				}
 				o.post(o.ctx, func(o *owner) {
 					c.answered(o, a)
@@ -634,6 +635,7 @@
 // down settles what was out when the connection ended: what was written whole may have run, the rest has not.
 func (c *leafConn) down(o *owner, err error) {
 	o.conns--
+	o.gate.links.Store(int64(o.conns))
 	o.gate.put(limits.LeafLinks, linkBytes)
 	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(other *leafConn) bool { return other == c })
 	o.forget(c.leaf)
@@ -648,8 +650,15 @@
 		o.log.Info().Str("leaf", c.leaf.id).Str("address", c.address).Int("calls", len(c.calls)).Err(err).
 			Msg("connection to leaf ended")
 	}
+	if noFiles(err) {
+		o.gate.shortage()
+		o.group.Go(func() error { o.door.trim(); return nil })
+	}
 	for _, k := range c.inOrder() {
 		outcome := choice.NoConnection
+		if noFiles(err) && k.frame.stage != written { // the lack is this router's: the leaf is not to be blamed
+			outcome = choice.Moot
+		}
 		if k.frame.stage == written {
 			outcome = choice.Reset
 		}
--- a/router/owner.go
+++ b/router/owner.go
@@ -325,8 +325,8 @@
 	if outcome == choice.OK && !p.over && !p.in {
 		if o.gate.value(p.query.hold, len(value)) {
 			p.in, p.value = true, value
-		} else { // it has run, and what it said is lost
-			outcome = choice.Failed
+		} else { // it has run, and what it said is lost; the leaf is not to be blamed for that
+			outcome = choice.Cancelled
 			o.log.Warn().Str("part", p.id).Str("leaf", c.leaf.id).Int("bytes", len(value)).Msg("no room for a value")
 		}
 	}
