--- a/router/clients.go
+++ b/router/clients.go
@@ -39,13 +39,23 @@
 // asked is a query as a client sent it.
 type asked struct {
 	id               string
-	client           *client
+	from             *caller
 	body             *codec.QueryBody
 	deadline         choice.Time
 	vertical, tenant int
 	key              string // what the query is about, where that is recorded
 }
 
+// caller is whoever asks queries, one at a time: a connection of the router's own protocol, or a request of another front.
+type caller struct {
+	answer func(reply)  // one for each query; never blocks
+	place  *limits.Conn // in the books; nil: none of its own
+
+	// The owner's.
+	query *query
+	hold  *limits.Hold // of the last query, until its answer is written
+}
+
 // reply is what a client is to be answered. Where text is set it stands for the rows.
 type reply struct {
 	status  int
@@ -128,8 +138,9 @@
 			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
 			continue
 		}
-		c := &client{door: d, conn: conn, place: place, in: codec.NewRing(clientRing),
+		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
 			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
+		c.caller = caller{answer: c.answer, place: place}
 		c.idleUntil(d.cfg.RequestFor)
 		d.mu.Lock()
 		d.conns[c] = struct{}{}
@@ -169,7 +180,7 @@
 			rank = limits.Young
 		}
 		if rank >= 0 {
-			all = append(all, limits.Standing{Conn: c.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)})
+			all = append(all, limits.Standing{Conn: c.caller.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)})
 		}
 	}
 	return all
@@ -237,7 +248,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.conns {
-		if c.place == place {
+		if c.caller.place == place {
 			return c
 		}
 	}
@@ -288,10 +299,10 @@
 	d.mu.Lock()
 	delete(d.conns, c)
 	d.mu.Unlock()
-	d.owner.gate.gone(c.place)
+	d.owner.gate.gone(c.caller.place)
 	d.owner.gate.put(limits.Bodies, c.room)
 	poke(d.freed)
-	d.owner.post(ctx, func(o *owner) { o.leave(c) })
+	d.owner.post(ctx, func(o *owner) { o.leave(&c.caller) })
 }
 
 // standing is where a connection stands with its client.
@@ -317,11 +328,9 @@
 	wake    chan struct{} // for a reader that has no room to read on
 	behind  atomic.Bool   // bytes that came before the answer was out wait in the ring
 	until   atomic.Int64  // in microseconds: when it has been idle, has been asking or has lingered for long enough
-	query   *query        // the owner's
-	hold    *limits.Hold  // the owner's: of the last query, until its answer is written
-	place   *limits.Conn  // in the books
-	room    int           // taken for the body that is coming
-	size    int           // of the body so far
+	caller  caller
+	room    int // taken for the body that is coming
+	size    int // of the body so far
 
 	began time.Time   // the request's first byte
 	again atomic.Bool // a request has ended here before
@@ -340,7 +349,7 @@
 		return false
 	}
 	c.conn.Close()
-	c.door.owner.gate.leaving(c.place)
+	c.door.owner.gate.leaving(c.caller.place)
 	return true
 }
 
@@ -550,7 +559,7 @@
 // head reads what the head says of a query.
 func (c *client) head() (*asked, error) {
 	h := &c.parser.Head
-	a := &asked{client: c, body: codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)}
+	a := &asked{from: &c.caller, body: codec.NewQueryBody(c.door.cfg.Settings.Module.Shards)}
 	var known bool
 	if a.vertical, known = c.vertical(); !known {
 		return nil, &codec.Fault{Status: http.StatusNotFound, Text: "no such vertical"}
@@ -568,7 +577,7 @@
 			return nil, errors.New("X-Customer: unknown")
 		}
 	}
-	c.door.owner.gate.request(c.place, a.tenant)
+	c.door.owner.gate.request(c.caller.place, a.tenant)
 	left, times := h.Get("x-expires-in-ms")
 	ms, err := codec.Millis(left)
 	if times != 1 || err != nil {
--- a/router/owner.go
+++ b/router/owner.go
@@ -65,12 +65,12 @@
 
 // query is one query that was taken and has had no final answer.
 type query struct {
-	id     string
-	q      *choice.Query
-	text   []byte
-	parts  []*part
-	client *client
-	taken  choice.Time
+	id    string
+	q     *choice.Query
+	text  []byte
+	parts []*part
+	from  *caller
+	taken choice.Time
 
 	hold     *limits.Hold
 	recorded bool
@@ -241,20 +241,20 @@
 // take takes a query that a client has sent.
 func (o *owner) take(a *asked) {
 	if o.queries[a.id] != nil { // the sender's error, and no refusal: it says nothing of the query that is open
-		a.client.answer(reply{status: http.StatusConflict, text: "X-Trace-Id: open already", closes: true})
+		a.from.answer(reply{status: http.StatusConflict, text: "X-Trace-Id: open already", closes: true})
 		return
 	}
 	most := o.cfg.Settings.OpenCap
 	if most > 0 && o.open+1+len(a.body.Parts) > most {
-		a.client.answer(reply{status: refusedStatus})
+		a.from.answer(reply{status: refusedStatus})
 		return
 	}
 	hold, retry := o.gate.query(o.now, a.vertical, len(a.body.Text), len(a.body.Parts))
 	if hold == nil {
-		a.client.answer(reply{status: refusedStatus, holdOff: duration(retry)})
+		a.from.answer(reply{status: refusedStatus, holdOff: duration(retry)})
 		return
 	}
-	q := &query{id: a.id, text: a.body.Text, client: a.client, taken: o.now, hold: hold,
+	q := &query{id: a.id, text: a.body.Text, from: a.from, taken: o.now, hold: hold,
 		q: &choice.Query{Deadline: a.deadline, Vertical: a.vertical, Tenant: a.tenant}}
 	if o.recording != nil && o.recording.rec.Wants() {
 		q.recorded, q.key = true, o.recording.rec.Key(a.key)
@@ -267,13 +267,13 @@
 		o.parts[cp] = held
 	}
 	o.queries[q.id], o.ids[q.q] = q, q
-	a.client.query, a.client.hold = q, hold
+	a.from.query, a.from.hold = q, hold
 	o.open += 1 + len(q.parts)
 	o.root.Take(o.now, q.q, parts)
 }
 
-// leave: a client has closed its connection.
-func (o *owner) leave(c *client) {
+// leave: a caller has gone.
+func (o *owner) leave(c *caller) {
 	if q := c.query; q != nil {
 		o.root.Leave(o.now, q.q)
 		o.record(q, capture.Left)
@@ -308,7 +308,7 @@
 	}
 	o.open -= 1 + len(q.parts)
 	o.gate.over(q.hold)
-	q.client.query = nil
+	q.from.query = nil
 }
 
 // end tells the outcome of a call, once.
@@ -420,14 +420,14 @@
 	r.closes = o.phase.now() > Serving && o.now >= o.keepUntil
 	o.log.Debug().Str("query", q.id).Int("vertical", q.q.Vertical).Int("parts", len(q.parts)).Int("status", r.status).
 		Bool("whole", r.whole).Int64("tenths", int64(o.now-q.taken)).Msg("query answered")
-	client := q.client
+	from := q.from
 	o.record(q, r.final())
 	r.hold = q.hold
-	if r.status == servedStatus {
-		o.gate.answered(client.place, q.q.Tenant)
+	if r.status == servedStatus && from.place != nil {
+		o.gate.answered(from.place, q.q.Tenant)
 	}
 	o.release(q)
-	client.answer(r)
+	from.answer(r)
 }
 
 // Probe probes a leaf.
