Searches in the style of OpenSearch: a front on the owner's own path, and molelab conform

An extra listener, off by default, takes _search, _msearch, _count and what client libraries ask first; each search is a query like any other, with one final answer by the decision module. What a leaf answers is merged with its own word on whether all of it is there.

--- a/cmd/molelab/main.go
+++ b/cmd/molelab/main.go
@@ -16,6 +16,7 @@
 	Validate validateCmd `cmd:"" help:"Play a load on sockets, with real routers, and in emulation, and hold them against each other."`
 	Flood    floodCmd    `cmd:"" help:"Flood a router with what bad clients do, and see whether known clients are still served."`
 	Soak     soakCmd     `cmd:"" help:"A long run with floods now and then: does what a router holds grow?"`
+	Conform  conformCmd  `cmd:"" help:"One script through both fronts: is it settled the same, and is every answer right?"`
 	Emulate  emulateCmd  `cmd:"" help:"Play a described fleet and load in virtual time, with the real decision module in each router."`
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -153,6 +154,15 @@
 // fits checks what the file asks for against what the platform's configuration allows.
 func (c *Config) fits() error {
 	m := &c.More.Members
+	for i, x := range c.More.OpenSearch.Indices {
+		key := fmt.Sprintf("opensearch.indices[%d]", i)
+		if !slices.Contains(c.Settings.Verticals, x.Vertical) {
+			return fmt.Errorf("%s.vertical: %q is not in settings.classes", key, x.Vertical)
+		}
+		if most := slices.Max(x.List()); most >= c.Settings.Module.Shards {
+			return fmt.Errorf("%s.shards: %d is not below settings.family_info.slices, %d", key, most, c.Settings.Module.Shards)
+		}
+	}
 	if !m.Enabled {
 		return nil
 	}
@@ -251,7 +261,8 @@
 		keys(check{"name", to.Name != c.Name}, check{"listen", to.Listen != c.Listen},
 			check{"settings", !reflect.DeepEqual(to.Settings, c.Settings)},
 			check{"members", !reflect.DeepEqual(to.More.Members, c.More.Members)},
-			check{"admin", to.More.Admin != c.More.Admin}, check{"capture", to.More.Capture != c.More.Capture})
+			check{"admin", to.More.Admin != c.More.Admin}, check{"capture", to.More.Capture != c.More.Capture},
+			check{"opensearch", !reflect.DeepEqual(to.More.OpenSearch, c.More.OpenSearch)})
 }
 
 // seed reads hex digits; any other text serves as well.
--- a/config/file.go
+++ b/config/file.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"moleshift/internal/yamlfile"
@@ -23,6 +25,8 @@
 	Admin   Admin   `yaml:"admin"`
 	Capture Capture `yaml:"capture"`
 
+	OpenSearch OpenSearch `yaml:"opensearch"`
+
 	Admission Admission `yaml:"admission"`
 	Memory    Memory    `yaml:"memory"`
 }
@@ -39,6 +43,75 @@
 	KeyFile  string        `yaml:"key_file"`
 }
 
+// OpenSearch is a second front, in the form of that API.
+type OpenSearch struct {
+	Enabled     bool    `yaml:"enabled"`
+	Listen      string  `yaml:"listen"`
+	Connections int     `yaml:"connections"`
+	Tenant      string  `yaml:"tenant_header"`
+	Indices     []Index `yaml:"indices"`
+}
+
+// Index is a name that clients search.
+type Index struct {
+	Name     string `yaml:"name"`
+	Vertical string `yaml:"vertical"`
+	Shards   string `yaml:"shards"` // such as 0-7,9
+}
+
+const mostShardsOf = 1024
+
+// List is the shards; nil where they make no sense.
+func (x *Index) List() (all []int) {
+	for part := range strings.SplitSeq(x.Shards, ",") {
+		low, high, is := strings.Cut(strings.TrimSpace(part), "-")
+		a, err := strconv.Atoi(low)
+		b := a
+		if is && err == nil {
+			b, err = strconv.Atoi(high)
+		}
+		if err != nil || a < 0 || b < a || len(all)+b-a >= mostShardsOf {
+			return nil
+		}
+		for s := a; s <= b; s++ {
+			if slices.Contains(all, s) {
+				return nil
+			}
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// checkSearch is what the second front must be.
+func (f *File) checkSearch(doc *yamlfile.Doc) {
+	o := &f.OpenSearch
+	if _, err := netip.ParseAddrPort(o.Listen); o.Enabled && err != nil {
+		doc.Fault("opensearch.listen", "%q is no address and port", o.Listen)
+	}
+	if o.Connections < 1 || o.Connections > 1<<16 {
+		doc.Fault("opensearch.connections", "must be from 1 to %d", 1<<16)
+	}
+	if o.Enabled && len(o.Indices) == 0 {
+		doc.Fault("opensearch.indices", "missing: what may be searched")
+	}
+	for i := range o.Indices {
+		x, key := &o.Indices[i], fmt.Sprintf("opensearch.indices[%d]", i)
+		if x.Name == "" || strings.ContainsAny(x.Name, "/_ ,*") {
+			doc.Fault(key+".name", "%q is no name of an index", x.Name)
+		}
+		if slices.IndexFunc(o.Indices, func(y Index) bool { return y.Name == x.Name }) != i {
+			doc.Fault(key+".name", "%q stands twice", x.Name)
+		}
+		if x.Vertical == "" {
+			doc.Fault(key+".vertical", "missing")
+		}
+		if x.List() == nil {
+			doc.Fault(key+".shards", "%q is no list such as 0-7,9 of %d at most, each once", x.Shards, mostShardsOf)
+		}
+	}
+}
+
 // Admission is who may have a connection. Shares are of the connections that clients may have in all.
 type Admission struct {
 	Enabled     bool     `yaml:"enabled"`
@@ -132,7 +205,8 @@
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
 		Admission: Admission{Reserve: 0.25, PerAddress: 0.5, PerNetwork: 0.6, IPv4: 24, IPv6: 56, Rate: 50, Burst: 100, Remembered: 16384,
 			Refusals: 16},
-		Memory: Memory{Portion: 0.4, LogEvery: time.Minute},
+		OpenSearch: OpenSearch{Connections: 64, Tenant: "X-Customer"},
+		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
 	}
 }
 
@@ -207,6 +281,7 @@
 		}
 	}
 	within("capture.flush", c.Flush, 100*time.Millisecond, time.Hour)
+	f.checkSearch(doc)
 	f.checkLimits(doc, within)
 	if m.Skew*skewsInTime > m.Lease {
 		doc.Fault("members.lease", "%v is under %d times members.skew, %v", m.Lease, skewsInTime, m.Skew)
@@ -317,6 +392,8 @@
 		"duties.summary: " + off(s.Enabled, "every %v by one instance, %s", s.Interval, file),
 		"capture: " + off(c.Enabled, "%g of the queries into %s, %d files of %d MB, %d MB of memory", c.Sample, c.Dir, c.Files, c.FileMB,
 			c.MemoryMB),
+		"opensearch: " + off(f.OpenSearch.Enabled, "on %s, %d indices, %d connections", f.OpenSearch.Listen, len(f.OpenSearch.Indices),
+			f.OpenSearch.Connections),
 		"admission: " + off(f.Admission.Enabled, "%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
 			"strangers of one network, %g new ones a second of an address", orAll(f.Admission.Connections), 100*f.Admission.Reserve,
 			100*f.Admission.PerAddress, 100*f.Admission.PerNetwork, f.Admission.Rate),
--- a/lab/standin/leaf.go
+++ b/lab/standin/leaf.go
@@ -29,6 +29,8 @@
 	Work     time.Duration   // of a part whose query does not say
 	Spread   bool            // that work is drawn, exponentially, with Work as its mean
 	OnRun    func(id string) // a part begins to run; nil: nobody asks
+	// Answer is what a part's answer is: its end (200, 500, 503) and value; nil: a value made of the text and the shard.
+	Answer func(id, text string, shard int) (end int, value []byte)
 
 	mu      sync.Mutex
 	running int
@@ -322,7 +324,10 @@
 			rep, gone := l.report(), j.gone || l.manner == Silent
 			l.next(end)
 			l.mu.Unlock()
-			if !gone {
+			if !gone && l.Answer != nil {
+				end, value := l.Answer(j.id, j.text, j.shard)
+				j.reply(codec.LetterAnswer, fmt.Sprintf("%s %d 1 %s\n%s", j.id, end, rep, value))
+			} else if !gone {
 				h := fnv.New64a()
 				fmt.Fprintf(h, "%s/%d", j.text, j.shard)
 				j.reply(codec.LetterAnswer, fmt.Sprintf("%s 200 %d %s\n%016x%s", j.id, h.Sum64()%1000, rep, h.Sum64(),
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -39,6 +39,7 @@
 	sends   []*call // of this turn
 	gone    bool    // from the list; forgotten with the last connection
 	serving bool    // it is in service
+	cell    int
 }
 
 // news takes what the list says.
@@ -72,7 +73,7 @@
 			l.address = s.Address
 		}
 		barred[l], l.gone = e.Condition != choice.Ready, e.Condition == choice.Gone
-		l.serving = !barred[l]
+		l.serving, l.cell = !barred[l], s.Cell
 		entries = append(entries, e)
 	}
 	o.root.List(o.now, entries, list.Whole || cached, cached)
--- a/router/owner.go
+++ b/router/owner.go
@@ -42,6 +42,7 @@
 
 	sharing   *sharing   // nil unless instances know one another
 	recording *recording // nil unless what is served is recorded
+	searching *searching // nil unless searches are taken in the form of OpenSearch
 
 	root    *choice.Root
 	now     choice.Time // of this turn
@@ -181,7 +182,7 @@
 			told = append(told, <-o.queue)
 		}
 		o.turn(told)
-		if o.phase.now() == Closing && len(o.queries) == 0 && o.door.empty() {
+		if o.phase.now() == Closing && len(o.queries) == 0 && o.door.empty() && (o.searching == nil || o.searching.ended.Load()) {
 			o.stop()
 			return nil
 		}
@@ -479,5 +480,8 @@
 	o.at(o.now+tenths(o.cfg.DrainFor), func(o *owner) {
 		o.phase.move(Closing)
 		o.door.close()
+		if o.searching != nil {
+			o.searching.drain()
+		}
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -139,6 +139,11 @@
 		p.owner.recording = &recording{rec, p.owner.clk.at(rec.Begun())}
 		p.group.Go(func() error { return rec.Run(p.ctx) })
 	}
+	if cfg.OpenSearch.Enabled {
+		if err := p.search(); err != nil {
+			return err
+		}
+	}
 	if cfg.Admin.Listen != "" {
 		l, err := net.Listen("tcp", cfg.Admin.Listen)
 		if err != nil {
