--- a/front/opensearch/server.go
+++ b/front/opensearch/server.go
@@ -270,9 +270,9 @@
 	defer reply.Done()
 	switch reply.Outcome {
 	case Refused:
-		return nil, &Fault{http.StatusTooManyRequests, "rejected_execution_exception", "the search was turned away; it has not run"}, nil, reply.HoldOff
-	case Failed:
-		return nil, &Fault{http.StatusServiceUnavailable, "search_phase_execution_exception", "not enough shards answered"}, nil, 0
+		return nil, &Fault{http.StatusTooManyRequests, "rejected_execution_exception", "the search was turned away; it is harmless to ask again"}, nil, reply.HoldOff
+	case Failed: // it may have run, so not by a status at which client libraries ask again of themselves (502, 503, 504)
+		return nil, &Fault{http.StatusInternalServerError, "search_phase_execution_exception", "not enough shards answered"}, nil, 0
 	}
 	m := merge.New(s.Spec, index.Shards)
 	if reply.Whole {
@@ -295,7 +295,7 @@
 		return nil, faultOf(err), nil, 0
 	}
 	if !r.Whole() && (!s.Partial || len(r.In) == 0) {
-		return nil, &Fault{http.StatusServiceUnavailable, "search_phase_execution_exception",
+		return nil, &Fault{http.StatusInternalServerError, "search_phase_execution_exception",
 			fmt.Sprintf("%d of %d shards are not in the answer", len(r.Failures), r.Asked)}, a.Shards.Failures, 0
 	}
 	return a, nil, nil, 0
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -280,6 +280,7 @@
 // leafAt puts a stand-in leaf in its place: it prints each frame and does with it what act says.
 func (st *stage) leafAt(name string, act func(n int, frame string, conn net.Conn)) {
 	n := 0
+	var one sync.Mutex // a leaf does one thing at a time, whatever connections there are
 	st.places[at(name)] = func(conn net.Conn) error {
 		st.say("leaf %s: connection", name)
 		go func() {
@@ -295,8 +296,10 @@
 					return
 				}
 				st.say("leaf %s: gets %q", name, rest)
+				one.Lock()
 				act(n, string(rest), conn)
 				n++
+				one.Unlock()
 			}
 		}()
 		return nil
