--- a/merge/merge.go
+++ b/merge/merge.go
@@ -84,6 +84,7 @@
 	spec   *Spec
 	shards []shard // by number
 	top    []Hit   // the best so far, From+Size at most
+	spare  []Hit   // where the next best are written
 	total  Total
 	aggs   map[string]*Agg
 	behind int
@@ -144,14 +145,16 @@
 		return err
 	}
 	s.state, s.reason = in, ""
-	list := p.Hits[:0:0]
-	for i := range p.Hits {
-		h := p.Hits[i]
-		if m.spec.after(&h) {
-			list = append(list, h)
+	list := p.Hits
+	if m.spec.After != nil {
+		list = nil
+		for i := range p.Hits {
+			if m.spec.after(&p.Hits[i]) {
+				list = append(list, p.Hits[i])
+			}
 		}
 	}
-	m.top = m.merge(m.top, list)
+	m.top, m.spare = m.merge(m.spare[:0], m.top, list), m.top
 	m.total.Value += p.Total.Value
 	m.total.AtLeast = m.total.AtLeast || p.Total.AtLeast
 	for i := range m.spec.Aggs {
@@ -189,9 +192,11 @@
 }
 
 // merge puts two sorted lists together, as many as are wanted.
-func (m *Merger) merge(a, b []Hit) []Hit {
+func (m *Merger) merge(out, a, b []Hit) []Hit {
 	most := m.spec.From + m.spec.Size
-	out := make([]Hit, 0, min(len(a)+len(b), most))
+	if cap(out) == 0 {
+		out = make([]Hit, 0, min(len(a)+len(b), most))
+	}
 	for len(out) < most && (len(a) > 0 || len(b) > 0) {
 		if len(b) == 0 || len(a) > 0 && m.spec.Compare(&a[0], &b[0]) <= 0 {
 			out, a = append(out, a[0]), a[1:]
