Leaves that speak the form of OpenSearch, by HTTP/1.1, as calls of the same module

A call is one _msearch with an item a shard; each item is an outcome of its own: only 429 has never run, and a success with failures inside is a failure. What is given up as a whole ends its connection. An unmodified client library is played through the owner.

--- a/cmd/molelab/conform.go
+++ b/cmd/molelab/conform.go
@@ -16,6 +16,7 @@
 	Router string `default:"bin/moleshift" help:"The router's program."`
 	Cases  int    `default:"2000" help:"Searches."`
 	Lanes  int    `default:"6" help:"Searches at once."`
+	Leaves bool   `help:"Leaves speak the form, too, by HTTP."`
 	Seed   uint64 `default:"1" help:"Of all that is drawn."`
 }
 
@@ -23,7 +24,7 @@
 func (c *conformCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	r, err := conform.Run(ctx, conform.Options{Program: c.Router, Cases: c.Cases, Lanes: max(c.Lanes, 1), Seed: c.Seed,
+	r, err := conform.Run(ctx, conform.Options{Program: c.Router, Cases: c.Cases, Lanes: max(c.Lanes, 1), Leaves: c.Leaves, Seed: c.Seed,
 		Tell: func(form string, done int) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s: %d of %d", form, done, c.Cases) }})
 	if err != nil {
 		return err
--- a/config/file.go
+++ b/config/file.go
@@ -49,6 +49,7 @@
 	Listen      string  `yaml:"listen"`
 	Connections int     `yaml:"connections"`
 	Tenant      string  `yaml:"tenant_header"`
+	Leaves      bool    `yaml:"leaves"` // leaves speak the form, too
 	Indices     []Index `yaml:"indices"`
 }
 
@@ -205,7 +206,7 @@
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
 		Admission: Admission{Reserve: 0.25, PerAddress: 0.5, PerNetwork: 0.6, IPv4: 24, IPv6: 56, Rate: 50, Burst: 100, Remembered: 16384,
 			Refusals: 16},
-		OpenSearch: OpenSearch{Connections: 64, Tenant: "X-Customer"},
+		OpenSearch: OpenSearch{Listen: "127.0.0.1:9200", Connections: 64, Tenant: "X-Customer"},
 		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
 	}
 }
@@ -394,6 +395,7 @@
 			c.MemoryMB),
 		"opensearch: " + off(f.OpenSearch.Enabled, "on %s, %d indices, %d connections", f.OpenSearch.Listen, len(f.OpenSearch.Indices),
 			f.OpenSearch.Connections),
+		"opensearch.leaves: " + off(f.OpenSearch.Leaves, "leaves are asked in that form, by HTTP/1.1"),
 		"admission: " + off(f.Admission.Enabled, "%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
 			"strangers of one network, %g new ones a second of an address", orAll(f.Admission.Connections), 100*f.Admission.Reserve,
 			100*f.Admission.PerAddress, 100*f.Admission.PerNetwork, f.Admission.Rate),
--- a/front/opensearch/client_test.go
+++ b/front/opensearch/client_test.go
@@ -17,6 +17,7 @@
 	client, err := opensearchapi.NewClient(opensearchapi.Config{Client: opensearch.Config{Addresses: []string{"http://router"},
 		Header: http.Header{"X-Customer": {"acme"}}, Transport: handler{front(r)}}})
 	must(t, err)
+	defer client.Close()
 	ctx := context.Background()
 	info, err := client.Info(ctx, nil)
 	must(t, err)
--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -3,16 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"moleshift/internal/golden"
 	"moleshift/merge"
 )
 
-func TestMain(m *testing.M) { os.Exit(m.Run()) }
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // What is understood, what is passed on, and what is refused by its key.
 func TestRequests(t *testing.T) {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -23,13 +23,14 @@
 
 // Options is what is brought up.
 type Options struct {
-	Fleet   *fleet.Fleet
-	Program string // the router's
-	Config  string // the routers' YAML file; empty: none
-	Loss    plan.Loss
-	Files   int                          // descriptors that a router process really gets; 0: as this one
-	Limits  bool                         // routers are told the memory and descriptors that the description states
-	Leaf    func(i int, l *standin.Leaf) // may change a leaf before it serves; nil: none
+	Fleet    *fleet.Fleet
+	Program  string // the router's
+	Config   string // the routers' YAML file; empty: none
+	Loss     plan.Loss
+	Files    int                          // descriptors that a router process really gets; 0: as this one
+	Limits   bool                         // routers are told the memory and descriptors that the description states
+	Searches bool                         // leaves speak the form of OpenSearch, by HTTP
+	Leaf     func(i int, l *standin.Leaf) // may change a leaf before it serves; nil: none
 }
 
 // Router is one process.
@@ -50,6 +51,7 @@
 	dir     string
 	listens []net.Listener
 	disc    *http.Server
+	servers []*http.Server
 }
 
 const (
@@ -104,7 +106,14 @@
 			return c, err
 		}
 		c.listens = append(c.listens, at)
-		go leaf.Serve(at)
+		if o.Searches {
+			server := &http.Server{Handler: &standin.Search{Leaf: leaf}}
+			c.servers = append(c.servers, server)
+			leaf.Begin()
+			go server.Serve(at)
+		} else {
+			go leaf.Serve(at)
+		}
 		list.Servers = append(list.Servers, config.Server{ID: l.Name, Address: at.Addr().String(), Zone: f.Zones[l.Zone], Cell: l.Cell,
 			Lifecycle: "in_service"})
 	}
@@ -245,6 +254,9 @@
 	if c.disc != nil {
 		c.disc.Close()
 	}
+	for _, s := range c.servers {
+		s.Close()
+	}
 	for _, l := range c.listens {
 		l.Close()
 	}
--- a/lab/conform/conform.go
+++ b/lab/conform/conform.go
@@ -35,7 +35,8 @@
 type Options struct {
 	Program string
 	Cases   int
-	Lanes   int // searches at once
+	Lanes   int  // searches at once
+	Leaves  bool // leaves speak the form, too
 	Seed    uint64
 	Tell    func(form string, done int)
 }
@@ -202,7 +203,7 @@
 		return err
 	}
 	more := filepath.Join(dir, "moleshift.yaml")
-	text := fmt.Sprintf("opensearch:\n  enabled: true\n  listen: %s\n  indices:\n", at)
+	text := fmt.Sprintf("opensearch:\n  enabled: true\n  listen: %s\n  leaves: %v\n  indices:\n", at, o.Leaves)
 	for _, v := range verticals {
 		text += fmt.Sprintf("    - {name: docs-%s, vertical: %s, shards: 0-%d}\n", v, v, shards-1)
 	}
@@ -210,7 +211,7 @@
 		return err
 	}
 	l := &leaves{seed: o.Seed, corpus: standin.NewCorpus(o.Seed, shards, docs), calls: map[string]int{}, cases: map[string]int{}}
-	c, err := cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Config: more, Limits: true, Leaf: func(_ int, leaf *standin.Leaf) {
+	c, err := cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Config: more, Limits: true, Searches: o.Leaves, Leaf: func(_ int, leaf *standin.Leaf) {
 		leaf.OnRun, leaf.Answer, leaf.Work = l.ran, l.answer, 500*time.Microsecond
 	}})
 	if err != nil {
--- a/lab/standin/leaf.go
+++ b/lab/standin/leaf.go
@@ -58,11 +58,16 @@
 
 const mostCall = 2 << 20
 
-// Serve takes connections until the listener is closed.
-func (l *Leaf) Serve(listener net.Listener) {
+// Begin has it ready to work; Serve does so.
+func (l *Leaf) Begin() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conns, l.slow, l.since = map[net.Conn]bool{}, 1, time.Now()
-	l.mu.Unlock()
+}
+
+// Serve takes connections until the listener is closed.
+func (l *Leaf) Serve(listener net.Listener) {
+	l.Begin()
 	for {
 		c, err := listener.Accept()
 		if err != nil {
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -167,6 +167,8 @@
 	conn  net.Conn
 	up    choice.Time // when it came up; 0: it has not yet
 	over  bool
+
+	flight *flight // of a leaf that speaks the form of OpenSearch: the request that is out; under the lock
 }
 
 // probe is one probe whose outcome has not been told. Who has asked for it may want to hear as well.
@@ -230,6 +232,9 @@
 	var least *leafConn
 	for _, c := range l.conns {
 		room := o.cfg.Settings.MaxStreams == 0 || c.frames < o.cfg.Settings.MaxStreams
+		if o.cfg.More.OpenSearch.Leaves {
+			room = c.frames == 0
+		}
 		if !room || c.retired || c.knows(id) || c.stale(o, 0) || c.ending() {
 			continue
 		}
@@ -467,10 +472,16 @@
 	var both errgroup.Group
 	both.Go(func() error {
 		defer c.close()
+		if o.cfg.More.OpenSearch.Leaves {
+			return c.readSearches(o, conn)
+		}
 		return c.read(o, conn)
 	})
 	both.Go(func() error {
 		defer c.close()
+		if o.cfg.More.OpenSearch.Leaves {
+			return c.writeSearches(o, conn)
+		}
 		c.write(conn)
 		return nil
 	})
--- a/router/search_test.go
+++ b/router/search_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 
+	api "github.com/opensearch-project/opensearch-go/v4"
+	"github.com/opensearch-project/opensearch-go/v4/opensearchapi"
+
 	"moleshift/config"
 	"moleshift/front/opensearch"
 )
@@ -99,6 +103,55 @@
 	})
 }
 
+// throughFront is a transport that ends at the front.
+type throughFront struct{ st *stage }
+
+func (f throughFront) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	rec := httptest.NewRecorder()
+	f.st.owner.searching.front.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
+// An unmodified client library, through the real owner: a search, the page behind it, a bulk, and a side-effecting one that
+// fails and that the library does not ask again of itself.
+func TestClientLibrary(t *testing.T) {
+	play(t, "client-library", 1, searchable, func(st *stage) {
+		how := map[string]string{}
+		st.leafAt("A", finds(how))
+		st.serve()
+		newSearching(st.owner)
+		client, err := opensearchapi.NewClient(opensearchapi.Config{Client: api.Config{Addresses: []string{"http://router"},
+			Header: http.Header{"X-Customer": {"acme"}}, Transport: throughFront{st}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		search := func(index, body string) {
+			r, err := client.Search(context.Background(), &opensearchapi.SearchReq{Indices: []string{index}, Body: strings.NewReader(body)})
+			if err != nil {
+				st.say("search %s %s: %.60s", index, body, err.Error())
+				return
+			}
+			st.say("search %s %s: %d hits, %d shown, %d of %d shards", index, body, r.Hits.Total.Value, len(r.Hits.Hits), r.Shards.Successful, r.Shards.Total)
+		}
+		search("docs", `{"size":2}`)
+		search("docs", `{"size":2,"from":2}`)
+		how["1"] = "500"
+		search("files", `{}`)
+		r, err := client.MSearch(context.Background(), opensearchapi.MSearchReq{Body: strings.NewReader("{\"index\":\"docs\"}\n{}\n")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, one := range r.Responses {
+			st.say("of several: %d hits", one.Hits.Total.Value)
+		}
+		st.step()
+	})
+}
+
 // A vertical or a tenant that nobody knows is an error of the asker's.
 func TestSearchFaults(t *testing.T) {
 	play(t, "search-faults", 1, searchable, func(st *stage) {
