--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy wrap
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -17,3 +17,7 @@
 
 toy:
 	EDGE_CONFIG=$(CONFIG) go run ./examples/toy
+
+# Long lines are wrapped by a tool; comments are not its matter.
+wrap:
+	go run github.com/segmentio/golines@v0.13.0 -m 110 -t 4 --no-reformat-tags --base-formatter=gofmt -w .
--- a/back/opensearch/opensearch.go
+++ b/back/opensearch/opensearch.go
@@ -1,6 +1,7 @@
-// Package opensearch is the form in which leaves that are servers of the OpenSearch style are asked: bytes of a call, and what an
-// answer says of each part. It opens no socket and decides nothing. It must never say of a part that it has not run unless the answer
-// proves that, and never take a success with failures inside for one.
+// Package opensearch is the form in which leaves that are servers of the OpenSearch style are asked: bytes of
+// a call, and what an answer says of each part. It opens no socket and decides nothing. It must never say of
+// a part that it has not run unless the answer proves that, and never take a success with failures inside for
+// one.
 package opensearch
 
 import (
@@ -34,8 +35,8 @@
 	return index, body, err
 }
 
-// AppendCall writes one call: an _msearch with an item for each part, which names the shard that is meant. The parts' texts must be
-// ones that can be asked.
+// AppendCall writes one call: an _msearch with an item for each part, which names the shard that is meant.
+// The parts' texts must be ones that can be asked.
 func AppendCall(out []byte, host string, parts []codec.PartSent) ([]byte, error) {
 	var lines []byte
 	for _, p := range parts {
@@ -43,7 +44,13 @@
 		if err != nil {
 			return nil, err
 		}
-		head, err := json.Marshal(map[string]any{"index": index, "preference": "_shards:" + strconv.Itoa(p.Shard), "allow_partial_search_results": false})
+		head, err := json.Marshal(
+			map[string]any{
+				"index":                        index,
+				"preference":                   "_shards:" + strconv.Itoa(p.Shard),
+				"allow_partial_search_results": false,
+			},
+		)
 		if err != nil {
 			return nil, err
 		}
@@ -53,8 +60,14 @@
 	for _, p := range parts {
 		wait = max(wait, p.Wait)
 	}
-	out = fmt.Appendf(out, "POST /_msearch?cancel_after_time_interval=%dms HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\n"+
-		"Content-Length: %d\r\n\r\n", wait, host, len(lines))
+	out = fmt.Appendf(
+		out,
+		"POST /_msearch?cancel_after_time_interval=%dms HTTP/1.1\r\nHost: %s\r\nContent-Type: application/x-ndjson\r\n"+
+			"Content-Length: %d\r\n\r\n",
+		wait,
+		host,
+		len(lines),
+	)
 	return append(out, lines...), nil
 }
 
@@ -85,8 +98,8 @@
 	return choice.OK
 }
 
-// ParseAnswer says what an answer means for each part of the call, in the parts' order. A status that the whole answer has stands for
-// all; only 429 proves that nothing has run.
+// ParseAnswer says what an answer means for each part of the call, in the parts' order. A status that the
+// whole answer has stands for all; only 429 proves that nothing has run.
 func ParseAnswer(status int, body []byte, parts []codec.PartSent) []codec.Answer {
 	answers := make([]codec.Answer, len(parts))
 	for i, p := range parts {
--- a/back/opensearch/opensearch_test.go
+++ b/back/opensearch/opensearch_test.go
@@ -11,14 +11,23 @@
 
 func parts(n int) (all []codec.PartSent) {
 	for i := range n {
-		all = append(all, codec.PartSent{ID: fmt.Sprintf("q.%d", i), Shard: i, Wait: int64(100 + i), Text: []byte(`{"index":"docs","query":{"match_all":{}},"size":3}`)})
+		all = append(
+			all,
+			codec.PartSent{
+				ID:    fmt.Sprintf("q.%d", i),
+				Shard: i,
+				Wait:  int64(100 + i),
+				Text:  []byte(`{"index":"docs","query":{"match_all":{}},"size":3}`),
+			},
+		)
 	}
 	return all
 }
 
 var names = [...]string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT"}
 
-// The table of what answers mean, item by item: a success with failures inside is none, and only 429 has never run.
+// The table of what answers mean, item by item: a success with failures inside is none, and only 429 has
+// never run.
 func TestAnswers(t *testing.T) {
 	good := `{"status":200,"timed_out":false,"_shards":{"total":1,"failed":0},"hits":{"hits":[]}}`
 	var out strings.Builder
--- a/cmd/molelab/calibrate.go
+++ b/cmd/molelab/calibrate.go
@@ -1,7 +1,7 @@
 package main
 
-// calibrate.go owns `molelab capture calibrate`: the flags, and how what was found is told. What a call tells of work is package
-// plan's to say.
+// calibrate.go owns `molelab capture calibrate`: the flags, and how what was found is told. What a call tells
+// of work is package plan's to say.
 
 import (
 	"fmt"
@@ -62,5 +62,7 @@
 	if err := save(c.Out, r.Header, all); err != nil {
 		return err
 	}
-	return sayJSON(map[string]any{"free_calls": cal.Free, "calls": cal.Calls, "parts": cal.Parts, "odd_leaves": odd})
+	return sayJSON(
+		map[string]any{"free_calls": cal.Free, "calls": cal.Calls, "parts": cal.Parts, "odd_leaves": odd},
+	)
 }
--- a/cmd/molelab/capture.go
+++ b/cmd/molelab/capture.go
@@ -86,30 +86,64 @@
 		}
 		s := capture.Summarise(all)
 		damaged, total = damaged+len(r.Damage), total+s.Queries
-		fmt.Printf("%s: router %s, from %s, %.1f s, %g of the queries\n", path, r.Header.Router, r.Header.Begun.Format(time.RFC3339),
-			s.Seconds, r.Header.Sample)
-		fmt.Printf("%d queries in %d blocks, %.1f a second, %d in the busiest one; %d damaged stretches\n", s.Queries, r.Blocks,
-			float64(s.Queries)/s.Seconds, s.Peak, len(r.Damage))
+		fmt.Printf(
+			"%s: router %s, from %s, %.1f s, %g of the queries\n",
+			path,
+			r.Header.Router,
+			r.Header.Begun.Format(time.RFC3339),
+			s.Seconds,
+			r.Header.Sample,
+		)
+		fmt.Printf(
+			"%d queries in %d blocks, %.1f a second, %d in the busiest one; %d damaged stretches\n",
+			s.Queries,
+			r.Blocks,
+			float64(s.Queries)/s.Seconds,
+			s.Peak,
+			len(r.Damage),
+		)
 		if s.Keys > 0 {
 			fmt.Printf("%d keys; the hottest has %.1f%% of the queries\n", s.Keys, 100*s.HotKey)
 		}
 		t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-		fmt.Fprintln(t, "\tqueries\tparts\twork, ms/s\twhole\tpartial\trejected\taborted\tleft\t50% ms\t99% ms")
+		fmt.Fprintln(
+			t,
+			"\tqueries\tparts\twork, ms/s\twhole\tpartial\trejected\taborted\tleft\t50% ms\t99% ms",
+		)
 		for _, list := range [][]capture.GroupSummary{s.Verticals, s.Tenants} {
 			for _, g := range list {
 				name := g.Name
 				if name == "" {
 					name = "(none)"
 				}
-				fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", name, g.Queries, g.Parts, g.Work/s.Seconds, g.Finals[1],
-					g.Finals[2], g.Finals[3], g.Finals[4], g.Finals[5], float64(g.Took.ValueAtQuantile(50))/10, float64(g.Took.ValueAtQuantile(99))/10)
+				fmt.Fprintf(
+					t,
+					"%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n",
+					name,
+					g.Queries,
+					g.Parts,
+					g.Work/s.Seconds,
+					g.Finals[1],
+					g.Finals[2],
+					g.Finals[3],
+					g.Finals[4],
+					g.Finals[5],
+					float64(g.Took.ValueAtQuantile(50))/10,
+					float64(g.Took.ValueAtQuantile(99))/10,
+				)
 			}
 		}
 		t.Flush()
 		shards := append([]int{}, s.Shards...)
 		sort.Sort(sort.Reverse(sort.IntSlice(shards)))
 		if n := len(shards); n > 0 {
-			fmt.Printf("parts by shard: most %d, median %d, least %d of %d shards\n", shards[0], shards[n/2], shards[n-1], n)
+			fmt.Printf(
+				"parts by shard: most %d, median %d, least %d of %d shards\n",
+				shards[0],
+				shards[n/2],
+				shards[n-1],
+				n,
+			)
 		}
 		fmt.Printf("calls by outcome: %v\n\n", s.Calls)
 	}
@@ -169,8 +203,15 @@
 			return err
 		}
 		if i > 0 && (r.Header.Shards != h.Shards || r.Header.Sample != h.Sample) {
-			return fmt.Errorf("%s: %d shards, %g of the queries, where %s has %d, %g: they don't go together", path, r.Header.Shards,
-				r.Header.Sample, c.In[0], h.Shards, h.Sample)
+			return fmt.Errorf(
+				"%s: %d shards, %g of the queries, where %s has %d, %g: they don't go together",
+				path,
+				r.Header.Shards,
+				r.Header.Sample,
+				c.In[0],
+				h.Shards,
+				h.Sample,
+			)
 		}
 		h = r.Header
 		pieces = append(pieces, capture.Piece{Begun: r.Header.Begun, Queries: all})
--- a/cmd/molelab/conform.go
+++ b/cmd/molelab/conform.go
@@ -1,6 +1,7 @@
 package main
 
-// conform.go owns the flags of `molelab conform`, and how the comparison is told. It must hold no part of it itself.
+// conform.go owns the flags of `molelab conform`, and how the comparison is told. It must hold no part of it
+// itself.
 
 import (
 	"context"
@@ -24,21 +25,48 @@
 func (c *conformCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	r, err := conform.Run(ctx, conform.Options{Program: c.Router, Cases: c.Cases, Lanes: max(c.Lanes, 1), Leaves: c.Leaves, Seed: c.Seed,
-		Tell: func(form string, done int) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s: %d of %d", form, done, c.Cases) }})
+	r, err := conform.Run(
+		ctx,
+		conform.Options{
+			Program: c.Router,
+			Cases:   c.Cases,
+			Lanes:   max(c.Lanes, 1),
+			Leaves:  c.Leaves,
+			Seed:    c.Seed,
+			Tell:    func(form string, done int) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s: %d of %d", form, done, c.Cases) },
+		},
+	)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintln(os.Stderr)
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "form\ttaken\twhole\tpartly\trefused\trefusals\tfailed\tbroken\tleaf calls\tfurther\tran twice\twrong\tmean us")
+	fmt.Fprintln(
+		t,
+		"form\ttaken\twhole\tpartly\trefused\trefusals\tfailed\tbroken\tleaf calls\tfurther\tran twice\twrong\tmean us",
+	)
 	for _, f := range []struct {
 		name string
 		s    *conform.Settled
 	}{{"native", &r.Native}, {"opensearch", &r.Search}} {
 		s := f.s
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", f.name, s.Taken, s.Whole, s.Partly, s.Refused, s.Refusals, s.Failed, s.Broken, s.Calls,
-			s.Further, s.Twice, s.Wrong, s.MeanUS)
+		fmt.Fprintf(
+			t,
+			"%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
+			f.name,
+			s.Taken,
+			s.Whole,
+			s.Partly,
+			s.Refused,
+			s.Refusals,
+			s.Failed,
+			s.Broken,
+			s.Calls,
+			s.Further,
+			s.Twice,
+			s.Wrong,
+			s.MeanUS,
+		)
 	}
 	t.Flush()
 	for i, d := range r.Differ {
--- a/cmd/molelab/duties.go
+++ b/cmd/molelab/duties.go
@@ -43,7 +43,9 @@
 	case c.Sockets && (c.Partitions > 0 || c.Pauses > 0 || c.Churn || c.Loss > 0 || c.Seeds > 1):
 		return errors.New("--sockets knows --kills alone")
 	case c.Interval < 3*c.Lease:
-		return errors.New("--interval must be three times --lease, or the loss of two leaders is felt for longer than two of them")
+		return errors.New(
+			"--interval must be three times --lease, or the loss of two leaders is felt for longer than two of them",
+		)
 	case c.Loss < 0 || c.Loss >= 1 || c.Skew < 0 || c.Lease < 100*time.Millisecond || c.For <= 0 || c.Seeds < 1:
 		return errors.New("--loss from 0 to 1, --lease from 100ms, --for and --seeds above 0")
 	}
@@ -51,8 +53,20 @@
 }
 
 func (c *dutiesCmd) options(seed uint64) duties.Options {
-	return duties.Options{Instances: c.Instances, Leaves: c.Leaves, Interval: c.Interval, For: c.For, Kills: c.Kills,
-		Partitions: c.Partitions, Pauses: c.Pauses, Churn: c.Churn, Loss: c.Loss, Skew: c.Skew, Lease: c.Lease, Seed: seed}
+	return duties.Options{
+		Instances:  c.Instances,
+		Leaves:     c.Leaves,
+		Interval:   c.Interval,
+		For:        c.For,
+		Kills:      c.Kills,
+		Partitions: c.Partitions,
+		Pauses:     c.Pauses,
+		Churn:      c.Churn,
+		Loss:       c.Loss,
+		Skew:       c.Skew,
+		Lease:      c.Lease,
+		Seed:       seed,
+	}
 }
 
 // Run plays the runs, several at a time, and tells of them in order.
--- a/cmd/molelab/fleet.go
+++ b/cmd/molelab/fleet.go
@@ -59,8 +59,12 @@
 		}
 		list = &l
 	}
-	f, notes, err := fleet.Import(routers, list, fleet.Guess{Cores: c.Cores, Speed: c.Speed, Queue: c.Queue, Connections: c.Connections,
-		PerQuery: c.PerQuery, PerCall: c.PerCall})
+	f, notes, err := fleet.Import(
+		routers,
+		list,
+		fleet.Guess{Cores: c.Cores, Speed: c.Speed, Queue: c.Queue, Connections: c.Connections,
+			PerQuery: c.PerQuery, PerCall: c.PerCall},
+	)
 	for _, n := range notes {
 		fmt.Fprintln(os.Stderr, n)
 	}
@@ -77,7 +81,9 @@
 	if err := errors.Join(f.Write(out, notes), out.Close()); err != nil {
 		return err
 	}
-	return sayJSON(map[string]any{"file": c.Out, "leaves": len(f.Leaves), "routers": len(f.Nodes), "notes": len(notes)})
+	return sayJSON(
+		map[string]any{"file": c.Out, "leaves": len(f.Leaves), "routers": len(f.Nodes), "notes": len(notes)},
+	)
 }
 
 type fleetCheck struct {
@@ -94,7 +100,15 @@
 	for _, l := range f.Leaves {
 		cores += f.Kinds[l.Kind].Cores
 	}
-	fmt.Printf("%d leaves with %d cores in %d zones, %d shards in %d cells, %d routers, %d verticals\n", len(f.Leaves), cores, len(f.Zones),
-		f.Shards, f.Cells, len(f.Nodes), len(f.Verticals))
+	fmt.Printf(
+		"%d leaves with %d cores in %d zones, %d shards in %d cells, %d routers, %d verticals\n",
+		len(f.Leaves),
+		cores,
+		len(f.Zones),
+		f.Shards,
+		f.Cells,
+		len(f.Nodes),
+		len(f.Verticals),
+	)
 	return sayJSON(map[string]any{"leaves": len(f.Leaves), "cores": cores, "routers": len(f.Nodes)})
 }
--- a/cmd/molelab/flood.go
+++ b/cmd/molelab/flood.go
@@ -1,6 +1,7 @@
 package main
 
-// flood.go owns the flags of `molelab flood`, and how its runs are told. It must hold no part of a flood itself.
+// flood.go owns the flags of `molelab flood`, and how its runs are told. It must hold no part of a flood
+// itself.
 
 import (
 	"context"
@@ -48,7 +49,11 @@
 		kinds := strings.Split(c.Kind, "+")
 		for _, k := range kinds {
 			if !slices.Contains(flood.Kinds(), k) {
-				return fmt.Errorf("--kind: %q is none of %s, all, pairs", k, strings.Join(flood.Kinds(), ", "))
+				return fmt.Errorf(
+					"--kind: %q is none of %s, all, pairs",
+					k,
+					strings.Join(flood.Kinds(), ", "),
+				)
 			}
 		}
 		runs = append(runs, kinds)
@@ -61,7 +66,17 @@
 	for i, kinds := range runs {
 		group.Go(func() (err error) {
 			fmt.Fprintf(os.Stderr, "\r\x1b[K%d of %d: %s", i+1, len(runs), strings.Join(kinds, "+"))
-			results[i], err = flood.Run(ctx, flood.Options{Program: c.Router, Kinds: kinds, Plain: c.Plain, Warm: c.Warm, Flood: c.Flood, Seed: c.Seed})
+			results[i], err = flood.Run(
+				ctx,
+				flood.Options{
+					Program: c.Router,
+					Kinds:   kinds,
+					Plain:   c.Plain,
+					Warm:    c.Warm,
+					Flood:   c.Flood,
+					Seed:    c.Seed,
+				},
+			)
 			return err
 		})
 	}
@@ -70,8 +85,17 @@
 	}
 	fmt.Fprintln(os.Stderr)
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "flood\tknown served\tof\t99% ms\trefused\tlost\ttwice\tattacks\tturned away\tno word\tmost conns\tpeak MB\tback in ms\t")
-	sum := flood.Result{Service: 1, Peak: map[string]int64{}, NoRoom: map[string]int{}, Seed: c.Seed, Kind: c.Kind}
+	fmt.Fprintln(
+		t,
+		"flood\tknown served\tof\t99% ms\trefused\tlost\ttwice\tattacks\tturned away\tno word\tmost conns\tpeak MB\tback in ms\t",
+	)
+	sum := flood.Result{
+		Service: 1,
+		Peak:    map[string]int64{},
+		NoRoom:  map[string]int{},
+		Seed:    c.Seed,
+		Kind:    c.Kind,
+	}
 	broken := 0
 	for _, r := range results {
 		says := "ok"
@@ -79,13 +103,42 @@
 			says = strings.Join(b, "; ")
 			broken++
 		}
-		fmt.Fprintf(t, "%s\t%.4f\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%s\n", r.Kind, r.Service, r.Queries, r.P99, r.Refused, r.Lost,
-			r.Doubled, r.Attacks, r.Turned, r.Unclear, r.MostConns, r.PeakMB, r.Recovered, says)
+		fmt.Fprintf(
+			t,
+			"%s\t%.4f\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%d\t%s\n",
+			r.Kind,
+			r.Service,
+			r.Queries,
+			r.P99,
+			r.Refused,
+			r.Lost,
+			r.Doubled,
+			r.Attacks,
+			r.Turned,
+			r.Unclear,
+			r.MostConns,
+			r.PeakMB,
+			r.Recovered,
+			says,
+		)
 		sum.Service = min(sum.Service, r.Service)
 		sum.Queries, sum.Lost, sum.Doubled, sum.Unclear = sum.Queries+r.Queries, sum.Lost+r.Lost, sum.Doubled+r.Doubled, sum.Unclear+r.Unclear
 		sum.Turned, sum.Attacks, sum.Refused = sum.Turned+r.Turned, sum.Attacks+r.Attacks, sum.Refused+r.Refused
-		sum.CapsBroken, sum.Recovered, sum.PeakMB = sum.CapsBroken+r.CapsBroken, max(sum.Recovered, r.Recovered), max(sum.PeakMB, r.PeakMB)
-		sum.P99, sum.MostConns, sum.Died = max(sum.P99, r.P99), max(sum.MostConns, r.MostConns), sum.Died || r.Died
+		sum.CapsBroken, sum.Recovered, sum.PeakMB = sum.CapsBroken+r.CapsBroken, max(
+			sum.Recovered,
+			r.Recovered,
+		), max(
+			sum.PeakMB,
+			r.PeakMB,
+		)
+		sum.P99, sum.MostConns, sum.Died = max(
+			sum.P99,
+			r.P99,
+		), max(
+			sum.MostConns,
+			r.MostConns,
+		), sum.Died ||
+			r.Died
 		for p, n := range r.NoRoom {
 			sum.NoRoom[p] += n
 		}
--- a/cmd/molelab/main.go
+++ b/cmd/molelab/main.go
@@ -1,5 +1,5 @@
-// Molelab is the laboratory of moleshift: it plays what a router meets, and measures. This file owns the commands and
-// their flags; what they do is in lab/. The daemon must never link any of it.
+// Molelab is the laboratory of moleshift: it plays what a router meets, and measures. This file owns the
+// commands and their flags; what they do is in lab/. The daemon must never link any of it.
 package main
 
 import (
@@ -21,9 +21,15 @@
 }
 
 func main() {
-	ctx := kong.Parse(&commands{}, kong.Name("molelab"),
-		kong.Description("The laboratory of moleshift. Every command takes a seed, prints a table, ends with one line of JSON, "+
-			"and exits with 1 when a bound was broken."), kong.UsageOnError())
+	ctx := kong.Parse(
+		&commands{},
+		kong.Name("molelab"),
+		kong.Description(
+			"The laboratory of moleshift. Every command takes a seed, prints a table, ends with one line of JSON, "+
+				"and exits with 1 when a bound was broken.",
+		),
+		kong.UsageOnError(),
+	)
 	err := ctx.Run()
 	if errors.Is(err, errOutOfReach) {
 		ctx.Errorf("%s", err)
--- a/cmd/molelab/plan.go
+++ b/cmd/molelab/plan.go
@@ -1,7 +1,7 @@
 package main
 
-// plan.go owns the flags of `molelab plan`, and how a study is told: a table, a line of JSON, a page. It must hold no part of
-// the search itself.
+// plan.go owns the flags of `molelab plan`, and how a study is told: a table, a line of JSON, a page. It must
+// hold no part of the search itself.
 
 import (
 	"encoding/json"
@@ -50,8 +50,17 @@
 	if err != nil {
 		return err
 	}
-	o := planner.Options{Fleet: f, Sample: 1, Goal: goal, Without: c.Without, Grow: strings.TrimPrefix(c.Grow, "kind="), Seeds: max(c.Seeds, 1),
-		Seed: c.Seed, Warm: c.Warm, Tell: func(what string) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s", what) }}
+	o := planner.Options{
+		Fleet:   f,
+		Sample:  1,
+		Goal:    goal,
+		Without: c.Without,
+		Grow:    strings.TrimPrefix(c.Grow, "kind="),
+		Seeds:   max(c.Seeds, 1),
+		Seed:    c.Seed,
+		Warm:    c.Warm,
+		Tell:    func(what string) { fmt.Fprintf(os.Stderr, "\r\x1b[K%s", what) },
+	}
 	if c.Capture != "" {
 		r, all, err := load(c.Capture)
 		if err != nil {
@@ -107,8 +116,12 @@
 }
 
 func writeJSON(path string, s *planner.Study) error {
-	text, err := json.MarshalIndent(map[string]any{"demand": s.Demand, "limits": s.Limits, "now": s.Now, "at_goal": s.AtGoal,
-		"max_multiple": s.Most, "points": s.Points, "losses": s.Losses, "assumes": s.Assumes}, "", "  ")
+	text, err := json.MarshalIndent(
+		map[string]any{"demand": s.Demand, "limits": s.Limits, "now": s.Now, "at_goal": s.AtGoal,
+			"max_multiple": s.Most, "points": s.Points, "losses": s.Losses, "assumes": s.Assumes},
+		"",
+		"  ",
+	)
 	if err != nil {
 		return err
 	}
@@ -122,26 +135,57 @@
 		if len(l.Shards) > 0 {
 			shards = fmt.Sprint(l.Shards)
 		}
-		rows = append(rows, []string{l.What, fmt.Sprintf("%.2f", l.Multiple), strings.Join(l.Names, " "), shards})
+		rows = append(
+			rows,
+			[]string{l.What, fmt.Sprintf("%.2f", l.Multiple), strings.Join(l.Names, " "), shards},
+		)
 	}
 	return rows
 }
 
-var verdictHead = []string{"", "load", "service", "in time", "mean ms", "99% ms", "tries", "busiest leaf", "open at once"}
+var verdictHead = []string{
+	"",
+	"load",
+	"service",
+	"in time",
+	"mean ms",
+	"99% ms",
+	"tries",
+	"busiest leaf",
+	"open at once",
+}
 
 func verdictRow(name string, times float64, v plan.Verdict) []string {
 	busiest := 0.0
 	for _, u := range v.Utilisation {
 		busiest = max(busiest, u)
 	}
-	return []string{name, fmt.Sprintf("%.2f", times), fmt.Sprintf("%.4f", v.Service), fmt.Sprintf("%.4f", v.Timely), fmt.Sprintf("%.1f", v.Mean),
-		fmt.Sprintf("%.1f", v.P99), fmt.Sprintf("%.2f", v.Tries), fmt.Sprintf("%.2f", busiest), fmt.Sprint(v.PeakOpen)}
+	return []string{
+		name,
+		fmt.Sprintf("%.2f", times),
+		fmt.Sprintf("%.4f", v.Service),
+		fmt.Sprintf("%.4f", v.Timely),
+		fmt.Sprintf("%.1f", v.Mean),
+		fmt.Sprintf(
+			"%.1f",
+			v.P99,
+		),
+		fmt.Sprintf("%.2f", v.Tries),
+		fmt.Sprintf("%.2f", busiest),
+		fmt.Sprint(v.PeakOpen),
+	}
 }
 
 func verdictRows(s *planner.Study, goal plan.Goal) [][]string {
-	rows := [][]string{verdictRow("as captured", 1, s.Now), verdictRow("at the goal's load", goal.Times, s.AtGoal)}
+	rows := [][]string{
+		verdictRow("as captured", 1, s.Now),
+		verdictRow("at the goal's load", goal.Times, s.AtGoal),
+	}
 	if s.Grown != nil {
-		rows = append(rows, verdictRow(fmt.Sprintf("with %d leaves more", s.Grown.Total), goal.Times, s.Grown.Point.Verdict))
+		rows = append(
+			rows,
+			verdictRow(fmt.Sprintf("with %d leaves more", s.Grown.Total), goal.Times, s.Grown.Point.Verdict),
+		)
 	}
 	return rows
 }
@@ -152,7 +196,10 @@
 		if l.Played {
 			service, timely = fmt.Sprintf("%.4f", l.Verdict.Service), fmt.Sprintf("%.4f", l.Verdict.Timely)
 		}
-		rows = append(rows, []string{l.Loss.Name, fmt.Sprintf("%.2f", l.Bound.Multiple), l.Bound.What, service, timely})
+		rows = append(
+			rows,
+			[]string{l.Loss.Name, fmt.Sprintf("%.2f", l.Bound.Multiple), l.Bound.What, service, timely},
+		)
 	}
 	return rows
 }
@@ -160,9 +207,18 @@
 var lossHead = []string{"without", "bound", "by", "service", "in time"}
 
 func words(s *planner.Study, goal plan.Goal, f *fleet.Fleet) []string {
-	says := []string{fmt.Sprintf("%.1f queries and %.1f leaf calls a second; shard %d has %.1f%% of the work, the dearest hundredth of the "+
-		"queries %.0f%%.", s.Demand.Queries, s.Demand.Parts, s.Demand.Hot, 100*s.Demand.HotPart, 100*s.Demand.Dear),
-		fmt.Sprintf("Service of %.4g is had up to %.2f times the load.", goal.Service, s.Most)}
+	says := []string{
+		fmt.Sprintf(
+			"%.1f queries and %.1f leaf calls a second; shard %d has %.1f%% of the work, the dearest hundredth of the "+
+				"queries %.0f%%.",
+			s.Demand.Queries,
+			s.Demand.Parts,
+			s.Demand.Hot,
+			100*s.Demand.HotPart,
+			100*s.Demand.Dear,
+		),
+		fmt.Sprintf("Service of %.4g is had up to %.2f times the load.", goal.Service, s.Most),
+	}
 	switch {
 	case s.Reached:
 		says = append(says, "The goal is had with the fleet as it is.")
@@ -172,8 +228,15 @@
 			cells = append(cells, fmt.Sprintf("%d to cell %d", n, cell))
 		}
 		sort.Strings(cells)
-		says = append(says, fmt.Sprintf("The goal takes %d leaves more: %s. Then the leaves bind at %.2f times the load.", s.Grown.Total,
-			strings.Join(cells, ", "), s.Grown.Limit.Multiple))
+		says = append(
+			says,
+			fmt.Sprintf(
+				"The goal takes %d leaves more: %s. Then the leaves bind at %.2f times the load.",
+				s.Grown.Total,
+				strings.Join(cells, ", "),
+				s.Grown.Limit.Multiple,
+			),
+		)
 	case s.Out != nil:
 		says = append(says, s.Out.Error())
 	}
@@ -204,8 +267,20 @@
 func writeReport(path string, s *planner.Study, goal plan.Goal, f *fleet.Fleet) error {
 	var x, service, timely, p99 []float64
 	for _, p := range s.Points {
-		x, service, timely, p99 = append(x, p.Times), append(service, p.Verdict.Service), append(timely, p.Verdict.Timely),
-			append(p99, p.Verdict.P99)
+		x, service, timely, p99 = append(
+			x,
+			p.Times,
+		), append(
+			service,
+			p.Verdict.Service,
+		), append(
+			timely,
+			p.Verdict.Timely,
+		),
+			append(
+				p99,
+				p.Verdict.P99,
+			)
 	}
 	marks := map[string]float64{"most with the goal's service": s.Most}
 	for _, l := range s.Limits {
@@ -218,7 +293,13 @@
 	if err != nil {
 		return err
 	}
-	slow, err := report.Lines("99% of the answers within", "times the captured load", "ms", []report.Line{{Name: "99%", X: x, Y: p99}}, marks)
+	slow, err := report.Lines(
+		"99% of the answers within",
+		"times the captured load",
+		"ms",
+		[]report.Line{{Name: "99%", X: x, Y: p99}},
+		marks,
+	)
 	if err != nil {
 		return err
 	}
@@ -226,18 +307,35 @@
 	for _, l := range f.Leaves {
 		names = append(names, l.Name)
 	}
-	busy, err := report.Bars("Utilisation by leaf, as captured", "share of its cores' time", names, s.Now.Utilisation)
+	busy, err := report.Bars(
+		"Utilisation by leaf, as captured",
+		"share of its cores' time",
+		names,
+		s.Now.Utilisation,
+	)
 	if err != nil {
 		return err
 	}
-	page := report.Page{Title: fmt.Sprintf("Capacity: service of %g at %g times the load", goal.Service, goal.Times), Sections: []report.Section{
-		{Title: "In short", Words: words(s, goal, f)},
-		{Title: "What breaks in which order", Head: []string{"limit", "at times the load", "which", "shards"}, Rows: limitRows(s.Limits)},
-		{Title: "What loads get", Head: verdictHead, Rows: verdictRows(s, goal), Plot: served + template.HTML("<br>") + slow},
-		{Title: "Leaves", Plot: busy},
-		{Title: "What losses do, at the load as captured", Head: lossHead, Rows: lossRows(s)},
-		{Title: "Assumed", Words: s.Assumes},
-	}}
+	page := report.Page{
+		Title: fmt.Sprintf("Capacity: service of %g at %g times the load", goal.Service, goal.Times),
+		Sections: []report.Section{
+			{Title: "In short", Words: words(s, goal, f)},
+			{
+				Title: "What breaks in which order",
+				Head:  []string{"limit", "at times the load", "which", "shards"},
+				Rows:  limitRows(s.Limits),
+			},
+			{
+				Title: "What loads get",
+				Head:  verdictHead,
+				Rows:  verdictRows(s, goal),
+				Plot:  served + template.HTML("<br>") + slow,
+			},
+			{Title: "Leaves", Plot: busy},
+			{Title: "What losses do, at the load as captured", Head: lossHead, Rows: lossRows(s)},
+			{Title: "Assumed", Words: s.Assumes},
+		},
+	}
 	out, err := os.Create(path)
 	if err != nil {
 		return err
--- a/cmd/molelab/validate.go
+++ b/cmd/molelab/validate.go
@@ -1,7 +1,7 @@
 package main
 
-// validate.go owns `molelab validate`: the same load played on sockets and in emulation, side by side. It must never leave out a
-// case that missed.
+// validate.go owns `molelab validate`: the same load played on sockets and in emulation, side by side. It
+// must never leave out a case that missed.
 
 import (
 	"context"
@@ -85,12 +85,36 @@
 				break
 			}
 		}
-		r, err := replay.Run(ctx, replay.Options{Fleet: f, Queries: queries, Program: c.Router, Config: c.Config, Warm: c.Warm, Loss: one.loss, Seed: c.Seed})
+		r, err := replay.Run(
+			ctx,
+			replay.Options{
+				Fleet:   f,
+				Queries: queries,
+				Program: c.Router,
+				Config:  c.Config,
+				Warm:    c.Warm,
+				Loss:    one.loss,
+				Seed:    c.Seed,
+			},
+		)
 		if err != nil {
 			return err
 		}
-		o := planner.Options{Fleet: f, Queries: queries, Sample: 1, Seeds: c.Seeds, Seed: c.Seed, Warm: c.Warm}
-		v := validated{one.name, r.Verdict, o.Judge()(f, 1, one.loss), r.Void, r.CPU / time.Duration(max(len(queries), 1))}
+		o := planner.Options{
+			Fleet:   f,
+			Queries: queries,
+			Sample:  1,
+			Seeds:   c.Seeds,
+			Seed:    c.Seed,
+			Warm:    c.Warm,
+		}
+		v := validated{
+			one.name,
+			r.Verdict,
+			o.Judge()(f, 1, one.loss),
+			r.Void,
+			r.CPU / time.Duration(max(len(queries), 1)),
+		}
 		if v.void != "" {
 			voids++
 		} else {
@@ -100,7 +124,10 @@
 	}
 	fmt.Fprintln(os.Stderr)
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "case\tvertical\tservice measured\tpredicted\tmean ms\t\t99% ms\t\tutilisation, mean\t\tmost\t\terror\trouter CPU a query\t")
+	fmt.Fprintln(
+		t,
+		"case\tvertical\tservice measured\tpredicted\tmean ms\t\t99% ms\t\tutilisation, mean\t\tmost\t\terror\trouter CPU a query\t",
+	)
 	for _, v := range all {
 		names := make([]string, 0, len(v.measured.ByVertical))
 		for name := range v.measured.ByVertical {
@@ -112,12 +139,32 @@
 			if i > 0 {
 				first = ""
 			}
-			fmt.Fprintf(t, "%s\t%s\t%.4f\t%.4f", first, name, v.measured.ByVertical[name], v.predicted.ByVertical[name])
+			fmt.Fprintf(
+				t,
+				"%s\t%s\t%.4f\t%.4f",
+				first,
+				name,
+				v.measured.ByVertical[name],
+				v.predicted.ByVertical[name],
+			)
 			if i == 0 {
 				mm, mx := spread(v.measured.Utilisation)
 				pm, px := spread(v.predicted.Utilisation)
-				fmt.Fprintf(t, "\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%v\t%s", v.measured.Mean, v.predicted.Mean, v.measured.P99,
-					v.predicted.P99, mm, pm, mx, px, v.error(), v.cpu.Round(time.Microsecond), v.void)
+				fmt.Fprintf(
+					t,
+					"\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%v\t%s",
+					v.measured.Mean,
+					v.predicted.Mean,
+					v.measured.P99,
+					v.predicted.P99,
+					mm,
+					pm,
+					mx,
+					px,
+					v.error(),
+					v.cpu.Round(time.Microsecond),
+					v.void,
+				)
 			}
 			fmt.Fprintln(t)
 		}
--- a/cmd/moleshift/duties.go
+++ b/cmd/moleshift/duties.go
@@ -1,6 +1,7 @@
 package main
 
-// duties.go owns how the duties of a running router are told to people. It must only ask, never change anything.
+// duties.go owns how the duties of a running router are told to people. It must only ask, never change
+// anything.
 
 import (
 	"encoding/json"
@@ -86,10 +87,28 @@
 		if one.LastSeat >= 0 {
 			ago = ms(one.LastAgoMS).String()
 		}
-		fmt.Fprintf(t, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%s\n", one.Name, ms(one.IntervalMS), seat(one.Holder), seat(one.Substitute),
-			seat(one.LastSeat), ago, one.LastWhy, one.Found)
+		fmt.Fprintf(
+			t,
+			"%s\t%v\t%s\t%s\t%s\t%s\t%s\t%s\n",
+			one.Name,
+			ms(one.IntervalMS),
+			seat(one.Holder),
+			seat(one.Substitute),
+			seat(one.LastSeat),
+			ago,
+			one.LastWhy,
+			one.Found,
+		)
 	}
 	t.Flush()
-	fmt.Fprintf(out, "\nperformed here: %d in turn, %d for an absent holder, %d for one unheard of; heard %d, odd %d, dropped %d\n",
-		d.Performed["in turn"], d.Performed["holder absent"], d.Performed["holder unheard"], d.Heard, d.Odd, d.Dropped)
+	fmt.Fprintf(
+		out,
+		"\nperformed here: %d in turn, %d for an absent holder, %d for one unheard of; heard %d, odd %d, dropped %d\n",
+		d.Performed["in turn"],
+		d.Performed["holder absent"],
+		d.Performed["holder unheard"],
+		d.Heard,
+		d.Odd,
+		d.Dropped,
+	)
 }
--- a/cmd/moleshift/limits.go
+++ b/cmd/moleshift/limits.go
@@ -1,6 +1,7 @@
 package main
 
-// limits.go owns how the books of a running router are told to people. It must only ask, never change anything.
+// limits.go owns how the books of a running router are told to people. It must only ask, never change
+// anything.
 
 import (
 	"encoding/json"
@@ -41,8 +42,17 @@
 
 func printLimits(out io.Writer, l *router.LimitsStatus) {
 	is := map[bool]string{true: "on", false: "off"}
-	fmt.Fprintf(out, "admission %s: %d of %d connections, %d kept for known clients, %d known; %d made way, %d turned away without a word\n",
-		is[l.Admission], l.Connections, l.Most, l.Reserve, l.Known, l.Displaced, l.Unclear)
+	fmt.Fprintf(
+		out,
+		"admission %s: %d of %d connections, %d kept for known clients, %d known; %d made way, %d turned away without a word\n",
+		is[l.Admission],
+		l.Connections,
+		l.Most,
+		l.Reserve,
+		l.Known,
+		l.Displaced,
+		l.Unclear,
+	)
 	var whys []string
 	for why := range l.Turned {
 		whys = append(whys, why)
@@ -54,13 +64,30 @@
 	for _, s := range l.Largest {
 		fmt.Fprintf(out, "  %s: %d connections\n", s.Holder, s.Count)
 	}
-	fmt.Fprintf(out, "memory %s: %s of %s held by the book, heap %s, %d open queries, %d returns too many\n", is[l.Memory], size(l.Held),
-		size(l.Whole), size(l.Heap), l.Open, l.Uneven)
+	fmt.Fprintf(
+		out,
+		"memory %s: %s of %s held by the book, heap %s, %d open queries, %d returns too many\n",
+		is[l.Memory],
+		size(l.Held),
+		size(l.Whole),
+		size(l.Heap),
+		l.Open,
+		l.Uneven,
+	)
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "for\theld\tpeak\tfloor\tcap\tdid not fit")
 	for _, p := range limits.Purposes() {
 		e := l.Purposes[p.String()]
-		fmt.Fprintf(t, "%v\t%s\t%s\t%s\t%s\t%d\n", p, size(e.Held), size(e.Peak), size(e.Floor), size(e.Cap), e.Refused)
+		fmt.Fprintf(
+			t,
+			"%v\t%s\t%s\t%s\t%s\t%d\n",
+			p,
+			size(e.Held),
+			size(e.Peak),
+			size(e.Floor),
+			size(e.Cap),
+			e.Refused,
+		)
 	}
 	t.Flush()
 }
--- a/cmd/moleshift/main.go
+++ b/cmd/moleshift/main.go
@@ -1,5 +1,6 @@
-// Moleshift is the root node of a sharded search service, on sockets. This file owns the process: its commands,
-// environment, signals, log and exit status. It must hold nothing else; package router is the program.
+// Moleshift is the root node of a sharded search service, on sockets. This file owns the process: its
+// commands, environment, signals, log and exit status. It must hold nothing else; package router is the
+// program.
 package main
 
 import (
@@ -48,8 +49,8 @@
 
 // Run serves. What goes wrong is told in the log, as the platform reads that.
 func (*serveCmd) Run(c *commands) error {
-	// One that is told to read its configuration anew must not end of it, however early that comes. A burst is
-	// one, as the file is read after the signal was taken.
+	// One that is told to read its configuration anew must not end of it, however early that comes. A burst
+	// is one, as the file is read after the signal was taken.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	end := make(chan os.Signal, 2)
@@ -72,7 +73,8 @@
 	File string `arg:"" optional:"" help:"The YAML file; else the one that --config names."`
 }
 
-// Run reads the file as serve would, and with EDGE_CONFIG set the two together. Faults go to standard error, a line each.
+// Run reads the file as serve would, and with EDGE_CONFIG set the two together. Faults go to standard error,
+// a line each.
 func (k *checkCmd) Run(c *commands) error {
 	if k.File != "" {
 		c.Config = k.File
--- a/config/config.go
+++ b/config/config.go
@@ -52,8 +52,8 @@
 
 // ClientSockets is how many descriptors clients may use, LeafSockets how many leaves may. What is left is for
 // the listener, discovery, files, and connections that are just being closed. For requests the front opens
-// connections up to a third of the descriptors; those that clients keep and do not use count there too, so fewer
-// are kept, or it would turn queries away before they come here.
+// connections up to a third of the descriptors; those that clients keep and do not use count there too, so
+// fewer are kept, or it would turn queries away before they come here.
 func (l Limits) ClientSockets() int { return l.Sockets / 4 }
 
 // LeafSockets see ClientSockets.
@@ -160,7 +160,12 @@
 			return fmt.Errorf("%s.vertical: %q is not in settings.classes", key, x.Vertical)
 		}
 		if most := slices.Max(x.List()); most >= c.Settings.Module.Shards {
-			return fmt.Errorf("%s.shards: %d is not below settings.family_info.slices, %d", key, most, c.Settings.Module.Shards)
+			return fmt.Errorf(
+				"%s.shards: %d is not below settings.family_info.slices, %d",
+				key,
+				most,
+				c.Settings.Module.Shards,
+			)
 		}
 	}
 	if !m.Enabled {
@@ -255,14 +260,29 @@
 		return changed
 	}
 	to.Settings.Module.Seed = c.Settings.Module.Seed
-	return &n, keys(check{"discovery", n.Discovery != c.Discovery}, check{"log_level", n.Log != c.Log},
-			check{"limits", n.Limits != c.Limits}, check{"duties", n.More.Duties != c.More.Duties},
-			check{"admission", !reflect.DeepEqual(n.More.Admission, c.More.Admission)}, check{"memory", n.More.Memory != c.More.Memory}),
-		keys(check{"name", to.Name != c.Name}, check{"listen", to.Listen != c.Listen},
+	return &n, keys(
+			check{"discovery", n.Discovery != c.Discovery},
+			check{"log_level", n.Log != c.Log},
+			check{"limits", n.Limits != c.Limits},
+			check{"duties", n.More.Duties != c.More.Duties},
+			check{
+				"admission",
+				!reflect.DeepEqual(n.More.Admission, c.More.Admission),
+			},
+			check{"memory", n.More.Memory != c.More.Memory},
+		),
+		keys(
+			check{"name", to.Name != c.Name},
+			check{"listen", to.Listen != c.Listen},
 			check{"settings", !reflect.DeepEqual(to.Settings, c.Settings)},
 			check{"members", !reflect.DeepEqual(to.More.Members, c.More.Members)},
-			check{"admin", to.More.Admin != c.More.Admin}, check{"capture", to.More.Capture != c.More.Capture},
-			check{"opensearch", !reflect.DeepEqual(to.More.OpenSearch, c.More.OpenSearch)})
+			check{
+				"admin",
+				to.More.Admin != c.More.Admin,
+			},
+			check{"capture", to.More.Capture != c.More.Capture},
+			check{"opensearch", !reflect.DeepEqual(to.More.OpenSearch, c.More.OpenSearch)},
+		)
 }
 
 // seed reads hex digits; any other text serves as well.
--- a/config/file.go
+++ b/config/file.go
@@ -1,8 +1,8 @@
 package config
 
-// file.go owns the YAML file of all that the platform's JSON does not know: what it may hold, its defaults, and what its
-// keys must be to one another. Without the file, or where it says nothing, all of it is off. It must never open
-// anything that it names.
+// file.go owns the YAML file of all that the platform's JSON does not know: what it may hold, its defaults,
+// and what its keys must be to one another. Without the file, or where it says nothing, all of it is off. It
+// must never open anything that it names.
 
 import (
 	"fmt"
@@ -108,7 +108,12 @@
 			doc.Fault(key+".vertical", "missing")
 		}
 		if x.List() == nil {
-			doc.Fault(key+".shards", "%q is no list such as 0-7,9 of %d at most, each once", x.Shards, mostShardsOf)
+			doc.Fault(
+				key+".shards",
+				"%q is no list such as 0-7,9 of %d at most, each once",
+				x.Shards,
+				mostShardsOf,
+			)
 		}
 	}
 }
@@ -200,19 +205,33 @@
 // DefaultFile is what holds where nothing is stated.
 func DefaultFile() *File {
 	return &File{
-		Members: Members{Cluster: "moleshift", Seat: -1, Skew: 100 * time.Millisecond, Lease: 600 * time.Millisecond},
+		Members: Members{
+			Cluster: "moleshift",
+			Seat:    -1,
+			Skew:    100 * time.Millisecond,
+			Lease:   600 * time.Millisecond,
+		},
 		Duties: Duties{Probes: Probes{Interval: 2 * time.Second},
 			Summary: Summary{Interval: time.Minute}},
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
-		Admission: Admission{Reserve: 0.25, PerAddress: 0.5, PerNetwork: 0.6, IPv4: 24, IPv6: 56, Rate: 50, Burst: 100, Remembered: 16384,
-			Refusals: 16},
+		Admission: Admission{
+			Reserve:    0.25,
+			PerAddress: 0.5,
+			PerNetwork: 0.6,
+			IPv4:       24,
+			IPv6:       56,
+			Rate:       50,
+			Burst:      100,
+			Remembered: 16384,
+			Refusals:   16,
+		},
 		OpenSearch: OpenSearch{Listen: "127.0.0.1:9200", Connections: 64, Tenant: "X-Customer"},
 		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
 	}
 }
 
-// LoadFile reads a YAML file. The error is of type yamlfile.Faults where the file could be read but says what makes no
-// sense.
+// LoadFile reads a YAML file. The error is of type yamlfile.Faults where the file could be read but says what
+// makes no sense.
 func LoadFile(path string) (*File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -298,7 +317,13 @@
 			doc.Fault(d.key+".enabled", "needs members.enabled")
 		}
 		if d.enabled && d.interval < skewsInTime*m.Skew {
-			doc.Fault(d.key+".interval", "%v is under %d times members.skew, %v", d.interval, skewsInTime, m.Skew)
+			doc.Fault(
+				d.key+".interval",
+				"%v is under %d times members.skew, %v",
+				d.interval,
+				skewsInTime,
+				m.Skew,
+			)
 		} else if d.enabled && d.interval < leasesInTime*m.Lease {
 			doc.Fault(d.key+".interval", "%v is under %d times members.lease, %v: a leader's death would be felt for longer", d.interval,
 				leasesInTime, m.Lease)
@@ -307,7 +332,10 @@
 }
 
 // checkLimits is what admission and memory must be.
-func (f *File) checkLimits(doc *yamlfile.Doc, within func(string, time.Duration, time.Duration, time.Duration)) {
+func (f *File) checkLimits(
+	doc *yamlfile.Doc,
+	within func(string, time.Duration, time.Duration, time.Duration),
+) {
 	a := &f.Admission
 	for _, n := range []struct {
 		key            string
@@ -342,7 +370,10 @@
 		doc.Fault("members.seat", "%d is not below members.seats, %d", m.Seat, m.Seats)
 	}
 	if m.KeyFile == "" && !m.Plaintext {
-		doc.Fault("members.key_file", "missing; with members.plaintext: true anybody who reaches the port can join")
+		doc.Fault(
+			"members.key_file",
+			"missing; with members.plaintext: true anybody who reaches the port can join",
+		)
 	}
 	if m.KeyFile != "" && m.Plaintext {
 		doc.Fault("members.plaintext", "contradicts members.key_file")
@@ -387,19 +418,53 @@
 		file = "to " + s.File
 	}
 	return []string{
-		"members: " + off(m.Enabled, "on %s, cluster %s, seat %s of %d, %s, %d seeds, clocks within %v, lease %v", m.Listen,
-			m.Cluster, seat, m.Seats, keys, len(m.Seeds), m.Skew, m.Lease),
+		"members: " + off(
+			m.Enabled,
+			"on %s, cluster %s, seat %s of %d, %s, %d seeds, clocks within %v, lease %v",
+			m.Listen,
+			m.Cluster,
+			seat,
+			m.Seats,
+			keys,
+			len(m.Seeds),
+			m.Skew,
+			m.Lease,
+		),
 		"duties.probes: " + off(p.Enabled, "each leaf every %v by one instance", p.Interval),
 		"duties.summary: " + off(s.Enabled, "every %v by one instance, %s", s.Interval, file),
-		"capture: " + off(c.Enabled, "%g of the queries into %s, %d files of %d MB, %d MB of memory", c.Sample, c.Dir, c.Files, c.FileMB,
-			c.MemoryMB),
-		"opensearch: " + off(f.OpenSearch.Enabled, "on %s, %d indices, %d connections", f.OpenSearch.Listen, len(f.OpenSearch.Indices),
-			f.OpenSearch.Connections),
+		"capture: " + off(
+			c.Enabled,
+			"%g of the queries into %s, %d files of %d MB, %d MB of memory",
+			c.Sample,
+			c.Dir,
+			c.Files,
+			c.FileMB,
+			c.MemoryMB,
+		),
+		"opensearch: " + off(
+			f.OpenSearch.Enabled,
+			"on %s, %d indices, %d connections",
+			f.OpenSearch.Listen,
+			len(f.OpenSearch.Indices),
+			f.OpenSearch.Connections,
+		),
 		"opensearch.leaves: " + off(f.OpenSearch.Leaves, "leaves are asked in that form, by HTTP/1.1"),
-		"admission: " + off(f.Admission.Enabled, "%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
-			"strangers of one network, %g new ones a second of an address", orAll(f.Admission.Connections), 100*f.Admission.Reserve,
-			100*f.Admission.PerAddress, 100*f.Admission.PerNetwork, f.Admission.Rate),
-		"memory: " + off(f.Memory.Enabled, "%.0f%% of the limit may be held, told of every %v", 100*f.Memory.Portion, f.Memory.LogEvery),
+		"admission: " + off(
+			f.Admission.Enabled,
+			"%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
+				"strangers of one network, %g new ones a second of an address",
+			orAll(f.Admission.Connections),
+			100*f.Admission.Reserve,
+			100*f.Admission.PerAddress,
+			100*f.Admission.PerNetwork,
+			f.Admission.Rate,
+		),
+		"memory: " + off(
+			f.Memory.Enabled,
+			"%.0f%% of the limit may be held, told of every %v",
+			100*f.Memory.Portion,
+			f.Memory.LogEvery,
+		),
 		"admin: " + off(f.Admin.Listen != "", "on %s", f.Admin.Listen),
 	}
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -1,7 +1,8 @@
 package config
 
 // settings.go owns the settings that an instance is told, on sockets and on the simulator's wire alike: one
-// decoder for both. It must never stand in for a decision: what the module reads is handed on as it was stated.
+// decoder for both. It must never stand in for a decision: what the module reads is handed on as it was
+// stated.
 
 import (
 	"encoding/json"
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -1,14 +1,16 @@
-// Package duty decides which of several instances performs which periodic duty when, such as the probe of a leaf. It
-// does no I/O, has no clock and starts no goroutine: the time and what was heard are handed in, what is to be done
-// goes out through Port. The same code runs in the daemon, in the laboratory under virtual time, and in tests.
+// Package duty decides which of several instances performs which periodic duty when, such as the probe of a
+// leaf. It does no I/O, has no clock and starts no goroutine: the time and what was heard are handed in, what
+// is to be done goes out through Port. The same code runs in the daemon, in the laboratory under virtual
+// time, and in tests.
 //
-// Two rights to perform exist for each interval of a duty, and never a third. The first belongs to the holder, a
-// seat that arithmetic alone names: nothing need be heard or agreed for that. The second belongs to one substitute
-// that the plan names, and only one plan can ever hold for a point in time (lease.go). So no leaf gets more than
-// double, however many sides a partition has and whatever was lost; docs/design/duties.md has the argument.
+// Two rights to perform exist for each interval of a duty, and never a third. The first belongs to the
+// holder, a seat that arithmetic alone names: nothing need be heard or agreed for that. The second belongs to
+// one substitute that the plan names, and only one plan can ever hold for a point in time (lease.go). So no
+// leaf gets more than double, however many sides a partition has and whatever was lost; docs/design/duties.md
+// has the argument.
 //
-// duty.go owns the duties, their intervals, and whose turn it is. It must never ask anybody before a first right is
-// used, and never use a right twice.
+// duty.go owns the duties, their intervals, and whose turn it is. It must never ask anybody before a first
+// right is used, and never use a right twice.
 package duty
 
 import (
@@ -58,7 +60,8 @@
 
 func (w Why) String() string { return [...]string{"in turn", "holder absent", "holder unheard"}[w] }
 
-// Port is what a node can do to the world. Effects come back by the methods of Node, never from within a call.
+// Port is what a node can do to the world. Effects come back by the methods of Node, never from within a
+// call.
 type Port interface {
 	// Send gives a message to a seat, and Broadcast to all others; both may fail without a word.
 	Send(seat int, m *Message)
@@ -143,8 +146,9 @@
 // Begin see Number.
 func (d *Duty) Begin(k int64) Time { return d.phase + Time(k)*d.interval }
 
-// Holder is the seat that has the first right in an interval. Each duty goes round all seats in an order of its own,
-// so that seats which fail together are neighbours in few of them, and no seat's view of a leaf stands for all.
+// Holder is the seat that has the first right in an interval. Each duty goes round all seats in an order of
+// its own, so that seats which fail together are neighbours in few of them, and no seat's view of a leaf
+// stands for all.
 func (d *Duty) Holder(k int64, size int) int {
 	turn := k % int64(size)
 	if turn < 0 {
@@ -169,8 +173,8 @@
 	return a
 }
 
-// group holds the duties of one interval length, ordered by phase. Two cursors go round it for ever: one comes to
-// each duty as its interval begins, the other when the holder should have been heard of.
+// group holds the duties of one interval length, ordered by phase. Two cursors go round it for ever: one
+// comes to each duty as its interval begins, the other when the holder should have been heard of.
 type group struct {
 	interval    Time
 	duties      []*Duty
@@ -290,11 +294,18 @@
 	left int // times that it is still to be sent
 }
 
-// New starts a node that remembers nothing. What the seat did before its start it may have done up to now: so it
-// performs nothing in intervals that began earlier, and grants nothing for as long as a grant holds.
+// New starts a node that remembers nothing. What the seat did before its start it may have done up to now: so
+// it performs nothing in intervals that began earlier, and grants nothing for as long as a grant holds.
 func New(set Settings, port Port, now Time) *Node {
-	n := &Node{set: set, port: port, now: now, boot: now, duties: map[string]*Duty{}, peers: make([]peer, set.Size),
-		flushAt: never}
+	n := &Node{
+		set:     set,
+		port:    port,
+		now:     now,
+		boot:    now,
+		duties:  map[string]*Duty{},
+		peers:   make([]peer, set.Size),
+		flushAt: never,
+	}
 	n.lease.start(n)
 	return n
 }
@@ -320,7 +331,12 @@
 		d.way(n.set.Size)
 		n.duties[name] = d
 	}
-	d.interval, d.phase, d.from, d.own = interval, Time(d.hash>>17%uint64(interval)), max(from, n.boot+n.set.Skew), false
+	d.interval, d.phase, d.from, d.own = interval, Time(
+		d.hash>>17%uint64(interval),
+	), max(
+		from,
+		n.boot+n.set.Skew,
+	), false
 	d.heard, d.notes = [2]Record{}, 0
 	n.group(interval).add(d, now)
 	return d
@@ -337,7 +353,11 @@
 
 // group is the one for an interval length.
 func (n *Node) group(interval Time) *group {
-	i, found := slices.BinarySearchFunc(n.groups, interval, func(g *group, t Time) int { return cmp.Compare(g.interval, t) })
+	i, found := slices.BinarySearchFunc(
+		n.groups,
+		interval,
+		func(g *group, t Time) int { return cmp.Compare(g.interval, t) },
+	)
 	if !found {
 		g := &group{interval: interval}
 		g.turn.delay = n.set.Skew
@@ -403,10 +423,11 @@
 	}
 }
 
-// turn is what there is to do as an interval of a duty begins. The holder needs nobody's word. Where the plan says that
-// the holder is not there, the substitute need not wait to hear of it; nor does it wait if nobody was heard of in the
-// interval before, as two intervals would be over by then. So one that starts in the interval before performs at once:
-// one more probe, within the bound of double, instead of a quarter of an interval too late.
+// turn is what there is to do as an interval of a duty begins. The holder needs nobody's word. Where the plan
+// says that the holder is not there, the substitute need not wait to hear of it; nor does it wait if nobody
+// was heard of in the interval before, as two intervals would be over by then. So one that starts in the
+// interval before performs at once: one more probe, within the bound of double, instead of a quarter of an
+// interval too late.
 func (n *Node) turn(d *Duty, k int64) {
 	if !n.may(d, k) {
 		return
@@ -429,12 +450,13 @@
 	}
 }
 
-// planned looks again at the intervals that began before the plan for them came, as after a leader's death: waiting for
-// the patience would make two intervals into two and a quarter.
+// planned looks again at the intervals that began before the plan for them came, as after a leader's death:
+// waiting for the patience would make two intervals into two and a quarter.
 func (n *Node) planned(s Segment) {
 	for _, g := range n.groups {
 		for _, d := range g.duties {
-			if k := d.Number(n.now); d.Begin(k) >= s.From && d.Begin(k)+n.set.Skew <= n.now && !n.known(d, k) {
+			if k := d.Number(n.now); d.Begin(k) >= s.From && d.Begin(k)+n.set.Skew <= n.now &&
+				!n.known(d, k) {
 				n.turn(d, k)
 			}
 		}
@@ -456,8 +478,8 @@
 	}
 }
 
-// may guards both rights: every performance passes here. An interval counts by the clocks of all, so its last part,
-// in which another's clock may be in the next one, is left out, as is the first.
+// may guards both rights: every performance passes here. An interval counts by the clocks of all, so its last
+// part, in which another's clock may be in the next one, is left out, as is the first.
 func (n *Node) may(d *Duty, k int64) bool {
 	begin := d.Begin(k)
 	return !n.barred && !n.left && begin >= d.from && !(d.own && d.mine >= k) &&
@@ -588,8 +610,9 @@
 	n.port.Note(Note{Event: Odd, Seat: seat, Why: why})
 }
 
-// doubled: another process says that it has this seat. The others listen to the younger one, as to one that has been
-// started again; so the older one performs and grants nothing while the other is heard of. Both tell.
+// doubled: another process says that it has this seat. The others listen to the younger one, as to one that
+// has been started again; so the older one performs and grants nothing while the other is heard of. Both
+// tell.
 func (n *Node) doubled(m *Message) {
 	if m.Boot == n.boot { // own words come back
 		return
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -104,8 +104,8 @@
 	return 0
 }
 
-// A leader that stood still finds grants in its queue that would make its lease longer, though another has led in
-// between. Were it to plan on from where it had ended, two plans would speak of the same intervals.
+// A leader that stood still finds grants in its queue that would make its lease longer, though another has
+// led in between. Were it to plan on from where it had ended, two plans would speak of the same intervals.
 func TestLeaderThatStoodStill(t *testing.T) {
 	st := play(t, 5, "a")
 	st.quiet = true
@@ -119,8 +119,8 @@
 	st.check("leader-stood-still")
 }
 
-// Two who seek at the same moment, with just a majority left: without lots and grants given back each keeps its own
-// grants, and both wait until those have run out, several times over where messages are lost.
+// Two who seek at the same moment, with just a majority left: without lots and grants given back each keeps
+// its own grants, and both wait until those have run out, several times over where messages are lost.
 func TestSeekersGiveWay(t *testing.T) {
 	st := play(t, 5, "a")
 	st.quiet = true
@@ -141,7 +141,8 @@
 	st.check("seekers-give-way")
 }
 
-// What is given back counts for the asking that it was given in, and before; a late word takes nothing of a later one.
+// What is given back counts for the asking that it was given in, and before; a late word takes nothing of a
+// later one.
 func TestYieldOfBefore(t *testing.T) {
 	st := play(t, 3, "a")
 	st.pass(1500)
@@ -154,7 +155,18 @@
 		round uint32
 		free  bool // the grant, afterwards
 	}{{Ask, 4, false}, {Yield, 3, false}, {Yield, 4, true}, {Ask, 5, false}, {Yield, 4, false}, {Yield, 6, true}} {
-		n.Hear(n.now, &Message{Kind: step.kind, Seat: 1, Size: 3, Boot: boot, Round: step.round, For: 200 * Millisecond, Since: 9})
+		n.Hear(
+			n.now,
+			&Message{
+				Kind:  step.kind,
+				Seat:  1,
+				Size:  3,
+				Boot:  boot,
+				Round: step.round,
+				For:   200 * Millisecond,
+				Since: 9,
+			},
+		)
 		if is := l.free(n, 2, zero+1); is != step.free {
 			t.Errorf("after message %d of asking %d: free %v", step.kind, step.round, is)
 		}
--- a/duty/helpers_test.go
+++ b/duty/helpers_test.go
@@ -42,7 +42,13 @@
 
 func play(t *testing.T, size int, duties ...string) *stage {
 	st := &stage{t: t, now: zero, names: duties, lost: func(int, int, *Message) bool { return false },
-		set: Settings{Size: size, Skew: 20 * Millisecond, Lease: 400 * Millisecond, Beat: 100 * Millisecond, Seed: 3}}
+		set: Settings{
+			Size:  size,
+			Skew:  20 * Millisecond,
+			Lease: 400 * Millisecond,
+			Beat:  100 * Millisecond,
+			Seed:  3,
+		}}
 	for i := range size {
 		st.nodes = append(st.nodes, &seat{st: st, seat: i})
 		st.start(i)
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -1,10 +1,10 @@
 package duty
 
-// lease.go owns who leads, and the plan. A leader holds a lease that more than half of all seats have granted it; it
-// alone may say which seats are there, and that only for intervals that begin before the lease ends. A seat grants one
-// lease at a time. So of two leaders the later begins after the earlier one's lease has ended, their plans never
-// speak of the same interval, and each interval has one substitute at most. This file must never grant a second lease
-// while one holds, and never plan beyond a lease.
+// lease.go owns who leads, and the plan. A leader holds a lease that more than half of all seats have granted
+// it; it alone may say which seats are there, and that only for intervals that begin before the lease ends. A
+// seat grants one lease at a time. So of two leaders the later begins after the earlier one's lease has
+// ended, their plans never speak of the same interval, and each interval has one substitute at most. This
+// file must never grant a second lease while one holds, and never plan beyond a lease.
 
 import (
 	"fmt"
@@ -105,8 +105,8 @@
 	}
 }
 
-// beat asks for the lease anew. Well before the next one it asks again those seats that were there lately and have not
-// answered: where a side has just a majority, each of its grants counts.
+// beat asks for the lease anew. Well before the next one it asks again those seats that were there lately and
+// have not answered: where a side has just a majority, each of its grants counts.
 func (l *lease) beat(n *Node) {
 	l.ask(n, n.set.Lease)
 	l.beatAt, l.halfAt = n.now+n.set.Beat, n.now+n.set.Beat/2
@@ -116,7 +116,8 @@
 	l.halfAt = never
 	m := l.question(n, n.set.Lease)
 	for seat := range n.peers {
-		if p := &n.peers[seat]; p.round < l.last && p.round+keptRounds >= l.last && seat != n.set.Seat && !p.left {
+		if p := &n.peers[seat]; p.round < l.last && p.round+keptRounds >= l.last && seat != n.set.Seat &&
+			!p.left {
 			n.port.Send(seat, m)
 		}
 	}
@@ -129,9 +130,10 @@
 	l.ask(n, 2*n.set.Beat)
 }
 
-// yield gives back what a seeker was granted, by itself and by others, or all would wait for those grants to run out
-// before anyone else could have a majority. Only a seeker may: it has planned nothing under them, whereas what a leader
-// has planned reaches to its lease's end. A grant of a later asking is not meant: messages may overtake one another.
+// yield gives back what a seeker was granted, by itself and by others, or all would wait for those grants to
+// run out before anyone else could have a majority. Only a seeker may: it has planned nothing under them,
+// whereas what a leader has planned reaches to its lease's end. A grant of a later asking is not meant:
+// messages may overtake one another.
 func (l *lease) yield(n *Node) {
 	if l.holder == n.set.Seat && l.holderBoot == n.boot {
 		l.holder, l.until = -1, n.now
@@ -149,8 +151,8 @@
 	}
 }
 
-// patience is when this seat would ask for the lease if nobody else does: in turn behind the last leader, so that
-// votes are seldom split.
+// patience is when this seat would ask for the lease if nobody else does: in turn behind the last leader, so
+// that votes are seldom split.
 func (l *lease) patience(n *Node) Time {
 	base := max(l.until, l.grantsAfter, n.now)
 	turn := successors
@@ -252,7 +254,10 @@
 func (l *lease) asked(n *Node, m *Message) {
 	if m.For > n.set.Lease {
 		n.Counts.Odd++
-		n.odd(m.Seat, fmt.Sprintf("asks for a lease of %d ms, %d here", m.For/Millisecond, n.set.Lease/Millisecond))
+		n.odd(
+			m.Seat,
+			fmt.Sprintf("asks for a lease of %d ms, %d here", m.For/Millisecond, n.set.Lease/Millisecond),
+		)
 		return
 	}
 	for _, s := range m.Plan {
@@ -277,8 +282,9 @@
 	}))
 }
 
-// givesWay: a seeker makes room for one that leads, and for another seeker with the higher lot. Lots are drawn anew for
-// each seeking, so one that is heard by all and hears nobody can't keep the others back for long.
+// givesWay: a seeker makes room for one that leads, and for another seeker with the higher lot. Lots are
+// drawn anew for each seeking, so one that is heard by all and hears nobody can't keep the others back for
+// long.
 func (l *lease) givesWay(n *Node, m *Message) bool {
 	return m.Since == 0 || m.Since > l.lot || m.Since == l.lot && m.Seat > n.set.Seat
 }
@@ -292,8 +298,8 @@
 	l.count(n, m.Seat, m.Round)
 }
 
-// count notes a grant. It holds for its length from when it was asked for: the seat gave it later than that, so by any
-// clock it ends here first.
+// count notes a grant. It holds for its length from when it was asked for: the seat gave it later than that,
+// so by any clock it ends here first.
 func (l *lease) count(n *Node, seat int, number uint32) {
 	i := slices.IndexFunc(l.rounds, func(r round) bool { return r.number == number })
 	if i < 0 || l.role == following {
@@ -316,8 +322,8 @@
 	}
 }
 
-// reckon works out until when a majority's grants hold. They may be of different rounds: each seat keeps its own, and
-// while more than half do no other can have as many.
+// reckon works out until when a majority's grants hold. They may be of different rounds: each seat keeps its
+// own, and while more than half do no other can have as many.
 func (l *lease) reckon(n *Node) {
 	ends := slices.Sorted(slices.Values(l.ends))
 	l.valid = max(l.valid, ends[len(ends)-l.quorum])
@@ -368,7 +374,11 @@
 	if s.seats == nil {
 		s.fill()
 	}
-	i, _ := slices.BinarySearchFunc(l.segments, s.From, func(o Segment, t Time) int { return int(o.From - t) })
+	i, _ := slices.BinarySearchFunc(
+		l.segments,
+		s.From,
+		func(o Segment, t Time) int { return int(o.From - t) },
+	)
 	l.segments = slices.Insert(l.segments, i, s)
 	if s.From < n.now {
 		n.planned(s)
@@ -409,9 +419,9 @@
 // Substitute is the seat that has the second right in an interval that begins within the segment, -1: nobody.
 func (s *Segment) Substitute(d *Duty, k int64, size int) int { return s.substitute(d, k, size) }
 
-// substitute is the seat that has the second right in an interval: any that is there, by the duty's and the interval's
-// hash, but not the holder; and not the next interval's holder, if there is another, as two that have failed
-// unnoticed would then be named twice running.
+// substitute is the seat that has the second right in an interval: any that is there, by the duty's and the
+// interval's hash, but not the holder; and not the next interval's holder, if there is another, as two that
+// have failed unnoticed would then be named twice running.
 func (s *Segment) substitute(d *Duty, k int64, size int) int {
 	holder, next := d.Holder(k, size), d.Holder(k+1, size)
 	x := d.hash + uint64(k)*0x9e3779b97f4a7c15
--- a/duty/message.go
+++ b/duty/message.go
@@ -1,7 +1,7 @@
 package duty
 
-// message.go owns what instances say to one another and its form in bytes (CBOR, RFC 8949). It must never take for a
-// message what has an impossible value: what Decode returns is safe to compute with.
+// message.go owns what instances say to one another and its form in bytes (CBOR, RFC 8949). It must never
+// take for a message what has an impossible value: what Decode returns is safe to compute with.
 
 import (
 	"fmt"
@@ -71,8 +71,13 @@
 )
 
 var decoding = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: mostSeats, MaxNestedLevels: 8, IndefLength: cbor.IndefLengthForbidden,
-		TagsMd: cbor.TagsForbidden, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements:  mostSeats,
+		MaxNestedLevels:   8,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
--- a/duty/status.go
+++ b/duty/status.go
@@ -15,14 +15,21 @@
 
 // Status tells how things stand.
 func (n *Node) Status() Status {
-	s := Status{Seat: n.set.Seat, Size: n.set.Size, Role: n.lease.role.String(), Leader: n.lease.leader, Barred: n.barred}
+	s := Status{
+		Seat:   n.set.Seat,
+		Size:   n.set.Size,
+		Role:   n.lease.role.String(),
+		Leader: n.lease.leader,
+		Barred: n.barred,
+	}
 	if plan := n.lease.plan(n.now); plan != nil {
 		s.Covered, s.PlanUntil, s.Active = true, plan.Until, plan.seats
 	}
 	return s
 }
 
-// Turn is who has the rights in an interval, as this node knows it: the seats, -1 where nobody has the second right.
+// Turn is who has the rights in an interval, as this node knows it: the seats, -1 where nobody has the second
+// right.
 func (n *Node) Turn(d *Duty, k int64) (holder, substitute int) {
 	holder, substitute = d.Holder(k, n.set.Size), -1
 	if s := n.lease.plan(d.Begin(k)); s != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,6 +1,7 @@
-// Package fleet describes a search service as a planner or a laboratory sees it: zones, links, kinds of leaves, leaves with
-// what they hold, routers with their limits, verticals and rules. It reads and checks descriptions, and turns them into
-// what package choice is told. It must never know how anything is carried out or emulated.
+// Package fleet describes a search service as a planner or a laboratory sees it: zones, links, kinds of
+// leaves, leaves with what they hold, routers with their limits, verticals and rules. It reads and checks
+// descriptions, and turns them into what package choice is told. It must never know how anything is carried
+// out or emulated.
 package fleet
 
 import (
@@ -145,9 +146,24 @@
 		Zones: []string{"all"},
 		Links: Links{Same: 200 * time.Microsecond, Cross: 600 * time.Microsecond, Jitter: 0.2},
 		Span:  1,
-		Rules: Rules{Tick: 5 * time.Millisecond, Batch: 16, MaxCalls: 3, SecondCopies: true, Cancel: true, Probes: true, HoldOff: true,
-			MaxHoldOff: time.Second, BudgetWindow: 2 * time.Second, BudgetSpare: 10, BudgetRatio: 0.05,
-			ColdTime: 10 * time.Second, ColdShare: 0.2, FallTime: 2 * time.Second, FallMultiple: 3, UtilityByWork: true},
+		Rules: Rules{
+			Tick:          5 * time.Millisecond,
+			Batch:         16,
+			MaxCalls:      3,
+			SecondCopies:  true,
+			Cancel:        true,
+			Probes:        true,
+			HoldOff:       true,
+			MaxHoldOff:    time.Second,
+			BudgetWindow:  2 * time.Second,
+			BudgetSpare:   10,
+			BudgetRatio:   0.05,
+			ColdTime:      10 * time.Second,
+			ColdShare:     0.2,
+			FallTime:      2 * time.Second,
+			FallMultiple:  3,
+			UtilityByWork: true,
+		},
 		Clients: Clients{Retries: 2, Share: 0.8, Backoff: 100 * time.Millisecond, Honour: 0.8},
 	}
 }
@@ -349,7 +365,15 @@
 func (f *Fleet) expand() {
 	for _, g := range f.Groups {
 		for i := range g.Count {
-			f.Leaves = append(f.Leaves, Leaf{fmt.Sprintf("%s-%d", g.Name, i), f.Kind(g.Kind), f.Zone(g.Zone), g.Cells[i%len(g.Cells)]})
+			f.Leaves = append(
+				f.Leaves,
+				Leaf{
+					fmt.Sprintf("%s-%d", g.Name, i),
+					f.Kind(g.Kind),
+					f.Zone(g.Zone),
+					g.Cells[i%len(g.Cells)],
+				},
+			)
 		}
 	}
 	for group, r := range f.Routers {
@@ -371,12 +395,37 @@
 // Settings is what the module of a router is told.
 func (f *Fleet) Settings(n *Node, seed uint64) *choice.Settings {
 	r := &f.Rules
-	s := &choice.Settings{Seed: seed, Roots: len(f.Nodes), Tick: max(Tenths(r.Tick), 1), Zone: n.Zone, CrossZone: r.CrossZone,
-		Shards: f.Shards, Cells: f.Cells, Span: f.Span, UtilityByWork: r.UtilityByWork, OverShareUtility: 0.1,
-		Batch: r.Batch, Overhead: r.Overhead, MaxCalls: r.MaxCalls, SecondCopies: r.SecondCopies, MayCancel: r.Cancel,
-		MayProbe: r.Probes, ProbeReports: r.ProbeReports, HoldOff: r.HoldOff, MaxHoldOff: Tenths(r.MaxHoldOff),
-		BudgetSet: r.BudgetWindow > 0, BudgetWindow: Tenths(r.BudgetWindow), BudgetSpare: r.BudgetSpare, BudgetRatio: r.BudgetRatio,
-		ColdTime: Tenths(r.ColdTime), ColdShare: r.ColdShare, FallTime: Tenths(r.FallTime), FallMultiple: r.FallMultiple}
+	s := &choice.Settings{
+		Seed:             seed,
+		Roots:            len(f.Nodes),
+		Tick:             max(Tenths(r.Tick), 1),
+		Zone:             n.Zone,
+		CrossZone:        r.CrossZone,
+		Shards:           f.Shards,
+		Cells:            f.Cells,
+		Span:             f.Span,
+		UtilityByWork:    r.UtilityByWork,
+		OverShareUtility: 0.1,
+		Batch:            r.Batch,
+		Overhead:         r.Overhead,
+		MaxCalls:         r.MaxCalls,
+		SecondCopies:     r.SecondCopies,
+		MayCancel:        r.Cancel,
+		MayProbe:         r.Probes,
+		ProbeReports:     r.ProbeReports,
+		HoldOff:          r.HoldOff,
+		MaxHoldOff:       Tenths(r.MaxHoldOff),
+		BudgetSet:        r.BudgetWindow > 0,
+		BudgetWindow:     Tenths(r.BudgetWindow),
+		BudgetSpare:      r.BudgetSpare,
+		BudgetRatio:      r.BudgetRatio,
+		ColdTime: Tenths(
+			r.ColdTime,
+		),
+		ColdShare:    r.ColdShare,
+		FallTime:     Tenths(r.FallTime),
+		FallMultiple: r.FallMultiple,
+	}
 	for _, v := range f.Verticals {
 		s.Verticals = append(s.Verticals, choice.Vertical{SLO: Tenths(v.SLO), Deadline: Tenths(v.Deadline),
 			Effect: effects[v.Effect], DedupWindow: Tenths(v.DedupWindow), Utility: v.Utility, LateUtility: v.LateUtility,
--- a/fleet/import_test.go
+++ b/fleet/import_test.go
@@ -26,7 +26,8 @@
 	return c
 }
 
-// A description made from what routers are told, with all that was guessed or left out; read again it says the same.
+// A description made from what routers are told, with all that was guessed or left out; read again it says
+// the same.
 func TestImport(t *testing.T) {
 	here := platform(t, func(s string) string { return s })
 	there := platform(t, func(s string) string { return strings.Replace(s, `"zone": 0`, `"zone": 1`, 1) })
@@ -47,7 +48,8 @@
 		t.Errorf("read again it differs in %s", what)
 	}
 	if s, o := f.Settings(&f.Nodes[0], 1), here.Settings.Module; s.Shards != o.Shards || s.Roots != o.Roots || s.Verticals[1] != o.Verticals[1] ||
-		s.BudgetRatio != o.BudgetRatio || s.Tick != o.Tick {
+		s.BudgetRatio != o.BudgetRatio ||
+		s.Tick != o.Tick {
 		t.Errorf("the module would be told %+v, not %+v", s, o)
 	}
 }
@@ -57,11 +59,13 @@
 		t.Error("no router")
 	}
 	c := platform(t, func(s string) string { return s })
-	if _, _, err := Import([]*config.Config{c}, &config.List{}, Guess{}); err == nil || !strings.Contains(err.Error(), "no leaf") {
+	if _, _, err := Import([]*config.Config{c}, &config.List{}, Guess{}); err == nil ||
+		!strings.Contains(err.Error(), "no leaf") {
 		t.Error(err)
 	}
 	one := config.List{Servers: []config.Server{{ID: "a", Zone: "east", Lifecycle: "in_service", Cell: 1}}}
-	if _, _, err := Import([]*config.Config{c}, &one, Guess{}); err == nil || !strings.Contains(err.Error(), "nobody holds cell 0") {
+	if _, _, err := Import([]*config.Config{c}, &one, Guess{}); err == nil ||
+		!strings.Contains(err.Error(), "nobody holds cell 0") {
 		t.Error(err)
 	}
 }
--- a/front/opensearch/helpers_test.go
+++ b/front/opensearch/helpers_test.go
@@ -28,7 +28,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked = append(r.asked, fmt.Sprintf("%s by %s within %v: %s", q.Vertical, q.Tenant, q.Wait, q.Text))
-	reply := &Reply{Outcome: r.outcome, Whole: r.whole, HoldOff: r.holdOff, Done: func() { r.mu.Lock(); r.done++; r.mu.Unlock() }}
+	reply := &Reply{
+		Outcome: r.outcome,
+		Whole:   r.whole,
+		HoldOff: r.holdOff,
+		Done:    func() { r.mu.Lock(); r.done++; r.mu.Unlock() },
+	}
 	for _, s := range q.Shards {
 		if v := r.shard(q.Text, s); v != "" {
 			reply.Rows = append(reply.Rows, Row{s, []byte(v)})
@@ -43,15 +48,25 @@
 	for i, x := range scores {
 		hits = append(hits, fmt.Sprintf(`{"_id":"%d-%d","_score":%g}`, shard, i, x))
 	}
-	return fmt.Sprintf(`{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":%d,"relation":"eq"},"hits":[%s]}}`,
-		len(scores), strings.Join(hits, ","))
+	return fmt.Sprintf(
+		`{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":%d,"relation":"eq"},"hits":[%s]}}`,
+		len(scores),
+		strings.Join(hits, ","),
+	)
 }
 
 func front(r *router) *Front {
-	return New(Settings{Name: "n0", Tenant: "X-Customer", Indices: []Index{{"docs", "search", []int{0, 1, 2}}, {"one", "record", []int{1}}},
-		Leaves: func() []Leaf {
-			return []Leaf{{"a", true, []int{0, 1}}, {"b", true, []int{1, 2}}, {"c", false, []int{0, 2}}}
-		}}, r)
+	return New(
+		Settings{
+			Name:    "n0",
+			Tenant:  "X-Customer",
+			Indices: []Index{{"docs", "search", []int{0, 1, 2}}, {"one", "record", []int{1}}},
+			Leaves: func() []Leaf {
+				return []Leaf{{"a", true, []int{0, 1}}, {"b", true, []int{1, 2}}, {"c", false, []int{0, 2}}}
+			},
+		},
+		r,
+	)
 }
 
 // call makes a request and tells what comes back.
--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -17,7 +17,10 @@
 
 // What is understood, what is passed on, and what is refused by its key.
 func TestRequests(t *testing.T) {
-	r := &router{whole: true, shard: func(string, int) string { return `{"hits":{"total":{"value":0},"hits":[]}}` }}
+	r := &router{
+		whole: true,
+		shard: func(string, int) string { return `{"hits":{"total":{"value":0},"hits":[]}}` },
+	}
 	f := front(r)
 	var out strings.Builder
 	for _, c := range []struct{ method, target, body string }{
@@ -57,8 +60,8 @@
 	golden.Check(t, "requests", out.String())
 }
 
-// Completeness is told as it is: failures inside a success, shards that never answered, shards that were not needed, forms that
-// can't say it, and clients that forbid it.
+// Completeness is told as it is: failures inside a success, shards that never answered, shards that were not
+// needed, forms that can't say it, and clients that forbid it.
 func TestCompleteness(t *testing.T) {
 	var out strings.Builder
 	say := func(what, answer string) { fmt.Fprintf(&out, "%s\n  %s\n", what, answer) }
@@ -78,17 +81,34 @@
 		}
 	}
 	say("all answer", call(front(&router{whole: true, shard: all}), "POST", "/docs/_search", ""))
-	say("a success with failures inside", call(front(&router{whole: true, shard: inside}), "POST", "/docs/_search", ""))
+	say(
+		"a success with failures inside",
+		call(front(&router{whole: true, shard: inside}), "POST", "/docs/_search", ""),
+	)
 	say("one never answers", call(front(&router{shard: but("")}), "POST", "/docs/_search", ""))
 	say("one is not needed", call(front(&router{whole: true, shard: but("")}), "POST", "/docs/_search", ""))
 	for _, odd := range []string{"<html>", `{"error":{"type":"x"}}`, `{"timed_out":true}`, shardOf(1, 1, 2), `{"hits":{"hits":[{"_score":"x","sort":[{}]}]}}`} {
 		say("one says "+odd, call(front(&router{whole: true, shard: but(odd)}), "POST", "/docs/_search", ""))
 	}
-	say("partial answers are forbidden", call(front(&router{shard: but("")}), "POST", "/docs/_search?allow_partial_search_results=false", ""))
+	say(
+		"partial answers are forbidden",
+		call(front(&router{shard: but("")}), "POST", "/docs/_search?allow_partial_search_results=false", ""),
+	)
 	say("a count of some", call(front(&router{shard: but("")}), "POST", "/docs/_count", ""))
 	say("a count of all", call(front(&router{whole: true, shard: all}), "POST", "/docs/_count", ""))
-	say("none can be read", call(front(&router{shard: func(string, int) string { return "?" }}), "POST", "/docs/_search", ""))
-	say("turned away", call(front(&router{outcome: Refused, holdOff: 250 * time.Millisecond, shard: but("")}), "POST", "/docs/_search", ""))
+	say(
+		"none can be read",
+		call(front(&router{shard: func(string, int) string { return "?" }}), "POST", "/docs/_search", ""),
+	)
+	say(
+		"turned away",
+		call(
+			front(&router{outcome: Refused, holdOff: 250 * time.Millisecond, shard: but("")}),
+			"POST",
+			"/docs/_search",
+			"",
+		),
+	)
 	say("given up", call(front(&router{outcome: Failed, shard: but("")}), "POST", "/docs/_search", ""))
 	golden.Check(t, "completeness", out.String())
 }
@@ -96,9 +116,17 @@
 // Aggregations across shards, in the words of the form.
 func TestAggregations(t *testing.T) {
 	part := func(_ string, s int) string {
-		return fmt.Sprintf(`{"hits":{"total":{"value":3},"hits":[]},"aggregations":{"a":{"value":%d,"count":2},"m":{"value":%d},"s":{"value":0.1},"n":{"value":3},
+		return fmt.Sprintf(
+			`{"hits":{"total":{"value":3},"hits":[]},"aggregations":{"a":{"value":%d,"count":2},"m":{"value":%d},"s":{"value":0.1},"n":{"value":3},
 			"d":{"value":%d},"t":{"sum_other_doc_count":%d,"doc_count_error_upper_bound":%d,"buckets":[{"key":"x","doc_count":4,"k":{"value":%d}},{"key":"s%d","doc_count":2,"k":{"value":1}}]}}}`,
-			s, s, s+1, s, s, s, s)
+			s,
+			s,
+			s+1,
+			s,
+			s,
+			s,
+			s,
+		)
 	}
 	r := &router{whole: true, shard: part}
 	body := `{"size":0,"aggs":{"a":{"avg":{"field":"p"}},"m":{"max":{"field":"p"}},"s":{"sum":{"field":"p"}},"n":{"value_count":{"field":"p"}},
@@ -135,7 +163,8 @@
 	golden.Check(t, "multi", out.String())
 }
 
-// FuzzSearch: whatever a body says, it is read or refused, and what is read can be passed on and asked of package merge.
+// FuzzSearch: whatever a body says, it is read or refused, and what is read can be passed on and asked of
+// package merge.
 func FuzzSearch(f *testing.F) {
 	for _, s := range []string{``, `{}`, `{"size":3,"sort":["a"],"search_after":[1]}`, `{"aggs":{"a":{"terms":{"field":"x"},"aggs":{"b":{"avg":{"field":"y"}}}}}}`,
 		`{"query":{"bool":{"must":[{"match":{"a":"b"}}]}}}`, `{"sort":[{"a":{"order":"desc","missing":"_first"}}],"timeout":"1s","_source":["a"]}`} {
@@ -156,12 +185,20 @@
 
 // FuzzPartial: whatever a leaf says, it is read or refused, and what is read can be merged and written.
 func FuzzPartial(f *testing.F) {
-	s, err := ParseSearch([]byte(`{"aggs":{"t":{"terms":{"field":"x"},"aggs":{"b":{"avg":{"field":"y"}}}},"c":{"cardinality":{"field":"x"}},"p":{"percentiles":{"field":"x"}}}}`))
+	s, err := ParseSearch(
+		[]byte(
+			`{"aggs":{"t":{"terms":{"field":"x"},"aggs":{"b":{"avg":{"field":"y"}}}},"c":{"cardinality":{"field":"x"}},"p":{"percentiles":{"field":"x"}}}}`,
+		),
+	)
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add([]byte(shardOf(0, 2, 1)))
-	f.Add([]byte(`{"hits":{"total":{"value":1},"hits":[{"_score":1}]},"aggregations":{"t":{"buckets":[{"key":"a","doc_count":1,"b":{"value":1,"count":1}}]},"c":{"value":1},"p":{"sketch":""}}}`))
+	f.Add(
+		[]byte(
+			`{"hits":{"total":{"value":1},"hits":[{"_score":1}]},"aggregations":{"t":{"buckets":[{"key":"a","doc_count":1,"b":{"value":1,"count":1}}]},"c":{"value":1},"p":{"sketch":""}}}`,
+		),
+	)
 	f.Add([]byte(`{"_shards":{"failed":1}}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		p, err := ParsePartial(s, 0, raw)
--- a/front/opensearch/partial.go
+++ b/front/opensearch/partial.go
@@ -1,7 +1,8 @@
 package opensearch
 
-// partial.go owns what a leaf answers for one shard: a search answer of the form, with its own word on whether all of it is there. A
-// success that has failures inside is a failure here. It must never let in what only looks like an answer.
+// partial.go owns what a leaf answers for one shard: a search answer of the form, with its own word on
+// whether all of it is there. A success that has failures inside is a failure here. It must never let in what
+// only looks like an answer.
 
 import (
 	"encoding/base64"
@@ -70,7 +71,10 @@
 		}
 		return nil, fmt.Errorf("a success with %d failed shards inside%.200s", w.Shards.Failed, why)
 	}
-	p := &merge.Partial{Shard: shard, Total: merge.Total{Value: w.Hits.Total.Value, AtLeast: w.Hits.Total.Relation == "gte"}}
+	p := &merge.Partial{
+		Shard: shard,
+		Total: merge.Total{Value: w.Hits.Total.Value, AtLeast: w.Hits.Total.Relation == "gte"},
+	}
 	for i, h := range w.Hits.Hits {
 		var one struct {
 			Sort  []json.RawMessage `json:"sort"`
--- a/front/opensearch/request.go
+++ b/front/opensearch/request.go
@@ -1,9 +1,10 @@
-// Package opensearch answers searches in the style of the OpenSearch API. It reads requests, has the router ask the parts, and puts what
-// they answer together. It must never choose a server, repeat or refuse a search of its own accord, never leave out without a word what
-// a request asks for, and never call an answer whole that is not.
+// Package opensearch answers searches in the style of the OpenSearch API. It reads requests, has the router
+// ask the parts, and puts what they answer together. It must never choose a server, repeat or refuse a search
+// of its own accord, never leave out without a word what a request asks for, and never call an answer whole
+// that is not.
 //
-// request.go owns the form of requests: what is understood is turned into what package merge is asked, what leaves must judge is
-// passed on as it came, and everything else is refused by its key.
+// request.go owns the form of requests: what is understood is turned into what package merge is asked, what
+// leaves must judge is passed on as it came, and everything else is refused by its key.
 package opensearch
 
 import (
@@ -227,7 +228,8 @@
 func ParseTime(s string) (time.Duration, error) {
 	for _, u := range units {
 		if n, ok := strings.CutSuffix(s, u.suffix); ok {
-			if x, err := strconv.ParseFloat(n, 64); err == nil && x >= 0 && x*float64(u.unit) <= float64(mostTime) {
+			if x, err := strconv.ParseFloat(n, 64); err == nil && x >= 0 &&
+				x*float64(u.unit) <= float64(mostTime) {
 				return time.Duration(x * float64(u.unit)), nil
 			}
 		}
@@ -243,7 +245,8 @@
 	return ParseTime(s)
 }
 
-// parseSort reads the sort keys: names, or objects of one name with an order and where hits without the field go.
+// parseSort reads the sort keys: names, or objects of one name with an order and where hits without the field
+// go.
 func (s *Search) parseSort(raw json.RawMessage) error {
 	var list []json.RawMessage
 	if json.Unmarshal(raw, &list) != nil {
@@ -357,7 +360,8 @@
 	var yes bool
 	var name string
 	var names []string
-	if json.Unmarshal(raw, &yes) == nil || json.Unmarshal(raw, &name) == nil || json.Unmarshal(raw, &names) == nil {
+	if json.Unmarshal(raw, &yes) == nil || json.Unmarshal(raw, &name) == nil ||
+		json.Unmarshal(raw, &names) == nil {
 		return raw, nil
 	}
 	all, err := fieldsOf(raw)
@@ -376,8 +380,19 @@
 }
 
 // queries are the kinds that leaves understand, with the keys in which further queries stand.
-var queries = map[string][]string{"match_all": nil, "match": nil, "term": nil, "terms": nil, "range": nil, "ids": nil, "query_string": nil,
-	"exists": nil, "prefix": nil, "match_phrase": nil, "bool": {"must", "should", "filter", "must_not"}}
+var queries = map[string][]string{
+	"match_all":    nil,
+	"match":        nil,
+	"term":         nil,
+	"terms":        nil,
+	"range":        nil,
+	"ids":          nil,
+	"query_string": nil,
+	"exists":       nil,
+	"prefix":       nil,
+	"match_phrase": nil,
+	"bool":         {"must", "should", "filter", "must_not"},
+}
 
 var boolWords = []string{"minimum_should_match", "boost"}
 
@@ -422,13 +437,28 @@
 	return raw, nil
 }
 
-var aggKinds = map[string]merge.AggKind{"min": merge.Min, "max": merge.Max, "sum": merge.SumOf, "avg": merge.Avg, "value_count": merge.Count,
-	"cardinality": merge.Cardinality, "percentiles": merge.Percentiles, "terms": merge.Terms, "histogram": merge.Histogram,
-	"date_histogram": merge.DateHistogram, "range": merge.Ranges}
+var aggKinds = map[string]merge.AggKind{
+	"min":            merge.Min,
+	"max":            merge.Max,
+	"sum":            merge.SumOf,
+	"avg":            merge.Avg,
+	"value_count":    merge.Count,
+	"cardinality":    merge.Cardinality,
+	"percentiles":    merge.Percentiles,
+	"terms":          merge.Terms,
+	"histogram":      merge.Histogram,
+	"date_histogram": merge.DateHistogram,
+	"range":          merge.Ranges,
+}
 
-// aggWords are the keys that each kind may have; leaves read them, the router those that matter for putting answers together.
+// aggWords are the keys that each kind may have; leaves read them, the router those that matter for putting
+// answers together.
 var aggWords = map[merge.AggKind][]string{merge.Terms: {"field", "size", "min_doc_count", "order", "missing"},
-	merge.Histogram: {"field", "interval", "min_doc_count"}, merge.DateHistogram: {"field", "fixed_interval", "calendar_interval", "min_doc_count"},
+	merge.Histogram: {
+		"field",
+		"interval",
+		"min_doc_count",
+	}, merge.DateHistogram: {"field", "fixed_interval", "calendar_interval", "min_doc_count"},
 	merge.Ranges: {"field", "ranges"}, merge.Percentiles: {"field", "percents"}, merge.Cardinality: {"field"}}
 
 var usualPercents = []float64{1, 5, 25, 50, 75, 95, 99}
@@ -537,7 +567,11 @@
 	case all[0].key == "_key" && way == "asc":
 		a.ByKey = true
 	default:
-		return illegal("[terms] [order] [%s] [%s] is not supported: only _count desc and _key asc combine across shards", all[0].key, way)
+		return illegal(
+			"[terms] [order] [%s] [%s] is not supported: only _count desc and _key asc combine across shards",
+			all[0].key,
+			way,
+		)
 	}
 	return nil
 }
--- a/front/opensearch/response.go
+++ b/front/opensearch/response.go
@@ -1,7 +1,7 @@
 package opensearch
 
-// response.go owns the form of answers. It must never say of an answer that it is whole when a shard is not in it, and never leave a
-// shard out of the count.
+// response.go owns the form of answers. It must never say of an answer that it is whole when a shard is not
+// in it, and never leave a shard out of the count.
 
 import (
 	"encoding/json"
@@ -51,8 +51,9 @@
 	Status   int                        `json:"status,omitempty"` // of an item of _msearch
 }
 
-// counts is the word on shards. A shard that was never needed, as an answer of some of them was asked for, is not in the answer
-// either: it is told as failed, with that reason, since the form's "skipped" means that it could have no hit.
+// counts is the word on shards. A shard that was never needed, as an answer of some of them was asked for, is
+// not in the answer either: it is told as failed, with that reason, since the form's "skipped" means that it
+// could have no hit.
 func counts(r *merge.Result) wireCount {
 	c := wireCount{Total: r.Asked, Successful: len(r.In), Failed: len(r.Failures)}
 	for _, f := range r.Failures {
@@ -67,8 +68,13 @@
 
 // answer puts the result of a search into its form.
 func answer(s *Search, r *merge.Result, took time.Duration, timedOut bool) (*wireAnswer, error) {
-	a := &wireAnswer{Took: took.Milliseconds(), TimedOut: timedOut, Shards: counts(r), Hits: wireHits{MaxScore: json.RawMessage("null"),
-		Hits: []json.RawMessage{}}}
+	a := &wireAnswer{
+		Took:     took.Milliseconds(),
+		TimedOut: timedOut,
+		Shards:   counts(r),
+		Hits: wireHits{MaxScore: json.RawMessage("null"),
+			Hits: []json.RawMessage{}},
+	}
 	if s.Totals {
 		a.Hits.Total = &wireTotal{r.Total.Value, "eq"}
 		if r.Total.AtLeast || !r.Whole() { // what is not in may have more
@@ -116,7 +122,11 @@
 	case merge.Count:
 		return map[string]any{"value": a.Count}
 	case merge.Cardinality:
-		return map[string]any{"value": a.Distincts.Value, "value_least": a.Distincts.Least, "value_most": a.Distincts.Most}
+		return map[string]any{
+			"value":       a.Distincts.Value,
+			"value_least": a.Distincts.Least,
+			"value_most":  a.Distincts.Most,
+		}
 	case merge.Percentiles:
 		values := map[string]json.RawMessage{}
 		for i, p := range spec.Percents {
--- a/front/opensearch/server.go
+++ b/front/opensearch/server.go
@@ -1,7 +1,7 @@
 package opensearch
 
-// server.go owns the listener, the paths, and one search from its request to its answer. It must never answer a search twice, and
-// never keep a final answer back.
+// server.go owns the listener, the paths, and one search from its request to its answer. It must never answer
+// a search twice, and never keep a final answer back.
 
 import (
 	"bytes"
@@ -98,7 +98,13 @@
 // New makes a front.
 func New(set Settings, ask Asker) *Front {
 	f := &Front{set: set, ask: ask}
-	f.http = &http.Server{Handler: f, ReadHeaderTimeout: readTime, ReadTimeout: 2 * readTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10}
+	f.http = &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: readTime,
+		ReadTimeout:       2 * readTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    16 << 10,
+	}
 	return f
 }
 
@@ -130,16 +136,36 @@
 	case (last == "_search" || last == "_count") && len(path) == 2 && (get || r.Method == http.MethodPost):
 		f.one(w, r, path[0], last == "_count")
 	case last == "_search" || last == "_count" || last == "_msearch":
-		f.fault(w, &Fault{http.StatusMethodNotAllowed, "method_not_allowed_exception", "GET or POST, with one index"}, nil, 0)
+		f.fault(
+			w,
+			&Fault{
+				http.StatusMethodNotAllowed,
+				"method_not_allowed_exception",
+				"GET or POST, with one index",
+			},
+			nil,
+			0,
+		)
 	default:
-		f.fault(w, &Fault{http.StatusBadRequest, "illegal_argument_exception", fmt.Sprintf("%s %s is not supported", r.Method, r.URL.Path)}, nil, 0)
+		f.fault(
+			w,
+			&Fault{
+				http.StatusBadRequest,
+				"illegal_argument_exception",
+				fmt.Sprintf("%s %s is not supported", r.Method, r.URL.Path),
+			},
+			nil,
+			0,
+		)
 	}
 }
 
 func (f *Front) write(w http.ResponseWriter, status int, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil { // what is written comes from answers that were checked
-		status, raw = http.StatusInternalServerError, []byte(`{"error":{"type":"exception","reason":"the answer can't be written"},"status":500}`)
+		status, raw = http.StatusInternalServerError, []byte(
+			`{"error":{"type":"exception","reason":"the answer can't be written"},"status":500}`,
+		)
 	}
 	w.Header().Set("Content-Type", "application/json; charset=UTF-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
@@ -169,10 +195,15 @@
 			return &f.set.Indices[i], nil
 		}
 	}
-	return nil, &Fault{http.StatusNotFound, "index_not_found_exception", fmt.Sprintf("no such index [%s]", name)}
+	return nil, &Fault{
+		http.StatusNotFound,
+		"index_not_found_exception",
+		fmt.Sprintf("no such index [%s]", name),
+	}
 }
 
-// params are what a request line may say. What it does not know is refused, as a search without it would be another one.
+// params are what a request line may say. What it does not know is refused, as a search without it would be
+// another one.
 func params(s *Search, r *http.Request, count bool) error {
 	for key, values := range r.URL.Query() {
 		value := values[len(values)-1]
@@ -196,9 +227,20 @@
 			err = s.parseTrack(json.RawMessage(value))
 		case "q":
 			s.Query, err = json.Marshal(map[string]any{"query_string": map[string]string{"query": value}})
-		case "preference", "routing", "pretty", "human", "rest_total_hits_as_int", "typed_keys", "ccs_minimize_roundtrips",
-			"max_concurrent_shard_requests", "search_type", "batched_reduce_size", "request_cache":
-			if key == "rest_total_hits_as_int" && value != "false" || key == "typed_keys" && value != "false" || key == "routing" {
+		case "preference",
+			"routing",
+			"pretty",
+			"human",
+			"rest_total_hits_as_int",
+			"typed_keys",
+			"ccs_minimize_roundtrips",
+			"max_concurrent_shard_requests",
+			"search_type",
+			"batched_reduce_size",
+			"request_cache":
+			if key == "rest_total_hits_as_int" && value != "false" ||
+				key == "typed_keys" && value != "false" ||
+				key == "routing" {
 				return illegal("request [%s] contains unsupported parameter [%s]", r.URL.Path, key)
 			}
 		default:
@@ -224,7 +266,11 @@
 func (f *Front) one(w http.ResponseWriter, r *http.Request, name string, count bool) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
 	if err == nil && len(body) > mostBody {
-		err = &Fault{http.StatusRequestEntityTooLarge, "content_too_long_exception", fmt.Sprintf("more than %d bytes", mostBody)}
+		err = &Fault{
+			http.StatusRequestEntityTooLarge,
+			"content_too_long_exception",
+			fmt.Sprintf("more than %d bytes", mostBody),
+		}
 	}
 	var index *Index
 	if err == nil {
@@ -257,22 +303,44 @@
 }
 
 // search asks the router and merges. Either an answer or a fault comes back.
-func (f *Front) search(ctx context.Context, index *Index, s *Search, tenant string) (*wireAnswer, *Fault, []wireFailure, time.Duration) {
+func (f *Front) search(
+	ctx context.Context,
+	index *Index,
+	s *Search,
+	tenant string,
+) (*wireAnswer, *Fault, []wireFailure, time.Duration) {
 	begun := time.Now()
 	text, err := s.Text(index.Name)
 	if err != nil {
 		return nil, faultOf(err), nil, 0
 	}
-	reply, err := f.ask.Ask(ctx, &Question{Vertical: index.Vertical, Tenant: tenant, Wait: s.Timeout, Shards: index.Shards, Text: text})
+	reply, err := f.ask.Ask(
+		ctx,
+		&Question{
+			Vertical: index.Vertical,
+			Tenant:   tenant,
+			Wait:     s.Timeout,
+			Shards:   index.Shards,
+			Text:     text,
+		},
+	)
 	if err != nil {
 		return nil, faultOf(err), nil, 0
 	}
 	defer reply.Done()
 	switch reply.Outcome {
 	case Refused:
-		return nil, &Fault{http.StatusTooManyRequests, "rejected_execution_exception", "the search was turned away; it is harmless to ask again"}, nil, reply.HoldOff
+		return nil, &Fault{
+			http.StatusTooManyRequests,
+			"rejected_execution_exception",
+			"the search was turned away; it is harmless to ask again",
+		}, nil, reply.HoldOff
 	case Failed: // it may have run, so not by a status at which client libraries ask again of themselves (502, 503, 504)
-		return nil, &Fault{http.StatusInternalServerError, "search_phase_execution_exception", "not enough shards answered"}, nil, 0
+		return nil, &Fault{
+			http.StatusInternalServerError,
+			"search_phase_execution_exception",
+			"not enough shards answered",
+		}, nil, 0
 	}
 	m := merge.New(s.Spec, index.Shards)
 	if reply.Whole {
@@ -296,7 +364,11 @@
 	}
 	if !r.Whole() && (!s.Partial || len(r.In) == 0) {
 		return nil, &Fault{http.StatusInternalServerError, "search_phase_execution_exception",
-			fmt.Sprintf("%d of %d shards are not in the answer", len(r.Failures), r.Asked)}, a.Shards.Failures, 0
+			fmt.Sprintf(
+				"%d of %d shards are not in the answer",
+				len(r.Failures),
+				r.Asked,
+			)}, a.Shards.Failures, 0
 	}
 	return a, nil, nil, 0
 }
@@ -305,7 +377,11 @@
 func (f *Front) multi(w http.ResponseWriter, r *http.Request, path []string) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, mostMulti+1))
 	if err == nil && len(body) > mostMulti {
-		err = &Fault{http.StatusRequestEntityTooLarge, "content_too_long_exception", fmt.Sprintf("more than %d bytes", mostMulti)}
+		err = &Fault{
+			http.StatusRequestEntityTooLarge,
+			"content_too_long_exception",
+			fmt.Sprintf("more than %d bytes", mostMulti),
+		}
 	}
 	var lines [][]byte
 	if err == nil {
@@ -330,7 +406,8 @@
 	f.write(w, http.StatusOK, map[string]any{"took": time.Since(begun).Milliseconds(), "responses": items})
 }
 
-// pairs are the lines of an _msearch: for each search a head and a body, the last one with or without its line's end.
+// pairs are the lines of an _msearch: for each search a head and a body, the last one with or without its
+// line's end.
 func pairs(body []byte) (lines [][]byte, err error) {
 	for line := range bytes.SplitSeq(bytes.TrimSuffix(body, []byte{'\n'}), []byte{'\n'}) {
 		lines = append(lines, bytes.TrimSuffix(line, []byte{'\r'}))
@@ -363,7 +440,8 @@
 			case "index":
 				var one string
 				var list []string
-				if json.Unmarshal(h.value, &one) != nil && (json.Unmarshal(h.value, &list) != nil || len(list) != 1) {
+				if json.Unmarshal(h.value, &one) != nil &&
+					(json.Unmarshal(h.value, &list) != nil || len(list) != 1) {
 					return illegal("[index] must be one name")
 				}
 				if name = one; len(list) == 1 {
@@ -386,7 +464,9 @@
 		return faultOf(err).body(nil)
 	}
 	if len(body) > mostBody {
-		return (&Fault{http.StatusRequestEntityTooLarge, "content_too_long_exception", fmt.Sprintf("more than %d bytes", mostBody)}).body(nil)
+		return (&Fault{http.StatusRequestEntityTooLarge, "content_too_long_exception", fmt.Sprintf("more than %d bytes", mostBody)}).body(
+			nil,
+		)
 	}
 	s, err := ParseSearch(body)
 	if err != nil {
@@ -403,12 +483,17 @@
 
 // info is what client libraries ask before their first search.
 func (f *Front) info(w http.ResponseWriter) {
-	f.write(w, http.StatusOK, map[string]any{"name": f.set.Name, "cluster_name": "moleshift", "version": map[string]any{
-		"distribution": "opensearch", "number": "2.11.0", "build_type": "moleshift", "minimum_wire_compatibility_version": "7.10.0",
-		"minimum_index_compatibility_version": "7.0.0"}, "tagline": "a query router that answers in the style of the OpenSearch API"})
+	f.write(
+		w,
+		http.StatusOK,
+		map[string]any{"name": f.set.Name, "cluster_name": "moleshift", "version": map[string]any{
+			"distribution": "opensearch", "number": "2.11.0", "build_type": "moleshift", "minimum_wire_compatibility_version": "7.10.0",
+			"minimum_index_compatibility_version": "7.0.0"}, "tagline": "a query router that answers in the style of the OpenSearch API"},
+	)
 }
 
-// health: green while every shard of every index is held by a leaf in service, yellow while by one only, red while by none.
+// health: green while every shard of every index is held by a leaf in service, yellow while by one only, red
+// while by none.
 func (f *Front) health(w http.ResponseWriter) {
 	holders := f.holders()
 	status, active, missing := "green", 0, 0
@@ -426,8 +511,18 @@
 			}
 		}
 	}
-	f.write(w, http.StatusOK, map[string]any{"cluster_name": "moleshift", "status": status, "timed_out": false, "number_of_nodes": len(f.set.Leaves()),
-		"active_shards": active, "unassigned_shards": missing})
+	f.write(
+		w,
+		http.StatusOK,
+		map[string]any{
+			"cluster_name":      "moleshift",
+			"status":            status,
+			"timed_out":         false,
+			"number_of_nodes":   len(f.set.Leaves()),
+			"active_shards":     active,
+			"unassigned_shards": missing,
+		},
+	)
 }
 
 func (f *Front) holders() map[int]int {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -1,7 +1,8 @@
-// Package cluster brings a described fleet up on this machine: real router processes among stand-in leaves and a stand-in list, on
-// loopback sockets. It ends its own processes only, by their ids.
+// Package cluster brings a described fleet up on this machine: real router processes among stand-in leaves
+// and a stand-in list, on loopback sockets. It ends its own processes only, by their ids.
 //
-// cluster.go owns the processes and the stand-ins. It must never leave one behind, and never listen beyond loopback.
+// cluster.go owns the processes and the stand-ins. It must never leave one behind, and never listen beyond
+// loopback.
 package cluster
 
 import (
@@ -114,8 +115,11 @@
 		} else {
 			go leaf.Serve(at)
 		}
-		list.Servers = append(list.Servers, config.Server{ID: l.Name, Address: at.Addr().String(), Zone: f.Zones[l.Zone], Cell: l.Cell,
-			Lifecycle: "in_service"})
+		list.Servers = append(
+			list.Servers,
+			config.Server{ID: l.Name, Address: at.Addr().String(), Zone: f.Zones[l.Zone], Cell: l.Cell,
+				Lifecycle: "in_service"},
+		)
 	}
 	at, err := listen()
 	if err != nil {
@@ -153,9 +157,22 @@
 	if c.o.Limits {
 		memory, files = g.MemoryMB, g.Sockets
 	}
-	text, err := json.Marshal(map[string]any{"name": n.Name, "listen": address, "discovery": discovery, "seed": fmt.Sprintf("%x", i+1),
-		"log_level": "warn", "limits": map[string]any{"cores": c.f.Routers[n.Group].Cores, "memory_mb": memory, "sockets": files},
-		"known": known, "settings": settings(c.f, n)})
+	text, err := json.Marshal(
+		map[string]any{
+			"name":      n.Name,
+			"listen":    address,
+			"discovery": discovery,
+			"seed":      fmt.Sprintf("%x", i+1),
+			"log_level": "warn",
+			"limits": map[string]any{
+				"cores":     c.f.Routers[n.Group].Cores,
+				"memory_mb": memory,
+				"sockets":   files,
+			},
+			"known":    known,
+			"settings": settings(c.f, n),
+		},
+	)
 	if err != nil {
 		return err
 	}
@@ -198,7 +215,11 @@
 func settings(f *fleet.Fleet, n *fleet.Node) map[string]any {
 	ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
 	r := &f.Rules
-	effects := map[string]string{"repeatable": "repeatable", "deduplicated": "by_key", "side_effecting": "once"}
+	effects := map[string]string{
+		"repeatable":     "repeatable",
+		"deduplicated":   "by_key",
+		"side_effecting": "once",
+	}
 	var classes, tenants []map[string]any
 	var need, floor, earns []float64
 	or1 := func(x float64) float64 {
@@ -208,9 +229,28 @@
 		return x
 	}
 	for _, v := range f.Verticals {
-		classes = append(classes, map[string]any{"name": v.Name, "aim": ms(v.SLO), "deadline": ms(v.Deadline), "effect": effects[v.Effect],
-			"late_worth": v.LateUtility, "memory_span": ms(v.DedupWindow), "worth": v.Utility})
-		need, floor, earns = append(need, or1(v.Need)), append(floor, or1(v.Floor)), append(earns, v.PartialEarns)
+		classes = append(
+			classes,
+			map[string]any{
+				"name":        v.Name,
+				"aim":         ms(v.SLO),
+				"deadline":    ms(v.Deadline),
+				"effect":      effects[v.Effect],
+				"late_worth":  v.LateUtility,
+				"memory_span": ms(v.DedupWindow),
+				"worth":       v.Utility,
+			},
+		)
+		need, floor, earns = append(
+			need,
+			or1(v.Need),
+		), append(
+			floor,
+			or1(v.Floor),
+		), append(
+			earns,
+			v.PartialEarns,
+		)
 	}
 	for _, t := range f.Tenants {
 		tenants = append(tenants, map[string]any{"name": t.Name, "allowance_per_s": t.PerSecond})
@@ -223,18 +263,55 @@
 	if r.ProbeReports {
 		via = "on_probe"
 	}
-	rules := map[string]any{"cold": ms(r.ColdTime), "cold_share": r.ColdShare, "fall": ms(r.FallTime), "fall_multiple": r.FallMultiple}
+	rules := map[string]any{
+		"cold":          ms(r.ColdTime),
+		"cold_share":    r.ColdShare,
+		"fall":          ms(r.FallTime),
+		"fall_multiple": r.FallMultiple,
+	}
 	if r.BudgetWindow > 0 {
-		rules["budget_window"], rules["spare_attempts"], rules["resend_ratio"] = ms(r.BudgetWindow), r.BudgetSpare, r.BudgetRatio
+		rules["budget_window"], rules["spare_attempts"], rules["resend_ratio"] = ms(
+			r.BudgetWindow,
+		), r.BudgetSpare, r.BudgetRatio
+	}
+	return map[string]any{
+		"balancers":        len(f.Nodes),
+		"tick":             ms(r.Tick),
+		"zone":             n.Zone,
+		"zones":            f.Zones,
+		"membership_mode":  "pushed",
+		"report":           map[string]any{"via": via},
+		"over_share_worth": 0.1,
+		"worth_by":         by,
+		"caps": map[string]any{
+			"cancel":          r.Cancel,
+			"conn_idle":       30000,
+			"connect_timeout": 250,
+			"max_attempts":    r.MaxCalls,
+			"max_retry_after": ms(
+				r.MaxHoldOff,
+			),
+			"max_streams":   100,
+			"may_probe":     r.Probes,
+			"open_cap":      f.Routers[n.Group].OpenCap,
+			"retry_after":   r.HoldOff,
+			"second_copies": r.SecondCopies,
+		},
+		"classes": classes,
+		"tenants": tenants,
+		"rules":   rules,
+		"tariffs": map[string]any{"cross_zone": r.CrossZone},
+		"family_info": map[string]any{
+			"sets":          f.Cells,
+			"slices":        f.Shards,
+			"span":          f.Span,
+			"batch":         r.Batch,
+			"overhead":      r.Overhead,
+			"need_by_class": need,
+			"min_share":     floor,
+			"partial_earns": earns,
+		},
 	}
-	return map[string]any{"balancers": len(f.Nodes), "tick": ms(r.Tick), "zone": n.Zone, "zones": f.Zones, "membership_mode": "pushed",
-		"report": map[string]any{"via": via}, "over_share_worth": 0.1, "worth_by": by,
-		"caps": map[string]any{"cancel": r.Cancel, "conn_idle": 30000, "connect_timeout": 250, "max_attempts": r.MaxCalls,
-			"max_retry_after": ms(r.MaxHoldOff), "max_streams": 100, "may_probe": r.Probes, "open_cap": f.Routers[n.Group].OpenCap,
-			"retry_after": r.HoldOff, "second_copies": r.SecondCopies},
-		"classes": classes, "tenants": tenants, "rules": rules, "tariffs": map[string]any{"cross_zone": r.CrossZone},
-		"family_info": map[string]any{"sets": f.Cells, "slices": f.Shards, "span": f.Span, "batch": r.Batch, "overhead": r.Overhead,
-			"need_by_class": need, "min_share": floor, "partial_earns": earns}}
 }
 
 // Stop ends what was started: the routers by SIGTERM, and those that do not end in time by SIGKILL.
--- a/lab/conform/conform.go
+++ b/lab/conform/conform.go
@@ -1,8 +1,9 @@
-// Package conform plays one script of searches through both fronts of a router, each form against a process and stand-in leaves of its
-// own with the same contents and the same troubles, and compares how they were settled. Every merged answer is held against a
-// reference that looks at all documents at once.
+// Package conform plays one script of searches through both fronts of a router, each form against a process
+// and stand-in leaves of its own with the same contents and the same troubles, and compares how they were
+// settled. Every merged answer is held against a reference that looks at all documents at once.
 //
-// conform.go owns the script, the runs and the comparison. It must never let a trouble hang on time or on which leaf was chosen.
+// conform.go owns the script, the runs and the comparison. It must never let a trouble hang on time or on
+// which leaf was chosen.
 package conform
 
 import (
@@ -105,16 +106,39 @@
 // script draws searches. Each carries its number, in a clause that no document meets.
 func script(o Options) (all []Case) {
 	rng := rand.New(rand.NewPCG(o.Seed, 0xc0f))
-	queries := []string{`{"match_all":{}}`, `{"match":{"title":"moles river"}}`, `{"term":{"tag":"a"}}`, `{"terms":{"tag":["a","c"]}}`,
-		`{"range":{"year":{"gte":2000,"lt":2010}}}`, `{"exists":{"field":"pages"}}`, `{"prefix":{"title":"th"}}`}
-	sorts := []string{``, `,"sort":["year"]`, `,"sort":[{"pages":{"order":"desc","missing":"_first"}},"tag"]`, `,"sort":[{"score":"desc"}]`,
-		`,"sort":["tag","_score"]`}
-	aggs := []string{``, ``, `,"aggs":{"t":{"terms":{"field":"tag","size":3},"aggs":{"m":{"avg":{"field":"pages"}}}},"s":{"sum":{"field":"score"}}}`,
-		`,"aggs":{"h":{"histogram":{"field":"year","interval":5}},"c":{"cardinality":{"field":"title"}},"x":{"max":{"field":"year"}}}`}
+	queries := []string{
+		`{"match_all":{}}`,
+		`{"match":{"title":"moles river"}}`,
+		`{"term":{"tag":"a"}}`,
+		`{"terms":{"tag":["a","c"]}}`,
+		`{"range":{"year":{"gte":2000,"lt":2010}}}`,
+		`{"exists":{"field":"pages"}}`,
+		`{"prefix":{"title":"th"}}`,
+	}
+	sorts := []string{
+		``,
+		`,"sort":["year"]`,
+		`,"sort":[{"pages":{"order":"desc","missing":"_first"}},"tag"]`,
+		`,"sort":[{"score":"desc"}]`,
+		`,"sort":["tag","_score"]`,
+	}
+	aggs := []string{
+		``,
+		``,
+		`,"aggs":{"t":{"terms":{"field":"tag","size":3},"aggs":{"m":{"avg":{"field":"pages"}}}},"s":{"sum":{"field":"score"}}}`,
+		`,"aggs":{"h":{"histogram":{"field":"year","interval":5}},"c":{"cardinality":{"field":"title"}},"x":{"max":{"field":"year"}}}`,
+	}
 	for i := range o.Cases {
 		q := queries[rng.IntN(len(queries))]
-		body := fmt.Sprintf(`{"query":{"bool":{"must":[%s],"must_not":[{"term":{"_case":%d}}]}},"from":%d,"size":%d,"track_total_hits":true%s%s}`,
-			q, i, rng.IntN(20), rng.IntN(15), sorts[rng.IntN(len(sorts))], aggs[rng.IntN(len(aggs))])
+		body := fmt.Sprintf(
+			`{"query":{"bool":{"must":[%s],"must_not":[{"term":{"_case":%d}}]}},"from":%d,"size":%d,"track_total_hits":true%s%s}`,
+			q,
+			i,
+			rng.IntN(20),
+			rng.IntN(15),
+			sorts[rng.IntN(len(sorts))],
+			aggs[rng.IntN(len(aggs))],
+		)
 		all = append(all, Case{i, verticals[min(rng.IntN(10)/4, 2)], body})
 	}
 	return all
@@ -181,7 +205,10 @@
 	}
 	for i := range cases {
 		if a, b := r.Native.how[i], r.Search.how[i]; a != b {
-			r.Differ = append(r.Differ, fmt.Sprintf("case %d (%s): %s natively, %s by searches", i, cases[i].Vertical, a, b))
+			r.Differ = append(
+				r.Differ,
+				fmt.Sprintf("case %d (%s): %s natively, %s by searches", i, cases[i].Vertical, a, b),
+			)
 		}
 	}
 	return r, nil
@@ -203,23 +230,44 @@
 		return err
 	}
 	more := filepath.Join(dir, "moleshift.yaml")
-	text := fmt.Sprintf("opensearch:\n  enabled: true\n  listen: %s\n  leaves: %v\n  indices:\n", at, o.Leaves)
+	text := fmt.Sprintf(
+		"opensearch:\n  enabled: true\n  listen: %s\n  leaves: %v\n  indices:\n",
+		at,
+		o.Leaves,
+	)
 	for _, v := range verticals {
 		text += fmt.Sprintf("    - {name: docs-%s, vertical: %s, shards: 0-%d}\n", v, v, shards-1)
 	}
 	if err := os.WriteFile(more, []byte(text), 0o600); err != nil {
 		return err
 	}
-	l := &leaves{seed: o.Seed, corpus: standin.NewCorpus(o.Seed, shards, docs), calls: map[string]int{}, cases: map[string]int{}}
-	c, err := cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Config: more, Limits: true, Searches: o.Leaves, Leaf: func(_ int, leaf *standin.Leaf) {
-		leaf.OnRun, leaf.Answer, leaf.Work = l.ran, l.answer, 500*time.Microsecond
-	}})
+	l := &leaves{
+		seed:   o.Seed,
+		corpus: standin.NewCorpus(o.Seed, shards, docs),
+		calls:  map[string]int{},
+		cases:  map[string]int{},
+	}
+	c, err := cluster.Start(
+		cluster.Options{
+			Fleet:    f,
+			Program:  o.Program,
+			Config:   more,
+			Limits:   true,
+			Searches: o.Leaves,
+			Leaf: func(_ int, leaf *standin.Leaf) {
+				leaf.OnRun, leaf.Answer, leaf.Work = l.ran, l.answer, 500*time.Microsecond
+			},
+		},
+	)
 	if err != nil {
 		return err
 	}
 	defer c.Stop()
 	to.how = make([]string, len(cases))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Lanes}, Timeout: 10 * time.Second}
+	client := &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: o.Lanes},
+		Timeout:   10 * time.Second,
+	}
 	defer client.CloseIdleConnections()
 	var next, took atomic.Int64
 	var mu sync.Mutex
@@ -276,7 +324,8 @@
 			fmt.Fprintf(h, "%d/%s", o.Seed, key)
 			draw := h.Sum64() % 1000
 			turned := 0
-			if draw >= lost+failing && draw < lost+failing+full { // its first call was turned away, so it has not run
+			if draw >= lost+failing &&
+				draw < lost+failing+full { // its first call was turned away, so it has not run
 				turned = 1
 			}
 			to.Twice += max(n-turned-1, 0)
@@ -302,7 +351,14 @@
 }
 
 // ask sends one case and says how it was settled, and what is wrong with its answer.
-func ask(ctx context.Context, client *http.Client, form, native, search string, c *Case, corpus *standin.Corpus, try int) (how, wrong string, holdOff time.Duration) {
+func ask(
+	ctx context.Context,
+	client *http.Client,
+	form, native, search string,
+	c *Case,
+	corpus *standin.Corpus,
+	try int,
+) (how, wrong string, holdOff time.Duration) {
 	s, err := opensearch.ParseSearch([]byte(c.Body))
 	if err != nil {
 		return "broken", err.Error(), 0
@@ -318,7 +374,11 @@
 			parts = append(parts, fmt.Sprintf(`{"id":%d,"w":%g}`, shard, 1.0/shards))
 		}
 		quoted, _ := json.Marshal(text) // a string can be written
-		url, body = "http://"+native+"/"+c.Vertical+"/k", fmt.Sprintf(`{"parts":[%s],"expr":%s}`, strings.Join(parts, ","), quoted)
+		url, body = "http://"+native+"/"+c.Vertical+"/k", fmt.Sprintf(
+			`{"parts":[%s],"expr":%s}`,
+			strings.Join(parts, ","),
+			quoted,
+		)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -396,7 +456,8 @@
 			how = "partly"
 		}
 	}
-	if a.Shards.Total != shards || a.Shards.Successful+a.Shards.Failed != shards || len(a.Shards.Failures) != a.Shards.Failed {
+	if a.Shards.Total != shards || a.Shards.Successful+a.Shards.Failed != shards ||
+		len(a.Shards.Failures) != a.Shards.Failed {
 		return how, fmt.Sprintf("the count of shards does not come out even: %+v", a.Shards)
 	}
 	var query struct{ Query json.RawMessage }
@@ -412,9 +473,15 @@
 		}
 		list = append(list, docs...)
 	}
-	slices.SortStableFunc(list, func(x, y *standin.Doc) int { // ties stay in the order of shards, and of positions in them
-		return s.Spec.Compare(&merge.Hit{Sort: x.SortBy(s.Spec.Keys)}, &merge.Hit{Sort: y.SortBy(s.Spec.Keys)})
-	})
+	slices.SortStableFunc(
+		list,
+		func(x, y *standin.Doc) int { // ties stay in the order of shards, and of positions in them
+			return s.Spec.Compare(
+				&merge.Hit{Sort: x.SortBy(s.Spec.Keys)},
+				&merge.Hit{Sort: y.SortBy(s.Spec.Keys)},
+			)
+		},
+	)
 	relation := "eq"
 	if a.Shards.Failed > 0 {
 		relation = "gte"
@@ -451,8 +518,9 @@
 	return b.Bytes()
 }
 
-// reference counts all documents at once, as if they stood on one shard, and writes that as an answer would. What can't be exact
-// across shards (distinct values) is left out here; package merge's own tests hold it to its bounds.
+// reference counts all documents at once, as if they stood on one shard, and writes that as an answer would.
+// What can't be exact across shards (distinct values) is left out here; package merge's own tests hold it to
+// its bounds.
 func reference(s *opensearch.Search, body []byte, list []*standin.Doc) (map[string][]byte, error) {
 	out := map[string][]byte{}
 	if len(s.Spec.Aggs) == 0 {
--- a/lab/flood/clients.go
+++ b/lab/flood/clients.go
@@ -1,7 +1,7 @@
 package flood
 
-// clients.go owns the known clients: open-loop queries over connections that are kept, from addresses of their own, each counted by
-// what came back on the wire. It must never send a query twice.
+// clients.go owns the known clients: open-loop queries over connections that are kept, from addresses of
+// their own, each counted by what came back on the wire. It must never send a query twice.
 
 import (
 	"bufio"
@@ -34,8 +34,15 @@
 		parts = append(parts, fmt.Sprintf(`{"id":%d,"w":%.4f}`, s, 1/float64(len(shards))))
 	}
 	body := fmt.Sprintf(`{"parts":[%s],"expr":%q}`, strings.Join(parts, ","), text)
-	return fmt.Sprintf("POST /%s/k HTTP/1.1\r\nHost: r\r\nX-Trace-Id: %s\r\nX-Customer: %s\r\nX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		vertical, id, tenant, deadline.Milliseconds(), len(body), body)
+	return fmt.Sprintf(
+		"POST /%s/k HTTP/1.1\r\nHost: r\r\nX-Trace-Id: %s\r\nX-Customer: %s\r\nX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		vertical,
+		id,
+		tenant,
+		deadline.Milliseconds(),
+		len(body),
+		body,
+	)
 }
 
 // workText has each part take some milliseconds.
@@ -50,7 +57,8 @@
 	return text
 }
 
-// known is one known client. Each query has its time; one that is late because the last is still out goes out at once.
+// known is one known client. Each query has its time; one that is late because the last is still out goes out
+// at once.
 func (s *scene) known(ctx context.Context, i int) {
 	from := fmt.Sprintf("127.0.1.%d", 1+i)
 	var conn net.Conn
@@ -136,7 +144,13 @@
 				s.r.Refused++
 			}
 			if !ok && s.r.firstFailure == "" {
-				s.r.firstFailure = fmt.Sprintf("%s: status %d, %v after %v", id, status, err, took.Round(time.Millisecond))
+				s.r.firstFailure = fmt.Sprintf(
+					"%s: status %d, %v after %v",
+					id,
+					status,
+					err,
+					took.Round(time.Millisecond),
+				)
 			}
 		})
 	}
@@ -148,7 +162,8 @@
 	f()
 }
 
-// ask sends one request and reads its answer. Untouched: the connection had been ended before the router can have taken the query.
+// ask sends one request and reads its answer. Untouched: the connection had been ended before the router can
+// have taken the query.
 func (s *scene) ask(conn net.Conn, in *bufio.Reader, raw string) (status int, untouched bool, err error) {
 	conn.SetDeadline(time.Now().Add(deadline + time.Second))
 	if _, err := io.WriteString(conn, raw); err != nil {
@@ -156,7 +171,8 @@
 	}
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return 0, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), err
+		return 0, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) ||
+			errors.Is(err, syscall.ECONNRESET), err
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -1,9 +1,10 @@
-// Package flood attacks a router process on loopback in the ways that a misconfigured or malicious client would, while known clients
-// send measured queries, and judges by what both sides saw: were the known ones served, did every query that was taken get exactly
-// one answer, were those who were turned away told so, and was everything given back afterwards.
+// Package flood attacks a router process on loopback in the ways that a misconfigured or malicious client
+// would, while known clients send measured queries, and judges by what both sides saw: were the known ones
+// served, did every query that was taken get exactly one answer, were those who were turned away told so, and
+// was everything given back afterwards.
 //
-// flood.go owns a run and its judgement. It must never ask the router for what clients and leaves can tell; only what the router holds is
-// read from its page for operators.
+// flood.go owns a run and its judgement. It must never ask the router for what clients and leaves can tell;
+// only what the router holds is read from its page for operators.
 package flood
 
 import (
@@ -124,7 +125,17 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	s := &scene{o: o, r: &Result{Kind: strings.Join(o.Kinds, "+"), Seed: o.Seed, Peak: map[string]int64{}, NoRoom: map[string]int{}, Recovered: -1}, ran: map[string]int{}}
+	s := &scene{
+		o: o,
+		r: &Result{
+			Kind:      strings.Join(o.Kinds, "+"),
+			Seed:      o.Seed,
+			Peak:      map[string]int64{},
+			NoRoom:    map[string]int{},
+			Recovered: -1,
+		},
+		ran: map[string]int{},
+	}
 	co := cluster.Options{Fleet: f, Program: o.Program, Limits: true, Leaf: s.leaf}
 	if slices.Contains(o.Kinds, "fd-exhaustion") {
 		co.Files = starvedFiles
@@ -205,10 +216,12 @@
 	}
 }
 
-// passing is what is held for what comes and goes. Connections to leaves are kept for a while, as they are meant to.
+// passing is what is held for what comes and goes. Connections to leaves are kept for a while, as they are
+// meant to.
 var passing = []string{"bodies", "queries", "values", "frames", "given up"}
 
-// calm tells whether what is held is what was held before the flood, but for what known clients happen to do just now.
+// calm tells whether what is held is what was held before the flood, but for what known clients happen to do
+// just now.
 func calm(rest, now *router.LimitsStatus) bool {
 	if now.Connections > rest.Connections+knownClients {
 		return false
@@ -297,13 +310,24 @@
 			r.broken = append(r.broken, fmt.Sprintf(format, args...))
 		}
 	}
-	check(r.Service < serviceLeast, "known clients had %.4f served, %.2f at least (%s)", r.Service, serviceLeast, s.r.firstFailure)
+	check(
+		r.Service < serviceLeast,
+		"known clients had %.4f served, %.2f at least (%s)",
+		r.Service,
+		serviceLeast,
+		s.r.firstFailure,
+	)
 	check(r.Lost > 0, "%d queries were lost", r.Lost)
 	check(r.Doubled > 0, "%d answers or effects came twice", r.Doubled)
 	check(r.Died, "the router ended")
 	if !s.o.Plain {
 		check(r.Unclear > 0, "%d connections were ended at once without a word", r.Unclear)
-		check(r.Recovered < 0 || r.Recovered > int(recoverWithin.Milliseconds()), "not as before within %v (%d ms)", recoverWithin, r.Recovered)
+		check(
+			r.Recovered < 0 || r.Recovered > int(recoverWithin.Milliseconds()),
+			"not as before within %v (%d ms)",
+			recoverWithin,
+			r.Recovered,
+		)
 		check(r.CapsBroken > 0, "%d caps were passed", r.CapsBroken)
 		check(r.Uneven > 0, "%d returns to the books were too many", r.Uneven)
 	}
--- a/lab/flood/kinds.go
+++ b/lab/flood/kinds.go
@@ -1,7 +1,7 @@
 package flood
 
-// kinds.go owns the kinds of flood. Each ends by itself with its context, is bounded in what it opens, and goes to the router's
-// loopback address only.
+// kinds.go owns the kinds of flood. Each ends by itself with its context, is bounded in what it opens, and
+// goes to the router's loopback address only.
 
 import (
 	"bufio"
@@ -35,17 +35,25 @@
 
 func init() {
 	kinds = map[string]kind{
-		"open":           {2, "connections that say nothing", opens("127.9.0.%d", "")},
-		"slowloris":      {2, "heads that come a byte at a time", slowloris},
-		"connect-churn":  {2, "connections that end at once", churn},
-		"half-close":     {2, "half a request, and the client's side ended", opens("127.9.3.%d", "POST /search/k HTTP/1.1\r\nContent-Le")},
-		"huge-body":      {2, "bodies of 60 MB", hugeBody},
-		"pipeline":       {2, "hundreds of requests at once on a connection", pipeline},
-		"slow-read":      {4, "answers that are read a byte at a time", slowRead},
-		"shared-address": {2, "connections that say nothing, from a known client's address", opens("127.0.1.1", "")},
-		"fd-exhaustion":  {2, "fewer descriptors than the router is told", opens("127.9.8.%d", "")},
-		"big-values":     {8, "queries whose values are large", bigValues},
-		"slow-leaf":      {8, "queries to shards whose leaves say nothing", slowLeaf},
+		"open":          {2, "connections that say nothing", opens("127.9.0.%d", "")},
+		"slowloris":     {2, "heads that come a byte at a time", slowloris},
+		"connect-churn": {2, "connections that end at once", churn},
+		"half-close": {
+			2,
+			"half a request, and the client's side ended",
+			opens("127.9.3.%d", "POST /search/k HTTP/1.1\r\nContent-Le"),
+		},
+		"huge-body": {2, "bodies of 60 MB", hugeBody},
+		"pipeline":  {2, "hundreds of requests at once on a connection", pipeline},
+		"slow-read": {4, "answers that are read a byte at a time", slowRead},
+		"shared-address": {
+			2,
+			"connections that say nothing, from a known client's address",
+			opens("127.0.1.1", ""),
+		},
+		"fd-exhaustion": {2, "fewer descriptors than the router is told", opens("127.9.8.%d", "")},
+		"big-values":    {8, "queries whose values are large", bigValues},
+		"slow-leaf":     {8, "queries to shards whose leaves say nothing", slowLeaf},
 	}
 }
 
@@ -64,7 +72,8 @@
 // opened counts a connection of the flood.
 func (s *scene) opened() { s.count(func() { s.r.Attacks++ }) }
 
-// watch reads a connection that says nothing more until it ends, and tells whether it was turned away with a word.
+// watch reads a connection that says nothing more until it ends, and tells whether it was turned away with a
+// word.
 func (s *scene) watch(conn net.Conn, begun time.Time, says bool) {
 	buf := make([]byte, 512)
 	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -159,7 +168,10 @@
 		}
 		s.opened()
 		c.SetDeadline(time.Now().Add(deadline))
-		io.WriteString(c, "POST /search/k HTTP/1.1\r\nX-Trace-Id: huge\r\nX-Customer: other\r\nX-Expires-In-Ms: 2000\r\nContent-Length: 60000000\r\n\r\n")
+		io.WriteString(
+			c,
+			"POST /search/k HTTP/1.1\r\nX-Trace-Id: huge\r\nX-Customer: other\r\nX-Expires-In-Ms: 2000\r\nContent-Length: 60000000\r\n\r\n",
+		)
 		for i := 0; i < 60_000_000/len(block) && ctx.Err() == nil; i++ {
 			if _, err := io.WriteString(c, block); err != nil {
 				break
@@ -170,7 +182,8 @@
 	}
 }
 
-// pipeline sends many requests before it reads an answer, and counts the answers: one each, in order, until the connection ends.
+// pipeline sends many requests before it reads an answer, and counts the answers: one each, in order, until
+// the connection ends.
 func pipeline(ctx context.Context, s *scene, worker int) {
 	for ctx.Err() == nil {
 		c, err := dialFrom(ctx, fmt.Sprintf("127.9.5.%d", 1+worker%100), s.at)
@@ -221,7 +234,16 @@
 				}
 				n := s.next.Add(1)
 				shards := []int{0, 1, 2, 3, 4, 5, 6, 7}
-				io.WriteString(c, query(fmt.Sprintf("slow-%d", n), "bulk", "other", shards, workText(shards, 0.5, largeValue)))
+				io.WriteString(
+					c,
+					query(
+						fmt.Sprintf("slow-%d", n),
+						"bulk",
+						"other",
+						shards,
+						workText(shards, 0.5, largeValue),
+					),
+				)
 				held = append(held, c)
 			}
 		}
@@ -245,7 +267,11 @@
 		in := bufio.NewReader(c)
 		for ctx.Err() == nil {
 			n := s.next.Add(1)
-			status, _, err := s.ask(c, in, query(fmt.Sprintf("burst-%d", n), "bulk", "other", shards, workText(shards, 0.5, value)))
+			status, _, err := s.ask(
+				c,
+				in,
+				query(fmt.Sprintf("burst-%d", n), "bulk", "other", shards, workText(shards, 0.5, value)),
+			)
 			if err != nil || status != http.StatusOK {
 				break
 			}
--- a/lab/flood/soak.go
+++ b/lab/flood/soak.go
@@ -1,8 +1,8 @@
 package flood
 
-// soak.go owns the long run: known clients whose load swings, with floods of any kind now and then, and what the router holds,
-// second by second. It judges by the quiet stretches: what they hold must not grow. It must never leave a stretch out that it has
-// begun to count.
+// soak.go owns the long run: known clients whose load swings, with floods of any kind now and then, and what
+// the router holds, second by second. It judges by the quiet stretches: what they hold must not grow. It must
+// never leave a stretch out that it has begun to count.
 
 import (
 	"context"
@@ -84,7 +84,15 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &SoakResult{Result: Result{Kind: "soak", Seed: o.Seed, Peak: map[string]int64{}, NoRoom: map[string]int{}, Recovered: -1}}
+	r := &SoakResult{
+		Result: Result{
+			Kind:      "soak",
+			Seed:      o.Seed,
+			Peak:      map[string]int64{},
+			NoRoom:    map[string]int{},
+			Recovered: -1,
+		},
+	}
 	s := &scene{o: Options{Program: o.Program, Seed: o.Seed}, r: &r.Result, ran: map[string]int{}}
 	if s.admin, err = cluster.FreeAddress(); err != nil {
 		return nil, err
@@ -115,14 +123,24 @@
 	s.phase.Store(1)
 	sample := func(quiet bool) {
 		at := time.Since(begun)
-		s.swing.Store(uint64(1000 * (1 + 0.6*math.Sin(at.Seconds()/60*2*math.Pi)))) // a load that rises and falls each minute
+		s.swing.Store(
+			uint64(1000 * (1 + 0.6*math.Sin(at.Seconds()/60*2*math.Pi))),
+		) // a load that rises and falls each minute
 		now := s.sample(true)
 		if now == nil {
 			return
 		}
 		pid := s.c.Routers[0].Cmd.Process.Pid
-		one := Sample{At: at.Seconds(), RSS: rssOf(pid), Heap: mb(now.Heap), Held: mb(now.Held), Files: filesOf(pid),
-			Connections: now.Connections, Purposes: map[string]int64{}, Quiet: quiet && at >= o.Warm}
+		one := Sample{
+			At:          at.Seconds(),
+			RSS:         rssOf(pid),
+			Heap:        mb(now.Heap),
+			Held:        mb(now.Held),
+			Files:       filesOf(pid),
+			Connections: now.Connections,
+			Purposes:    map[string]int64{},
+			Quiet:       quiet && at >= o.Warm,
+		}
 		for name, e := range now.Purposes {
 			one.Purposes[name] = e.Held
 		}
@@ -220,7 +238,12 @@
 	}
 	check(!r.RSS.Flat(smallGrowth), "memory grows by %.2f ± %.2f MB an hour", r.RSS.PerHour, r.RSS.Error)
 	check(!r.Heap.Flat(smallGrowth), "the heap grows by %.2f ± %.2f MB an hour", r.Heap.PerHour, r.Heap.Error)
-	check(!r.Files.Flat(smallGrowth), "descriptors grow by %.2f ± %.2f an hour", r.Files.PerHour, r.Files.Error)
+	check(
+		!r.Files.Flat(smallGrowth),
+		"descriptors grow by %.2f ± %.2f an hour",
+		r.Files.PerHour,
+		r.Files.Error,
+	)
 }
 
 // Broken is what did not hold.
--- a/lab/standin/discovery.go
+++ b/lab/standin/discovery.go
@@ -1,6 +1,7 @@
 package standin
 
-// discovery.go owns the list: it answers with what it holds, and a watch on it stays open and is told of changes.
+// discovery.go owns the list: it answers with what it holds, and a watch on it stays open and is told of
+// changes.
 
 import (
 	"encoding/json"
--- a/lab/standin/docs.go
+++ b/lab/standin/docs.go
@@ -1,8 +1,8 @@
 package standin
 
-// docs.go owns leaves' contents that are known beforehand: documents by shard, drawn from a seed, and the answer of a shard to a
-// search as a server of the form would give it. Its reference answers are worked out another way, by looking at all documents at
-// once. It must never know what the router makes of an answer.
+// docs.go owns leaves' contents that are known beforehand: documents by shard, drawn from a seed, and the
+// answer of a shard to a search as a server of the form would give it. Its reference answers are worked out
+// another way, by looking at all documents at once. It must never know what the router makes of an answer.
 
 import (
 	"cmp"
@@ -29,7 +29,9 @@
 // Corpus is all documents, by shard, in the order in which the shard holds them.
 type Corpus struct{ Shards [][]*Doc }
 
-var words = strings.Fields("moles tunnel root index shard overlap thesis archive page rank night river stone paper light")
+var words = strings.Fields(
+	"moles tunnel root index shard overlap thesis archive page rank night river stone paper light",
+)
 
 // NewCorpus draws documents.
 func NewCorpus(seed uint64, shards, each int) *Corpus {
@@ -141,7 +143,10 @@
 	switch kind {
 	case "term", "match", "prefix", "match_phrase":
 		var inner map[string]json.RawMessage
-		if json.Unmarshal(want, &inner) == nil { // {field: {"value": v}} or {"query": v} says the same as {field: v}
+		if json.Unmarshal(
+			want,
+			&inner,
+		) == nil { // {field: {"value": v}} or {"query": v} says the same as {field: v}
 			if want = inner["query"]; inner["value"] != nil {
 				want = inner["value"]
 			}
@@ -168,7 +173,8 @@
 			return false, err
 		}
 		for _, raw := range list {
-			if v, err := merge.ParseValue(raw); err == nil && have.Kind != merge.Missing && have.Compare(v) == 0 {
+			if v, err := merge.ParseValue(raw); err == nil && have.Kind != merge.Missing &&
+				have.Compare(v) == 0 {
 				return true, nil
 			}
 		}
@@ -193,7 +199,8 @@
 			return false, err
 		}
 		c := have.Compare(v)
-		if word == "gte" && c < 0 || word == "gt" && c <= 0 || word == "lte" && c > 0 || word == "lt" && c >= 0 {
+		if word == "gte" && c < 0 || word == "gt" && c <= 0 || word == "lte" && c > 0 ||
+			word == "lt" && c >= 0 {
 			return false, nil
 		}
 	}
@@ -258,7 +265,8 @@
 	hits := []hit{}
 	for _, d := range docs {
 		values := d.sort(s.Spec.Keys)
-		if s.Spec.After != nil && s.Spec.Compare(&merge.Hit{Sort: values}, &merge.Hit{Sort: s.Spec.After}) <= 0 {
+		if s.Spec.After != nil &&
+			s.Spec.Compare(&merge.Hit{Sort: values}, &merge.Hit{Sort: s.Spec.After}) <= 0 {
 			continue
 		}
 		if len(hits) == q.Size {
@@ -273,8 +281,11 @@
 		}
 		hits = append(hits, h)
 	}
-	out := map[string]any{"timed_out": false, "_shards": map[string]int{"total": 1, "successful": 1, "failed": 0},
-		"hits": map[string]any{"total": map[string]any{"value": total, "relation": "eq"}, "hits": hits}}
+	out := map[string]any{
+		"timed_out": false,
+		"_shards":   map[string]int{"total": 1, "successful": 1, "failed": 0},
+		"hits":      map[string]any{"total": map[string]any{"value": total, "relation": "eq"}, "hits": hits},
+	}
 	if len(s.Spec.Aggs) > 0 {
 		if out["aggregations"], err = aggregate(s.Spec.Aggs, q.Aggs, docs); err != nil {
 			return nil, err
@@ -439,13 +450,21 @@
 	return map[string]any{"value": len(values), "sketch": opensearch.EncodeSketch(sketch)}, err
 }
 
-// buckets writes groups: of terms only the most frequent, half again as many as are wanted and ten, as servers of the form do.
-func buckets(spec *merge.AggSpec, subs map[string]json.RawMessage, groups map[merge.Value][]*Doc) (map[string]any, error) {
+// buckets writes groups: of terms only the most frequent, half again as many as are wanted and ten, as
+// servers of the form do.
+func buckets(
+	spec *merge.AggSpec,
+	subs map[string]json.RawMessage,
+	groups map[merge.Value][]*Doc,
+) (map[string]any, error) {
 	keys := slices.SortedFunc(maps.Keys(groups), merge.Value.Compare)
 	out := map[string]any{}
 	if spec.Kind == merge.Terms {
 		if !spec.ByKey {
-			slices.SortStableFunc(keys, func(a, b merge.Value) int { return cmp.Compare(len(groups[b]), len(groups[a])) })
+			slices.SortStableFunc(
+				keys,
+				func(a, b merge.Value) int { return cmp.Compare(len(groups[b]), len(groups[a])) },
+			)
 		}
 		if most := spec.Size + spec.Size/2 + 10; len(keys) > most {
 			other := 0
@@ -472,7 +491,8 @@
 // SortBy are a document's values of sort keys.
 func (d *Doc) SortBy(keys []merge.Key) []merge.Value { return d.sort(keys) }
 
-// Whole is what an answer's aggregations are when all documents stand on one shard: the reference for those that are put together.
+// Whole is what an answer's aggregations are when all documents stand on one shard: the reference for those
+// that are put together.
 func Whole(s *opensearch.Search, body []byte, docs []*Doc) (map[string]json.RawMessage, error) {
 	var q asked
 	if err := json.Unmarshal(body, &q); err != nil {
@@ -483,7 +503,12 @@
 		return nil, err
 	}
 	hits := []any{}
-	raw, err := json.Marshal(map[string]any{"hits": map[string]any{"total": map[string]any{"value": len(docs)}, "hits": hits}, "aggregations": aggs})
+	raw, err := json.Marshal(
+		map[string]any{
+			"hits":         map[string]any{"total": map[string]any{"value": len(docs)}, "hits": hits},
+			"aggregations": aggs,
+		},
+	)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/standin/leaf.go
+++ b/lab/standin/leaf.go
@@ -1,5 +1,6 @@
-// Package standin is leaves and discovery on loopback sockets, speaking the frames and the list that the router speaks. Service
-// times are timers, not burnt CPU, so that dozens of leaves fit on one machine. It must never be linked into the daemon.
+// Package standin is leaves and discovery on loopback sockets, speaking the frames and the list that the
+// router speaks. Service times are timers, not burnt CPU, so that dozens of leaves fit on one machine. It
+// must never be linked into the daemon.
 //
 // leaf.go owns what a leaf does: cores, a queue, reports, refusals when it is full.
 package standin
@@ -29,7 +30,8 @@
 	Work     time.Duration   // of a part whose query does not say
 	Spread   bool            // that work is drawn, exponentially, with Work as its mean
 	OnRun    func(id string) // a part begins to run; nil: nobody asks
-	// Answer is what a part's answer is: its end (200, 500, 503) and value; nil: a value made of the text and the shard.
+	// Answer is what a part's answer is: its end (200, 500, 503) and value; nil: a value made of the text and
+	// the shard.
 	Answer func(id, text string, shard int) (end int, value []byte)
 
 	mu      sync.Mutex
@@ -235,12 +237,16 @@
 		if _, err := io.ReadFull(in, text); err != nil {
 			return nil, fmt.Errorf("a part's text ends too early")
 		}
-		jobs = append(jobs, &job{id: fields[0], shard: shard, text: string(text), ms: WorkOf(string(text), shard),
-			until: time.Now().Add(time.Duration(wait) * time.Millisecond)})
+		jobs = append(
+			jobs,
+			&job{id: fields[0], shard: shard, text: string(text), ms: WorkOf(string(text), shard),
+				until: time.Now().Add(time.Duration(wait) * time.Millisecond)},
+		)
 	}
 }
 
-// WorkText is a query's text that tells leaves the work of its parts, in ms by shard; WorkOf reads it, 0 where it does not say.
+// WorkText is a query's text that tells leaves the work of its parts, in ms by shard; WorkOf reads it, 0
+// where it does not say.
 func WorkText(work map[int]float64, shards []int) string {
 	var b strings.Builder
 	b.WriteString("work")
@@ -267,7 +273,8 @@
 	return 0
 }
 
-// ValueOf is how many bytes more than usual the value of a query's parts has, by its text: "value=N" among its words.
+// ValueOf is how many bytes more than usual the value of a query's parts has, by its text: "value=N" among
+// its words.
 func ValueOf(text string) int {
 	for pair := range strings.SplitSeq(text, " ") {
 		if name, value, _ := strings.Cut(pair, "="); name == "value" {
@@ -301,8 +308,9 @@
 	l.mu.Unlock()
 }
 
-// next begins what waits, on cores that are free; the lock is held. A core that came free at a time begins what waited by then
-// at that time, however late its timer was: else late timers would make each core slower than its speed.
+// next begins what waits, on cores that are free; the lock is held. A core that came free at a time begins
+// what waited by then at that time, however late its timer was: else late timers would make each core slower
+// than its speed.
 func (l *Leaf) next(free time.Time) {
 	for l.running < l.Cores && len(l.waiting) > 0 {
 		j := l.waiting[0]
@@ -344,5 +352,10 @@
 
 // report is what it says of its load; the lock is held.
 func (l *Leaf) report() string {
-	return fmt.Sprintf("inflight=%d,queue=%d,latency_ms=%.2f", l.running+len(l.waiting), len(l.waiting), l.spent)
+	return fmt.Sprintf(
+		"inflight=%d,queue=%d,latency_ms=%.2f",
+		l.running+len(l.waiting),
+		len(l.waiting),
+		l.spent,
+	)
 }
--- a/lab/standin/search.go
+++ b/lab/standin/search.go
@@ -1,7 +1,7 @@
 package standin
 
-// search.go owns leaves that speak the form of OpenSearch over HTTP: an _msearch with an item for each shard. It must never answer an
-// item of its own accord: what becomes of it is the leaf's.
+// search.go owns leaves that speak the form of OpenSearch over HTTP: an _msearch with an item for each shard.
+// It must never answer an item of its own accord: what becomes of it is the leaf's.
 
 import (
 	"bytes"
@@ -75,7 +75,13 @@
 	}
 	search["index"], _ = json.Marshal(h.Index) // a string can be written
 	text, _ := json.Marshal(search)
-	j := &job{id: id, shard: shard, text: string(text), ms: s.Leaf.Overhead + s.Leaf.Work.Seconds()*1000, until: time.Now().Add(wait)}
+	j := &job{
+		id:    id,
+		shard: shard,
+		text:  string(text),
+		ms:    s.Leaf.Overhead + s.Leaf.Work.Seconds()*1000,
+		until: time.Now().Add(wait),
+	}
 	j.reply = func(letter byte, rest string) {
 		line, value, _ := strings.Cut(rest, "\n")
 		status := strings.Fields(line)[1]
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -85,7 +85,14 @@
 func (st *stage) say(format string, args ...any) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.out = append(st.out, fmt.Sprintf("%7.1f  %s", float64(time.Since(st.start).Microseconds())/1000, fmt.Sprintf(format, args...)))
+	st.out = append(
+		st.out,
+		fmt.Sprintf(
+			"%7.1f  %s",
+			float64(time.Since(st.start).Microseconds())/1000,
+			fmt.Sprintf(format, args...),
+		),
+	)
 }
 
 func (st *stage) call(wait int64, work map[int]float64, ids ...string) {
@@ -96,7 +103,15 @@
 	}
 	slices.Sort(shards)
 	for i, id := range ids {
-		parts = append(parts, codec.PartSent{ID: id, Shard: shards[i%len(shards)], Wait: wait, Text: []byte(WorkText(work, shards))})
+		parts = append(
+			parts,
+			codec.PartSent{
+				ID:    id,
+				Shard: shards[i%len(shards)],
+				Wait:  wait,
+				Text:  []byte(WorkText(work, shards)),
+			},
+		)
 	}
 	codec.WriteCall(st.conn, parts)
 	synctest.Wait()
@@ -107,7 +122,8 @@
 	synctest.Wait()
 }
 
-// A leaf has cores and a queue, turns away what does not fit, drops what nobody waits for, and reports its load.
+// A leaf has cores and a queue, turns away what does not fit, drops what nobody waits for, and reports its
+// load.
 func TestLeaf(t *testing.T) {
 	play(t, "leaf", &Leaf{Cores: 1, Speed: 0.5, Queue: 2, Overhead: 1}, func(st *stage) {
 		st.call(1000, map[int]float64{0: 10, 1: 20}, "q1.0", "q1.1") // 11 and 20 ms of work, at half speed
@@ -143,7 +159,8 @@
 		d.ServeHTTP(w, httptest.NewRequest("GET", target, nil))
 		return w.Body.String()
 	}
-	if got := get("/v1/servers"); !strings.Contains(got, `"generation":4,"reset":true`) || !strings.Contains(got, `"instanceId":"a"`) {
+	if got := get("/v1/servers"); !strings.Contains(got, `"generation":4,"reset":true`) ||
+		!strings.Contains(got, `"instanceId":"a"`) {
 		t.Error(got)
 	}
 	if got := get("/v1/servers?since=4"); !strings.Contains(got, `"reset":false,"instances":[]`) {
@@ -151,7 +168,8 @@
 	}
 	d.Change(config.Server{ID: "a", Lifecycle: "terminating"})
 	d.Change(config.Server{ID: "b"})
-	if got := get("/v1/servers?since=4"); !strings.Contains(got, `"generation":6`) || !strings.Contains(got, "terminating") ||
+	if got := get("/v1/servers?since=4"); !strings.Contains(got, `"generation":6`) ||
+		!strings.Contains(got, "terminating") ||
 		!strings.Contains(got, `"instanceId":"b"`) {
 		t.Error(got)
 	}
--- a/limits/book.go
+++ b/limits/book.go
@@ -1,9 +1,10 @@
-// Package limits says what fits: which connections a router takes and keeps, and how much memory it holds for what. It does no
-// I/O, has no clock and starts no goroutine: the time and what happens are handed in, what is to be done goes out as a verdict. It
-// must never decide on a query for the sake of load: that is package choice's; here a query fits or does not.
+// Package limits says what fits: which connections a router takes and keeps, and how much memory it holds for
+// what. It does no I/O, has no clock and starts no goroutine: the time and what happens are handed in, what
+// is to be done goes out as a verdict. It must never decide on a query for the sake of load: that is package
+// choice's; here a query fits or does not.
 //
-// book.go owns the book of memory: what is held for which purpose, with a floor and a cap for each. It must never give one
-// purpose's floor to another, and never let a cap be passed.
+// book.go owns the book of memory: what is held for which purpose, with a floor and a cap for each. It must
+// never give one purpose's floor to another, and never let a cap be passed.
 package limits
 
 import (
@@ -34,8 +35,18 @@
 	purposes
 )
 
-var purposeNames = [purposes]string{"connections", "bodies", "queries", "values", "leaf links", "frames", "given up", "dues", "list",
-	"captures"}
+var purposeNames = [purposes]string{
+	"connections",
+	"bodies",
+	"queries",
+	"values",
+	"leaf links",
+	"frames",
+	"given up",
+	"dues",
+	"list",
+	"captures",
+}
 
 func (p Purpose) String() string { return purposeNames[p] }
 
@@ -48,15 +59,26 @@
 	return all
 }
 
-// Portion is what a purpose is sure of and what it may have at most, as shares of the whole. A purpose whose most is 0 is only
-// counted: it has bounds of its own elsewhere.
+// Portion is what a purpose is sure of and what it may have at most, as shares of the whole. A purpose whose
+// most is 0 is only counted: it has bounds of its own elsewhere.
 type Portion struct{ Floor, Most float64 }
 
-// Portions are those of all purposes, unless stated otherwise. Their floors leave something to share. What is held for long
-// by those who do not work (connections) may have less of the whole than what a query needs to end well.
+// Portions are those of all purposes, unless stated otherwise. Their floors leave something to share. What is
+// held for long by those who do not work (connections) may have less of the whole than what a query needs to
+// end well.
 func Portions() [purposes]Portion {
-	return [purposes]Portion{Connections: {0.05, 0.3}, Bodies: {0.05, 0.25}, Queries: {0.1, 0.5}, Values: {0.2, 0.6}, LeafLinks: {0.1, 0.3},
-		Frames: {0.1, 0.3}, GivenUp: {}, Dues: {}, List: {}, Captures: {}}
+	return [purposes]Portion{
+		Connections: {0.05, 0.3},
+		Bodies:      {0.05, 0.25},
+		Queries:     {0.1, 0.5},
+		Values:      {0.2, 0.6},
+		LeafLinks:   {0.1, 0.3},
+		Frames:      {0.1, 0.3},
+		GivenUp:     {},
+		Dues:        {},
+		List:        {},
+		Captures:    {},
+	}
 }
 
 // Account is one purpose's line in the book.
@@ -91,7 +113,8 @@
 	return b
 }
 
-// Resize changes the whole and the portions, also to less than is held: then nothing more is given until enough has come back.
+// Resize changes the whole and the portions, also to less than is held: then nothing more is given until
+// enough has come back.
 func (b *Book) Resize(whole int64, portions [purposes]Portion) {
 	b.Whole, b.shared, b.beyond = max(whole, 0), max(whole, 0), 0
 	for p := range b.Accounts {
@@ -166,7 +189,8 @@
 	return sum
 }
 
-// Warnings are the purposes that have come near to their caps, or to the end of what is shared, since they were last told of.
+// Warnings are the purposes that have come near to their caps, or to the end of what is shared, since they
+// were last told of.
 func (b *Book) Warnings() (near []Purpose) {
 	if b.Whole == 0 {
 		return nil
@@ -195,7 +219,16 @@
 	var out strings.Builder
 	for p := range b.Accounts {
 		a := &b.Accounts[p]
-		fmt.Fprintf(&out, "%-11v held %d, peak %d, floor %d, cap %d, refused %d\n", Purpose(p), a.Held, a.Peak, a.Floor, a.Cap, a.Refused)
+		fmt.Fprintf(
+			&out,
+			"%-11v held %d, peak %d, floor %d, cap %d, refused %d\n",
+			Purpose(p),
+			a.Held,
+			a.Peak,
+			a.Floor,
+			a.Cap,
+			a.Refused,
+		)
 	}
 	fmt.Fprintf(&out, "%-11s %d of %d above floors, uneven %d\n", "shared", b.beyond, b.shared, b.Uneven)
 	return out.String()
--- a/limits/door.go
+++ b/limits/door.go
@@ -1,8 +1,9 @@
 package limits
 
-// door.go owns who may have a connection: caps by address and by network, a reserve for those who are known, and fair shares where
-// connections run short. Every change of a connection's place passes place. It must never take a connection away from a holder for
-// the sake of one that has as many, never give the reserve to a stranger, and never name for closing what the driver did not offer.
+// door.go owns who may have a connection: caps by address and by network, a reserve for those who are known,
+// and fair shares where connections run short. Every change of a connection's place passes place. It must
+// never take a connection away from a holder for the sake of one that has as many, never give the reserve to
+// a stranger, and never name for closing what the driver did not offer.
 
 import (
 	"cmp"
@@ -57,8 +58,8 @@
 	return [...]string{"free", "too many new ones", "address full", "network full", "all full", "no descriptors"}[w]
 }
 
-// holder is whose connections count together: an address, or a tenant behind it whose queries were answered lately, so that many
-// clients behind one address are not one.
+// holder is whose connections count together: an address, or a tenant behind it whose queries were answered
+// lately, so that many clients behind one address are not one.
 type holder struct {
 	from   netip.Addr
 	tenant int // -1: the address itself
@@ -87,8 +88,8 @@
 // Known tells whether it counts as one of a client that is known.
 func (c *Conn) Known() bool { return c.known }
 
-// Standing is a connection that the driver could close without harm to a request, with how little would be lost: the lower the rank
-// the less.
+// Standing is a connection that the driver could close without harm to a request, with how little would be
+// lost: the lower the rank the less.
 type Standing struct {
 	Conn  *Conn
 	Rank  int
@@ -209,9 +210,10 @@
 // clockOf is a time as the buckets have it.
 func clockOf(now Time) time.Time { return time.UnixMicro(int64(now) * 100) }
 
-// fast: the address makes new connections faster than it may. One that is known may be shared by those who are served and one who
-// floods; which of them connects shows only later. So its pace is held only where it would keep the router busy with nothing else;
-// until then its silent connections make way for its new ones, see Yield.
+// fast: the address makes new connections faster than it may. One that is known may be shared by those who
+// are served and one who floods; which of them connects shows only later. So its pace is held only where it
+// would keep the router busy with nothing else; until then its silent connections make way for its new ones,
+// see Yield.
 func (d *Door) fast(now Time, h *holder, known bool) (bool, Time) {
 	if d.set.Rate <= 0 {
 		return false, 0
@@ -244,8 +246,8 @@
 	}
 }
 
-// Connect decides on a new connection. Unless it is turned away it counts from now on, also while another has still to make way
-// for it; then Gone must be told where none did.
+// Connect decides on a new connection. Unless it is turned away it counts from now on, also while another has
+// still to make way for it; then Gone must be told where none did.
 func (d *Door) Connect(now Time, from netip.Addr) (c *Conn, v Verdict, why Why, retry Time) {
 	d.regain(now)
 	from = from.Unmap().WithZone("")
@@ -303,9 +305,10 @@
 
 func (d *Door) part(of int) int { return of * d.most / max(d.set.Most, 1) }
 
-// Yield names the connection out of those offered that makes way for a new one; nil: none does. Where an address or a network is full, one of its own; else
-// one of whoever holds the most, so that shares even out: never of a holder that would then have fewer than the newcomer, and
-// for a stranger never one of the reserve. A holder's own connection that has said nothing for long may make way for its new one.
+// Yield names the connection out of those offered that makes way for a new one; nil: none does. Where an
+// address or a network is full, one of its own; else one of whoever holds the most, so that shares even out:
+// never of a holder that would then have fewer than the newcomer, and for a stranger never one of the
+// reserve. A holder's own connection that has said nothing for long may make way for its new one.
 func (d *Door) Yield(c *Conn, why Why, offered []Standing) *Conn {
 	best := -1
 	for i := range offered {
@@ -319,7 +322,8 @@
 	return offered[best].Conn
 }
 
-// The ranks of what is offered. Between them stand those that are idle after a request, and those whose request is long in coming.
+// The ranks of what is offered. Between them stand those that are idle after a request, and those whose
+// request is long in coming.
 const (
 	Lingering = 0 // the last answer is out
 	Silent    = 1 // has said nothing for longer than usual clients take
@@ -363,7 +367,11 @@
 // sooner orders those that may make way.
 func (d *Door) sooner(c *Conn, a, b *Standing) bool {
 	if !d.set.Enabled {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Until, b.Until), cmp.Compare(a.Conn.number, b.Conn.number)) < 0
+		return cmp.Or(
+			cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(a.Until, b.Until),
+			cmp.Compare(a.Conn.number, b.Conn.number),
+		) < 0
 	}
 	strangers := func(s *Standing) int {
 		if s.Conn.known {
@@ -379,8 +387,8 @@
 		cmp.Compare(a.Until, b.Until), cmp.Compare(a.Conn.number, b.Conn.number)) < 0
 }
 
-// Refused takes back a connection for which nobody made way, and says when to come back: when the first of those offered
-// must have ended, or soon.
+// Refused takes back a connection for which nobody made way, and says when to come back: when the first of
+// those offered must have ended, or soon.
 func (d *Door) Refused(now Time, c *Conn, why Why, offered []Standing) (retry Time) {
 	d.Gone(c)
 	d.Counts.Admitted--
@@ -398,8 +406,9 @@
 	return min(max(first-now, minRetry), maxRetry)
 }
 
-// Request: a query's head has been read on a connection. If the tenant is known behind this address, the connection counts as that
-// tenant's from now on, not as one of all that come from there, and does not count against their pace.
+// Request: a query's head has been read on a connection. If the tenant is known behind this address, the
+// connection counts as that tenant's from now on, not as one of all that come from there, and does not count
+// against their pace.
 func (d *Door) Request(now Time, c *Conn, tenant int) {
 	if !d.set.Enabled || c.gone || c.holder.tenant == tenant || !d.known.Knows(now, c.From, tenant) {
 		return
@@ -448,9 +457,9 @@
 	c.gone = true
 }
 
-// Short: descriptors have run out though the cap was not reached; whatever else holds them, there are not as many as were thought.
-// What clients and links to leaves hold now is about all that there is: it is shared out as the settings would, and comes back by
-// steps. Who is over the cap then makes way, see Trim.
+// Short: descriptors have run out though the cap was not reached; whatever else holds them, there are not as
+// many as were thought. What clients and links to leaves hold now is about all that there is: it is shared
+// out as the settings would, and comes back by steps. Who is over the cap then makes way, see Trim.
 func (d *Door) Short(now Time, links int) {
 	d.Counts.Turned[Exhausted]++
 	there := d.held + links
@@ -465,14 +474,16 @@
 	return d.links
 }
 
-// Trim names the connection out of those offered that goes where more are held than may be; nil: none, or it is not so.
+// Trim names the connection out of those offered that goes where more are held than may be; nil: none, or it
+// is not so.
 func (d *Door) Trim(offered []Standing) *Conn {
 	if d.Over() <= 0 {
 		return nil
 	}
 	best := -1
 	for i := range offered {
-		if x := offered[i].Conn; offered[i].Rank != Young && !x.leaving && !x.gone && (best < 0 || d.sooner(nil, &offered[i], &offered[best])) {
+		if x := offered[i].Conn; offered[i].Rank != Young && !x.leaving && !x.gone &&
+			(best < 0 || d.sooner(nil, &offered[i], &offered[best])) {
 			best = i
 		}
 	}
@@ -521,14 +532,24 @@
 		}
 		all = append(all, Share{name, h.count})
 	}
-	slices.SortFunc(all, func(a, b Share) int { return cmp.Or(b.Count-a.Count, cmp.Compare(a.Holder, b.Holder)) })
+	slices.SortFunc(
+		all,
+		func(a, b Share) int { return cmp.Or(b.Count-a.Count, cmp.Compare(a.Holder, b.Holder)) },
+	)
 	return all[:min(n, len(all))]
 }
 
 // String is the door's books in a few lines.
 func (d *Door) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "held %d of %d, strangers %d, reserve %d, holders", d.held, d.most, d.strange, d.reserve())
+	fmt.Fprintf(
+		&b,
+		"held %d of %d, strangers %d, reserve %d, holders",
+		d.held,
+		d.most,
+		d.strange,
+		d.reserve(),
+	)
 	for _, s := range d.Largest(mostHolders) {
 		fmt.Fprintf(&b, " [%s: %d]", s.Holder, s.Count)
 	}
--- a/limits/helpers_test.go
+++ b/limits/helpers_test.go
@@ -16,7 +16,8 @@
 	os.Exit(m.Run())
 }
 
-// stage plays clients at a door and prints what becomes of them. All connections that are older than 50 ms can make way.
+// stage plays clients at a door and prints what becomes of them. All connections that are older than 50 ms
+// can make way.
 type stage struct {
 	out   strings.Builder
 	d     *Door
@@ -30,11 +31,26 @@
 const tested = 20
 
 func settings() DoorSettings {
-	return DoorSettings{Enabled: true, Most: tested, Reserve: 5, PerAddress: 8, PerNetwork: 12, Bits4: 24, Bits6: 56, Rate: 100, Burst: 30}
+	return DoorSettings{
+		Enabled:    true,
+		Most:       tested,
+		Reserve:    5,
+		PerAddress: 8,
+		PerNetwork: 12,
+		Bits4:      24,
+		Bits6:      56,
+		Rate:       100,
+		Burst:      30,
+	}
 }
 
 func open(set DoorSettings) *stage {
-	return &stage{d: NewDoor(set, NewKnown(7, 64)), now: 1_000_000, rank: map[*Conn]int{}, names: map[*Conn]string{}}
+	return &stage{
+		d:     NewDoor(set, NewKnown(7, 64)),
+		now:   1_000_000,
+		rank:  map[*Conn]int{},
+		names: map[*Conn]string{},
+	}
 }
 
 func (st *stage) say(format string, args ...any) {
--- a/limits/hold.go
+++ b/limits/hold.go
@@ -1,8 +1,9 @@
 package limits
 
-// hold.go owns what one query holds from the moment it is taken until its answer is written: its text and parts, and room for the
-// values that leaves will answer. Room is put by when the query is taken, by what queries of its vertical took lately, so that what was
-// taken is not turned away later. It must never let a value in that has no room, and must give everything back at once.
+// hold.go owns what one query holds from the moment it is taken until its answer is written: its text and
+// parts, and room for the values that leaves will answer. Room is put by when the query is taken, by what
+// queries of its vertical took lately, so that what was taken is not turned away later. It must never let a
+// value in that has no room, and must give everything back at once.
 
 const (
 	perQuery   = 768      // bytes of a query beside its text: structures, maps, the reply
@@ -53,8 +54,8 @@
 // expects is what is put by for a part.
 func (n need) expects() int64 { return max(int64(n.mean+spreads*n.spread), leastValue) }
 
-// Take takes a query, or says when to come back: by then as much as it needs should have been given back, as far as the last
-// queries tell.
+// Take takes a query, or says when to come back: by then as much as it needs should have been given back, as
+// far as the last queries tell.
 func (r *Room) Take(now Time, vertical int, text int64, parts int) (h *Hold, retry Time) {
 	h = &Hold{room: r, class: min(max(vertical, 0), len(r.class)-1), parts: max(parts, 1), taken: now}
 	h.text = text + perQuery + int64(h.parts)*perPart
@@ -80,7 +81,8 @@
 // retry is half of a query's time, as by then every second of those that are open has ended.
 func (r *Room) retry() Time { return min(max(r.spent/2, minRetry), maxRetry) }
 
-// Value takes room for a part's value: of what was put by, else of what is free. False: it has none, and the value must be let go.
+// Value takes room for a part's value: of what was put by, else of what is free. False: it has none, and the
+// value must be let go.
 func (h *Hold) Value(n int64) bool {
 	if h.over {
 		return false
--- a/limits/known.go
+++ b/limits/known.go
@@ -1,8 +1,8 @@
 package limits
 
-// known.go owns who is known: addresses, and tenants behind them, whose queries were answered lately. What is kept is bounded and
-// ages. It must never be possible to flush out those who are known by coming from many addresses: a newcomer may take only a
-// place that is worth no more than its own.
+// known.go owns who is known: addresses, and tenants behind them, whose queries were answered lately. What is
+// kept is bounded and ages. It must never be possible to flush out those who are known by coming from many
+// addresses: a newcomer may take only a place that is worth no more than its own.
 
 import (
 	"encoding/binary"
@@ -18,8 +18,8 @@
 	knownAt  = 2                    // answered queries from which a key is known: one may be chance
 )
 
-// Known is a table of places, each with a key's mark and what it is worth: the queries answered, halved with each age. The table is
-// keyed by a seed, so nobody outside can choose keys that fall on one another.
+// Known is a table of places, each with a key's mark and what it is worth: the queries answered, halved with
+// each age. The table is keyed by a seed, so nobody outside can choose keys that fall on one another.
 type Known struct {
 	seed   uint64
 	marks  []uint64
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -50,8 +50,8 @@
 			st.connect("10.9.0.1")
 			st.books()
 		},
-		// Many clients behind one address: tenants that were served before are told apart once their request is read, and a
-		// flood from that address does not count against them.
+		// Many clients behind one address: tenants that were served before are told apart once their request
+		// is read, and a flood from that address does not count against them.
 		"shared-address": func(st *stage) {
 			a := st.connect("10.0.0.1")
 			for range 2 {
@@ -96,7 +96,8 @@
 			}
 			st.say("%d links to leaves", st.d.Links(st.now))
 		},
-		// Settings change to less than is held: nobody is thrown out for that, and nobody comes in until enough have gone.
+		// Settings change to less than is held: nobody is thrown out for that, and nobody comes in until
+		// enough have gone.
 		"less-than-held": func(st *stage) {
 			for i := range 12 {
 				st.connect(fmt.Sprintf("10.%d.0.1", i))
@@ -133,8 +134,8 @@
 	}
 }
 
-// Whatever strangers do, who is known finds room as long as one of them holds more than is fair; strangers never have the reserve;
-// and the books come out even.
+// Whatever strangers do, who is known finds room as long as one of them holds more than is fair; strangers
+// never have the reserve; and the books come out even.
 func TestDoorProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := settings()
@@ -148,12 +149,21 @@
 		known := false
 		t.Repeat(map[string]func(*rapid.T){
 			"connect": func(t *rapid.T) {
-				st.connect(fmt.Sprintf("10.0.%d.%d", rapid.IntRange(0, 3).Draw(t, "net"), rapid.IntRange(1, 4).Draw(t, "host")))
+				st.connect(
+					fmt.Sprintf(
+						"10.0.%d.%d",
+						rapid.IntRange(0, 3).Draw(t, "net"),
+						rapid.IntRange(1, 4).Draw(t, "host"),
+					),
+				)
 			},
 			"flood": func(t *rapid.T) { st.flood("10.7.7.7", rapid.IntRange(1, 60).Draw(t, "n")) },
 			"serve": func(t *rapid.T) {
 				if len(st.conns) > 0 {
-					st.serve(rapid.SampledFrom(st.conns).Draw(t, "conn"), rapid.IntRange(0, 2).Draw(t, "tenant"))
+					st.serve(
+						rapid.SampledFrom(st.conns).Draw(t, "conn"),
+						rapid.IntRange(0, 2).Draw(t, "tenant"),
+					)
 				}
 			},
 			"go": func(t *rapid.T) {
@@ -174,14 +184,17 @@
 			"friend comes back": func(t *rapid.T) {
 				// It holds nothing, has been served, and all connections are old enough to make way.
 				st.pass(1000)
-				if !known || set.PerAddress == 1 && st.d.holderOf(st.now, netip.MustParseAddr(friend), -1).count > 0 {
+				if !known ||
+					set.PerAddress == 1 && st.d.holderOf(st.now, netip.MustParseAddr(friend), -1).count > 0 {
 					return
 				}
 				largest := 0
 				for _, h := range st.d.holders {
 					largest = max(largest, h.count)
 				}
-				if st.d.Over() > 0 || st.d.held > 0 && largest < 2 && st.d.held >= st.d.most && st.d.held == st.d.strange && st.d.reserve() < 1 {
+				if st.d.Over() > 0 ||
+					st.d.held > 0 && largest < 2 && st.d.held >= st.d.most && st.d.held == st.d.strange &&
+						st.d.reserve() < 1 {
 					return // more is held than may be; or no reserve, and everybody holds one
 				}
 				if largest < 2 && st.d.held-st.d.strange >= st.d.reserve() && st.d.held >= st.d.most {
@@ -211,7 +224,8 @@
 	})
 }
 
-// Under steady demand of all, shares become equal to within one wherever no cap stands in the way: the claim of the design note.
+// Under steady demand of all, shares become equal to within one wherever no cap stands in the way: the claim
+// of the design note.
 func TestSharesEvenOut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := settings()
@@ -235,7 +249,8 @@
 	})
 }
 
-// A flood of addresses that each get a query answered does not flush out those who come regularly, and the table never grows.
+// A flood of addresses that each get a query answered does not flush out those who come regularly, and the
+// table never grows.
 func TestKnownIsNotFlushed(t *testing.T) {
 	k := NewKnown(3, 1024)
 	regular := make([]netip.Addr, 100)
@@ -316,15 +331,18 @@
 	b.Return(Connections, 51)
 }
 
-// What is put by for a query is enough for its values; what is larger than any was lately takes of what is free, or is cut; and
-// all comes back.
+// What is put by for a query is enough for its values; what is larger than any was lately takes of what is
+// free, or is cut; and all comes back.
 func TestHold(t *testing.T) {
 	var out strings.Builder
 	b := NewBook(100_000, [purposes]Portion{Queries: {0.1, 0.3}, Values: {0.3, 0.6}})
 	b.Strict = true
 	r := NewRoom(b, 2)
 	say := func(format string, args ...any) {
-		fmt.Fprintf(&out, format+"; queries %d, values %d\n", append(args, b.Accounts[Queries].Held, b.Accounts[Values].Held)...)
+		fmt.Fprintf(
+			&out,
+			format+"; queries %d, values %d\n",
+			append(args, b.Accounts[Queries].Held, b.Accounts[Values].Held)...)
 	}
 	var held []*Hold
 	for {
@@ -380,7 +398,8 @@
 	golden.Check(t, "hold", out.String())
 }
 
-// FuzzEvents plays any sequence of events at all books at once; nothing may go below zero, pass a cap, or fail to come back.
+// FuzzEvents plays any sequence of events at all books at once; nothing may go below zero, pass a cap, or
+// fail to come back.
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("connect-serve-go-values-and-back"), uint16(1000))
 	f.Add([]byte{0, 0, 0, 0, 1, 1, 2, 3, 3, 3, 4, 5, 5, 6, 7, 8, 9, 9, 9, 0, 2, 4, 6}, uint16(64))
--- a/merge/aggs.go
+++ b/merge/aggs.go
@@ -1,7 +1,8 @@
 package merge
 
-// aggs.go owns aggregations: what shards counted, put together. Where that is exact it is exact, whatever the order; where it can't be
-// the bound of the error is stated. It must never hold more buckets than the bound, and never pass a guess off as a count.
+// aggs.go owns aggregations: what shards counted, put together. Where that is exact it is exact, whatever the
+// order; where it can't be the bound of the error is stated. It must never hold more buckets than the bound,
+// and never pass a guess off as a count.
 
 import (
 	"cmp"
@@ -99,7 +100,11 @@
 	if err != nil {
 		panic(err) // the accuracy is a constant
 	}
-	return ddsketch.NewDDSketch(m, store.NewCollapsingLowestDenseStore(4096), store.NewCollapsingLowestDenseStore(4096))
+	return ddsketch.NewDDSketch(
+		m,
+		store.NewCollapsingLowestDenseStore(4096),
+		store.NewCollapsingLowestDenseStore(4096),
+	)
 }
 
 func checkAggs(all []AggSpec, depth int) error {
@@ -217,7 +222,8 @@
 	to.Cut = to.Cut || from.Distinct > 0
 }
 
-// joinBuckets adds buckets up by key. A term that a shard has not sent may have had as many there as the last that it did send.
+// joinBuckets adds buckets up by key. A term that a shard has not sent may have had as many there as the last
+// that it did send.
 func (s *AggSpec) joinBuckets(to, from *Agg) {
 	if to.Buckets == nil {
 		to.Buckets = map[Value]*Bucket{}
--- a/merge/merge.go
+++ b/merge/merge.go
@@ -1,6 +1,7 @@
-// Package merge makes one answer from the partial answers of many shards: ranked lists, pages, totals and aggregations, and says
-// which parts are in it. It is pure: partial answers are handed in as they come, in any order, and the result does not hang on that
-// order. It must never count a shard twice, never call an answer whole that is not, and never hold more than its stated bounds.
+// Package merge makes one answer from the partial answers of many shards: ranked lists, pages, totals and
+// aggregations, and says which parts are in it. It is pure: partial answers are handed in as they come, in
+// any order, and the result does not hang on that order. It must never count a shard twice, never call an
+// answer whole that is not, and never hold more than its stated bounds.
 //
 // merge.go owns ranked lists, pages and completeness.
 package merge
@@ -12,7 +13,8 @@
 	"slices"
 )
 
-// Hit is one hit. Its place among all is by the sort keys, then by shard, then by its position in the shard's own list.
+// Hit is one hit. Its place among all is by the sort keys, then by shard, then by its position in the shard's
+// own list.
 type Hit struct {
 	Shard, Pos int
 	Sort       []Value
@@ -100,7 +102,11 @@
 }
 
 func (m *Merger) find(number int) *shard {
-	i, found := slices.BinarySearchFunc(m.shards, number, func(s shard, n int) int { return cmp.Compare(s.number, n) })
+	i, found := slices.BinarySearchFunc(
+		m.shards,
+		number,
+		func(s shard, n int) int { return cmp.Compare(s.number, n) },
+	)
 	if !found {
 		return nil
 	}
@@ -117,8 +123,9 @@
 	return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Pos, b.Pos))
 }
 
-// after tells whether a hit lies behind the values that the client has given. Those that tie with them do not, as the client has
-// had one of them and nobody knows which; who pages through ties adds a key that has none.
+// after tells whether a hit lies behind the values that the client has given. Those that tie with them do
+// not, as the client has had one of them and nobody knows which; who pages through ties adds a key that has
+// none.
 func (s *Spec) after(h *Hit) bool {
 	if s.After == nil {
 		return true
@@ -131,7 +138,8 @@
 	return false
 }
 
-// Add takes a shard's answer. An error says what makes no sense of it; the shard has failed then, and nothing of it is in.
+// Add takes a shard's answer. An error says what makes no sense of it; the shard has failed then, and nothing
+// of it is in.
 func (m *Merger) Add(p *Partial) error {
 	s := m.find(p.Shard)
 	switch {
@@ -176,7 +184,13 @@
 		h := &p.Hits[i]
 		h.Shard, h.Pos = p.Shard, m.spec.Taken[p.Shard]+i
 		if len(h.Sort) != len(m.spec.Keys) {
-			return fmt.Errorf("shard %d: hit %d has %d sort values, there are %d keys", p.Shard, i, len(h.Sort), len(m.spec.Keys))
+			return fmt.Errorf(
+				"shard %d: hit %d has %d sort values, there are %d keys",
+				p.Shard,
+				i,
+				len(h.Sort),
+				len(m.spec.Keys),
+			)
 		}
 		if i > 0 && m.spec.Compare(&p.Hits[i-1], h) > 0 {
 			return fmt.Errorf("shard %d: hits %d and %d are not in order", p.Shard, i-1, i)
@@ -270,9 +284,9 @@
 	return r
 }
 
-// Cursor is where the next page begins: for each shard how many of its hits the pages so far have had. A shard that fails on one page
-// goes on at its own place on the next, so none of its hits is lost or comes twice; those that belong before that page are counted
-// as Behind.
+// Cursor is where the next page begins: for each shard how many of its hits the pages so far have had. A
+// shard that fails on one page goes on at its own place on the next, so none of its hits is lost or comes
+// twice; those that belong before that page are counted as Behind.
 type Cursor struct {
 	Taken map[int]int
 	Last  *Hit
--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -13,7 +13,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain has the draws be the same in each run; -rapid.seed on the command line draws others, -rapid.checks more.
+// TestMain has the draws be the same in each run; -rapid.seed on the command line draws others, -rapid.checks
+// more.
 func TestMain(m *testing.M) {
 	flag.Set("rapid.seed", "20")
 	os.Exit(m.Run())
@@ -50,14 +51,28 @@
 }
 
 func draw(t *rapid.T) *world {
-	w := &world{spec: &Spec{From: rapid.IntRange(0, 6).Draw(t, "from"), Size: rapid.IntRange(0, 8).Draw(t, "size"), Track: -1}}
+	w := &world{
+		spec: &Spec{
+			From:  rapid.IntRange(0, 6).Draw(t, "from"),
+			Size:  rapid.IntRange(0, 8).Draw(t, "size"),
+			Track: -1,
+		},
+	}
 	fields := []string{"price", "tag", "mod"}
 	for i := range rapid.IntRange(0, 3).Draw(t, "keys") {
-		w.spec.Keys = append(w.spec.Keys, Key{Field: fields[i], Descending: rapid.Bool().Draw(t, "descending"),
-			MissingFirst: rapid.Bool().Draw(t, "missing first")})
+		w.spec.Keys = append(
+			w.spec.Keys,
+			Key{Field: fields[i], Descending: rapid.Bool().Draw(t, "descending"),
+				MissingFirst: rapid.Bool().Draw(t, "missing first")},
+		)
 	}
 	w.spec.Aggs = []AggSpec{{Name: "sum", Kind: SumOf}, {Name: "min", Kind: Min}, {Name: "max", Kind: Max},
-		{Name: "tags", Kind: Terms, Size: rapid.IntRange(1, 4).Draw(t, "tags"), Subs: []AggSpec{{Name: "avg", Kind: Avg}}},
+		{
+			Name: "tags",
+			Kind: Terms,
+			Size: rapid.IntRange(1, 4).Draw(t, "tags"),
+			Subs: []AggSpec{{Name: "avg", Kind: Avg}},
+		},
 		{Name: "distinct", Kind: Cardinality}, {Name: "half", Kind: Percentiles, Percents: []float64{50, 99}}}
 	id := 0
 	for shard := range rapid.IntRange(1, 5).Draw(t, "shards") {
@@ -108,7 +123,11 @@
 			p.Hits = append(p.Hits, Hit{Sort: d.sort(w.spec.Keys), Body: fmt.Append(nil, d.id)})
 		}
 	}
-	num, tags, distinct, half := &Agg{}, &Agg{Buckets: map[Value]*Bucket{}}, &Agg{}, &Agg{Quantile: NewQuantile()}
+	num, tags, distinct, half := &Agg{}, &Agg{
+		Buckets: map[Value]*Bucket{},
+	}, &Agg{}, &Agg{
+		Quantile: NewQuantile(),
+	}
 	values := map[string]bool{}
 	for _, d := range list {
 		if num.Count == 0 {
@@ -150,7 +169,14 @@
 			}
 		}
 	})
-	p.Aggs = map[string]*Agg{"sum": num, "min": num, "max": num, "tags": tags, "distinct": distinct, "half": half}
+	p.Aggs = map[string]*Agg{
+		"sum":      num,
+		"min":      num,
+		"max":      num,
+		"tags":     tags,
+		"distinct": distinct,
+		"half":     half,
+	}
 	return p
 }
 
@@ -165,8 +191,8 @@
 	return all
 }
 
-// Whatever comes in whatever order, with failures and late answers: hits, totals and aggregations are those of a reference that
-// sorts and counts everything at once, and what is said of completeness is true.
+// Whatever comes in whatever order, with failures and late answers: hits, totals and aggregations are those
+// of a reference that sorts and counts everything at once, and what is said of completeness is true.
 func TestAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := draw(t)
@@ -198,7 +224,8 @@
 		}
 		r := m.Result()
 		slices.Sort(in)
-		if !slices.Equal(r.In, in) || r.Whole() != (len(in) == len(w.shards)) || len(r.In)+len(r.Failures) != r.Asked {
+		if !slices.Equal(r.In, in) || r.Whole() != (len(in) == len(w.shards)) ||
+			len(r.In)+len(r.Failures) != r.Asked {
 			t.Fatalf("says that %v of %d are in, %v are", r.In, r.Asked, in)
 		}
 		all := w.reference(in)
@@ -255,7 +282,8 @@
 		t.Fatalf("%d in buckets, %d in others, there are %d", sum, tags.Other, len(all))
 	}
 	for tag, n := range counts { // what is absent may have that many at most, if there was room for it
-		if len(tags.Order) < w.spec.Aggs[3].Size && !slices.ContainsFunc(tags.Order, func(b *Bucket) bool { return b.Key.Text == tag }) &&
+		if len(tags.Order) < w.spec.Aggs[3].Size &&
+			!slices.ContainsFunc(tags.Order, func(b *Bucket) bool { return b.Key.Text == tag }) &&
 			n > tags.TotalError {
 			t.Fatalf("%s has %d and is absent, with an error of %d stated", tag, n, tags.TotalError)
 		}
@@ -276,8 +304,8 @@
 	}
 }
 
-// All pages together have each hit once, whichever shards fail on which page, as long as each answers on some later page; what
-// comes after its place is told.
+// All pages together have each hit once, whichever shards fail on which page, as long as each answers on some
+// later page; what comes after its place is told.
 func TestPages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := draw(t)
@@ -333,7 +361,12 @@
 
 // What a shard gets wrong makes it a failed one, and nothing of it is in.
 func TestFaults(t *testing.T) {
-	spec := &Spec{Keys: []Key{{Field: "a"}}, Size: 5, Track: -1, Aggs: []AggSpec{{Name: "t", Kind: Terms, Size: 3}}}
+	spec := &Spec{
+		Keys:  []Key{{Field: "a"}},
+		Size:  5,
+		Track: -1,
+		Aggs:  []AggSpec{{Name: "t", Kind: Terms, Size: 3}},
+	}
 	hit := func(n int64) Hit { return Hit{Sort: []Value{Int(n)}} }
 	for name, p := range map[string]*Partial{
 		"order":      {Hits: []Hit{hit(2), hit(1)}, Total: Total{Value: 2}},
@@ -349,7 +382,8 @@
 		if m.Add(p) == nil {
 			t.Errorf("%s: taken", name)
 		}
-		if r := m.Result(); r.Whole() || len(r.Hits) > 0 || r.Total.Value > 0 || len(r.Failures) != 1 || r.Failures[0].Reason == "" {
+		if r := m.Result(); r.Whole() || len(r.Hits) > 0 || r.Total.Value > 0 || len(r.Failures) != 1 ||
+			r.Failures[0].Reason == "" {
 			t.Errorf("%s: %+v", name, r)
 		}
 	}
@@ -397,7 +431,8 @@
 	}
 }
 
-// BenchmarkMerge is the cost of putting parts together as they come; BenchmarkHeap the baseline: all at once, at the end.
+// BenchmarkMerge is the cost of putting parts together as they come; BenchmarkHeap the baseline: all at once,
+// at the end.
 func BenchmarkMerge(b *testing.B) { bench(b, false) }
 
 func BenchmarkSortAtOnce(b *testing.B) { bench(b, true) }
--- a/merge/sum.go
+++ b/merge/sum.go
@@ -1,11 +1,12 @@
 package merge
 
-// sum.go owns sums of floating numbers that do not hang on the order in which they were added. It must never round before the end.
+// sum.go owns sums of floating numbers that do not hang on the order in which they were added. It must never
+// round before the end.
 
 import "math"
 
-// Sum adds up exactly: it keeps partial sums that do not overlap (Shewchuk, Adaptive Precision Floating-Point Arithmetic, 1997) and
-// rounds once. The zero value is an empty sum.
+// Sum adds up exactly: it keeps partial sums that do not overlap (Shewchuk, Adaptive Precision Floating-Point
+// Arithmetic, 1997) and rounds once. The zero value is an empty sum.
 type Sum struct{ parts []float64 }
 
 // Add adds a number.
@@ -53,7 +54,8 @@
 			break
 		}
 	}
-	if n > 0 && (lo < 0 && s.parts[n-1] < 0 || lo > 0 && s.parts[n-1] > 0) { // half way, and what is below decides
+	if n > 0 &&
+		(lo < 0 && s.parts[n-1] < 0 || lo > 0 && s.parts[n-1] > 0) { // half way, and what is below decides
 		y := lo * 2
 		if x := hi + y; y == x-hi {
 			hi = x
--- a/merge/value.go
+++ b/merge/value.go
@@ -1,7 +1,8 @@
 package merge
 
-// value.go owns what hits are sorted by: values of any kind, with one total order that is the same everywhere. It must never lose a
-// digit of a whole number, and never let the order hang on which answer came first.
+// value.go owns what hits are sorted by: values of any kind, with one total order that is the same
+// everywhere. It must never lose a digit of a whole number, and never let the order hang on which answer came
+// first.
 
 import (
 	"bytes"
--- a/plan/bound.go
+++ b/plan/bound.go
@@ -1,9 +1,9 @@
-// Package plan says what a fleet can bear: what breaks first, how many leaves a goal takes, what a loss does. It is pure: what
-// an emulation says comes by a function that is handed in.
+// Package plan says what a fleet can bear: what breaks first, how many leaves a goal takes, what a loss does.
+// It is pure: what an emulation says comes by a function that is handed in.
 //
-// bound.go owns the hard bound: the greatest multiple of a load whose work can be shared out among the leaves at all, by a linear
-// program, and the limits of routers and tenants. Tails, queues and decisions only lower it. It must never call a fleet
-// sufficient: that is for package plan's judge to say.
+// bound.go owns the hard bound: the greatest multiple of a load whose work can be shared out among the leaves
+// at all, by a linear program, and the limits of routers and tenants. Tails, queues and decisions only lower
+// it. It must never call a fleet sufficient: that is for package plan's judge to say.
 package plan
 
 import (
@@ -35,8 +35,8 @@
 	HotPart float64            // its share of the work
 }
 
-// Measure takes the demand of a capture's queries. Any-n queries send only parts that make what they need, at the least those with
-// the least hints: a bound must not count more.
+// Measure takes the demand of a capture's queries. Any-n queries send only parts that make what they need, at
+// the least those with the least hints: a bound must not count more.
 func Measure(f *fleet.Fleet, all []*capture.Query, sample float64) (*Demand, error) {
 	if len(all) == 0 {
 		return nil, fmt.Errorf("the capture holds no query")
@@ -70,7 +70,10 @@
 				known++
 			}
 		}
-		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(q.Parts[a].Hint, q.Parts[b].Hint) })
+		slices.SortStableFunc(
+			order,
+			func(a, b int) int { return cmp.Compare(q.Parts[a].Hint, q.Parts[b].Hint) },
+		)
 		d.Queries += scale
 		d.Tenants[q.Tenant] += scale
 		cost, weight, longest := 0.0, 0.0, 0.0
@@ -97,7 +100,10 @@
 		costs, total = append(costs, cost), total+cost
 	}
 	if d.Known = known / max(parts, 1); d.Known < 0.5 {
-		return nil, fmt.Errorf("the work of only %.0f%% of the parts is known: hints or measured work are needed", 100*d.Known)
+		return nil, fmt.Errorf(
+			"the work of only %.0f%% of the parts is known: hints or measured work are needed",
+			100*d.Known,
+		)
 	}
 	slices.SortFunc(costs, func(a, b float64) int { return cmp.Compare(b, a) })
 	for _, c := range costs[:max(len(costs)/100, 1)] {
@@ -130,7 +136,8 @@
 		}
 	}
 	for i, n := range f.Nodes {
-		if kind == "router" && n.Name == name { // routers of a zone that is lost serve nobody, as its clients go elsewhere
+		if kind == "router" &&
+			n.Name == name { // routers of a zone that is lost serve nobody, as its clients go elsewhere
 			loss.Routers = append(loss.Routers, i)
 		}
 		if kind == "zone" && f.Zones[n.Zone] == name {
@@ -202,9 +209,9 @@
 	return float64(k.Cores) * k.Speed * 1000
 }
 
-// Leaves is the bound by the leaves: how the work of each shard can be shared out among its holders so that the greatest multiple
-// of the load fits. maximise m, subject to: for each set of shards, the sum of its shares = m times its work; for each leaf, the
-// sum of the shares it carries <= its capacity.
+// Leaves is the bound by the leaves: how the work of each shard can be shared out among its holders so that
+// the greatest multiple of the load fits. maximise m, subject to: for each set of shards, the sum of its
+// shares = m times its work; for each leaf, the sum of the shares it carries <= its capacity.
 func Leaves(f *fleet.Fleet, d *Demand, loss Loss) (Limit, error) {
 	var left []int
 	for i := range f.Leaves {
@@ -219,12 +226,16 @@
 	total := 0.0
 	for _, g := range groups {
 		if len(g.leaves) == 0 {
-			return Limit{What: "leaves", Names: []string{"nobody is left that holds the shards"}, Shards: g.shards}, nil
+			return Limit{
+				What:   "leaves",
+				Names:  []string{"nobody is left that holds the shards"},
+				Shards: g.shards,
+			}, nil
 		}
 		total += g.work
 	}
-	// Columns: a share for each set and holder, the multiple, a slack for each leaf. Work is scaled to 1 in all, as the
-	// program's tolerance is absolute.
+	// Columns: a share for each set and holder, the multiple, a slack for each leaf. Work is scaled to 1 in
+	// all, as the program's tolerance is absolute.
 	shares := 0
 	for _, g := range groups {
 		shares += len(g.leaves)
@@ -258,8 +269,9 @@
 	return limit, nil
 }
 
-// binding is the set of shards that can't be given more, and the leaves that hold them: those from which no leaf with room can
-// be reached by moving shares along. By the theorem on flows and cuts its leaves' capacity over its work is the multiple.
+// binding is the set of shards that can't be given more, and the leaves that hold them: those from which no
+// leaf with room can be reached by moving shares along. By the theorem on flows and cuts its leaves' capacity
+// over its work is the multiple.
 func binding(f *fleet.Fleet, groups []set, left []int, x []float64) (shards []int, names []string) {
 	room := make([]bool, len(left))
 	shares := 0
@@ -325,7 +337,10 @@
 	all = append(all, routers(f, d, loss)...)
 	for _, t := range f.Tenants {
 		if rate := d.Tenants[t.Name]; t.PerSecond > 0 && rate > 0 {
-			all = append(all, Limit{What: "tenant share", Multiple: t.PerSecond / rate, Names: []string{t.Name}})
+			all = append(
+				all,
+				Limit{What: "tenant share", Multiple: t.PerSecond / rate, Names: []string{t.Name}},
+			)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Limit) int { return cmp.Compare(a.Multiple, b.Multiple) })
--- a/plan/calibrate.go
+++ b/plan/calibrate.go
@@ -1,8 +1,8 @@
 package plan
 
-// calibrate.go owns what a live capture tells of work: clients' hints are guesses, and many send none, but a call that found a core
-// of its leaf free took its link, its overhead and its own work, and nothing else. It must never take the wait in a queue for
-// work, and never fill in a figure that too few calls bear out.
+// calibrate.go owns what a live capture tells of work: clients' hints are guesses, and many send none, but a
+// call that found a core of its leaf free took its link, its overhead and its own work, and nothing else. It
+// must never take the wait in a queue for work, and never fill in a figure that too few calls bear out.
 
 import (
 	"cmp"
@@ -63,7 +63,8 @@
 	Error  float64
 }
 
-// Odd tells whether a leaf's speed differs from its description by more than a tenth, and by more than chance.
+// Odd tells whether a leaf's speed differs from its description by more than a tenth, and by more than
+// chance.
 func (l LeafSpeed) Odd() bool {
 	return math.Abs(l.Factor-1) > oddSpeed && math.Abs(l.Factor-1) > 3*l.Error
 }
@@ -98,12 +99,15 @@
 	work       float64
 }
 
-// Calibrate works out the work of each part from the calls that a capture holds, and writes it into the parts. Calls of other
-// routers are in it only if their captures were merged: without them leaves look idler than they were, so merge first. Hints may
-// be left out of it where they are known to be worth nothing.
+// Calibrate works out the work of each part from the calls that a capture holds, and writes it into the
+// parts. Calls of other routers are in it only if their captures were merged: without them leaves look idler
+// than they were, so merge first. Hints may be left out of it where they are known to be worth nothing.
 func Calibrate(f *fleet.Fleet, all []*capture.Query, sample float64, hints bool) (*Calibration, error) {
 	if sample < 1 {
-		return nil, fmt.Errorf("the capture holds only %.0f%% of the queries: who else was at a leaf can't be told; record with sample: 1", 100*sample)
+		return nil, fmt.Errorf(
+			"the capture holds only %.0f%% of the queries: who else was at a leaf can't be told; record with sample: 1",
+			100*sample,
+		)
 	}
 	c := &Calibration{}
 	calls := c.gather(f, all)
@@ -112,7 +116,11 @@
 	}
 	c.markFree(f, calls)
 	if c.Free < leastFree {
-		return nil, fmt.Errorf("only %d of %d calls found a core of their leaf free: record at a quieter hour", c.Free, c.Calls)
+		return nil, fmt.Errorf(
+			"only %d of %d calls found a core of their leaf free: record at a quieter hour",
+			c.Free,
+			c.Calls,
+		)
 	}
 	type place struct {
 		vertical string
@@ -151,7 +159,8 @@
 	}
 	slices.SortFunc(c.Hints, func(a, b HintError) int { return cmp.Compare(a.Vertical, b.Vertical) })
 	expect := func(q *capture.Query, p *capture.Part) (float64, Source) {
-		if i := slices.IndexFunc(c.Hints, func(h HintError) bool { return h.Vertical == q.Vertical }); i >= 0 && p.Hint > 0 {
+		if i := slices.IndexFunc(c.Hints, func(h HintError) bool { return h.Vertical == q.Vertical }); i >= 0 &&
+			p.Hint > 0 {
 			return p.Hint * c.Hints[i].Factor, ByHint
 		}
 		if m := byShard[place{q.Vertical, p.Shard}]; m != nil && m.n >= leastShard {
@@ -209,8 +218,9 @@
 	return calls
 }
 
-// markFree finds the calls that began at once: leaves serve first come first, so those that came later do not matter, and what
-// was given up or lost may be at work for long after the root has forgotten it: for a while after such a call nothing is sure.
+// markFree finds the calls that began at once: leaves serve first come first, so those that came later do not
+// matter, and what was given up or lost may be at work for long after the root has forgotten it: for a while
+// after such a call nothing is sure.
 func (c *Calibration) markFree(f *fleet.Fleet, calls []out) {
 	at := make([][]int64, len(f.Leaves)) // ends of what is out
 	unsure := make([]int64, len(f.Leaves))
@@ -231,7 +241,11 @@
 }
 
 // speeds compares what each leaf took with what its calls' work is otherwise thought to be.
-func (c *Calibration) speeds(f *fleet.Fleet, calls []out, expect func(*capture.Query, *capture.Part) (float64, Source)) {
+func (c *Calibration) speeds(
+	f *fleet.Fleet,
+	calls []out,
+	expect func(*capture.Query, *capture.Part) (float64, Source),
+) {
 	took, thought := make([]mean, len(f.Leaves)), make([]mean, len(f.Leaves))
 	var ratio []mean = make([]mean, len(f.Leaves))
 	for i := range calls {
@@ -248,7 +262,10 @@
 	for i, l := range f.Leaves {
 		if n := took[i].n; n >= leastLeaf && took[i].sum > 0 {
 			factor := thought[i].sum / took[i].sum
-			c.Leaves = append(c.Leaves, LeafSpeed{l.Name, n, factor, factor * ratio[i].err() / max(ratio[i].mean(), 1e-9)})
+			c.Leaves = append(
+				c.Leaves,
+				LeafSpeed{l.Name, n, factor, factor * ratio[i].err() / max(ratio[i].mean(), 1e-9)},
+			)
 		}
 	}
 }
--- a/plan/calibrate_test.go
+++ b/plan/calibrate_test.go
@@ -12,8 +12,8 @@
 	"moleshift/fleet"
 )
 
-// record plays calls at leaves that serve first come first, one part a core, and writes down what a router's capture would hold.
-// Leaf 1 has half the speed that its kind is said to have.
+// record plays calls at leaves that serve first come first, one part a core, and writes down what a router's
+// capture would hold. Leaf 1 has half the speed that its kind is said to have.
 func record(f *fleet.Fleet, seconds int, rate, hint float64) (all []*capture.Query, work []float64) {
 	rng := rand.New(rand.NewPCG(4, 2))
 	cores := make([][]float64, len(f.Leaves)) // when each is free, ms
@@ -40,19 +40,35 @@
 		end := max(arrives, cores[leaf][0]) + (ms+f.Rules.Overhead)/speed
 		cores[leaf][0] = end
 		took := int64((end - at + f.Links.Same.Seconds()*1000) * 10)
-		all = append(all, &capture.Query{At: int64(at * 10), Vertical: "all", Parts: []capture.Part{{Shard: shard, Weight: 1, Hint: ms * hint,
-			Calls: []capture.Call{{Leaf: f.Leaves[leaf].Name, Took: took}}}}})
+		all = append(
+			all,
+			&capture.Query{
+				At:       int64(at * 10),
+				Vertical: "all",
+				Parts: []capture.Part{{Shard: shard, Weight: 1, Hint: ms * hint,
+					Calls: []capture.Call{{Leaf: f.Leaves[leaf].Name, Took: took}}}},
+			},
+		)
 	}
 	return all, work
 }
 
-// From calls alone, and from hints that are off by a factor of three, work comes out right, and the slow leaf is named.
+// From calls alone, and from hints that are off by a factor of three, work comes out right, and the slow leaf
+// is named.
 func TestCalibrate(t *testing.T) {
 	for _, c := range []struct {
 		hint  float64
 		hints bool
 	}{{0, true}, {3, true}, {3, false}} {
-		f := service(4, 2, 2, fleet.Leaf{Cell: 0, Kind: 2}, fleet.Leaf{Cell: 1, Kind: 2}, fleet.Leaf{Cell: 0, Kind: 2}, fleet.Leaf{Cell: 1, Kind: 2})
+		f := service(
+			4,
+			2,
+			2,
+			fleet.Leaf{Cell: 0, Kind: 2},
+			fleet.Leaf{Cell: 1, Kind: 2},
+			fleet.Leaf{Cell: 0, Kind: 2},
+			fleet.Leaf{Cell: 1, Kind: 2},
+		)
 		f.Rules.Overhead = 0.5
 		all, work := record(f, 120, 200, c.hint)
 		got, err := Calibrate(f, all, 1, c.hints)
@@ -67,8 +83,8 @@
 		for _, w := range work {
 			want += w
 		}
-		// The slow leaf's own calls count at its kind's speed: with it as a quarter of all, work comes out an eighth higher at most,
-		// and by no more where hints tell the parts apart.
+		// The slow leaf's own calls count at its kind's speed: with it as a quarter of all, work comes out an
+		// eighth higher at most, and by no more where hints tell the parts apart.
 		if total < 0.97*want || total > 1.3*want {
 			t.Errorf("hint %g: work %.0f of %.0f", c.hint, total, want)
 		}
@@ -94,7 +110,13 @@
 func TestCalibrateFaults(t *testing.T) {
 	f := service(1, 1, 1, fleet.Leaf{})
 	q := func(at int64, leaf string, outcome uint8) *capture.Query {
-		return &capture.Query{At: at, Vertical: "all", Parts: []capture.Part{{Weight: 1, Calls: []capture.Call{{Leaf: leaf, Took: 100, Outcome: outcome}}}}}
+		return &capture.Query{
+			At:       at,
+			Vertical: "all",
+			Parts: []capture.Part{
+				{Weight: 1, Calls: []capture.Call{{Leaf: leaf, Took: 100, Outcome: outcome}}},
+			},
+		}
 	}
 	busy := func() (all []*capture.Query) { // from the first call on its one core is never free
 		for i := range int64(50) {
@@ -108,7 +130,8 @@
 		says   string
 	}{{nil, 0.5, "record with sample: 1"}, {nil, 1, "no leaf call"}, {[]*capture.Query{q(0, "other", 0)}, 1, "no leaf call"},
 		{[]*capture.Query{q(0, "l0", 3)}, 1, "no leaf call"}, {busy(), 1, "quieter hour"}} {
-		if _, err := Calibrate(f, c.all, c.sample, true); err == nil || !strings.Contains(err.Error(), c.says) {
+		if _, err := Calibrate(f, c.all, c.sample, true); err == nil ||
+			!strings.Contains(err.Error(), c.says) {
 			t.Errorf("%v, not %q", err, c.says)
 		}
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -1,8 +1,8 @@
 package plan
 
-// plan.go owns the search: what service a load gets, up to which multiple a goal holds, how many leaves it takes, what each loss
-// does. What a run would come to is the judge's to say. It must never propose a leaf where none is needed: leaves are added only
-// to the cells that bind.
+// plan.go owns the search: what service a load gets, up to which multiple a goal holds, how many leaves it
+// takes, what each loss does. What a run would come to is the judge's to say. It must never propose a leaf
+// where none is needed: leaves are added only to the cells that bind.
 
 import (
 	"errors"
@@ -65,8 +65,8 @@
 	leastTried = 0.5
 )
 
-// Greatest is the greatest multiple of the load at which the goal's service is had, with the points that were tried. The hard
-// bound is where the search starts: nothing above it can last.
+// Greatest is the greatest multiple of the load at which the goal's service is had, with the points that were
+// tried. The hard bound is where the search starts: nothing above it can last.
 func Greatest(f *fleet.Fleet, bound float64, service float64, loss Loss, judge Judge) (float64, []Point) {
 	var points []Point
 	try := func(times float64) bool {
@@ -107,8 +107,9 @@
 // ErrOutOfReach: no number of leaves reaches the goal. The text says what stands in the way.
 var ErrOutOfReach = errors.New("the goal is out of reach")
 
-// Grow adds leaves of a kind until the goal is had: first as many as the bound asks for at a utilisation, to the cells that
-// bind, then, while the judge says that it is not enough, as many as a lower utilisation asks for.
+// Grow adds leaves of a kind until the goal is had: first as many as the bound asks for at a utilisation, to
+// the cells that bind, then, while the judge says that it is not enough, as many as a lower utilisation asks
+// for.
 func Grow(f *fleet.Fleet, d *Demand, goal Goal, kind int, loss Loss, judge Judge) (*Grown, error) {
 	limits, err := Limits(f, d, loss)
 	if err != nil {
@@ -130,8 +131,14 @@
 			return g, err
 		}
 	}
-	return nil, fmt.Errorf("%w: with %d leaves more, at %.0f%% of what they can do, service is still %.4f: it is not the leaves that stand "+
-		"in the way", ErrOutOfReach, g.Total, 100*leastTried, g.Point.Verdict.Service)
+	return nil, fmt.Errorf(
+		"%w: with %d leaves more, at %.0f%% of what they can do, service is still %.4f: it is not the leaves that stand "+
+			"in the way",
+		ErrOutOfReach,
+		g.Total,
+		100*leastTried,
+		g.Point.Verdict.Service,
+	)
 }
 
 // until adds leaves to the cells that bind until the bound is high enough.
