--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -30,7 +30,11 @@
 	f.Shards, f.Cells, f.Span = shards, cells, span
 	f.Rules.Overhead = 0
 	f.Zones = []string{"east", "west"}
-	f.Kinds = []fleet.Kind{{Name: "one", Cores: 1, Speed: 1}, {Name: "half", Cores: 1, Speed: 0.5}, {Name: "two", Cores: 2, Speed: 1}}
+	f.Kinds = []fleet.Kind{
+		{Name: "one", Cores: 1, Speed: 1},
+		{Name: "half", Cores: 1, Speed: 0.5},
+		{Name: "two", Cores: 2, Speed: 1},
+	}
 	f.Routers = []fleet.Routers{{Name: "r", Count: 2, Cores: 1}}
 	f.Nodes = []fleet.Node{{Name: "r-0"}, {Name: "r-1", Zone: 1}}
 	f.Verticals = []fleet.Vertical{{Name: "all", Need: 1}, {Name: "any", Need: 0.5}}
@@ -74,7 +78,8 @@
 		if err != nil {
 			t.Fatal(c.name, err)
 		}
-		if math.Abs(got.Multiple-c.want) > 1e-4*c.want+1e-9 || !slices.Equal(got.Shards, c.shards) || strings.Join(got.Names, " ") != c.names {
+		if math.Abs(got.Multiple-c.want) > 1e-4*c.want+1e-9 || !slices.Equal(got.Shards, c.shards) ||
+			strings.Join(got.Names, " ") != c.names {
 			t.Errorf("%s: %+v, want %v, %v, %s", c.name, got, c.want, c.shards, c.names)
 		}
 	}
@@ -90,7 +95,13 @@
 		leaves = append(leaves, fleet.Leaf{Cell: c, Kind: rapid.IntRange(0, 2).Draw(t, "kind")})
 	}
 	for range rapid.IntRange(0, 5).Draw(t, "more") {
-		leaves = append(leaves, fleet.Leaf{Cell: rapid.IntRange(0, cells-1).Draw(t, "cell"), Kind: rapid.IntRange(0, 2).Draw(t, "kind")})
+		leaves = append(
+			leaves,
+			fleet.Leaf{
+				Cell: rapid.IntRange(0, cells-1).Draw(t, "cell"),
+				Kind: rapid.IntRange(0, 2).Draw(t, "kind"),
+			},
+		)
 	}
 	work := make([]float64, shards)
 	for i := range work {
@@ -100,7 +111,8 @@
 	return service(shards, cells, span, leaves...), demand(work...)
 }
 
-// cut is the bound by the theorem on flows and cuts: the least capacity over work of any shards and all who hold them.
+// cut is the bound by the theorem on flows and cuts: the least capacity over work of any shards and all who
+// hold them.
 func cut(f *fleet.Fleet, d *Demand) float64 {
 	least := float64(never)
 	for pick := 1; pick < 1<<f.Shards; pick++ {
@@ -127,8 +139,8 @@
 
 func near(a, b float64) bool { return math.Abs(a-b) <= 1e-4*max(math.Abs(a), math.Abs(b)) }
 
-// The program finds what the theorem says, and the shards that it names are those of the least cut; a further leaf never
-// lowers the bound; a leaf split into two halves keeps it; twice the load halves it.
+// The program finds what the theorem says, and the shards that it names are those of the least cut; a further
+// leaf never lowers the bound; a leaf split into two halves keeps it; twice the load halves it.
 func TestBoundProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f, d := draw(t)
@@ -178,13 +190,17 @@
 	})
 }
 
-// What is measured of a capture: any-n queries count with what they need, unknown work is said and not guessed.
+// What is measured of a capture: any-n queries count with what they need, unknown work is said and not
+// guessed.
 func TestMeasure(t *testing.T) {
 	f := service(4, 2, 1, fleet.Leaf{Cell: 0}, fleet.Leaf{Cell: 1})
 	q := func(at int64, vertical string, works ...float64) *capture.Query {
 		q := &capture.Query{At: at, Vertical: vertical, Tenant: "t"}
 		for i, w := range works {
-			q.Parts = append(q.Parts, capture.Part{Shard: i, Weight: 1 / float64(len(works)), Work: w, Hint: w})
+			q.Parts = append(
+				q.Parts,
+				capture.Part{Shard: i, Weight: 1 / float64(len(works)), Work: w, Hint: w},
+			)
 		}
 		return q
 	}
@@ -193,7 +209,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d.Queries != 6 || d.Parts != 10 || !slices.Equal(d.Work, []float64{40, 56, 16, 0}) || d.Tenants["t"] != 6 || d.Hot != 1 {
+	if d.Queries != 6 || d.Parts != 10 || !slices.Equal(d.Work, []float64{40, 56, 16, 0}) ||
+		d.Tenants["t"] != 6 ||
+		d.Hot != 1 {
 		t.Errorf("%+v", d)
 	}
 	for _, bad := range [][]*capture.Query{nil, {q(0, "none", 1)}, {q(0, "all", 1, 1, 1, 1, 1)}, {q(0, "all", 0)}} {
@@ -205,10 +223,26 @@
 
 // The limits in the order in which they break, and what losses do to them.
 func TestLimits(t *testing.T) {
-	f := service(2, 2, 1, fleet.Leaf{Cell: 0, Zone: 0}, fleet.Leaf{Cell: 1, Zone: 0}, fleet.Leaf{Cell: 0, Zone: 1})
+	f := service(
+		2,
+		2,
+		1,
+		fleet.Leaf{Cell: 0, Zone: 0},
+		fleet.Leaf{Cell: 1, Zone: 0},
+		fleet.Leaf{Cell: 0, Zone: 1},
+	)
 	f.Routers[0].PerQuery, f.Routers[0].PerCall = 1e6, 5e5
-	f.Tenants = []fleet.Tenant{{Name: "t", PerSecond: 300}, {Name: "u", PerSecond: 10}, {Name: "idle", PerSecond: 1}}
-	d := &Demand{Queries: 100, Parts: 200, Work: []float64{600, 200}, Tenants: map[string]float64{"t": 95, "u": 5}}
+	f.Tenants = []fleet.Tenant{
+		{Name: "t", PerSecond: 300},
+		{Name: "u", PerSecond: 10},
+		{Name: "idle", PerSecond: 1},
+	}
+	d := &Demand{
+		Queries: 100,
+		Parts:   200,
+		Work:    []float64{600, 200},
+		Tenants: map[string]float64{"t": 95, "u": 5},
+	}
 	var out strings.Builder
 	for _, text := range []string{"", "leaf=l0", "zone=east", "zone=west", "router=r-1", "zone=north", "leaf=x", "r-1"} {
 		loss, err := Without(f, text)
@@ -252,7 +286,8 @@
 	}
 }
 
-// Leaves are added where they bind and nowhere else, no more than it takes; what no leaf can mend is said to be so.
+// Leaves are added where they bind and nowhere else, no more than it takes; what no leaf can mend is said to
+// be so.
 func TestGrow(t *testing.T) {
 	f := service(3, 3, 1, fleet.Leaf{Cell: 0}, fleet.Leaf{Cell: 1}, fleet.Leaf{Cell: 2})
 	d := demand(900, 100, 100) // shard 0 is hot
@@ -269,7 +304,10 @@
 		t.Error(err)
 	}
 	f.Routers[0].PerQuery = 0
-	if _, err := Grow(f, d, Goal{0.99, 3}, 0, Loss{}, func(*fleet.Fleet, float64, Loss) Verdict { return Verdict{Service: 0.5} }); !errors.Is(err, ErrOutOfReach) {
+	if _, err := Grow(f, d, Goal{0.99, 3}, 0, Loss{}, func(*fleet.Fleet, float64, Loss) Verdict { return Verdict{Service: 0.5} }); !errors.Is(
+		err,
+		ErrOutOfReach,
+	) {
 		t.Error(err)
 	}
 }
@@ -285,14 +323,22 @@
 	}
 }
 
-// Each limit of a router where it is stated and none where it is not, worked out by hand: ten queries a second of one part of 99 ms
-// and half a ms each way hold 1 query, or 2 with its part, at once; two routers share them.
+// Each limit of a router where it is stated and none where it is not, worked out by hand: ten queries a
+// second of one part of 99 ms and half a ms each way hold 1 query, or 2 with its part, at once; two routers
+// share them.
 func TestRouterLimits(t *testing.T) {
 	f := service(1, 1, 1, fleet.Leaf{}, fleet.Leaf{})
 	f.Links = fleet.Links{Same: 500 * time.Microsecond}
 	var all []*capture.Query
 	for i := range 100 {
-		all = append(all, &capture.Query{At: int64(i * 1000), Vertical: "all", Parts: []capture.Part{{Weight: 1, Work: 99}}})
+		all = append(
+			all,
+			&capture.Query{
+				At:       int64(i * 1000),
+				Vertical: "all",
+				Parts:    []capture.Part{{Weight: 1, Work: 99}},
+			},
+		)
 	}
 	all[99].At = 99_999 // ten seconds in all
 	d, err := Measure(f, all, 1)
@@ -319,7 +365,11 @@
 	r := &f.Routers[0]
 	check("nothing stated", "leaves 2.0", Loss{})
 	r.PerQuery, r.Sockets, r.OpenCap = 10*time.Millisecond, 64, 10
-	check("cpu, descriptors, cap", "leaves 2.0, router open queries 10.0, router cpu 20.0, router descriptors 32.0", Loss{})
+	check(
+		"cpu, descriptors, cap",
+		"leaves 2.0, router open queries 10.0, router cpu 20.0, router descriptors 32.0",
+		Loss{},
+	)
 	r.PerQuery, r.Sockets, r.OpenCap, r.MemoryMB, r.BaseMB = 0, 0, 0, 64, 14
 	check("memory half stated", "leaves 2.0", Loss{})
 	r.PerQueryKB = 1024
@@ -330,10 +380,14 @@
 	check("a leaf holds one connection, there are two routers", "leaf connections 0.0, leaves 2.0", Loss{})
 	check("and one", "leaves 2.0", Loss{Routers: []int{0}})
 	f.Kinds[0].Connections, r.Sockets = 0, 4
-	check("a router can't hold one to each leaf", "leaf connections 0.0, router descriptors 2.0, leaves 2.0", Loss{})
+	check(
+		"a router can't hold one to each leaf",
+		"leaf connections 0.0, router descriptors 2.0, leaves 2.0",
+		Loss{},
+	)
 	r.Sockets = 0
-	// A leaf goes without a word: half of the 0.99 calls out, shared by two routers, a quarter each; a tenth of 5 calls a second in
-	// 0.1 s is allowed beside the spare ones.
+	// A leaf goes without a word: half of the 0.99 calls out, shared by two routers, a quarter each; a tenth
+	// of 5 calls a second in 0.1 s is allowed beside the spare ones.
 	f.Rules.BudgetWindow, f.Rules.BudgetRatio, f.Rules.BudgetSpare = 100*time.Millisecond, 0.1, 2
 	check("budget", "leaves 1.0, further calls 10.1", Loss{Leaves: []int{1}})
 }
--- a/plan/routers.go
+++ b/plan/routers.go
@@ -1,8 +1,9 @@
 package plan
 
-// routers.go owns the limits of routers, and of connections between routers and leaves. All are bounds: they count what a query
-// holds for as long as it must take at the least, were nothing ever to wait. So a limit breaks at this multiple at the latest, and
-// sooner when leaves are busy; what runs say of open queries stands beside it. It must never count a limit that is not stated.
+// routers.go owns the limits of routers, and of connections between routers and leaves. All are bounds: they
+// count what a query holds for as long as it must take at the least, were nothing ever to wait. So a limit
+// breaks at this multiple at the latest, and sooner when leaves are busy; what runs say of open queries
+// stands beside it. It must never count a limit that is not stated.
 
 import (
 	"math"
@@ -17,7 +18,8 @@
 	leavesPart  = 8.0 / 3
 )
 
-// routers is the limits of the routers that are left, each that is stated. Clients go to all alike, so the weakest is the limit.
+// routers is the limits of the routers that are left, each that is stated. Clients go to all alike, so the
+// weakest is the limit.
 func routers(f *fleet.Fleet, d *Demand, loss Loss) (all []Limit) {
 	up := float64(len(f.Nodes) - len(loss.Routers))
 	if up <= 0 {
@@ -70,8 +72,8 @@
 	return all
 }
 
-// connections is the leaves' limit on them. Each router holds one to each leaf at the least, whatever the load; and no router gives
-// leaves more than its own share of descriptors.
+// connections is the leaves' limit on them. Each router holds one to each leaf at the least, whatever the
+// load; and no router gives leaves more than its own share of descriptors.
 func connections(f *fleet.Fleet, d *Demand, loss Loss, up float64) (Limit, bool) {
 	limit, stated := Limit{What: "leaf connections", Multiple: never}, false
 	for i, leaf := range f.Leaves {
@@ -97,8 +99,9 @@
 	return limit, stated && limit.Multiple < never
 }
 
-// budget is how much of the load the budget of further calls bears when what is lost goes without a word: every call that is out
-// there needs a further one within the window, beside a portion of all calls that is always allowed.
+// budget is how much of the load the budget of further calls bears when what is lost goes without a word:
+// every call that is out there needs a further one within the window, beside a portion of all calls that is
+// always allowed.
 func budget(f *fleet.Fleet, d *Demand, loss Loss, up float64) (Limit, bool) {
 	r := &f.Rules
 	if len(loss.Leaves) == 0 || r.BudgetWindow <= 0 {
--- a/router/back.go
+++ b/router/back.go
@@ -1,7 +1,8 @@
 package router
 
-// back.go owns connections to leaves that speak the form of OpenSearch: one call at a time, a request and its answer. It must never
-// repeat a request, and never end a connection for a part that was given up while another part of the same call is waited for.
+// back.go owns connections to leaves that speak the form of OpenSearch: one call at a time, a request and its
+// answer. It must never repeat a request, and never end a connection for a part that was given up while
+// another part of the same call is waited for.
 
 import (
 	"errors"
@@ -70,7 +71,11 @@
 		return false
 	}
 	c.flight.gone = append(c.flight.gone, id)
-	return len(c.flight.parts) > 0 && !slices.ContainsFunc(c.flight.parts, func(p codec.PartSent) bool { return !slices.Contains(c.flight.gone, p.ID) })
+	return len(c.flight.parts) > 0 &&
+		!slices.ContainsFunc(
+			c.flight.parts,
+			func(p codec.PartSent) bool { return !slices.Contains(c.flight.gone, p.ID) },
+		)
 }
 
 // request writes one request.
--- a/router/back_test.go
+++ b/router/back_test.go
@@ -32,7 +32,8 @@
 func (s *single) Close() error   { return nil }
 func (s *single) Addr() net.Addr { return &net.UnixAddr{Name: "leaf"} }
 
-// searchAt puts a leaf that speaks the form of OpenSearch in its place: what it answers, item by item, act says; nil: it says nothing.
+// searchAt puts a leaf that speaks the form of OpenSearch in its place: what it answers, item by item, act
+// says; nil: it says nothing.
 func (st *stage) searchAt(name string, act func(shard string) string) {
 	st.places[at(name)] = func(conn net.Conn) error {
 		st.say("leaf %s: connection", name)
@@ -44,7 +45,9 @@
 			if r.URL.Path == "/" {
 				return
 			}
-			time.Sleep(time.Duration(name[0]-'A') * time.Millisecond) // or which answers first would be chance
+			time.Sleep(
+				time.Duration(name[0]-'A') * time.Millisecond,
+			) // or which answers first would be chance
 			var items []string
 			for i := 0; i < len(lines); i += 2 {
 				_, shard, _ := strings.Cut(lines[i], "_shards:")
@@ -64,11 +67,15 @@
 }
 
 func goodItem(shard string) string {
-	return fmt.Sprintf(`{"status":200,"_shards":{"failed":0},"hits":{"total":{"value":1},"hits":[{"_id":"h%s","_score":1}]}}`, shard)
+	return fmt.Sprintf(
+		`{"status":200,"_shards":{"failed":0},"hits":{"total":{"value":1},"hits":[{"_id":"h%s","_score":1}]}}`,
+		shard,
+	)
 }
 
-// Leaves that speak the form: parts of a call share a request, each item is an outcome of its own, a part turned away is asked
-// again elsewhere, one that may have run is not where it may run once only, and what is given up as a whole ends the connection.
+// Leaves that speak the form: parts of a call share a request, each item is an outcome of its own, a part
+// turned away is asked again elsewhere, one that may have run is not where it may run once only, and what is
+// given up as a whole ends the connection.
 func TestSearchLeaves(t *testing.T) {
 	change := func(c *config.Config) {
 		searchable(c)
@@ -111,7 +118,10 @@
 		set("2", `{"status":200,"_shards":{"failed":1},"hits":{}}`)
 		st.search(ctx, "/docs/_search", "")
 		st.pass(20)
-		st.ask(st.connect(), request("native", "search", 2000, 0)) // a text that no server of the form could read
+		st.ask(
+			st.connect(),
+			request("native", "search", 2000, 0),
+		) // a text that no server of the form could read
 		st.pass(20)
 		set("1", "silent")
 		st.search(ctx, "/docs/_search?timeout=300ms", "")
--- a/router/clients.go
+++ b/router/clients.go
@@ -46,7 +46,8 @@
 	key              string // what the query is about, where that is recorded
 }
 
-// caller is whoever asks queries, one at a time: a connection of the router's own protocol, or a request of another front.
+// caller is whoever asks queries, one at a time: a connection of the router's own protocol, or a request of
+// another front.
 type caller struct {
 	answer func(reply)  // one for each query; never blocks
 	place  *limits.Conn // in the books; nil: none of its own
@@ -127,7 +128,8 @@
 			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
 			continue
 		}
-		// Where admission is off a connection that is too many is read all the same, and none is accepted until room is made.
+		// Where admission is off a connection that is too many is read all the same, and none is accepted
+		// until room is made.
 		waits := !d.owner.gate.admits()
 		if verdict == limits.Displace && !waits && !d.makeRoom(ctx, place, why) {
 			if ctx.Err() != nil {
@@ -157,10 +159,10 @@
 	}
 }
 
-// offered are the connections that could make way. Those that have had their last answer come first, then those that have said
-// nothing for longer than a usual client would, then those idle between requests, then requests that are long in coming. One that
-// has just connected is not offered, nor one whose request has come and only waits to be read: to end it would cost its client the
-// request.
+// offered are the connections that could make way. Those that have had their last answer come first, then
+// those that have said nothing for longer than a usual client would, then those idle between requests, then
+// requests that are long in coming. One that has just connected is not offered, nor one whose request has
+// come and only waits to be read: to end it would cost its client the request.
 func (d *door) offered() (all []limits.Standing) {
 	admits := d.owner.gate.admits()
 	d.mu.Lock()
@@ -180,14 +182,17 @@
 			rank = limits.Young
 		}
 		if rank >= 0 {
-			all = append(all, limits.Standing{Conn: c.caller.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)})
+			all = append(
+				all,
+				limits.Standing{Conn: c.caller.place, Rank: rank, Until: limits.Time(c.until.Load() / 100)},
+			)
 		}
 	}
 	return all
 }
 
-// makeRoom has connections make way, one by one as the books name them, until a new one fits. Where none can it waits until one
-// can, or, where admission is on, is false.
+// makeRoom has connections make way, one by one as the books name them, until a new one fits. Where none can
+// it waits until one can, or, where admission is on, is false.
 func (d *door) makeRoom(ctx context.Context, place *limits.Conn, why limits.Why) bool {
 	for ctx.Err() == nil {
 		offered := d.offered()
@@ -583,7 +588,8 @@
 	if times != 1 || err != nil {
 		return nil, errors.New("X-Expires-In-Ms: missing or malformed")
 	}
-	// A client's whole wait is stated for its vertical; one that claims more would hold its query for as long.
+	// A client's whole wait is stated for its vertical; one that claims more would hold its query for as
+	// long.
 	most := c.door.cfg.Settings.Module.Verticals[a.vertical].Deadline
 	a.deadline = c.door.owner.clk.at(c.began) - 1 + min(choice.Time(ms)*choice.Millisecond, most)
 	return a, nil
--- a/router/gate.go
+++ b/router/gate.go
@@ -1,7 +1,8 @@
 package router
 
-// gate.go owns the books of package limits: it tells them what connections, queries and frames take and give back, under one lock,
-// and answers connections that are turned away. It must never decide what fits, and never hold its lock over a read or a write.
+// gate.go owns the books of package limits: it tells them what connections, queries and frames take and give
+// back, under one lock, and answers connections that are turned away. It must never decide what fits, and
+// never hold its lock over a read or a write.
 
 import (
 	"context"
@@ -25,7 +26,8 @@
 	"moleshift/limits"
 )
 
-// What things take that the book can't see: goroutines with their stacks, timers and the kernel's part left out.
+// What things take that the book can't see: goroutines with their stacks, timers and the kernel's part left
+// out.
 const (
 	clientBytes = 2*clientRing + 10<<10
 	linkBytes   = 2*leafRing + 12<<10
@@ -65,7 +67,13 @@
 	if cfg.More.Admission.Enabled {
 		places = cfg.More.Admission.Remembered
 	}
-	g := &gate{clk: clk, log: log, more: cfg.More, heap: heapBytes, refusals: make(chan struct{}, max(cfg.More.Admission.Refusals, 1))}
+	g := &gate{
+		clk:      clk,
+		log:      log,
+		more:     cfg.More,
+		heap:     heapBytes,
+		refusals: make(chan struct{}, max(cfg.More.Admission.Refusals, 1)),
+	}
 	g.door = limits.NewDoor(doorSettings(cfg), limits.NewKnown(cfg.Seed, places))
 	g.book = limits.NewBook(wholeOf(cfg), limits.Portions())
 	g.room = limits.NewRoom(g.book, len(cfg.Settings.Verticals))
@@ -83,8 +91,20 @@
 		most = min(a.Connections, most)
 	}
 	of := func(share float64) int { return int(share * float64(most)) }
-	return limits.DoorSettings{Enabled: a.Enabled, Most: most, Reserve: of(a.Reserve), PerAddress: of(a.PerAddress),
-		PerNetwork: of(a.PerNetwork), Bits4: a.IPv4, Bits6: a.IPv6, Rate: a.Rate, Burst: a.Burst, Listed: a.Networks()}
+	return limits.DoorSettings{
+		Enabled:    a.Enabled,
+		Most:       most,
+		Reserve:    of(a.Reserve),
+		PerAddress: of(a.PerAddress),
+		PerNetwork: of(
+			a.PerNetwork,
+		),
+		Bits4:  a.IPv4,
+		Bits6:  a.IPv6,
+		Rate:   a.Rate,
+		Burst:  a.Burst,
+		Listed: a.Networks(),
+	}
 }
 
 func wholeOf(cfg *config.Config) int64 {
@@ -120,7 +140,9 @@
 // holdSpare keeps a descriptor; the lock is held, or nobody else is there yet.
 func (g *gate) holdSpare() {
 	if g.spare == nil {
-		g.spare, _ = os.Open(os.DevNull) // without one a connection can't be answered when descriptors run out
+		g.spare, _ = os.Open(
+			os.DevNull,
+		) // without one a connection can't be answered when descriptors run out
 	}
 }
 
@@ -253,9 +275,15 @@
 
 // ---- connections that are turned away ----
 
-// turnAway answers a connection that has no place, and lets it go once the client has had time to read that. Answers are
-// bounded: what comes beyond is closed with at most a try to tell.
-func (g *gate) turnAway(ctx context.Context, conn net.Conn, why limits.Why, retry limits.Time, lingers time.Duration) {
+// turnAway answers a connection that has no place, and lets it go once the client has had time to read that.
+// Answers are bounded: what comes beyond is closed with at most a try to tell.
+func (g *gate) turnAway(
+	ctx context.Context,
+	conn net.Conn,
+	why limits.Why,
+	retry limits.Time,
+	lingers time.Duration,
+) {
 	text := fmt.Sprintf("%v\n", why)
 	raw := append(codec.AppendResponse(nil, refusedStatus, len(text), true,
 		fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(retry)).Seconds())), text...)
@@ -287,7 +315,9 @@
 
 // noFiles tells whether an error says that there are no descriptors, or no memory for them in the kernel.
 func noFiles(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM)
 }
 
 // shortage tells the books that descriptors have run out.
@@ -315,8 +345,8 @@
 	return g.door.Trim(offered)
 }
 
-// short: no descriptor was left to accept with. The spare one is given up for as long as it takes to answer one connection, at a
-// bounded rate, so that the client hears when to come back.
+// short: no descriptor was left to accept with. The spare one is given up for as long as it takes to answer
+// one connection, at a bounded rate, so that the client hears when to come back.
 func (g *gate) short(ctx context.Context, l net.Listener, err error) bool {
 	if !noFiles(err) || !g.admits() {
 		return false
@@ -333,10 +363,22 @@
 	if conn, err := l.Accept(); err == nil {
 		text := limits.Exhausted.String() + "\n"
 		conn.SetWriteDeadline(time.Now().Add(refuseFor))
-		conn.Write(append(codec.AppendResponse(nil, refusedStatus, len(text), true, fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(limits.ComeBack)).Seconds())), text...))
+		conn.Write(
+			append(
+				codec.AppendResponse(
+					nil,
+					refusedStatus,
+					len(text),
+					true,
+					fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(limits.ComeBack)).Seconds()),
+				),
+				text...),
+		)
 		if half, can := conn.(interface{ CloseWrite() error }); can {
 			half.CloseWrite()
-			conn.SetReadDeadline(time.Now().Add(refuseEvery)) // a moment, or unread bytes would take the answer back
+			conn.SetReadDeadline(
+				time.Now().Add(refuseEvery),
+			) // a moment, or unread bytes would take the answer back
 			io.Copy(io.Discard, io.LimitReader(conn, clientRing))
 		}
 		conn.Close()
@@ -353,7 +395,8 @@
 
 // ---- the owner's part ----
 
-// watch counts what is only counted, and tells what an operator should know. It is called by the owner about once a second.
+// watch counts what is only counted, and tells what an operator should know. It is called by the owner about
+// once a second.
 func (g *gate) watch(o *owner) {
 	ghosts := 0
 	for _, l := range o.listed {
@@ -435,10 +478,25 @@
 func (g *gate) status() *LimitsStatus {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := &LimitsStatus{Admission: g.more.Admission.Enabled, Memory: g.more.Memory.Enabled, Connections: g.door.Held(), Most: g.door.Most(),
-		Turned: map[string]int{}, Displaced: g.door.Counts.Displaced, Unclear: g.unclear, Known: g.door.Places(),
-		Largest: g.door.Largest(tellLargest), Held: g.book.Held(), Whole: g.book.Whole, Heap: g.heap(), Uneven: g.book.Uneven,
-		Open: g.room.Open(), Purposes: map[string]Entry{}}
+	s := &LimitsStatus{
+		Admission:   g.more.Admission.Enabled,
+		Memory:      g.more.Memory.Enabled,
+		Connections: g.door.Held(),
+		Most:        g.door.Most(),
+		Turned:      map[string]int{},
+		Displaced:   g.door.Counts.Displaced,
+		Unclear:     g.unclear,
+		Known:       g.door.Places(),
+		Largest: g.door.Largest(
+			tellLargest,
+		),
+		Held:     g.book.Held(),
+		Whole:    g.book.Whole,
+		Heap:     g.heap(),
+		Uneven:   g.book.Uneven,
+		Open:     g.room.Open(),
+		Purposes: map[string]Entry{},
+	}
 	s.Reserve = int(g.more.Admission.Reserve * float64(s.Most))
 	for why, n := range g.door.Counts.Turned {
 		if n > 0 {
--- a/router/gate_test.go
+++ b/router/gate_test.go
@@ -21,8 +21,8 @@
 	c.Limits.Sockets = 32 // 8 for clients, of which 2 are kept and 4 are one address's at most
 }
 
-// A flood from one address: strangers from elsewhere and a known client still get in, those who do not are told when to come
-// back, and a connection with a query on it never makes way.
+// A flood from one address: strangers from elsewhere and a known client still get in, those who do not are
+// told when to come back, and a connection with a query on it never makes way.
 func TestFlood(t *testing.T) {
 	play(t, "flood", 1, admitting, func(st *stage) {
 		var held []func()
@@ -77,8 +77,8 @@
 	})
 }
 
-// Memory: a query that has no room is refused with when to come back; a value that has none fails its part alone, and the
-// connection that brought it goes on; a body that has none is refused while it comes.
+// Memory: a query that has no room is refused with when to come back; a value that has none fails its part
+// alone, and the connection that brought it goes on; a body that has none is refused while it comes.
 func TestMemory(t *testing.T) {
 	small := func(c *config.Config) {
 		c.More.Memory.Enabled, c.More.Memory.Portion = true, 0.05
@@ -150,8 +150,15 @@
 			take := st.owner.gate.take(limits.Bodies, 205_000)
 			text := strings.Repeat("x", 9000)
 			body := `{"parts":[{"id":0,"w":1}],"expr":"` + text + `"}`
-			st.ask(st.connect(), fmt.Sprintf("POST /search/k HTTP/1.1\r\nX-Trace-Id: q0\r\nX-Customer: acme\r\nX-Expires-In-Ms: 2000\r\n"+
-				"Content-Length: %d\r\n\r\n%s", len(body), body))
+			st.ask(
+				st.connect(),
+				fmt.Sprintf(
+					"POST /search/k HTTP/1.1\r\nX-Trace-Id: q0\r\nX-Customer: acme\r\nX-Expires-In-Ms: 2000\r\n"+
+						"Content-Length: %d\r\n\r\n%s",
+					len(body),
+					body,
+				),
+			)
 			if take {
 				st.owner.gate.put(limits.Bodies, 205_000)
 			}
@@ -174,7 +181,10 @@
 		}
 		st.serve()
 		for i := range 5 {
-			st.ask(st.connectFrom(fmt.Sprintf("10.0.%d.1", i)), request(fmt.Sprintf("q%d", i), "search", 2000, 0))
+			st.ask(
+				st.connectFrom(fmt.Sprintf("10.0.%d.1", i)),
+				request(fmt.Sprintf("q%d", i), "search", 2000, 0),
+			)
 		}
 		st.reloads <- syscall.SIGHUP
 		st.step()
@@ -209,7 +219,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := &config.Config{More: config.DefaultFile(), Settings: set, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}}
+	cfg := &config.Config{
+		More:     config.DefaultFile(),
+		Settings: set,
+		Limits:   config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
+	}
 	cfg.More.Admission.Enabled = true
 	g := newGate(cfg, clock{time.Now()}, zerolog.Nop())
 	defer g.close()
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// forget lets go of a leaf that is gone, once nothing is open to it. If it is listed again it is a new one. Over
-// a long day all leaves are replaced many times, so nothing may be kept for those that were.
+// forget lets go of a leaf that is gone, once nothing is open to it. If it is listed again it is a new one.
+// Over a long day all leaves are replaced many times, so nothing may be kept for those that were.
 func (o *owner) forget(l *leaf) {
 	if l.gone && len(l.conns) == 0 && o.leaves[l.id] == l {
 		delete(o.leaves, l.id)
@@ -184,7 +184,8 @@
 	l.sends = nil
 	most := max(o.cfg.Settings.Module.Batch, 1)
 	once := slices.ContainsFunc(sends, func(k *call) bool {
-		return !k.part.over && o.cfg.Settings.Module.Verticals[k.part.query.q.Vertical].Effect == choice.SideEffecting
+		return !k.part.over &&
+			o.cfg.Settings.Module.Verticals[k.part.query.q.Vertical].Effect == choice.SideEffecting
 	})
 	var f *frame
 	var frames []*frame
@@ -222,12 +223,13 @@
 	}
 }
 
-// connFor is the connection with the fewest calls out of those that have room, and among these the one that has
-// been idle for longest: a leaf that ends a connection does so right behind an answer, and then it shows by now. A
-// part that was given up on a connection goes over another one, as the two answers could not be told apart. All
-// that is out on a connection is lost with it, whichever answer spoils it, and may not be asked again where it is
-// side-effecting: so where connections have no price, calls share one only once the leaf has its share of the
-// descriptors, and what may run once only goes over a new one, as the leaf may have ended a kept one unseen.
+// connFor is the connection with the fewest calls out of those that have room, and among these the one that
+// has been idle for longest: a leaf that ends a connection does so right behind an answer, and then it shows
+// by now. A part that was given up on a connection goes over another one, as the two answers could not be
+// told apart. All that is out on a connection is lost with it, whichever answer spoils it, and may not be
+// asked again where it is side-effecting: so where connections have no price, calls share one only once the
+// leaf has its share of the descriptors, and what may run once only goes over a new one, as the leaf may have
+// ended a kept one unseen.
 func (l *leaf) connFor(o *owner, id string, once bool) *leafConn {
 	var least *leafConn
 	for _, c := range l.conns {
@@ -550,7 +552,10 @@
 // read reads answers until the connection ends, and says why it did.
 func (c *leafConn) read(o *owner, conn net.Conn) error {
 	ring := codec.NewRing(leafRing)
-	frames := codec.FrameReader{Most: codec.MostFrame, Room: func(n int) bool { return o.gate.take(limits.Frames, n) }}
+	frames := codec.FrameReader{
+		Most: codec.MostFrame,
+		Room: func(n int) bool { return o.gate.take(limits.Frames, n) },
+	}
 	defer func() { o.gate.put(limits.Frames, frames.Drop()) }()
 	begun, last := false, false // a frame has; this read is the last that it gets
 	for {
@@ -581,7 +586,8 @@
 				if err != nil {
 					return fault{err}
 				}
-				if f.Cut && a.Outcome == choice.OK { // there was no room: the part has run, its value is lost, and that is not the leaf's fault
+				if f.Cut &&
+					a.Outcome == choice.OK { // there was no room: the part has run, its value is lost, and that is not the leaf's fault
 					a.Outcome, a.Value = choice.Cancelled, nil
 				}
 				o.post(o.ctx, func(o *owner) {
@@ -597,7 +603,8 @@
 				return fault{fmt.Errorf("a frame has the unknown letter %q", f.Letter)}
 			}
 		}
-		// A leaf gives an answer at once. One that is begun and does not end would hold up all that come behind.
+		// A leaf gives an answer at once. One that is begun and does not end would hold up all that come
+		// behind.
 		if frames.Begun() && !begun {
 			conn.SetReadDeadline(time.Now().Add(o.cfg.Settings.ConnectTimeout))
 		} else if !frames.Begun() {
@@ -668,7 +675,8 @@
 	}
 	for _, k := range c.inOrder() {
 		outcome := choice.NoConnection
-		if noFiles(err) && k.frame.stage != written { // the lack is this router's: the leaf is not to be blamed
+		if noFiles(err) &&
+			k.frame.stage != written { // the lack is this router's: the leaf is not to be blamed
 			outcome = choice.Moot
 		}
 		if k.frame.stage == written {
--- a/router/search.go
+++ b/router/search.go
@@ -1,7 +1,8 @@
 package router
 
-// search.go owns the way in which another front asks the owner: a question becomes a query like any other, with one final answer. It
-// must never decide what becomes of it, and never let a question wait once its answer is there.
+// search.go owns the way in which another front asks the owner: a question becomes a query like any other,
+// with one final answer. It must never decide what becomes of it, and never let a question wait once its
+// answer is there.
 
 import (
 	"context"
@@ -44,7 +45,10 @@
 	s := &searching{o: o, prefix: fmt.Sprintf("s%x-", uint32(o.cfg.Seed)^uint32(o.now))}
 	fs := opensearch.Settings{Tenant: set.Tenant, Name: o.cfg.Name, Leaves: s.leaves}
 	for _, x := range set.Indices {
-		fs.Indices = append(fs.Indices, opensearch.Index{Name: x.Name, Vertical: x.Vertical, Shards: x.List()})
+		fs.Indices = append(
+			fs.Indices,
+			opensearch.Index{Name: x.Name, Vertical: x.Vertical, Shards: x.List()},
+		)
 	}
 	s.front = opensearch.New(fs, s)
 	o.searching = s
@@ -67,7 +71,11 @@
 func (s *searching) Ask(ctx context.Context, q *opensearch.Question) (*opensearch.Reply, error) {
 	o := s.o
 	fault := func(format string, args ...any) error {
-		return &opensearch.Fault{Status: http.StatusBadRequest, Type: "illegal_argument_exception", Reason: fmt.Sprintf(format, args...)}
+		return &opensearch.Fault{
+			Status: http.StatusBadRequest,
+			Type:   "illegal_argument_exception",
+			Reason: fmt.Sprintf(format, args...),
+		}
 	}
 	vertical, known := o.door.verticals[q.Vertical]
 	if !known {
@@ -80,8 +88,13 @@
 		}
 	}
 	answers := make(chan reply, 1)
-	a := &asked{id: s.prefix + fmt.Sprint(s.asked.Add(1)), vertical: vertical, tenant: tenant, body: &codec.QueryBody{Text: []byte(q.Text)},
-		from: &caller{answer: func(r reply) { answers <- r }}}
+	a := &asked{
+		id:       s.prefix + fmt.Sprint(s.asked.Add(1)),
+		vertical: vertical,
+		tenant:   tenant,
+		body:     &codec.QueryBody{Text: []byte(q.Text)},
+		from:     &caller{answer: func(r reply) { answers <- r }},
+	}
 	for _, shard := range q.Shards {
 		a.body.Parts = append(a.body.Parts, codec.PartAsked{Shard: shard, Weight: 1 / float64(len(q.Shards))})
 	}
@@ -101,7 +114,12 @@
 }
 
 func (s *searching) reply(a *asked, r reply) *opensearch.Reply {
-	out := &opensearch.Reply{Outcome: opensearch.Failed, Whole: r.whole, HoldOff: r.holdOff, Done: func() { s.o.gate.done(r.hold) }}
+	out := &opensearch.Reply{
+		Outcome: opensearch.Failed,
+		Whole:   r.whole,
+		HoldOff: r.holdOff,
+		Done:    func() { s.o.gate.done(r.hold) },
+	}
 	switch r.status {
 	case servedStatus:
 		out.Outcome = opensearch.Answered
--- a/router/search_test.go
+++ b/router/search_test.go
@@ -18,8 +18,12 @@
 )
 
 func searchable(c *config.Config) {
-	c.More.OpenSearch = config.OpenSearch{Enabled: true, Tenant: "X-Customer", Indices: []config.Index{{Name: "docs", Vertical: "search", Shards: "0-2"},
-		{Name: "files", Vertical: "file", Shards: "1"}, {Name: "most", Vertical: "any", Shards: "0-3"}}}
+	c.More.OpenSearch = config.OpenSearch{
+		Enabled: true,
+		Tenant:  "X-Customer",
+		Indices: []config.Index{{Name: "docs", Vertical: "search", Shards: "0-2"},
+			{Name: "files", Vertical: "file", Shards: "1"}, {Name: "most", Vertical: "any", Shards: "0-3"}},
+	}
 	s := c.Settings
 	s.Verticals = append(s.Verticals, "any")
 	v := s.Module.Verticals[0]
@@ -45,7 +49,15 @@
 				if h == "inside" {
 					failed = 1
 				}
-				sendFrame(conn, fmt.Sprintf(`O%s 200 1 -`+"\n"+`{"_shards":{"failed":%d},"hits":{"total":{"value":1},"hits":[{"_id":"h%s","_score":1}]}}`, id, failed, shard))
+				sendFrame(
+					conn,
+					fmt.Sprintf(
+						`O%s 200 1 -`+"\n"+`{"_shards":{"failed":%d},"hits":{"total":{"value":1},"hits":[{"_id":"h%s","_score":1}]}}`,
+						id,
+						failed,
+						shard,
+					),
+				)
 			default:
 				sendFrame(conn, "O"+id+" "+h+" 1 -\n")
 				delete(how, shard) // once
@@ -70,8 +82,8 @@
 	st.step()
 }
 
-// Searches of the other front go the owner's own way: one final answer each, a side-effecting part is never run again, an any-n
-// answer says that it is one, and a client that leaves is heard of.
+// Searches of the other front go the owner's own way: one final answer each, a side-effecting part is never
+// run again, an any-n answer says that it is one, and a client that leaves is heard of.
 func TestSearches(t *testing.T) {
 	play(t, "searches", 2, searchable, func(st *stage) {
 		how := map[string]string{}
@@ -115,33 +127,49 @@
 	return rec.Result(), nil
 }
 
-// An unmodified client library, through the real owner: a search, the page behind it, a bulk, and a side-effecting one that
-// fails and that the library does not ask again of itself.
+// An unmodified client library, through the real owner: a search, the page behind it, a bulk, and a
+// side-effecting one that fails and that the library does not ask again of itself.
 func TestClientLibrary(t *testing.T) {
 	play(t, "client-library", 1, searchable, func(st *stage) {
 		how := map[string]string{}
 		st.leafAt("A", finds(how))
 		st.serve()
 		newSearching(st.owner)
-		client, err := opensearchapi.NewClient(opensearchapi.Config{Client: api.Config{Addresses: []string{"http://router"},
-			Header: http.Header{"X-Customer": {"acme"}}, Transport: throughFront{st}}})
+		client, err := opensearchapi.NewClient(
+			opensearchapi.Config{Client: api.Config{Addresses: []string{"http://router"},
+				Header: http.Header{"X-Customer": {"acme"}}, Transport: throughFront{st}}},
+		)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer client.Close()
 		search := func(index, body string) {
-			r, err := client.Search(context.Background(), &opensearchapi.SearchReq{Indices: []string{index}, Body: strings.NewReader(body)})
+			r, err := client.Search(
+				context.Background(),
+				&opensearchapi.SearchReq{Indices: []string{index}, Body: strings.NewReader(body)},
+			)
 			if err != nil {
 				st.say("search %s %s: %.60s", index, body, err.Error())
 				return
 			}
-			st.say("search %s %s: %d hits, %d shown, %d of %d shards", index, body, r.Hits.Total.Value, len(r.Hits.Hits), r.Shards.Successful, r.Shards.Total)
+			st.say(
+				"search %s %s: %d hits, %d shown, %d of %d shards",
+				index,
+				body,
+				r.Hits.Total.Value,
+				len(r.Hits.Hits),
+				r.Shards.Successful,
+				r.Shards.Total,
+			)
 		}
 		search("docs", `{"size":2}`)
 		search("docs", `{"size":2,"from":2}`)
 		how["1"] = "500"
 		search("files", `{}`)
-		r, err := client.MSearch(context.Background(), opensearchapi.MSearchReq{Body: strings.NewReader("{\"index\":\"docs\"}\n{}\n")})
+		r, err := client.MSearch(
+			context.Background(),
+			opensearchapi.MSearchReq{Body: strings.NewReader("{\"index\":\"docs\"}\n{}\n")},
+		)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/shardmap/flight.go
+++ b/shardmap/flight.go
@@ -1,8 +1,8 @@
 package shardmap
 
-// flight.go owns what becomes of a query's parts while the map changes under them. It must never let a key count twice in an answer,
-// never leave a key out that some holder could still answer, and never have a part that may run once only be asked in another form
-// once it was sent.
+// flight.go owns what becomes of a query's parts while the map changes under them. It must never let a key
+// count twice in an answer, never leave a key out that some holder could still answer, and never have a part
+// that may run once only be asked in another form once it was sent.
 
 import (
 	"fmt"
@@ -31,7 +31,8 @@
 	answer  int // in which order its answer came, from 1
 }
 
-// Flight is one query's pieces. A query is bound to the map of the version at which it was taken, and follows later ones.
+// Flight is one query's pieces. A query is bound to the map of the version at which it was taken, and follows
+// later ones.
 type Flight struct {
 	once    bool // its parts may run once only
 	asked   []Range
@@ -66,7 +67,14 @@
 // cover adds open pieces for a range by a map.
 func (f *Flight) cover(m *Map, r Range) {
 	for _, s := range m.Over(r) {
-		f.pieces = append(f.pieces, &Piece{Range: Range{max(r.From, s.Range.From), min(r.To, s.Range.To)}, Shard: s.ID, Version: m.Version})
+		f.pieces = append(
+			f.pieces,
+			&Piece{
+				Range:   Range{max(r.From, s.Range.From), min(r.To, s.Range.To)},
+				Shard:   s.ID,
+				Version: m.Version,
+			},
+		)
 	}
 }
 
@@ -101,8 +109,8 @@
 	return true
 }
 
-// Failed: a call for a piece ended without an answer. Ran says whether it may have run. What has not is open again; so is what may be
-// asked again. A piece whose place was taken stays so.
+// Failed: a call for a piece ended without an answer. Ran says whether it may have run. What has not is open
+// again; so is what may be asked again. A piece whose place was taken stays so.
 func (f *Flight) Failed(p *Piece, ran bool) {
 	if p.Stage == Sent && (!ran || !f.once) {
 		f.move(p, Open)
@@ -119,9 +127,9 @@
 	return true
 }
 
-// Follow goes on by a later map. A piece that is open, or sent and may be asked again, and whose shard is not there any more in the same
-// range, gives its place to pieces by the new map. One that was sent and may run once only stays with the holder that got it: its answer
-// counts for its whole range.
+// Follow goes on by a later map. A piece that is open, or sent and may be asked again, and whose shard is not
+// there any more in the same range, gives its place to pieces by the new map. One that was sent and may run
+// once only stays with the holder that got it: its answer counts for its whole range.
 func (f *Flight) Follow(m *Map) {
 	if m.Version <= f.now.Version {
 		return
@@ -173,8 +181,8 @@
 	return gaps
 }
 
-// Chosen are the answers that count: of all that are in, ranges that share no key and have the most keys together. Where two choices
-// have as many, the one with the answers that came first.
+// Chosen are the answers that count: of all that are in, ranges that share no key and have the most keys
+// together. Where two choices have as many, the one with the answers that came first.
 func (f *Flight) Chosen() (best []*Piece) {
 	var in []*Piece
 	for _, p := range f.pieces {
--- a/shardmap/mapfile/mapfile.go
+++ b/shardmap/mapfile/mapfile.go
@@ -1,9 +1,10 @@
-// Package mapfile keeps the latest map of shards in a file, so that a router that starts again neither begins with an older map than it
-// has acted on nor waits for discovery. It must never leave half a file under the name, and never give out a damaged one: that is
-// put aside, under a name that says so.
+// Package mapfile keeps the latest map of shards in a file, so that a router that starts again neither begins
+// with an older map than it has acted on nor waits for discovery. It must never leave half a file under the
+// name, and never give out a damaged one: that is put aside, under a name that says so.
 //
-// An atomic file rather than a database: there is one value, it is replaced whole, and it is read once at a start. bbolt would add a
-// lock on the file and pages that must be kept sound for nothing that the rename does not give.
+// An atomic file rather than a database: there is one value, it is replaced whole, and it is read once at a
+// start. bbolt would add a lock on the file and pages that must be kept sound for nothing that the rename
+// does not give.
 package mapfile
 
 import (
@@ -28,8 +29,9 @@
 
 const mostAside = 8 // damaged files that are kept; then the last place is used again
 
-// Save replaces the file by a map. It is on the disk when Save returns without an error; with one the old file is still there. A map
-// that is older than what the file has is refused, as a process that lags behind must not undo what another has written.
+// Save replaces the file by a map. It is on the disk when Save returns without an error; with one the old
+// file is still there. A map that is older than what the file has is refused, as a process that lags behind
+// must not undo what another has written.
 func Save(path string, m *shardmap.Map) error {
 	if old, err := read(path); err == nil && old.Version > m.Version {
 		return fmt.Errorf("%s: holds version %d, not replaced by %d", path, old.Version, m.Version)
@@ -66,7 +68,8 @@
 	return shardmap.Decode(raw)
 }
 
-// Load reads the file: nil without an error where there is none, and a *Damaged where it was no whole snapshot.
+// Load reads the file: nil without an error where there is none, and a *Damaged where it was no whole
+// snapshot.
 func Load(path string) (*shardmap.Map, error) {
 	m, err := read(path)
 	switch {
--- a/shardmap/mapfile/mapfile_test.go
+++ b/shardmap/mapfile/mapfile_test.go
@@ -30,7 +30,8 @@
 	if m, err := Load(path); err != nil || m.Version != 4 {
 		t.Fatal(m, err)
 	}
-	// Cut short, as by a full disk: never believed, put aside each time, and the next one is written as if there were none.
+	// Cut short, as by a full disk: never believed, put aside each time, and the next one is written as if
+	// there were none.
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
--- a/shardmap/shardmap.go
+++ b/shardmap/shardmap.go
@@ -1,6 +1,7 @@
-// Package shardmap keeps versions of the map of key ranges to the leaves that hold them, while ranges split, merge and move. It does no
-// I/O, has no clock and starts no goroutine: changes are handed in, maps come out, and a map that was given out never changes. It must
-// never take a change that would leave a key without a serving holder, or with two shards.
+// Package shardmap keeps versions of the map of key ranges to the leaves that hold them, while ranges split,
+// merge and move. It does no I/O, has no clock and starts no goroutine: changes are handed in, maps come out,
+// and a map that was given out never changes. It must never take a change that would leave a key without a
+// serving holder, or with two shards.
 //
 // shardmap.go owns maps and the changes between them.
 package shardmap
@@ -55,9 +56,14 @@
 // Answers tells whether a holder in this state has all that the shard holds.
 func (s State) Answers() bool { return s == Cold || s == Serving || s == Leaving }
 
-// ways are the steps between states. A change that is taken back leads back: a holder that was to leave serves on, one that was
-// to come is gone.
-var ways = map[State][]State{Preparing: {Cold, Gone}, Cold: {Serving, Leaving, Gone}, Serving: {Leaving}, Leaving: {Serving, Gone}}
+// ways are the steps between states. A change that is taken back leads back: a holder that was to leave
+// serves on, one that was to come is gone.
+var ways = map[State][]State{
+	Preparing: {Cold, Gone},
+	Cold:      {Serving, Leaving, Gone},
+	Serving:   {Leaving},
+	Leaving:   {Serving, Gone},
+}
 
 // Holder is a leaf that holds a shard.
 type Holder struct {
@@ -194,7 +200,9 @@
 	s := m.Shards[at]
 	switch op.Kind {
 	case Split:
-		if touched[s.ID] || m.has(op.Into[0]) || m.has(op.Into[1]) || op.Into[0] == op.Into[1] || op.At <= s.Range.From || op.At >= s.Range.To {
+		if touched[s.ID] || m.has(op.Into[0]) || m.has(op.Into[1]) || op.Into[0] == op.Into[1] ||
+			op.At <= s.Range.From ||
+			op.At >= s.Range.To {
 			return wrong("shard %d %v can't be split at %x into %v", s.ID, s.Range, op.At, op.Into)
 		}
 		touched[op.Into[0]], touched[op.Into[1]] = true, true
@@ -212,7 +220,12 @@
 			return wrong("shards %d and %d change twice at once", s.ID, behind.ID)
 		}
 		touched[op.Into[0]] = true
-		m.Shards = slices.Replace(m.Shards, at, at+2, Shard{op.Into[0], Range{s.Range.From, behind.Range.To}, both(s.Holders, behind.Holders)})
+		m.Shards = slices.Replace(
+			m.Shards,
+			at,
+			at+2,
+			Shard{op.Into[0], Range{s.Range.From, behind.Range.To}, both(s.Holders, behind.Holders)},
+		)
 	case Add:
 		if op.Leaf == "" || s.holder(op.Leaf) >= 0 {
 			return wrong("leaf %q holds shard %d already", op.Leaf, s.ID)
@@ -296,9 +309,9 @@
 	return all
 }
 
-// Candidates are the holders that may be asked now: those that serve and those that leave, and cold ones. Who is cold is for the
-// module's cold budget to hold back; who leaves is asked only while nobody else serves or is cold, as it may be gone by the time a
-// call arrives.
+// Candidates are the holders that may be asked now: those that serve and those that leave, and cold ones. Who
+// is cold is for the module's cold budget to hold back; who leaves is asked only while nobody else serves or
+// is cold, as it may be gone by the time a call arrives.
 func (s *Shard) Candidates() (warm, cold []string) {
 	var leaving []string
 	for _, h := range s.Holders {
@@ -371,8 +384,8 @@
 	return nil
 }
 
-// Told is a leaf's word that it holds another version: it has refused a part for that, which therefore has not run. True: it is
-// ahead, and the map has to follow.
+// Told is a leaf's word that it holds another version: it has refused a part for that, which therefore has
+// not run. True: it is ahead, and the map has to follow.
 func (f *Follower) Told(version int64) bool {
 	ahead := cmp.Compare(version, f.Now.Version) > 0
 	f.Behind = f.Behind || ahead
--- a/shardmap/shardmap_test.go
+++ b/shardmap/shardmap_test.go
@@ -22,7 +22,13 @@
 const half = Space / 2
 
 func start() *Map {
-	return &Map{Version: 1, Shards: []Shard{{0, Range{0, half}, []Holder{{"a", Serving}, {"b", Serving}}}, {1, Range{half, Space}, []Holder{{"c", Serving}}}}}
+	return &Map{
+		Version: 1,
+		Shards: []Shard{
+			{0, Range{0, half}, []Holder{{"a", Serving}, {"b", Serving}}},
+			{1, Range{half, Space}, []Holder{{"c", Serving}}},
+		},
+	}
 }
 
 // The life of ranges: split, merged, moved with a cold holder, and a move that is taken back in the middle.
@@ -57,14 +63,25 @@
 		}
 	}
 	warm, cold := f.Now.Shard(4).Candidates()
-	fmt.Fprintf(&out, "taken %d, repeated %d, refused %d, behind %v; shard 4: %v, cold %v\n", f.Taken, f.Repeated, f.Refused, f.Behind, warm, cold)
+	fmt.Fprintf(
+		&out,
+		"taken %d, repeated %d, refused %d, behind %v; shard 4: %v, cold %v\n",
+		f.Taken,
+		f.Repeated,
+		f.Refused,
+		f.Behind,
+		warm,
+		cold,
+	)
 	golden.Check(t, "changes", out.String())
 }
 
 // The hard cases of queries in flight, told piece by piece.
 func TestFlights(t *testing.T) {
 	split := func(m *Map) *Map {
-		next, err := m.Apply(&Change{m.Version + 1, []Op{{Kind: Split, Shard: 0, Into: [2]int{2, 3}, At: half / 2}}})
+		next, err := m.Apply(
+			&Change{m.Version + 1, []Op{{Kind: Split, Shard: 0, Into: [2]int{2, 3}, At: half / 2}}},
+		)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -83,22 +100,26 @@
 		f.Follow(split(start()))
 		say("split")
 	})
-	scene("a split midway, that may be asked again: children answer, then the parent", false, func(f *Flight, say func(string)) {
-		parent := f.Open()[0]
-		f.Send(parent)
-		f.Follow(split(start()))
-		say("split")
-		low := f.Open()[0]
-		f.Send(low)
-		f.Answered(low)
-		say("the lower child answers")
-		f.Answered(parent)
-		say("the parent answers after all")
-		high := f.Open()[0]
-		f.Send(high)
-		f.Answered(high)
-		say("and the higher child")
-	})
+	scene(
+		"a split midway, that may be asked again: children answer, then the parent",
+		false,
+		func(f *Flight, say func(string)) {
+			parent := f.Open()[0]
+			f.Send(parent)
+			f.Follow(split(start()))
+			say("split")
+			low := f.Open()[0]
+			f.Send(low)
+			f.Answered(low)
+			say("the lower child answers")
+			f.Answered(parent)
+			say("the parent answers after all")
+			high := f.Open()[0]
+			f.Send(high)
+			f.Answered(high)
+			say("and the higher child")
+		},
+	)
 	scene("a split midway of what may run once only", true, func(f *Flight, say func(string)) {
 		parent := f.Open()[0]
 		f.Send(parent)
@@ -107,31 +128,46 @@
 		f.Failed(parent, true)
 		say("it failed, and may have run")
 	})
-	scene("the same, refused by a leaf that is ahead: it has not run", true, func(f *Flight, say func(string)) {
-		parent := f.Open()[0]
-		f.Send(parent)
-		f.Follow(split(start()))
-		f.Failed(parent, false)
-		say("refused")
-	})
+	scene(
+		"the same, refused by a leaf that is ahead: it has not run",
+		true,
+		func(f *Flight, say func(string)) {
+			parent := f.Open()[0]
+			f.Send(parent)
+			f.Follow(split(start()))
+			f.Failed(parent, false)
+			say("refused")
+		},
+	)
 	golden.Check(t, "flights", out.String())
 }
 
 // draw makes any change that the map may meet, sound or not.
 func draw(t *rapid.T, m *Map, next *int) *Change {
-	c := &Change{Version: m.Version + int64(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 0, 2}).Draw(t, "version"))}
+	c := &Change{
+		Version: m.Version + int64(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 0, 2}).Draw(t, "version")),
+	}
 	for range rapid.IntRange(1, 2).Draw(t, "operations") {
 		s := rapid.SampledFrom(m.Shards).Draw(t, "shard")
-		op := Op{Kind: Kind(rapid.IntRange(0, 3).Draw(t, "kind")), Shard: s.ID, Leaf: string(rune('a' + rapid.IntRange(0, 5).Draw(t, "leaf"))),
-			To: State(rapid.IntRange(0, 4).Draw(t, "to")), Into: [2]int{*next, *next + 1}, At: (s.Range.From + s.Range.To) / 2}
+		op := Op{
+			Kind:  Kind(rapid.IntRange(0, 3).Draw(t, "kind")),
+			Shard: s.ID,
+			Leaf:  string(rune('a' + rapid.IntRange(0, 5).Draw(t, "leaf"))),
+			To: State(
+				rapid.IntRange(0, 4).Draw(t, "to"),
+			),
+			Into: [2]int{*next, *next + 1},
+			At:   (s.Range.From + s.Range.To) / 2,
+		}
 		*next += 2
 		c.Ops = append(c.Ops, op)
 	}
 	return c
 }
 
-// Any sequence of changes keeps the keys covered once and served; what is refused changes nothing; a snapshot says the same.
-// Queries that follow along have each key once in their answer, lose none as long as holders answer, and what may run once does.
+// Any sequence of changes keeps the keys covered once and served; what is refused changes nothing; a snapshot
+// says the same. Queries that follow along have each key once in their answer, lose none as long as holders
+// answer, and what may run once does.
 func TestAnySequence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &Follower{Now: start()}
@@ -247,7 +283,8 @@
 		if back, err := Decode(raw); err != nil || back.String() != f.Now.String() {
 			t.Fatalf("%v: comes back as %v", err, back)
 		}
-		// Once the world behaves, every query that may be asked again is whole, and of the others all that has not failed.
+		// Once the world behaves, every query that may be asked again is whole, and of the others all that
+		// has not failed.
 		for _, x := range flights {
 			for range 3 {
 				for _, p := range x.Open() {
--- a/shardmap/snapshot.go
+++ b/shardmap/snapshot.go
@@ -1,7 +1,7 @@
 package shardmap
 
-// snapshot.go owns the form in which a map outlives the process: one line that says what it is and has the checksum of the rest, then
-// the map. It must never give out a map of damaged or doubtful bytes.
+// snapshot.go owns the form in which a map outlives the process: one line that says what it is and has the
+// checksum of the rest, then the map. It must never give out a map of damaged or doubtful bytes.
 
 import (
 	"bytes"
@@ -26,7 +26,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(fmt.Appendf(nil, "%s %016x %d\n", snapshotMark, xxhash.Sum64(body), len(body)), body...), nil
+	return append(
+		fmt.Appendf(nil, "%s %016x %d\n", snapshotMark, xxhash.Sum64(body), len(body)),
+		body...), nil
 }
 
 // Decode reads a map, and checks it whole.
@@ -37,7 +39,8 @@
 	head, body, found := bytes.Cut(raw, []byte{'\n'})
 	var sum uint64
 	var size int
-	if n, err := fmt.Sscanf(string(head), snapshotMark+" %x %d", &sum, &size); !found || err != nil || n != 2 {
+	if n, err := fmt.Sscanf(string(head), snapshotMark+" %x %d", &sum, &size); !found || err != nil ||
+		n != 2 {
 		return nil, fmt.Errorf("%w: it does not begin as one", ErrDamaged)
 	}
 	if size != len(body) || xxhash.Sum64(body) != sum {
