--- a/choice/choice.go
+++ b/choice/choice.go
@@ -965,7 +965,7 @@
 			ended(l)
 			l.sent, l.window = nil, 0
 		}
-		l.zone, l.cell, l.condition, l.started = e.Zone, e.Cell, e.Condition, e.Started
+		l.zone, l.cell, l.shards, l.condition, l.started = e.Zone, e.Cell, e.Shards, e.Condition, e.Started
 	}
 	for s := range r.holders {
 		r.holders[s] = r.holders[s][:0]
@@ -985,7 +985,13 @@
 		if l.trusts[0].strikes > 0 {
 			r.struck++
 		}
+		for _, s := range l.shards {
+			r.holders[s] = append(r.holders[s], l)
+		}
 		for j := range min(r.set.Span, r.set.Cells) {
+			if l.shards != nil {
+				break
+			}
 			for s := ((l.cell-j)%r.set.Cells + r.set.Cells) % r.set.Cells; s < r.set.Shards; s += r.set.Cells {
 				r.holders[s] = append(r.holders[s], l)
 			}
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -121,6 +121,7 @@
 	Leaf      *Leaf
 	Zone      int
 	Cell      int
+	Shards    []int // that it holds; nil: those of its cell, by Cells and Span
 	Condition Condition
 	Started   Time // 0: long past
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -84,6 +84,7 @@
 type Leaf struct {
 	zone      int
 	cell      int
+	shards    []int // that it holds; nil: those of its cell
 	condition Condition
 	started   Time // of its process, 0: long past
 
--- a/codec/frames.go
+++ b/codec/frames.go
@@ -131,6 +131,7 @@
 	ID    string
 	Shard int
 	Wait  int64
+	More  string // further words of its list, such as ",v=3"; empty: none
 	Text  []byte
 }
 
@@ -140,7 +141,7 @@
 	size := 1
 	for _, p := range parts {
 		line := append(append([]byte(p.ID), ' '), strconv.Itoa(p.Shard)...)
-		line = strconv.AppendInt(append(line, " d="...), p.Wait, 10)
+		line = append(strconv.AppendInt(append(line, " d="...), p.Wait, 10), p.More...)
 		line = append(strconv.AppendInt(append(line, ' '), int64(len(p.Text)), 10), '\n')
 		lines = append(lines, line)
 		size += len(line) + len(p.Text)
@@ -157,10 +158,15 @@
 // ends are the outcomes that a leaf's answer tells.
 var ends = map[string]choice.Outcome{"200": choice.OK, "500": choice.Failed, "503": choice.Full}
 
+// otherMap is the end by which a leaf says that it has another version of the map of shards, which stands in the score's place. It has not
+// run the part.
+const otherMap = "409"
+
 // Answer is what a leaf answers for a part.
 type Answer struct {
 	ID      string
 	Outcome choice.Outcome
+	Map     int64          // version of the map that the leaf has, where it refused for that
 	Report  *choice.Report // nil where none came along
 	Value   []byte
 }
@@ -173,6 +179,9 @@
 		return Answer{}, errAnswer
 	}
 	o, known := ends[words[1]]
+	if version, err := strconv.ParseInt(words[2], 10, 64); words[1] == otherMap && err == nil && version > 0 {
+		return Answer{ID: words[0], Outcome: choice.Moot, Map: version, Report: ParseReport(words[3])}, nil
+	}
 	if !known {
 		return Answer{}, errAnswer
 	}
--- a/codec/json.go
+++ b/codec/json.go
@@ -388,6 +388,7 @@
 // Row is one part of an answer: the value is a leaf's bytes.
 type Row struct {
 	Shard int
+	Keys  string // the range that the value is of, where it is a part of the shard; else empty
 	Value []byte
 }
 
@@ -400,6 +401,9 @@
 			out = append(out, ',')
 		}
 		out = strconv.AppendInt(append(out, `{"id":`...), int64(r.Shard), 10)
+		if r.Keys != "" {
+			out = appendString(append(out, `,"keys":`...), []byte(r.Keys))
+		}
 		out = append(appendString(append(out, `,"data":`...), r.Value), '}')
 	}
 	return append(out, `]}`...)
--- a/config/config.go
+++ b/config/config.go
@@ -281,6 +281,7 @@
 				to.More.Admin != c.More.Admin,
 			},
 			check{"capture", to.More.Capture != c.More.Capture},
+			check{"shards", to.More.Shards != c.More.Shards},
 			check{"opensearch", !reflect.DeepEqual(to.More.OpenSearch, c.More.OpenSearch)},
 		)
 }
--- a/config/file.go
+++ b/config/file.go
@@ -26,6 +26,7 @@
 	Capture Capture `yaml:"capture"`
 
 	OpenSearch OpenSearch `yaml:"opensearch"`
+	Shards     Shards     `yaml:"shards"`
 
 	Admission Admission `yaml:"admission"`
 	Memory    Memory    `yaml:"memory"`
@@ -43,6 +44,14 @@
 	KeyFile  string        `yaml:"key_file"`
 }
 
+// Shards is a map of key ranges that changes while queries run.
+type Shards struct {
+	Enabled   bool          `yaml:"enabled"`
+	Snapshot  string        `yaml:"snapshot"`   // file that outlives the process; empty: none
+	ColdShare float64       `yaml:"cold_share"` // of a range's parts that may go to a holder that is still cold
+	Retry     time.Duration `yaml:"retry"`      // between attempts to follow the map
+}
+
 // OpenSearch is a second front, in the form of that API.
 type OpenSearch struct {
 	Enabled     bool    `yaml:"enabled"`
@@ -225,6 +234,7 @@
 			Remembered: 16384,
 			Refusals:   16,
 		},
+		Shards:     Shards{ColdShare: 0.1, Retry: 200 * time.Millisecond},
 		OpenSearch: OpenSearch{Listen: "127.0.0.1:9200", Connections: 64, Tenant: "X-Customer"},
 		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
 	}
@@ -302,6 +312,10 @@
 	}
 	within("capture.flush", c.Flush, 100*time.Millisecond, time.Hour)
 	f.checkSearch(doc)
+	if s := &f.Shards; !(s.ColdShare >= 0 && s.ColdShare <= 1) {
+		doc.Fault("shards.cold_share", "must be from 0 to 1")
+	}
+	within("shards.retry", f.Shards.Retry, 10*time.Millisecond, time.Minute)
 	f.checkLimits(doc, within)
 	if m.Skew*skewsInTime > m.Lease {
 		doc.Fault("members.lease", "%v is under %d times members.skew, %v", m.Lease, skewsInTime, m.Skew)
@@ -449,6 +463,8 @@
 			f.OpenSearch.Connections,
 		),
 		"opensearch.leaves: " + off(f.OpenSearch.Leaves, "leaves are asked in that form, by HTTP/1.1"),
+		"shards: " + off(f.Shards.Enabled, "as the map of ranges says, followed at the list's address; snapshot %q, %.0f%% to cold holders",
+			f.Shards.Snapshot, 100*f.Shards.ColdShare),
 		"admission: " + off(
 			f.Admission.Enabled,
 			"%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -30,6 +30,7 @@
 	Loss     plan.Loss
 	Files    int                          // descriptors that a router process really gets; 0: as this one
 	Limits   bool                         // routers are told the memory and descriptors that the description states
+	Maps     *standin.Maps                // versions of the map of shards, told beside the list; nil: none
 	Searches bool                         // leaves speak the form of OpenSearch, by HTTP
 	Leaf     func(i int, l *standin.Leaf) // may change a leaf before it serves; nil: none
 }
@@ -126,7 +127,12 @@
 		return c, err
 	}
 	c.List = standin.NewDiscovery(list)
-	c.disc = &http.Server{Handler: c.List}
+	mux := http.NewServeMux()
+	mux.Handle("/", c.List)
+	if o.Maps != nil {
+		mux.Handle("/v1/shards", o.Maps)
+	}
+	c.disc = &http.Server{Handler: mux}
 	go c.disc.Serve(at)
 	down := map[int]bool{}
 	for _, r := range loss.Routers {
--- /dev/null
+++ b/lab/standin/maps.go
@@ -0,0 +1,85 @@
+package standin
+
+// maps.go owns the list's part that tells versions of the map of shards: the whole map, then changes, on a watch that stays open. It must
+// never tell a version before it was published.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"moleshift/shardmap"
+)
+
+// Maps publishes versions of a map.
+type Maps struct {
+	mu      sync.Mutex
+	now     *shardmap.Map
+	changes []shardmap.Change
+	changed chan struct{}
+}
+
+const mostChanges = 64 // that are told one by one; who is further behind gets the whole map
+
+// NewMaps begins with a map.
+func NewMaps(m *shardmap.Map) *Maps { return &Maps{now: m, changed: make(chan struct{})} }
+
+// Now is the latest version.
+func (p *Maps) Now() *shardmap.Map {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now
+}
+
+// Publish publishes a change, if it makes sense.
+func (p *Maps) Publish(ops ...shardmap.Op) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := shardmap.Change{Version: p.now.Version + 1, Ops: ops}
+	next, err := p.now.Apply(&c)
+	if err != nil {
+		return err
+	}
+	p.now, p.changes = next, append(p.changes, c)
+	if len(p.changes) > mostChanges {
+		p.changes = p.changes[1:]
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return nil
+}
+
+// ServeHTTP answers GET /v1/shards?follow=1&since=V.
+func (p *Maps) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64) // 0 where it is none
+	enc := json.NewEncoder(w)
+	for r.Context().Err() == nil {
+		p.mu.Lock()
+		now, changed := p.now, p.changed
+		var behind []shardmap.Change
+		for _, c := range p.changes {
+			if c.Version > since {
+				behind = append(behind, c)
+			}
+		}
+		p.mu.Unlock()
+		if since == 0 || len(behind) > 0 && behind[0].Version > since+1 {
+			enc.Encode(map[string]any{"Whole": now})
+		} else {
+			for _, c := range behind {
+				enc.Encode(map[string]any{"Change": c})
+			}
+		}
+		since = now.Version
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-changed:
+		case <-time.After(quiet):
+			fmt.Fprintln(w)
+		}
+	}
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -40,6 +40,7 @@
 	gone    bool    // from the list; forgotten with the last connection
 	serving bool    // it is in service
 	cell    int
+	last    choice.Entry // as the list has it
 }
 
 // news takes what the list says.
@@ -61,6 +62,9 @@
 		if s.StartedMS > 0 {
 			e.Started = config.CeilTime(s.StartedMS)
 		}
+		if l.last = e; o.ranging != nil {
+			e.Shards = o.ranging.holds(l.id)
+		}
 		moved := s.Address != "" && s.Address != l.address
 		for _, c := range l.conns {
 			if up := c.upSince(); up > 0 && up < e.Started && e.Started != l.started {
@@ -100,6 +104,13 @@
 	}
 }
 
+// entry is what the module is told of a leaf where a map says what it holds.
+func (l *leaf) entry(r *ranging) choice.Entry {
+	e := l.last
+	e.Shards = r.holds(l.id)
+	return e
+}
+
 // forget lets go of a leaf that is gone, once nothing is open to it. If it is listed again it is a new one.
 // Over a long day all leaves are replaced many times, so nothing may be kept for those that were.
 func (o *owner) forget(l *leaf) {
@@ -215,8 +226,11 @@
 		f.conn.calls[k.part.id] = k
 		f.conn.used = o.now
 		wait := int64((k.until - o.now + choice.Millisecond - 1) / choice.Millisecond)
-		f.parts = append(f.parts, codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Wait: max(wait, 1),
-			Text: k.part.query.text})
+		sent := codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Wait: max(wait, 1), Text: k.part.query.text}
+		if r := o.ranging; r != nil {
+			sent.Shard, sent.More = k.part.shardOf(r), k.part.more(r)
+		}
+		f.parts = append(f.parts, sent)
 	}
 	for _, f := range frames {
 		f.conn.send(f)
@@ -586,6 +600,9 @@
 				if err != nil {
 					return fault{err}
 				}
+				if a.Map > 0 && o.ranging == nil {
+					return fault{errors.New("the leaf speaks of a map that nobody has")}
+				}
 				if f.Cut &&
 					a.Outcome == choice.OK { // there was no room: the part has run, its value is lost, and that is not the leaf's fault
 					a.Outcome, a.Value = choice.Cancelled, nil
@@ -617,6 +634,9 @@
 // answered takes an answer. One that comes for a call given up touches nothing.
 func (c *leafConn) answered(o *owner, a codec.Answer) {
 	c.heard, c.used = o.now, o.now
+	if a.Map > 0 && o.ranging != nil {
+		o.ranging.told(a.Map)
+	}
 	if k := c.calls[a.ID]; k != nil {
 		o.end(k, a.Outcome, a.Report, a.Value)
 		return
--- a/router/list.go
+++ b/router/list.go
@@ -43,6 +43,13 @@
 // ask has a watch opened, if there is none.
 func (l *list) ask() { poke(l.asked) }
 
+// where is the address of discovery now.
+func (l *list) where() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
 // move has the list watched at another address from now on, whatever goes on at the old one: the new one tells
 // what has changed since the generation that was last told.
 func (l *list) move(address string) {
--- a/router/owner.go
+++ b/router/owner.go
@@ -42,6 +42,7 @@
 
 	sharing   *sharing   // nil unless instances know one another
 	recording *recording // nil unless what is served is recorded
+	ranging   *ranging   // nil unless shards are ranges of a map that changes
 	searching *searching // nil unless searches are taken in the form of OpenSearch
 
 	root    *choice.Root
@@ -79,13 +80,17 @@
 }
 
 type part struct {
-	id    string
-	p     *choice.Part
-	query *query
-	in    bool
-	value []byte
-	over  bool    // its query has ended
-	calls []*call // all that were made
+	id      string
+	p       *choice.Part
+	query   *query
+	in      bool
+	value   []byte
+	over    bool    // its query has ended
+	slice   int     // that the client named
+	span    *span   // where shards are ranges: its keys
+	keys    string  // the same in words, where they are a part of the slice
+	version int64   // of the map by which it was made
+	calls   []*call // all that were made
 }
 
 // call is one leaf call, until its outcome has been told.
@@ -133,7 +138,7 @@
 		zones: numbers(cfg.Settings.Zones)}
 	o.gate = newGate(cfg, clk, log)
 	o.list = newList(cfg, o, log)
-	o.root = choice.NewRoot(cfg.Settings.Module, o, o.now)
+	o.root = choice.NewRoot(moduleOf(cfg), o, o.now)
 	o.news(cfg.Known, true)
 	o.tend()
 	if cfg.More.Memory.Enabled {
@@ -142,6 +147,17 @@
 	return o
 }
 
+// moduleOf is what the module is told. Where shards are ranges of a map it knows them by numbers that are given out as they are
+// needed.
+func moduleOf(cfg *config.Config) *choice.Settings {
+	if !cfg.More.Shards.Enabled {
+		return cfg.Settings.Module
+	}
+	set := *cfg.Settings.Module
+	set.Shards = mostNumbers
+	return &set
+}
+
 // post tells the owner something. It waits while the queue is full, so only socket code may call it.
 func (o *owner) post(ctx context.Context, e event) {
 	select {
@@ -261,11 +277,24 @@
 		q.recorded, q.key = true, o.recording.rec.Key(a.key)
 	}
 	var parts []*choice.Part
+	if o.ranging != nil {
+		held, ok := o.ranging.parts(q, a.body.Parts)
+		if !ok {
+			o.gate.done(hold)
+			a.from.answer(reply{status: refusedStatus, holdOff: o.cfg.More.Shards.Retry})
+			return
+		}
+		q.parts = held
+	}
 	for _, p := range a.body.Parts {
-		cp := &choice.Part{Shard: p.Shard, Weight: p.Weight, Hint: p.Hint / 1000}
-		held := &part{id: a.id + "." + strconv.Itoa(p.Shard), p: cp, query: q}
-		q.parts, parts = append(q.parts, held), append(parts, cp)
-		o.parts[cp] = held
+		if o.ranging == nil {
+			q.parts = append(q.parts, &part{id: a.id + "." + strconv.Itoa(p.Shard), query: q, slice: p.Shard,
+				p: &choice.Part{Shard: p.Shard, Weight: p.Weight, Hint: p.Hint / 1000}})
+		}
+	}
+	for _, held := range q.parts {
+		parts = append(parts, held.p)
+		o.parts[held.p] = held
 	}
 	o.queries[q.id], o.ids[q.q] = q, q
 	a.from.query, a.from.hold = q, hold
@@ -300,6 +329,9 @@
 	delete(o.ids, q.q)
 	for _, p := range q.parts {
 		p.over, p.value = true, nil
+		if p.span != nil {
+			p.span.open--
+		}
 		delete(o.parts, p.p)
 		for _, k := range p.calls { // no part of it is sent after its answer, though it waits for a connection
 			if !k.ended && k.frame != nil && k.frame.conn.withdraw(k) {
@@ -403,7 +435,7 @@
 	var rows []codec.Row
 	for _, p := range held.parts {
 		if p.in {
-			rows = append(rows, codec.Row{Shard: p.p.Shard, Value: p.value})
+			rows = append(rows, codec.Row{Shard: p.slice, Keys: p.keys, Value: p.value})
 		}
 	}
 	o.final(held, reply{status: servedStatus, whole: whole, rows: rows})
--- a/router/record.go
+++ b/router/record.go
@@ -42,7 +42,7 @@
 	}
 	for i, p := range q.parts {
 		part := &c.Parts[i]
-		*part = capture.Part{Shard: p.p.Shard, Weight: p.p.Weight, Hint: p.p.Hint}
+		*part = capture.Part{Shard: p.slice, Weight: p.p.Weight, Hint: p.p.Hint}
 		if p.in {
 			c.Weight += p.p.Weight
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -139,6 +139,13 @@
 		p.owner.recording = &recording{rec, p.owner.clk.at(rec.Begun())}
 		p.group.Go(func() error { return rec.Run(p.ctx) })
 	}
+	if cfg.Shards.Enabled {
+		if err := p.owner.enableShards(); err != nil {
+			return err
+		}
+		p.group.Go(func() error { return p.owner.ranging.run(p.ctx) })
+		p.group.Go(func() error { return p.owner.ranging.keep(p.ctx, p.log) })
+	}
 	if cfg.OpenSearch.Enabled {
 		if err := p.search(); err != nil {
 			return err
