--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -115,6 +115,13 @@
 	st.owner = p.owner
 	p.owner.gate.heap = func() int64 { return 0 } // that of tests is not the router's
 	p.owner.gate.book.Strict = true               // every scene is one for the books, too
+	if st.cfg.More.Shards.Enabled {
+		if err := p.owner.enableShards(); err != nil {
+			st.t.Error(err)
+		}
+		p.group.Go(func() error { return p.owner.ranging.run(p.ctx) })
+		p.group.Go(func() error { return p.owner.ranging.keep(p.ctx, log) })
+	}
 	if st.cfg.More.Members.Enabled {
 		if err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
 			st.say("joins as seat %d", set.Seat)
--- a/router/shards.go
+++ b/router/shards.go
@@ -69,7 +69,7 @@
 		var damaged *mapfile.Damaged
 		switch {
 		case errors.As(err, &damaged):
-			o.log.Error().Err(err).Msg("the snapshot of the map is not believed")
+			o.log.Error().Err(damaged.Why).Str("aside", damaged.Aside).Msg("the snapshot of the map is not believed")
 		case err != nil:
 			return fmt.Errorf("shards.snapshot: %w", err)
 		case m != nil:
