Sketches of leaves are read into stores of fixed size

A sketch of a few bytes that names places far apart would have taken memory for all between them; one whose counts come to less than nothing is refused. A fuzz run that never ended led there.

--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/DataDog/sketches-go/ddsketch/pb/sketchpb"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	"moleshift/internal/golden"
 	"moleshift/merge"
@@ -143,6 +145,23 @@
 	}
 }
 
+// A sketch of a few bytes that names places far apart must not take memory for all between them.
+func TestSketchFarApart(t *testing.T) {
+	m := &sketchpb.DDSketch{Mapping: merge.NewQuantile().IndexMapping.ToProto(),
+		PositiveValues: &sketchpb.Store{BinCounts: map[int32]float64{-1 << 30: 1, 1 << 30: 1}}}
+	raw, err := proto.Marshal(m)
+	must(t, err)
+	if q, err := decodeQuantile(raw); err != nil || q.GetCount() != 2 {
+		t.Errorf("%v, %v", q, err)
+	}
+	m.PositiveValues.BinCounts[5] = -10
+	raw, err = proto.Marshal(m)
+	must(t, err)
+	if _, err := decodeQuantile(raw); err == nil {
+		t.Error("a sketch of less than nothing is taken")
+	}
+}
+
 // Several searches in one request: each is settled by itself, whatever becomes of the others.
 func TestMulti(t *testing.T) {
 	r := &router{whole: true, shard: func(text string, s int) string { return shardOf(s, 1) }}
--- a/front/opensearch/partial.go
+++ b/front/opensearch/partial.go
@@ -12,6 +12,7 @@
 
 	"github.com/DataDog/sketches-go/ddsketch"
 	"github.com/DataDog/sketches-go/ddsketch/pb/sketchpb"
+	"github.com/DataDog/sketches-go/ddsketch/store"
 	"google.golang.org/protobuf/proto"
 
 	"moleshift/merge"
@@ -182,12 +183,25 @@
 	return a, nil
 }
 
+const (
+	sketchPlaces = 4096
+	mostCount    = 1e15
+)
+
 func decodeQuantile(raw []byte) (*ddsketch.DDSketch, error) {
 	var m sketchpb.DDSketch
 	if err := proto.Unmarshal(raw, &m); err != nil {
 		return nil, err
 	}
-	return ddsketch.FromProto(&m)
+	// Stores of fixed size: a sketch of few bytes can name places that lie far apart.
+	q, err := ddsketch.FromProtoWithStoreProvider(&m, func() store.Store { return store.NewCollapsingLowestDenseStore(sketchPlaces) })
+	if err != nil {
+		return nil, err
+	}
+	if n := q.GetCount(); !(n >= 0 && n < mostCount) {
+		return nil, fmt.Errorf("a sketch of %g values", n)
+	}
+	return q, nil
 }
 
 // EncodeQuantile and EncodeSketch are how leaves write sketches.
