Which ranges queries are cut into, and who may be asked for each, is decided in shardmap

The router numbered ranges, drew which parts may go to cold holders and chose candidates itself: decisions in a driver.

--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"moleshift/choice"
 	"moleshift/config"
@@ -161,20 +160,6 @@
 	}
 }
 
-// withOwner hands a test an owner that no goroutine runs, with leaves A and B.
-func withOwner(t *testing.T, cfg *config.Config, do func(*owner)) {
-	t.Helper()
-	cfg.Limits = config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}
-	cfg.Known = config.List{Whole: true, Servers: []config.Server{server("A", "in_service", 0), server("B", "in_service", 0)}}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	o := newOwner(ctx, cfg, nil, &life{}, zerolog.Nop(), new(errgroup.Group), stop)
-	if err := o.enableShards(); err != nil {
-		t.Fatal(err)
-	}
-	do(o)
-}
-
 // step waits until all have done what they can do now.
 func (st *stage) step() {
 	synctest.Wait()
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -63,7 +63,7 @@
 			e.Started = config.CeilTime(s.StartedMS)
 		}
 		if l.last = e; o.ranging != nil {
-			e.Shards = o.ranging.holds(l.id)
+			e.Shards = o.ranging.spans.Holds(l.id)
 		}
 		moved := s.Address != "" && s.Address != l.address
 		for _, c := range l.conns {
@@ -104,13 +104,6 @@
 	}
 }
 
-// entry is what the module is told of a leaf where a map says what it holds.
-func (l *leaf) entry(r *ranging) choice.Entry {
-	e := l.last
-	e.Shards = r.holds(l.id)
-	return e
-}
-
 // forget lets go of a leaf that is gone, once nothing is open to it. If it is listed again it is a new one.
 // Over a long day all leaves are replaced many times, so nothing may be kept for those that were.
 func (o *owner) forget(l *leaf) {
@@ -228,7 +221,7 @@
 		wait := int64((k.until - o.now + choice.Millisecond - 1) / choice.Millisecond)
 		sent := codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Wait: max(wait, 1), Text: k.part.query.text}
 		if r := o.ranging; r != nil {
-			sent.Shard, sent.More = k.part.shardOf(r), k.part.more(r)
+			sent.Shard, sent.More = r.spans.Shard(k.part.span), r.more(k.part)
 		}
 		f.parts = append(f.parts, sent)
 	}
--- a/router/owner.go
+++ b/router/owner.go
@@ -19,6 +19,7 @@
 	"moleshift/codec"
 	"moleshift/config"
 	"moleshift/limits"
+	"moleshift/shardmap"
 )
 
 // event is something that the owner is told.
@@ -80,17 +81,16 @@
 }
 
 type part struct {
-	id      string
-	p       *choice.Part
-	query   *query
-	in      bool
-	value   []byte
-	over    bool    // its query has ended
-	slice   int     // that the client named
-	span    *span   // where shards are ranges: its keys
-	keys    string  // the same in words, where they are a part of the slice
-	version int64   // of the map by which it was made
-	calls   []*call // all that were made
+	id    string
+	p     *choice.Part
+	query *query
+	in    bool
+	value []byte
+	over  bool           // its query has ended
+	slice int            // that the client named
+	span  *shardmap.Span // where shards are ranges: its keys
+	keys  string         // the same in words, where they are a part of the slice
+	calls []*call        // all that were made
 }
 
 // call is one leaf call, until its outcome has been told.
@@ -154,7 +154,7 @@
 		return cfg.Settings.Module
 	}
 	set := *cfg.Settings.Module
-	set.Shards = mostNumbers
+	set.Shards = shardmap.MostSpans()
 	return &set
 }
 
@@ -330,7 +330,7 @@
 	for _, p := range q.parts {
 		p.over, p.value = true, nil
 		if p.span != nil {
-			p.span.open--
+			o.ranging.spans.Done(p.span)
 		}
 		delete(o.parts, p.p)
 		for _, k := range p.calls { // no part of it is sent after its answer, though it waits for a connection
--- a/router/shards.go
+++ b/router/shards.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"net"
 	"net/http"
 	"slices"
@@ -25,45 +24,23 @@
 	"moleshift/shardmap/mapfile"
 )
 
-const (
-	mostNumbers = 1 << 13  // ranges that parts may be of at once, for the module to number
-	mostMapLine = 64 << 20 // bytes of one line of the watch
-	numberKeeps = 10_000   // tenths for which a range that nobody asks for keeps its number, at least
-)
-
-// span is a range as the module knows it: a number, with the holders that may be asked for it. Two numbers stand for a range that has a
-// cold holder: one with it and one without.
-type span struct {
-	keys   shardmap.Range
-	shard  int  // of the map, where the range lies in one
-	cold   bool // cold holders are among its candidates
-	number int
-	used   choice.Time
-	open   int // parts of open queries
-}
-
-type spanKey struct {
-	keys shardmap.Range
-	cold bool
-}
+const mostMapLine = 64 << 20 // bytes of one line of the watch
 
 // ranging is the map and what hangs on it. It is the owner's.
 type ranging struct {
 	o       *owner
 	set     config.Shards
 	follows shardmap.Follower
-	spans   map[spanKey]*span
-	numbers []*span // by number; nil: free
-	slices  int     // that clients name
-	drawn   uint64
+	spans   *shardmap.Spans
 	saves   chan *shardmap.Map // one at most: the latest
 	refetch chan struct{}
 }
 
 // enableShards has the owner go by a map. The module numbers ranges rather than slices.
 func (o *owner) enableShards() error {
-	r := &ranging{o: o, set: o.cfg.More.Shards, spans: map[spanKey]*span{}, numbers: make([]*span, mostNumbers),
-		slices: o.cfg.Settings.Module.Shards, saves: make(chan *shardmap.Map, 1), refetch: make(chan struct{}, 1)}
+	set := o.cfg.More.Shards
+	r := &ranging{o: o, set: set, saves: make(chan *shardmap.Map, 1), refetch: make(chan struct{}, 1),
+		spans: shardmap.NewSpans(o.cfg.Settings.Module.Shards, set.ColdShare, o.cfg.Seed)}
 	if path := r.set.Snapshot; path != "" {
 		m, err := mapfile.Load(path)
 		var damaged *mapfile.Damaged
@@ -74,6 +51,7 @@
 			return fmt.Errorf("shards.snapshot: %w", err)
 		case m != nil:
 			r.follows.Whole(m) // Load has checked it
+			r.spans.Move(shardmap.Time(o.now), m)
 			o.log.Info().Int64("version", m.Version).Msg("map of shards from the snapshot")
 		}
 	}
@@ -216,127 +194,52 @@
 
 // moved has the module's candidates be those of the map as it is now.
 func (r *ranging) moved() {
-	for i, s := range r.numbers {
-		if s != nil && s.open == 0 && r.o.now-s.used > numberKeeps {
-			delete(r.spans, spanKey{s.keys, s.cold})
-			r.numbers[i] = nil
-		}
-	}
-	entries := make([]choice.Entry, 0, len(r.o.listed))
-	for _, l := range r.o.listed {
-		if !l.gone {
-			entries = append(entries, l.entry(r))
-		}
-	}
-	r.o.root.List(r.o.now, entries, false, true)
+	r.spans.Move(shardmap.Time(r.o.now), r.follows.Now)
+	r.tell(func(string) bool { return true })
 }
 
-// holds are the numbers of the ranges that a leaf may be asked for: it must hold all shards that the range meets. Old ranges of queries
-// that are open go on with whoever holds all their parts, be that by a split since.
-func (r *ranging) holds(leaf string) []int {
-	held := []int{}
-	if r.follows.Now == nil {
-		return held
-	}
-	for i, s := range r.numbers {
-		if s != nil && r.may(s, leaf) {
-			held = append(held, i)
-		}
-	}
-	return held
-}
-
-// may: does a leaf hold all of a range, in a state in which it may be asked for it?
-func (r *ranging) may(s *span, leaf string) bool {
-	for _, shard := range r.follows.Now.Over(s.keys) {
-		warm, cold := shard.Candidates()
-		if !slices.Contains(warm, leaf) && !(slices.Contains(cold, leaf) && (s.cold || len(warm) == 0)) {
-			return false
+// tell tells the module what leaves hold now.
+func (r *ranging) tell(which func(leaf string) bool) {
+	var entries []choice.Entry
+	for _, l := range r.o.listed {
+		if !l.gone && which(l.id) {
+			e := l.last
+			e.Shards = r.spans.Holds(l.id)
+			entries = append(entries, e)
 		}
 	}
-	return true
+	r.o.root.List(r.o.now, entries, false, true)
 }
 
-// keysOf is the range that a slice stands for.
-func (r *ranging) keysOf(slice int) shardmap.Range {
-	at := func(i int) uint64 { return shardmap.Space / uint64(r.slices) * uint64(i) }
-	to := at(slice + 1)
-	if slice == r.slices-1 {
-		to = shardmap.Space
+// parts turns what a client asks for into parts by the map; false where that can't be, as without a map.
+func (r *ranging) parts(q *query, asked []codec.PartAsked) (held []*part, ok bool) {
+	var named []int
+	for _, a := range asked {
+		named = append(named, a.Shard)
 	}
-	return shardmap.Range{From: at(slice), To: to}
-}
-
-// spanOf is the number of a range, made if there is none. A part that may go to cold holders is drawn, by a counter and the seed.
-func (r *ranging) spanOf(keys shardmap.Range, shard *shardmap.Shard) *span {
-	_, cold := shard.Candidates()
-	key := spanKey{keys, false}
-	if len(cold) > 0 {
-		h := fnv.New64a()
-		fmt.Fprintf(h, "%d/%d", r.o.cfg.Seed, r.drawn)
-		r.drawn++
-		key.cold = float64(h.Sum64()%10_000) < 10_000*r.set.ColdShare
+	pieces, fresh, ok := r.spans.Ask(shardmap.Time(r.o.now), named)
+	if len(fresh) > 0 {
+		r.tell(func(leaf string) bool {
+			return slices.ContainsFunc(fresh, func(s *shardmap.Span) bool { return r.spans.May(s, leaf) })
+		})
 	}
-	s := r.spans[key]
-	if s == nil {
-		free := slices.Index(r.numbers, nil)
-		if free < 0 {
-			return nil
+	for _, piece := range pieces {
+		a := asked[slices.IndexFunc(asked, func(a codec.PartAsked) bool { return a.Shard == piece.Slice })]
+		p := &part{id: fmt.Sprintf("%s.%d", q.id, a.Shard), query: q, slice: a.Shard, span: piece.Span,
+			p: &choice.Part{Shard: piece.Span.Number, Weight: a.Weight * piece.Share, Hint: a.Hint / 1000 * piece.Share}}
+		if piece.Of > 1 {
+			p.id += fmt.Sprintf(".%d", piece.Number)
+			p.keys = keysText(piece.Span.Keys)
 		}
-		s = &span{keys: keys, shard: shard.ID, cold: key.cold, number: free}
-		r.spans[key], r.numbers[free] = s, s
-		var entries []choice.Entry
-		for _, l := range r.o.listed {
-			if !l.gone && r.may(s, l.id) {
-				entries = append(entries, l.entry(r))
-			}
-		}
-		r.o.root.List(r.o.now, entries, false, true)
+		held = append(held, p)
 	}
-	s.shard, s.used = shard.ID, r.o.now
-	return s
+	return held, ok
 }
 
-// parts turns what a client asks for into parts by the map; nil where there is no map yet, or no number is left.
-func (r *ranging) parts(q *query, asked []codec.PartAsked) (held []*part, ok bool) {
-	m := r.follows.Now
-	if m == nil {
-		return nil, false
-	}
-	for _, a := range asked {
-		keys := r.keysOf(a.Shard)
-		over := m.Over(keys)
-		for i, shard := range over {
-			piece := shardmap.Range{From: max(keys.From, shard.Range.From), To: min(keys.To, shard.Range.To)}
-			s := r.spanOf(piece, shard)
-			if s == nil {
-				return nil, false
-			}
-			share := float64(piece.Width()) / float64(keys.Width())
-			p := &part{id: fmt.Sprintf("%s.%d", q.id, a.Shard), query: q, slice: a.Shard, span: s, version: m.Version,
-				p: &choice.Part{Shard: s.number, Weight: a.Weight * share, Hint: a.Hint / 1000 * share}}
-			if len(over) > 1 {
-				p.id += fmt.Sprintf(".%d", i)
-				p.keys = fmt.Sprintf("%08x-%08x", piece.From, piece.To)
-			}
-			held = append(held, p)
-		}
-	}
-	for _, p := range held {
-		p.span.open++
-	}
-	return held, true
-}
+// keysText is how keys are told on the wire.
+func keysText(k shardmap.Range) string { return fmt.Sprintf("%08x-%08x", k.From, k.To) }
 
 // more is what a leaf is told of a part beside its shard: the version of the map, and the keys.
-func (p *part) more(r *ranging) string {
-	return fmt.Sprintf(",v=%d,k=%08x-%08x", r.follows.Now.Version, p.span.keys.From, p.span.keys.To)
-}
-
-// shardOf is the shard by which a leaf is asked for a part now: the one of the map that has its first key.
-func (p *part) shardOf(r *ranging) int {
-	if s := r.follows.Now.Of(p.span.keys.From); s != nil {
-		return s.ID
-	}
-	return p.span.shard
+func (r *ranging) more(p *part) string {
+	return fmt.Sprintf(",v=%d,k=%s", r.spans.Version(), keysText(p.span.Keys))
 }
