--- a/cmd/molelab/reshape.go
+++ b/cmd/molelab/reshape.go
@@ -34,8 +34,8 @@
 	fmt.Fprintln(os.Stderr)
 	fmt.Printf("%d versions: %d splits, %d merges, %d moves ended; the snapshot has version %d\n", r.Changes, r.Splits, r.Merges, r.Moves, r.Version)
 	fmt.Printf("%d queries: %d whole, %d partly, %d refused, %d failed, mean %.1f ms\n", r.Queries, r.Whole, r.Partly, r.Refused, r.Failed, r.MeanMS)
-	fmt.Printf("wrong answers %d, run twice %d, worked on by others %d, turned away by leaves %d, late %d; cold holders got %d parts, %.3f of "+
-		"a range's at most\n", r.Wrong, r.Twice, r.Misplaced, r.Turned, r.Late, r.ColdParts, r.ColdShare)
+	fmt.Printf("wrong answers %d, run twice %d, worked on by others %d, turned away by leaves %d, late %d; cold holders got %d of "+
+		"%d parts of their ranges\n", r.Wrong, r.Twice, r.Misplaced, r.Turned, r.Late, r.ColdParts, r.ColdOf)
 	for _, line := range r.Log() {
 		fmt.Println("not published:", line)
 	}
--- a/lab/reshape/reshape.go
+++ b/lab/reshape/reshape.go
@@ -38,36 +38,36 @@
 
 // Result is what a run came to.
 type Result struct {
-	Queries    int     `json:"queries"`
-	Whole      int     `json:"whole"`
-	Partly     int     `json:"partly"`
-	Refused    int     `json:"refused"`
-	Failed     int     `json:"failed"`
-	Wrong      int     `json:"wrong"`       // answers with keys left out or counted twice, or called whole and not so
-	Twice      int     `json:"ran_twice"`   // parts that may run once only
-	Misplaced  int     `json:"misplaced"`   // parts worked on by a leaf that does not hold them
-	Turned     int     `json:"turned_away"` // parts that a leaf refused for its map, and did not run
-	Late       int     `json:"late"`        // parts that came to a leaf over 250 ms after it had ceased to be a holder
-	Changes    int     `json:"changes"`
-	Splits     int     `json:"splits"`
-	Merges     int     `json:"merges"`
-	Moves      int     `json:"moves"`
-	ColdShare  float64 `json:"cold_share"` // the most that a cold holder got of its range's parts
-	ColdParts  int     `json:"cold_parts"`
-	MeanMS     float64 `json:"mean_ms"`
-	Version    int64   `json:"version"` // of the snapshot that is left
-	Seed       uint64  `json:"seed"`
-	mistakes   []string
-	changeLog  []string
-	serviceGot float64
+	Queries   int     `json:"queries"`
+	Whole     int     `json:"whole"`
+	Partly    int     `json:"partly"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	Wrong     int     `json:"wrong"`       // answers with keys left out or counted twice, or called whole and not so
+	Twice     int     `json:"ran_twice"`   // parts that may run once only
+	Misplaced int     `json:"misplaced"`   // parts worked on by a leaf that does not hold them
+	Turned    int     `json:"turned_away"` // parts that a leaf refused for its map, and did not run
+	Late      int     `json:"late"`        // parts that came to a leaf over 250 ms after it had ceased to be a holder
+	Changes   int     `json:"changes"`
+	Splits    int     `json:"splits"`
+	Merges    int     `json:"merges"`
+	Moves     int     `json:"moves"`
+	ColdShare float64 `json:"cold_share"` // of the parts of ranges with a cold holder, that it got
+	ColdParts int     `json:"cold_parts"` // parts that cold holders got
+	ColdOf    int     `json:"cold_of"`    // parts of ranges while they had one
+	MeanMS    float64 `json:"mean_ms"`
+	Version   int64   `json:"version"` // of the snapshot that is left
+	Seed      uint64  `json:"seed"`
+	mistakes  []string
+	changeLog []string
 }
 
 const (
 	slices_    = 8
 	leaves     = 8
-	coldFor    = 3   // steps for which a new holder is cold
-	coldMost   = 0.2 // of a range's parts that a cold holder may get, a tenth stated and chance
-	coldLeast  = 100 // parts of a range from which that is judged
+	coldFor    = 3    // steps for which a new holder is cold
+	coldMost   = 0.15 // of their ranges' parts that cold holders may get: a tenth is stated, the rest is chance
+	coldLeast  = 200  // such parts from which that is judged
 	lateAfter  = 250 * time.Millisecond
 	graceSteps = 2 // for which a leaving holder stays
 )
@@ -94,16 +94,13 @@
 	rng  *rand.Rand
 
 	mu    sync.Mutex
-	known []*shardmap.Map        // by leaf: the version that it has
-	ran   map[string][]string    // of queries that may run once: keys that were worked on
-	gone  map[string]time.Time   // by leaf and keys' shard: since when it is no holder
-	cold  map[string]*coldCounts // by shard and leaf
+	known []*shardmap.Map      // by leaf: the version that it has
+	ran   map[string][]string  // of queries that may run once: keys that were worked on
+	gone  map[string]time.Time // by leaf and keys' shard: since when it is no holder
 	next  int
 	took  time.Duration
 }
 
-type coldCounts struct{ cold, all int }
-
 func name(i int) string { return "l-" + strconv.Itoa(i) }
 
 // first is the map that the run begins with: each slice has a shard, held by two leaves.
@@ -133,7 +130,7 @@
 	}
 	defer os.RemoveAll(dir)
 	g := &game{o: o, r: &Result{Seed: o.Seed}, maps: standin.NewMaps(first()), rng: rand.New(rand.NewPCG(o.Seed, 0x5a)),
-		ran: map[string][]string{}, gone: map[string]time.Time{}, cold: map[string]*coldCounts{}, next: 100}
+		ran: map[string][]string{}, gone: map[string]time.Time{}, next: 100}
 	for range leaves {
 		g.known = append(g.known, g.maps.Now())
 	}
@@ -197,14 +194,9 @@
 	for _, s := range m.Over(keys) {
 		at := slices.IndexFunc(s.Holders, func(h shardmap.Holder) bool { return h.Leaf == name(i) })
 		for _, h := range s.Holders {
-			key := fmt.Sprintf("%d/%s", s.ID, h.Leaf)
-			if g.cold[key] == nil {
-				g.cold[key] = new(coldCounts)
-			}
 			if h.State == shardmap.Cold {
-				g.cold[key].all++
+				g.r.ColdOf++
 				if h.Leaf == name(i) {
-					g.cold[key].cold++
 					g.r.ColdParts++
 				}
 			}
@@ -317,7 +309,6 @@
 
 // publish publishes a change; leaves hear of it at once, or up to 100 ms later, on their own.
 func (g *game) publish(ctx context.Context, ops []shardmap.Op) {
-	before := g.maps.Now()
 	if err := g.maps.Publish(ops...); err != nil {
 		g.r.changeLog = append(g.r.changeLog, err.Error())
 		return
@@ -331,7 +322,6 @@
 		}
 	}
 	g.mu.Unlock()
-	_ = before
 	for i := range leaves {
 		wait := time.Duration(g.rng.IntN(100)) * time.Millisecond
 		time.AfterFunc(wait, func() {
@@ -469,11 +459,7 @@
 func (g *game) judge(snapshot string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, c := range g.cold {
-		if c.all >= coldLeast {
-			g.r.ColdShare = max(g.r.ColdShare, float64(c.cold)/float64(c.all))
-		}
-	}
+	g.r.ColdShare = float64(g.r.ColdParts) / float64(max(g.r.ColdOf, 1))
 	g.r.MeanMS = float64(g.took.Microseconds()) / 1000 / float64(max(g.r.Queries, 1))
 	if raw, err := os.ReadFile(snapshot); err == nil {
 		if m, err := shardmap.Decode(raw); err == nil {
@@ -491,8 +477,8 @@
 		all = append(all, fmt.Sprintf("%d wrong answers, %d ran twice, %d worked on by a leaf that does not hold them, %d came late", r.Wrong,
 			r.Twice, r.Misplaced, r.Late))
 	}
-	if r.ColdShare > coldMost {
-		all = append(all, fmt.Sprintf("a cold holder got %.2f of its range's parts", r.ColdShare))
+	if r.ColdOf >= coldLeast && r.ColdShare > coldMost {
+		all = append(all, fmt.Sprintf("cold holders got %.2f of their ranges' parts", r.ColdShare))
 	}
 	if good := float64(r.Whole) / float64(max(r.Queries, 1)); good < 0.99 {
 		all = append(all, fmt.Sprintf("only %.4f of the queries were answered whole", good))
