The book is logged as the settings say; admission knows who is served before it is on

memory.log_every was read, checked and used nowhere; it has the whole book logged now. A table of known clients made while admission was off had four places for good, so the reserve was nobody's after a SIGHUP that switched it on. The pause after a refusal for want of descriptors and the bound on drift are limits' now, not the driver's. One way to write a refusal, clients found by their place, no field or function that nobody reads; a call of one query parses its text once.

--- a/back/opensearch/opensearch.go
+++ b/back/opensearch/opensearch.go
@@ -15,12 +15,6 @@
 	"moleshift/codec"
 )
 
-// Speaks tells whether a query's text can be asked in this form: a JSON object with the name of an index.
-func Speaks(text []byte) bool {
-	_, _, err := split(text)
-	return err == nil
-}
-
 // split takes the index out of a query's text.
 func split(text []byte) (index string, body []byte, err error) {
 	var m map[string]json.RawMessage
@@ -36,13 +30,17 @@
 }
 
 // AppendCall writes one call: an _msearch with an item for each part, which names the shard that is meant.
-// The parts' texts must be ones that can be asked.
+// An error says which text is no search that a server of
+// the form could read.
 func AppendCall(out []byte, host string, parts []codec.PartSent) ([]byte, error) {
-	var lines []byte
-	for _, p := range parts {
-		index, body, err := split(p.Text)
-		if err != nil {
-			return nil, err
+	var lines, body []byte
+	var index string
+	for i, p := range parts {
+		if i == 0 || !bytes.Equal(p.Text, parts[i-1].Text) { // as a rule all are of one query
+			var err error
+			if index, body, err = split(p.Text); err != nil {
+				return nil, err
+			}
 		}
 		head, err := json.Marshal(
 			map[string]any{
--- a/back/opensearch/opensearch_test.go
+++ b/back/opensearch/opensearch_test.go
@@ -56,7 +56,7 @@
 	}
 	golden.Check(t, "answers", out.String())
 	for _, text := range []string{"", "moles", `{}`, `{"index":7}`, `[]`} {
-		if Speaks([]byte(text)) {
+		if _, err := AppendCall(nil, "leaf:1", []codec.PartSent{{ID: "q.0", Wait: 1, Text: []byte(text)}}); err == nil {
 			t.Errorf("%q can be asked", text)
 		}
 	}
--- a/fleet/import.go
+++ b/fleet/import.go
@@ -5,7 +5,6 @@
 // guessed, and each guess is named. It must never make up a leaf, a shard or a rule.
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -320,26 +319,3 @@
 	_, err := io.WriteString(out, b.String())
 	return err
 }
-
-// Same tells whether two descriptions say the same, leaf by leaf; the first difference is named.
-func (f *Fleet) Same(o *Fleet) (string, bool) {
-	leaf := func(f *Fleet, l Leaf) string { return fmt.Sprint(f.Zones[l.Zone], l.Cell, f.Kinds[l.Kind]) }
-	sorted := func(f *Fleet) (all []string) {
-		for _, l := range f.Leaves {
-			all = append(all, leaf(f, l))
-		}
-		slices.SortFunc(all, cmp.Compare)
-		return all
-	}
-	switch {
-	case !slices.Equal(sorted(f), sorted(o)):
-		return "leaves", false
-	case !slices.Equal(f.Verticals, o.Verticals):
-		return "verticals", false
-	case !slices.Equal(f.Tenants, o.Tenants):
-		return "tenants", false
-	case f.Rules != o.Rules:
-		return "rules", false
-	}
-	return "", true
-}
--- a/fleet/import_test.go
+++ b/fleet/import_test.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
+	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -44,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if what, same := f.Same(again); !same {
+	if what, is := same(f, again); !is {
 		t.Errorf("read again it differs in %s", what)
 	}
 	if s, o := f.Settings(&f.Nodes[0], 1), here.Settings.Module; s.Shards != o.Shards || s.Roots != o.Roots || s.Verticals[1] != o.Verticals[1] ||
@@ -69,3 +72,26 @@
 		t.Error(err)
 	}
 }
+
+// same tells whether two descriptions say the same, leaf by leaf; the first difference is named.
+func same(f, o *Fleet) (string, bool) {
+	leaf := func(f *Fleet, l Leaf) string { return fmt.Sprint(f.Zones[l.Zone], l.Cell, f.Kinds[l.Kind]) }
+	sorted := func(f *Fleet) (all []string) {
+		for _, l := range f.Leaves {
+			all = append(all, leaf(f, l))
+		}
+		slices.SortFunc(all, cmp.Compare)
+		return all
+	}
+	switch {
+	case !slices.Equal(sorted(f), sorted(o)):
+		return "leaves", false
+	case !slices.Equal(f.Verticals, o.Verticals):
+		return "verticals", false
+	case !slices.Equal(f.Tenants, o.Tenants):
+		return "tenants", false
+	case f.Rules != o.Rules:
+		return "rules", false
+	}
+	return "", true
+}
--- a/limits/book.go
+++ b/limits/book.go
@@ -214,6 +214,16 @@
 	return near
 }
 
+const (
+	mostDrift = 1.5     // times the book that the heap may hold
+	restBytes = 8 << 20 // beside what a program at rest has
+)
+
+// Drifts tells whether the heap holds so much more than the book that something is not counted.
+func (b *Book) Drifts(heap int64) bool {
+	return b.Whole > 0 && heap > int64(mostDrift*float64(b.Held()))+restBytes
+}
+
 // String is the book in one line a purpose.
 func (b *Book) String() string {
 	var out strings.Builder
--- a/limits/door.go
+++ b/limits/door.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -98,8 +97,8 @@
 
 // DoorCounts is what the door has met.
 type DoorCounts struct {
-	Admitted, Displaced, Known int
-	Turned                     [whys]int
+	Admitted, Displaced int
+	Turned              [whys]int
 }
 
 // Door is all connections of clients.
@@ -118,6 +117,10 @@
 	Counts DoorCounts
 }
 
+// ShortPause is how long nobody is accepted after one was answered for want of descriptors, so that telling them
+// does not become the work.
+const ShortPause = 5 * Millisecond
+
 // ComeBack is when a client should come back that was turned away where nothing better is known.
 const ComeBack = 1000 * Millisecond
 
@@ -127,10 +130,9 @@
 	regainPart  = 16                 // that part
 	clientsOf   = 2                  // clients have two descriptors for each three of links to leaves, as package config shares them out
 	linksOf     = 3
-	spared      = 2                   // for the list and for a file
-	knownPace   = 16                  // times the pace of strangers that a known address may have
-	leastMost   = 4                   // connections that are kept, whatever else takes descriptors
-	never       = Time(math.MaxInt64) // see Yield
+	spared      = 2  // for the list and for a file
+	knownPace   = 16 // times the pace of strangers that a known address may have
+	leastMost   = 4  // connections that are kept, whatever else takes descriptors
 )
 
 // NewDoor makes one. The table of known clients outlives changes of the settings.
@@ -271,9 +273,6 @@
 	}
 	d.place(c, c.holder, c.known, 1)
 	d.Counts.Admitted++
-	if c.known {
-		d.Counts.Known++
-	}
 	if why = d.Crowded(c); why != Free {
 		return c, Displace, why, 0
 	}
@@ -298,6 +297,12 @@
 	return Free
 }
 
+// Reserve is how many connections are kept for those who are known.
+func (d *Door) Reserve() int { return d.reserve() }
+
+// Remember has another table of known clients be used from now on, as when admission is switched on.
+func (d *Door) Remember(known *Known) { d.known = known }
+
 // reserve, perAddress and perNetwork fall with the cap.
 func (d *Door) reserve() int    { return d.part(d.set.Reserve) }
 func (d *Door) perAddress() int { return max(d.part(d.set.PerAddress), 1) }
@@ -392,17 +397,14 @@
 func (d *Door) Refused(now Time, c *Conn, why Why, offered []Standing) (retry Time) {
 	d.Gone(c)
 	d.Counts.Admitted--
-	if c.known {
-		d.Counts.Known--
-	}
 	d.Counts.Turned[why]++
-	first := never
+	if len(offered) == 0 {
+		return ComeBack
+	}
+	first := offered[0].Until
 	for _, o := range offered {
 		first = min(first, o.Until)
 	}
-	if first == never {
-		return ComeBack
-	}
 	return min(max(first-now, minRetry), maxRetry)
 }
 
--- a/limits/hold.go
+++ b/limits/hold.go
@@ -47,7 +47,6 @@
 	text  int64 // of Queries
 	put   int64 // of Values, put by and not yet used
 	used  int64 // of Values, used
-	cut   int   // values that had no room
 	over  bool
 }
 
@@ -88,7 +87,6 @@
 		return false
 	}
 	if own := min(n, h.put); own < n && !h.room.book.TakeLeaving(Values, n-own, leaves*(n-own)) {
-		h.cut++
 		return false
 	}
 	h.put -= min(n, h.put)
--- a/plan/calibrate.go
+++ b/plan/calibrate.go
@@ -247,7 +247,7 @@
 	expect func(*capture.Query, *capture.Part) (float64, Source),
 ) {
 	took, thought := make([]mean, len(f.Leaves)), make([]mean, len(f.Leaves))
-	var ratio []mean = make([]mean, len(f.Leaves))
+	ratio := make([]mean, len(f.Leaves))
 	for i := range calls {
 		o := &calls[i]
 		if !o.free {
--- a/plan/routers.go
+++ b/plan/routers.go
@@ -25,7 +25,6 @@
 	if up <= 0 {
 		return []Limit{{What: "router cpu", Names: []string{"no router is left"}}}
 	}
-	has := func(x int) float64 { return float64(x) }
 	for _, l := range []struct {
 		what string
 		of   func(g *fleet.Routers) (has, needs float64) // at the load itself; needs 0: not stated
@@ -34,14 +33,14 @@
 			return g.Cores, (d.Queries*g.PerQuery.Seconds() + d.Parts*g.PerCall.Seconds()) / up
 		}},
 		{"router descriptors", func(g *fleet.Routers) (float64, float64) { // a client's connection is held while its query is open
-			return has(g.Sockets / clientsPart), d.Open / up
+			return float64(g.Sockets / clientsPart), d.Open / up
 		}},
-		{"router open queries", func(g *fleet.Routers) (float64, float64) { return has(g.OpenCap), d.Held / up }},
+		{"router open queries", func(g *fleet.Routers) (float64, float64) { return float64(g.OpenCap), d.Held / up }},
 		{"router memory", func(g *fleet.Routers) (float64, float64) {
 			if g.BaseMB <= 0 || g.PerQueryKB <= 0 {
 				return 0, 0
 			}
-			return has(g.MemoryMB) - g.BaseMB, d.Open / up * g.PerQueryKB / 1024
+			return float64(g.MemoryMB) - g.BaseMB, d.Open / up * g.PerQueryKB / 1024
 		}},
 	} {
 		limit, stated := Limit{What: l.what, Multiple: never}, false
--- a/router/clients.go
+++ b/router/clients.go
@@ -78,7 +78,7 @@
 	verticals map[string]int
 	tenants   map[string]int
 	mu        sync.Mutex
-	conns     map[*client]struct{}
+	conns     map[*limits.Conn]*client
 	freed     chan struct{} // a connection has ended or become idle
 	closed    bool
 }
@@ -93,7 +93,7 @@
 
 func newDoor(cfg *config.Config, o *owner, l net.Listener, log zerolog.Logger) *door {
 	return &door{cfg: cfg, owner: o, listener: l, log: log, verticals: numbers(cfg.Settings.Verticals),
-		tenants: numbers(cfg.Settings.Tenants), conns: map[*client]struct{}{}, freed: make(chan struct{}, 1)}
+		tenants: numbers(cfg.Settings.Tenants), conns: map[*limits.Conn]*client{}, freed: make(chan struct{}, 1)}
 }
 
 // run accepts connections until the program ends.
@@ -102,7 +102,7 @@
 		d.close()
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		for c := range d.conns {
+		for _, c := range d.conns {
 			c.conn.Close()
 		}
 	})()
@@ -145,7 +145,7 @@
 		c.caller = caller{answer: c.answer, place: place}
 		c.idleUntil(d.cfg.RequestFor)
 		d.mu.Lock()
-		d.conns[c] = struct{}{}
+		d.conns[place] = c
 		closed := d.closed
 		d.mu.Unlock()
 		d.owner.group.Go(func() error { c.read(ctx); return nil })
@@ -167,7 +167,7 @@
 	admits := d.owner.gate.admits()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c := range d.conns {
+	for _, c := range d.conns {
 		rank := -1
 		switch at := standing(c.state.Load()); {
 		case at == lingering:
@@ -252,12 +252,7 @@
 func (d *door) at(place *limits.Conn) *client {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c := range d.conns {
-		if c.caller.place == place {
-			return c
-		}
-	}
-	return nil
+	return d.conns[place]
 }
 
 // pending: bytes have come on a connection that nobody has read yet.
@@ -283,7 +278,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for c := range d.conns {
+	for _, c := range d.conns {
 		c.closeIdle()
 	}
 }
@@ -302,7 +297,7 @@
 
 func (d *door) gone(ctx context.Context, c *client) {
 	d.mu.Lock()
-	delete(d.conns, c)
+	delete(d.conns, c.caller.place)
 	d.mu.Unlock()
 	d.owner.gate.gone(c.caller.place)
 	d.owner.gate.put(limits.Bodies, c.room)
--- a/router/gate.go
+++ b/router/gate.go
@@ -36,11 +36,9 @@
 	leafBytes   = 1 << 10
 	bodyStep    = 4 << 10 // in which a body's room is taken
 
-	gateEvery   = time.Second // counting what is only counted
-	refuseEvery = 5 * time.Millisecond
-	refuseFor   = 100 * time.Millisecond // to write a refusal
-	mostDrift   = 1.5                    // heap over book from which it is told
-	restBytes   = 8 << 20                // of heap that a router at rest has
+	gateEvery = time.Second            // counting what is only counted
+	refuseFor = 100 * time.Millisecond // to write a refusal
+	driftsFor = 10                     // looks on end at which the heap holds too much, before it is told
 )
 
 // gate is the driver of the books.
@@ -48,33 +46,32 @@
 	clk clock
 	log zerolog.Logger
 
-	mu    sync.Mutex
-	door  *limits.Door
-	book  *limits.Book
-	room  *limits.Room
-	more  *config.File
-	heap  func() int64 // bytes of objects
-	spare *os.File     // given up for a moment to answer a connection when no descriptor is left
+	mu     sync.Mutex
+	door   *limits.Door
+	book   *limits.Book
+	room   *limits.Room
+	more   *config.File
+	places int
+	heap   func() int64 // bytes of objects
+	spare  *os.File     // given up for a moment to answer a connection when no descriptor is left
 
 	links    atomic.Int64  // connections to leaves
 	refusals chan struct{} // connections that are being answered and let go
 	unclear  int           // that could not be answered
 	drifts   int
+	told     choice.Time // when the book was last logged
 }
 
 func newGate(cfg *config.Config, clk clock, log zerolog.Logger) *gate {
-	places := 0
-	if cfg.More.Admission.Enabled {
-		places = cfg.More.Admission.Remembered
-	}
 	g := &gate{
+		places:   placesOf(cfg),
 		clk:      clk,
 		log:      log,
 		more:     cfg.More,
 		heap:     heapBytes,
 		refusals: make(chan struct{}, max(cfg.More.Admission.Refusals, 1)),
 	}
-	g.door = limits.NewDoor(doorSettings(cfg), limits.NewKnown(cfg.Seed, places))
+	g.door = limits.NewDoor(doorSettings(cfg), limits.NewKnown(cfg.Seed, g.places))
 	g.book = limits.NewBook(wholeOf(cfg), limits.Portions())
 	g.room = limits.NewRoom(g.book, len(cfg.Settings.Verticals))
 	if cfg.More.Admission.Enabled {
@@ -83,6 +80,14 @@
 	return g
 }
 
+// placesOf is for how many clients there is room in the table of those who are known: none while nobody asks.
+func placesOf(cfg *config.Config) int {
+	if !cfg.More.Admission.Enabled {
+		return 0
+	}
+	return cfg.More.Admission.Remembered
+}
+
 // doorSettings turns shares of connections into numbers.
 func doorSettings(cfg *config.Config) limits.DoorSettings {
 	a := &cfg.More.Admission
@@ -96,14 +101,12 @@
 		Most:       most,
 		Reserve:    of(a.Reserve),
 		PerAddress: of(a.PerAddress),
-		PerNetwork: of(
-			a.PerNetwork,
-		),
-		Bits4:  a.IPv4,
-		Bits6:  a.IPv6,
-		Rate:   a.Rate,
-		Burst:  a.Burst,
-		Listed: a.Networks(),
+		PerNetwork: of(a.PerNetwork),
+		Bits4:      a.IPv4,
+		Bits6:      a.IPv6,
+		Rate:       a.Rate,
+		Burst:      a.Burst,
+		Listed:     a.Networks(),
 	}
 }
 
@@ -122,6 +125,10 @@
 	defer g.mu.Unlock()
 	g.more = cfg.More
 	g.door.Change(doorSettings(cfg))
+	if n := placesOf(cfg); n != g.places { // what was remembered in another number of places is forgotten
+		g.places = n
+		g.door.Remember(limits.NewKnown(cfg.Seed, n))
+	}
 	g.book.Resize(wholeOf(cfg), limits.Portions())
 	if cfg.More.Admission.Enabled {
 		g.holdSpare()
@@ -140,9 +147,8 @@
 // holdSpare keeps a descriptor; the lock is held, or nobody else is there yet.
 func (g *gate) holdSpare() {
 	if g.spare == nil {
-		g.spare, _ = os.Open(
-			os.DevNull,
-		) // without one a connection can't be answered when descriptors run out
+		// Without one a connection can't be answered when descriptors run out.
+		g.spare, _ = os.Open(os.DevNull)
 	}
 }
 
@@ -275,6 +281,16 @@
 
 // ---- connections that are turned away ----
 
+// refuse writes why a connection is turned away, and when to come back: into an empty socket buffer, so it does
+// not wait.
+func refuse(conn net.Conn, why limits.Why, retry limits.Time) error {
+	text := why.String() + "\n"
+	more := fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(retry)).Seconds())
+	conn.SetWriteDeadline(time.Now().Add(refuseFor))
+	_, err := conn.Write(append(codec.AppendResponse(nil, refusedStatus, len(text), true, more), text...))
+	return err
+}
+
 // turnAway answers a connection that has no place, and lets it go once the client has had time to read that.
 // Answers are bounded: what comes beyond is closed with at most a try to tell.
 func (g *gate) turnAway(
@@ -284,11 +300,7 @@
 	retry limits.Time,
 	lingers time.Duration,
 ) {
-	text := fmt.Sprintf("%v\n", why)
-	raw := append(codec.AppendResponse(nil, refusedStatus, len(text), true,
-		fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(retry)).Seconds())), text...)
-	conn.SetWriteDeadline(time.Now().Add(refuseFor))
-	_, err := conn.Write(raw) // into an empty socket buffer: it does not wait
+	err := refuse(conn, why, retry)
 	half, can := conn.(interface{ CloseWrite() error })
 	if err != nil || !can || half.CloseWrite() != nil {
 		conn.Close()
@@ -360,25 +372,12 @@
 		return false
 	}
 	spare.Close()
+	pause := duration(choice.Time(limits.ShortPause))
 	if conn, err := l.Accept(); err == nil {
-		text := limits.Exhausted.String() + "\n"
-		conn.SetWriteDeadline(time.Now().Add(refuseFor))
-		conn.Write(
-			append(
-				codec.AppendResponse(
-					nil,
-					refusedStatus,
-					len(text),
-					true,
-					fmt.Sprintf("Retry-After: %.3f\r\n", duration(choice.Time(limits.ComeBack)).Seconds()),
-				),
-				text...),
-		)
-		if half, can := conn.(interface{ CloseWrite() error }); can {
+		err := refuse(conn, limits.Exhausted, limits.ComeBack)
+		if half, can := conn.(interface{ CloseWrite() error }); can && err == nil {
 			half.CloseWrite()
-			conn.SetReadDeadline(
-				time.Now().Add(refuseEvery),
-			) // a moment, or unread bytes would take the answer back
+			conn.SetReadDeadline(time.Now().Add(pause)) // a moment, or unread bytes would take the answer back
 			io.Copy(io.Discard, io.LimitReader(conn, clientRing))
 		}
 		conn.Close()
@@ -388,7 +387,7 @@
 	g.mu.Unlock()
 	select {
 	case <-ctx.Done():
-	case <-time.After(refuseEvery):
+	case <-time.After(pause):
 	}
 	return true
 }
@@ -414,7 +413,16 @@
 	g.book.Set(limits.List, int64(len(o.listed))*leafBytes)
 	g.book.Set(limits.Captures, captured)
 	near := g.book.Warnings()
-	held, whole := g.book.Held(), g.book.Whole
+	held, whole, heap := g.book.Held(), g.book.Whole, g.heap()
+	drifts := g.book.Drifts(heap)
+	var lines []string
+	if o.now-g.told >= tenths(g.more.Memory.LogEvery) {
+		g.told = o.now
+		for _, p := range limits.Purposes() {
+			a := g.book.Accounts[p]
+			lines = append(lines, fmt.Sprintf("%v %d peak %d of %d", p, a.Held, a.Peak, a.Cap))
+		}
+	}
 	var says []string
 	for _, p := range near {
 		a := g.book.Accounts[p]
@@ -429,8 +437,11 @@
 		}
 		e.Msg("memory is near a cap")
 	}
-	if heap := g.heap(); whole > 0 && heap > int64(mostDrift*float64(held))+restBytes {
-		if g.drifts++; g.drifts == 10 { // for some seconds on end, once
+	if len(lines) > 0 {
+		g.log.Info().Int64("held", held).Int64("whole", whole).Int64("heap", heap).Strs("book", lines).Msg("memory")
+	}
+	if drifts {
+		if g.drifts++; g.drifts == driftsFor { // once
 			g.log.Warn().Int64("heap", heap).Int64("held", held).Msg("the heap holds more than the book")
 		}
 	} else {
@@ -483,21 +494,19 @@
 		Memory:      g.more.Memory.Enabled,
 		Connections: g.door.Held(),
 		Most:        g.door.Most(),
+		Reserve:     g.door.Reserve(),
 		Turned:      map[string]int{},
 		Displaced:   g.door.Counts.Displaced,
 		Unclear:     g.unclear,
 		Known:       g.door.Places(),
-		Largest: g.door.Largest(
-			tellLargest,
-		),
-		Held:     g.book.Held(),
-		Whole:    g.book.Whole,
-		Heap:     g.heap(),
-		Uneven:   g.book.Uneven,
-		Open:     g.room.Open(),
-		Purposes: map[string]Entry{},
-	}
-	s.Reserve = int(g.more.Admission.Reserve * float64(s.Most))
+		Largest:     g.door.Largest(tellLargest),
+		Held:        g.book.Held(),
+		Whole:       g.book.Whole,
+		Heap:        g.heap(),
+		Uneven:      g.book.Uneven,
+		Open:        g.room.Open(),
+		Purposes:    map[string]Entry{},
+	}
 	for why, n := range g.door.Counts.Turned {
 		if n > 0 {
 			s.Turned[limits.Why(why).String()] = n
--- a/router/gate_test.go
+++ b/router/gate_test.go
@@ -189,6 +189,9 @@
 		st.reloads <- syscall.SIGHUP
 		st.step()
 		st.connectFrom("10.0.9.1")
+		if places := st.owner.gate.places; places != 64 { // or switched on in service it would know nobody
+			t.Errorf("%d places for known clients", places)
+		}
 		st.pass(11000) // those that were idle are gone
 		st.ask(st.connectFrom("10.0.9.1"), request("q9", "search", 2000, 0))
 	})
