The cluster of the lab writes the routers' YAML in its own directory

conform, flood, soak and reshape each made a directory of their own and wrote the same file into it before they started a cluster, which has a directory already.

cluster.Options takes the text; the four copies are gone (12 lines for 38).

--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -27,6 +27,7 @@
 	Fleet    *fleet.Fleet
 	Program  string // the router's
 	Config   string // the routers' YAML file; empty: none
+	Text     string // the same as a text; empty: Config
 	Loss     plan.Loss
 	Files    int                          // descriptors that a router process really gets; 0: as this one
 	Limits   bool                         // routers are told the memory and descriptors that the description states
@@ -87,6 +88,12 @@
 	if c.dir, err = os.MkdirTemp("", "molelab-"); err != nil {
 		return c, err
 	}
+	if o.Text != "" {
+		c.o.Config = filepath.Join(c.dir, "moleshift.yaml")
+		if err := os.WriteFile(c.o.Config, []byte(o.Text), 0o600); err != nil {
+			return c, err
+		}
+	}
 	list := config.List{Generation: 1, Whole: true}
 	gone := map[int]bool{}
 	for _, l := range loss.Leaves {
--- a/lab/conform/conform.go
+++ b/lab/conform/conform.go
@@ -15,8 +15,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -220,16 +218,10 @@
 	if err != nil {
 		return err
 	}
-	dir, err := os.MkdirTemp("", "molelab-conform-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
 	at, err := cluster.FreeAddress()
 	if err != nil {
 		return err
 	}
-	more := filepath.Join(dir, "moleshift.yaml")
 	text := fmt.Sprintf(
 		"opensearch:\n  enabled: true\n  listen: %s\n  leaves: %v\n  indices:\n",
 		at,
@@ -238,9 +230,6 @@
 	for _, v := range verticals {
 		text += fmt.Sprintf("    - {name: docs-%s, vertical: %s, shards: 0-%d}\n", v, v, shards-1)
 	}
-	if err := os.WriteFile(more, []byte(text), 0o600); err != nil {
-		return err
-	}
 	l := &leaves{
 		seed:   o.Seed,
 		corpus: standin.NewCorpus(o.Seed, shards, docs),
@@ -251,7 +240,7 @@
 		cluster.Options{
 			Fleet:    f,
 			Program:  o.Program,
-			Config:   more,
+			Text:     text,
 			Limits:   true,
 			Searches: o.Leaves,
 			Leaf: func(_ int, leaf *standin.Leaf) {
--- a/lab/flood/flood.go
+++ b/lab/flood/flood.go
@@ -14,7 +14,6 @@
 	"io"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -120,11 +119,6 @@
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "molelab-flood-")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(dir)
 	s := &scene{
 		o: o,
 		r: &Result{
@@ -144,10 +138,7 @@
 		if s.admin, err = cluster.FreeAddress(); err != nil {
 			return nil, err
 		}
-		co.Config = filepath.Join(dir, "moleshift.yaml")
-		if err := os.WriteFile(co.Config, fmt.Appendf(nil, configText, s.admin), 0o600); err != nil {
-			return nil, err
-		}
+		co.Text = fmt.Sprintf(configText, s.admin)
 	}
 	if s.c, err = cluster.Start(co); err != nil {
 		return nil, err
--- a/lab/flood/soak.go
+++ b/lab/flood/soak.go
@@ -10,7 +10,6 @@
 	"math"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -79,11 +78,6 @@
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "molelab-soak-")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(dir)
 	r := &SoakResult{
 		Result: Result{
 			Kind:      "soak",
@@ -97,11 +91,7 @@
 	if s.admin, err = cluster.FreeAddress(); err != nil {
 		return nil, err
 	}
-	more := filepath.Join(dir, "moleshift.yaml")
-	if err := os.WriteFile(more, fmt.Appendf(nil, configText, s.admin), 0o600); err != nil {
-		return nil, err
-	}
-	if s.c, err = cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Limits: true, Leaf: s.leaf, Config: more}); err != nil {
+	if s.c, err = cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Limits: true, Leaf: s.leaf, Text: fmt.Sprintf(configText, s.admin)}); err != nil {
 		return nil, err
 	}
 	defer s.c.Stop()
--- a/lab/reshape/reshape.go
+++ b/lab/reshape/reshape.go
@@ -135,11 +135,8 @@
 		g.known = append(g.known, g.maps.Now())
 	}
 	snapshot := filepath.Join(dir, "map")
-	more := filepath.Join(dir, "moleshift.yaml")
-	if err := os.WriteFile(more, fmt.Appendf(nil, "shards: {enabled: true, snapshot: %s, retry: 50ms}\n", snapshot), 0o600); err != nil {
-		return nil, err
-	}
-	c, err := cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Config: more, Limits: true, Maps: g.maps,
+	more := fmt.Sprintf("shards: {enabled: true, snapshot: %s, retry: 50ms}\n", snapshot)
+	c, err := cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Text: more, Limits: true, Maps: g.maps,
 		Leaf: func(i int, l *standin.Leaf) {
 			l.Work = 3 * time.Millisecond
 			l.Holds = func(keys string) (int64, bool) { return g.holds(i, keys) }
