Conform plays with a real budget of further calls, judged by what leaves saw

It runs with the usual budget now (10 and 5% of what is taken in 2 s). Further calls that leaves saw while the window had no room count as over it and end the command with 1.

--- a/cmd/molelab/conform.go
+++ b/cmd/molelab/conform.go
@@ -43,7 +43,7 @@
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(
 		t,
-		"form\ttaken\twhole\tpartly\trefused\trefusals\tfailed\tbroken\tleaf calls\tfurther\tran twice\twrong\tmean us",
+		"form\ttaken\twhole\tpartly\trefused\trefusals\tfailed\tbroken\tleaf calls\tfurther\tbudget used\tover\tran twice\twrong\tmean us",
 	)
 	for _, f := range []struct {
 		name string
@@ -52,7 +52,7 @@
 		s := f.s
 		fmt.Fprintf(
 			t,
-			"%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
+			"%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\n",
 			f.name,
 			s.Taken,
 			s.Whole,
@@ -63,6 +63,8 @@
 			s.Broken,
 			s.Calls,
 			s.Further,
+			s.Peak,
+			s.Over,
 			s.Twice,
 			s.Wrong,
 			s.MeanUS,
@@ -80,7 +82,7 @@
 	if err := sayJSON(map[string]any{"native": r.Native, "opensearch": r.Search, "differ": len(r.Differ), "seed": c.Seed}); err != nil {
 		return err
 	}
-	if len(r.Differ) > 0 || r.Native.Broken+r.Search.Broken+r.Native.Twice+r.Search.Twice+r.Search.Wrong > 0 {
+	if len(r.Differ) > 0 || r.Native.Broken+r.Search.Broken+r.Native.Twice+r.Search.Twice+r.Native.Over+r.Search.Over+r.Search.Wrong > 0 {
 		return errBounds
 	}
 	return nil
--- a/lab/conform/conform.go
+++ b/lab/conform/conform.go
@@ -42,18 +42,20 @@
 
 // Settled is how one form's searches ended.
 type Settled struct {
-	Taken    int   `json:"taken"`
-	Whole    int   `json:"whole"`
-	Partly   int   `json:"partly"`
-	Refused  int   `json:"refused"`  // for good
-	Refusals int   `json:"refusals"` // that were tried again when the router said: they hang on load and time, so they are not compared
-	Failed   int   `json:"failed"`
-	Broken   int   `json:"broken"` // no answer, or one that can't be read
-	Calls    int   `json:"leaf_calls"`
-	Further  int   `json:"further_calls"`
-	Twice    int   `json:"ran_twice"` // side-effecting parts
-	Wrong    int   `json:"wrong_answers"`
-	MeanUS   int64 `json:"-"`
+	Taken    int     `json:"taken"`
+	Whole    int     `json:"whole"`
+	Partly   int     `json:"partly"`
+	Refused  int     `json:"refused"`  // for good
+	Refusals int     `json:"refusals"` // that were tried again when the router said: they hang on load and time, so they are not compared
+	Failed   int     `json:"failed"`
+	Broken   int     `json:"broken"` // no answer, or one that can't be read
+	Calls    int     `json:"leaf_calls"`
+	Further  int     `json:"further_calls"`
+	Over     int     `json:"over_budget"` // further calls that the budget had no room for
+	Peak     float64 `json:"budget_peak"` // share of the budget that was in use, at the most
+	Twice    int     `json:"ran_twice"`   // side-effecting parts
+	Wrong    int     `json:"wrong_answers"`
+	MeanUS   int64   `json:"-"`
 	how      []string
 	mistakes []string
 }
@@ -72,7 +74,8 @@
 	full    = 1 // is turned away
 	lost    = 1 // all calls fail
 
-	mostTries   = 20 // of a search that is refused
+	seenLate    = 100 * time.Millisecond // that a leaf or the client may see something after it was decided
+	mostTries   = 20                     // of a search that is refused
 	usualReturn = 100 * time.Millisecond
 )
 
@@ -89,7 +92,7 @@
   - {name: sample, slo: 1s, deadline: 4s, effect: repeatable, utility: 1, late_utility: 0.1, need: 0.75, floor: 0.75}
   - {name: record, slo: 1s, deadline: 4s, effect: side_effecting, utility: 1, late_utility: 0, need: 1, floor: 1}
 tenants: [{name: acme, per_second: 100000}]
-rules: {tick: 1ms, budget_spare: 100000, max_calls: 3}
+rules: {tick: 1ms, budget_window: 2s, budget_spare: 10, budget_ratio: 0.05, max_calls: 3}
 `
 
 var verticals = []string{"search", "sample", "record"}
@@ -152,6 +155,7 @@
 	calls  map[string]int // by part
 	total  int
 	cases  map[string]int // calls by case and shard
+	again  []time.Time    // further calls, as leaves saw them
 }
 
 func (l *leaves) answer(id, text string, shard int) (int, []byte) {
@@ -166,6 +170,9 @@
 	l.mu.Lock()
 	l.cases[key]++
 	try := l.cases[key]
+	if try > 1 {
+		l.again = append(l.again, time.Now())
+	}
 	l.mu.Unlock()
 	switch {
 	case draw < lost:
@@ -260,6 +267,7 @@
 	defer client.CloseIdleConnections()
 	var next, took atomic.Int64
 	var mu sync.Mutex
+	var taken []time.Time
 	var all sync.WaitGroup
 	for range o.Lanes {
 		all.Go(func() {
@@ -268,9 +276,10 @@
 				if i >= len(cases) {
 					return
 				}
-				how, wrong := "", ""
+				how, wrong, sent := "", "", time.Time{}
 				for try := range mostTries {
 					var holdOff time.Duration
+					sent = time.Now()
 					if how, wrong, holdOff = ask(ctx, client, form, c.Routers[0].Address, at, &cases[i], l.corpus, try, &took); how != "refused" {
 						break
 					}
@@ -285,6 +294,9 @@
 				mu.Lock()
 				to.how[i] = how
 				to.count(how)
+				if how != "refused" {
+					taken = append(taken, sent)
+				}
 				if wrong != "" {
 					to.Wrong++
 					if len(to.mistakes) < 5 {
@@ -303,6 +315,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	to.Calls = l.total
+	to.Over, to.Peak = overBudget(l.again, taken, f.Rules.BudgetWindow, f.Rules.BudgetSpare, f.Rules.BudgetRatio)
 	for key, n := range l.cases {
 		to.Further += n - 1
 		number, _, _ := strings.Cut(key, "/")
@@ -321,6 +334,28 @@
 	return ctx.Err()
 }
 
+// overBudget counts further calls that came while the window had no room for one more, and says how much of
+// the budget was in use at the most. What is taken counts as its parts and one, as the platform states. A
+// call and a query may be seen a while after the router has decided on them: the window is shorter by that
+// for the one, and longer for the other.
+func overBudget(again, taken []time.Time, window time.Duration, spare, ratio float64) (over int, peak float64) {
+	slices.SortFunc(again, time.Time.Compare)
+	slices.SortFunc(taken, time.Time.Compare)
+	since := func(all []time.Time, at time.Time, w time.Duration) float64 {
+		from, _ := slices.BinarySearchFunc(all, at.Add(-w), time.Time.Compare)
+		to, _ := slices.BinarySearchFunc(all, at.Add(1), time.Time.Compare)
+		return float64(to - from)
+	}
+	for _, at := range again {
+		room := spare + ratio*(shards+1)*since(taken, at, window+seenLate)
+		used := since(again, at, window-seenLate)
+		if peak = max(peak, used/room); used > room {
+			over++
+		}
+	}
+	return over, peak
+}
+
 func (s *Settled) count(how string) {
 	s.Taken++
 	switch how {
