--- a/cmd/molelab/emulate.go
+++ b/cmd/molelab/emulate.go
@@ -101,15 +101,8 @@
 	t.Flush()
 	least, most, mean := 1e9, 0.0, 0.0
 	for _, l := range r.Leaves {
-		least, most, mean = min(
-			least,
-			l.Utilisation,
-		), max(
-			most,
-			l.Utilisation,
-		), mean+l.Utilisation/float64(
-			len(r.Leaves),
-		)
+		least, most = min(least, l.Utilisation), max(most, l.Utilisation)
+		mean += l.Utilisation / float64(len(r.Leaves))
 	}
 	calls, failed := r.Calls()
 	fmt.Fprintf(out, "utilisation of %d leaves: %.3f to %.3f, mean %.3f\n", len(r.Leaves), least, most, mean)
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -331,12 +331,8 @@
 		d.way(n.set.Size)
 		n.duties[name] = d
 	}
-	d.interval, d.phase, d.from, d.own = interval, Time(
-		d.hash>>17%uint64(interval),
-	), max(
-		from,
-		n.boot+n.set.Skew,
-	), false
+	d.interval, d.phase = interval, Time(d.hash>>17%uint64(interval))
+	d.from, d.own = max(from, n.boot+n.set.Skew), false
 	d.heard, d.notes = [2]Record{}, 0
 	n.group(interval).add(d, now)
 	return d
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -419,12 +419,10 @@
 		BudgetWindow:     Tenths(r.BudgetWindow),
 		BudgetSpare:      r.BudgetSpare,
 		BudgetRatio:      r.BudgetRatio,
-		ColdTime: Tenths(
-			r.ColdTime,
-		),
-		ColdShare:    r.ColdShare,
-		FallTime:     Tenths(r.FallTime),
-		FallMultiple: r.FallMultiple,
+		ColdTime:         Tenths(r.ColdTime),
+		ColdShare:        r.ColdShare,
+		FallTime:         Tenths(r.FallTime),
+		FallMultiple:     r.FallMultiple,
 	}
 	for _, v := range f.Verticals {
 		s.Verticals = append(s.Verticals, choice.Vertical{SLO: Tenths(v.SLO), Deadline: Tenths(v.Deadline),
--- a/fleet/import.go
+++ b/fleet/import.go
@@ -62,29 +62,26 @@
 		f.Verticals = append(
 			f.Verticals,
 			Vertical{Name: first.Settings.Verticals[i], SLO: span(v.SLO), Deadline: span(v.Deadline),
-				Effect: effectName(
-					v.Effect,
-				), DedupWindow: span(v.DedupWindow), Utility: v.Utility, LateUtility: v.LateUtility, Need: v.Need,
-				Floor: v.Floor, PartialEarns: v.PartialEarns},
+				Effect: effectName(v.Effect), DedupWindow: span(v.DedupWindow),
+				Utility: v.Utility, LateUtility: v.LateUtility,
+				Need: v.Need, Floor: v.Floor, PartialEarns: v.PartialEarns},
 		)
 	}
 	for i, t := range m.Tenants {
 		f.Tenants = append(f.Tenants, Tenant{first.Settings.Tenants[i], t.PerSecond})
 	}
 	f.Rules = Rules{
-		Tick:         span(m.Tick),
-		Batch:        m.Batch,
-		Overhead:     m.Overhead,
-		MaxCalls:     m.MaxCalls,
-		SecondCopies: m.SecondCopies,
-		Cancel:       m.MayCancel,
-		Probes:       m.MayProbe,
-		ProbeReports: m.ProbeReports,
-		HoldOff:      m.HoldOff,
-		MaxHoldOff:   span(m.MaxHoldOff),
-		ColdTime: span(
-			m.ColdTime,
-		),
+		Tick:          span(m.Tick),
+		Batch:         m.Batch,
+		Overhead:      m.Overhead,
+		MaxCalls:      m.MaxCalls,
+		SecondCopies:  m.SecondCopies,
+		Cancel:        m.MayCancel,
+		Probes:        m.MayProbe,
+		ProbeReports:  m.ProbeReports,
+		HoldOff:       m.HoldOff,
+		MaxHoldOff:    span(m.MaxHoldOff),
+		ColdTime:      span(m.ColdTime),
 		ColdShare:     m.ColdShare,
 		FallTime:      span(m.FallTime),
 		FallMultiple:  m.FallMultiple,
@@ -92,9 +89,8 @@
 		UtilityByWork: m.UtilityByWork,
 	}
 	if m.BudgetSet {
-		f.Rules.BudgetWindow, f.Rules.BudgetSpare, f.Rules.BudgetRatio = span(
-			m.BudgetWindow,
-		), m.BudgetSpare, m.BudgetRatio
+		f.Rules.BudgetWindow = span(m.BudgetWindow)
+		f.Rules.BudgetSpare, f.Rules.BudgetRatio = m.BudgetSpare, m.BudgetRatio
 	}
 	note(
 		"clients: what they do when they are turned away is not told: %d retries by %g of them, after %v",
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -283,9 +283,8 @@
 		"fall_multiple": r.FallMultiple,
 	}
 	if r.BudgetWindow > 0 {
-		rules["budget_window"], rules["spare_attempts"], rules["resend_ratio"] = ms(
-			r.BudgetWindow,
-		), r.BudgetSpare, r.BudgetRatio
+		rules["budget_window"] = ms(r.BudgetWindow)
+		rules["spare_attempts"], rules["resend_ratio"] = r.BudgetSpare, r.BudgetRatio
 	}
 	return map[string]any{
 		"balancers":        len(f.Nodes),
@@ -301,14 +300,12 @@
 			"conn_idle":       30000,
 			"connect_timeout": 250,
 			"max_attempts":    r.MaxCalls,
-			"max_retry_after": ms(
-				r.MaxHoldOff,
-			),
-			"max_streams":   100,
-			"may_probe":     r.Probes,
-			"open_cap":      f.Routers[n.Group].OpenCap,
-			"retry_after":   r.HoldOff,
-			"second_copies": r.SecondCopies,
+			"max_retry_after": ms(r.MaxHoldOff),
+			"max_streams":     100,
+			"may_probe":       r.Probes,
+			"open_cap":        f.Routers[n.Group].OpenCap,
+			"retry_after":     r.HoldOff,
+			"second_copies":   r.SecondCopies,
 		},
 		"classes": classes,
 		"tenants": tenants,
--- a/lab/flood/soak.go
+++ b/lab/flood/soak.go
@@ -91,7 +91,10 @@
 	if s.admin, err = cluster.FreeAddress(); err != nil {
 		return nil, err
 	}
-	if s.c, err = cluster.Start(cluster.Options{Fleet: f, Program: o.Program, Limits: true, Leaf: s.leaf, Text: fmt.Sprintf(configText, s.admin)}); err != nil {
+	s.c, err = cluster.Start(cluster.Options{
+		Fleet: f, Program: o.Program, Limits: true, Leaf: s.leaf, Text: fmt.Sprintf(configText, s.admin),
+	})
+	if err != nil {
 		return nil, err
 	}
 	defer s.c.Stop()
--- a/router/back_test.go
+++ b/router/back_test.go
@@ -45,9 +45,8 @@
 			if r.URL.Path == "/" {
 				return
 			}
-			time.Sleep(
-				time.Duration(name[0]-'A') * time.Millisecond,
-			) // or which answers first would be chance
+			// Or which answers first would be chance.
+			time.Sleep(time.Duration(name[0]-'A') * time.Millisecond)
 			var items []string
 			for i := 0; i < len(lines); i += 2 {
 				_, shard, _ := strings.Cut(lines[i], "_shards:")
--- a/shardmap/shardmap_test.go
+++ b/shardmap/shardmap_test.go
@@ -153,11 +153,9 @@
 			Kind:  Kind(rapid.IntRange(0, 3).Draw(t, "kind")),
 			Shard: s.ID,
 			Leaf:  string(rune('a' + rapid.IntRange(0, 5).Draw(t, "leaf"))),
-			To: State(
-				rapid.IntRange(0, 4).Draw(t, "to"),
-			),
-			Into: [2]int{*next, *next + 1},
-			At:   (s.Range.From + s.Range.To) / 2,
+			To:    State(rapid.IntRange(0, 4).Draw(t, "to")),
+			Into:  [2]int{*next, *next + 1},
+			At:    (s.Range.From + s.Range.To) / 2,
 		}
 		*next += 2
 		c.Ops = append(c.Ops, op)
