Bodies of searches are in the book of memory, and turned away where they have no room

The OpenSearch front read bodies of up to 1 MB on 64 connections that the book of memory knew nothing of, and the two readers were the same code twice.

One reader takes room as a body comes, in the front that asks for it, and gives it back with the answer; without room the answer is 429 with when to come back, before anything was asked.

A table of small, long, too long and faulty bodies with and without room: no byte is kept.

--- a/front/opensearch/helpers_test.go
+++ b/front/opensearch/helpers_test.go
@@ -22,6 +22,18 @@
 	mu      sync.Mutex
 	asked   []string
 	done    int
+	room    int // bytes for bodies; 0: any
+	taken   int
+}
+
+func (r *router) take(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.room > 0 && r.taken+n > r.room {
+		return false
+	}
+	r.taken += n
+	return true
 }
 
 func (r *router) Ask(_ context.Context, q *Question) (*Reply, error) {
@@ -60,6 +72,9 @@
 		Settings{
 			Name:    "n0",
 			Tenant:  "X-Customer",
+			Take:    r.take,
+			Return:  func(n int) { r.mu.Lock(); r.taken -= n; r.mu.Unlock() },
+			HoldOff: time.Second,
 			Indices: []Index{{"docs", "search", []int{0, 1, 2}}, {"one", "record", []int{1}}},
 			Leaves: func() []Leaf {
 				return []Leaf{{"a", true, []int{0, 1}}, {"b", true, []int{1, 2}}, {"c", false, []int{0, 2}}}
--- a/front/opensearch/opensearch_test.go
+++ b/front/opensearch/opensearch_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -231,3 +232,30 @@
 		}
 	})
 }
+
+// A body that finds no room is turned away before anything of it is asked, with when to come back, and all
+// room comes back, whatever became of the request.
+func TestRoom(t *testing.T) {
+	long := `{"query":{"match":{"title":"` + strings.Repeat("x", 9000) + `"}}}`
+	lines := strings.Repeat("{\"index\":\"docs\"}\n{}\n", 500)
+	for _, c := range []struct {
+		name, target, body string
+		room, status       int
+		asked              int
+	}{
+		{"small", "/docs/_search", `{}`, bodyStep, 200, 1},
+		{"long", "/docs/_search", long, 3 * bodyStep, 200, 1},
+		{"no room at once", "/docs/_search", `{}`, 1, 429, 0},
+		{"no room midway", "/docs/_search", long, 2 * bodyStep, 429, 0},
+		{"many, no room", "/_msearch", lines, bodyStep, 429, 0},
+		{"too long", "/docs/_search", strings.Repeat(" ", mostBody+1), 1 << 20, 413, 0},
+		{"a fault", "/docs/_search", `{`, 1 << 20, 400, 0},
+	} {
+		r := &router{whole: true, room: c.room, shard: func(_ string, s int) string { return shardOf(s, 1) }}
+		got := call(front(r), "POST", c.target, c.body)
+		if !strings.HasPrefix(got, strconv.Itoa(c.status)) || len(r.asked) != c.asked || r.taken != 0 ||
+			(c.status == 429) != strings.Contains(got, "come back in 1.000") {
+			t.Errorf("%s: %d asked, %d bytes kept: %.200s", c.name, len(r.asked), r.taken, got)
+		}
+	}
+}
--- a/front/opensearch/server.go
+++ b/front/opensearch/server.go
@@ -70,6 +70,11 @@
 	Tenant  string // header that names the tenant
 	Name    string // of the node
 	Leaves  func() []Leaf
+	// Take takes room in memory for so many bytes of a request, and Return gives them back. What finds no
+	// room is turned away with when to come back.
+	Take    func(bytes int) bool
+	Return  func(bytes int)
+	HoldOff time.Duration
 }
 
 // Leaf is one server, for _cat/shards.
@@ -91,6 +96,7 @@
 	idleTime  = 30 * time.Second
 	mostBulk  = 64      // searches in one _msearch
 	mostMulti = 1 << 20 // bytes of one
+	bodyStep  = 4 << 10 // in which room for a body is taken
 
 	notNeeded = "not needed: the index asks for a part of its shards only"
 )
@@ -180,6 +186,21 @@
 	f.write(w, fault.Status, fault.body(failed))
 }
 
+// errNoRoom: a body had no room. Nothing of it has been asked.
+var errNoRoom = &Fault{
+	http.StatusTooManyRequests,
+	"circuit_breaking_exception",
+	"no room for the request's body; it is harmless to ask again",
+}
+
+// comeBack is when to ask again after an error; 0: there is nothing to wait for.
+func (f *Front) comeBack(err error) time.Duration {
+	if err == errNoRoom {
+		return f.set.HoldOff
+	}
+	return 0
+}
+
 // faultOf words any error.
 func faultOf(err error) *Fault {
 	var f *Fault
@@ -262,16 +283,35 @@
 	return nil
 }
 
-// one answers a search or a count. A count can't say that it is not whole, so it fails where it would not be.
-func (f *Front) one(w http.ResponseWriter, r *http.Request, name string, count bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
-	if err == nil && len(body) > mostBody {
-		err = &Fault{
-			http.StatusRequestEntityTooLarge,
-			"content_too_long_exception",
-			fmt.Sprintf("more than %d bytes", mostBody),
+// body reads a request's body into room that is taken as it comes. Free gives the room back, and is to be
+// called once nothing of the body is needed any more, also after an error.
+func (f *Front) body(r *http.Request, most int) (body []byte, free func(), err error) {
+	taken := 0
+	free = func() { f.set.Return(taken) }
+	var text bytes.Buffer
+	for text.Len() <= most {
+		if !f.set.Take(bodyStep) {
+			return nil, free, errNoRoom
+		}
+		taken += bodyStep
+		switch _, err := io.CopyN(&text, r.Body, bodyStep); {
+		case err == io.EOF && text.Len() <= most:
+			return text.Bytes(), free, nil
+		case err != nil && err != io.EOF:
+			return nil, free, err
 		}
 	}
+	return nil, free, &Fault{
+		http.StatusRequestEntityTooLarge,
+		"content_too_long_exception",
+		fmt.Sprintf("more than %d bytes", most),
+	}
+}
+
+// one answers a search or a count. A count can't say that it is not whole, so it fails where it would not be.
+func (f *Front) one(w http.ResponseWriter, r *http.Request, name string, count bool) {
+	body, free, err := f.body(r, mostBody)
+	defer free()
 	var index *Index
 	if err == nil {
 		index, err = f.index(name)
@@ -284,7 +324,7 @@
 		err = params(s, r, count)
 	}
 	if err != nil {
-		f.fault(w, faultOf(err), nil, 0)
+		f.fault(w, faultOf(err), nil, f.comeBack(err))
 		return
 	}
 	if count && (s.Spec.After != nil || s.aggs != nil || s.sort != nil) {
@@ -375,20 +415,14 @@
 
 // multi answers several searches, each by itself: an item that fails says nothing of the others.
 func (f *Front) multi(w http.ResponseWriter, r *http.Request, path []string) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, mostMulti+1))
-	if err == nil && len(body) > mostMulti {
-		err = &Fault{
-			http.StatusRequestEntityTooLarge,
-			"content_too_long_exception",
-			fmt.Sprintf("more than %d bytes", mostMulti),
-		}
-	}
+	body, free, err := f.body(r, mostMulti)
+	defer free()
 	var lines [][]byte
 	if err == nil {
 		lines, err = pairs(body)
 	}
 	if err != nil {
-		f.fault(w, faultOf(err), nil, 0)
+		f.fault(w, faultOf(err), nil, f.comeBack(err))
 		return
 	}
 	begun := time.Now()
--- a/router/search.go
+++ b/router/search.go
@@ -17,6 +17,7 @@
 	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/front/opensearch"
+	"moleshift/limits"
 )
 
 // searching is the front that speaks the form of OpenSearch.
@@ -43,7 +44,14 @@
 func newSearching(o *owner) *searching {
 	set := &o.cfg.More.OpenSearch
 	s := &searching{o: o, prefix: fmt.Sprintf("s%x-", uint32(o.cfg.Seed)^uint32(o.now))}
-	fs := opensearch.Settings{Tenant: set.Tenant, Name: o.cfg.Name, Leaves: s.leaves}
+	fs := opensearch.Settings{
+		Tenant:  set.Tenant,
+		Name:    o.cfg.Name,
+		Leaves:  s.leaves,
+		Take:    func(n int) bool { return o.gate.take(limits.Bodies, n) },
+		Return:  func(n int) { o.gate.put(limits.Bodies, n) },
+		HoldOff: duration(choice.Time(limits.ComeBack)),
+	}
 	for _, x := range set.Indices {
 		fs.Indices = append(
 			fs.Indices,
