--- a/cmd/molelab/flood.go
+++ b/cmd/molelab/flood.go
@@ -122,23 +122,19 @@
 			says,
 		)
 		sum.Service = min(sum.Service, r.Service)
-		sum.Queries, sum.Lost, sum.Doubled, sum.Unclear = sum.Queries+r.Queries, sum.Lost+r.Lost, sum.Doubled+r.Doubled, sum.Unclear+r.Unclear
-		sum.Turned, sum.Attacks, sum.Refused = sum.Turned+r.Turned, sum.Attacks+r.Attacks, sum.Refused+r.Refused
-		sum.CapsBroken, sum.Recovered, sum.PeakMB = sum.CapsBroken+r.CapsBroken, max(
-			sum.Recovered,
-			r.Recovered,
-		), max(
-			sum.PeakMB,
-			r.PeakMB,
-		)
-		sum.P99, sum.MostConns, sum.Died = max(
-			sum.P99,
-			r.P99,
-		), max(
-			sum.MostConns,
-			r.MostConns,
-		), sum.Died ||
-			r.Died
+		sum.Queries += r.Queries
+		sum.Lost += r.Lost
+		sum.Doubled += r.Doubled
+		sum.Unclear += r.Unclear
+		sum.Turned += r.Turned
+		sum.Attacks += r.Attacks
+		sum.Refused += r.Refused
+		sum.CapsBroken += r.CapsBroken
+		sum.Recovered = max(sum.Recovered, r.Recovered)
+		sum.PeakMB = max(sum.PeakMB, r.PeakMB)
+		sum.P99 = max(sum.P99, r.P99)
+		sum.MostConns = max(sum.MostConns, r.MostConns)
+		sum.Died = sum.Died || r.Died
 		for p, n := range r.NoRoom {
 			sum.NoRoom[p] += n
 		}
--- a/cmd/molelab/plan.go
+++ b/cmd/molelab/plan.go
@@ -267,20 +267,10 @@
 func writeReport(path string, s *planner.Study, goal plan.Goal, f *fleet.Fleet) error {
 	var x, service, timely, p99 []float64
 	for _, p := range s.Points {
-		x, service, timely, p99 = append(
-			x,
-			p.Times,
-		), append(
-			service,
-			p.Verdict.Service,
-		), append(
-			timely,
-			p.Verdict.Timely,
-		),
-			append(
-				p99,
-				p.Verdict.P99,
-			)
+		x = append(x, p.Times)
+		service = append(service, p.Verdict.Service)
+		timely = append(timely, p.Verdict.Timely)
+		p99 = append(p99, p.Verdict.P99)
 	}
 	marks := map[string]float64{"most with the goal's service": s.Most}
 	for _, l := range s.Limits {
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -254,16 +254,9 @@
 				"worth":       v.Utility,
 			},
 		)
-		need, floor, earns = append(
-			need,
-			or1(v.Need),
-		), append(
-			floor,
-			or1(v.Floor),
-		), append(
-			earns,
-			v.PartialEarns,
-		)
+		need = append(need, or1(v.Need))
+		floor = append(floor, or1(v.Floor))
+		earns = append(earns, v.PartialEarns)
 	}
 	for _, t := range f.Tenants {
 		tenants = append(tenants, map[string]any{"name": t.Name, "allowance_per_s": t.PerSecond})
