--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"flag"
 	"fmt"
 	"math"
@@ -431,13 +432,58 @@
 	}
 }
 
-// BenchmarkMerge is the cost of putting parts together as they come; BenchmarkHeap the baseline: all at once,
-// at the end.
-func BenchmarkMerge(b *testing.B) { bench(b, false) }
+// BenchmarkMerge is the cost of putting parts together as they come. The baselines have all parts at the end:
+// BenchmarkHeap takes the first of a heap of parts until the page is full, BenchmarkSortAtOnce sorts all.
+func BenchmarkMerge(b *testing.B) { bench(b, nil) }
 
-func BenchmarkSortAtOnce(b *testing.B) { bench(b, true) }
+func BenchmarkHeap(b *testing.B) { bench(b, byHeap) }
 
-func bench(b *testing.B, plain bool) {
+func BenchmarkSortAtOnce(b *testing.B) { bench(b, bySort) }
+
+func bySort(spec *Spec, all []*Partial, size int) []Hit {
+	var hits []Hit
+	for _, p := range all {
+		hits = append(hits, p.Hits...)
+	}
+	slices.SortFunc(hits, func(x, y Hit) int { return spec.Compare(&x, &y) })
+	return hits[:size]
+}
+
+// heads are what is left of each part, as container/heap wants them.
+type heads struct {
+	spec *Spec
+	left [][]Hit
+}
+
+func (h *heads) Len() int           { return len(h.left) }
+func (h *heads) Less(i, j int) bool { return h.spec.Compare(&h.left[i][0], &h.left[j][0]) < 0 }
+func (h *heads) Swap(i, j int)      { h.left[i], h.left[j] = h.left[j], h.left[i] }
+func (h *heads) Push(x any)         { h.left = append(h.left, x.([]Hit)) }
+func (h *heads) Pop() any {
+	last := h.left[len(h.left)-1]
+	h.left = h.left[:len(h.left)-1]
+	return last
+}
+
+func byHeap(spec *Spec, all []*Partial, size int) []Hit {
+	h := &heads{spec: spec}
+	for _, p := range all {
+		h.left = append(h.left, p.Hits)
+	}
+	heap.Init(h)
+	hits := make([]Hit, 0, size)
+	for h.Len() > 0 && len(hits) < size {
+		hits = append(hits, h.left[0][0])
+		if h.left[0] = h.left[0][1:]; len(h.left[0]) == 0 {
+			heap.Pop(h)
+		} else {
+			heap.Fix(h, 0)
+		}
+	}
+	return hits
+}
+
+func bench(b *testing.B, plain func(spec *Spec, all []*Partial, size int) []Hit) {
 	for _, parts := range []int{4, 20, 100} {
 		for _, size := range []int{10, 100, 1000} {
 			spec := &Spec{Keys: []Key{{Field: "a"}}, Size: size, Track: -1}
@@ -453,13 +499,8 @@
 			b.Run(fmt.Sprintf("%dx%d", parts, size), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					if plain {
-						var hits []Hit
-						for _, p := range all {
-							hits = append(hits, p.Hits...)
-						}
-						slices.SortFunc(hits, func(x, y Hit) int { return spec.Compare(&x, &y) })
-						_ = hits[:size]
+					if plain != nil {
+						plain(spec, all, size)
 						continue
 					}
 					m := New(spec, shards)
