A root that sees little of each leaf admits by the query's own sets

Lines at fault: admit (max of pressure and wait), wait (the queue alone), may and call (further calls).

blind says how much of its leaves escapes a root. Where it does, the whole call at the query's own sets counts instead of pressure, a further call that would not be back in time is not made, and fewer copies are saved up.

The tests fail without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,6 +20,7 @@
 	soonest    = 1                 // the same while many calls are lost
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
+	copiesFew  = 2                 // saved up by a root that is blind: with hundreds of them the rest is a storm
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	linkWorse  = 3                 // times slower than the best zone at which the link is at fault
 	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work heavy
@@ -279,7 +280,8 @@
 	c := &LeafCall{Part: p, Leaf: l, sent: r.now, d: d, reports: l.reports, crowd: r.crowd(),
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
-		r.copies = min(r.copies+copyShare+r.lost, copiesMost)
+		seen := 1 - r.blind()
+		r.copies = min(r.copies+copyShare+r.lost*seen, max(copiesMost*seen, copiesFew))
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
@@ -397,12 +399,22 @@
 			return false
 		}
 	}
-	if p.pending() && r.copies < 1 || len(p.calls) > 0 && !r.budget() {
+	if p.pending() && r.copies < 1 || len(p.calls) > 0 && (!r.budget() || r.vain(p, l)) {
 		return false
 	}
 	return r.warmEnough(l, r.work(p))
 }
 
+// vain: a further call would hardly be back while it is worth something. A root that sees its leaves often finds that out by
+// itself; of hundreds that see little each would ask every replica of a jammed set once, and so keep it jammed.
+func (r *Root) vain(p *Part, l *Leaf) bool {
+	until := p.query.slo
+	if p.query.v.worthWaiting() {
+		until = r.last(p.query)
+	}
+	return r.blind()*r.pace*r.tempo(l)*(r.queue(l)+2*r.load(p, l)) > float64(until-r.now)
+}
+
 // budget: does the window leave room for one further call? Edges are taken the strict way.
 func (r *Root) budget() bool {
 	if !r.set.BudgetSet {
@@ -538,6 +550,10 @@
 	return float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
 }
 
+// blind is how much of what goes on at the leaves escapes this root: 0 where it calls each of them often enough
+// within the horizon to see a queue build up, next to 1 where jams come and go between two of its calls.
+func (r *Root) blind() float64 { return 1 - min(rounds*float64(r.horizon)/max(r.round(), 1), 1) }
+
 // note takes a sample of a leaf's tempo.
 func (r *Root) note(l *Leaf, x float64) {
 	n, mean := l.pace.n*r.left(l.pace)+1, r.ratio(l.pace)
@@ -892,19 +908,21 @@
 	}
 	// Impatient clients, who would leave before the SLO time, need answers so much sooner.
 	time := float64(min(q.slo-r.now, r.last(q)-r.now, r.tight))
-	return max(r.pressure(), r.wait(q)) <= time*(easy+(hard-easy)*below/float64(len(r.utilities)))
+	// The last few calls of a blind root tell of the sets that they met, not of those that this query needs.
+	return max(r.pressure()*(1-r.blind()), r.wait(q)) <= time*(easy+(hard-easy)*below/float64(len(r.utilities)))
 }
 
 // wait is how long the query's parts would queue, each at its best sound replica: the fleet may have room
 // where the few leaves that hold the query's shards have none, or none of them can be trusted now. Such a
-// set of leaves is left to recover; work for its queries elsewhere would be in vain.
+// set of leaves is left to recover; work for its queries elsewhere would be in vain. A blind root can't tell a
+// queue from a slow leaf and has no newer word of it: the time of the whole call counts then.
 func (r *Root) wait(q *Query) float64 {
 	var waits []float64
 	for _, p := range q.Parts {
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
 			if r.sound(l, q.Vertical) && r.warmEnough(l, r.work(p)) {
-				least = min(least, r.pace*r.tempo(l)*r.queue(l))
+				least = min(least, r.pace*r.tempo(l)*(r.queue(l)+2*max(r.work(p), r.unit)*r.blind()))
 			}
 		}
 		waits = append(waits, least)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -664,3 +664,79 @@
 		t.Errorf("taken of 40: %v", taken)
 	}
 }
+
+// spread is a stage of two sets of two leaves, one shard each, that a root calls as rarely as one of hundreds does:
+// queries with a silence before each, whose calls take so long at the first set, and 100 ms at the second.
+func spread(t *testing.T, seed uint64, slow, silence int) *stage {
+	st := play(t, 0, plain(func(s *Settings) { s.Seed, s.Shards, s.Cells, s.UtilityByWork = seed, 2, 2, true }))
+	var es []Entry
+	for i := range 4 {
+		l := new(Leaf)
+		st.names[l], st.calls = fmt.Sprintf("leaf %c", 'A'+i), map[string]*LeafCall{}
+		es = append(es, Entry{Leaf: l, Cell: i / 2, Condition: Ready})
+	}
+	st.r.List(st.now, es, true, false)
+	for range 60 {
+		st.pass(silence)
+		st.query(0, 0, 0)
+		for _, end := range []string{"1#0", "0#0", "0#1"} { // a query may be turned away, a call be made again
+			st.pass(map[string]int{"1#0": 100, "0#0": slow - 100}[end])
+			if c := st.calls[fmt.Sprintf("q%d.%s", st.n, end)]; c != nil && !c.ended {
+				st.end(fmt.Sprintf("q%d.%s", st.n, end), OK, nil)
+			}
+		}
+	}
+	st.out.Reset()
+	return st
+}
+
+// A root is blind where jams come and go between two of its calls to a leaf.
+func TestBlind(t *testing.T) {
+	for _, c := range []struct {
+		silence  int
+		from, to float64
+	}{{0, 0, 0}, {1500, 0.1, 0.7}, {60000, 0.95, 1}} {
+		if b := spread(t, 1, 200, c.silence).r.blind(); b < c.from || b > c.to {
+			t.Errorf("calls every %d ms: blind to %.2f, want %v to %v", c.silence, b, c.from, c.to)
+		}
+	}
+}
+
+// What three hundred roots do that each see little of a jam: queries that need the jammed set are turned away, those
+// that do not are served, however long the last calls took; and a call that could not be back in time is not made, as
+// the same call of every root is what keeps the set jammed. A root that sees its leaves often goes on as ever.
+func TestBlindRootsKeepAwayFromAJam(t *testing.T) {
+	const roots = 40
+	tried := func(silence, shard int) (away, again int) {
+		for seed := range roots {
+			st := spread(t, uint64(seed+1), 900, silence)
+			st.n++
+			q, p := &Query{Deadline: st.now + 30000}, &Part{Shard: shard, Weight: 1}
+			st.names[q], st.names[p] = "q", "p"
+			if st.r.Take(st.now, q, []*Part{p}); q.Over() {
+				away++
+				continue
+			}
+			st.pass(500)
+			st.end("p#0", Full, nil)
+			again += len(p.calls) - 1
+		}
+		return away, again
+	}
+	for _, c := range []struct {
+		name                  string
+		silence, shard        int
+		awayLeast, awayMost   int
+		againLeast, againMost int
+	}{
+		{"jammed set, seen often", 0, 0, 0, 0, roots, roots},
+		{"other set, seen often", 0, 1, 0, 0, roots, roots},
+		{"jammed set, seen rarely", 60000, 0, roots / 3, roots, 0, 0},
+		{"other set, seen rarely", 60000, 1, 0, 0, roots / 2, roots},
+	} {
+		if away, again := tried(c.silence, c.shard); away < c.awayLeast || away > c.awayMost || again < c.againLeast ||
+			again > c.againMost {
+			t.Errorf("%s: %d of %d turned away, %d asked again", c.name, away, roots, again)
+		}
+	}
+}
