--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 
 .PHONY: build test lint run toy wrap
 
+# As the operators build it: linked against the C library by the C compiler, so that their bench can load a library of its own.
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	@command -v "$$(go env CC)" >/dev/null || { echo "a C compiler is needed to link (no $$(go env CC) here): apt-get install gcc libc6-dev" >&2; exit 1; }
+	$(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
 test:
 	go test ./...
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -550,8 +550,8 @@
 	return float64(r.now-r.started) * float64(len(r.leaves)) / max(r.calls, 1)
 }
 
-// blind is how much of what goes on at the leaves escapes this root: 0 where it calls each of them often enough
-// within the horizon to see a queue build up, next to 1 where jams come and go between two of its calls.
+// blind is how much of what goes on at the leaves escapes this root: 0 where it calls each of them within a few
+// horizons and so sees a queue build up, next to 1 where jams come and go between two of its calls.
 func (r *Root) blind() float64 { return 1 - min(rounds*float64(r.horizon)/max(r.round(), 1), 1) }
 
 // note takes a sample of a leaf's tempo.
