--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -672,7 +672,7 @@
 	var es []Entry
 	for i := range 4 {
 		l := new(Leaf)
-		st.names[l], st.calls = fmt.Sprintf("leaf %c", 'A'+i), map[string]*LeafCall{}
+		st.names[l] = fmt.Sprintf("leaf %c", 'A'+i)
 		es = append(es, Entry{Leaf: l, Cell: i / 2, Condition: Ready})
 	}
 	st.r.List(st.now, es, true, false)
