Elections of duties move to a package of their own, for rights with one holder too

Change: lease.Election has the asking, the voting, lots, turns and giving back; package duty keeps the plan and reaches it by hooks. Added, and not used by duties: reigns that only grow (a vote is recorded before it is given, or refused), and a leader that gives its lease back, after which each vote tells for how long what it gave away may still be used.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -5,7 +5,7 @@
 //
 // Two rights to perform exist for each interval of a duty, and never a third. The first belongs to the
 // holder, a seat that arithmetic alone names: nothing need be heard or agreed for that. The second belongs to
-// one substitute that the plan names, and only one plan can ever hold for a point in time (lease.go). So no
+// one substitute that the plan names, and only one plan can ever hold for a point in time (plan.go). So no
 // leaf gets more than double, however many sides a partition has and whatever was lost; docs/design/duties.md
 // has the argument.
 //
@@ -15,18 +15,18 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"moleshift/lease"
 )
 
 // Time is a point on the instance's clock (Unix time) or a length of time, in whole tenths of a millisecond.
-type Time int64
+type Time = lease.Time
 
 // Millisecond is the unit in which settings are usually written down.
-const Millisecond Time = 10
+const Millisecond = lease.Millisecond
 
 const (
 	patienceOf = 4                // of an interval: how long the substitute waits to hear of the holder
@@ -38,16 +38,11 @@
 	mostQueued = 4096             // results that wait: the oldest are let go, their duties then look unheard
 	oddEvery   = 60               // leases between two notes on one seat that says odd things
 	clashFor   = 8                // leases for which a seat that is in doubt is left alone: some rounds of results
-	never      = Time(1 << 62)
+	never      = lease.Never
 )
 
 // Settings is what an instance is told at its start.
-type Settings struct {
-	Seat, Size  int  // its seat, from 0, among all that may run at once
-	Skew        Time // the most by which two instances' clocks differ
-	Lease, Beat Time // how long a leader's right to plan holds, and how often it asks for it anew
-	Seed        uint64
-}
+type Settings = lease.Settings
 
 // Why tells what gave an instance the right to perform.
 type Why uint8
@@ -266,7 +261,7 @@
 	duties map[string]*Duty
 	groups []*group // by length
 	peers  []peer   // by seat
-	lease  lease
+	lead   lead
 	clash  Time // until which this seat counts as another's
 	barred bool
 	left   bool
@@ -275,7 +270,6 @@
 
 	out     []queued
 	flushAt Time
-	draws   uint64
 
 	Counts Counts
 }
@@ -286,7 +280,6 @@
 	heard Time // 0: never
 	noted Time // when something odd of it was last told of
 	left  bool
-	round uint32 // the last in which it granted this instance's lease
 }
 
 type queued struct {
@@ -306,7 +299,7 @@
 		peers:   make([]peer, set.Size),
 		flushAt: never,
 	}
-	n.lease.start(n)
+	n.lead = lead{Election: lease.NewElection(set, (*hooks)(n), false, 0, now), leader: -1}
 	return n
 }
 
@@ -373,7 +366,7 @@
 
 // Next is when Awake must be called at the latest.
 func (n *Node) Next() Time {
-	next := min(n.lease.next(), n.flushAt)
+	next := min(n.lead.Next(), n.flushAt)
 	if !n.greeted && !n.barred {
 		return n.now
 	}
@@ -387,7 +380,10 @@
 }
 
 // enter notes the time; a clock that is set back stands still until it has caught up.
-func (n *Node) enter(now Time) { n.now = max(now, n.now) }
+func (n *Node) enter(now Time) {
+	n.now = max(now, n.now)
+	n.lead.Enter(n.now)
+}
 
 // Awake does what is due.
 func (n *Node) Awake(now Time) {
@@ -399,7 +395,7 @@
 		n.greeted = true
 		n.port.Broadcast(n.message(Hello, nil))
 	}
-	n.lease.awake(n)
+	n.lead.awake(n)
 	for _, g := range n.groups {
 		g.catchUp(&g.turn, n.now)
 		g.catchUp(&g.check, n.now)
@@ -435,7 +431,7 @@
 		}
 		return
 	}
-	s := n.lease.plan(d.Begin(k))
+	s := n.lead.plan(d.Begin(k))
 	if s == nil || s.substitute(d, k, n.set.Size) != n.set.Seat {
 		return
 	}
@@ -465,7 +461,7 @@
 	if holder == n.set.Seat || !n.may(d, k) || n.known(d, k) {
 		return
 	}
-	if s := n.lease.plan(d.Begin(k)); s != nil && s.substitute(d, k, n.set.Size) == n.set.Seat {
+	if s := n.lead.plan(d.Begin(k)); s != nil && s.substitute(d, k, n.set.Size) == n.set.Seat {
 		if s.has(holder) {
 			n.perform(d, k, Unheard)
 		} else { // the plan came late
@@ -571,13 +567,16 @@
 			n.port.Note(Note{Event: Returned, Seat: m.Seat})
 		}
 		*p = peer{boot: m.Boot}
+		n.lead.Reborn(m.Seat)
 	}
 	p.heard = n.now
 	switch m.Kind {
 	case Ask:
-		n.lease.asked(n, m)
+		n.lead.asked(n, m)
 	case Grant:
-		n.lease.granted(n, m)
+		if !n.lead.Voted(lease.Vote{Seat: m.Seat, To: m.To, ToBoot: m.Since, Round: m.Round}) {
+			n.Counts.Stale++
+		}
 	case Done:
 		for i := range m.Items {
 			n.done(m, &m.Items[i])
@@ -585,10 +584,11 @@
 	case Leave:
 		if !p.left {
 			p.left = true
+			n.lead.Left(m.Seat)
 			n.port.Note(Note{Event: Left, Seat: m.Seat})
 		}
 	case Yield:
-		n.lease.yielded(n, m)
+		n.lead.Yielded(m.Seat, m.Boot, m.Round, false)
 	case Hello:
 	default:
 		n.Counts.Odd++
@@ -621,6 +621,7 @@
 	n.clash = n.now + clashFor*n.set.Lease
 	if !n.barred {
 		n.barred = true
+		n.lead.Withhold()
 		n.port.Note(Note{Event: Clash, Seat: n.set.Seat})
 	}
 }
@@ -628,7 +629,8 @@
 // resume takes the seat up again, as a process that has just been started.
 func (n *Node) resume() {
 	n.barred, n.boot, n.greeted = false, n.now, false
-	n.lease.start(n)
+	n.lead.Start(n.now)
+	n.lead.leader = -1
 	for _, d := range n.duties {
 		d.from = max(d.from, n.now+n.set.Skew)
 	}
@@ -669,6 +671,7 @@
 	}
 	n.flush()
 	n.left = true
+	n.lead.Leave()
 	n.port.Broadcast(n.message(Leave, nil))
 }
 
@@ -680,18 +683,3 @@
 	}
 	return m
 }
-
-// chance is a draw from [0, most).
-func (n *Node) chance(most Time) Time {
-	if most <= 0 {
-		return 0
-	}
-	var b [24]byte
-	binary.LittleEndian.PutUint64(b[:], n.set.Seed)
-	binary.LittleEndian.PutUint64(b[8:], n.draws)
-	binary.LittleEndian.PutUint64(b[16:], uint64(n.set.Seat))
-	n.draws++
-	h := fnv.New64a()
-	h.Write(b[:])
-	return Time(h.Sum64() % uint64(most))
-}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"moleshift/lease"
 )
 
 func TestTraces(t *testing.T) {
@@ -96,7 +98,7 @@
 
 func (st *stage) leader() int {
 	for _, s := range st.nodes {
-		if s.n != nil && s.n.lease.role == leading {
+		if s.n != nil && s.n.lead.Role() == lease.Leading {
 			return s.seat
 		}
 	}
@@ -132,11 +134,11 @@
 	st.pass(368)
 	for _, s := range []*seat{a, b} {
 		s.n.enter(st.now)
-		s.n.lease.move(s.n, seeking)
+		s.n.lead.Seek()
 	}
 	st.say("seats %d and %d seek at once", a.seat, b.seat)
 	st.pass(60)
-	st.say("seat %d is %v, seat %d is %v", a.seat, a.n.lease.role, b.seat, b.n.lease.role)
+	st.say("seat %d is %v, seat %d is %v", a.seat, a.n.lead.Role(), b.seat, b.n.lead.Role())
 	st.pass(1500)
 	st.check("seekers-give-way")
 }
@@ -147,7 +149,7 @@
 	st := play(t, 3, "a")
 	st.pass(1500)
 	n := st.nodes[0].n
-	l := &n.lease
+	l := &n.lead
 	n.enter(st.now + 2000*Millisecond) // no grant holds any more
 	boot := zero + 7
 	for _, step := range []struct {
@@ -167,7 +169,7 @@
 				Since: 9,
 			},
 		)
-		if is := l.free(n, 2, zero+1); is != step.free {
+		if is := l.Free(2, zero+1); is != step.free {
 			t.Errorf("after message %d of asking %d: free %v", step.kind, step.round, is)
 		}
 	}
@@ -178,12 +180,12 @@
 	st := play(t, 5, "a")
 	st.pass(2500)
 	n := st.nodes[st.leader()].n
-	n.enter(n.lease.valid + 1000*Millisecond)
+	n.enter(n.lead.Valid() + 1000*Millisecond)
 	for seat := range 5 {
-		n.lease.count(n, seat, n.lease.last)
+		n.lead.Voted(lease.Vote{Seat: seat, ToBoot: n.boot, To: n.set.Seat, Round: n.lead.Round()})
 	}
-	if n.lease.role != following || n.now < n.lease.valid {
-		t.Errorf("%v, with a lease until %d at %d", n.lease.role, n.lease.valid, n.now)
+	if n.lead.Role() != lease.Following || n.now < n.lead.Valid() {
+		t.Errorf("%v, with a lease until %d at %d", n.lead.Role(), n.lead.Valid(), n.now)
 	}
 }
 
--- a/duty/status.go
+++ b/duty/status.go
@@ -18,11 +18,11 @@
 	s := Status{
 		Seat:   n.set.Seat,
 		Size:   n.set.Size,
-		Role:   n.lease.role.String(),
-		Leader: n.lease.leader,
+		Role:   n.lead.Role().String(),
+		Leader: n.lead.leader,
 		Barred: n.barred,
 	}
-	if plan := n.lease.plan(n.now); plan != nil {
+	if plan := n.lead.plan(n.now); plan != nil {
 		s.Covered, s.PlanUntil, s.Active = true, plan.Until, plan.seats
 	}
 	return s
@@ -32,7 +32,7 @@
 // right.
 func (n *Node) Turn(d *Duty, k int64) (holder, substitute int) {
 	holder, substitute = d.Holder(k, n.set.Size), -1
-	if s := n.lease.plan(d.Begin(k)); s != nil {
+	if s := n.lead.plan(d.Begin(k)); s != nil {
 		substitute = s.substitute(d, k, n.set.Size)
 	}
 	return holder, substitute
--- a/lab/duties/world.go
+++ b/lab/duties/world.go
@@ -348,8 +348,6 @@
 	t.Stale += c.Stale
 	t.Odd += c.Odd
 	t.Conflicts += c.Conflicts
-	t.Asked += c.Asked
-	t.Given += c.Given
 }
 
 // does lets the process do something now, or once it no longer stands still; never if it has died meanwhile.
