Rights that one instance alone holds: leases, fencing tokens, and background work

Nothing in the program could be held by one router alone, and nothing was fenced.

Change: package lease (pure): a leader elected by a majority gives rights for times that end within its own lease, reckoned from when the holder wrote its last vote; each giving has a token that grows over holders, leaders and restarts; what a seat promises is recorded before it counts; a register at a majority of seats keeps how far a holder's work has come and is closed to holders of before; soundings before votes, so that one that is cut off in one direction binds nobody; handover at SIGTERM, recall, pause, and rest for rights whose holders vanish. Package work (pure): steps by priority, budgets, deadlines, with a mark of the step that is about to run. molelab leases plays both in virtual time and judges from outside.

Found by it on the way and mended: a leader that gave a right back to the instance that was leaving; a job that waited for ever when its right came back while a step of the token before still ran; a deaf seat whose askings bound the votes of all; a new leader that took holders for vanished before it had given them time.

--- /dev/null
+++ b/cmd/molelab/leases.go
@@ -0,0 +1,87 @@
+package main
+
+// leases.go owns the flags of `molelab leases`. It must hold no part of the game itself.
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"moleshift/lab/leases"
+)
+
+type leasesCmd struct {
+	Instances int           `default:"40" help:"Instances that know one another."`
+	Rights    int           `default:"24" help:"Rights, each with a job."`
+	For       time.Duration `default:"5m" help:"How long to play."`
+	Faults    int           `default:"40" help:"Kills, standstills, ends, cuts (also one way) and full disks, drawn over the run but for its last 30 s."`
+	Loss      float64       `help:"Share of messages that are lost."`
+	Skew      time.Duration `default:"100ms" help:"The most by which two clocks differ."`
+	Lease     time.Duration `default:"600ms" help:"How long a right holds without more time."`
+	Diskless  float64       `help:"Share of the restarts after a kill that find nothing kept."`
+	Bare      bool          `help:"No work under the rights: what they cost by themselves."`
+	Seed      uint64        `default:"1" help:"Of all that is drawn."`
+	Seeds     int           `default:"1" help:"Runs, each with the next seed; all are summed up."`
+	Story     string        `help:"Tell what led to the longest time without a holder after faults of a kind, such as sigterm; all for any."`
+	Sweep     bool          `help:"Each run has from 5 to 160 instances and up to 10% of loss, by its seed."`
+}
+
+func (c *leasesCmd) Validate() error {
+	switch {
+	case c.Instances < 1 || c.Instances > 1000 || c.Rights < 1 || c.Rights > 1000:
+		return errors.New("--instances and --rights from 1 to 1000")
+	case c.Loss < 0 || c.Loss >= 1 || c.Skew < 0 || c.Lease < 4*c.Skew || c.Lease < 100*time.Millisecond || c.For <= 0 || c.Seeds < 1:
+		return errors.New("--loss from 0 to 1, --lease from 100ms and four times --skew, --for and --seeds above 0")
+	case c.Diskless < 0 || c.Diskless > 1 || c.Faults < 0:
+		return errors.New("--diskless from 0 to 1, --faults from 0")
+	}
+	return nil
+}
+
+func (c *leasesCmd) options(seed uint64) leases.Options {
+	o := leases.Options{Instances: c.Instances, Rights: c.Rights, For: c.For, Faults: c.Faults, Loss: c.Loss, Skew: c.Skew,
+		Lease: c.Lease, Diskless: c.Diskless, Bare: c.Bare, Story: c.Story, Seed: seed}
+	if c.Sweep {
+		sizes := []int{5, 7, 12, 20, 40, 80, 160}
+		o.Instances, o.Loss = sizes[seed%uint64(len(sizes))], float64(seed%11)/100
+	}
+	return o
+}
+
+// Run plays the runs, several at a time, and tells of them in order.
+func (c *leasesCmd) Run() error {
+	results := make([]*leases.Result, c.Seeds)
+	var group errgroup.Group
+	group.SetLimit(min(runtime.GOMAXPROCS(0), c.Seeds))
+	var over atomic.Int64
+	for n := range c.Seeds {
+		group.Go(func() (err error) {
+			results[n], err = leases.Run(c.options(c.Seed+uint64(n)), func(done, of time.Duration) {
+				if c.Seeds == 1 {
+					fmt.Fprintf(os.Stderr, "\r%v of %v   ", done.Round(time.Second), of)
+				}
+			})
+			fmt.Fprintf(os.Stderr, "\r%d of %d runs   ", over.Add(1), c.Seeds)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stderr)
+	var sum *leases.Result
+	for _, r := range results {
+		sum = sum.Plus(r)
+	}
+	sum.Table(os.Stdout)
+	fmt.Println(sum.JSON())
+	if sum.Broken() {
+		return errBroken
+	}
+	return nil
+}
--- a/duty/plan.go
+++ b/duty/plan.go
@@ -50,6 +50,10 @@
 	}
 }
 
+// Sound and Echo are never asked for where reigns are not counted.
+func (h *hooks) Sound(uint32)     {}
+func (h *hooks) Echo(int, uint32) {}
+
 func (h *hooks) Answer(v lease.Vote) {
 	n := (*Node)(h)
 	n.port.Send(v.To, n.message(Grant, func(g *Message) { g.Round, g.To, g.Since = v.Round, v.To, v.ToBoot }))
--- a/lease/election.go
+++ b/lease/election.go
@@ -72,6 +72,9 @@
 type Hooks interface {
 	// Ask puts a question to some seats; nil stands for all others.
 	Ask(q Question, seats []int)
+	// Sound asks all others whether they would vote for this seat, and Echo says so. Neither binds anybody.
+	Sound(number uint32)
+	Echo(to int, number uint32)
 	// Answer gives a vote.
 	Answer(v Vote)
 	// GiveBack tells all that votes up to a round are not counted on any more. Led: they made this seat the leader.
@@ -91,6 +94,7 @@
 	number uint32
 	sent   Time
 	length Time
+	reign  uint64
 }
 
 // Election is one seat's part in agreeing who leads. A leader holds a lease that more than half of all seats have voted for;
@@ -123,12 +127,16 @@
 	// As one who asks.
 	rounds []round
 	last   uint32
-	ends   []Time // by seat: until when its vote is known to hold
-	valid  Time   // until when a majority's votes do, as last reckoned
-	clear  Time   // before it, what earlier leaders gave away may still be used
-	tries  int    // askings as a seeker
-	lot    Time   // drawn by a seeker: of two that seek at once the one with the lower gives way
-	reign  uint64
+	ends   []Time   // by seat: until when its vote is known to hold
+	reigns []uint64 // by seat: the greatest reign that it has promised to this process
+	valid  Time     // until when a majority's votes do, as last reckoned
+	clear  Time     // before it, what earlier leaders gave away may still be used
+	tries  int      // askings as a seeker
+	sounds int      // soundings before that
+	echoes []bool   // by seat, to the present sounding
+	lot    Time     // drawn by a seeker: of two that seek at once the one with the lower gives way
+	wants  uint64   // the reign that is asked for
+	reign  uint64   // the greatest that a majority has promised to this process
 	beatAt Time
 	halfAt Time // when seats that have not answered this beat's asking are asked once more
 	seekAt Time
@@ -149,7 +157,7 @@
 // Start is a beginning with nothing remembered: a seat votes for nobody for as long as a vote of its predecessor may hold.
 func (e *Election) Start(now Time) {
 	e.now, e.boot, e.out = max(now, e.now), now, false
-	e.ends = make([]Time, e.set.Size)
+	e.ends, e.reigns, e.reign = make([]Time, e.set.Size), make([]uint64, e.set.Size), 0
 	e.holder = -1
 	e.votesAfter = e.now + e.set.Lease + e.set.Skew
 	if e.set.Size == 1 {
@@ -160,8 +168,8 @@
 	e.seekAt = e.votesAfter + e.chance(e.set.Beat)
 }
 
-// Role, Boot, Valid, Reign and Clear tell how things stand: until when the lease of this seat holds, of which reign, and before
-// which time what earlier leaders gave away may still be used.
+// Role, Boot, Valid, Reign and Clear tell how things stand: until when the lease of this seat holds, the reign that a majority has
+// promised to it, and before which time what earlier leaders gave away may still be used.
 func (e *Election) Role() Role    { return e.role }
 func (e *Election) Boot() Time    { return e.boot }
 func (e *Election) Valid() Time   { return e.valid }
@@ -200,7 +208,7 @@
 // move is the one way from role to role.
 func (e *Election) move(to Role) {
 	from := e.role
-	e.role = to
+	e.role, e.sounds = to, 0
 	switch to {
 	case Following:
 		if from == Seeking {
@@ -212,7 +220,7 @@
 	case Seeking:
 		e.tries, e.beatAt, e.lot, e.clear = 0, Never, 1+e.chance(mostLots), 0
 		if e.counted {
-			e.reign = max(e.floor+1, e.seen+1, uint64(max(e.now, 0)))
+			e.wants = max(e.floor+1, e.seen+1, uint64(max(e.now, 0)/Millisecond))
 		}
 		e.try()
 	case Leading:
@@ -229,6 +237,44 @@
 	}
 }
 
+// sound asks who would vote, before any vote is asked for: one that can't hear, or can't be heard, would bind votes for nothing, time
+// and again (pre-vote: Ongaro, Consensus, 2014, 9.6). Not where reigns are not counted.
+func (e *Election) sound() {
+	if !e.counted || e.quorum == 1 {
+		e.move(Seeking)
+		return
+	}
+	e.sounds++
+	e.echoes = make([]bool, e.set.Size)
+	e.echoes[e.set.Seat] = true
+	e.seekAt = e.now + e.set.Beat/2
+	e.hooks.Sound(e.last)
+}
+
+// Sounded answers one who would ask for votes.
+func (e *Election) Sounded(seat int, boot Time, number uint32) {
+	if !e.out && !e.gone && e.Free(seat, boot) && e.role != Leading {
+		e.hooks.Echo(seat, number)
+	}
+}
+
+// Echoed takes the answer of a seat.
+func (e *Election) Echoed(seat int, number uint32) {
+	if e.role != Following || e.sounds == 0 || number != e.last || !e.Free(e.set.Seat, e.boot) {
+		return
+	}
+	e.echoes[seat] = true
+	n := 0
+	for _, yes := range e.echoes {
+		if yes {
+			n++
+		}
+	}
+	if n >= e.quorum {
+		e.move(Seeking)
+	}
+}
+
 // Abdicate ends a leader's lease early: all may vote at once for another, who is told by them until when what this one gave
 // away may still be used.
 func (e *Election) Abdicate() {
@@ -329,8 +375,8 @@
 			e.move(Following)
 		}
 	case e.role == Following && e.now >= e.seekAt:
-		if e.Free(e.set.Seat, e.boot) {
-			e.move(Seeking)
+		if e.Free(e.set.Seat, e.boot) && e.sounds < mostTries {
+			e.sound()
 		} else {
 			e.move(Following)
 		}
@@ -341,9 +387,9 @@
 func (e *Election) ask(length Time) {
 	e.Asked++
 	e.last++
-	e.rounds = append(e.rounds, round{number: e.last, sent: e.now, length: length})
+	e.rounds = append(e.rounds, round{number: e.last, sent: e.now, length: length, reign: e.wants})
 	e.rounds = e.rounds[max(len(e.rounds)-keptRounds, 0):]
-	if e.Free(e.set.Seat, e.boot) && e.promise(e.set.Seat, e.boot, e.reign) {
+	if e.Free(e.set.Seat, e.boot) && e.promise(e.set.Seat, e.boot, e.wants) {
 		e.vote(e.set.Seat, e.boot, e.last, length)
 		e.clear = max(e.clear, e.owed)
 		e.count(e.set.Seat, e.last)
@@ -352,7 +398,7 @@
 }
 
 func (e *Election) question(length Time) Question {
-	q := Question{Seat: e.set.Seat, Boot: e.boot, Round: e.last, For: length, Reign: e.reign}
+	q := Question{Seat: e.set.Seat, Boot: e.boot, Round: e.last, For: length, Reign: e.wants}
 	if e.role == Seeking {
 		q.Lot = e.lot
 	}
@@ -407,7 +453,7 @@
 		e.move(Following)
 	}
 	e.vote(q.Seat, q.Boot, q.Round, q.For)
-	e.seekAt = e.patience()
+	e.seekAt, e.sounds = e.patience(), 0
 	v.Rest = max(e.owed-e.now, 0)
 	e.hooks.Answer(v)
 }
@@ -424,7 +470,11 @@
 		return false
 	}
 	if v.Floor > 0 {
-		if e.seen = max(e.seen, v.Floor); e.role == Seeking && v.Floor >= e.reign {
+		// The seat has promised more, be it to one that never came to lead. Who leads asks for a greater reign from now on, rather
+		// than have one that was cut off unseat it.
+		if e.seen = max(e.seen, v.Floor); e.role == Leading {
+			e.wants = max(e.wants, v.Floor+1)
+		} else if e.role == Seeking && v.Floor >= e.wants {
 			e.move(Following)
 			e.seekAt = e.now + e.chance(e.set.Beat/turns)
 		}
@@ -450,6 +500,7 @@
 		}
 	}
 	e.ends[seat] = max(e.ends[seat], e.rounds[i].until())
+	e.reigns[seat] = max(e.reigns[seat], e.rounds[i].reign)
 	e.answered[seat] = max(e.answered[seat], number)
 	if e.role == Seeking {
 		if e.reckon(); e.now < e.valid {
@@ -464,6 +515,10 @@
 func (e *Election) reckon() {
 	ends := slices.Sorted(slices.Values(e.ends))
 	e.valid = max(e.valid, ends[len(ends)-e.quorum])
+	if e.counted { // a promise stands for good, unlike the vote
+		reigns := slices.Sorted(slices.Values(e.reigns))
+		e.reign = reigns[len(reigns)-e.quorum]
+	}
 }
 
 // chance is a draw from [0, most).
