moleshift holds rights: a driver, a file of promises, jobs and a page for operators

Rights are handed on at SIGTERM before the instance leaves the others; background work makes room when queries are refused or fail. leases in moleshift.yaml, off by default; GET /leases, moleshift leases.

--- a/cmd/moleshift/main.go
+++ b/cmd/moleshift/main.go
@@ -26,6 +26,7 @@
 	Serve   serveCmd   `cmd:"" default:"1" help:"Route queries until told to end. The default."`
 	Check   checkCmd   `cmd:"" help:"Read a YAML file and tell what would run, or every fault in it."`
 	Duties  statusCmd  `cmd:"" help:"Ask a running router who performs which shared duty, and when each was last done."`
+	Leases  leasesCmd  `cmd:"" help:"Ask a running router who holds which right, under which token, and how its work goes."`
 	Limits  limitsCmd  `cmd:"" help:"Ask a running router what connections and memory it holds, for whom and for what."`
 	Version versionCmd `cmd:"" help:"Tell which build this is."`
 }
@@ -55,6 +56,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	end := make(chan os.Signal, 2)
 	signal.Notify(end, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGXFSZ) // a file at its limit is an error for whoever writes it, not the end of the process
 
 	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	load := func() (*config.Config, error) { return config.Load(c.environment) }
--- a/config/file.go
+++ b/config/file.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"net/url"
 	"os"
 	"regexp"
 	"slices"
@@ -22,6 +23,7 @@
 type File struct {
 	Members Members `yaml:"members"`
 	Duties  Duties  `yaml:"duties"`
+	Leases  Leases  `yaml:"leases"`
 	Admin   Admin   `yaml:"admin"`
 	Capture Capture `yaml:"capture"`
 
@@ -192,6 +194,29 @@
 	Interval time.Duration `yaml:"interval"`
 }
 
+// Leases is rights that one instance alone holds, and the work that its holder does.
+type Leases struct {
+	Enabled    bool    `yaml:"enabled"`
+	State      string  `yaml:"state"` // file in which promises outlive the process; empty: none
+	Rights     []Right `yaml:"rights"`
+	Calls      float64 `yaml:"calls"` // of all background work of the instance, a second; 0: no cap
+	Bytes      float64 `yaml:"bytes"` // the same
+	Concurrent int     `yaml:"concurrent"`
+}
+
+// Right is one, with its job: one of Hook, Captures and Snapshot, or none where it is only to be held.
+type Right struct {
+	Name     string        `yaml:"name"`
+	Paused   bool          `yaml:"paused"`
+	Priority int           `yaml:"priority"`
+	Every    time.Duration `yaml:"every"`    // 0: 1m
+	Deadline time.Duration `yaml:"deadline"` // 0: 10s
+
+	Hook     string `yaml:"hook"`     // URL
+	Captures string `yaml:"captures"` // folder
+	Snapshot string `yaml:"snapshot"` // file
+}
+
 // Summary is one instance's word on the fleet.
 type Summary struct {
 	Enabled  bool          `yaml:"enabled"`
@@ -222,6 +247,7 @@
 		},
 		Duties: Duties{Probes: Probes{Interval: 2 * time.Second},
 			Summary: Summary{Interval: time.Minute}},
+		Leases:  Leases{Concurrent: 1},
 		Capture: Capture{Sample: 1, MemoryMB: 8, FileMB: 64, Files: 8, Flush: 10 * time.Second},
 		Admission: Admission{
 			Reserve:    0.25,
@@ -312,6 +338,7 @@
 	}
 	within("capture.flush", c.Flush, 100*time.Millisecond, time.Hour)
 	f.checkSearch(doc)
+	f.checkLeases(doc, within)
 	if s := &f.Shards; !(s.ColdShare >= 0 && s.ColdShare <= 1) {
 		doc.Fault("shards.cold_share", "must be from 0 to 1")
 	}
@@ -372,6 +399,62 @@
 	within("memory.log_every", f.Memory.LogEvery, time.Second, 24*time.Hour)
 }
 
+// checkLeases is what rights must be.
+func (f *File) checkLeases(doc *yamlfile.Doc, within func(string, time.Duration, time.Duration, time.Duration)) {
+	l := &f.Leases
+	if l.Enabled && !f.Members.Enabled {
+		doc.Fault("leases.enabled", "needs members.enabled")
+	}
+	if l.Concurrent < 1 || l.Concurrent > mostConcurrent {
+		doc.Fault("leases.concurrent", "must be from 1 to %d", mostConcurrent)
+	}
+	if !(l.Calls >= 0 && l.Calls <= 1e6) {
+		doc.Fault("leases.calls", "must be from 0 to 1000000")
+	}
+	if !(l.Bytes >= 0 && l.Bytes <= 1e12) {
+		doc.Fault("leases.bytes", "must be from 0 to 1e12")
+	}
+	if len(l.Rights) > mostRights {
+		doc.Fault("leases.rights", "%d of them, %d at most", len(l.Rights), mostRights)
+	}
+	for i := range l.Rights {
+		r, key := &l.Rights[i], fmt.Sprintf("leases.rights[%d]", i)
+		if !rightName.MatchString(r.Name) {
+			doc.Fault(key+".name", "%q is no name of up to 64 letters, digits, and any of - _ . /", r.Name)
+		}
+		if slices.IndexFunc(l.Rights, func(o Right) bool { return o.Name == r.Name }) != i {
+			doc.Fault(key+".name", "%q stands twice", r.Name)
+		}
+		if r.Every != 0 {
+			within(key+".every", r.Every, 10*time.Millisecond, mostInterval)
+		}
+		if r.Deadline != 0 {
+			within(key+".deadline", r.Deadline, 10*time.Millisecond, time.Hour)
+		}
+		jobs := 0
+		for _, job := range []string{r.Hook, r.Captures, r.Snapshot} {
+			if job != "" {
+				jobs++
+			}
+		}
+		if jobs > 1 {
+			doc.Fault(key, "has %d jobs of hook, captures and snapshot: one right, one job", jobs)
+		}
+		if r.Hook != "" {
+			if u, err := url.Parse(r.Hook); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+				doc.Fault(key+".hook", "%q is no http or https address", r.Hook)
+			}
+		}
+	}
+}
+
+const (
+	mostConcurrent = 64
+	mostRights     = 1024
+)
+
+var rightName = regexp.MustCompile(`^[A-Za-z0-9._/-]{1,64}$`)
+
 // checkMembers is what must be stated once instances are to know one another.
 func (f *File) checkMembers(doc *yamlfile.Doc) {
 	m := &f.Members
@@ -446,6 +529,7 @@
 		),
 		"duties.probes: " + off(p.Enabled, "each leaf every %v by one instance", p.Interval),
 		"duties.summary: " + off(s.Enabled, "every %v by one instance, %s", s.Interval, file),
+		"leases: " + off(f.Leases.Enabled, "%d rights, promises kept in %q", len(f.Leases.Rights), f.Leases.State),
 		"capture: " + off(
 			c.Enabled,
 			"%g of the queries into %s, %d files of %d MB, %d MB of memory",
--- a/router/admin.go
+++ b/router/admin.go
@@ -25,6 +25,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /duties", a.duties)
 	mux.HandleFunc("GET /limits", a.limits)
+	mux.HandleFunc("GET /leases", a.leases)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout,
 		WriteTimeout: 2 * adminTimeout, IdleTimeout: 5 * adminTimeout, MaxHeaderBytes: 8 << 10}
 	return a
@@ -65,6 +66,22 @@
 	}
 }
 
+func (a *admin) leases(w http.ResponseWriter, r *http.Request) {
+	if a.o.rights == nil {
+		http.Error(w, "no rights are held: leases.enabled is off", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), adminTimeout)
+	defer cancel()
+	s, err := a.o.rights.Status(ctx)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s) // an error is the reader's: it has gone
+}
+
 // limits tells the books. They have a lock of their own, so the owner is not asked.
 func (a *admin) limits(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/router/duties.go
+++ b/router/duties.go
@@ -410,6 +410,11 @@
 			return err
 		}
 	}
+	if f := cfg.More.Leases.State; f != "" && cfg.More.Leases.Enabled {
+		if info, err := os.Stat(filepath.Dir(f)); err != nil || !info.IsDir() {
+			return fmt.Errorf("leases.state: %s is no folder", filepath.Dir(f))
+		}
+	}
 	if f := cfg.More.Duties.Summary.File; f != "" {
 		if info, err := os.Stat(filepath.Dir(f)); err != nil || !info.IsDir() {
 			return fmt.Errorf("duties.summary.file: %s is no folder", filepath.Dir(f))
--- a/router/owner.go
+++ b/router/owner.go
@@ -19,6 +19,7 @@
 	"moleshift/codec"
 	"moleshift/config"
 	"moleshift/limits"
+	"moleshift/rights"
 	"moleshift/shardmap"
 )
 
@@ -41,10 +42,11 @@
 	gate  *gate
 	list  *list
 
-	sharing   *sharing   // nil unless instances know one another
-	recording *recording // nil unless what is served is recorded
-	ranging   *ranging   // nil unless shards are ranges of a map that changes
-	searching *searching // nil unless searches are taken in the form of OpenSearch
+	sharing   *sharing       // nil unless instances know one another
+	recording *recording     // nil unless what is served is recorded
+	ranging   *ranging       // nil unless shards are ranges of a map that changes
+	rights    *rights.Driver // nil unless there are rights that one instance holds
+	searching *searching     // nil unless searches are taken in the form of OpenSearch
 
 	root    *choice.Root
 	now     choice.Time // of this turn
@@ -456,6 +458,9 @@
 	from := q.from
 	o.record(q, r.final())
 	r.hold = q.hold
+	if r.status != servedStatus && o.rights != nil {
+		o.rights.Suffers()
+	}
 	if r.status == servedStatus && from.place != nil {
 		o.gate.answered(from.place, q.q.Tenant)
 	}
@@ -505,7 +510,17 @@
 		return
 	}
 	o.phase.move(Draining)
-	if o.sharing != nil {
+	if o.rights != nil { // it needs the others until all is handed on
+		o.rights.Leave()
+		o.group.Go(func() error {
+			select {
+			case <-o.rights.Ended():
+			case <-o.ctx.Done():
+			}
+			o.post(o.ctx, func(o *owner) { o.sharing.leave() })
+			return nil
+		})
+	} else if o.sharing != nil {
 		o.sharing.leave()
 	}
 	o.keepUntil = o.now + tenths(o.cfg.KeepFor)
--- /dev/null
+++ b/router/rights.go
@@ -0,0 +1,83 @@
+package router
+
+// rights.go owns how this instance's rights hang together with the rest: their messages among those of the instances, their jobs by
+// the settings. It must never have the owner wait for them.
+
+import (
+	"sync/atomic"
+	"time"
+
+	"moleshift/config"
+	"moleshift/duty"
+	"moleshift/lease"
+	"moleshift/member"
+	"moleshift/rights"
+	"moleshift/work"
+)
+
+const (
+	everyDefault    = time.Minute
+	deadlineDefault = 10 * time.Second
+)
+
+// split gives messages on rights to their driver, once there is one, and all others to the duties.
+type split struct {
+	member.Handler
+	rights atomic.Pointer[rights.Driver]
+}
+
+// Message is part of member.Handler.
+func (s *split) Message(b []byte) {
+	if len(b) == 0 || b[0] != rights.Mark {
+		s.Handler.Message(b)
+	} else if d := s.rights.Load(); d != nil {
+		d.Message(b)
+	}
+}
+
+// holdRights starts the driver of the rights.
+func (p *program) holdRights(handler *split) error {
+	o := p.owner
+	m, l := &o.cfg.More.Members, &o.cfg.More.Leases
+	seat, err := m.SeatOf(o.cfg.Name)
+	if err != nil {
+		return err
+	}
+	set := rights.Settings{State: l.State, Cluster: m.Cluster, Name: o.cfg.Name,
+		Lease: lease.Settings{Seat: seat, Size: m.Seats, Skew: duty.Time(tenths(m.Skew)), Lease: duty.Time(tenths(m.Lease)),
+			Beat: duty.Time(tenths(m.Lease)) / beatsInLease, Seed: o.cfg.Seed},
+		Limits: work.Settings{Calls: l.Calls, Bytes: l.Bytes, Concurrent: l.Concurrent}}
+	for i := range l.Rights {
+		set.Rights = append(set.Rights, rightOf(&l.Rights[i], o.cfg.Name))
+	}
+	d, err := rights.New(set, o.sharing.peers, p.log)
+	if err != nil {
+		return err
+	}
+	o.rights = d
+	handler.rights.Store(d)
+	p.group.Go(func() error { return d.Run(p.ctx) })
+	return nil
+}
+
+// rightOf is a right with its job, as the settings have it.
+func rightOf(r *config.Right, instance string) rights.Right {
+	every, deadline := r.Every, r.Deadline
+	if every == 0 {
+		every = everyDefault
+	}
+	if deadline == 0 {
+		deadline = deadlineDefault
+	}
+	one := rights.Right{Right: lease.Right{Name: r.Name, Paused: r.Paused},
+		Job: work.Job{Name: r.Name, Priority: r.Priority, Every: duty.Time(tenths(every)), Deadline: duty.Time(tenths(deadline))}}
+	switch {
+	case r.Hook != "":
+		one.Do = rights.Hook(r.Hook, instance)
+	case r.Captures != "":
+		one.Do = rights.Captures(r.Captures)
+	case r.Snapshot != "":
+		one.Do = rights.Snapshot(r.Snapshot)
+	}
+	return one
+}
--- a/router/router.go
+++ b/router/router.go
@@ -117,8 +117,10 @@
 func (p *program) more() error {
 	cfg := p.owner.cfg.More
 	if cfg.Members.Enabled {
+		var handler *split
 		err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
-			m, err := member.Start(set, h, nil, p.log)
+			handler = &split{Handler: h}
+			m, err := member.Start(set, handler, nil, p.log)
 			if err != nil {
 				return nil, err
 			}
@@ -128,6 +130,11 @@
 		if err != nil {
 			return err
 		}
+		if cfg.Leases.Enabled {
+			if err := p.holdRights(handler); err != nil {
+				return err
+			}
+		}
 	}
 	if c := cfg.Capture; c.Enabled {
 		rec, err := capture.NewRecorder(capture.Settings{Dir: c.Dir, Router: p.owner.cfg.Name, Shards: p.owner.cfg.Settings.Module.Shards,
--- a/work/work.go
+++ b/work/work.go
@@ -89,6 +89,7 @@
 	mostState   = 768
 	firstWait   = 1000 * lease.Millisecond // after a failure
 	longestWait = 10 * 60 * 1000 * lease.Millisecond
+	quietFor    = 2000 * lease.Millisecond
 	firstAside  = 4000 * lease.Millisecond // then, twice as long each time
 )
 
@@ -140,7 +141,7 @@
 	port  Port
 	now   Time
 	jobs  []*job // by name
-	quiet bool
+	quiet Time   // until then no step begins
 	calls *rate.Limiter
 	bytes *rate.Limiter
 	cpu   *rate.Limiter // in units of 0.1 ms
@@ -194,10 +195,10 @@
 // wall is the time for the limiters.
 func wall(t Time) time.Time { return time.UnixMicro(int64(t) * 100) }
 
-// Quiet has no step begin while queries suffer.
-func (s *Scheduler) Quiet(now Time, quiet bool) {
+// Suffers is told that a query suffers: no step begins for a while.
+func (s *Scheduler) Suffers(now Time) {
 	s.enter(now)
-	s.quiet = quiet
+	s.quiet = s.now + quietFor
 }
 
 // Gained is told when the right of a job is this instance's, under a token, or goes on under a greater one.
@@ -382,8 +383,8 @@
 		switch {
 		case j.phase == running && !j.over:
 			next = min(next, j.begun+j.Deadline)
-		case j.phase == waiting && !s.quiet && busy < s.set.Concurrent:
-			next = min(next, j.at)
+		case j.phase == waiting && busy < s.set.Concurrent:
+			next = min(next, max(j.at, s.quiet))
 		}
 	}
 	if next <= s.now {
@@ -412,7 +413,7 @@
 			s.port.Cancel(j.Name)
 		}
 	}
-	for !s.quiet && s.busy() < s.set.Concurrent {
+	for s.now >= s.quiet && s.busy() < s.set.Concurrent {
 		if ok, _ := s.affords(); !ok {
 			return
 		}
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -146,11 +146,16 @@
 	if runs["top"] <= runs["low"] {
 		t.Errorf("%v", runs)
 	}
-	d.s.Quiet(d.now, true)
-	d.pass(10 * sec)
+	for range 10 {
+		d.s.Suffers(d.now)
+		d.pass(sec)
+	}
 	if len(d.steps) > 0 {
 		t.Error("a step began while queries suffered")
 	}
+	if d.pass(2 * sec); len(d.steps) == 0 {
+		t.Error("none began afterwards")
+	}
 }
 
 // A step over its deadline is cancelled; failures wait longer each time.
