--- a/cmd/molelab/leases.go
+++ b/cmd/molelab/leases.go
@@ -3,9 +3,11 @@
 // leases.go owns the flags of `molelab leases`. It must hold no part of the game itself.
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -13,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"moleshift/lab/leases"
+	"moleshift/lab/processes"
 )
 
 type leasesCmd struct {
@@ -28,6 +31,11 @@
 	Seed      uint64        `default:"1" help:"Of all that is drawn."`
 	Seeds     int           `default:"1" help:"Runs, each with the next seed; all are summed up."`
 	Story     string        `help:"Tell what led to the longest time without a holder after faults of a kind, such as sigterm; all for any."`
+	Processes int           `help:"Play with so many real routers on loopback instead, and real faults; --for is then a minute where it is not given."`
+	Router    string        `default:"bin/moleshift-lab" help:"With --processes: the routers' program."`
+	Timeline  string        `help:"With --processes: a YAML file of faults, instead of drawn ones."`
+	Every     time.Duration `default:"250ms" help:"With --processes: between two steps of a job."`
+	Logs      bool          `help:"With --processes: leave the routers' files and logs, and tell where."`
 	Sweep     bool          `help:"Each run has from 5 to 160 instances and up to 10% of loss, by its seed."`
 }
 
@@ -55,6 +63,9 @@
 
 // Run plays the runs, several at a time, and tells of them in order.
 func (c *leasesCmd) Run() error {
+	if c.Processes > 0 {
+		return c.processes()
+	}
 	results := make([]*leases.Result, c.Seeds)
 	var group errgroup.Group
 	group.SetLimit(min(runtime.GOMAXPROCS(0), c.Seeds))
@@ -85,3 +96,42 @@
 	}
 	return nil
 }
+
+// processes plays with real routers, one run after the other.
+func (c *leasesCmd) processes() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	o := processes.Options{Program: c.Router, Instances: c.Processes, Rights: c.Rights, For: c.For, Faults: c.Faults, Lease: c.Lease,
+		Skew: c.Skew, Every: c.Every, Link: processes.Link{Loss: c.Loss}, Seed: c.Seed,
+		Tell: func(line string) { fmt.Fprintln(os.Stderr, line) }}
+	if c.Logs {
+		o.Keep = "yes"
+	}
+	if c.Timeline != "" {
+		var err error
+		if o.Timeline, err = processes.ReadTimeline(c.Timeline, c.Processes); err != nil {
+			return err
+		}
+	}
+	var sum *processes.Result
+	for n := range c.Seeds {
+		o.Seed = c.Seed + uint64(n)
+		r, err := processes.Run(ctx, o)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", o.Seed, err)
+		}
+		if c.Logs {
+			fmt.Fprintln(os.Stderr, "files and logs:", r.Dir)
+		}
+		if r.Bad() && c.Seeds > 1 {
+			r.Table(os.Stdout)
+		}
+		sum = sum.Plus(r)
+	}
+	sum.Table(os.Stdout)
+	fmt.Println(sum.JSON())
+	if sum.Bad() {
+		return errBroken
+	}
+	return nil
+}
--- a/member/member.go
+++ b/member/member.go
@@ -146,7 +146,15 @@
 		}
 		c.Keyring = m.keys
 	}
+	if transport == nil {
+		if c.Transport, err = listen(c); err != nil {
+			return nil, err
+		}
+	}
 	if m.list, err = memberlist.Create(c); err != nil {
+		if transport == nil {
+			c.Transport.Shutdown() // it was opened just now
+		}
 		return nil, fmt.Errorf("members.listen: %w", err)
 	}
 	m.workers.Go(m.send)
