--- a/cmd/molelab/leases.go
+++ b/cmd/molelab/leases.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"moleshift/lab/leases"
+	"moleshift/lab/plant"
 	"moleshift/lab/processes"
 )
 
@@ -36,6 +37,8 @@
 	Timeline  string        `help:"With --processes: a YAML file of faults, instead of drawn ones."`
 	Every     time.Duration `default:"250ms" help:"With --processes: between two steps of a job."`
 	Logs      bool          `help:"With --processes: leave the routers' files and logs, and tell where."`
+	Plant     string        `help:"Plant a known fault (all: one after the other) and see whether it is caught; needs the go command and the source."`
+	Source    string        `default:"." help:"With --plant: the root of the source."`
 	Sweep     bool          `help:"Each run has from 5 to 160 instances and up to 10% of loss, by its seed."`
 }
 
@@ -63,6 +66,9 @@
 
 // Run plays the runs, several at a time, and tells of them in order.
 func (c *leasesCmd) Run() error {
+	if c.Plant != "" {
+		return c.plant()
+	}
 	if c.Processes > 0 {
 		return c.processes()
 	}
@@ -97,6 +103,34 @@
 	return nil
 }
 
+// plant looks for planted faults.
+func (c *leasesCmd) plant() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	o := plant.Options{Root: c.Source, Seeds: max(c.Seeds, 20), Only: c.Plant}
+	if o.Only == "all" {
+		o.Only = ""
+	}
+	all, err := plant.Run(ctx, o, func(line string) { fmt.Fprintln(os.Stderr, line) })
+	if err != nil {
+		return err
+	}
+	plant.Table(os.Stdout, all)
+	missed := 0
+	for _, one := range all {
+		if one.By == "" {
+			missed++
+		}
+	}
+	if err := sayJSON(map[string]any{"planted": len(all), "missed": missed, "faults": all}); err != nil {
+		return err
+	}
+	if missed > 0 {
+		return errBroken
+	}
+	return nil
+}
+
 // processes plays with real routers, one run after the other.
 func (c *leasesCmd) processes() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
--- a/lab/leases/judge.go
+++ b/lab/leases/judge.go
@@ -49,7 +49,8 @@
 	elections int
 	rested    int
 
-	twoHolders, stale, back, skipped, twice, jobsLost int
+	twoHolders, stale, back, skipped, again, jobsLost int
+	over                                              int
 	refused                                           int
 	worst                                             string
 	worstStory                                        string
@@ -108,6 +109,18 @@
 	}
 }
 
+// acting: the instance begins an effect in the belief that the right is its own.
+func (j *judge) acting(i *instance, right string) {
+	for _, other := range j.w.instances {
+		if other == i || other.node == nil {
+			continue
+		}
+		if t, until := other.node.Peek(right); t != 0 && until > other.clock(j.w.now) {
+			j.broken(&j.twoHolders, "instance %d acts under %s, which instance %d holds (token %v)", i.seat, right, other.seat, t)
+		}
+	}
+}
+
 func (j *judge) gained(i *instance, right string, t lease.Token) {
 	x := j.watches[right]
 	j.say("instance %d has %s, token %v", i.seat, right, t)
@@ -119,6 +132,9 @@
 		x.gap = nil
 		if j.alonesAt < g.from && j.majority {
 			j.sample(g.kind, j.w.now-g.from, right)
+			if most := 2*Tenths(j.w.o.Lease) + 8*Tenths(j.w.o.Lease)/beats; j.w.now-g.from > most {
+				j.broken(&j.over, "%s had no holder for %d ms though a majority was there", right, (j.w.now-g.from)/lease.Millisecond)
+			}
 		}
 	}
 }
@@ -228,6 +244,9 @@
 	}
 	x.taken, x.last = max(t, x.taken), j.w.now
 	x.effects++
+	if number < x.number && j.w.o.Diskless == 0 { // the step last run may come once more, and none before it
+		j.broken(&j.again, "%s: step %d after step %d: what was kept has been lost", right, number, x.number)
+	}
 	switch {
 	case number <= x.number: // it is done
 	case number == x.number+1:
--- a/lab/leases/run.go
+++ b/lab/leases/run.go
@@ -21,6 +21,8 @@
 	Back       int     `json:"tokens_back"`
 	JobsLost   int     `json:"jobs_lost"`
 	Skipped    int     `json:"steps_skipped"`
+	Again      int     `json:"steps_again"` // that had been done before the last one
+	Over       int     `json:"gaps_over"`   // times without a holder of over two leases and eight beats, with a majority there
 	P50        float64 `json:"gap_ms_p50"`
 	P99        float64 `json:"gap_ms_p99"`
 	Most       float64 `json:"gap_ms_most"`
@@ -45,7 +47,7 @@
 
 // Broken tells whether a bound was broken.
 func (r *Result) Broken() bool {
-	return r.TwoHolders+r.Stale+r.Back+r.JobsLost+r.Skipped > 0
+	return r.TwoHolders+r.Stale+r.Back+r.JobsLost+r.Skipped+r.Again+r.Over > 0
 }
 
 // Run plays one run in virtual time.
@@ -56,7 +58,7 @@
 		return nil, w.err
 	}
 	j := w.judge
-	r := &Result{TwoHolders: j.twoHolders, Stale: j.stale, Back: j.back, JobsLost: j.jobsLost, Skipped: j.skipped, Seed: o.Seed,
+	r := &Result{TwoHolders: j.twoHolders, Stale: j.stale, Back: j.back, JobsLost: j.jobsLost, Skipped: j.skipped, Again: j.again, Over: j.over, Seed: o.Seed,
 		Options: o, ByKind: j.faults, Gaps: j.gaps, Refused: j.refused, Elections: j.elections, Rested: j.rested, Worst: j.worst,
 		Story: j.worstStory, Runs: 1}
 	for _, n := range j.faults {
@@ -99,6 +101,7 @@
 	r.Messages, r.Bytes, r.CPU = mean(r.Messages, o.Messages), mean(r.Bytes, o.Bytes), mean(r.CPU, o.CPU)
 	r.TwoHolders, r.Stale, r.Back = r.TwoHolders+o.TwoHolders, r.Stale+o.Stale, r.Back+o.Back
 	r.JobsLost, r.Skipped, r.Faults = r.JobsLost+o.JobsLost, r.Skipped+o.Skipped, r.Faults+o.Faults
+	r.Again, r.Over = r.Again+o.Again, r.Over+o.Over
 	r.Effects, r.Refused, r.Elections = r.Effects+o.Effects, r.Refused+o.Refused, r.Elections+o.Elections
 	r.Rested, r.Runs = r.Rested+o.Rested, r.Runs+o.Runs
 	for kind, times := range o.ByKind {
@@ -149,8 +152,8 @@
 	fmt.Fprintf(out, "elections %d, effects %d, refused by the receiver's fence %d, rights that rested %d\n", r.Elections, r.Effects,
 		r.Refused, r.Rested)
 	fmt.Fprintf(out, "an instance: %.1f messages a second, %.0f bytes a second, %.0f us of CPU a second\n", r.Messages, r.Bytes, r.CPU)
-	fmt.Fprintf(out, "two holders %d, stale effects %d, tokens back %d, jobs lost %d, steps skipped %d\n", r.TwoHolders, r.Stale, r.Back,
-		r.JobsLost, r.Skipped)
+	fmt.Fprintf(out, "two holders %d, stale effects %d, tokens back %d, jobs lost %d, steps skipped %d, steps again %d, gaps over the aim %d\n", r.TwoHolders,
+		r.Stale, r.Back, r.JobsLost, r.Skipped, r.Again, r.Over)
 	for _, s := range r.Stories {
 		fmt.Fprintln(out, s)
 	}
--- a/lab/leases/world.go
+++ b/lab/leases/world.go
@@ -408,6 +408,7 @@
 		did(work.Result{Err: "the right is gone"})
 		return
 	}
+	w.judge.acting(i, s.Job)
 	think := 10 + w.random(300)
 	if w.rng.Float64() < 0.05 { // longer than a lease
 		think = w.random(2 * Tenths(w.o.Lease))
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -196,6 +196,48 @@
 	}
 }
 
+// A holder's first word to a seat closes it to all before, though nothing has been kept yet.
+func TestFirstWordClosesTheChest(t *testing.T) {
+	tb := three(t, "a")
+	s, id := tb.seats[0], tb.seats[0].n.right("a").id
+	far := tokenOf(1<<41, 0)
+	from := func(kind Kind, token Token) {
+		s.n.Hear(tb.now, &Message{Kind: kind, Seat: 1, Size: 3, Boot: tb.seats[1].n.elect.Boot(), Slip: &Slip{Right: id, Token: token, Seq: 1,
+			Value: []byte("x")}})
+	}
+	from(Fetch, far)
+	from(Store, far-1)
+	if k := s.mem.Kept["a"]; k.Floor != far || string(k.Value) == "x" {
+		t.Errorf("kept %+v", k)
+	}
+	from(Store, far)
+	if k := s.mem.Kept["a"]; string(k.Value) != "x" || k.By != far {
+		t.Errorf("kept %+v", k)
+	}
+}
+
+// A leader that hears nobody, but is heard by all, must not bind the others' votes by asking for them again and again.
+func TestDeafLeaderIsFollowed(t *testing.T) {
+	for seed := range 12 {
+		tb := sit(t, 5, "a")
+		tb.pass(2500 + 40*seed)
+		var lead *seat
+		for _, s := range tb.seats {
+			if s.n.elect.Role() == Leading {
+				lead = s
+			}
+		}
+		tb.lost = func(_, to int, _ *Message) bool { return to == lead.seat }
+		tb.pass(2400)
+		for range 60 {
+			tb.pass(50)
+			if h := tb.holder("a"); h < 0 || h == lead.seat {
+				t.Fatalf("after %d ms more: seat %d holds it; seat %d is deaf and %v", 40*seed, h, lead.seat, lead.n.elect.Role())
+			}
+		}
+	}
+}
+
 // A leader that is told to end hands on its rights and then its lease, and holders keep theirs.
 func TestLeaderLeaves(t *testing.T) {
 	tb := three(t, "a", "b", "c")
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -116,8 +116,10 @@
 	d.gain("x", 2)
 	d.pass(sec / 10)
 	d.s.Lost(d.now, "x", 2)
-	d.gain("x", 3)
 	d.said = nil
+	d.gain("x", 3)
+	d.pass(sec / 10)
+	d.expect(t) // nothing more runs as yet
 	d.s.Did(d.now, "x", 2, Result{})
 	d.pass(sec / 10)
 	d.expect(t, "run x 1 try 3")
