One record, not two, between steps that follow one another soon

Cause: each step of a job had its end and the next one's beginning recorded apart, at every seat.

Change: where the next step comes within a second, the record of the end already counts it as begun.

--- a/work/work.go
+++ b/work/work.go
@@ -89,6 +89,7 @@
 	mostState   = 768
 	firstWait   = 1000 * lease.Millisecond // after a failure
 	longestWait = 10 * 60 * 1000 * lease.Millisecond
+	shortWait   = 1000 * lease.Millisecond // between steps: a holder that dies in it counts as if the step had begun
 	quietFor    = 2000 * lease.Millisecond
 	firstAside  = 4000 * lease.Millisecond // then, twice as long each time
 )
@@ -125,6 +126,8 @@
 	token  lease.Token
 	next   lease.Token // regained while the step of an earlier token ran
 	opened *[]byte     // what was kept, if that came already
+	early  bool        // the next step was marked as the last one ended
+	marked bool        // and that is kept
 	mark   mark
 	at     Time // when its next step is due
 	begun  Time
@@ -215,7 +218,7 @@
 		}
 		return
 	}
-	j.phase, j.token, j.next = opening, t, 0
+	j.phase, j.token, j.next, j.early, j.marked = opening, t, 0, false, false
 }
 
 // Lost is told when the work must stop.
@@ -280,11 +283,19 @@
 func (s *Scheduler) Saved(now Time, name string, t lease.Token) {
 	s.enter(now)
 	j := s.job(name)
+	if j != nil && j.phase == waiting && j.early && j.token == t {
+		j.marked = true
+	}
 	if j == nil || j.phase != marking || j.token != t {
 		return
 	}
+	s.run(j)
+}
+
+func (s *Scheduler) run(j *job) {
+	j.early, j.marked = false, false
 	j.phase, j.begun, j.over = running, s.now, false
-	s.port.Run(Step{Job: name, Token: t, Number: j.mark.Number, Try: j.mark.Tries, State: j.mark.State, Deadline: s.now + j.Deadline})
+	s.port.Run(Step{Job: j.Name, Token: j.token, Number: j.mark.Number, Try: j.mark.Tries, State: j.mark.State, Deadline: s.now + j.Deadline})
 }
 
 // Did tells how a step ended.
@@ -325,15 +336,16 @@
 		j.phase = idle
 		s.port.Released(name)
 	case j.next != 0: // what this step has done is kept by its number alone; the next holder, this one, repeats it
-		j.phase, j.token, j.next = opening, j.next, 0
+		j.phase, j.token, j.next, j.early, j.marked = opening, j.next, 0, false, false
 		if j.opened != nil {
 			s.opened(j, *j.opened)
 		}
 	default:
 		j.phase, j.at = waiting, s.now+wait
-		if wait > 0 { // the next holder is to know of it
-			s.keep(j)
+		if j.early = wait <= shortWait; j.early { // one record tells of the end of a step and of the next one's beginning
+			j.mark.Tries++
 		}
+		s.keep(j)
 	}
 }
 
@@ -428,6 +440,12 @@
 			return
 		}
 		pick.phase = marking
+		if pick.early {
+			if pick.marked {
+				s.run(pick)
+			}
+			continue // Saved is still to come
+		}
 		pick.mark.Tries++
 		pick.mark.Rest = 0
 		s.keep(pick)
