--- a/config/config.go
+++ b/config/config.go
@@ -250,6 +250,8 @@
 	n.Discovery, n.Log, n.Limits = to.Discovery, to.Log, to.Limits
 	more := *c.More
 	more.Duties, more.Admission, more.Memory = to.More.Duties, to.More.Admission, to.More.Memory
+	more.Leases = to.More.Leases
+	more.Leases.Enabled, more.Leases.State = c.More.Leases.Enabled, c.More.Leases.State
 	n.More = &more
 	keys := func(checks ...check) (changed []string) {
 		for _, k := range checks {
@@ -270,6 +272,7 @@
 				!reflect.DeepEqual(n.More.Admission, c.More.Admission),
 			},
 			check{"memory", n.More.Memory != c.More.Memory},
+			check{"leases", !reflect.DeepEqual(n.More.Leases, c.More.Leases)},
 		),
 		keys(
 			check{"name", to.Name != c.Name},
@@ -281,6 +284,8 @@
 				to.More.Admin != c.More.Admin,
 			},
 			check{"capture", to.More.Capture != c.More.Capture},
+			check{"leases.enabled", to.More.Leases.Enabled != c.More.Leases.Enabled},
+			check{"leases.state", to.More.Leases.State != c.More.Leases.State},
 			check{"shards", to.More.Shards != c.More.Shards},
 			check{"opensearch", !reflect.DeepEqual(to.More.OpenSearch, c.More.OpenSearch)},
 		)
--- a/lease/chest.go
+++ b/lease/chest.go
@@ -141,7 +141,7 @@
 		}
 		r.kept = k
 	}
-	return &Slip{Right: r.id, Token: s.Token, By: r.kept.By, Seq: r.kept.Seq, Value: r.kept.Value, Forgot: n.forgot && r.kept.By == 0}
+	return &Slip{Right: r.id, Token: s.Token, By: r.kept.By, Seq: r.kept.Seq, Value: r.kept.Value, Forgot: n.forgot && !r.fresh}
 }
 
 // put keeps a value.
@@ -157,7 +157,7 @@
 	if !n.port.Keep(r.Name, k) {
 		return false
 	}
-	r.kept = k
+	r.kept, r.fresh = k, true
 	return true
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -111,9 +111,10 @@
 	entry Entry // as the leader told last
 	at    Time  // and when
 
-	post post  // as this instance, leading, has it
-	kept Kept  // by this seat
-	open chest // the holder's side
+	post  post  // as this instance, leading, has it
+	kept  Kept  // by this seat
+	fresh bool  // since its start
+	open  chest // the holder's side
 }
 
 // Node is one instance's part in all rights. Its methods are called one at a time.
@@ -163,7 +164,7 @@
 type Memory struct {
 	Floor  uint64 // the last reign promised
 	Kept   map[string]Kept
-	Forgot bool // there is no such memory: this may be a first start, or all was lost
+	Forgot bool // there is no such memory, or a part of it is lost: this may be a first start
 }
 
 // New starts a node. For as long as a vote of its predecessor may hold it votes for nobody, whatever was kept.
--- a/rights/driver.go
+++ b/rights/driver.go
@@ -96,22 +96,14 @@
 // New opens the file of promises, and joins nobody yet.
 func New(set Settings, peers Peers, log zerolog.Logger) (*Driver, error) {
 	d := &Driver{set: set, log: log, peers: peers, codec: lease.NewCodec(), base: time.Now(),
-		queue: make(chan func(lease.Time), queueLength), tasks: map[string]*running{}, rights: map[string]Right{},
+		queue: make(chan func(lease.Time), queueLength), tasks: map[string]*running{},
 		ended: make(chan struct{})}
 	var err error
 	if d.memory, err = openMemory(set.State, set.Cluster, set.Lease.Seat, log); err != nil {
 		return nil, err
 	}
 	now := d.now()
-	var rights []lease.Right
-	var jobs []work.Job
-	for _, r := range set.Rights {
-		rights = append(rights, r.Right)
-		d.rights[r.Name] = r
-		if r.Do != nil {
-			jobs = append(jobs, r.Job)
-		}
-	}
+	rights, jobs := d.list(set.Rights)
 	if d.node, err = lease.New(set.Lease, rights, d.memory.memory(), (*port)(d), now); err != nil {
 		d.memory.close()
 		return nil, fmt.Errorf("leases.rights: %w", err)
@@ -122,6 +114,42 @@
 	return d, nil
 }
 
+// list is what the node and the scheduler are told of rights.
+func (d *Driver) list(all []Right) (rights []lease.Right, jobs []work.Job) {
+	d.rights = map[string]Right{}
+	for _, r := range all {
+		rights = append(rights, r.Right)
+		d.rights[r.Name] = r
+		if r.Do != nil {
+			jobs = append(jobs, r.Job)
+		}
+	}
+	return rights, jobs
+}
+
+// Reload follows new settings: rights that are new, gone or paused, other jobs, other limits. Steps that run end first.
+func (d *Driver) Reload(all []Right, limits work.Settings) {
+	told := func(now lease.Time) {
+		rights, jobs := d.list(all)
+		if err := d.node.SetRights(now, rights); err != nil {
+			d.log.Error().Err(err).Msg("rights not taken over, the old ones stand")
+			return
+		}
+		d.follow(now)
+		for name, t := range d.tasks {
+			if d.rights[name].Do == nil {
+				t.cancel()
+			}
+		}
+		d.sched.SetJobs(jobs)
+		d.sched.SetLimits(limits)
+	}
+	select {
+	case d.queue <- told:
+	case <-d.ended:
+	}
+}
+
 // now reads the clock: tenths of a millisecond of Unix time that only move forward.
 func (d *Driver) now() lease.Time {
 	return lease.Time((d.base.UnixMicro() + time.Since(d.base).Microseconds() + clockOffset.Microseconds()) / 100)
--- a/rights/memory.go
+++ b/rights/memory.go
@@ -1,38 +1,62 @@
 package rights
 
-// memory.go owns the file in which a seat's promises outlive its process: bbolt, as each promise is a small write of its own that
-// must be whole or not there, which a file written anew each time would make as long as all that is kept. It must never say that
-// something is recorded before the disk has said so, and never read promises of another seat as its own.
+// memory.go owns the file in which a seat's promises outlive its process: a journal, each record with its length and checksum, appended
+// and on the disk before it counts, written anew now and then with what still matters. (bbolt was tried: it maps the file and trusts its
+// pages, and ended the process with a fault on one of the first damaged files that it was given.) It must never say that something is
+// recorded before the disk has said so, never read promises of another seat as its own, and never believe a damaged file.
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
+	"maps"
 	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
-	bolt "go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
 	"moleshift/lease"
 )
 
-var (
-	seatBucket  = []byte("seat")
-	keptBucket  = []byte("kept")
-	whoseKey    = []byte("whose")
-	floorKey    = []byte("floor")
-	openWithin  = 2 * time.Second // for another process to let the file go
-	filePages   = os.FileMode(0o600)
+const (
+	memoryMark  = "moleshift promises 1\n"
+	recordHead  = 4 + 8 // length, checksum
+	mostRecord  = 8 << 10
+	leastRewrit = 256 << 10 // bytes before the file is written anew
+	overLive    = 4         // and times what would then be in it
+	lockSuffix  = ".lock"
 	damagedName = ".damaged-"
+	lockRetry   = 20 * time.Millisecond
 )
 
+var openWithin = 2 * time.Second // for another process to let the file go
+
+// record is one line of the journal. The first says whose it is.
+type record struct {
+	_ struct{} `cbor:",toarray"`
+
+	Whose string
+	Floor uint64
+	Right string
+	Kept  *lease.Kept
+}
+
 // memory is the file. Without one nothing outlives the process, and each recording succeeds.
 type memory struct {
-	db  *bolt.DB
-	mem lease.Memory
+	path  string
+	whose string
+	lock  *os.File
+	f     *os.File
+	size  int64 // of what is whole
+	torn  bool  // behind it may be a part of a record
+	mem   lease.Memory
 }
 
 // openMemory opens the file, or makes it. One that is damaged is set aside and a new one begun: the seat then stands as one that
@@ -41,139 +65,235 @@
 	if path == "" {
 		return &memory{mem: lease.Memory{Forgot: true}}, nil
 	}
-	whose := fmt.Sprintf("%s/%d", cluster, seat)
-	m, err := readMemory(path, whose)
-	var damaged *damage
-	if errors.As(err, &damaged) {
-		aside := path + damagedName + time.Now().UTC().Format("20060102T150405.000")
-		log.Error().Err(err).Str("moved_to", aside).Msg("the file of promises is damaged: this seat begins as one that remembers nothing")
-		if err := os.Rename(path, aside); err != nil {
-			return nil, fmt.Errorf("leases.state: %w", err)
-		}
-		m, err = readMemory(path, whose)
-	}
-	if err != nil {
+	m := &memory{path: path, whose: fmt.Sprintf("%s/%d", cluster, seat)}
+	if err := m.open(log); err != nil {
+		m.close()
 		return nil, fmt.Errorf("leases.state: %w", err)
 	}
 	return m, nil
 }
 
-// damage is a file that can't be what was written.
-type damage struct{ what any }
+// errDamaged says that a file can't be what was written.
+var errDamaged = errors.New("the file of promises is damaged")
 
-func (d *damage) Error() string { return fmt.Sprintf("damaged: %v", d.what) }
-
-func readMemory(path, whose string) (m *memory, err error) {
-	info, statErr := os.Stat(path)
-	fresh := errors.Is(statErr, os.ErrNotExist)
-	if statErr == nil && info.Size() == 0 { // the disk was full as it was made
-		return nil, &damage{"the file is empty"}
+func (m *memory) open(log zerolog.Logger) error {
+	var err error
+	if m.lock, err = os.OpenFile(m.path+lockSuffix, os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		return err
 	}
-	m = &memory{mem: lease.Memory{Kept: map[string]lease.Kept{}, Forgot: fresh}}
-	defer func() { // bbolt answers some damage with a panic
-		if v := recover(); v != nil {
-			m.close()
-			m, err = nil, &damage{v}
+	for end := time.Now().Add(openWithin); ; time.Sleep(lockRetry) {
+		if err = syscall.Flock(int(m.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			break
 		}
-	}()
-	m.db, err = bolt.Open(path, filePages, &bolt.Options{Timeout: openWithin})
-	switch {
-	case errors.Is(err, bolterrors.ErrTimeout):
-		return nil, fmt.Errorf("%s: another process has it", path)
-	case errors.Is(err, os.ErrPermission), fresh && err != nil:
-		return nil, err
-	case err != nil:
-		return nil, &damage{err}
+		if !errors.Is(err, syscall.EWOULDBLOCK) || time.Now().After(end) {
+			return fmt.Errorf("%s: another process has it: %w", m.path, err)
+		}
+	}
+	raw, err := os.ReadFile(m.path)
+	if err == nil {
+		err = m.read(raw)
 	}
-	err = m.db.View(func(tx *bolt.Tx) error {
-		for problem := range tx.Check() {
-			return &damage{problem}
+	if errors.Is(err, errDamaged) {
+		aside := m.path + damagedName + time.Now().UTC().Format("20060102T150405.000000")
+		log.Error().Err(err).Str("moved_to", aside).Msg("the file of promises is damaged: this seat begins as one that remembers nothing")
+		if err := os.Rename(m.path, aside); err != nil {
+			return err
 		}
-		return m.read(tx, whose)
-	})
+		err = os.ErrNotExist
+	}
+	if errors.Is(err, os.ErrNotExist) {
+		m.mem = lease.Memory{Kept: map[string]lease.Kept{}, Forgot: true}
+		return m.rewrite()
+	}
 	if err != nil {
-		m.close()
-		return nil, err
+		return err
 	}
-	if fresh {
-		err = m.db.Update(func(tx *bolt.Tx) error {
-			b, err := tx.CreateBucketIfNotExists(seatBucket)
-			if err != nil {
-				return err
-			}
-			if _, err := tx.CreateBucketIfNotExists(keptBucket); err != nil {
-				return err
+	if m.f, err = os.OpenFile(m.path, os.O_RDWR, 0o600); err != nil {
+		return err
+	}
+	return m.mend()
+}
+
+// read takes what is there. A record that ends the file and is not whole is cut off, as one that the machine went down in was never
+// counted on; but the file may as well have lost its end, so the seat stands as one that has forgotten. Anything else that is not as
+// written makes the whole file doubtful.
+func (m *memory) read(raw []byte) error {
+	m.mem = lease.Memory{Kept: map[string]lease.Kept{}}
+	rest, found := bytes.CutPrefix(raw, []byte(memoryMark))
+	if !found {
+		return fmt.Errorf("%w: it does not begin as one", errDamaged)
+	}
+	for n := 0; len(rest) > 0; n++ {
+		at := len(raw) - len(rest)
+		if len(rest) < recordHead {
+			break
+		}
+		length := int(binary.BigEndian.Uint32(rest))
+		if length > mostRecord {
+			return fmt.Errorf("%w: a record of %d bytes at %d", errDamaged, length, at)
+		}
+		if len(rest) < recordHead+length {
+			break
+		}
+		body := rest[recordHead : recordHead+length]
+		var r record
+		if xxhash.Sum64(body) != binary.BigEndian.Uint64(rest[4:]) || cbor.Unmarshal(body, &r) != nil {
+			if len(rest) == recordHead+length { // the last one: the disk may have kept a part of it
+				break
 			}
-			return b.Put(whoseKey, []byte(whose))
-		})
-		if err != nil {
-			m.close()
-			os.Remove(path) // made just now
-			return nil, err
+			return fmt.Errorf("%w: the record at %d is not as written", errDamaged, at)
+		}
+		switch {
+		case n == 0 && r.Whose != m.whose:
+			return fmt.Errorf("%s is the file of seat %q, this one is %q: a file must not be copied from one seat to another", m.path, r.Whose,
+				m.whose)
+		case r.Kept != nil:
+			m.mem.Kept[r.Right] = *r.Kept
 		}
+		m.mem.Floor = max(m.mem.Floor, r.Floor)
+		rest = rest[recordHead+length:]
 	}
-	return m, nil
+	if m.size = int64(len(raw) - len(rest)); m.size <= int64(len(memoryMark)) {
+		return fmt.Errorf("%w: it does not say whose it is", errDamaged)
+	}
+	m.torn = len(rest) > 0
+	m.mem.Forgot = m.torn
+	return nil
 }
 
-// read takes what is there.
-func (m *memory) read(tx *bolt.Tx, whose string) error {
-	b, kept := tx.Bucket(seatBucket), tx.Bucket(keptBucket)
-	if b == nil || kept == nil {
-		if m.mem.Forgot {
-			return nil // just made
-		}
-		return &damage{"it has no promises"}
+// mend cuts off what is not whole.
+func (m *memory) mend() error {
+	if !m.torn {
+		return nil
 	}
-	if is := string(b.Get(whoseKey)); is != whose {
-		return fmt.Errorf("it is the file of seat %s, this one is %s: a file must not be copied from one seat to another", is, whose)
+	if err := m.f.Truncate(m.size); err != nil {
+		return err
 	}
-	if v := b.Get(floorKey); v != nil {
-		if len(v) != 8 {
-			return &damage{"the promise has no number"}
-		}
-		m.mem.Floor = binary.BigEndian.Uint64(v)
+	m.torn = false
+	return nil
+}
+
+func encode(r *record) ([]byte, error) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > mostRecord {
+		return nil, fmt.Errorf("a record of %d bytes, %d at most", len(body), mostRecord)
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(body)))
+	b = binary.BigEndian.AppendUint64(b, xxhash.Sum64(body))
+	return append(b, body...), nil
+}
+
+// live is the file as it would be written anew.
+func (m *memory) live() ([]byte, error) {
+	all := []byte(memoryMark)
+	records := []*record{{Whose: m.whose, Floor: m.mem.Floor}}
+	for _, name := range slices.Sorted(maps.Keys(m.mem.Kept)) {
+		k := m.mem.Kept[name]
+		records = append(records, &record{Right: name, Kept: &k})
 	}
-	return kept.ForEach(func(name, v []byte) error {
-		var k lease.Kept
-		if err := cbor.Unmarshal(v, &k); err != nil {
-			return &damage{err}
+	for _, r := range records {
+		b, err := encode(r)
+		if err != nil {
+			return nil, err
 		}
-		m.mem.Kept[string(name)] = k
-		return nil
+		all = append(all, b...)
+	}
+	return all, nil
+}
+
+// rewrite writes the file anew, and goes on in that.
+func (m *memory) rewrite() error {
+	text, err := m.live()
+	if err != nil {
+		return err
+	}
+	err = writeFile(m.path, func(out io.Writer) error {
+		_, err := out.Write(text)
+		return err
 	})
+	if err != nil {
+		return err
+	}
+	if dir, err := os.Open(filepath.Dir(m.path)); err == nil { // the new name is to outlive the machine, too
+		dir.Sync()
+		dir.Close()
+	}
+	f, err := os.OpenFile(m.path, os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	if m.f != nil {
+		m.f.Close()
+	}
+	m.f, m.size, m.torn = f, int64(len(text)), false
+	return nil
 }
 
 func (m *memory) memory() lease.Memory { return m.mem }
 
 func (m *memory) promise(reign uint64) error {
-	return m.put(seatBucket, floorKey, binary.BigEndian.AppendUint64(nil, reign))
+	if err := m.append(&record{Floor: reign}); err != nil {
+		return err
+	}
+	m.mem.Floor = max(m.mem.Floor, reign)
+	return m.tidy()
 }
 
 func (m *memory) keep(right string, k lease.Kept) error {
-	if m.db == nil {
+	if err := m.append(&record{Right: right, Kept: &k}); err != nil {
+		return err
+	}
+	if m.f != nil {
+		m.mem.Kept[right] = k
+	}
+	return m.tidy()
+}
+
+// append adds a record, and comes back once it is on the disk.
+func (m *memory) append(r *record) error {
+	if m.f == nil {
 		return nil
 	}
-	b, err := cbor.Marshal(k)
+	b, err := encode(r)
 	if err != nil {
 		return err
 	}
-	return m.put(keptBucket, []byte(right), b)
+	if err := m.mend(); err != nil {
+		return err
+	}
+	m.torn = true // until it is known to be whole
+	if _, err := m.f.WriteAt(b, m.size); err != nil {
+		return err
+	}
+	if err := m.f.Sync(); err != nil {
+		return err
+	}
+	m.size, m.torn = m.size+int64(len(b)), false
+	return nil
 }
 
-func (m *memory) put(bucket, key, value []byte) (err error) {
-	if m.db == nil {
+// tidy writes the file anew where most of it no longer matters. That it can't is no fault of what was just recorded.
+func (m *memory) tidy() error {
+	if m.f == nil || m.size < leastRewrit {
 		return nil
 	}
-	defer func() {
-		if v := recover(); v != nil {
-			err = &damage{v}
-		}
-	}()
-	return m.db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucket).Put(key, value) })
+	if text, err := m.live(); err == nil && m.size > overLive*int64(len(text)) {
+		m.rewrite()
+	}
+	return nil
 }
 
 func (m *memory) close() {
-	if m != nil && m.db != nil {
-		m.db.Close()
+	if m == nil {
+		return
+	}
+	if m.f != nil {
+		m.f.Close()
+	}
+	if m.lock != nil {
+		m.lock.Close() // which lets it go
 	}
 }
--- a/router/owner.go
+++ b/router/owner.go
@@ -498,6 +498,9 @@
 	if o.sharing != nil {
 		o.sharing.reload()
 	}
+	if o.rights != nil {
+		o.reloadRights()
+	}
 	o.log.Info().Strs("taken", taken).Msg("configuration read anew")
 	if len(fixed) > 0 {
 		o.log.Warn().Strs("keys", fixed).Msg("changed, but taken over at the next start only")
--- a/router/rights.go
+++ b/router/rights.go
@@ -46,10 +46,7 @@
 	set := rights.Settings{State: l.State, Cluster: m.Cluster, Name: o.cfg.Name,
 		Lease: lease.Settings{Seat: seat, Size: m.Seats, Skew: duty.Time(tenths(m.Skew)), Lease: duty.Time(tenths(m.Lease)),
 			Beat: duty.Time(tenths(m.Lease)) / beatsInLease, Seed: o.cfg.Seed},
-		Limits: work.Settings{Calls: l.Calls, Bytes: l.Bytes, Concurrent: l.Concurrent}}
-	for i := range l.Rights {
-		set.Rights = append(set.Rights, rightOf(&l.Rights[i], o.cfg.Name))
-	}
+		Limits: limitsOf(l), Rights: rightsOf(l, o.cfg.Name)}
 	d, err := rights.New(set, o.sharing.peers, p.log)
 	if err != nil {
 		return err
@@ -60,6 +57,27 @@
 	return nil
 }
 
+func limitsOf(l *config.Leases) work.Settings {
+	return work.Settings{Calls: l.Calls, Bytes: l.Bytes, Concurrent: l.Concurrent}
+}
+
+func rightsOf(l *config.Leases, instance string) (all []rights.Right) {
+	for i := range l.Rights {
+		all = append(all, rightOf(&l.Rights[i], instance))
+	}
+	return all
+}
+
+// reloadRights follows new settings.
+func (o *owner) reloadRights() {
+	l := &o.cfg.More.Leases
+	list, limits := rightsOf(l, o.cfg.Name), limitsOf(l)
+	o.group.Go(func() error { // apart from the owner, which does not wait
+		o.rights.Reload(list, limits)
+		return nil
+	})
+}
+
 // rightOf is a right with its job, as the settings have it.
 func rightOf(r *config.Right, instance string) rights.Right {
 	every, deadline := r.Every, r.Deadline
