--- a/rights/rights_test.go
+++ b/rights/rights_test.go
@@ -305,13 +305,11 @@
 }
 
 func mapOf(t *testing.T, version int64) []byte {
-	m := &shardmap.Map{Version: version}
+	m := &shardmap.Map{Version: version, Shards: []shardmap.Shard{{Range: shardmap.Range{To: shardmap.Space},
+		Holders: []shardmap.Holder{{Leaf: "l", State: shardmap.Serving}}}}}
 	b, err := m.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := shardmap.Decode(b); err != nil {
-		t.Skip("an empty map is none: ", err)
-	}
 	return b
 }
