--- a/config/file.go
+++ b/config/file.go
@@ -215,6 +215,17 @@
 	Hook     string `yaml:"hook"`     // URL
 	Captures string `yaml:"captures"` // folder
 	Snapshot string `yaml:"snapshot"` // file
+	Author   Author `yaml:"author"`
+}
+
+// Author is the job that proposes changes of the map of shards. Multiples are of the mean load.
+type Author struct {
+	Enabled bool    `yaml:"enabled"`
+	Split   float64 `yaml:"split"`  // of a shard: over it, it is split; 0: never
+	Merge   float64 `yaml:"merge"`  // of two neighbours together: under it, they are merged; 0: never
+	Move    float64 `yaml:"move"`   // of a leaf: over it, it gives a shard away; 0: never
+	Shards  int     `yaml:"shards"` // the most that there may be; 0: 1024
+	Least   float64 `yaml:"least"`  // work in a round under which nothing is told by it; 0: 100
 }
 
 // Summary is one instance's word on the fleet.
@@ -432,13 +443,18 @@
 			within(key+".deadline", r.Deadline, 10*time.Millisecond, time.Hour)
 		}
 		jobs := 0
-		for _, job := range []string{r.Hook, r.Captures, r.Snapshot} {
-			if job != "" {
+		for _, has := range []bool{r.Hook != "", r.Captures != "", r.Snapshot != "", r.Author.Enabled} {
+			if has {
 				jobs++
 			}
 		}
 		if jobs > 1 {
-			doc.Fault(key, "has %d jobs of hook, captures and snapshot: one right, one job", jobs)
+			doc.Fault(key, "has %d jobs of hook, captures, snapshot and author: one right, one job", jobs)
+		}
+		if a := &r.Author; a.Enabled && !f.Shards.Enabled {
+			doc.Fault(key+".author.enabled", "needs shards.enabled")
+		} else if a.Split != 0 && !(a.Split > 1) || a.Move != 0 && !(a.Move > 1) || a.Merge < 0 || a.Merge >= 1 || a.Shards < 0 || a.Least < 0 {
+			doc.Fault(key+".author", "split and move must be above 1, merge under 1, shards and least from 0; 0 is none")
 		}
 		if r.Hook != "" {
 			if u, err := url.Parse(r.Hook); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
--- a/router/rights.go
+++ b/router/rights.go
@@ -4,6 +4,9 @@
 // the settings. It must never have the owner wait for them.
 
 import (
+	"context"
+	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -12,12 +15,15 @@
 	"moleshift/lease"
 	"moleshift/member"
 	"moleshift/rights"
+	"moleshift/shardmap"
 	"moleshift/work"
 )
 
 const (
 	everyDefault    = time.Minute
 	deadlineDefault = 10 * time.Second
+	shardsDefault   = 1024
+	leastDefault    = 100
 )
 
 // split gives messages on rights to their driver, once there is one, and all others to the duties.
@@ -46,7 +52,7 @@
 	set := rights.Settings{State: l.State, Cluster: m.Cluster, Name: o.cfg.Name,
 		Lease: lease.Settings{Seat: seat, Size: m.Seats, Skew: duty.Time(tenths(m.Skew)), Lease: duty.Time(tenths(m.Lease)),
 			Beat: duty.Time(tenths(m.Lease)) / beatsInLease, Seed: o.cfg.Seed},
-		Limits: limitsOf(l), Rights: rightsOf(l, o.cfg.Name)}
+		Limits: limitsOf(l), Rights: o.rightsOf(l)}
 	d, err := rights.New(set, o.sharing.peers, p.log)
 	if err != nil {
 		return err
@@ -61,9 +67,9 @@
 	return work.Settings{Calls: l.Calls, Bytes: l.Bytes, Concurrent: l.Concurrent}
 }
 
-func rightsOf(l *config.Leases, instance string) (all []rights.Right) {
+func (o *owner) rightsOf(l *config.Leases) (all []rights.Right) {
 	for i := range l.Rights {
-		all = append(all, rightOf(&l.Rights[i], instance))
+		all = append(all, o.rightOf(&l.Rights[i]))
 	}
 	return all
 }
@@ -71,7 +77,7 @@
 // reloadRights follows new settings.
 func (o *owner) reloadRights() {
 	l := &o.cfg.More.Leases
-	list, limits := rightsOf(l, o.cfg.Name), limitsOf(l)
+	list, limits := o.rightsOf(l), limitsOf(l)
 	o.group.Go(func() error { // apart from the owner, which does not wait
 		o.rights.Reload(list, limits)
 		return nil
@@ -79,7 +85,7 @@
 }
 
 // rightOf is a right with its job, as the settings have it.
-func rightOf(r *config.Right, instance string) rights.Right {
+func (o *owner) rightOf(r *config.Right) rights.Right {
 	every, deadline := r.Every, r.Deadline
 	if every == 0 {
 		every = everyDefault
@@ -91,11 +97,44 @@
 		Job: work.Job{Name: r.Name, Priority: r.Priority, Every: duty.Time(tenths(every)), Deadline: duty.Time(tenths(deadline))}}
 	switch {
 	case r.Hook != "":
-		one.Do = rights.Hook(r.Hook, instance)
+		one.Do = rights.Hook(r.Hook, o.cfg.Name)
 	case r.Captures != "":
 		one.Do = rights.Captures(r.Captures)
 	case r.Snapshot != "":
 		one.Do = rights.Snapshot(r.Snapshot)
+	case r.Author.Enabled && o.ranging != nil:
+		a := &r.Author
+		set := shardmap.AuthorSettings{Split: a.Split, Merge: a.Merge, Move: a.Move, Shards: a.Shards, Least: a.Least}
+		if set.Shards == 0 {
+			set.Shards = shardsDefault
+		}
+		if set.Least == 0 {
+			set.Least = leastDefault
+		}
+		one.Do = rights.Author(set, o.list.where, o.measured)
 	}
 	return one
 }
+
+// measured asks the owner for the map and its load.
+func (o *owner) measured(ctx context.Context) (*rights.Measured, error) {
+	answer := make(chan *rights.Measured, 1)
+	o.post(ctx, func(o *owner) {
+		m := &rights.Measured{Map: o.ranging.follows.Now, Load: maps.Clone(o.ranging.load)}
+		for _, l := range o.listed {
+			if l.serving {
+				m.Leaves = append(m.Leaves, l.id)
+			}
+		}
+		answer <- m
+	})
+	select {
+	case m := <-answer:
+		if m.Map == nil {
+			return nil, errors.New("there is no map as yet")
+		}
+		return m, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/router/shards.go
+++ b/router/shards.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -32,6 +33,7 @@
 	set     config.Shards
 	follows shardmap.Follower
 	spans   *shardmap.Spans
+	load    shardmap.Load      // work asked for, by shard, while that is there
 	saves   chan *shardmap.Map // one at most: the latest
 	refetch chan struct{}
 }
@@ -39,7 +41,7 @@
 // enableShards has the owner go by a map. The module numbers ranges rather than slices.
 func (o *owner) enableShards() error {
 	set := o.cfg.More.Shards
-	r := &ranging{o: o, set: set, saves: make(chan *shardmap.Map, 1), refetch: make(chan struct{}, 1),
+	r := &ranging{o: o, set: set, load: shardmap.Load{}, saves: make(chan *shardmap.Map, 1), refetch: make(chan struct{}, 1),
 		spans: shardmap.NewSpans(o.cfg.Settings.Module.Shards, set.ColdShare, o.cfg.Seed)}
 	if path := r.set.Snapshot; path != "" {
 		m, err := mapfile.Load(path)
@@ -195,6 +197,7 @@
 // moved has the module's candidates be those of the map as it is now.
 func (r *ranging) moved() {
 	r.spans.Move(shardmap.Time(r.o.now), r.follows.Now)
+	maps.DeleteFunc(r.load, func(id int, _ float64) bool { return r.follows.Now.Shard(id) == nil })
 	r.tell(func(string) bool { return true })
 }
 
@@ -227,6 +230,9 @@
 		a := asked[slices.IndexFunc(asked, func(a codec.PartAsked) bool { return a.Shard == piece.Slice })]
 		p := &part{id: fmt.Sprintf("%s.%d", q.id, a.Shard), query: q, slice: a.Shard, span: piece.Span,
 			p: &choice.Part{Shard: piece.Span.Number, Weight: a.Weight * piece.Share, Hint: a.Hint / 1000 * piece.Share}}
+		if s := r.follows.Now.Of(piece.Span.Keys.From); s != nil {
+			r.load[s.ID] += p.p.Weight
+		}
 		if piece.Of > 1 {
 			p.id += fmt.Sprintf(".%d", piece.Number)
 			p.keys = keysText(piece.Span.Keys)
