A leader lets go of its own rights whose time was over while it stood still

Wrong was prolong in lease/deal.go: holders elsewhere must say in each vote that they hold, the leader itself was taken to.

A test and a planted fault are new.

--- a/lab/plant/plant.go
+++ b/lab/plant/plant.go
@@ -62,6 +62,8 @@
 		"if j.phase == running || j.phase == stopping { // the step", "if false { // the step"},
 	{"given-to-leaver", "a right goes back to the instance that leaves", "lease/deal.go",
 		"n.peers[seat].going ||", "false ||"},
+	{"own-for-ever", "a leader whose own time was over goes on counting the right as held", "lease/deal.go",
+		"if x.seat == n.set.Seat && r.let >= x.token {", "if false {"},
 	{"no-sounding", "votes are asked for without asking whether they would be given", "lease/election.go",
 		"if !e.counted || e.quorum == 1 {", "if true {"},
 }
--- a/lease/deal.go
+++ b/lease/deal.go
@@ -393,6 +393,10 @@
 			x.ended = true
 			continue
 		}
+		if x.seat == n.set.Seat && r.let >= x.token { // this one's own time was over: it stood still
+			x.ended = true
+			continue
+		}
 		if x.to >= 0 && n.now-x.recallAt > n.set.Lease { // it does not let go
 			x.ended = true
 			continue
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -238,6 +238,28 @@
 	}
 }
 
+// A leader that stood still just until its own tenures were over, but not its lease, goes on leading: what it held itself must go to
+// somebody all the same.
+func TestLeaderLetsGoOfItsOwn(t *testing.T) {
+	tb := three(t, "a", "b", "c")
+	for _, s := range tb.seats {
+		if s.n.elect.Role() != Leading {
+			continue
+		}
+		for _, name := range tb.names {
+			if r := s.n.right(name); r.token != 0 {
+				r.until, s.n.soonest = tb.now, tb.now
+				tb.pass(1500)
+				if tb.holder(name) < 0 || s.n.elect.Role() != Leading {
+					t.Errorf("nobody holds %s; seat %d is %v", name, s.seat, s.n.elect.Role())
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("the leader holds nothing")
+}
+
 // A leader that is told to end hands on its rights and then its lease, and holders keep theirs.
 func TestLeaderLeaves(t *testing.T) {
 	tb := three(t, "a", "b", "c")
