--- a/lab/leases/run.go
+++ b/lab/leases/run.go
@@ -36,6 +36,7 @@
 	Refused   int                                `json:"-"`
 	Elections int                                `json:"-"`
 	Rested    int                                `json:"-"`
+	Poisoned  int                                `json:"-"`
 	Messages  float64                            `json:"-"` // of an instance in a second
 	Bytes     float64                            `json:"-"`
 	CPU       float64                            `json:"-"` // microseconds of an instance in a second
@@ -59,7 +60,7 @@
 	}
 	j := w.judge
 	r := &Result{TwoHolders: j.twoHolders, Stale: j.stale, Back: j.back, JobsLost: j.jobsLost, Skipped: j.skipped, Again: j.again, Over: j.over, Seed: o.Seed,
-		Options: o, ByKind: j.faults, Gaps: j.gaps, Refused: j.refused, Elections: j.elections, Rested: j.rested, Worst: j.worst,
+		Options: o, ByKind: j.faults, Gaps: j.gaps, Refused: j.refused, Elections: j.elections, Rested: j.rested, Poisoned: j.poisoned, Worst: j.worst,
 		Story: j.worstStory, Runs: 1}
 	for _, n := range j.faults {
 		r.Faults += n
@@ -103,7 +104,7 @@
 	r.JobsLost, r.Skipped, r.Faults = r.JobsLost+o.JobsLost, r.Skipped+o.Skipped, r.Faults+o.Faults
 	r.Again, r.Over = r.Again+o.Again, r.Over+o.Over
 	r.Effects, r.Refused, r.Elections = r.Effects+o.Effects, r.Refused+o.Refused, r.Elections+o.Elections
-	r.Rested, r.Runs = r.Rested+o.Rested, r.Runs+o.Runs
+	r.Rested, r.Runs, r.Poisoned = r.Rested+o.Rested, r.Runs+o.Runs, r.Poisoned+o.Poisoned
 	for kind, times := range o.ByKind {
 		r.ByKind[kind] += times
 	}
@@ -151,6 +152,9 @@
 	t.Flush()
 	fmt.Fprintf(out, "elections %d, effects %d, refused by the receiver's fence %d, rights that rested %d\n", r.Elections, r.Effects,
 		r.Refused, r.Rested)
+	if o.Poison {
+		fmt.Fprintf(out, "holders that the first right's work took down: %d\n", r.Poisoned)
+	}
 	fmt.Fprintf(out, "an instance: %.1f messages a second, %.0f bytes a second, %.0f us of CPU a second\n", r.Messages, r.Bytes, r.CPU)
 	fmt.Fprintf(out, "two holders %d, stale effects %d, tokens back %d, jobs lost %d, steps skipped %d, steps again %d, gaps over the aim %d\n", r.TwoHolders,
 		r.Stale, r.Back, r.JobsLost, r.Skipped, r.Again, r.Over)
--- a/lab/leases/world.go
+++ b/lab/leases/world.go
@@ -30,6 +30,7 @@
 	Lease     time.Duration
 	Diskless  float64 // share of the restarts that find nothing kept
 	Bare      bool    // no work under the rights: what they cost by themselves
+	Poison    bool    // the first right's work takes its holder down, each time
 	Story     string  // the kind of fault of whose longest time without a holder the story is kept
 	Seed      uint64
 }
@@ -409,6 +410,16 @@
 		return
 	}
 	w.judge.acting(i, s.Job)
+	if w.o.Poison && s.Job == w.names[0] {
+		w.at(w.now+10, func() {
+			if i.node == node {
+				i.kill()
+				w.judge.poisoned++
+				w.at(w.now+2*second, func() { i.start(true) })
+			}
+		})
+		return
+	}
 	think := 10 + w.random(300)
 	if w.rng.Float64() < 0.05 { // longer than a lease
 		think = w.random(2 * Tenths(w.o.Lease))
--- a/lab/processes/run.go
+++ b/lab/processes/run.go
@@ -32,8 +32,10 @@
 	Every     time.Duration // between two steps of a right's job
 	Link      Link          // between all, where no fault says otherwise
 	Keep      string        // not empty: logs stay
-	Seed      uint64
-	Tell      func(line string) // progress; nil: nothing
+	// OneAddress has routers told apart by ports, and connections not at all: where loopback has 127.0.0.1 alone that is found out.
+	OneAddress bool
+	Seed       uint64
+	Tell       func(line string) // progress; nil: nothing
 }
 
 // Result is what a run comes to.
@@ -117,6 +119,9 @@
 		return nil, err
 	}
 	defer r.f.close()
+	if o.OneAddress {
+		r.tell("loopback has one address: routers are told apart by their ports, and connections not at all")
+	}
 	r.result.Dir = r.f.dir
 	rng := rand.New(rand.NewPCG(o.Seed, 5))
 	for _, x := range r.f.routers {
--- a/rights/rights_test.go
+++ b/rights/rights_test.go
@@ -192,6 +192,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if m, err = open(1); err != nil { // a disk that takes nothing: no promise is made, and what was promised stands
+		t.Fatal(err)
+	}
+	m.f.Close()
+	if m.promise(1<<42) == nil || m.keep("x", lease.Kept{Value: []byte("more")}) == nil || m.mem.Floor != 1<<40 {
+		t.Errorf("promised on a disk that takes nothing: %+v", m.mem)
+	}
+	m.close()
+	if m, err = open(1); err != nil || m.mem.Floor != 1<<40 || string(m.mem.Kept["x"].Value) != "so far" {
+		t.Fatalf("%+v %v", m, err)
+	}
+	m.close()
 	forgot, tried := 0, 0
 	for at := range whole { // short, and with a stretch of other bytes
 		for _, text := range [][]byte{whole[:at], slices.Concat(whole[:at], bytes.Repeat([]byte{0xa5}, min(9, len(whole)-at)),
