Ports of the real routers lie below those of outgoing connections

Cause: with one address for all, a port that had just been found free was given to a connection before its router could have it, and the test failed.

Change: ports come from 14,000 to 30,000, each once.

--- a/lab/processes/fleet.go
+++ b/lab/processes/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -106,13 +108,32 @@
 	return nil
 }
 
+// Ports are taken from below those that the system gives to outgoing connections, or one of those might have it meanwhile.
+const (
+	firstPort = 14_000
+	mostPorts = 16_000
+)
+
+var nextPort atomic.Int64
+
+// freePort is one that nobody has for either kind of socket, never the same twice.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	for range mostPorts {
+		port := firstPort + (os.Getpid()*37+int(nextPort.Add(1)))%mostPorts
+		at := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		pc, err := net.ListenPacket("udp", at)
+		l.Close()
+		if err != nil {
+			continue
+		}
+		pc.Close()
+		return port, nil
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no port is free")
 }
 
 func bindable(ip string) bool {
