--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,16 @@
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run toy wrap
+.PHONY: build lab test lint run toy wrap
 
 # As the operators build it: linked against the C library by the C compiler, so that their bench can load a library of its own.
 build:
 	@command -v "$$(go env CC)" >/dev/null || { echo "a C compiler is needed to link (no $$(go env CC) here): apt-get install gcc libc6-dev" >&2; exit 1; }
 	$(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
+# A router for `molelab leases --processes`: its clock can be set wrong.
+lab:
+	go build -tags labclock -o bin/moleshift-lab ./cmd/moleshift
+
 test:
 	go test ./...
 
--- a/lab/processes/fleet.go
+++ b/lab/processes/fleet.go
@@ -28,7 +28,7 @@
 const ClockVariable = "MOLESHIFT_LAB_CLOCK"
 
 // BuildHint tells how the routers' program is built.
-const BuildHint = "go build -tags labclock -o bin/moleshift-lab ./cmd/moleshift"
+const BuildHint = "make lab, or go build -tags labclock -o bin/moleshift-lab ./cmd/moleshift"
 
 const (
 	upWithin  = 20 * time.Second
--- a/rights/driver.go
+++ b/rights/driver.go
@@ -201,6 +201,11 @@
 	defer close(d.ended)
 	defer d.memory.close()
 	defer stop()
+	defer func() {
+		for _, t := range d.tasks {
+			t.cancel()
+		}
+	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/router/owner.go
+++ b/router/owner.go
@@ -514,8 +514,8 @@
 	}
 	o.phase.move(Draining)
 	if o.rights != nil { // it needs the others until all is handed on
-		o.rights.Leave()
 		o.group.Go(func() error {
+			o.rights.Leave()
 			select {
 			case <-o.rights.Ended():
 			case <-o.ctx.Done():
