A claimed right is not given anew while what its holder has of the last leader may last

Were all of them lost, the right would be free once the new leader no longer heard of its holder; that this comes later than the end of the old gift rested on a beat being a quarter of a lease. Now the post lasts until all gifts of before have ended.

--- a/lease/deal.go
+++ b/lease/deal.go
@@ -194,6 +194,7 @@
 	n.claim(seat, boot, c)
 	if r := n.byID[c.Right]; r != nil && r.post.seat == -1 && r.post.token == 0 && c.Token.Reign() < n.elect.Reign() && !n.dealing.last {
 		n.give(r, seat, boot)
+		r.post.until = max(r.post.until, n.elect.Clear()) // what it has of the leader before may last so long, should no word reach it
 	}
 }
 
