Subsets of leaves by golden places on a circle, held against three other ways

Change: package subset (pure): leaves with the same shards stand on a circle as often as their weight asks for; a router begins at as many times the golden ratio as its number is, and holds the next few; one more for each that fails; half from its own zone where that is stated. molelab subset compares it with random choice, shuffled rounds and weighted rendezvous hashing. Not used by the daemon as yet.

--- a/cmd/molelab/main.go
+++ b/cmd/molelab/main.go
@@ -11,6 +11,7 @@
 type commands struct {
 	Duties   dutiesCmd   `cmd:"" help:"Play instances that share periodic duties: who probes whom when, with kills, partitions and losses."`
 	Leases   leasesCmd   `cmd:"" help:"Play instances among which rights have one holder: election, fencing, handover, and work under them."`
+	Subset   subsetCmd   `cmd:"" help:"Compare ways in which routers choose the leaves that they hold connections to."`
 	Capture  captureCmd  `cmd:"" help:"Look at captures of load, and make new ones."`
 	Fleet    fleetCmd    `cmd:"" help:"Make and check descriptions of a service."`
 	Plan     planCmd     `cmd:"" help:"Say what a fleet bears: what breaks first, how many leaves a goal takes, what losses do."`
