The router may hold a few leaves of each cell, off by default

Change: subset in moleshift.yaml; leaves outside the subset are told to the module as holding nothing, so the module is as it was; one that can't be reached, or whose connection goes with calls out, brings another at once, and what stood in goes once it has answered again for ten seconds.

Result: a scene with five leaves, two held: no other is asked until one goes down, then a third is held and asked. Its effect on the spread of load is not measured yet.

--- a/config/file.go
+++ b/config/file.go
@@ -29,6 +29,7 @@
 
 	OpenSearch OpenSearch `yaml:"opensearch"`
 	Shards     Shards     `yaml:"shards"`
+	Subset     Subset     `yaml:"subset"`
 
 	Admission Admission `yaml:"admission"`
 	Memory    Memory    `yaml:"memory"`
@@ -54,6 +55,14 @@
 	Retry     time.Duration `yaml:"retry"`      // between attempts to follow the map
 }
 
+// Subset is holding connections to a few leaves of each cell.
+type Subset struct {
+	Enabled bool `yaml:"enabled"`
+	Leaves  int  `yaml:"leaves"` // of each cell
+	Number  int  `yaml:"number"` // the router's own, from 0; -1: the number at the end of its name
+	Zone    bool `yaml:"zone"`   // half of them from the router's own zone
+}
+
 // OpenSearch is a second front, in the form of that API.
 type OpenSearch struct {
 	Enabled     bool    `yaml:"enabled"`
@@ -271,6 +280,7 @@
 			Remembered: 16384,
 			Refusals:   16,
 		},
+		Subset:     Subset{Leaves: 4, Number: -1},
 		Shards:     Shards{ColdShare: 0.1, Retry: 200 * time.Millisecond},
 		OpenSearch: OpenSearch{Listen: "127.0.0.1:9200", Connections: 64, Tenant: "X-Customer"},
 		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
@@ -354,6 +364,14 @@
 		doc.Fault("shards.cold_share", "must be from 0 to 1")
 	}
 	within("shards.retry", f.Shards.Retry, 10*time.Millisecond, time.Minute)
+	if s := &f.Subset; s.Leaves < 1 || s.Leaves > mostSeats {
+		doc.Fault("subset.leaves", "must be from 1 to %d", mostSeats)
+	} else if s.Enabled && f.Shards.Enabled {
+		doc.Fault("subset.enabled", "contradicts shards.enabled: a map says who holds what")
+	}
+	if n := f.Subset.Number; doc.Has("subset.number") && n < 0 {
+		doc.Fault("subset.number", "must be from 0")
+	}
 	f.checkLimits(doc, within)
 	if m.Skew*skewsInTime > m.Lease {
 		doc.Fault("members.lease", "%v is under %d times members.skew, %v", m.Lease, skewsInTime, m.Skew)
@@ -565,6 +583,7 @@
 		"opensearch.leaves: " + off(f.OpenSearch.Leaves, "leaves are asked in that form, by HTTP/1.1"),
 		"shards: " + off(f.Shards.Enabled, "as the map of ranges says, followed at the list's address; snapshot %q, %.0f%% to cold holders",
 			f.Shards.Snapshot, 100*f.Shards.ColdShare),
+		"subset: " + off(f.Subset.Enabled, "%d leaves of each cell", f.Subset.Leaves),
 		"admission: " + off(
 			f.Admission.Enabled,
 			"%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -121,6 +121,11 @@
 		p.group.Go(func() error { return p.owner.ranging.run(p.ctx) })
 		p.group.Go(func() error { return p.owner.ranging.keep(p.ctx, log) })
 	}
+	if st.cfg.More.Subset.Enabled {
+		if err := p.owner.enableSubset(); err != nil {
+			st.t.Error(err)
+		}
+	}
 	if st.cfg.More.Members.Enabled {
 		if err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
 			st.say("joins as seat %d", set.Seat)
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -22,6 +22,7 @@
 	"moleshift/codec"
 	"moleshift/config"
 	"moleshift/limits"
+	"moleshift/subset"
 )
 
 const (
@@ -80,6 +81,17 @@
 		l.serving, l.cell = !barred[l], s.Cell
 		entries = append(entries, e)
 	}
+	if o.holding != nil { // first, so that a new leaf outside the subset is never a candidate
+		changed := o.holding.list(o)
+		for i := range entries {
+			if l := o.doors[entries[i].Leaf]; l != nil {
+				entries[i] = o.holding.entry(l)
+			}
+		}
+		if changed {
+			defer o.holding.tell(o)
+		}
+	}
 	o.root.List(o.now, entries, list.Whole || cached, cached)
 	for _, l := range slices.Clone(o.listed) {
 		if !barred[l] {
@@ -630,6 +642,9 @@
 	if a.Map > 0 && o.ranging != nil {
 		o.ranging.told(a.Map)
 	}
+	if o.holding != nil && o.holding.keeper.Worked(subset.Time(o.now), c.leaf.id) {
+		o.holding.tell(o)
+	}
 	if k := c.calls[a.ID]; k != nil {
 		o.end(k, a.Outcome, a.Report, a.Value)
 		return
@@ -670,6 +685,10 @@
 	o.gate.links.Store(int64(o.conns))
 	o.gate.put(limits.LeafLinks, linkBytes)
 	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(other *leafConn) bool { return other == c })
+	// One that never came up, or went with calls out, though nobody here has ended it.
+	if o.holding != nil && !c.retired && (c.upSince() == 0 || len(c.calls) > 0) && o.holding.keeper.Failed(subset.Time(o.now), c.leaf.id) {
+		o.holding.tell(o)
+	}
 	o.forget(c.leaf)
 	var said fault
 	if c.why != nil {
--- a/router/owner.go
+++ b/router/owner.go
@@ -45,6 +45,7 @@
 	sharing   *sharing       // nil unless instances know one another
 	recording *recording     // nil unless what is served is recorded
 	ranging   *ranging       // nil unless shards are ranges of a map that changes
+	holding   *subsetting    // nil unless a part of the leaves is held only
 	rights    *rights.Driver // nil unless there are rights that one instance holds
 	searching *searching     // nil unless searches are taken in the form of OpenSearch
 
--- a/router/router.go
+++ b/router/router.go
@@ -153,6 +153,11 @@
 		p.group.Go(func() error { return p.owner.ranging.run(p.ctx) })
 		p.group.Go(func() error { return p.owner.ranging.keep(p.ctx, p.log) })
 	}
+	if cfg.Subset.Enabled {
+		if err := p.owner.enableSubset(); err != nil {
+			return err
+		}
+	}
 	if cfg.OpenSearch.Enabled {
 		if err := p.search(); err != nil {
 			return err
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// A leaf that fails brings another at once; it is let go only once the first has worked for a while, and not while it comes and goes.
+func TestKeeper(t *testing.T) {
+	k := NewKeeper(Settings{Routers: 1, Leaves: 2, Seed: 1})
+	if !k.List(0, fleet(1, 5, one)) || len(k.Chosen()) != 2 {
+		t.Fatal(k.Chosen())
+	}
+	before := k.Chosen()
+	id := before[0]
+	if !k.Failed(1, id) || k.Failed(2, id) || len(k.Chosen()) != 3 || !k.Holds(id) {
+		t.Errorf("failing: %v", k.Chosen())
+	}
+	k.Worked(10, id)
+	k.Failed(20, id)
+	if k.Worked(30, id) || k.Worked(30+calm-1, id) || len(k.Chosen()) != 3 {
+		t.Errorf("just back: %v", k.Chosen())
+	}
+	if !k.Worked(31+calm, id) || !slices.Equal(k.Chosen(), before) {
+		t.Errorf("back: %v, before %v", k.Chosen(), before)
+	}
+	if k.Failed(40+calm, "unknown") || k.List(50+calm, fleet(1, 5, one)) {
+		t.Error("changed by nothing")
+	}
+}
