Routers ask for the list one after the other when all lose it at once, off by default

Change: package pace (pure): a place of one's own in a window by the number of routers and what whoever is asked bears; the watch on the list is asked for again in turn. Numbers of routers are read in one place.

--- a/config/file.go
+++ b/config/file.go
@@ -30,6 +30,7 @@
 	OpenSearch OpenSearch `yaml:"opensearch"`
 	Shards     Shards     `yaml:"shards"`
 	Subset     Subset     `yaml:"subset"`
+	Pace       Pace       `yaml:"pace"`
 
 	Admission Admission `yaml:"admission"`
 	Memory    Memory    `yaml:"memory"`
@@ -63,6 +64,14 @@
 	Zone    bool `yaml:"zone"`   // half of them from the router's own zone
 }
 
+// Pace is acting one after the other on what befalls all routers at once.
+type Pace struct {
+	Enabled bool          `yaml:"enabled"`
+	Number  int           `yaml:"number"` // the router's own, from 0; -1: the number at the end of its name
+	Rate    float64       `yaml:"rate"`   // a second, that discovery bears of all routers together
+	Most    time.Duration `yaml:"most"`   // over which they are spread at most
+}
+
 // OpenSearch is a second front, in the form of that API.
 type OpenSearch struct {
 	Enabled     bool    `yaml:"enabled"`
@@ -281,6 +290,7 @@
 			Refusals:   16,
 		},
 		Subset:     Subset{Leaves: 4, Number: -1},
+		Pace:       Pace{Number: -1, Rate: 200, Most: 2 * time.Second},
 		Shards:     Shards{ColdShare: 0.1, Retry: 200 * time.Millisecond},
 		OpenSearch: OpenSearch{Listen: "127.0.0.1:9200", Connections: 64, Tenant: "X-Customer"},
 		Memory:     Memory{Portion: 0.4, LogEvery: time.Minute},
@@ -372,6 +382,13 @@
 	if n := f.Subset.Number; doc.Has("subset.number") && n < 0 {
 		doc.Fault("subset.number", "must be from 0")
 	}
+	if p := &f.Pace; !(p.Rate > 0 && p.Rate <= 1e6) {
+		doc.Fault("pace.rate", "must be above 0, and 1000000 at most")
+	}
+	within("pace.most", f.Pace.Most, 0, time.Minute)
+	if n := f.Pace.Number; doc.Has("pace.number") && n < 0 {
+		doc.Fault("pace.number", "must be from 0")
+	}
 	f.checkLimits(doc, within)
 	if m.Skew*skewsInTime > m.Lease {
 		doc.Fault("members.lease", "%v is under %d times members.skew, %v", m.Lease, skewsInTime, m.Skew)
@@ -513,13 +530,22 @@
 
 var digits = regexp.MustCompile(`[0-9]+$`)
 
+// NumberOf is the number at the end of an instance's name, as stateful sets give them.
+func NumberOf(name string) (int, error) {
+	n, err := strconv.Atoi(digits.FindString(name))
+	if err != nil {
+		return 0, fmt.Errorf("missing, and the name %q does not end with a number", name)
+	}
+	return n, nil
+}
+
 // SeatOf is the seat of an instance of a name.
 func (m *Members) SeatOf(name string) (int, error) {
 	seat := m.Seat
 	if seat < 0 {
-		n, err := strconv.Atoi(digits.FindString(name))
+		n, err := NumberOf(name)
 		if err != nil {
-			return 0, fmt.Errorf("members.seat: missing, and the name %q does not end with a number", name)
+			return 0, fmt.Errorf("members.seat: %w", err)
 		}
 		seat = n
 	}
@@ -584,6 +610,7 @@
 		"shards: " + off(f.Shards.Enabled, "as the map of ranges says, followed at the list's address; snapshot %q, %.0f%% to cold holders",
 			f.Shards.Snapshot, 100*f.Shards.ColdShare),
 		"subset: " + off(f.Subset.Enabled, "%d leaves of each cell", f.Subset.Leaves),
+		"pace: " + off(f.Pace.Enabled, "%g a second of all routers, over %v at most", f.Pace.Rate, f.Pace.Most),
 		"admission: " + off(
 			f.Admission.Enabled,
 			"%s connections, %.0f%% of them kept for known clients, %.0f%% for one address, %.0f%% for "+
--- a/config/file_test.go
+++ b/config/file_test.go
@@ -36,6 +36,8 @@
 		"members:\n\tenabled: true\n",
 		"members: {enabled: true, listen: 1.2.3.4:5, seats: 3, plaintext: true}\nleases:\n  enabled: true\n  state: p.db\n" +
 			"  rights:\n  - name: rebuild\n    hook: http://127.0.0.1:80/x\n    every: 5s\n  - name: held\n    paused: true\n",
+		"pace: {enabled: true, number: 3, rate: 50, most: 5s}\nsubset: {enabled: true, leaves: 6, zone: true}\n",
+		"pace: {number: -4, rate: 0, most: 2h}\nsubset: {leaves: 0, number: -2}\n",
 		"leases:\n  enabled: true\n  concurrent: 0\n  calls: -1\n  rights:\n  - name: 'a b'\n  - name: a\n    hook: ftp://x\n    every: 1ms\n" +
 			"  - name: a\n    captures: x\n    snapshot: y\n    deadline: 2h\n    job: z\n",
 	} {
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -121,6 +121,10 @@
 		p.group.Go(func() error { return p.owner.ranging.run(p.ctx) })
 		p.group.Go(func() error { return p.owner.ranging.keep(p.ctx, log) })
 	}
+	var err error
+	if p.owner.list.pace, err = paceOf(st.cfg); err != nil {
+		st.t.Error(err)
+	}
 	if st.cfg.More.Subset.Enabled {
 		if err := p.owner.enableSubset(); err != nil {
 			st.t.Error(err)
--- a/router/list.go
+++ b/router/list.go
@@ -14,8 +14,10 @@
 
 	"github.com/rs/zerolog"
 
+	"moleshift/choice"
 	"moleshift/codec"
 	"moleshift/config"
+	"moleshift/pace"
 )
 
 const (
@@ -29,6 +31,7 @@
 	log        zerolog.Logger
 	generation int64
 	asked      chan struct{} // the module asks for a watch
+	pace       pace.Settings // when it asks again, if all lose the watch at once; the zero value: at once
 
 	mu      sync.Mutex
 	address string
@@ -74,7 +77,7 @@
 // again; else a watch that broke is opened anew, ever later while that fails. News counts as told some seconds
 // after it was published, so the silence that ends a watch and the longest pause stay well under that together.
 func (l *list) run(ctx context.Context) error {
-	pause := l.cfg.Settings.ConnectTimeout
+	pause, ends := l.cfg.Settings.ConnectTimeout, 0
 	for ctx.Err() == nil {
 		if l.cfg.Settings.Module.AskForList {
 			select {
@@ -104,9 +107,11 @@
 		if pause = min(2*pause, l.cfg.Silence/3); told {
 			pause = l.cfg.Settings.ConnectTimeout
 		}
+		// A discovery that has ended did so for all routers.
+		ends++
 		select {
 		case <-attempt.Done():
-		case <-time.After(pause):
+		case <-time.After(pause + duration(choice.Time(l.pace.Wait("list", ends)))):
 		}
 	}
 	return nil
--- a/router/router.go
+++ b/router/router.go
@@ -116,6 +116,10 @@
 // more starts what the YAML file asks for.
 func (p *program) more() error {
 	cfg := p.owner.cfg.More
+	var err error
+	if p.owner.list.pace, err = paceOf(p.owner.cfg); err != nil {
+		return err
+	}
 	if cfg.Members.Enabled {
 		var handler *split
 		err := p.owner.share(func(set member.Settings, h member.Handler) (peers, error) {
--- a/router/subset.go
+++ b/router/subset.go
@@ -8,6 +8,7 @@
 
 	"moleshift/choice"
 	"moleshift/config"
+	"moleshift/pace"
 	"moleshift/subset"
 )
 
@@ -17,7 +18,7 @@
 // enableSubset has the owner hold a few leaves of each cell.
 func (o *owner) enableSubset() error {
 	set := o.cfg.More.Subset
-	number, err := (&config.Members{Seat: set.Number, Seats: o.cfg.Settings.Module.Roots}).SeatOf(o.cfg.Name)
+	number, err := numberOf(o.cfg, set.Number)
 	if err != nil {
 		return fmt.Errorf("subset.number: %w", err)
 	}
@@ -30,6 +31,34 @@
 	return nil
 }
 
+// numberOf is the router's own among all: as stated, or at the end of its name.
+func numberOf(cfg *config.Config, stated int) (int, error) {
+	if stated < 0 {
+		n, err := config.NumberOf(cfg.Name)
+		if err != nil {
+			return 0, err
+		}
+		stated = n
+	}
+	if roots := cfg.Settings.Module.Roots; stated >= roots {
+		return 0, fmt.Errorf("%d is not below the number of routers, %d", stated, roots)
+	}
+	return stated, nil
+}
+
+// paceOf is when this router acts on what befalls all; with the pace off it is at once.
+func paceOf(cfg *config.Config) (pace.Settings, error) {
+	p := &cfg.More.Pace
+	if !p.Enabled {
+		return pace.Settings{}, nil
+	}
+	number, err := numberOf(cfg, p.Number)
+	if err != nil {
+		return pace.Settings{}, fmt.Errorf("pace.number: %w", err)
+	}
+	return pace.Settings{Routers: cfg.Settings.Module.Roots, Number: number, PerSecond: p.Rate, Most: pace.Time(tenths(p.Most))}, nil
+}
+
 // list tells the subset of the leaves in service, and whether that has changed it.
 func (h *subsetting) list(o *owner) bool {
 	var leaves []subset.Leaf
--- a/router/subset_test.go
+++ b/router/subset_test.go
@@ -62,3 +62,50 @@
 		}
 	})
 }
+
+// A number that is missing, or not below the number of routers, is told with its key; with the pace off everything is at once.
+func TestNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		enabled bool
+		stated  int
+		want    string
+	}{{"router", false, -1, ""}, {"n7", true, -1, ""}, {"router", true, 3, ""},
+		{"router", true, -1, `pace.number: missing, and the name "router" does not end with a number`},
+		{"n100", true, -1, "pace.number: 100 is not below the number of routers, 100"}} {
+		set, err := config.DecodeSettings(1, []byte(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		set.Module.Roots = 100
+		cfg := &config.Config{More: config.DefaultFile(), Name: c.name, Settings: set}
+		cfg.More.Pace.Enabled, cfg.More.Pace.Number = c.enabled, c.stated
+		p, err := paceOf(cfg)
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if got != c.want {
+			t.Errorf("%+v: %q", c, got)
+		}
+		if w := p.Wait("list", 1); (w > 0) != (c.enabled && err == nil) {
+			t.Errorf("%+v: a wait of %d", c, w)
+		}
+	}
+}
+
+// A watch on the list that has ended is asked for again in this router's own turn.
+func TestListInTurn(t *testing.T) {
+	play(t, "list-in-turn", 1, func(c *config.Config) {
+		c.Name, c.Settings.Module.Roots = "n42", 100
+		c.More.Pace.Enabled, c.More.Pace.Rate = true, 100
+	}, func(st *stage) {
+		st.serve()
+		st.pass(1000)
+		for range 3 {
+			st.say("the watch ends")
+			st.feed <- "cut"
+			st.pass(1500)
+		}
+	})
+}
