--- a/lease/election.go
+++ b/lease/election.go
@@ -244,9 +244,10 @@
 		e.move(Seeking)
 		return
 	}
-	e.sounds++
-	e.echoes = make([]bool, e.set.Size)
-	e.echoes[e.set.Seat] = true
+	if e.sounds++; e.sounds == 1 { // answers add up over the soundings, or a side with just a majority would hardly ever have all at once
+		e.echoes = make([]bool, e.set.Size)
+		e.echoes[e.set.Seat] = true
+	}
 	e.seekAt = e.now + e.set.Beat/2
 	e.hooks.Sound(e.last)
 }
