--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -343,6 +343,36 @@
 	}
 }
 
+// A seat whose process is new has forgotten for whom it voted. Were it to vote at once, the leader that it had voted for, cut off now, would hold
+// what a new one gives away.
+func TestForgottenVote(t *testing.T) {
+	tb := three(t, "a", "b", "c")
+	var lead *seat
+	for _, s := range tb.seats {
+		if s.n.elect.Role() == Leading {
+			lead = s
+		}
+	}
+	voter, other := tb.seats[(lead.seat+1)%3], tb.seats[(lead.seat+2)%3]
+	alone := func(apart *seat) { // the two others hear each other
+		tb.lost = func(from, to int, _ *Message) bool { return from == apart.seat || to == apart.seat }
+	}
+	alone(other)
+	tb.pass(1500) // the other's vote for the leader has run out
+	for range 2 {
+		voter.start()
+		alone(lead)
+		for range 200 {
+			tb.pass(5)
+			for _, name := range tb.names {
+				tb.holder(name) // two are an error
+			}
+		}
+		tb.lost = func(int, int, *Message) bool { return false }
+		tb.pass(2500)
+	}
+}
+
 // Two processes with one seat: the older one lets go of all at once.
 func TestSeatTakenTwice(t *testing.T) {
 	tb := three(t, "a", "b", "c")
