--- a/rights/files.go
+++ b/rights/files.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"moleshift/capture"
+	"moleshift/internal/wholefile"
 	"moleshift/lease"
 	"moleshift/shardmap"
 	"moleshift/work"
@@ -182,7 +183,7 @@
 	var all []*capture.Query
 	head.Begun, all = capture.Merge(pieces)
 	last := strings.TrimSuffix(strings.TrimPrefix(names[len(names)-1], mergedName), captureName)
-	return writeFile(filepath.Join(dir, mergedName+last+captureName), func(out io.Writer) error {
+	return wholefile.Write(filepath.Join(dir, mergedName+last+captureName), func(out io.Writer) error {
 		w, err := capture.NewWriter(out, head)
 		if err != nil {
 			return err
@@ -196,30 +197,6 @@
 	})
 }
 
-// writeFile writes a file so that it has its name only once it is whole and on the disk.
-func writeFile(path string, fill func(io.Writer) error) error {
-	f, err := os.CreateTemp(filepath.Dir(path), ".moleshift-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name())
-	out := bufio.NewWriter(f)
-	err = fill(out)
-	if err == nil {
-		err = out.Flush()
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(f.Name(), path)
-}
-
 // Checked is what a check of a snapshot found, as its file beside it tells.
 type Checked struct {
 	At      time.Time `json:"at"`
@@ -253,7 +230,7 @@
 		r.State = strconv.AppendInt(nil, max(found.Version, before), 10)
 		r.Cost.Bytes = int64(len(raw))
 		fenced(ctx, filepath.Dir(path), s, &r, func() error {
-			return writeFile(path+".checked", func(w io.Writer) error { return json.NewEncoder(w).Encode(found) })
+			return wholefile.Write(path+".checked", func(w io.Writer) error { return json.NewEncoder(w).Encode(found) })
 		})
 		if r.Err == "" && !r.Overtaken && found.Fault != "" {
 			r.Err = found.Fault // the state is as before
--- a/rights/memory.go
+++ b/rights/memory.go
@@ -13,7 +13,6 @@
 	"io"
 	"maps"
 	"os"
-	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"moleshift/internal/wholefile"
 	"moleshift/lease"
 )
 
@@ -210,17 +210,13 @@
 	if err != nil {
 		return err
 	}
-	err = writeFile(m.path, func(out io.Writer) error {
+	err = wholefile.Write(m.path, func(out io.Writer) error {
 		_, err := out.Write(text)
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	if dir, err := os.Open(filepath.Dir(m.path)); err == nil { // the new name is to outlive the machine, too
-		dir.Sync()
-		dir.Close()
-	}
 	f, err := os.OpenFile(m.path, os.O_RDWR, 0o600)
 	if err != nil {
 		return err
--- a/rights/rights_test.go
+++ b/rights/rights_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/goleak"
 
 	"moleshift/capture"
+	"moleshift/internal/wholefile"
 	"moleshift/lease"
 	"moleshift/shardmap"
 	"moleshift/work"
@@ -259,7 +260,7 @@
 	old := time.Now().Add(-time.Hour)
 	for i := range 3 {
 		path := filepath.Join(dir, fmt.Sprintf("r%d.molecap", i))
-		err := writeFile(path, func(out io.Writer) error {
+		err := wholefile.Write(path, func(out io.Writer) error {
 			w, err := capture.NewWriter(out, capture.Header{Begun: old, Router: "r", Sample: 1, Shards: 4})
 			if err != nil {
 				return err
--- a/router/duties.go
+++ b/router/duties.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -22,6 +23,7 @@
 	"moleshift/codec"
 	"moleshift/config"
 	"moleshift/duty"
+	"moleshift/internal/wholefile"
 	"moleshift/member"
 )
 
@@ -319,25 +321,16 @@
 	s.o.later = append(s.o.later, func(o *owner) { s.node.Performed(duty.Time(o.now), d, k, why, nil) })
 }
 
-// writeWhole writes a file so that whoever reads it finds the old text or the new one.
+// writeWhole writes a value as JSON.
 func writeWhole(path string, v any) error {
 	text, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), ".moleshift-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name())
-	if _, err := f.Write(append(text, '\n')); err != nil {
-		f.Close()
+	return wholefile.Write(path, func(out io.Writer) error {
+		_, err := out.Write(append(text, '\n'))
 		return err
-	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	return os.Rename(f.Name(), path)
+	})
 }
 
 // ---- the page for operators ----
--- a/shardmap/mapfile/mapfile.go
+++ b/shardmap/mapfile/mapfile.go
@@ -10,10 +10,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
-	"path/filepath"
 
+	"moleshift/internal/wholefile"
 	"moleshift/shardmap"
 )
 
@@ -40,24 +41,10 @@
 	if err != nil {
 		return err
 	}
-	dir := filepath.Dir(path)
-	f, err := os.CreateTemp(dir, filepath.Base(path)+".new-*")
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		return errors.Join(err, os.Remove(f.Name()))
-	}
-	d, err := os.Open(dir) // the name is only safe once the directory is
-	if err != nil {
+	return wholefile.Write(path, func(out io.Writer) error {
+		_, err := out.Write(raw)
 		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	})
 }
 
 func read(path string) (*shardmap.Map, error) {
