A right that is held can get its first job by SIGHUP; settings refused change nothing

Found by reading the change again: a right that was only held and got a job by new settings was never worked on, as the scheduler had not been told that it is held; and where new rights could not be taken over the driver went by them all the same, and names were half taken.

Change: such a right is given up once, so that its next tenure begins with the job; rights are checked before anything changes; a job of which nothing runs gives its right back in the scheduler, which had been a special case in the driver and in the laboratory.

--- a/lab/leases/world.go
+++ b/lab/leases/world.go
@@ -364,11 +364,7 @@
 // Lost is part of lease.Port.
 func (i *instance) Lost(right string, t lease.Token, why lease.Why) {
 	i.w.judge.lost(i, right, t, why)
-	i.later(func(now Time) {
-		if i.work.Lost(now, right, t); i.w.o.Bare {
-			i.node.Released(now, right)
-		}
-	})
+	i.later(func(now Time) { i.work.Lost(now, right, t) })
 }
 
 // Opened is part of lease.Port.
--- a/lab/processes/fleet.go
+++ b/lab/processes/fleet.go
@@ -47,7 +47,6 @@
 	clock          time.Duration
 	cmd            *exec.Cmd
 	ended          chan struct{}
-	stopped        bool
 	keeps, limited bool
 	starts         int
 }
@@ -248,7 +247,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	r.cmd, r.stopped = cmd, false
+	r.cmd = cmd
 	ended := make(chan struct{})
 	r.ended = ended
 	go func() {
@@ -302,7 +301,7 @@
 	}
 	f.signal(r, syscall.SIGKILL)
 	<-r.ended
-	r.cmd, r.stopped = nil, false
+	r.cmd = nil
 }
 
 // end tells a process to end, and makes it end if it does not.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -188,12 +188,17 @@
 	if len(rights) > mostRights {
 		return fmt.Errorf("%d rights, %d at most", len(rights), mostRights)
 	}
+	names := map[uint64]string{}
+	for _, x := range rights { // before anything changes
+		id := xxhash.Sum64String(x.Name)
+		if other, known := names[id]; known {
+			return fmt.Errorf("rights %q and %q can't be told apart", other, x.Name)
+		}
+		names[id] = x.Name
+	}
 	next, byID := make([]*right, 0, len(rights)), map[uint64]*right{}
 	for _, x := range rights {
 		id := xxhash.Sum64String(x.Name)
-		if other := byID[id]; other != nil {
-			return fmt.Errorf("rights %q and %q can't be told apart", other.Name, x.Name)
-		}
 		r := n.byID[id]
 		if r == nil {
 			r = &right{id: id, entry: Entry{Right: id, Seat: -1, Heir: -1}, at: now}
@@ -292,6 +297,14 @@
 	}
 }
 
+// GiveUp has the work under a right stop, so that it goes to whoever is next, which may be this instance again.
+func (n *Node) GiveUp(now Time, name string) {
+	n.enter(now)
+	if r := n.right(name); r != nil {
+		n.stop(r, Dropped)
+	}
+}
+
 // Overtaken is told by a holder to which a receiver has said that it has met a greater token.
 func (n *Node) Overtaken(now Time, name string, t Token) {
 	n.enter(now)
--- a/rights/driver.go
+++ b/rights/driver.go
@@ -103,7 +103,9 @@
 		return nil, err
 	}
 	now := d.now()
-	rights, jobs := d.list(set.Rights)
+	var rights []lease.Right
+	var jobs []work.Job
+	d.rights, rights, jobs = list(set.Rights)
 	if d.node, err = lease.New(set.Lease, rights, d.memory.memory(), (*port)(d), now); err != nil {
 		d.memory.close()
 		return nil, fmt.Errorf("leases.rights: %w", err)
@@ -114,27 +116,30 @@
 	return d, nil
 }
 
-// list is what the node and the scheduler are told of rights.
-func (d *Driver) list(all []Right) (rights []lease.Right, jobs []work.Job) {
-	d.rights = map[string]Right{}
+// list is what the driver, the node and the scheduler are told of rights.
+func list(all []Right) (byName map[string]Right, rights []lease.Right, jobs []work.Job) {
+	byName = map[string]Right{}
 	for _, r := range all {
 		rights = append(rights, r.Right)
-		d.rights[r.Name] = r
+		byName[r.Name] = r
 		if r.Do != nil {
 			jobs = append(jobs, r.Job)
 		}
 	}
-	return rights, jobs
+	return byName, rights, jobs
 }
 
-// Reload follows new settings: rights that are new, gone or paused, other jobs, other limits. Steps that run end first.
+// Reload follows new settings: rights that are new, gone or paused, other jobs, other limits. A step that runs of a job that is no more is
+// cancelled. A right that is held and gets its first job is given up, so that its next tenure begins with the job.
 func (d *Driver) Reload(all []Right, limits work.Settings) {
 	told := func(now lease.Time) {
-		rights, jobs := d.list(all)
+		byName, rights, jobs := list(all)
 		if err := d.node.SetRights(now, rights); err != nil {
 			d.log.Error().Err(err).Msg("rights not taken over, the old ones stand")
 			return
 		}
+		old := d.rights
+		d.rights = byName
 		d.follow(now)
 		for name, t := range d.tasks {
 			if d.rights[name].Do == nil {
@@ -143,6 +148,12 @@
 		}
 		d.sched.SetJobs(jobs)
 		d.sched.SetLimits(limits)
+		for _, r := range all {
+			if was, known := old[r.Name]; known && was.Do == nil && r.Do != nil {
+				d.node.GiveUp(now, r.Name)
+			}
+		}
+		d.follow(now)
 	}
 	select {
 	case d.queue <- told:
@@ -327,12 +338,7 @@
 		level = zerolog.WarnLevel
 	}
 	p.log.WithLevel(level).Str("right", right).Stringer("token", t).Stringer("why", why).Msg("right lost")
-	p.later(func(now lease.Time) {
-		p.sched.Lost(now, right, t)
-		if p.rights[right].Do == nil {
-			p.node.Released(now, right)
-		}
-	})
+	p.later(func(now lease.Time) { p.sched.Lost(now, right, t) })
 }
 
 // Opened is part of lease.Port.
--- a/rights/memory.go
+++ b/rights/memory.go
@@ -26,14 +26,14 @@
 )
 
 const (
-	memoryMark  = "moleshift promises 1\n"
-	recordHead  = 4 + 8 // length, checksum
-	mostRecord  = 8 << 10
-	leastRewrit = 256 << 10 // bytes before the file is written anew
-	overLive    = 4         // and times what would then be in it
-	lockSuffix  = ".lock"
-	damagedName = ".damaged-"
-	lockRetry   = 20 * time.Millisecond
+	memoryMark   = "moleshift promises 1\n"
+	recordHead   = 4 + 8 // length, checksum
+	mostRecord   = 8 << 10
+	leastRewrite = 256 << 10 // bytes before the file is written anew
+	overLive     = 4         // and times what would then be in it
+	lockSuffix   = ".lock"
+	damagedName  = ".damaged-"
+	lockRetry    = 20 * time.Millisecond
 )
 
 var openWithin = 2 * time.Second // for another process to let the file go
@@ -235,7 +235,8 @@
 		return err
 	}
 	m.mem.Floor = max(m.mem.Floor, reign)
-	return m.tidy()
+	m.tidy()
+	return nil
 }
 
 func (m *memory) keep(right string, k lease.Kept) error {
@@ -245,7 +246,8 @@
 	if m.f != nil {
 		m.mem.Kept[right] = k
 	}
-	return m.tidy()
+	m.tidy()
+	return nil
 }
 
 // append adds a record, and comes back once it is on the disk.
@@ -272,14 +274,13 @@
 }
 
 // tidy writes the file anew where most of it no longer matters. That it can't is no fault of what was just recorded.
-func (m *memory) tidy() error {
-	if m.f == nil || m.size < leastRewrit {
-		return nil
+func (m *memory) tidy() {
+	if m.f == nil || m.size < leastRewrite {
+		return
 	}
 	if text, err := m.live(); err == nil && m.size > overLive*int64(len(text)) {
 		m.rewrite()
 	}
-	return nil
 }
 
 func (m *memory) close() {
--- a/rights/rights_test.go
+++ b/rights/rights_test.go
@@ -326,3 +326,37 @@
 	}
 	return b
 }
+
+// A right that is only held gets a job by new settings: the job is done, under a tenure of its own. Settings that can't be taken change
+// nothing.
+func TestJobComesLater(t *testing.T) {
+	came := make(chan Call, 100)
+	hook := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var c Call
+		if json.NewDecoder(r.Body).Decode(&c) == nil {
+			came <- c
+		}
+	}))
+	defer hook.Close()
+	right := Right{Right: lease.Right{Name: "x"}, Job: work.Job{Name: "x", Every: 100 * lease.Millisecond, Deadline: 1000 * lease.Millisecond}}
+	d, err := New(Settings{Lease: lease.Settings{Size: 1, Lease: 400 * lease.Millisecond, Beat: 100 * lease.Millisecond}, Name: "n",
+		Rights: []Right{right}}, end{&circuit{ends: make([]*Driver, 1)}, 0}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var ran sync.WaitGroup
+	ran.Go(func() { d.Run(ctx) })
+	var before lease.Token
+	for held := false; !held; time.Sleep(time.Millisecond) {
+		before, _, held = d.look("x")
+	}
+	d.Reload([]Right{right, right}, work.Settings{})
+	right.Do = Hook(hook.URL, "n")
+	d.Reload([]Right{right}, work.Settings{})
+	if c := <-came; lease.Token(c.Token) <= before {
+		t.Errorf("token %d after %d", c.Token, before)
+	}
+	stop()
+	ran.Wait()
+}
--- a/work/work.go
+++ b/work/work.go
@@ -225,7 +225,11 @@
 func (s *Scheduler) Lost(now Time, name string, t lease.Token) {
 	s.enter(now)
 	j := s.job(name)
-	if j == nil || t < j.token || j.phase == idle {
+	if j == nil || j.phase == idle { // nothing of it runs
+		s.port.Released(name)
+		return
+	}
+	if t < j.token {
 		return
 	}
 	j.next = 0
