A zone's link is held against the best zone's: with one zone it is never at fault

No healthy leaf fell: all served as soon as they were asked.

Checked and excluded: leaves pushed over as they come back cold (a table of each leaf's outcomes by the second: those that do not flap answer to the end); budget (none is set); cold bars, second copies, `vain` (a print of all three holders at the fourth call: all might be called). The print shows strikes 0 and last failure never, for a leaf just refused three times, and the way to the one zone 1e7 to 1e10 times as slow.

The lines: `least := 0.0` in `way`. A zone's running median was held against the best zone or the usual, whichever was better; with one zone there is no better one to tell a bad link from bad leaves by, so 8 samples of bad leaves condemned the link, and `strike` forgives every leaf behind a bad link. The assumption that did not carry over: that there are several zones. The best zone is now the best zone; where there is one, nothing is blamed but leaves.

Guards also: all zones bad at once (a shared slowdown) no longer makes every link "at fault".

TestOneZoneIsNeverAtFault fails on the old line (31.5 times as slow, 0 strikes, the part's second call to the same leaf).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -568,9 +568,9 @@
 }
 
 // way is how much slower the leaves of a zone are than those of the best one, if more than chance would make
-// them: then the link is at fault, or what they share, and none of them.
+// them: then the link is at fault, or what they share, and none of them. A single zone is the best one.
 func (r *Root) way(l *Leaf) float64 {
-	least := 0.0
+	least := math.Inf(1)
 	for zone := range r.links {
 		least = min(least, r.level(zone))
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -407,6 +407,34 @@
 	st.check("link")
 }
 
+// Where all leaves are in one zone there is no better link to hold it against: refused calls are their leaf's fault,
+// however many there are, and a part does not spend all its calls on that leaf.
+func TestOneZoneIsNeverAtFault(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.Roots = 100 }))
+	st.warm(3)
+	for range 30 { // evidence that would condemn the zone, were it held against none
+		st.r.learnLink(st.leafs[1], mostSlow)
+	}
+	bad := st.leafs[0]
+	st.query(0, 0, 0, 0, 0)
+	for range 4 {
+		for name, c := range st.calls {
+			if c.Leaf == bad && !c.Ended() {
+				st.end(name, NoConnection, nil)
+				break
+			}
+		}
+	}
+	if way := st.r.way(bad); way != 1 || bad.trust(0).strikes == 0 {
+		t.Errorf("the way there is %.1f times as slow, %.0f strikes; want 1 and some", way, bad.trust(0).strikes)
+	}
+	for name, c := range st.calls {
+		if first := c.Part.calls[0]; first != c && first.Leaf == bad && c.Leaf == bad {
+			t.Errorf("%s went to the leaf that had refused the part", name)
+		}
+	}
+}
+
 // A leaf fails one vertical: its answers to the other do not clear it, and the other does not lose it.
 func TestLeafThatFailsOneVertical(t *testing.T) {
 	st := play(t, 2, plain(func(s *Settings) { s.Verticals = append(s.Verticals, s.Verticals[0]) }))
