Beliefs on time: failures do not make answers slow, and what nothing tests fades

The wait was pace x tempo x (Q + 2D), with a common tempo of 1.5 to 3.9 and a pace of up to five times that of quiet times, ten seconds after all was well.

Two causes, by lines. `wait` and `vain` took the tempo for a time. It has the failures in it (a refused call counts as one five times too long), as an order of candidates needs; so a few dead leaves made every unknown leaf look three times as slow. `expected` leaves the failures out of what is not known.

Guards also: a root back from a long standstill; a fleet whose traffic stops after a jam. Harm: a root without traffic finds a jam anew, by one query.

Both tests fail on the old text.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -412,7 +412,7 @@
 	if p.query.v.worthWaiting() {
 		until = r.last(p.query)
 	}
-	return r.blind()*r.pace*r.tempo(l)*(r.queue(l)+2*r.load(p, l)) > float64(until-r.now)
+	return r.blind()*r.expected(l)*(r.queue(l)+2*r.load(p, l)) > float64(until-r.now)
 }
 
 // budget: does the window leave room for one further call? Edges are taken the strict way.
@@ -480,8 +480,15 @@
 
 // tempo is a leaf's time for a unit of load against its peers'. A call that stays out shows it as well as
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
-func (r *Root) tempo(l *Leaf) float64 {
-	s, link := r.ratio(l.pace), r.way(l)
+func (r *Root) tempo(l *Leaf) float64 { return r.against(l, r.common) }
+
+// expected is the time for a unit of load at a leaf that answers. What failures make of the common tempo orders leaves;
+// taken for a time it would say that a fleet with a few dead leaves is slow, and turn queries away for it.
+func (r *Root) expected(l *Leaf) float64 { return r.pace * r.against(l, 1) }
+
+// against is tempo where a leaf that is not known is thought to have the usual one.
+func (r *Root) against(l *Leaf, usual float64) float64 {
+	s, link := r.ratio(l.pace, usual), r.way(l)
 	if len(l.out) > 0 && r.pace > 0 {
 		c := l.out[0]
 		s = max(s, float64(r.now-c.sent)/c.ahead/r.pace/link)
@@ -530,12 +537,12 @@
 	}
 }
 
-// ratio is what is left of a tempo by now.
-func (r *Root) ratio(t tempo) float64 {
+// ratio is what is left of a tempo by now; the rest is the usual one.
+func (r *Root) ratio(t tempo, usual float64) float64 {
 	if t.at == 0 {
-		return r.common
+		return usual
 	}
-	return r.common + (t.mean-r.common)*r.left(t)
+	return usual + (t.mean-usual)*r.left(t)
 }
 
 // left is how much of the evidence on one leaf still holds. Where there are so many leaves that the root
@@ -556,7 +563,7 @@
 
 // note takes a sample of a leaf's tempo.
 func (r *Root) note(l *Leaf, x float64) {
-	n, mean := l.pace.n*r.left(l.pace)+1, r.ratio(l.pace)
+	n, mean := l.pace.n*r.left(l.pace)+1, r.ratio(l.pace, r.common)
 	l.pace = tempo{mean + max(2*gain, 1/(n+1))*(x-mean), n, r.now}
 }
 
@@ -607,11 +614,12 @@
 func (r *Root) learn(l *Leaf, x float64, answered bool) {
 	x = max(x, epsilon) // an answer in no time at all must not make the mean 0
 	if r.pace == 0 {
-		r.pace, r.dev = x, x/2
+		r.pace, r.dev, r.calm = x, x/2, x
 	}
 	if top := r.pace + 2*lateBy*r.dev; answered {
 		r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 		r.pace += gain / 4 * (min(x, top) - r.pace)
+		r.calm, r.answeredAt = min(r.pace, r.calm+gain*gain/4*(r.pace-r.calm)), r.now
 	}
 	x = min(x/r.pace, mostSlow)
 	r.noteCall(l, x/r.way(l))
@@ -677,7 +685,7 @@
 		if c.overdue {
 			r.lost += gain / 2 * (1 - r.lost)
 		}
-		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace), 1)*r.way(l) { // at least that long
+		if r.pace > 0 && took > r.pace*max(r.ratio(l.pace, r.common), 1)*r.way(l) { // at least that long
 			r.learn(l, took, false)
 		}
 	}
@@ -840,7 +848,7 @@
 	}
 	if o != OK {
 		if l.trusts[0].lastOK <= at && l.doubtAt > 0 && l.doubtBy != from && at-l.doubtAt < r.horizon {
-			r.note(l, min(2*r.ratio(l.pace), mostSlow))
+			r.note(l, min(2*r.ratio(l.pace, r.common), mostSlow))
 			l.doubtAt = 0
 			return
 		}
@@ -922,7 +930,7 @@
 		least := math.Inf(1)
 		for _, l := range r.holders[p.Shard] {
 			if r.sound(l, q.Vertical) && r.warmEnough(l, r.work(p)) {
-				least = min(least, r.pace*r.tempo(l)*(r.queue(l)+2*max(r.work(p), r.unit)*r.blind()))
+				least = min(least, r.expected(l)*(r.queue(l)+2*max(r.work(p), r.unit)*r.blind()))
 			}
 		}
 		waits = append(waits, least)
@@ -1078,6 +1086,12 @@
 	}
 	recent(&r.further, r.now-r.set.BudgetWindow-r.set.Tick)
 	recent(&r.taken, r.now-r.set.BudgetWindow)
+	// Beliefs that no call has tested for a horizon fade to those of a calm fleet: a root that turns all away for them
+	// makes no call, and would never learn that the trouble is over.
+	if r.answeredAt > 0 && r.now-r.answeredAt > r.horizon {
+		kept := math.Exp(-float64(sweepEvery) / float64(r.horizon))
+		r.pace, r.usual = r.calm+(r.pace-r.calm)*kept, r.usual*kept
+	}
 	done, warm := recent(&r.done, r.now-r.set.FallTime), 0.0
 	for _, l := range r.leaves {
 		if l.ready() && r.capacity(l) >= 1 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -353,6 +353,39 @@
 	st.check("forgotten")
 }
 
+// A jam leaves a blind root with the belief that all calls are slow and all queues long. It turns everything away and so makes
+// no call that could tell it better: beliefs that nothing tests fade to those of quiet times, and it lets a query in again.
+func TestUntestedBeliefsFade(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.Roots = 300 }))
+	st.warm(8)
+	calm := st.r.pace
+	jammed := 8 * calm
+	st.r.pace, st.r.usual = jammed, 10*st.r.unit
+	if q := st.query(0, 0, 0); q.state != rejected {
+		t.Fatalf("in the jam the root lets a query in: pace %.0f, %.0f before", jammed, calm)
+	}
+	st.pass(int(6 * st.r.horizon / Millisecond))
+	if q := st.query(0, 0, 0); q.state != gathering {
+		t.Errorf("six horizons later the root still turns queries away: pace %.0f, %.0f in the jam, %.0f before", st.r.pace, jammed, calm)
+	}
+}
+
+// Many calls fail at once: a leaf that is not known is no better a choice than the rest, but if it answers it is not expected to
+// take longer for it.
+func TestFailuresDoNotMakeTheFleetSlow(t *testing.T) {
+	st := play(t, 3, plain(func(s *Settings) { s.Roots = 300 }))
+	st.warm(6)
+	sound := st.leafs[2]
+	sound.pace = tempo{}
+	before := st.r.expected(sound)
+	for range 10 {
+		st.r.strike(st.leafs[0], mostStruck, &st.leafs[0].trusts[0])
+	}
+	if after := st.r.expected(sound); st.r.common < 1.5 || after > 1.01*before {
+		t.Errorf("common tempo %.1f; a sound leaf was expected to take %.0f, now %.0f", st.r.common, before, after)
+	}
+}
+
 // Incident 10: right after a start the least service time is next to nothing; that must not make all others
 // look jammed. Incident 29: nor must the times of 0 that leaves report which have served nothing yet, or
 // queries are turned away from a fleet that stands idle.
--- a/choice/state.go
+++ b/choice/state.go
@@ -175,7 +175,9 @@
 	now     Time
 	started Time
 	resumed Time // when it last found that it had stood still
-	draws   uint64
+
+	answeredAt Time // when a call was last answered
+	draws      uint64
 
 	leaves  []*Leaf
 	ready   int       // leaves that take calls
@@ -185,6 +187,7 @@
 	holders [][]*Leaf // by shard
 
 	pace, dev float64   // time for a unit of load: mean and mean deviation over all leaves
+	calm      float64   // pace in quiet times: the least that it was, rising slowly towards what it is
 	unit      float64   // mean D
 	services  []amount  // the last service times reported
 	usual     float64   // mean of reported queues
