Copies follow the size of a query; a refusal costs no time; busy cores count in Q

Excluded: admission (120), budget (none), `vain` (leaves idle). The line: a root that is blind saves up two copies, and what is added past that is lost; 34 parts, of which three or four fall silent, go out in one turn. The assumption that did not carry over: that a query has a few parts. Harm: a query of 140 parts may copy 14 of them at once.

A connection that times out is as long as before, as it takes that time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each part where nothing waits: they have a price
 	probesMost = 1.25              // and where much does: enough for all replicas, as neighbours share them
-	hearLeast  = 0.5               // of the time for which a report is fresh: the age from which hearsay may replace it
+	hearLeast  = 0.5               // of the time for which a report is fresh: hearsay may replace an older one
 	probesKept = 40                // saved up for a query with many parts
 	askTicks   = 4                 // that a query waits for probes
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
@@ -281,7 +281,9 @@
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		seen := 1 - r.blind()
-		r.copies = min(r.copies+copyShare+r.lost*seen, max(copiesMost*seen, copiesFew))
+		// A query whose parts are all needed is lost with one of them, so what is saved up suffices for its size.
+		most := max(copiesMost*seen, copiesFew, (copyShare+r.lost)*float64(len(p.query.Parts)))
+		r.copies = min(r.copies+copyShare+r.lost*seen, most)
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
 		r.copies--
 	}
@@ -405,8 +407,9 @@
 	return r.warmEnough(l, r.work(p))
 }
 
-// vain: a further call would hardly be back while it is worth something. A root that sees its leaves often finds that out by
-// itself; of hundreds that see little each would ask every replica of a jammed set once, and so keep it jammed.
+// vain: a further call would hardly be back while it is worth something. A root that sees its leaves often
+// finds that out by itself; of hundreds that see little each would ask every replica of a jammed set once, and
+// so keep it jammed.
 func (r *Root) vain(p *Part, l *Leaf) bool {
 	until := p.query.slo
 	if p.query.v.worthWaiting() {
@@ -482,8 +485,8 @@
 // one that comes back, so a stalled leaf looks slower the longer it is silent.
 func (r *Root) tempo(l *Leaf) float64 { return r.against(l, r.common) }
 
-// expected is the time for a unit of load at a leaf that answers. What failures make of the common tempo orders leaves;
-// taken for a time it would say that a fleet with a few dead leaves is slow, and turn queries away for it.
+// expected is the time for a unit of load at a leaf that answers. What failures make of the common tempo
+// orders leaves; taken for a time it would say that a fleet with a few dead leaves is slow.
 func (r *Root) expected(l *Leaf) float64 { return r.pace * r.against(l, 1) }
 
 // against is tempo where a leaf that is not known is thought to have the usual one.
@@ -674,9 +677,9 @@
 		for _, t := range l.both(v) {
 			t.strikes, t.lastOK = max(t.strikes-1, 0), now
 		}
-	case Failed, Reset: // it costs its time and one more call
+	case Failed, Reset, NoConnection: // it costs its time and one more call
 		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
-	case NoConnection, Full:
+	case Full:
 		r.strike(l, mostStruck, l.both(v)...)
 	case TimedOut, Cancelled:
 		if r.paused() {
@@ -771,7 +774,8 @@
 	}
 	switch {
 	case rep.Has[Waiting]:
-		l.reported = rep.Value[Waiting] * unit
+		// 2: as in alone; busy cores hide parts in work that the queue does not tell of.
+		l.reported = (rep.Value[Waiting] + 2*min(max(rep.Value[Utilisation], 0), 1)) * unit
 	case rep.Has[Active]:
 		l.reported = rep.Value[Active] * unit
 	case rep.Has[Utilisation]:
@@ -835,11 +839,12 @@
 	r.arm()
 }
 
-// Heard takes what another instance's probe found, age ago. A report counts as if this root had asked then: what it has
-// sent since is added. It is taken only if the root's own news has grown old, how old is drawn: all roots hear of a leaf
-// at once, and if all took it, all would send to that leaf at once. Hearsay says at most that a leaf has a few parts more
-// than usual, and that it failed only by two instances' word while no own call has been answered since: then that
-// is one sample of its tempo, which fades, and no strike. So no instance that lies or sees badly condemns a leaf.
+// Heard takes what another instance's probe found, age ago. A report counts as if this root had asked then:
+// what it has sent since is added. It is taken only if the root's own news has grown old, how old is drawn:
+// all roots hear of a leaf at once, and if all took it, all would send to that leaf at once. Hearsay says at
+// most that a leaf has a few parts more than usual, and that it failed only by two instances' word while no
+// own call has been answered since: then that is one sample of its tempo, which fades, and no strike. So no
+// instance that lies or sees badly condemns a leaf.
 func (r *Root) Heard(now Time, l *Leaf, from int, o Outcome, rep *Report, age Time) {
 	r.enter(now)
 	at := now - max(age, 0)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -484,6 +484,52 @@
 	st.check("one-vertical")
 }
 
+// A query of many parts of which a tenth is lost needs that many second copies at once, also of a root that sees little.
+func TestCopiesFollowTheSizeOfAQuery(t *testing.T) {
+	const parts = 40
+	st := play(t, parts, plain(func(s *Settings) { s.Roots, s.Shards = 300, parts }))
+	st.warm(8)
+	st.pass(600000) // in which it has called each leaf but a few times
+	st.query(0, make([]float64, parts)...)
+	if blind := st.r.blind(); blind < 0.5 {
+		t.Fatalf("the root is to see little: %.2f", blind)
+	}
+	lost := 0
+	for i := range parts {
+		if i%10 == 0 {
+			lost++ // never answered
+			continue
+		}
+		st.pass(1)
+		st.end(fmt.Sprintf("q%d.%d#0", st.n, i), OK, nil)
+	}
+	st.pass(900)
+	copies := 0
+	for name := range st.calls {
+		if strings.HasPrefix(name, fmt.Sprintf("q%d.", st.n)) && strings.HasSuffix(name, "#1") {
+			copies++
+		}
+	}
+	if copies < lost {
+		t.Errorf("%d second copies for %d lost parts of %d", copies, lost, parts)
+	}
+}
+
+// A refused connection costs no time: three refusals must not make a leaf look slow, only distrusted.
+func TestRefusalIsNoSlowness(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	l := st.leafs[0]
+	for range 3 {
+		st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 5000, Deadline: st.now + 9000, state: merged}}, l)
+		st.pass(1)
+		st.r.Outcome(st.now, l.out[0], NoConnection, 2, false, nil)
+	}
+	if slow := st.r.expected(l) / st.r.pace; slow > 1.5 || l.trust(0).strikes != 3 {
+		t.Errorf("refused three times: expected to be %.1f times as slow, %.0f strikes; want about 1, 3", slow, l.trust(0).strikes)
+	}
+}
+
 // A root that stood still finds its due times before the answers that came meanwhile: no verdict until they are
 // read, and nothing is learnt from times that hold the pause.
 func TestPauseOfTheRootIsNoLeafsFault(t *testing.T) {
