A leaf that fell silent is probed before a part is risked on it

The wire shows where further calls went: of 2,533 connects that failed (250 ms each) most were tries of leaves whose bar had passed, by each router for itself, and each took one of the 11 further calls that a router may make in 2 s. Excluded: admission (its refusals are the consequence: tries doubled), second copies (there were some left), data hosts that are up (they answer in 109 ms).

The lines: `shunned` let a struck leaf have a part as soon as its time was up, though nobody had heard of it. Where probes are allowed the root now sends one then, and the leaf takes parts again when that, or a call, is answered. The budget is spent on what is not known beforehand.

Guards also: hangs, one-sided links (the probe takes the same way), crashes that the list has not noticed.

TestSilentLeafIsProbedBeforeItIsTried.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -509,10 +509,17 @@
 	return 0
 }
 
-// shunned: a struck leaf whose time is not up, or which has its one call out.
+// shunned: a struck leaf whose time is not up, or which has its one call out, or of which nothing is heard.
 func (r *Root) shunned(l *Leaf, v int) bool {
 	t := l.trust(v)
-	return t.strikes > 0 && (r.now < t.until || len(l.out) > 0)
+	return t.strikes > 0 && (r.now < t.until || len(l.out) > 0 || r.silent(l))
+}
+
+// silent: a leaf was out of reach or let a call go overdue, and has answered nothing since. Where probes are
+// allowed one finds out whether it is back, before a part does: a part that is lost costs a further call, and
+// those are rationed. Where reports come with probes alone, queries send them anyway.
+func (r *Root) silent(l *Leaf) bool {
+	return r.set.MayProbe && !r.set.ProbeReports && l.silentAt > max(l.probedAt, l.trusts[0].lastOK)
 }
 
 func (r *Root) sound(l *Leaf, v int) bool { return l.ready() && (!r.shunned(l, v) || r.allStruck()) }
@@ -678,6 +685,9 @@
 			t.strikes, t.lastOK = max(t.strikes-1, 0), now
 		}
 	case Failed, Reset, NoConnection: // it costs its time and one more call
+		if o == NoConnection {
+			l.silentAt = now
+		}
 		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
 	case Full:
 		r.strike(l, mostStruck, l.both(v)...)
@@ -734,6 +744,7 @@
 	}
 	c.overdue = true
 	if t := &l.trusts[q.Vertical+1]; t.lastOK <= c.sent && c.sent >= l.started && r.now >= t.until {
+		l.silentAt = r.now
 		r.strike(l, mostStruck, l.both(q.Vertical)...)
 	}
 	if q.Over() {
@@ -824,9 +835,13 @@
 func (r *Root) Probed(now Time, l *Leaf, o Outcome, rep *Report) {
 	r.enter(now)
 	l.probing = false
+	if o == OK {
+		l.probedAt = now
+	}
 	if o == OK && rep != nil {
 		r.report(l, rep)
 	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
+		l.silentAt = now
 		r.strike(l, mostStruck, &l.trusts[0])
 	}
 	waiting := l.awaited
@@ -978,7 +993,7 @@
 	var lost []*LeafCall
 	ended := func(l *Leaf) { // a new process has none of the old one's work or faults
 		lost = append(lost, l.out...)
-		l.pace, l.reported, l.since, l.doubtAt = tempo{}, 0, 0, 0
+		l.pace, l.reported, l.since, l.doubtAt, l.silentAt = tempo{}, 0, 0, 0, 0
 		clear(l.trusts)
 	}
 	listed := map[*Leaf]bool{}
@@ -1099,6 +1114,10 @@
 	}
 	done, warm := recent(&r.done, r.now-r.set.FallTime), 0.0
 	for _, l := range r.leaves {
+		if l.ready() && r.silent(l) && r.now >= l.trusts[0].until && !l.probing && len(l.out) == 0 {
+			l.probing = true
+			r.port.Probe(l)
+		}
 		if l.ready() && r.capacity(l) >= 1 {
 			warm++
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -515,6 +515,33 @@
 	}
 }
 
+// A leaf that was out of reach is probed when its time is up, before a part is risked on it; an answer lets parts go there again.
+func TestSilentLeafIsProbedBeforeItIsTried(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.MayProbe, s.MaxCalls = true, 1 }))
+	st.warm(6)
+	bad := st.leafs[0]
+	st.list(false, Draining, st.leafs[1])
+	st.query(0, 0)
+	st.list(false, Ready, st.leafs[1])
+	st.pass(10)
+	st.end(fmt.Sprintf("q%d.0#0", st.n), NoConnection, nil)
+	st.out.Reset()
+	st.pass(1000)
+	if !bad.probing || st.r.shunned(bad, 0) == false {
+		t.Fatalf("after 1 s: probe out %v, shunned %v", bad.probing, st.r.shunned(bad, 0))
+	}
+	st.r.Probed(st.now, bad, NoConnection, nil)
+	st.pass(2000)
+	if !bad.probing || bad.trust(0).strikes != 2 {
+		t.Fatalf("after a probe that failed: the next out %v, %.0f strikes", bad.probing, bad.trust(0).strikes)
+	}
+	st.r.Probed(st.now, bad, OK, nil)
+	if st.r.shunned(bad, 0) {
+		t.Error("the leaf has answered a probe and is still left out")
+	}
+	st.check("silent")
+}
+
 // A refused connection costs no time: three refusals must not make a leaf look slow, only distrusted.
 func TestRefusalIsNoSlowness(t *testing.T) {
 	st := play(t, 2, plain(nil))
