A report fades as its queue drains, and moves the usual queue by four parts at most

The lines: `r.usual +=` took each report for its whole length; `queue` faded a report over the horizon, 2 s here, though a queue of three drains in 0.2 s. The assumption that did not carry over: that queues are alike over the leaves and outlast the horizon. A report now fades over the time in which the queue that it tells of drains by the root's own pace, at most the horizon, and one report moves the usual queue by as much as a busy leaf that tells its utilisation would: four parts. No new constant.

TestQueueIsForgottenAsItDrains fails on the old lines (2.9 parts of 3 left, 4.1 parts thought usual).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,9 +465,14 @@
 
 // ---- what a leaf is worth ----
 
-// queue is Q.
+// queue is Q. A report fades over the time in which the queue that it tells of drains, or the horizon if that is
+// less: what is soon gone is no reason to keep away from a leaf, nor to turn a query away, a second later.
 func (r *Root) queue(l *Leaf) float64 {
-	return max(r.usual+(l.reported-r.usual)*r.fade(l.reportAt)+l.since, l.own)
+	span := float64(r.horizon)
+	if r.pace > 0 {
+		span = min(max(r.pace*(l.reported+2*r.unit), float64(r.set.Tick)), span) // 2: see alone
+	}
+	return max(r.usual+(l.reported-r.usual)*r.fadeOver(l.reportAt, span)+l.since, l.own)
 }
 
 // fade is how much is left of what was learnt at a time: without news a leaf drifts back to what its peers
@@ -800,7 +805,9 @@
 	if rep.Has[Waiting] && slow > slowLeaf { // beside the queue; within the limit it is chance
 		r.note(l, min(slow, mostSlow))
 	}
-	r.usual += gain / 4 * (l.reported - r.usual)
+	// One jammed leaf moves the usual queue no more than a busy one: most leaves have none when a few have many.
+	most := busiest / (1 - busiest) * unit
+	r.usual += gain / 4 * min(max(l.reported-r.usual, -most), most)
 }
 
 // Started: the answer to a call has begun to come; it belongs to the client now.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -542,6 +542,32 @@
 	st.check("silent")
 }
 
+// A report of a queue is forgotten as the queue drains, long before the horizon; and what is not known is thought to be as most
+// leaves are, however long the queue of the few that jam.
+func TestQueueIsForgottenAsItDrains(t *testing.T) {
+	st := play(t, 10, plain(func(s *Settings) { s.Verticals[0].SLO, s.Verticals[0].Deadline = 100000, 300000 }))
+	st.warm(6)
+	l, r := st.leafs[0], st.r
+	for range 20 {
+		r.report(l, queued(3))
+	}
+	drained := Time(r.pace*(3+2)*r.unit) / Millisecond
+	st.pass(int(3 * drained))
+	if q := r.queue(l); q > r.usual+0.2*r.unit {
+		t.Errorf("three times the %d ms in which it drains later a queue of 3 is still %.1f, the usual one being %.1f", drained, q, r.usual)
+	}
+	r.usual = 0
+	for range 10 {
+		for _, l := range st.leafs[1:] {
+			r.report(l, queued(0))
+		}
+		r.report(l, queued(40))
+	}
+	if r.usual > r.unit {
+		t.Errorf("one leaf in ten has a queue of 40, the others none: the usual queue is thought to be %.1f", r.usual)
+	}
+}
+
 // A refused connection costs no time: three refusals must not make a leaf look slow, only distrusted.
 func TestRefusalIsNoSlowness(t *testing.T) {
 	st := play(t, 2, plain(nil))
