A leaf that found no connection may be cold, and is trusted by degrees

Nobody was told, so the guard of cold leaves did not act, and the fallen leaves crowd the others.

The lines: `capacity` knew a start from the list alone. A call that finds no connection now counts as a start of the leaf at that moment, whatever made it so: its share in any window grows from the cold share to the full one over the cold time, as for a start that was told; but since it need not be cold, one part of this root may show it in each window. Told starts are as before.

Guards also: a leaf whose table of connections is full; a link that works by turns. Harm: a leaf that one router can't reach for its own reasons gets less of that router for the cold time. TestLeafThatWasOutOfReachMayBeCold fails on the old text (8 of 8 at once).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,16 +20,16 @@
 	soonest    = 1                 // the same while many calls are lost
 	copyShare  = 0.1               // second copies for each first call, whatever the budget: they add load
 	copiesMost = 10                // when there is least room; and how many are saved up for a sudden stall
-	copiesFew  = 2                 // saved up by a root that is blind: with hundreds of them the rest is a storm
+	copiesFew  = 2                 // saved up by a root that is blind: of hundreds, more is a storm
 	rounds     = 3                 // of calls to all leaves for which evidence on one holds
 	linkWorse  = 3                 // times slower than the best zone at which the link is at fault
-	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work heavy
+	slowLeaf   = 2.5               // times its peers' service time at which a leaf is slow, not its work
 	mostSlow   = 20                // of a single sample of a tempo
 	linkHold   = 4.0               // horizons for which evidence on a link holds
 	medianStep = 0.15              // by which the logarithm of a running median moves
 	probeShare = 0.25              // probes for each part where nothing waits: they have a price
 	probesMost = 1.25              // and where much does: enough for all replicas, as neighbours share them
-	hearLeast  = 0.5               // of the time for which a report is fresh: hearsay may replace an older one
+	hearLeast  = 0.5               // of the time for which a report is fresh: hearsay may replace older ones
 	probesKept = 40                // saved up for a query with many parts
 	askTicks   = 4                 // that a query waits for probes
 	sweepEvery = 200 * Millisecond // periodic work; a few times within SLO times that make sense for a person
@@ -281,7 +281,7 @@
 		ahead: r.queue(l) + 2*d} // see alone
 	if len(p.calls) == 0 {
 		seen := 1 - r.blind()
-		// A query whose parts are all needed is lost with one of them, so what is saved up suffices for its size.
+		// A query whose parts are all needed is lost with one of them: what is saved up suffices for its size.
 		most := max(copiesMost*seen, copiesFew, (copyShare+r.lost)*float64(len(p.query.Parts)))
 		r.copies = min(r.copies+copyShare+r.lost*seen, most)
 	} else if r.further = append(r.further, amount{r.now, 1}); p.pending() {
@@ -428,10 +428,14 @@
 	return further+1 <= r.set.BudgetSpare+r.set.BudgetRatio*taken
 }
 
+// start is when the leaf's process started, as far as the list or a call that could not connect says. Whatever
+// made it so, a leaf that was out of reach and answers again may be cold, and no list may speak of it.
+func (l *Leaf) start() Time { return max(l.started, l.unreachedAt) }
+
 // capacity is the least part of its full capacity that a leaf can have by now.
 func (r *Root) capacity(l *Leaf) float64 {
-	age := r.now - l.started
-	if l.started == 0 || age >= r.set.ColdTime {
+	age := r.now - l.start()
+	if l.start() == 0 || age >= r.set.ColdTime {
 		return 1
 	}
 	return r.set.ColdShare + (1-r.set.ColdShare)*max(float64(age)/float64(r.set.ColdTime), 0)
@@ -449,15 +453,18 @@
 	if c >= 1 || r.set.FallTime == 0 {
 		return true
 	}
-	if l.started < r.started && r.now < r.started+r.set.FallTime {
+	if l.start() < r.started && r.now < r.started+r.set.FallTime {
 		return false
 	}
 	here := recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
 	share := r.bears * r.set.FallMultiple * c * coldPart
+	if l.unreachedAt > l.started { // it need not be cold: a part in each window may show it
+		share = max(share, d)
+	}
 	if here > 0 || share >= d {
 		return here+d <= share
 	}
-	if window := (r.now - l.started) / r.set.FallTime; window >= l.window {
+	if window := (r.now - l.start()) / r.set.FallTime; window >= l.window {
 		l.window, l.lucky = window+1, r.chance() < max(share/d, 1/float64(r.set.Roots))
 	}
 	return l.lucky
@@ -691,7 +698,7 @@
 		}
 	case Failed, Reset, NoConnection: // it costs its time and one more call
 		if o == NoConnection {
-			l.silentAt = now
+			l.silentAt, l.unreachedAt, l.sent, l.window = now, now, nil, 0
 		}
 		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
 	case Full:
@@ -805,7 +812,7 @@
 	if rep.Has[Waiting] && slow > slowLeaf { // beside the queue; within the limit it is chance
 		r.note(l, min(slow, mostSlow))
 	}
-	// One jammed leaf moves the usual queue no more than a busy one: most leaves have none when a few have many.
+	// One jammed leaf moves the usual queue no more than a busy one: most have none when a few have many.
 	most := busiest / (1 - busiest) * unit
 	r.usual += gain / 4 * min(max(l.reported-r.usual, -most), most)
 }
@@ -1000,7 +1007,7 @@
 	var lost []*LeafCall
 	ended := func(l *Leaf) { // a new process has none of the old one's work or faults
 		lost = append(lost, l.out...)
-		l.pace, l.reported, l.since, l.doubtAt, l.silentAt = tempo{}, 0, 0, 0, 0
+		l.pace, l.reported, l.since, l.doubtAt, l.silentAt, l.unreachedAt = tempo{}, 0, 0, 0, 0, 0
 		clear(l.trusts)
 	}
 	listed := map[*Leaf]bool{}
@@ -1050,7 +1057,7 @@
 			}
 		}
 	}
-	// Where leaves are replaced all day, what is thought of the fleet must not come to rest on those that are gone.
+	// Where leaves are replaced all day, what is thought of the fleet must not rest on those that are gone.
 	r.leaves = slices.DeleteFunc(r.leaves, func(l *Leaf) bool { return l.condition == Gone })
 	for _, c := range lost {
 		r.overdue(c)
@@ -1113,8 +1120,8 @@
 	}
 	recent(&r.further, r.now-r.set.BudgetWindow-r.set.Tick)
 	recent(&r.taken, r.now-r.set.BudgetWindow)
-	// Beliefs that no call has tested for a horizon fade to those of a calm fleet: a root that turns all away for them
-	// makes no call, and would never learn that the trouble is over.
+	// Beliefs that no call has tested for a horizon fade to those of a calm fleet: a root that turns all away
+	// for them makes no call, and would never learn that the trouble is over.
 	if r.answeredAt > 0 && r.now-r.answeredAt > r.horizon {
 		kept := math.Exp(-float64(sweepEvery) / float64(r.horizon))
 		r.pace, r.usual = r.calm+(r.pace-r.calm)*kept, r.usual*kept
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -568,6 +568,40 @@
 	}
 }
 
+// A leaf that refused a connection may be a new process of which no list speaks yet: it gets one part a window at first, and more
+// as the time goes by in which it would have become warm.
+func TestLeafThatWasOutOfReachMayBeCold(t *testing.T) {
+	st := play(t, 2, plain(func(s *Settings) { s.Roots, s.SecondCopies = 100, false }))
+	st.warm(40)
+	l := st.leafs[0]
+	in := func() (n int) {
+		st.r.bears = 2 // what a warm leaf answers in a window
+		for range 8 {
+			if p := (&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 9000, Deadline: st.now + 30000, state: gathering}}); st.r.may(p, l) {
+				st.r.call(p, l)
+				n++
+			}
+		}
+		for len(l.out) > 0 {
+			st.r.Outcome(st.now, l.out[0], OK, 1, true, nil)
+		}
+		return n
+	}
+	before := in()
+	st.pass(10)
+	st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 9000, Deadline: st.now + 30000, state: merged}}, l)
+	st.r.Outcome(st.now, l.out[0], NoConnection, 2, false, nil)
+	st.pass(10)
+	at, again := in(), in()
+	st.pass(int(st.set.ColdTime / Millisecond / 2))
+	half := in()
+	st.pass(int(st.set.ColdTime/Millisecond/2) + 400)
+	if warm := in(); before != 8 || at != 1 || again != 0 || half <= 1 || half >= 8 || warm != 8 {
+		t.Errorf("of 8 parts it takes %d before, %d and %d at once after, %d at half of the cold time, %d after it; want 8, 1, 0, some, 8",
+			before, at, again, half, warm)
+	}
+}
+
 // A refused connection costs no time: three refusals must not make a leaf look slow, only distrusted.
 func TestRefusalIsNoSlowness(t *testing.T) {
 	st := play(t, 2, plain(nil))
--- a/choice/state.go
+++ b/choice/state.go
@@ -104,9 +104,10 @@
 	trusts  []trust // in all that it does, then by vertical
 	probing bool
 
-	silentAt Time     // when it was last out of reach, or a call to it overdue
-	probedAt Time     // when a probe was last answered
-	awaited  []*Query // that wait for a probe's outcome
+	silentAt    Time     // when it was last out of reach, or a call to it overdue
+	probedAt    Time     // when a probe was last answered
+	unreachedAt Time     // when a call last found no connection
+	awaited     []*Query // that wait for a probe's outcome
 
 	doubtBy int  // the instance that last found it failing
 	doubtAt Time // and when, 0: there is no doubt
