The last tenth of a query's parts may be asked elsewhere at half of its time

The patience is the pace and one to five mean deviations; the deviation is of all verticals and leaves, and jams inflate it to two or three times the pace.

The lines: `awaited` held a part for coming until its call was overdue. Once all but a tenth of the parts that were asked for are in, the fleet is not slow as a whole and what is out is likely lost; from half of the time to the SLO on, though not sooner than one mean deviation past the mean, such a part may now be asked elsewhere, within copies, budget and all that `may` asks. The first call goes on, and nobody is struck for it.

Guards also: any lost or stalled call of a large query. Harm: up to a tenth more calls where work goes on after a cancel. TestLastPartIsCopiedAtHalfOfItsTime.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,7 +166,7 @@
 	for _, p := range q.Parts {
 		switch {
 		case p.in:
-		case p.awaited():
+		case r.awaited(p):
 			coming += p.Weight
 		case p.pending() || r.hope(p):
 			possible += p.Weight
@@ -189,7 +189,7 @@
 		var leaf *Leaf
 		least, ties := worst, uint64(0)
 		for _, p := range q.Parts {
-			if p.in || p.awaited() {
+			if p.in || r.awaited(p) {
 				continue
 			}
 			if l, s := r.best(p); l != nil && r.beats(s, least, &ties) {
@@ -305,6 +305,11 @@
 		until = min(until, p.query.slo+Time(1.5*r.alone(max(d-r.unit, 0))))
 	}
 	r.port.Call(c, until-r.now)
+	c.half = never
+	if r.set.SecondCopies && r.pace > 0 {
+		c.half = r.now + max(r.after(c, soonest), (p.query.slo-r.now)/2) // half of its time: a copy still fits
+		r.at(c.half, p.query, nil)
+	}
 	r.at(r.now+r.patience(c), nil, c)
 }
 
@@ -369,9 +374,23 @@
 	return slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return !c.ended })
 }
 
-// awaited: a call is out and there is no reason yet to think it lost.
-func (p *Part) awaited() bool {
-	return slices.ContainsFunc(p.calls, func(c *LeafCall) bool { return !c.ended && !c.overdue })
+// awaited: a call is out and there is no reason yet to think it lost, or to ask elsewhere too.
+func (r *Root) awaited(p *Part) bool {
+	return slices.ContainsFunc(p.calls, func(c *LeafCall) bool {
+		return !c.ended && !c.overdue && (r.now < c.half || !p.query.nearlyIn())
+	})
+}
+
+// nearlyIn: all but a tenth of the query's parts that were asked for are in. So the fleet is not slow as a whole,
+// what is out is likely to be lost, and a copy of it is a small part of the query's work.
+func (q *Query) nearlyIn() bool {
+	out := 0
+	for _, p := range q.Parts {
+		if !p.in && len(p.calls) > 0 {
+			out++
+		}
+	}
+	return float64(out) <= copyShare*float64(len(q.Parts))
 }
 
 // hope: some call may be made for the part, now or later.
@@ -653,7 +672,12 @@
 	if r.pace == 0 {
 		return c.Part.query.v.SLO * 2 / 3 // nothing is known yet
 	}
-	return Time((r.pace*r.way(c.Leaf)+r.lateBy()*r.dev)*c.ahead) + 2*r.set.Tick
+	return r.after(c, r.lateBy())
+}
+
+// after is the time that a call takes which is so many mean deviations late.
+func (r *Root) after(c *LeafCall, late float64) Time {
+	return Time((r.pace*r.way(c.Leaf)+late*r.dev)*c.ahead) + 2*r.set.Tick
 }
 
 // lateBy is how many mean deviations past the mean a call is likelier lost than late, times having a tail
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -602,6 +602,29 @@
 	}
 }
 
+// The last of many parts is asked elsewhere at half of its time, long before its call is overdue, but not while much of the query is out.
+func TestLastPartIsCopiedAtHalfOfItsTime(t *testing.T) {
+	for in, want := range map[int]int{18: 2, 12: 0} {
+		st := play(t, 20, plain(func(s *Settings) { s.Shards = 20 }))
+		st.warm(8)
+		st.r.dev = 2 * st.r.pace // overdue after 1.1 s
+		st.query(0, make([]float64, 20)...)
+		for i := range in {
+			st.end(fmt.Sprintf("q%d.%d#0", st.n, i), OK, nil)
+		}
+		st.pass(550)
+		copies := 0
+		for name := range st.calls {
+			if strings.HasPrefix(name, fmt.Sprintf("q%d.", st.n)) && strings.HasSuffix(name, "#1") {
+				copies++
+			}
+		}
+		if copies != want {
+			t.Errorf("%d of 20 parts in: %d copies at half of the time, want %d", in, copies, want)
+		}
+	}
+}
+
 // A refused connection costs no time: three refusals must not make a leaf look slow, only distrusted.
 func TestRefusalIsNoSlowness(t *testing.T) {
 	st := play(t, 2, plain(nil))
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,6 +70,7 @@
 	Leaf *Leaf
 
 	sent            Time
+	half            Time    // when the part may be asked elsewhere too, if nearly all others of its query are in
 	d, ahead, crowd float64 // its work, the load it met at its leaf, the calls it met in all
 	reports         int     // reports of the leaf that had come when it was sent
 	outcome         Outcome
