A start that was told keeps its books when a connect to the leaf fails

Found by reading the change again: a failed connect to a leaf whose start the list had told wiped what it had been sent in the window and owed it one part a window from each root, which is meant for starts that nobody was told of. Summed over hundreds of roots that could push a cold leaf over. A failed connect now counts as a start only where no told start is within its cold time. TestToldStartKeepsItsBooks fails on the old lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -722,7 +722,10 @@
 		}
 	case Failed, Reset, NoConnection: // it costs its time and one more call
 		if o == NoConnection {
-			l.silentAt, l.unreachedAt, l.sent, l.window = now, now, nil, 0
+			l.silentAt = now
+			if l.started == 0 || now-l.started >= r.set.ColdTime { // a start that was told keeps its own books
+				l.unreachedAt, l.sent, l.window = now, nil, 0
+			}
 		}
 		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
 	case Full:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -602,6 +602,20 @@
 	}
 }
 
+// A failed connect to a leaf whose start was told opens no new books for it: what it was sent still counts, nor is it owed a part.
+func TestToldStartKeepsItsBooks(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	l := st.leafs[0]
+	st.restart(l)
+	l.sent = []amount{{st.now, 1}}
+	st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 5000, Deadline: st.now + 9000, state: merged}}, l)
+	st.r.Outcome(st.now, l.out[0], NoConnection, 2, false, nil)
+	if l.unreachedAt != 0 || len(l.sent) == 0 {
+		t.Errorf("unreached at %d, %d entries left in the books of a start that was told", l.unreachedAt, len(l.sent))
+	}
+}
+
 // The last of many parts is asked elsewhere at half of its time, long before its call is overdue, but not while much of the query is out.
 func TestLastPartIsCopiedAtHalfOfItsTime(t *testing.T) {
 	for in, want := range map[int]int{18: 2, 12: 0} {
