The list is told within 6 s of when it could be: values not lines, calls beside calls

Seen on the text before, by router/list_test.go (twelve troubles of a call to discovery, moments of return 0.43 s apart, virtual time): with indented lists a change is never told (watch cut the stream at line feeds and decoded each line alone: an object over several lines failed, the watch ended, again and again); with dials of 1.5 s never (the dial had the connect time-out of the leaves, 0.25 s); on one line with quick dials up to 6.20 s after a watch fell silent where the list is asked for, 8.22 s with pace on (5.75 s pushed), 5.46 s after SIGHUP with pace on (4 allowed): a call that hung held up the next for 3 s, behind 3 s of silence and a pause.

Excluded: the decoder of the list (config.DecodeList takes indented text), the HTTP parser (answers without a length or cut off give no whole object). Lines: list.go watch and run; choice.go ListFailed (pauses to 4.8 s).

Now codec.Values cuts objects where they end; a life sign is a line's end between objects; silence ends a watch after 2.5 s (it speaks every 2 s); a call that has said nothing for a third of that is joined by another, three at most, and the first that speaks is followed. Pauses are 0.83 s at most, with pace 1.67 s; the module's, where the list is asked for, 1.2 s instead of 4.8 s. A router is ready once it has heard the list, or after the connect time-out, as what the agent has counts as told from the first moment; SIGTERM before that drains as any other.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1095,7 +1095,7 @@
 // ListFailed: the list could not be had, or the watch on it broke.
 func (r *Root) ListFailed(now Time) {
 	r.enter(now)
-	r.failures = min(r.failures+1, 4)
+	r.failures = min(r.failures+1, 2) // no longer: news counts as told soon after the list could be had again
 	r.askAt = now + Time(float64(sweepEvery)*math.Exp2(float64(r.failures))*(0.5+r.chance()))
 	r.arm()
 }
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -306,3 +306,40 @@
 		}
 	})
 }
+
+// Objects of a stream end where they end, on one line or over several, however they are cut into pieces; empty lines
+// between them are signs of life, and those within them are not.
+func TestValues(t *testing.T) {
+	out := ""
+	for _, raw := range []string{
+		"{\"a\":1}\n{\"b\":[{}]}\r\n\n\n", "{\n  \"a\": \"}{\\\"\\\\\",\n  \"b\": [\n  ]\n}\n", "{}{}", "  \t\r\n{}", "[1]\n", "{\"a\":1}x",
+		"{\"never\":\n\n\n\n", strings.Repeat("{", 50), "{\"cut\":\"", "}\n",
+	} {
+		var first string
+		for most := 1; most <= len(raw); most++ {
+			v, said := Values{Most: 40}, fmt.Sprintf("%q\n", raw)
+			for rest := raw; rest != ""; {
+				n := min(most, len(rest))
+				if err := v.Feed([]byte(rest[:n]), func(o []byte) error {
+					if o == nil {
+						said += "  life\n"
+					} else {
+						said += fmt.Sprintf("  object %q\n", o)
+					}
+					return nil
+				}); err != nil {
+					said += fmt.Sprintf("  fault: %v\n", err)
+					break
+				}
+				rest = rest[n:]
+			}
+			if first == "" {
+				first = said
+			} else if d := cmp.Diff(first, said); d != "" {
+				t.Errorf("in pieces of %d: %s", most, d)
+			}
+		}
+		out += first
+	}
+	golden.Check(t, "values", out)
+}
--- a/config/config.go
+++ b/config/config.go
@@ -29,9 +29,11 @@
 	leastSockets   = 32
 	leastMemory    = 16
 
-	silence   = 3 * time.Second // of a watch that says something every 2 s, after which it is dead
+	// Silence is that of a watch that says something every 2 s, after which it is dead.
+	Silence = 2500 * time.Millisecond
+
 	mostCells = 1 << 20
-	mostLine  = 1 << 20 // bytes of one line of a watch: some thousands of leaves, within the least memory
+	mostLine  = 1 << 20 // bytes of one object of a watch: some thousands of leaves, within the least memory
 
 	askFor     = 50 * time.Millisecond   // from connecting, within which usual clients begin a request
 	requestFor = 2200 * time.Millisecond // from connecting, or from a request's first byte, to its last
@@ -204,7 +206,7 @@
 		Discovery: or(w.Discovery, "EDGE_DISCOVERY"), Seed: seed(w.Seed), Limits: w.Limits,
 		DrainFor: drainFor, KeepFor: keepFor,
 		AskFor: askFor, RequestFor: requestFor, IdleFor: idleFor, LingerFor: lingerFor, LingerMost: lingerMost,
-		Silence: silence, MostLine: mostLine}
+		Silence: Silence, MostLine: mostLine}
 	var err error
 	if c.Log, err = zerolog.ParseLevel(w.Log); err != nil || w.Log == "" {
 		return nil, fmt.Errorf("log_level: %q is no level", w.Log)
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -58,6 +58,8 @@
 	handler member.Handler // where messages of other instances go
 	told    bool           // to end, by the scene
 	muted   bool
+	heard   func(line string)                                                                // of the log, where a test listens; nil: nobody does
+	through func(pair func() (here, there net.Conn), gone <-chan struct{}) (net.Conn, error) // the way to discovery; nil: as to all
 }
 
 // play runs a scene and compares what was seen with what is kept.
@@ -69,14 +71,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		st := &stage{t: t, start: time.Now(), places: map[string]func(net.Conn) error{}, doorway: make(chan net.Conn),
-			shut: make(chan struct{}), signals: make(chan os.Signal, 2), reloads: make(chan os.Signal, 1), ended: make(chan error, 1),
-			feed: make(chan string)}
-		st.cfg = &config.Config{More: config.DefaultFile(), Name: "n", Listen: "door", Discovery: "list", Settings: set, Silence: 3 * time.Second,
-			MostLine: 1000, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
-			DrainFor: 700 * time.Millisecond, KeepFor: 400 * time.Millisecond,
-			AskFor: 50 * time.Millisecond, RequestFor: 2200 * time.Millisecond, IdleFor: 10 * time.Second}
-		st.cfg.Known = config.List{Generation: 1, Whole: true}
+		st := newStage(t, set)
 		for i := range leaves {
 			st.cfg.Known.Servers = append(st.cfg.Known.Servers, server(string(rune('A'+i)), "in_service", 0))
 		}
@@ -100,6 +95,19 @@
 	golden.Check(t, name, out)
 }
 
+// newStage makes one; its router is not started yet.
+func newStage(t *testing.T, set *config.Settings) *stage {
+	st := &stage{t: t, start: time.Now(), places: map[string]func(net.Conn) error{}, doorway: make(chan net.Conn),
+		shut: make(chan struct{}), signals: make(chan os.Signal, 2), reloads: make(chan os.Signal, 1), ended: make(chan error, 1),
+		feed: make(chan string)}
+	st.cfg = &config.Config{More: config.DefaultFile(), Name: "n", Listen: "door", Discovery: "list", Settings: set, Silence: 3 * time.Second,
+		MostLine: 1000, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
+		DrainFor: 700 * time.Millisecond, KeepFor: 400 * time.Millisecond,
+		AskFor: 50 * time.Millisecond, RequestFor: 2200 * time.Millisecond, IdleFor: 10 * time.Second}
+	st.cfg.Known = config.List{Generation: 1, Whole: true}
+	return st
+}
+
 func server(name, lifecycle string, started float64) config.Server {
 	return config.Server{ID: name, Address: at(name), Zone: "a", Lifecycle: lifecycle, StartedMS: started}
 }
@@ -203,6 +211,9 @@
 	if o, found := line["outcome"]; found {
 		words = strings.Replace(words, fmt.Sprintf("outcome=%v", o), outcomeNames[choice.Outcome(o.(float64))], 1)
 	}
+	if st.heard != nil {
+		st.heard(words)
+	}
 	st.say("%s", words)
 	return len(p), nil
 }
@@ -225,6 +236,11 @@
 
 // dial connects the router with who is at an address. Where nobody is, the connection never comes up.
 func (st *stage) dial(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	if st.through != nil {
+		ctx, stop := context.WithTimeout(ctx, limit)
+		defer stop()
+		return st.through(net.Pipe, ctx.Done())
+	}
 	place := st.places[address]
 	if place == nil {
 		select {
@@ -256,7 +272,7 @@
 				return
 			}
 		}
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
 		gone := make(chan struct{})
 		go func() { io.Copy(io.Discard, in); close(gone) }()
 		for {
--- a/router/list.go
+++ b/router/list.go
@@ -1,14 +1,18 @@
 package router
 
-// list.go owns the connection to discovery: it keeps one watch on the list of leaves and tells the owner what
-// that says, without delay. It must never judge what a change means.
+// list.go owns the connections to discovery: it keeps a watch on the list of leaves open and tells the owner
+// what that says, without delay. It must never judge what a change means.
+//
+// News counts as told 6 s after discovery had it and could be reached, whatever went wrong with calls before.
+// So no call that hangs may hold up the next one: a watch that has said nothing for a third of the silence that
+// ends it is joined by another, and the first that speaks stays. docs/design/crossings.md has the sum.
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +25,9 @@
 )
 
 const (
-	listRing = 16 << 10
-	outRing  = 256
+	listRing    = 16 << 10
+	outRing     = 256
+	mostWatches = 3 // open at once: one that is to be had, and those that have not spoken yet
 )
 
 type list struct {
@@ -31,16 +36,37 @@
 	log        zerolog.Logger
 	generation int64
 	asked      chan struct{} // the module asks for a watch
+	moved      chan struct{} // discovery is elsewhere now
 	pace       pace.Settings // when it asks again, if all lose the watch at once; the zero value: at once
 
 	mu      sync.Mutex
 	address string
-	cut     context.CancelFunc // ends the present watch, or the pause after it
+
+	// Those of run.
+	words   chan word
+	watches []*watch  // open, oldest first
+	spoke   *watch    // the one that is followed; nil: none has spoken yet
+	next    time.Time // when to open another, or have the module asked whether to; zero: no time is set
+	pause   time.Duration
+	ends    int
+}
+
+// watch is one call to discovery. Its goroutine reads it; all else is the list's.
+type watch struct {
+	cancel context.CancelFunc
+	until  time.Time // it is given up then, if it has said nothing
+}
+
+// word is what a watch has said: an object, a sign of life, or that it has ended.
+type word struct {
+	from *watch
+	text []byte // nil: an empty line
+	err  error  // why it ended
 }
 
 func newList(cfg *config.Config, o *owner, log zerolog.Logger) *list {
 	return &list{cfg: cfg, owner: o, log: log, generation: cfg.Known.Generation, asked: make(chan struct{}, 1),
-		address: cfg.Discovery, cut: func() {}}
+		moved: make(chan struct{}, 1), address: cfg.Discovery, words: make(chan word), pause: cfg.Settings.ConnectTimeout}
 }
 
 // ask has a watch opened, if there is none.
@@ -60,131 +86,220 @@
 	defer l.mu.Unlock()
 	if l.address != address {
 		l.address = address
-		l.cut()
+		poke(l.moved)
 	}
 }
 
-// attempt is where the list is watched now, and a context that ends when it moves.
-func (l *list) attempt(ctx context.Context) (context.Context, string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut()
-	ctx, l.cut = context.WithCancel(ctx)
-	return ctx, l.address
-}
+// step is how long a call may say nothing before another is made beside it, and the longest pause between two.
+func (l *list) step() time.Duration { return l.cfg.Silence / 3 }
 
 // run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
-// again; else a watch that broke is opened anew, ever later while that fails. News counts as told some seconds
-// after it was published, so the silence that ends a watch and the longest pause stay well under that together.
+// again; else a watch that broke is opened anew, ever later while that fails.
 func (l *list) run(ctx context.Context) error {
-	pause, ends := l.cfg.Settings.ConnectTimeout, 0
-	for ctx.Err() == nil {
-		if l.cfg.Settings.Module.AskForList {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-l.asked:
-			}
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer func() { l.drop(nil) }()
+	if !l.cfg.Settings.Module.AskForList {
+		l.next = time.Now()
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if due := l.due(); !due.IsZero() {
+			timer.Reset(time.Until(due))
+		} else {
+			timer.Stop()
 		}
-		attempt, address := l.attempt(ctx)
-		told, err := l.watch(attempt, address)
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-l.moved:
+			l.drop(nil)
+			l.pause = l.cfg.Settings.ConnectTimeout
+			l.open(ctx, &running)
+		case <-l.asked:
+			if l.spoke == nil {
+				l.open(ctx, &running)
+			}
+		case w := <-l.words:
+			l.hear(ctx, w)
+		case <-timer.C:
+			l.late(ctx, &running)
 		}
-		if attempt.Err() != nil {
-			pause = l.cfg.Settings.ConnectTimeout
-			poke(l.asked)
-			continue
+	}
+}
+
+// due is when to look again.
+func (l *list) due() time.Time {
+	due := l.next
+	for _, w := range l.watches {
+		if due.IsZero() || w.until.Before(due) {
+			due = w.until
 		}
-		l.log.Warn().Err(err).Int64("generation", l.generation).Msg("watch on the list ended")
-		if errors.Is(err, errOrder) { // it knows less than was told before: only the whole list helps
-			l.generation = 0
+	}
+	return due
+}
+
+// late gives up watches that have said nothing for too long, and opens another where it is time.
+func (l *list) late(ctx context.Context, running *sync.WaitGroup) {
+	now := time.Now()
+	for _, w := range slices.Clone(l.watches) {
+		if !w.until.After(now) {
+			l.ended(ctx, w, errSilent)
 		}
+	}
+	if !l.next.IsZero() && !l.next.After(now) {
 		if l.cfg.Settings.Module.AskForList {
-			l.owner.post(ctx, func(o *owner) { o.root.ListFailed(o.now) })
-			continue
+			l.failed(ctx)
+		} else {
+			l.open(ctx, running)
 		}
-		if pause = min(2*pause, l.cfg.Silence/3); told {
-			pause = l.cfg.Settings.ConnectTimeout
-		}
-		// A discovery that has ended did so for all routers.
-		ends++
-		select {
-		case <-attempt.Done():
-		case <-time.After(pause + duration(choice.Time(l.pace.Wait("list", ends)))):
+	}
+}
+
+// open begins a call, beside those that have not spoken yet.
+func (l *list) open(ctx context.Context, running *sync.WaitGroup) {
+	if len(l.watches) == mostWatches {
+		l.drop(l.watches[1:])
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	now := time.Now()
+	w := &watch{cancel: cancel, until: now.Add(l.cfg.Silence)}
+	l.watches = append(l.watches, w)
+	l.next = now.Add(l.step())
+	address, since := l.where(), l.generation
+	running.Go(func() {
+		err := l.watch(ctx, w, address, since)
+		l.say(ctx, word{from: w, err: err})
+	})
+}
+
+// drop closes all watches but some.
+func (l *list) drop(but []*watch) {
+	for _, w := range l.watches {
+		if !slices.Contains(but, w) {
+			w.cancel()
+			if l.spoke == w {
+				l.spoke = nil
+			}
 		}
 	}
-	return nil
+	l.watches = slices.Clone(but)
+}
+
+// hear takes what a watch says. The first that speaks is followed, and the others are closed.
+func (l *list) hear(ctx context.Context, said word) {
+	w := said.from
+	if !slices.Contains(l.watches, w) { // closed meanwhile
+		return
+	}
+	if said.err != nil {
+		l.ended(ctx, w, said.err)
+		return
+	}
+	if l.spoke != w {
+		l.drop([]*watch{w})
+		l.spoke, l.next, l.pause = w, time.Time{}, l.cfg.Settings.ConnectTimeout
+		l.owner.post(ctx, (*owner).ready)
+	}
+	w.until = time.Now().Add(l.cfg.Silence)
+	if said.text == nil {
+		return
+	}
+	if err := l.object(said.text); err != nil {
+		l.ended(ctx, w, err)
+	}
+}
+
+// ended: a watch is no more. Another is opened soon, unless one is under way.
+func (l *list) ended(ctx context.Context, w *watch, err error) {
+	l.log.Warn().Err(err).Int64("generation", l.generation).Msg("watch on the list ended")
+	followed := l.spoke == w
+	l.drop(slices.DeleteFunc(slices.Clone(l.watches), func(o *watch) bool { return o == w }))
+	if errors.Is(err, errOrder) { // it knows less than was told before: only the whole list helps
+		l.generation = 0
+	}
+	if len(l.watches) > 0 {
+		return // the time for the next one is set
+	}
+	if l.cfg.Settings.Module.AskForList {
+		l.failed(ctx)
+		return
+	}
+	if followed && errors.Is(err, errSilent) { // it has been waited for
+		l.next = time.Now()
+		return
+	}
+	// A discovery that has ended did so for all routers.
+	l.ends++
+	l.next = time.Now().Add(l.pause + min(duration(choice.Time(l.pace.Wait("list", l.ends))), l.step()))
+	l.pause = min(2*l.pause, l.step())
+}
+
+// failed tells the module that the list could not be had.
+func (l *list) failed(ctx context.Context) {
+	l.next = time.Time{}
+	l.owner.post(ctx, func(o *owner) { o.root.ListFailed(o.now) })
 }
 
 var (
 	errSilent = errors.New("the watch fell silent")
 	errOrder  = errors.New("the watch went back")
-	errLong   = errors.New("a line is too long")
 	errEnded  = errors.New("the watch ended")
 )
 
-// watch follows the list until the watch ends, and tells whether anything came.
-func (l *list) watch(ctx context.Context, address string) (told bool, err error) {
-	conn, err := l.owner.dial(ctx, address, l.cfg.Settings.ConnectTimeout)
+// say tells the list what a watch has said, unless that was closed.
+func (l *list) say(ctx context.Context, w word) error {
+	select {
+	case l.words <- w:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// watch reads one call to discovery until it ends, and says why it did.
+func (l *list) watch(ctx context.Context, w *watch, address string, since int64) error {
+	conn, err := l.owner.dial(ctx, address, l.cfg.Silence)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(l.cfg.Silence))
-	target := fmt.Sprintf("/v1/servers?follow=1&since=%d", l.generation)
 	out := codec.NewWriter(conn, outRing)
-	out.Write(codec.AppendGet(nil, address, target))
+	out.Write(codec.AppendGet(nil, address, fmt.Sprintf("/v1/servers?follow=1&since=%d", since)))
 	if err := out.Flush(); err != nil {
-		return false, err
+		return err
 	}
 	ring, parser := codec.NewRing(listRing), codec.Parser{Responses: true}
-	var line []byte
+	values := codec.Values{Most: l.cfg.MostLine}
 	for {
 		step, piece, err := parser.Next(ring)
 		if err != nil {
-			return told, err
+			return err
 		}
 		switch step {
 		case codec.More:
 			if _, err := ring.Fill(conn); err != nil {
-				var late net.Error
-				if errors.As(err, &late) && late.Timeout() {
-					err = errSilent
-				}
-				return told, err
+				return err
 			}
 		case codec.Begun:
 			if parser.Head.Status != http.StatusOK {
-				return told, fmt.Errorf("discovery answers %d", parser.Head.Status)
+				return fmt.Errorf("discovery answers %d", parser.Head.Status)
 			}
 		case codec.Data:
-			for _, b := range piece {
-				if b != '\n' {
-					if line = append(line, b); len(line) > l.cfg.MostLine {
-						return told, errLong
-					}
-					continue
-				}
-				if err := l.line(line); err != nil {
-					return told, err
-				}
-				line, told = line[:0], true
-				conn.SetDeadline(time.Now().Add(l.cfg.Silence)) // part of a line that never ends is silence too
+			if err := values.Feed(piece, func(text []byte) error { return l.say(ctx, word{from: w, text: text}) }); err != nil {
+				return err
 			}
 		case codec.Ended:
-			return told, errEnded
+			return errEnded
 		}
 	}
 }
 
-// line takes one line of the watch. Empty ones only show that it is alive.
-func (l *list) line(line []byte) error {
-	if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-		return nil
-	}
-	news, left, err := config.DecodeList(line)
+// object takes one object of a watch.
+func (l *list) object(text []byte) error {
+	news, left, err := config.DecodeList(text)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/router/list_test.go
@@ -0,0 +1,236 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"moleshift/config"
+	"moleshift/internal/golden"
+)
+
+// manners are what a call to discovery can meet that does not get the list.
+var manners = []struct {
+	name string
+	meet func(conn net.Conn) // nil: no connection
+	err  error               // of the dial; nil without a meeting: it never comes up
+}{
+	{name: "refused", err: errRefused},
+	{name: "never up"},
+	{name: "reset", meet: func(conn net.Conn) { conn.Close() }},
+	{name: "up and silent", meet: func(conn net.Conn) { io.Copy(io.Discard, conn) }},
+	{name: "head only", meet: says(okHead)},
+	{name: "half an object", meet: says(okHead + chunk(`{"generation":2,"reset":true,"instances":[{"instanceId":"B","lif`))},
+	{name: "half an object, dripping", meet: func(conn net.Conn) {
+		go io.Copy(io.Discard, conn)
+		io.WriteString(conn, okHead+chunk("{"))
+		for {
+			time.Sleep(300 * time.Millisecond)
+			if _, err := io.WriteString(conn, chunk("\n ")); err != nil {
+				return
+			}
+		}
+	}},
+	{name: "rubbish in chunks", meet: says(okHead + "zz\r\n")},
+	{name: "rubbish for an object", meet: says(okHead + chunk("]\n"))},
+	{name: "503", meet: says("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")},
+	{name: "went back", meet: says(okHead + chunk(`{"generation":0,"reset":false,"instances":[]}`+"\n"))},
+	{name: "no length, and reset", meet: func(conn net.Conn) {
+		io.ReadFull(conn, make([]byte, len("GET /v1/servers?follow=1&since=1 HTTP/1.1\r\nHost: list\r\n")))
+		go io.Copy(io.Discard, conn)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+`{"generation":2,"reset":true,"instances":[`)
+		conn.Close()
+	}},
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func says(text string) func(net.Conn) {
+	return func(conn net.Conn) {
+		gone := make(chan struct{})
+		go func() { io.Copy(io.Discard, conn); close(gone) }()
+		io.WriteString(conn, text)
+		<-gone
+	}
+}
+
+// agent is a discovery whose calls meet what met says by their number and time; "" is the list, with a life sign every
+// 2 s until hushed. Its list has a change from the beginning on that is in every answer to since=1 and before.
+type agent struct {
+	st     *stage
+	met    func(n int, at time.Duration) string
+	slow   time.Duration // dials to it take so long
+	hushed func(at time.Duration) bool
+	n      int
+	change func(at time.Duration) bool // there is one to be told
+}
+
+func (a *agent) since() time.Duration { return time.Since(a.st.start) }
+
+// dial stands in for the network to the agent.
+func (a *agent) dial(conn func() (net.Conn, net.Conn), gone <-chan struct{}) (net.Conn, error) {
+	at := a.since()
+	name := a.met(a.n, at)
+	a.n++
+	for _, m := range manners {
+		if m.name != name {
+			continue
+		}
+		if m.meet == nil && m.err == nil {
+			<-gone
+			return nil, errors.New("never came up")
+		}
+		if m.err != nil {
+			return nil, m.err
+		}
+		here, there := conn()
+		go func() { m.meet(there); there.Close() }()
+		return here, nil
+	}
+	select {
+	case <-time.After(a.slow):
+	case <-gone:
+		return nil, errors.New("given up")
+	}
+	here, there := conn()
+	go a.serve(there)
+	return here, nil
+}
+
+// serve is the list as it should be, indented.
+func (a *agent) serve(conn net.Conn) {
+	defer conn.Close()
+	gone := make(chan struct{})
+	go func() { io.Copy(io.Discard, conn); close(gone) }()
+	io.WriteString(conn, okHead+chunk("{\n  \"generation\": 1, \"reset\": false,\n  \"instances\": []\n}\n"))
+	for beat := time.Now(); ; {
+		if a.hushed(a.since()) {
+			<-gone
+			return
+		}
+		if a.change(a.since()) {
+			io.WriteString(conn, chunk("{\n  \"generation\": 2,\n  \"instances\": [\n    {\"instanceId\": \"B\", \"lifecycle\": \"in_service\"}\n  ]\n}\n"))
+			<-gone
+			return
+		}
+		if time.Since(beat) >= 2*time.Second {
+			io.WriteString(conn, chunk("\n"))
+			beat = time.Now()
+		}
+		select {
+		case <-gone:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// told plays a list that breaks in some way and is how long after it could have been told the change was.
+func told(t *testing.T, change func(*config.Config), a *agent, from func() time.Duration, scene func(*stage)) (took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		set, err := config.DecodeSettings(1, []byte(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		st := newStage(t, set)
+		st.muted = true
+		change(st.cfg)
+		a.st, a.n = st, 0
+		at := time.Duration(-1)
+		st.heard = func(line string) {
+			if strings.Contains(line, "list entries=1 generation=2") && at < 0 {
+				at = a.since()
+			}
+		}
+		st.through = a.dial
+		st.load = func() (*config.Config, error) { c := *st.cfg; c.Discovery = "elsewhere"; return &c, nil }
+		st.serve()
+		scene(st)
+		time.Sleep(30 * time.Second)
+		st.signals <- syscall.SIGTERM
+		<-st.ended
+		if took = at - from(); at < 0 {
+			took = time.Hour
+		}
+	})
+	return took
+}
+
+// A change counts as told 6 s after discovery had it and could be reached, whatever calls met before; where a watch
+// fell silent, 6 s after that, though the next call meets a further trouble and dials take 1.5 s; 4 s after SIGHUP.
+// The table has the longest times, over moments at which things come back.
+func TestToldInTime(t *testing.T) {
+	const slow = 1500 * time.Millisecond
+	never := func(time.Duration) bool { return false }
+	modes := []struct {
+		name   string
+		change func(*config.Config)
+	}{
+		{"pushed", func(*config.Config) {}},
+		{"asked for", func(c *config.Config) { c.Settings.Module.AskForList = true }},
+		{"pace on", func(c *config.Config) {
+			c.Name, c.Settings.Module.Roots = "n42", 1000
+			c.More.Pace.Enabled = true
+		}},
+	}
+	out := ""
+	for _, mode := range modes {
+		change := func(c *config.Config) {
+			mode.change(c)
+			c.Silence = config.Silence
+		}
+		out += mode.name + ": longest s from when it could be reached (6), fell silent (6), was moved (4)\n"
+		for _, m := range manners {
+			worst := [3]time.Duration{}
+			for _, dial := range []time.Duration{0, slow} {
+				for phase := range 12 {
+					// Discovery is down from 3 s on, and every call meets the trouble until it is back.
+					back := 4*time.Second + time.Duration(phase)*430*time.Millisecond
+					after := func(at time.Duration) bool { return at >= back }
+					a := &agent{slow: dial, hushed: func(at time.Duration) bool { return at >= 3*time.Second && !after(at) }, change: after,
+						met: func(n int, at time.Duration) string {
+							if n > 0 && !after(at) {
+								return m.name
+							}
+							return ""
+						}}
+					worst[0] = max(worst[0], told(t, change, a, func() time.Duration { return back }, func(*stage) {}))
+				}
+				// One watch falls silent, and the next call meets the trouble.
+				quiet := 5 * time.Second
+				once := func(n int, _ time.Duration) string {
+					if n == 1 {
+						return m.name
+					}
+					return ""
+				}
+				a := &agent{slow: dial, met: once, change: func(at time.Duration) bool { return at > quiet+time.Millisecond }}
+				a.hushed = func(at time.Duration) bool { return at >= quiet && a.n == 1 }
+				worst[1] = max(worst[1], told(t, change, a, func() time.Duration { return quiet }, func(*stage) {}))
+				// SIGHUP moves it, and the first call at the new address meets the trouble.
+				a = &agent{slow: dial, met: once, hushed: never, change: func(time.Duration) bool { return a.n > 1 }}
+				moved := time.Duration(0)
+				worst[2] = max(worst[2], told(t, change, a, func() time.Duration { return moved }, func(st *stage) {
+					time.Sleep(5 * time.Second)
+					moved = a.since()
+					st.reloads <- syscall.SIGHUP
+				}))
+			}
+			out += fmt.Sprintf("  %-26s %5.2f  %5.2f  %5.2f\n", m.name, worst[0].Seconds(), worst[1].Seconds(), worst[2].Seconds())
+			for i, most := range []time.Duration{6 * time.Second, 6 * time.Second, 4 * time.Second} {
+				if worst[i] > most {
+					t.Errorf("%s, %s: told after %v, case %d", mode.name, m.name, worst[i], i)
+				}
+			}
+		}
+	}
+	golden.Check(t, "told", out)
+}
--- a/router/owner.go
+++ b/router/owner.go
@@ -174,7 +174,8 @@
 
 // run takes turns until the program ends.
 func (o *owner) run(ctx context.Context) error {
-	o.phase.move(Serving)
+	// What the agent has counts as told from the first moment: ready is who has heard it, or can't for now.
+	o.at(o.now+tenths(o.cfg.Settings.ConnectTimeout), (*owner).ready)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var told []event
@@ -508,9 +509,12 @@
 	}
 }
 
+// ready has the front hand out connections to this router.
+func (o *owner) ready() { o.phase.move(Serving) }
+
 // drain begins the end: what comes within the stated time is still taken.
 func (o *owner) drain() {
-	if o.phase.now() != Serving {
+	if o.phase.now() >= Draining {
 		return
 	}
 	o.phase.move(Draining)
