Eight crossings of ending connections and leaving clients, each forced by a test

Accept backlog (TestBacklogAtTheEnd: two connections reset as the program closes). door.close closed the listener over what the kernel had accepted. Now what is there is taken first. 2. Accepted, without a place (TestAcceptedAsTheProgramEnds: reset). door.empty knew registered connections alone. Now it waits for the end of accepting, too. 3. Bytes in the instant of an end (TestRequestAsAConnectionEnds: reset on drain, idle time-out, making room). closeIdle closed both ways. Now one half-close for all ends, reading on for a bounded time, and nothing of it is sent on; at most a sixteenth of the descriptors lingers beyond the clients' share. 4. A request that has come and is not read (TestRequestBeforeAConnectionEnds: reset). The drain did not look; making room did. Now closeIdle itself does. 5. A client that sends far ahead and goes (TestLeavesFarAhead: 2 to 4 attempts after it had gone). With its ring full the reader slept until the answer. Now it reads on, up to 64 KiB counted in the book, beyond that it throws away and the connection ends with the answer. 6. Departure behind a full queue, or behind a connection that comes up (TestLeavesBehindAFullQueue, TestLeavesAsAConnectionComesUp: an attempt each). Only the owner's turn knew. Now the client's reader marks it, and it is looked at as calls are made and as a frame is about to be written. 7. Came and went while the router stood still (TestCameAndWentMeanwhile: an attempt). Now the end is looked for, without reading, before a query is taken. 8. Answered before the reader looked again (TestAnsweredBeforeTheNextLook: the request behind it lay unread until the next byte). Checked and sound: an answer with Connection: close (its half-close was there), withdraw against write (one lock), pipelined requests within the ring.

--- a/codec/ring.go
+++ b/codec/ring.go
@@ -32,6 +32,13 @@
 	return r.buf[end:min(end+r.Free(), len(r.buf))]
 }
 
+// Resize has it hold so many bytes from now on, and at least what it holds.
+func (r *Ring) Resize(size int) {
+	buf := make([]byte, max(size, r.n))
+	copy(buf[copy(buf, r.Head()):], r.buf[:r.n-len(r.Head())])
+	r.buf, r.start = buf, 0
+}
+
 // Fill takes what one read gives. It must have room.
 func (r *Ring) Fill(from io.Reader) (int, error) {
 	if r.n == 0 {
--- a/config/config.go
+++ b/config/config.go
@@ -58,6 +58,9 @@
 // fewer are kept, or it would turn queries away before they come here.
 func (l Limits) ClientSockets() int { return l.Sockets / 4 }
 
+// LingerSockets is how many connections of clients may linger that have given their places to others.
+func (l Limits) LingerSockets() int { return l.Sockets / 16 }
+
 // LeafSockets see ClientSockets.
 func (l Limits) LeafSockets() int { return l.Sockets * 3 / 8 }
 
--- a/router/clients.go
+++ b/router/clients.go
@@ -33,6 +33,7 @@
 	failedStatus  = http.StatusInternalServerError
 
 	clientRing = 4 << 10
+	aheadMost  = 64 << 10 // what a client may send ahead of an answer; it is read so that its leaving shows
 	healthPath = "/healthz"
 )
 
@@ -51,6 +52,7 @@
 type caller struct {
 	answer func(reply)  // one for each query; never blocks
 	place  *limits.Conn // in the books; nil: none of its own
+	gone   atomic.Bool  // it has left; the owner is told so behind whatever it was told before
 
 	// The owner's.
 	query *query
@@ -81,6 +83,9 @@
 	conns     map[*limits.Conn]*client
 	freed     chan struct{} // a connection has ended or become idle
 	closed    bool
+	ended     bool          // nothing is accepted any more
+	posted    func(*client) // between a query's taking and its reader's next look; tests stop it there
+	waysMade  int           // connections that have made way and have not ended yet
 }
 
 func numbers(names []string) map[string]int {
@@ -98,8 +103,10 @@
 
 // run accepts connections until the program ends.
 func (d *door) run(ctx context.Context) error {
+	defer d.finished()
 	defer context.AfterFunc(ctx, func() {
 		d.close()
+		d.listener.Close()
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		for _, c := range d.conns {
@@ -111,6 +118,10 @@
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // see close
+			d.last(ctx)
+			return nil
+		}
 		if err != nil && d.owner.gate.short(ctx, d.listener, err) {
 			d.trim()
 			continue
@@ -123,39 +134,57 @@
 			}
 			continue
 		}
-		place, verdict, why, retry := d.owner.gate.connect(conn)
-		if verdict == limits.TurnAway {
-			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
-			continue
-		}
-		// Where admission is off a connection that is too many is read all the same, and none is accepted
-		// until room is made.
-		waits := !d.owner.gate.admits()
-		if verdict == limits.Displace && !waits && !d.makeRoom(ctx, place, why) {
-			if ctx.Err() != nil {
-				conn.Close()
-				return nil
-			}
-			retry := d.owner.gate.refused(place, why, d.offered())
-			d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
-			continue
+		d.admit(ctx, conn)
+	}
+}
+
+// last takes what the kernel has accepted by now: requests may have come there, and to close the listener would reset
+// them. Descriptors bound it.
+func (d *door) last(ctx context.Context) {
+	defer d.listener.Close()
+	for range d.cfg.Limits.Sockets / 8 {
+		d.listener.(deadliner).SetDeadline(time.Now().Add(duration(d.cfg.Settings.Module.Tick)))
+		conn, err := d.listener.Accept()
+		if err != nil {
+			return
 		}
-		c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
-			answers: make(chan reply, 2), done: make(chan struct{}), wake: make(chan struct{}, 1)}
-		c.caller = caller{answer: c.answer, place: place}
-		c.idleUntil(d.cfg.RequestFor)
-		d.mu.Lock()
-		d.conns[place] = c
-		closed := d.closed
-		d.mu.Unlock()
-		d.owner.group.Go(func() error { c.read(ctx); return nil })
-		d.owner.group.Go(func() error { c.write(); return nil })
-		if closed { // since it was accepted
-			c.closeIdle()
-		}
-		if verdict == limits.Displace && waits && !d.makeRoom(ctx, place, why) {
-			return nil
+		d.admit(ctx, conn)
+	}
+}
+
+// admit takes a new connection, or turns it away.
+func (d *door) admit(ctx context.Context, conn net.Conn) {
+	place, verdict, why, retry := d.owner.gate.connect(conn)
+	if verdict == limits.TurnAway {
+		d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
+		return
+	}
+	// Where admission is off a connection that is too many is read all the same, and none is accepted
+	// until room is made.
+	waits := !d.owner.gate.admits()
+	if verdict == limits.Displace && !waits && !d.makeRoom(ctx, place, why) {
+		if ctx.Err() != nil {
+			conn.Close()
+			return
 		}
+		retry := d.owner.gate.refused(place, why, d.offered())
+		d.owner.gate.turnAway(ctx, conn, why, retry, d.cfg.LingerFor)
+		return
+	}
+	c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
+		answers: make(chan reply, 2), done: make(chan struct{})}
+	c.caller.answer, c.caller.place = c.answer, place
+	c.idleUntil(d.cfg.RequestFor)
+	d.mu.Lock()
+	d.conns[place] = c
+	if d.closed { // a client that has connected sends its request at once, or has sent it
+		c.idleUntil(d.cfg.AskFor)
+	}
+	d.mu.Unlock()
+	d.owner.group.Go(func() error { c.read(ctx); return nil })
+	d.owner.group.Go(func() error { c.write(); return nil })
+	if verdict == limits.Displace && waits {
+		d.makeRoom(ctx, place, why)
 	}
 }
 
@@ -171,7 +200,7 @@
 		rank := -1
 		switch at := standing(c.state.Load()); {
 		case at == lingering:
-			rank = limits.Lingering
+			rank = limits.Lingering // unless it has made way already, as the books know
 		case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
 			rank = limits.Silent
 		case at == idle && c.again.Load():
@@ -208,7 +237,7 @@
 			}
 			if standing(c.state.Load()) == reading {
 				c.refuse(errNeverEnded)
-			} else if pending(c.conn) || !c.closeIdle() {
+			} else if !c.makeWay() {
 				continue
 			}
 			if why = d.owner.gate.displaced(y, place); why == limits.Free {
@@ -242,8 +271,8 @@
 			return
 		}
 		offered = slices.DeleteFunc(offered, func(s limits.Standing) bool { return s.Conn == y })
-		if c := d.at(y); c != nil && standing(c.state.Load()) != reading && !pending(c.conn) {
-			c.closeIdle()
+		if c := d.at(y); c != nil && standing(c.state.Load()) != reading {
+			c.makeWay()
 		}
 	}
 }
@@ -255,34 +284,50 @@
 	return d.conns[place]
 }
 
-// pending: bytes have come on a connection that nobody has read yet.
-func pending(conn net.Conn) bool {
+// look tells, without reading, whether bytes have come on a connection that nobody has read yet, and whether its other
+// end has gone.
+func look(conn net.Conn) (pending, gone bool) {
 	raw, can := conn.(syscall.Conn)
 	if !can {
-		return false
+		return false, false
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return false, true
 	}
 	n := 0
+	var said error
 	err = control.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, said = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && n > 0
+	waits := errors.Is(said, syscall.EAGAIN) || errors.Is(said, syscall.EINTR)
+	return err == nil && said == nil && n > 0, err != nil || said != nil && !waits || said == nil && n == 0
 }
 
+// deadliner is a listener that can be told to stop waiting.
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // close stops taking connections and ends those that are idle; the others end with their next answer.
 func (d *door) close() {
-	d.listener.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
+	if l, can := d.listener.(deadliner); !can || l.SetDeadline(time.Now()) != nil {
+		d.listener.Close()
+	}
 	for _, c := range d.conns {
 		c.closeIdle()
 	}
 }
 
+// finished: nothing more is accepted, and what was has a place.
+func (d *door) finished() {
+	d.mu.Lock()
+	d.ended = true
+	d.mu.Unlock()
+	d.owner.post(d.owner.ctx, func(*owner) {})
+}
+
 func (d *door) closing() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -292,15 +337,19 @@
 func (d *door) empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.conns) == 0
+	return d.ended && len(d.conns) == 0
 }
 
 func (d *door) gone(ctx context.Context, c *client) {
+	c.caller.gone.Store(true)
 	d.mu.Lock()
 	delete(d.conns, c.caller.place)
+	if c.madeWay {
+		d.waysMade--
+	}
 	d.mu.Unlock()
 	d.owner.gate.gone(c.caller.place)
-	d.owner.gate.put(limits.Bodies, c.room)
+	d.owner.gate.put(limits.Bodies, c.room+c.ahead)
 	poke(d.freed)
 	d.owner.post(ctx, func(o *owner) { o.leave(&c.caller) })
 }
@@ -325,12 +374,14 @@
 	answers chan reply // one is owed at most, and one that asks for the body
 	done    chan struct{}
 	state   atomic.Int32
-	wake    chan struct{} // for a reader that has no room to read on
-	behind  atomic.Bool   // bytes that came before the answer was out wait in the ring
-	until   atomic.Int64  // in microseconds: when it has been idle, has been asking or has lingered for long enough
+	behind  atomic.Bool  // bytes that came before the answer was out wait in the ring
+	over    atomic.Bool  // more came than may wait, and was thrown away: the connection ends with the answer
+	madeWay bool         // for a new connection; the door's
+	until   atomic.Int64 // in microseconds: when it has been idle, has been asking or has lingered for long enough
 	caller  caller
 	room    int // taken for the body that is coming
 	size    int // of the body so far
+	ahead   int // taken for what the client sends ahead
 
 	began time.Time   // the request's first byte
 	again atomic.Bool // a request has ended here before
@@ -343,13 +394,44 @@
 	return c.state.CompareAndSwap(int32(from), int32(to))
 }
 
-// closeIdle ends the connection if nothing of a request has been read on it, or nothing will be.
+// closeIdle begins the end of a connection on which nothing of a request has come.
 func (c *client) closeIdle() bool {
-	if !c.turnTo(idle, ending) && !c.turnTo(lingering, ending) {
+	pending, _ := look(c.conn)
+	return !pending && c.halfClose(idle)
+}
+
+// halfClose ends the side that the client hears, if the connection stands where it was thought to, and leaves the other
+// to the reader for a while: to close it over bytes that are just coming would reset it, and might take the last answer
+// from the client. What comes then is thrown away: the client sees the end, and asks again on another connection.
+func (c *client) halfClose(from standing) bool {
+	if !c.turnTo(from, lingering) {
 		return false
 	}
-	c.conn.Close()
-	c.door.owner.gate.leaving(c.caller.place)
+	c.idleUntil(c.door.cfg.LingerFor)
+	if half, can := c.conn.(interface{ CloseWrite() error }); !can || half.CloseWrite() != nil {
+		c.conn.Close()
+	}
+	return true
+}
+
+// makeWay gives the connection's place to another, if nothing of a request has come, or nothing will be read. Some may
+// linger without a place; beyond those it ends at once.
+func (c *client) makeWay() bool {
+	if c.turnTo(lingering, ending) {
+		c.conn.Close()
+	} else if !c.closeIdle() {
+		return false
+	}
+	d := c.door
+	d.mu.Lock()
+	if d.conns[c.caller.place] == c {
+		c.madeWay = true
+		if d.waysMade++; d.waysMade > d.cfg.Limits.LingerSockets() {
+			c.conn.Close()
+		}
+	}
+	d.mu.Unlock()
+	d.owner.gate.leaving(c.caller.place)
 	return true
 }
 
@@ -382,9 +464,18 @@
 	for {
 		switch standing(c.state.Load()) {
 		case idle, reading:
-			if !c.parse(ctx) {
+			if c.over.Load() { // nobody knows where a next request begins
+				c.in.Skip(c.in.Len())
+				if c.halfClose(idle) {
+					continue
+				}
+			} else if !c.parse(ctx) {
 				return
 			}
+			c.shrink()
+			if standing(c.state.Load()) == idle && c.in.Len() > 0 { // answered already, and more has come
+				continue
+			}
 		case lingering:
 			c.linger()
 			return
@@ -396,12 +487,9 @@
 			if c.in.Len() > 0 && standing(c.state.Load()) != waiting { // the answer went out just now
 				continue
 			}
-			if c.in.Free() == 0 { // a client that sends far ahead is read no further
-				<-c.wake
-				if standing(c.state.Load()) == waiting { // the writer has ended
-					return
-				}
-				continue
+			if c.in.Free() == 0 && !c.grow() {
+				c.over.Store(true)
+				c.in.Skip(c.in.Len())
 			}
 		}
 		_, err := c.in.Fill(c.conn)
@@ -415,7 +503,9 @@
 			case c.left() > 0:
 				c.conn.SetReadDeadline(time.Now().Add(c.left()))
 			case at == idle:
-				c.closeIdle()
+				if !c.closeIdle() { // a request has come just now
+					c.idleUntil(c.door.cfg.AskFor)
+				}
 			case at == reading:
 				c.conn.SetReadDeadline(time.Time{})
 				c.refuse(errNeverEnded)
@@ -428,6 +518,26 @@
 	}
 }
 
+// grow makes room for more of what a client sends ahead of its answer. It is false where that is too much.
+func (c *client) grow() bool {
+	size := c.in.Len()
+	if size >= aheadMost || !c.door.owner.gate.take(limits.Bodies, size) {
+		return false
+	}
+	c.in.Resize(2 * size)
+	c.ahead += size
+	return true
+}
+
+// shrink gives back what was taken for that, once it is not needed.
+func (c *client) shrink() {
+	if c.ahead > 0 && c.in.Len() < clientRing {
+		c.in.Resize(clientRing)
+		c.door.owner.gate.put(limits.Bodies, c.ahead)
+		c.ahead = 0
+	}
+}
+
 var errNeverEnded = &codec.Fault{Status: http.StatusRequestTimeout, Text: "the request never ended"}
 
 // linger reads on for a while and throws away what comes: to end a connection with bytes unread would reset
@@ -449,9 +559,11 @@
 		if c.in.Len() > 0 && c.turnTo(idle, reading) {
 			// From here on a request's time counts; the first one's has counted since the client connected.
 			c.noBody()
-			if c.began = time.Now(); c.again.Load() {
+			if c.began = time.Now(); c.again.Load() || c.door.closing() {
 				c.idleUntil(c.door.cfg.RequestFor)
 			}
+		} else if at := standing(c.state.Load()); at == lingering || at == ending {
+			return true // it was closed as this came
 		}
 		step, piece, err := c.parser.Next(c.in)
 		if err != nil {
@@ -639,16 +751,22 @@
 	c.asked = nil
 	room := c.room
 	c.room, c.size = 0, 0
+	if _, gone := look(c.conn); gone { // while this router stood still: it is never begun
+		c.door.owner.gate.put(limits.Bodies, room)
+		return false
+	}
 	c.door.owner.post(ctx, func(o *owner) {
 		o.take(a)
 		o.gate.put(limits.Bodies, room) // from here on its text counts with the query
 	})
+	if c.door.posted != nil {
+		c.door.posted(c)
+	}
 	return true
 }
 
 // write writes answers until the connection ends.
 func (c *client) write() {
-	defer poke(c.wake)
 	lingers := false
 	defer func() {
 		if !lingers {
@@ -669,7 +787,7 @@
 				}
 				continue
 			}
-			closes := r.closes || c.parser.Head.Closes() || c.door.closing()
+			closes := r.closes || c.parser.Head.Closes() || c.over.Load() || c.door.closing()
 			var body []byte
 			switch {
 			case r.text != "":
@@ -689,16 +807,15 @@
 			}
 			c.door.owner.gate.done(r.hold)
 			if closes {
-				lingers = c.letGo()
+				lingers = c.halfClose(waiting)
 				return
 			}
 			c.idleUntil(c.door.cfg.IdleFor)
 			if !c.turnTo(waiting, idle) {
 				return
 			}
-			if c.behind.Swap(false) {
+			if c.behind.Swap(false) || c.over.Load() {
 				c.conn.SetReadDeadline(time.Now())
-				poke(c.wake)
 			}
 			poke(c.door.freed)
 			if c.door.closing() {
@@ -707,14 +824,3 @@
 		}
 	}
 }
-
-// letGo ends the side that the client hears, and leaves the other to the reader for a while. It is false
-// where the connection can't be half ended.
-func (c *client) letGo() bool {
-	half, can := c.conn.(interface{ CloseWrite() error })
-	if !can || half.CloseWrite() != nil || !c.turnTo(waiting, lingering) {
-		return false
-	}
-	c.idleUntil(c.door.cfg.LingerFor)
-	return true
-}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -140,6 +140,7 @@
 type frame struct {
 	conn  *leafConn
 	parts []codec.PartSent // of a call
+	calls []*call          // those that the parts are of
 	out   int              // calls whose outcome has not been told; the owner's
 
 	letter byte // of a short frame
@@ -209,6 +210,9 @@
 		if k.ended {
 			continue
 		}
+		if q := k.part.query; !k.part.over && q.from.gone.Load() { // its leaving waits behind other events
+			o.leave(q.from)
+		}
 		if k.part.over { // its query has had its answer in this very turn
 			o.endLater(k, choice.Moot)
 			continue
@@ -235,7 +239,7 @@
 		if r := o.ranging; r != nil {
 			sent.Shard, sent.More = r.spans.Shard(k.part.span), r.more(k.part)
 		}
-		f.parts = append(f.parts, sent)
+		f.parts, f.calls = append(f.parts, sent), append(f.calls, k)
 	}
 	for _, f := range frames {
 		f.conn.send(f)
@@ -339,9 +343,8 @@
 func (c *leafConn) withdraw(k *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if k.frame.stage == queued && !k.withdrawn {
+	if k.frame.stage == queued {
 		k.frame.drop(k)
-		k.withdrawn = true
 	}
 	return k.withdrawn
 }
@@ -367,12 +370,27 @@
 
 // drop takes a call out of a frame that is still queued.
 func (f *frame) drop(k *call) {
-	f.parts = slices.DeleteFunc(f.parts, func(p codec.PartSent) bool { return p.ID == k.part.id })
+	i := slices.Index(f.calls, k)
+	if i < 0 {
+		return
+	}
+	k.withdrawn = true
+	f.parts, f.calls = slices.Delete(f.parts, i, i+1), slices.Delete(f.calls, i, i+1)
 	if len(f.parts) == 0 {
 		f.stage = dropped
 	}
 }
 
+// left takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
+// told yet: the frame may have waited for its connection.
+func (f *frame) left() {
+	for _, k := range slices.Clone(f.calls) {
+		if k.part.query.from.gone.Load() {
+			f.drop(k)
+		}
+	}
+}
+
 func (c *leafConn) upSince() choice.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -521,6 +539,7 @@
 		var f *frame
 		if len(c.queue) > 0 {
 			f, c.queue = c.queue[0], c.queue[1:]
+			f.left()
 			if f.stage == dropped {
 				c.mu.Unlock()
 				continue
--- a/router/list_test.go
+++ b/router/list_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -69,7 +70,7 @@
 	met    func(n int, at time.Duration) string
 	slow   time.Duration // dials to it take so long
 	hushed func(at time.Duration) bool
-	n      int
+	n      atomic.Int32                // calls so far
 	change func(at time.Duration) bool // there is one to be told
 }
 
@@ -78,8 +79,7 @@
 // dial stands in for the network to the agent.
 func (a *agent) dial(conn func() (net.Conn, net.Conn), gone <-chan struct{}) (net.Conn, error) {
 	at := a.since()
-	name := a.met(a.n, at)
-	a.n++
+	name := a.met(int(a.n.Add(1))-1, at)
 	for _, m := range manners {
 		if m.name != name {
 			continue
@@ -143,7 +143,7 @@
 		st := newStage(t, set)
 		st.muted = true
 		change(st.cfg)
-		a.st, a.n = st, 0
+		a.st = st
 		at := time.Duration(-1)
 		st.heard = func(line string) {
 			if strings.Contains(line, "list entries=1 generation=2") && at < 0 {
@@ -213,10 +213,10 @@
 					return ""
 				}
 				a := &agent{slow: dial, met: once, change: func(at time.Duration) bool { return at > quiet+time.Millisecond }}
-				a.hushed = func(at time.Duration) bool { return at >= quiet && a.n == 1 }
+				a.hushed = func(at time.Duration) bool { return at >= quiet && a.n.Load() == 1 }
 				worst[1] = max(worst[1], told(t, change, a, func() time.Duration { return quiet }, func(*stage) {}))
 				// SIGHUP moves it, and the first call at the new address meets the trouble.
-				a = &agent{slow: dial, met: once, hushed: never, change: func(time.Duration) bool { return a.n > 1 }}
+				a = &agent{slow: dial, met: once, hushed: never, change: func(time.Duration) bool { return a.n.Load() > 1 }}
 				moved := time.Duration(0)
 				worst[2] = max(worst[2], told(t, change, a, func() time.Duration { return moved }, func(st *stage) {
 					time.Sleep(5 * time.Second)
--- a/router/owner.go
+++ b/router/owner.go
@@ -306,7 +306,7 @@
 	o.root.Take(o.now, q.q, parts)
 }
 
-// leave: a caller has gone.
+// leave: a caller has gone. Whoever finds it gone before the owner is told may say so too.
 func (o *owner) leave(c *caller) {
 	if q := c.query; q != nil {
 		o.root.Leave(o.now, q.q)
--- a/router/search.go
+++ b/router/search.go
@@ -116,6 +116,7 @@
 	case r := <-answers:
 		return s.reply(a, r), nil
 	case <-ctx.Done():
+		a.from.gone.Store(true)
 		o.post(o.ctx, func(o *owner) { o.leave(a.from) })
 		return nil, ctx.Err()
 	}
