A connection to a leaf that comes up late may serve later calls

Need: a third of the connections to data nodes may take up to 1.5 s to come up, four times the connect time-out and more. Each such dial was thrown away at the time-out and the next call began another (TestConnectionComesUpLate: on the text before none is ever up). Now what waits for the connection ends at the time-out as before, as never run; the dial goes on for the longest deadline, one a leaf, and the connection is kept if it comes up. So a dial that comes up after its call ended finds nothing queued on it (looked for as a crossing). Its frames are dropped under the lock under which it is noted as up.

--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -581,3 +581,48 @@
 		t.Errorf("%d attempts after it had gone", n)
 	}
 }
+
+// A connection that does not come up in its time ends what waits for it as never run, and one of a leaf serves later calls
+// if it comes up yet. So where connections are slow to come up, not every call has to wait for one of its own.
+func TestConnectionComesUpLate(t *testing.T) {
+	up, dials := make(chan struct{}), atomic.Int32{}
+	y := newYard(t, func(c *config.Config, y *yard) {
+		c.Known.Servers = c.Known.Servers[:1]
+		c.Settings.ConnectTimeout = 20 * time.Millisecond
+		y.serves.Store(true)
+		y.dial = func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+			if address != c.Known.Servers[0].Address {
+				return dialTCP(ctx, address, limit)
+			}
+			dials.Add(1)
+			select {
+			case <-up:
+				return dialTCP(ctx, address, limit)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(limit):
+				return nil, os.ErrDeadlineExceeded
+			}
+		}
+	})
+	conn := y.connect()
+	io.WriteString(conn, request("q1", "search", 2400, 0))
+	y.expect(conn, http.StatusServiceUnavailable)
+	close(up)
+	y.until("one connection up", func() bool {
+		return y.owner(func(o *owner) (n int) {
+			for _, c := range o.listed[0].conns {
+				if c.upSince() > 0 {
+					n++
+				}
+			}
+			return n
+		}) == 1
+	})
+	before := dials.Load()
+	io.WriteString(conn, request("q2", "search", 2400, 0))
+	y.expect(conn, http.StatusOK)
+	if n := dials.Load(); n != before || y.sent("q1") > 0 {
+		t.Errorf("%d dials and %d for the next call; q1 sent %d times", before, n-before, y.sent("q1"))
+	}
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -178,6 +178,7 @@
 	heard   choice.Time
 	why     error // it was ended for
 	retired bool  // takes no more calls, and ends with the last that is out
+	late    bool  // it has not come up in time: nothing waits for it, and it may still come to be of use
 
 	mu    sync.Mutex
 	queue []*frame // not yet written, oldest first
@@ -260,7 +261,7 @@
 		if o.cfg.More.OpenSearch.Leaves {
 			room = c.frames == 0
 		}
-		if !room || c.retired || c.knows(id) || c.stale(o, 0) || c.ending() {
+		if !room || c.retired || c.knows(id) || c.stale(o, 0) || c.ending() || c.late && c.upSince() == 0 {
 			continue
 		}
 		if least == nil || c.frames < least.frames || c.frames == least.frames && c.used < least.used {
@@ -500,7 +501,9 @@
 	defer c.cancel()
 	stop := context.AfterFunc(o.ctx, c.close)
 	defer stop()
-	conn, err := o.dial(ctx, c.address, o.cfg.Settings.ConnectTimeout)
+	waits := time.AfterFunc(o.cfg.Settings.ConnectTimeout, func() { o.post(o.ctx, c.tooLate) })
+	defer waits.Stop()
+	conn, err := o.dial(ctx, c.address, o.cfg.Settings.Longest)
 	if err != nil {
 		o.post(o.ctx, func(o *owner) { c.down(o, err) })
 		return
@@ -528,6 +531,33 @@
 	o.post(o.ctx, func(o *owner) { c.down(o, err) })
 }
 
+// tooLate: the connection has not come up in its time, so what waits for it has not run and ends here. It may come up yet,
+// and then serve later calls: one of them a leaf, as a leaf that is out of reach has none that does.
+func (c *leafConn) tooLate(o *owner) {
+	c.mu.Lock()
+	if c.up > 0 || c.over {
+		c.mu.Unlock()
+		return
+	}
+	calls, probes := c.inOrder(), c.probes
+	for _, k := range calls {
+		k.frame.drop(k)
+	}
+	c.queue, c.probes = nil, nil
+	c.mu.Unlock()
+	o.log.Info().Str("leaf", c.leaf.id).Str("address", c.address).Int("calls", len(calls)).Msg("connection to leaf is late")
+	if c.retired || slices.ContainsFunc(c.leaf.conns, func(other *leafConn) bool { return other.late && other.upSince() == 0 }) {
+		c.finish()
+	}
+	c.late = true
+	for _, k := range calls {
+		o.end(k, choice.NoConnection, nil, nil)
+	}
+	for _, p := range probes {
+		o.probed(p, choice.NoConnection, nil)
+	}
+}
+
 // write writes frames until the connection ends. A frame counts as written once the connection has taken its
 // last byte.
 func (c *leafConn) write(conn net.Conn) {
