What was taken before this turn is begun only after another look at its client

Seen by a test that forces it (TestLeftWhileItStoodStill, two attempts on the text before): a client leaves while the router stands still; as it goes on, the reset of the part's call is told before anybody has read the end of the client's connection, and the part is asked elsewhere, any time after the client went. Excluded: the gathering of events after a pause, which waits 5 ms and only where something was due. Lines: leaf.flush, which knew of a departure only what the owner had been told. Now a call of a query of an earlier turn is preceded by one look, without reading, at its client's connection; a query of this turn was looked at as it was taken. A look is one system call, for further calls and first ones that waited.

--- a/router/clients.go
+++ b/router/clients.go
@@ -53,6 +53,7 @@
 	answer func(reply)  // one for each query; never blocks
 	place  *limits.Conn // in the books; nil: none of its own
 	gone   atomic.Bool  // it has left; the owner is told so behind whatever it was told before
+	look   func() bool  // has it left by now, though nobody has read that yet? nil: it can't be seen
 
 	// The owner's.
 	query *query
@@ -174,6 +175,7 @@
 	c := &client{door: d, conn: conn, in: codec.NewRing(clientRing),
 		answers: make(chan reply, 2), done: make(chan struct{})}
 	c.caller.answer, c.caller.place = c.answer, place
+	c.caller.look = func() bool { _, gone := look(conn); return gone }
 	c.idleUntil(d.cfg.RequestFor)
 	d.mu.Lock()
 	d.conns[place] = c
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -542,6 +542,32 @@
 	}
 }
 
+// A client has gone while this router stood still, and what had its part elsewhere asked is told before anybody has read that:
+// nothing more is begun.
+func TestLeftWhileItStoodStill(t *testing.T) {
+	goOn := make(chan struct{})
+	y := newYard(t, func(_ *config.Config, y *yard) {
+		y.hooks.reading = func(n int) {
+			if n > 1 { // the reader stands still behind the query
+				<-goOn
+			}
+		}
+	})
+	conn := y.connect()
+	io.WriteString(conn, request("q1", "search", 2400, 0))
+	<-y.came
+	conn.Close()
+	y.mu.Lock()
+	y.conns[0].Close()
+	y.mu.Unlock()
+	y.until("the call's end", func() bool { return y.owner(func(o *owner) int { return len(o.calls) }) == 0 })
+	close(goOn)
+	y.until("the query's end", func() bool { return y.open() == 0 })
+	if n := y.sent("q1"); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
 // A call waits for its connection, its client goes, and the connection comes up before the owner is told: its frame is
 // not written.
 func TestLeavesAsAConnectionComesUp(t *testing.T) {
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -211,7 +211,9 @@
 		if k.ended {
 			continue
 		}
-		if q := k.part.query; !k.part.over && q.from.gone.Load() { // its leaving waits behind other events
+		// Its leaving may wait behind other events, or still be to be read: after a pause of this router. One that has
+		// been taken in this very turn was looked at then.
+		if q := k.part.query; !k.part.over && (q.from.gone.Load() || o.now > q.taken && q.from.look != nil && q.from.look()) {
 			o.leave(q.from)
 		}
 		if k.part.over { // its query has had its answer in this very turn
