A connection that never came up is no sign that a leaf has started

Such a call ends after the connect time-out as never run, and the module took it for a start of the leaf: from then on it was cold, and took one part of this root a window. The lines: Outcome, NoConnection. A process that is gone refuses at once; one that does neither in the time-out is cut off, full or slow to come up, which says nothing of its process. The module is told the time-out for that.

TestNeverUpIsNoStart fails on the old lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -723,7 +723,8 @@
 	case Failed, Reset, NoConnection: // it costs its time and one more call
 		if o == NoConnection {
 			l.silentAt = now
-			if l.started == 0 || now-l.started >= r.set.ColdTime { // a start that was told keeps its own books
+			// One that never came up shows no start. One that was told keeps its own books.
+			if elapsed < r.set.ConnectTimeout && (l.started == 0 || now-l.started >= r.set.ColdTime) {
 				l.unreachedAt, l.sent, l.window = now, nil, 0
 			}
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -602,6 +602,23 @@
 	}
 }
 
+// A connection that never came up tells nothing of the leaf's process: it is not taken for cold.
+func TestNeverUpIsNoStart(t *testing.T) {
+	st := play(t, 2, plain(nil))
+	st.warm(6)
+	l := st.leafs[0]
+	for _, c := range []struct {
+		took Time
+		cold bool
+	}{{st.set.ConnectTimeout, false}, {2, true}} {
+		st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 5000, Deadline: st.now + 9000, state: merged}}, l)
+		st.r.Outcome(st.now, l.out[0], NoConnection, c.took, false, nil)
+		if cold := st.r.capacity(l) < 1; cold != c.cold {
+			t.Errorf("no connection after %d: cold %v", c.took, cold)
+		}
+	}
+}
+
 // A failed connect to a leaf whose start was told opens no new books for it: what it was sent still counts, nor is it owed a part.
 func TestToldStartKeepsItsBooks(t *testing.T) {
 	st := play(t, 2, plain(nil))
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -26,7 +26,7 @@
 func plain(change func(*Settings)) *Settings {
 	s := &Settings{Seed: 1, Roots: 1, Tick: 50, Shards: 4, Cells: 1, Span: 1, MaxCalls: 3, SecondCopies: true,
 		MayCancel: true, HoldOff: true, MaxHoldOff: 5000, ColdShare: 0.2, ColdTime: 100000, FallMultiple: 3,
-		FallTime: 20000, Verticals: []Vertical{
+		FallTime: 20000, ConnectTimeout: 2500, Verticals: []Vertical{
 			{SLO: 10000, Deadline: 30000, Utility: 1, LateUtility: 0.1, Need: 1, Floor: 1,
 				DedupWindow: 5000}}}
 	if change != nil {
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -106,6 +106,8 @@
 	ProbeReports bool // load reports come with probes alone
 	AskForList   bool
 
+	ConnectTimeout Time // in which a connection is refused or comes up; one that does neither tells nothing of the process
+
 	BudgetSet    bool
 	BudgetSpare  float64
 	BudgetRatio  float64
