Names: accept backlog, connection states, cancellation for a client that left

A renaming without other change, of what this work touched: door.acceptBacklog, connState (as net/http has it), caller.canceled, frame.dropCanceled.

--- a/router/back.go
+++ b/router/back.go
@@ -81,7 +81,7 @@
 // request writes one request.
 func (c *leafConn) request(o *owner, w *codec.Writer, f *frame) error {
 	c.mu.Lock()
-	f.left()
+	f.dropCanceled()
 	if f.stage == dropped {
 		c.mu.Unlock()
 		return nil
--- a/router/clients.go
+++ b/router/clients.go
@@ -50,10 +50,10 @@
 // caller is whoever asks queries, one at a time: a connection of the router's own protocol, or a request of
 // another front.
 type caller struct {
-	answer func(reply)  // one for each query; never blocks
-	place  *limits.Conn // in the books; nil: none of its own
-	gone   atomic.Bool  // it has left; the owner is told so behind whatever it was told before
-	look   func() bool  // has it left by now, though nobody has read that yet? nil: it can't be seen
+	answer   func(reply)  // one for each query; never blocks
+	place    *limits.Conn // in the books; nil: none of its own
+	canceled atomic.Bool  // it has left; the owner is told so behind whatever it was told before
+	look     func() bool  // has it left by now, though nobody has read that yet? nil: it can't be seen
 
 	// The owner's.
 	query *query
@@ -120,7 +120,7 @@
 			return nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // see close
-			d.last(ctx)
+			d.acceptBacklog(ctx)
 			return nil
 		}
 		if err != nil && d.owner.gate.short(ctx, d.listener, err) {
@@ -139,9 +139,9 @@
 	}
 }
 
-// last takes what the kernel has accepted by now: requests may have come there, and to close the listener would reset
+// acceptBacklog takes what the kernel has accepted by now: requests may have come there, and to close the listener would reset
 // them. Descriptors bound it.
-func (d *door) last(ctx context.Context) {
+func (d *door) acceptBacklog(ctx context.Context) {
 	defer d.listener.Close()
 	for range d.cfg.Limits.Sockets / 8 {
 		d.listener.(deadliner).SetDeadline(time.Now().Add(duration(d.cfg.Settings.Module.Tick)))
@@ -200,7 +200,7 @@
 	defer d.mu.Unlock()
 	for _, c := range d.conns {
 		rank := -1
-		switch at := standing(c.state.Load()); {
+		switch at := connState(c.state.Load()); {
 		case at == lingering:
 			rank = limits.Lingering // unless it has made way already, as the books know
 		case at == idle && !c.again.Load() && c.left() <= d.cfg.RequestFor-d.cfg.AskFor:
@@ -237,7 +237,7 @@
 			if c == nil {
 				continue
 			}
-			if standing(c.state.Load()) == reading {
+			if connState(c.state.Load()) == reading {
 				c.refuse(errNeverEnded)
 			} else if !c.makeWay() {
 				continue
@@ -273,7 +273,7 @@
 			return
 		}
 		offered = slices.DeleteFunc(offered, func(s limits.Standing) bool { return s.Conn == y })
-		if c := d.at(y); c != nil && standing(c.state.Load()) != reading {
+		if c := d.at(y); c != nil && connState(c.state.Load()) != reading {
 			c.makeWay()
 		}
 	}
@@ -343,7 +343,7 @@
 }
 
 func (d *door) gone(ctx context.Context, c *client) {
-	c.caller.gone.Store(true)
+	c.caller.canceled.Store(true)
 	d.mu.Lock()
 	delete(d.conns, c.caller.place)
 	if c.madeWay {
@@ -356,14 +356,14 @@
 	d.owner.post(ctx, func(o *owner) { o.leave(&c.caller) })
 }
 
-// standing is where a connection stands with its client.
-type standing int32
+// connState is where a connection stands with its client.
+type connState int32
 
 const (
-	idle      standing = iota // between requests, nothing read
-	reading                   // part of a request has been read
-	waiting                   // the request is whole, its answer is not out yet
-	lingering                 // the last answer is out; what still comes is thrown away, for a while
+	idle      connState = iota // between requests, nothing read
+	reading                    // part of a request has been read
+	waiting                    // the request is whole, its answer is not out yet
+	lingering                  // the last answer is out; what still comes is thrown away, for a while
 	ending
 )
 
@@ -392,7 +392,7 @@
 }
 
 // turnTo changes where the connection stands, if it stood where it was thought to.
-func (c *client) turnTo(from, to standing) bool {
+func (c *client) turnTo(from, to connState) bool {
 	return c.state.CompareAndSwap(int32(from), int32(to))
 }
 
@@ -405,7 +405,7 @@
 // halfClose ends the side that the client hears, if the connection stands where it was thought to, and leaves the other
 // to the reader for a while: to close it over bytes that are just coming would reset it, and might take the last answer
 // from the client. What comes then is thrown away: the client sees the end, and asks again on another connection.
-func (c *client) halfClose(from standing) bool {
+func (c *client) halfClose(from connState) bool {
 	if !c.turnTo(from, lingering) {
 		return false
 	}
@@ -464,7 +464,7 @@
 	defer close(c.done)
 	defer c.conn.Close()
 	for {
-		switch standing(c.state.Load()) {
+		switch connState(c.state.Load()) {
 		case idle, reading:
 			if c.over.Load() { // nobody knows where a next request begins
 				c.in.Skip(c.in.Len())
@@ -475,7 +475,7 @@
 				return
 			}
 			c.shrink()
-			if standing(c.state.Load()) == idle && c.in.Len() > 0 { // answered already, and more has come
+			if connState(c.state.Load()) == idle && c.in.Len() > 0 { // answered already, and more has come
 				continue
 			}
 		case lingering:
@@ -484,9 +484,9 @@
 		case ending:
 			return
 		}
-		if standing(c.state.Load()) == waiting {
+		if connState(c.state.Load()) == waiting {
 			c.behind.Store(c.in.Len() > 0)
-			if c.in.Len() > 0 && standing(c.state.Load()) != waiting { // the answer went out just now
+			if c.in.Len() > 0 && connState(c.state.Load()) != waiting { // the answer went out just now
 				continue
 			}
 			if c.in.Free() == 0 && !c.grow() {
@@ -495,11 +495,11 @@
 			}
 		}
 		_, err := c.in.Fill(c.conn)
-		if at := standing(c.state.Load()); at == lingering || at == ending {
+		if at := connState(c.state.Load()); at == lingering || at == ending {
 			continue
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // the writer woke the reader, or time is up
-			switch at := standing(c.state.Load()); {
+			switch at := connState(c.state.Load()); {
 			case at == waiting:
 				c.conn.SetReadDeadline(time.Time{})
 			case c.left() > 0:
@@ -545,7 +545,7 @@
 // linger reads on for a while and throws away what comes: to end a connection with bytes unread would reset
 // it, and the client might lose the answer that says why.
 func (c *client) linger() {
-	for n := 0; n < c.door.cfg.LingerMost && standing(c.state.Load()) == lingering; {
+	for n := 0; n < c.door.cfg.LingerMost && connState(c.state.Load()) == lingering; {
 		c.in.Skip(c.in.Len())
 		more, err := c.in.Fill(c.conn)
 		if n += more; err != nil {
@@ -564,7 +564,7 @@
 			if c.began = time.Now(); c.again.Load() || c.door.closing() {
 				c.idleUntil(c.door.cfg.RequestFor)
 			}
-		} else if at := standing(c.state.Load()); at == lingering || at == ending {
+		} else if at := connState(c.state.Load()); at == lingering || at == ending {
 			return true // it was closed as this came
 		}
 		step, piece, err := c.parser.Next(c.in)
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -461,7 +461,7 @@
 func TestAnsweredBeforeTheNextLook(t *testing.T) {
 	y := newYard(t, func(_ *config.Config, y *yard) { y.serves.Store(true) })
 	y.p.owner.door.posted = func(c *client) {
-		y.until("the answer out", func() bool { return standing(c.state.Load()) != waiting })
+		y.until("the answer out", func() bool { return connState(c.state.Load()) != waiting })
 	}
 	conn := y.connect()
 	io.WriteString(conn, request("q1", "search", 2000, 0)+request("q2", "search", 2000, 0))
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -213,7 +213,7 @@
 		}
 		// Its leaving may wait behind other events, or still be to be read: after a pause of this router. One that has
 		// been taken in this very turn was looked at then.
-		if q := k.part.query; !k.part.over && (q.from.gone.Load() || o.now > q.taken && q.from.look != nil && q.from.look()) {
+		if q := k.part.query; !k.part.over && (q.from.canceled.Load() || o.now > q.taken && q.from.look != nil && q.from.look()) {
 			o.leave(q.from)
 		}
 		if k.part.over { // its query has had its answer in this very turn
@@ -384,11 +384,11 @@
 	}
 }
 
-// left takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
+// dropCanceled takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
 // told yet: the frame may have waited for its connection.
-func (f *frame) left() {
+func (f *frame) dropCanceled() {
 	for _, k := range slices.Clone(f.calls) {
-		if k.part.query.from.gone.Load() {
+		if k.part.query.from.canceled.Load() {
 			f.drop(k)
 		}
 	}
@@ -571,7 +571,7 @@
 		var f *frame
 		if len(c.queue) > 0 {
 			f, c.queue = c.queue[0], c.queue[1:]
-			f.left()
+			f.dropCanceled()
 			if f.stage == dropped {
 				c.mu.Unlock()
 				continue
--- a/router/search.go
+++ b/router/search.go
@@ -116,7 +116,7 @@
 	case r := <-answers:
 		return s.reply(a, r), nil
 	case <-ctx.Done():
-		a.from.gone.Store(true)
+		a.from.canceled.Store(true)
 		o.post(o.ctx, func(o *owner) { o.leave(a.from) })
 		return nil, ctx.Err()
 	}
