--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -29,15 +29,15 @@
 // hooked is a connection of a client as the router has it, with hooks between its steps.
 type hooked struct {
 	*net.TCPConn
-	on *hooks
-	n  int // reads so far
+	on    *hooks
+	n     int // reads so far
+	ended sync.Once
 }
 
 type hooks struct {
-	reading func(n int) // before the nth read from any connection
-	ending  func()      // before the router ends a connection or half of it, once
-	asked   func()      // as the router asks who a new connection is from
-	once    sync.Once
+	reading func(n int)        // before the nth read from any connection
+	ending  func(its net.Addr) // before the router ends the client's connection or half of it, once each
+	asked   func()             // as the router asks who a new connection is from
 }
 
 func (h *hooked) Read(p []byte) (int, error) {
@@ -50,7 +50,7 @@
 
 func (h *hooked) end() {
 	if h.on.ending != nil {
-		h.on.once.Do(h.on.ending)
+		h.ended.Do(func() { h.on.ending(h.TCPConn.RemoteAddr()) })
 	}
 }
 
@@ -336,9 +336,12 @@
 			wrote := make(chan struct{})
 			y := newYard(t, func(cfg *config.Config, y *yard) {
 				c.change(cfg)
-				cfg.AskFor = time.Millisecond
+				cfg.AskFor = patience // the others have only just come, and don't make way
 				y.serves.Store(true)
-				y.hooks.ending = func() {
+				y.hooks.ending = func(its net.Addr) {
+					if conn == nil || its.String() != conn.LocalAddr().String() {
+						return
+					}
 					io.WriteString(conn, request("late", "search", 2000, 0))
 					close(wrote)
 				}
