A blind root takes failures for time again, and beliefs fade only where no call tests them

Lines: expected, which since then leaves failures out of the time of a call at admission and for further calls; and the fading of pace and queue, which took a root for one that makes no call while all its calls came back from full leaves. Both are right for a root that sees its leaves often, as on the three further deployments; of three hundred that see little, each then admits what all together can't bear.

Both tests fail on the old lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -517,8 +517,14 @@
 func (r *Root) tempo(l *Leaf) float64 { return r.against(l, r.common) }
 
 // expected is the time for a unit of load at a leaf that answers. What failures make of the common tempo
-// orders leaves; taken for a time it would say that a fleet with a few dead leaves is slow.
-func (r *Root) expected(l *Leaf) float64 { return r.pace * r.against(l, 1) }
+// orders leaves; taken for a time it would say that a fleet with a few dead leaves is slow. But a root that is
+// blind has no better word of a fleet that is full: of hundreds each would admit what all together can't bear.
+func (r *Root) expected(l *Leaf) float64 {
+	if r.blind() > 0 {
+		return r.pace * r.tempo(l)
+	}
+	return r.pace * r.against(l, 1)
+}
 
 // against is tempo where a leaf that is not known is thought to have the usual one.
 func (r *Root) against(l *Leaf, usual float64) float64 {
@@ -660,7 +666,7 @@
 	if top := r.pace + 2*lateBy*r.dev; answered {
 		r.dev += gain / 4 * (math.Abs(min(x, top)-r.pace) - r.dev)
 		r.pace += gain / 4 * (min(x, top) - r.pace)
-		r.calm, r.answeredAt = min(r.pace, r.calm+gain*gain/4*(r.pace-r.calm)), r.now
+		r.calm = min(r.pace, r.calm+gain*gain/4*(r.pace-r.calm))
 	}
 	x = min(x/r.pace, mostSlow)
 	r.noteCall(l, x/r.way(l))
@@ -707,6 +713,9 @@
 	if !r.paused() && (o == OK || time > r.pressure()) {
 		noteLast(&r.times, amount{now, time / c.crowd}, memory)
 	}
+	if o == OK || o == Full || o == TimedOut {
+		r.testedAt = now
+	}
 	switch o {
 	case OK:
 		if !r.paused() {
@@ -1150,7 +1159,7 @@
 	recent(&r.taken, r.now-r.set.BudgetWindow)
 	// Beliefs that no call has tested for a horizon fade to those of a calm fleet: a root that turns all away
 	// for them makes no call, and would never learn that the trouble is over.
-	if r.answeredAt > 0 && r.now-r.answeredAt > r.horizon {
+	if r.testedAt > 0 && r.now-r.testedAt > r.horizon {
 		kept := math.Exp(-float64(sweepEvery) / float64(r.horizon))
 		r.pace, r.usual = r.calm+(r.pace-r.calm)*kept, r.usual*kept
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -364,6 +364,14 @@
 	if q := st.query(0, 0, 0); q.state != rejected {
 		t.Fatalf("in the jam the root lets a query in: pace %.0f, %.0f before", jammed, calm)
 	}
+	for range 6 { // while calls come back that found their leaves full it holds
+		st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 9000, Deadline: st.now + 30000, state: merged}}, st.leafs[0])
+		st.pass(int(st.r.horizon / Millisecond / 2))
+		st.r.Outcome(st.now, st.leafs[0].out[0], Full, 2, false, nil)
+	}
+	if st.r.pace != jammed {
+		t.Errorf("under calls that meet full leaves the pace fades from %.0f to %.0f", jammed, st.r.pace)
+	}
 	st.pass(int(6 * st.r.horizon / Millisecond))
 	if q := st.query(0, 0, 0); q.state != gathering {
 		t.Errorf("six horizons later the root still turns queries away: pace %.0f, %.0f in the jam, %.0f before", st.r.pace, jammed, calm)
@@ -939,6 +947,18 @@
 }
 
 // A root is blind where jams come and go between two of its calls to a leaf.
+// A root that sees its leaves often leaves failures out of the time of a call; one that is blind has them in it.
+func TestFailuresAreTimeToABlindRoot(t *testing.T) {
+	for _, silence := range []int{0, 60000} {
+		st := spread(t, 1, 200, silence)
+		st.r.common = 3
+		l := new(Leaf)
+		if x, blind := st.r.expected(l)/st.r.pace, st.r.blind() > 0; blind != (silence > 0) || blind && x != 3 || !blind && x != 1 {
+			t.Errorf("calls every %d ms: blind %v, an unknown leaf takes %.1f times the usual", silence, blind, x)
+		}
+	}
+}
+
 func TestBlind(t *testing.T) {
 	for _, c := range []struct {
 		silence  int
--- a/choice/state.go
+++ b/choice/state.go
@@ -181,8 +181,8 @@
 	started Time
 	resumed Time // when it last found that it had stood still
 
-	answeredAt Time // when a call was last answered
-	draws      uint64
+	testedAt Time // when a call last told of the time that calls take
+	draws    uint64
 
 	leaves  []*Leaf
 	ready   int       // leaves that take calls
