A frame holds its calls only while it is queued, and a call its frame only until it has ended

Excluded: goroutines (120 to 160), stacks (1 MB), clients, connections, due times, queries, parts, calls (all level); connections that come up late (none out as it grew); a loop of queries with connections that never come up, which did not grow.

A connection keeps its last frame in the arrays of its queue; that frame now held its calls, these their query, that its other calls, these their frames and connections, alive or not, each with its own last frame: a chain from one idle connection forward through all queries since. Now the writer takes the calls off a frame as it takes it from the queue, and a call that has ended lets go of its frame. TestQueriesAreLetGo, with weak pointers and a first connection that is kept, fails on the old lines (60 of 60 held).

--- a/router/back.go
+++ b/router/back.go
@@ -86,7 +86,7 @@
 		c.mu.Unlock()
 		return nil
 	}
-	f.stage = inRing
+	f.stage, f.calls = inRing, nil
 	parts := slices.Clone(f.parts)
 	c.flight = &flight{frame: f, parts: parts}
 	c.mu.Unlock()
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/rs/zerolog"
 
@@ -436,6 +437,60 @@
 	}
 }
 
+// Nothing holds a query that is over: neither the connections that its calls went over nor those that queries before it did.
+func TestQueriesAreLetGo(t *testing.T) {
+	y := newYard(t, func(_ *config.Config, y *yard) { y.serves.Store(true) })
+	var first []*leafConn // of the first query: as if they were kept and not used again
+	var all []weak.Pointer[query]
+	var told atomic.Int32
+	y.p.owner.door.posted = func(c *client) { // the owner stands still meanwhile, or may have answered already
+		y.p.owner.queue <- func(o *owner) {
+			for _, q := range o.queries {
+				all = append(all, weak.Make(q))
+			}
+		}
+		told.Add(1)
+	}
+	const rounds = 60
+	for i := range int32(rounds) {
+		letGo := y.stopOwner()
+		conn := y.connect()
+		// What may run once takes a new connection to its leaf in place of one, and the next query goes over old and new ones: so the
+		// last queries of all connections hang together.
+		if i%2 == 0 {
+			io.WriteString(conn, request(fmt.Sprint("q", i), "search", 2000, 0, 1, 2, 3))
+		} else {
+			io.WriteString(conn, request(fmt.Sprint("q", i), "file", 2000, 0))
+		}
+		y.until("the query told, and the look behind it", func() bool { return told.Load() == i+1 })
+		letGo()
+		y.expect(conn, http.StatusOK)
+		conn.Close()
+		if i == 0 {
+			y.owner(func(o *owner) int {
+				for _, l := range o.listed {
+					first = append(first, l.conns...)
+				}
+				return 0
+			})
+		}
+	}
+	y.until("all clients gone", func() bool { return y.clients() == 0 })
+	held := func() (n int) {
+		y.owner(func(*owner) int { return 0 })
+		runtime.GC()
+		for _, q := range all {
+			if q.Value() != nil {
+				n++
+			}
+		}
+		return n
+	}
+	// Due times hold a query until its deadline; then each connection may hold the last that went over it.
+	y.until("no more held than there are connections", func() bool { return len(all) == rounds && held() <= 8 })
+	runtime.KeepAlive(first)
+}
+
 // What a client sends ahead within the bound is answered, each in turn; beyond it the connection ends with the answer.
 func TestSentAhead(t *testing.T) {
 	y := newYard(t, nil)
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -140,7 +140,7 @@
 type frame struct {
 	conn  *leafConn
 	parts []codec.PartSent // of a call
-	calls []*call          // those that the parts are of
+	calls []*call          // those that the parts are of, while it is queued: a frame may be held for long
 	out   int              // calls whose outcome has not been told; the owner's
 
 	letter byte // of a short frame
@@ -576,7 +576,7 @@
 				c.mu.Unlock()
 				continue
 			}
-			f.stage = inRing
+			f.stage, f.calls = inRing, nil
 		}
 		c.mu.Unlock()
 		if ended {
--- a/router/owner.go
+++ b/router/owner.go
@@ -357,6 +357,7 @@
 	delete(o.calls, c.c)
 	if c.frame != nil {
 		c.frame.conn.ended(c)
+		c.frame = nil // or what is left of a connection would hold all that others carried since
 	}
 	p := c.part
 	if outcome == choice.OK && !p.over && !p.in {
