--- a/router/clients.go
+++ b/router/clients.go
@@ -545,6 +545,7 @@
 // linger reads on for a while and throws away what comes: to end a connection with bytes unread would reset
 // it, and the client might lose the answer that says why.
 func (c *client) linger() {
+	c.idleUntil(c.door.cfg.LingerFor) // once more: the reader may have taken away what halfClose has set
 	for n := 0; n < c.door.cfg.LingerMost && connState(c.state.Load()) == lingering; {
 		c.in.Skip(c.in.Len())
 		more, err := c.in.Fill(c.conn)
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -36,9 +36,10 @@
 }
 
 type hooks struct {
-	reading func(n int)        // before the nth read from any connection
-	ending  func(its net.Addr) // before the router ends the client's connection or half of it, once each
-	asked   func()             // as the router asks who a new connection is from
+	reading  func(n int)        // before the nth read from any connection
+	ending   func(its net.Addr) // before the router ends the client's connection or half of it, once each
+	clearing func()             // before a read's deadline is taken away
+	asked    func()             // as the router asks who a new connection is from
 }
 
 func (h *hooked) Read(p []byte) (int, error) {
@@ -57,6 +58,12 @@
 
 func (h *hooked) Close() error      { h.end(); return h.TCPConn.Close() }
 func (h *hooked) CloseWrite() error { h.end(); return h.TCPConn.CloseWrite() }
+func (h *hooked) SetReadDeadline(t time.Time) error {
+	if h.on.clearing != nil && t.IsZero() {
+		h.on.clearing()
+	}
+	return h.TCPConn.SetReadDeadline(t)
+}
 func (h *hooked) RemoteAddr() net.Addr {
 	if h.on.asked != nil {
 		h.on.asked()
@@ -515,6 +522,29 @@
 	}
 }
 
+// The reader takes its deadline away, as it was woken for nothing, in the instant in which the writer ends the connection: what
+// lingers still ends, though the client keeps its side open for good.
+func TestDeadlineClearedAsAConnectionEnds(t *testing.T) {
+	var one atomic.Pointer[client]
+	y := newYard(t, func(c *config.Config, y *yard) {
+		c.LingerFor = 50 * time.Millisecond
+		y.serves.Store(true)
+		y.hooks.clearing = func() {
+			if c := one.Load(); c != nil {
+				y.until("the connection's end", func() bool { return connState(c.state.Load()) == lingering })
+			}
+		}
+	})
+	y.p.owner.door.posted = func(c *client) { // the reader's next step is a read
+		c.conn.SetReadDeadline(time.Unix(1, 0))
+		one.Store(c)
+	}
+	conn := y.connect()
+	io.WriteString(conn, strings.Replace(request("q1", "search", 2000, 0), "X-Trace-Id", "Connection: close\r\nX-Trace-Id", 1))
+	y.expect(conn, http.StatusOK)
+	y.until("the client gone", func() bool { return y.clients() == 0 })
+}
+
 // An answer that is out before the reader has looked again: what came behind the request is not left lying.
 func TestAnsweredBeforeTheNextLook(t *testing.T) {
 	y := newYard(t, func(_ *config.Config, y *yard) { y.serves.Store(true) })
