--- a/choice/choice.go
+++ b/choice/choice.go
@@ -517,14 +517,8 @@
 func (r *Root) tempo(l *Leaf) float64 { return r.against(l, r.common) }
 
 // expected is the time for a unit of load at a leaf that answers. What failures make of the common tempo
-// orders leaves; taken for a time it would say that a fleet with a few dead leaves is slow. But a root that is
-// blind has no better word of a fleet that is full: of hundreds each would admit what all together can't bear.
-func (r *Root) expected(l *Leaf) float64 {
-	if r.blind() > 0 {
-		return r.pace * r.tempo(l)
-	}
-	return r.pace * r.against(l, 1)
-}
+// orders leaves; taken for a time it would say that a fleet with a few dead leaves is slow.
+func (r *Root) expected(l *Leaf) float64 { return r.pace * r.against(l, 1) }
 
 // against is tempo where a leaf that is not known is thought to have the usual one.
 func (r *Root) against(l *Leaf, usual float64) float64 {
