Calls for the list wait for their turn, and a watch that broke is opened anew at once

All watches are reset in the first moment, and each router asks again; discovery answers one after the other and fails what would wait over 2 s. Logs: of 380 failed calls 42 had lasted until the very moment of the next call of the same router: the second call had failed both. Excluded: lists that came late (those who got through had each change in time), the module's pauses (as before).

A call whose connection is up is let wait (5/6 of the silence that ends a watch, which is over the 2 s) unless its head has come; one that does not come up has others beside it, also where the list is asked for, without the module's pause. A watch that had lived is opened anew at once, a silent one, too, in all modes. Pauses have one turn among all routers in a trouble.

--- a/router/list.go
+++ b/router/list.go
@@ -49,19 +49,31 @@
 	next    time.Time // when to open another, or have the module asked whether to; zero: no time is set
 	pause   time.Duration
 	ends    int
+	spread  bool // it has waited for its turn among all routers in this trouble
 }
 
 // watch is one call to discovery. Its goroutine reads it; all else is the list's.
 type watch struct {
 	cancel context.CancelFunc
+	began  time.Time
 	until  time.Time // it is given up then, if it has said nothing
 }
 
-// word is what a watch has said: an object, a sign of life, or that it has ended.
+// come is how far a call to discovery has come.
+type come int
+
+const (
+	nothing come = iota
+	up           // the connection
+	headed       // the answer's head
+)
+
+// word is what a watch has said: an object, a sign of life, how far it has come without either, or that it has ended.
 type word struct {
 	from *watch
 	text []byte // nil: an empty line
-	err  error  // why it ended
+	come come
+	err  error // why it ended
 }
 
 func newList(cfg *config.Config, o *owner, log zerolog.Logger) *list {
@@ -93,8 +105,12 @@
 // step is how long a call may say nothing before another is made beside it, and the longest pause between two.
 func (l *list) step() time.Duration { return l.cfg.Silence / 3 }
 
-// run keeps a watch until the program ends. Where the list must be asked for, the module says when to try
-// again; else a watch that broke is opened anew, ever later while that fails.
+// turn is how long it may where the list is asked for and the connection is up: calls wait there for their turn, and each
+// that is made beside one that waits makes all wait for longer.
+func (l *list) turn() time.Duration { return l.cfg.Silence * 5 / 6 }
+
+// run keeps a watch until the program ends. One that broke is opened anew at once, and ever later while that fails;
+// where the list must be asked for the module says when to try again, but for calls beside those that hang.
 func (l *list) run(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -115,10 +131,10 @@
 			return nil
 		case <-l.moved:
 			l.drop(nil)
-			l.pause = l.cfg.Settings.ConnectTimeout
+			l.pause, l.spread = l.cfg.Settings.ConnectTimeout, false
 			l.open(ctx, &running)
 		case <-l.asked:
-			if l.spoke == nil {
+			if len(l.watches) == 0 {
 				l.open(ctx, &running)
 			}
 		case w := <-l.words:
@@ -149,11 +165,7 @@
 		}
 	}
 	if !l.next.IsZero() && !l.next.After(now) {
-		if l.cfg.Settings.Module.AskForList {
-			l.failed(ctx)
-		} else {
-			l.open(ctx, running)
-		}
+		l.open(ctx, running)
 	}
 }
 
@@ -164,7 +176,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	now := time.Now()
-	w := &watch{cancel: cancel, until: now.Add(l.cfg.Silence)}
+	w := &watch{cancel: cancel, began: now, until: now.Add(l.cfg.Silence)}
 	l.watches = append(l.watches, w)
 	l.next = now.Add(l.step())
 	address, since := l.where(), l.generation
@@ -197,9 +209,18 @@
 		l.ended(ctx, w, said.err)
 		return
 	}
+	if said.come != nothing {
+		if newest := w == l.watches[len(l.watches)-1]; newest && l.spoke == nil && l.cfg.Settings.Module.AskForList {
+			l.next = w.began.Add(l.turn())
+			if said.come == headed { // it has had its turn
+				l.next = time.Now().Add(l.step())
+			}
+		}
+		return
+	}
 	if l.spoke != w {
 		l.drop([]*watch{w})
-		l.spoke, l.next, l.pause = w, time.Time{}, l.cfg.Settings.ConnectTimeout
+		l.spoke, l.next, l.pause, l.spread = w, time.Time{}, l.cfg.Settings.ConnectTimeout, false
 		l.owner.post(ctx, (*owner).ready)
 	}
 	w.until = time.Now().Add(l.cfg.Silence)
@@ -213,7 +234,7 @@
 
 // ended: a watch is no more. Another is opened soon, unless one is under way.
 func (l *list) ended(ctx context.Context, w *watch, err error) {
-	l.log.Warn().Err(err).Int64("generation", l.generation).Msg("watch on the list ended")
+	l.log.Warn().Err(err).Int64("generation", l.generation).Dur("lasted", time.Since(w.began)).Msg("watch on the list ended")
 	followed := l.spoke == w
 	l.drop(slices.DeleteFunc(slices.Clone(l.watches), func(o *watch) bool { return o == w }))
 	if errors.Is(err, errOrder) { // it knows less than was told before: only the whole list helps
@@ -222,17 +243,26 @@
 	if len(l.watches) > 0 {
 		return // the time for the next one is set
 	}
+	if followed && errors.Is(err, errSilent) { // it has been waited for
+		l.next = time.Now()
+		return
+	}
 	if l.cfg.Settings.Module.AskForList {
 		l.failed(ctx)
 		return
 	}
-	if followed && errors.Is(err, errSilent) { // it has been waited for
-		l.next = time.Now()
+	// A discovery that has ended did so for all routers. Once they are spread out they stay so.
+	place := time.Duration(0)
+	if !l.spread {
+		l.ends++
+		l.spread, place = true, min(duration(choice.Time(l.pace.Wait("list", l.ends))), l.step())
+	}
+	// What the agent has counts as told without a watch, too. One that ends each watch as it has spoken is not asked in a loop.
+	if followed && time.Since(w.began) >= l.step() {
+		l.next = time.Now().Add(place)
 		return
 	}
-	// A discovery that has ended did so for all routers.
-	l.ends++
-	l.next = time.Now().Add(l.pause + min(duration(choice.Time(l.pace.Wait("list", l.ends))), l.step()))
+	l.next = time.Now().Add(l.pause + place)
 	l.pause = min(2*l.pause, l.step())
 }
 
@@ -266,6 +296,9 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if err := l.say(ctx, word{from: w, come: up}); err != nil {
+		return err
+	}
 	out := codec.NewWriter(conn, outRing)
 	out.Write(codec.AppendGet(nil, address, fmt.Sprintf("/v1/servers?follow=1&since=%d", since)))
 	if err := out.Flush(); err != nil {
@@ -287,6 +320,9 @@
 			if parser.Head.Status != http.StatusOK {
 				return fmt.Errorf("discovery answers %d", parser.Head.Status)
 			}
+			if err := l.say(ctx, word{from: w, come: headed}); err != nil {
+				return err
+			}
 		case codec.Data:
 			if err := values.Feed(piece, func(text []byte) error { return l.say(ctx, word{from: w, text: text}) }); err != nil {
 				return err
