A frame that a full connection has not begun to take is taken back; calls tell what is left

Seen, by a test: a leaf reads nothing, its connection is full, and of three calls given to it the second one's client leaves; as the leaf reads on it gets all three, whenever that is. Line: write, which puts all frames that are queued into a ring and then waits in Flush; a frame in the ring could neither be withdrawn nor looked at again. Excluded: frames behind a dial (looked at as the connection comes up, TestLeavesAsAConnectionComesUp), what lies in the kernel (it has arrived).

The writer gives the connection up to 8 KiB of frames for 25 ms at most. After that only the frame that has begun stays; the others are queued again, are looked at once more before each try, and go out never if their client left or they were given up, nor does the frame that gives them up. What had not begun counts as never run where the connection ends. The time left is reckoned as the frame is given.

--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -210,9 +210,9 @@
 	}
 	var sent bytes.Buffer
 	w := NewWriter(&sent, 8)
-	WriteCall(w, []PartSent{{"9b1f.3", 3, 240, "", []byte("c41e77d0")}, {"9b1f.9", 9, 240, "", nil}})
-	WriteFrame(w, LetterGiveUp, "9b1f.3")
-	WriteFrame(w, LetterProbe, "")
+	w.Write(AppendCall(nil, []PartSent{{"9b1f.3", 3, 240, "", []byte("c41e77d0")}, {"9b1f.9", 9, 240, "", nil}}))
+	w.Write(AppendFrame(nil, LetterGiveUp, "9b1f.3"))
+	w.Write(AppendFrame(nil, LetterProbe, ""))
 	w.Flush()
 	fmt.Fprintf(&out, "sent %q, taken %d of %d\n", sent.String(), w.Taken, w.Given)
 	golden.Check(t, "frames", out.String())
--- a/codec/frames.go
+++ b/codec/frames.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
-	"io"
 	"strconv"
 	"strings"
 
@@ -119,11 +118,10 @@
 	return size
 }
 
-// WriteFrame writes a short frame.
-func WriteFrame(w io.Writer, letter byte, rest string) error {
-	out := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
-	_, err := w.Write(append(append(out, letter), rest...))
-	return err
+// AppendFrame appends a short frame.
+func AppendFrame(to []byte, letter byte, rest string) []byte {
+	to = binary.BigEndian.AppendUint32(to, uint32(len(rest)+1))
+	return append(append(to, letter), rest...)
 }
 
 // PartSent is one part of a call. Wait is how long its answer is waited for, in milliseconds.
@@ -135,24 +133,18 @@
 	Text  []byte
 }
 
-// WriteCall writes one call: a frame with all its parts.
-func WriteCall(w io.Writer, parts []PartSent) error {
-	var lines [][]byte
-	size := 1
+// AppendCall appends one call: a frame with all its parts.
+func AppendCall(to []byte, parts []PartSent) []byte {
+	head := len(to)
+	to = append(to, 0, 0, 0, 0, LetterCall)
 	for _, p := range parts {
-		line := append(append([]byte(p.ID), ' '), strconv.Itoa(p.Shard)...)
-		line = append(strconv.AppendInt(append(line, " d="...), p.Wait, 10), p.More...)
-		line = append(strconv.AppendInt(append(line, ' '), int64(len(p.Text)), 10), '\n')
-		lines = append(lines, line)
-		size += len(line) + len(p.Text)
+		to = append(append(append(to, p.ID...), ' '), strconv.Itoa(p.Shard)...)
+		to = append(strconv.AppendInt(append(to, " d="...), p.Wait, 10), p.More...)
+		to = append(strconv.AppendInt(append(to, ' '), int64(len(p.Text)), 10), '\n')
+		to = append(to, p.Text...)
 	}
-	w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(size)), LetterCall))
-	var err error // a writer's first error stays
-	for i, p := range parts {
-		w.Write(lines[i])
-		_, err = w.Write(p.Text)
-	}
-	return err
+	binary.BigEndian.PutUint32(to[head:], uint32(len(to)-head-4))
+	return to
 }
 
 // ends are the outcomes that a leaf's answer tells.
--- a/lab/standin/leaf.go
+++ b/lab/standin/leaf.go
@@ -150,7 +150,7 @@
 	write := func(letter byte, rest string) {
 		mu.Lock()
 		defer mu.Unlock()
-		codec.WriteFrame(conn, letter, rest) // an error shows in reading
+		conn.Write(codec.AppendFrame(nil, letter, rest)) // an error shows in reading
 	}
 	mine := map[string]*job{}
 	defer func() {
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -113,7 +113,7 @@
 			},
 		)
 	}
-	codec.WriteCall(st.conn, parts)
+	st.conn.Write(codec.AppendCall(nil, parts))
 	synctest.Wait()
 }
 
@@ -129,16 +129,16 @@
 		st.call(1000, map[int]float64{0: 10, 1: 20}, "q1.0", "q1.1") // 11 and 20 ms of work, at half speed
 		st.call(1000, map[int]float64{3: 5}, "q2.3")
 		st.call(1000, map[int]float64{3: 5}, "q3.3") // the queue is full
-		codec.WriteFrame(st.conn, codec.LetterLoad, "")
-		codec.WriteFrame(st.conn, codec.LetterProbe, "")
+		st.conn.Write(codec.AppendFrame(nil, codec.LetterLoad, ""))
+		st.conn.Write(codec.AppendFrame(nil, codec.LetterProbe, ""))
 		st.pass(30)
-		codec.WriteFrame(st.conn, codec.LetterGiveUp, "q2.3")
+		st.conn.Write(codec.AppendFrame(nil, codec.LetterGiveUp, "q2.3"))
 		st.call(20, map[int]float64{3: 5}, "q4.3") // its time is up before a core is free
 		st.pass(100)
 		st.leaf.Slow(3)
 		st.call(1000, map[int]float64{2: 10}, "q5.2")
 		st.pass(100)
-		codec.WriteFrame(st.conn, codec.LetterCall, "nonsense\n")
+		st.conn.Write(codec.AppendFrame(nil, codec.LetterCall, "nonsense\n"))
 		st.pass(1)
 	})
 }
--- a/router/back.go
+++ b/router/back.go
@@ -52,6 +52,7 @@
 			<-c.wake
 			continue
 		case f.letter == codec.LetterGiveUp:
+			f.of = nil
 			if c.givenUp(f.rest) {
 				return errGivenUp
 			}
@@ -86,6 +87,7 @@
 		c.mu.Unlock()
 		return nil
 	}
+	f.wait(o.clk.now())
 	f.stage, f.calls = inRing, nil
 	parts := slices.Clone(f.parts)
 	c.flight = &flight{frame: f, parts: parts}
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -91,6 +91,7 @@
 	door    string
 	hooks   hooks
 	dial    dialer
+	unread  chan struct{} // leaves read nothing before its end; nil: they read at once
 	signals chan os.Signal
 	ended   chan error
 	phases  chan string // as the log tells them
@@ -112,18 +113,29 @@
 	cfg := &config.Config{More: config.DefaultFile(), Discovery: "127.0.0.1:1", Settings: set, Silence: time.Second, MostLine: 1000,
 		Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, DrainFor: 50 * time.Millisecond, AskFor: 50 * time.Millisecond,
 		RequestFor: patience, IdleFor: patience, LingerFor: patience, LingerMost: 64 << 10}
+	var leaves []net.Listener
 	for _, name := range []string{"A", "B"} {
 		l := y.listen()
+		leaves = append(leaves, l)
 		cfg.Known.Servers = append(cfg.Known.Servers, config.Server{ID: name, Address: l.Addr().String(), Zone: "a", Lifecycle: "in_service"})
+	}
+	if change != nil {
+		change(cfg, y)
+	}
+	for _, l := range leaves {
+		if y.unread != nil { // as little as the kernel holds
+			raw, err := l.(*net.TCPListener).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+		}
 		go func() {
 			for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
 				go y.leaf(conn)
 			}
 		}()
 	}
-	if change != nil {
-		change(cfg, y)
-	}
 	l := y.listen()
 	y.door = l.Addr().String()
 	y.p = newProgram(context.Background(), cfg, hookedListener{l.(*net.TCPListener), &y.hooks}, y.dial, zerolog.New(y))
@@ -180,6 +192,9 @@
 	y.conns = append(y.conns, conn)
 	y.mu.Unlock()
 	defer conn.Close()
+	if y.unread != nil {
+		<-y.unread
+	}
 	for {
 		var head [4]byte
 		if _, err := io.ReadFull(conn, head[:]); err != nil {
@@ -229,6 +244,18 @@
 
 func (y *yard) open() int { return y.owner(func(o *owner) int { return len(o.queries) }) }
 
+// queued is how many frames wait for a connection of the first leaf, or behind one that it takes nothing of.
+func (y *yard) queued() int {
+	return y.owner(func(o *owner) (n int) {
+		for _, c := range o.listed[0].conns {
+			c.mu.Lock()
+			n += len(c.queue)
+			c.mu.Unlock()
+		}
+		return n
+	})
+}
+
 // stopOwner has the owner stand still until it is let go.
 func (y *yard) stopOwner() (letGo func()) {
 	stood, wait := make(chan struct{}), make(chan struct{})
@@ -740,3 +767,52 @@
 		t.Errorf("%d dials and %d for the next call; q1 sent %d times", before, n-before, y.sent("q1"))
 	}
 }
+
+// A leaf reads nothing and its connection is full: what has not begun to go out is taken back as its client leaves. When the leaf
+// reads on it gets only what had begun, and what is still waited for. All of it goes to the connection at once, as that comes up.
+func TestLeavesWhileALeafDoesNotRead(t *testing.T) {
+	up, read := make(chan struct{}), make(chan struct{})
+	y := newYard(t, func(c *config.Config, y *yard) {
+		y.unread = read
+		c.Known.Servers = c.Known.Servers[:1]
+		c.Settings.ConnPrice, c.Settings.ConnectTimeout = 1, patience // calls share one, which may take its time
+		v := &c.Settings.Module.Verticals[0]
+		v.SLO, v.Deadline = tenths(patience), tenths(patience) // nothing is given up meanwhile
+		y.dial = func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+			if address != c.Known.Servers[0].Address {
+				return dialTCP(ctx, address, limit)
+			}
+			<-up
+			conn, err := dialTCP(ctx, address, limit)
+			if err == nil {
+				conn.(*net.TCPConn).SetWriteBuffer(1)
+			}
+			return conn, err
+		}
+	})
+	// What fills the connection, then two behind it.
+	var conns []net.Conn
+	for i, id := range []string{"full", "gone", "stays"} {
+		size := 100
+		if i == 0 {
+			size = leafRing - 1000
+		}
+		body := `{"parts":[{"id":0,"w":1}],"expr":"` + strings.Repeat("x", size) + `"}`
+		conn := y.connect()
+		fmt.Fprintf(conn, "POST /search/k HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Customer: acme\r\nX-Expires-In-Ms: 10000\r\nContent-Length: %d\r\n\r\n%s",
+			id, len(body), body)
+		conns = append(conns, conn)
+		y.until("its frame waits", func() bool { return y.open() == i+1 && y.queued() == i+1 })
+	}
+	close(up)
+	y.until("two that were taken back, behind one that has begun", func() bool { return y.queued() == 2 })
+	conns[1].Close()
+	y.until("one of them gone", func() bool { return y.open() == 2 })
+	y.serves.Store(true)
+	close(read)
+	y.expect(conns[0], http.StatusOK)
+	y.expect(conns[2], http.StatusOK)
+	if y.sent("full") != 1 || y.sent("gone") != 0 || y.sent("stays") != 1 {
+		t.Errorf("sent %d, %d and %d times; want 1, 0, 1", y.sent("full"), y.sent("gone"), y.sent("stays"))
+	}
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -27,7 +27,8 @@
 
 const (
 	leafRing   = 8 << 10
-	mostGhosts = 512 // answers still expected on a connection for calls that were given up
+	mostGhosts = 512                   // answers still expected on a connection for calls that were given up
+	holdsFor   = 25 * time.Millisecond // a connection that takes nothing holds what it was given: none begins 0.1 s after its client left
 )
 
 // leaf is one server as the list has it, with the connections to it. All of it is the owner's.
@@ -140,21 +141,23 @@
 type frame struct {
 	conn  *leafConn
 	parts []codec.PartSent // of a call
-	calls []*call          // those that the parts are of, while it is queued: a frame may be held for long
+	calls []*call          // those that the parts are of, until it is written: a frame may be held for long
 	out   int              // calls whose outcome has not been told; the owner's
 
 	letter byte // of a short frame
 	rest   string
+	of     *call // that it gives up
 
 	stage progress // under the connection's lock
-	end   int64    // bytes given to the connection with the frame's last
+	left  int      // bytes that the connection has not taken; its writer's
+	begun bool     // it has taken some; its writer's
 }
 
 type progress int
 
 const (
 	queued progress = iota
-	inRing
+	inRing          // given to the connection, which may have taken some of it
 	written
 	dropped
 )
@@ -237,8 +240,7 @@
 		f.out++
 		f.conn.calls[k.part.id] = k
 		f.conn.used = o.now
-		wait := int64((k.until - o.now + choice.Millisecond - 1) / choice.Millisecond)
-		sent := codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Wait: max(wait, 1), Text: k.part.query.text}
+		sent := codec.PartSent{ID: k.part.id, Shard: k.part.p.Shard, Text: k.part.query.text}
 		if r := o.ranging; r != nil {
 			sent.Shard, sent.More = r.spans.Shard(k.part.span), r.more(k.part)
 		}
@@ -360,8 +362,9 @@
 	if c.ghosts = append(c.ghosts, k.part.id); len(c.ghosts) > mostGhosts {
 		c.ghosts, c.forgot = c.ghosts[1:], true
 	}
+	k.givenUp.Store(true)
 	if c.mayCancel {
-		c.send(&frame{letter: codec.LetterGiveUp, rest: k.part.id})
+		c.send(&frame{letter: codec.LetterGiveUp, rest: k.part.id, of: k})
 	}
 	// Not a word since the call was sent: the leaf may have vanished with the connection left open. A further
 	// call finds out, by a new connection, without being lost itself.
@@ -385,13 +388,19 @@
 }
 
 // dropCanceled takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
-// told yet: the frame may have waited for its connection.
+// told yet: the frame may have waited for its connection. What was never sent need not be given up either.
 func (f *frame) dropCanceled() {
 	for _, k := range slices.Clone(f.calls) {
-		if k.part.query.from.canceled.Load() {
+		if k.givenUp.Load() || k.part.query.from.canceled.Load() {
 			f.drop(k)
 		}
 	}
+	if f.of != nil && f.of.withdrawn {
+		f.stage = dropped
+	}
+	if f.stage == dropped {
+		f.of = nil
+	}
 }
 
 func (c *leafConn) upSince() choice.Time {
@@ -526,7 +535,7 @@
 		if o.cfg.More.OpenSearch.Leaves {
 			return c.writeSearches(o, conn)
 		}
-		c.write(conn)
+		c.write(o, conn)
 		return nil
 	})
 	err = both.Wait()
@@ -560,54 +569,90 @@
 	}
 }
 
-// write writes frames until the connection ends. A frame counts as written once the connection has taken its
-// last byte.
-func (c *leafConn) write(conn net.Conn) {
-	w := codec.NewWriter(conn, leafRing)
-	var given []*frame
+// write writes frames until the connection ends. A frame counts as written once the connection has taken its last byte. Where
+// the connection takes nothing for a while, as the leaf does not read, only the frame that it has begun to take stays as it is:
+// the others are queued again, so that they can be taken back, and what their clients wait for is looked at anew.
+func (c *leafConn) write(o *owner, conn net.Conn) {
+	var given []*frame     // not taken whole, oldest first
+	var room, bytes []byte // of these, from the first that was not taken on
 	for {
+		if len(bytes) == 0 {
+			if cap(room) > leafRing { // what one large frame took is not kept
+				room = nil
+			}
+			bytes = room[:0]
+		}
 		c.mu.Lock()
-		ended := c.over
-		var f *frame
-		if len(c.queue) > 0 {
-			f, c.queue = c.queue[0], c.queue[1:]
-			f.dropCanceled()
-			if f.stage == dropped {
-				c.mu.Unlock()
+		for len(c.queue) > 0 && len(bytes) < leafRing && (len(given) == 0 || !given[0].begun) {
+			f := c.queue[0]
+			c.queue = c.queue[1:]
+			if f.dropCanceled(); f.stage == dropped {
 				continue
 			}
-			f.stage, f.calls = inRing, nil
+			f.stage = inRing
+			size := len(bytes)
+			bytes = f.append(bytes, o.clk.now())
+			f.left = len(bytes) - size
+			given = append(given, f)
 		}
+		ended := c.over
 		c.mu.Unlock()
 		if ended {
 			return
 		}
-		var err error
-		if f != nil {
-			if f.letter != 0 {
-				err = codec.WriteFrame(w, f.letter, f.rest)
+		if len(given) == 0 {
+			<-c.wake
+			continue
+		}
+		room = bytes
+		conn.SetWriteDeadline(time.Now().Add(holdsFor))
+		n, err := conn.Write(bytes)
+		c.mu.Lock()
+		bytes = bytes[n:]
+		for len(given) > 0 && given[0].left <= n {
+			n -= given[0].left
+			given[0].stage, given[0].calls, given[0].of = written, nil, nil
+			given[0], given = nil, given[1:]
+		}
+		if len(given) > 0 && n > 0 {
+			given[0].left, given[0].begun = given[0].left-n, true
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = nil
+			begun := 0
+			if len(given) > 0 && given[0].begun {
+				begun = 1
+				bytes = bytes[:given[0].left]
 			} else {
-				err = codec.WriteCall(w, f.parts)
+				bytes = bytes[:0]
 			}
-			if err == nil { // after an error its last byte was never given
-				f.end = w.Given
-				given = append(given, f)
+			for _, f := range given[begun:] {
+				f.stage = queued
 			}
-		} else {
-			err = w.Flush()
-		}
-		c.mu.Lock()
-		for len(given) > 0 && given[0].end <= w.Taken {
-			given[0].stage = written
-			given = given[1:]
+			c.queue = append(slices.Clone(given[begun:]), c.queue...)
+			clear(given[begun:])
+			given = given[:begun]
 		}
 		c.mu.Unlock()
 		if err != nil {
 			return
 		}
-		if f == nil {
-			<-c.wake
-		}
+	}
+}
+
+// append appends the frame as it travels.
+func (f *frame) append(to []byte, now choice.Time) []byte {
+	if f.letter != 0 {
+		return codec.AppendFrame(to, f.letter, f.rest)
+	}
+	f.wait(now)
+	return codec.AppendCall(to, f.parts)
+}
+
+// wait has each call tell its leaf how long it is still waited for: the frame may have waited for its connection.
+func (f *frame) wait(now choice.Time) {
+	for i, k := range f.calls {
+		f.parts[i].Wait = max(int64((k.until-now+choice.Millisecond-1)/choice.Millisecond), 1)
 	}
 }
 
--- a/router/owner.go
+++ b/router/owner.go
@@ -9,6 +9,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -106,7 +107,8 @@
 	frame *frame // nil until the turn's end
 	ended bool
 
-	withdrawn bool // taken back before a byte of it was written
+	withdrawn bool        // taken back before a byte of it was written; under its connection's lock
+	givenUp   atomic.Bool // nobody waits for it any longer, though it may have been written
 
 	outcome choice.Outcome // once it has ended
 	took    choice.Time
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -645,3 +645,24 @@
 		t.Error(d)
 	}
 }
+
+// What a call tells its leaf is what is left to its client as it goes out, though its frame waited for the connection to come up,
+// or for a leaf that did not read.
+func TestWaitToldIsWhatIsLeft(t *testing.T) {
+	play(t, "wait-told", 1, nil, func(st *stage) {
+		st.leafAt("A", func(n int, frame string, conn net.Conn) {
+			time.Sleep(200 * time.Millisecond)
+			answers(n, frame, conn)
+		})
+		reads := st.places[at("A")]
+		st.places[at("A")] = func(conn net.Conn) error {
+			time.Sleep(200 * time.Millisecond)
+			return reads(conn)
+		}
+		st.serve()
+		st.ask(st.connect(), request("up-late", "search", 2000, 0))
+		st.pass(250)
+		st.ask(st.connect(), request("unread", "search", 2000, 0))
+		st.pass(400)
+	})
+}
