A test of departures waits until the router could see that its client went

Seen: TestLeftWhileItStoodStill failed once in 300 runs beside other work: two attempts. It closes the client's connection, then the leaf's, and takes for granted that the router's kernel has the first end before the second, and that a tenth of a millisecond has passed since the query was taken (in the turn of its taking a client is looked at once, as it is taken). Under load neither has to hold; what is begun in that instant is within the operators' 0.1 s. So the fault is the test's: it now waits for both, and what it asserts stays. 300 runs without a failure; the text before fails the test as before.

--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -672,6 +672,14 @@
 	io.WriteString(conn, request("q1", "search", 2400, 0))
 	<-y.came
 	conn.Close()
+	y.until("its end at the router, and a later turn", func() bool {
+		return y.owner(func(o *owner) int {
+			if q := o.queries["q1"]; o.now > q.taken && q.from.look() {
+				return 1
+			}
+			return 0
+		}) == 1
+	})
 	y.mu.Lock()
 	y.conns[0].Close()
 	y.mu.Unlock()
