Only a refused connection is a start; what joins a dial that never comes up is not one

A third of the connections come up late there. A call may join a connection that is being dialed; as that is given up after the connect time-out, a call made 0.15 s after the dial ends after 0.1 s. The module took whatever ended sooner than the time-out for a refused one, and with it the leaf for started anew: cold for its whole warming time, one part a window.

Who dials says it: Refused is an outcome of its own, for a dial that ends with ECONNREFUSED; the simulator's wire tells it by the time as before, where each call has a connection's time of its own; the emulated leaf says it of a process that is down. Probes go on saying NoConnection. The module's ConnectTimeout goes, and with it the description's of, which nothing reads any more. TestNeverUpIsNoStart has the soon one now and fails on the old lines.

--- a/back/opensearch/opensearch_test.go
+++ b/back/opensearch/opensearch_test.go
@@ -24,7 +24,7 @@
 	return all
 }
 
-var names = [...]string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT"}
+var names = [...]string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT", "REFUSED"}
 
 // The table of what answers mean, item by item: a success with failures inside is none, and only 429 has
 // never run.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,7 +50,7 @@
 
 // mayHaveRun: anything not proved otherwise may have run, or may do so yet.
 func (c *LeafCall) mayHaveRun() bool {
-	return !c.ended || c.outcome != Full && c.outcome != NoConnection && c.outcome != Moot
+	return !c.ended || c.outcome != Full && c.outcome != NoConnection && c.outcome != Refused && c.outcome != Moot
 }
 
 // trust is the record that counts for a vertical: its own, or the leaf's in all if that is worse, but not
@@ -723,13 +723,13 @@
 		for _, t := range l.both(v) {
 			t.strikes, t.lastOK = max(t.strikes-1, 0), now
 		}
-	case Failed, Reset, NoConnection: // it costs its time and one more call
-		if o == NoConnection {
+	case Failed, Reset, NoConnection, Refused: // it costs its time and one more call
+		if o == NoConnection || o == Refused {
 			l.silentAt = now
-			// One that never came up shows no start. One that was told keeps its own books.
-			if elapsed < r.set.ConnectTimeout && (l.started == 0 || now-l.started >= r.set.ColdTime) {
-				l.unreachedAt, l.sent, l.window = now, nil, 0
-			}
+		}
+		// Only who is refused learns of a start. One that was told keeps its own books.
+		if o == Refused && (l.started == 0 || now-l.started >= r.set.ColdTime) {
+			l.unreachedAt, l.sent, l.window = now, nil, 0
 		}
 		r.strike(l, min(1+took/max(r.pace, epsilon), mostStruck), l.both(v)...)
 	case Full:
@@ -885,7 +885,7 @@
 	}
 	if o == OK && rep != nil {
 		r.report(l, rep)
-	} else if (o == NoConnection || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
+	} else if (o == NoConnection || o == Refused || o == TimedOut || o == Reset) && now >= l.trusts[0].until {
 		l.silentAt = now
 		r.strike(l, mostStruck, &l.trusts[0])
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -598,7 +598,7 @@
 	before := in()
 	st.pass(10)
 	st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 9000, Deadline: st.now + 30000, state: merged}}, l)
-	st.r.Outcome(st.now, l.out[0], NoConnection, 2, false, nil)
+	st.r.Outcome(st.now, l.out[0], Refused, 2, false, nil)
 	st.pass(10)
 	at, again := in(), in()
 	st.pass(int(st.set.ColdTime / Millisecond / 2))
@@ -610,19 +610,21 @@
 	}
 }
 
-// A connection that never came up tells nothing of the leaf's process: it is not taken for cold.
+// A connection that never came up tells nothing of the leaf's process, however soon a call that waited for it ends: it is not taken
+// for cold.
 func TestNeverUpIsNoStart(t *testing.T) {
 	st := play(t, 2, plain(nil))
 	st.warm(6)
 	l := st.leafs[0]
 	for _, c := range []struct {
 		took Time
+		how  Outcome
 		cold bool
-	}{{st.set.ConnectTimeout, false}, {2, true}} {
+	}{{2500, NoConnection, false}, {2, NoConnection, false}, {2, Refused, true}} {
 		st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 5000, Deadline: st.now + 9000, state: merged}}, l)
-		st.r.Outcome(st.now, l.out[0], NoConnection, c.took, false, nil)
+		st.r.Outcome(st.now, l.out[0], c.how, c.took, false, nil)
 		if cold := st.r.capacity(l) < 1; cold != c.cold {
-			t.Errorf("no connection after %d: cold %v", c.took, cold)
+			t.Errorf("outcome %d after %d: cold %v", c.how, c.took, cold)
 		}
 	}
 }
@@ -635,7 +637,7 @@
 	st.restart(l)
 	l.sent = []amount{{st.now, 1}}
 	st.r.call(&Part{query: &Query{v: &st.set.Verticals[0], slo: st.now + 5000, Deadline: st.now + 9000, state: merged}}, l)
-	st.r.Outcome(st.now, l.out[0], NoConnection, 2, false, nil)
+	st.r.Outcome(st.now, l.out[0], Refused, 2, false, nil)
 	if l.unreachedAt != 0 || len(l.sent) == 0 {
 		t.Errorf("unreached at %d, %d entries left in the books of a start that was told", l.unreachedAt, len(l.sent))
 	}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -218,7 +218,7 @@
 	w.Rand = rand.New(rand.NewSource(seed))
 	w.set = Settings{Roots: roots, Tick: 50, Shards: 1, Cells: 1, Span: 1, MaxCalls: 3, MayCancel: true, ColdShare: 0.18,
 		ColdTime: 170000, FallMultiple: 3, FallTime: 20000, BudgetSet: true, BudgetSpare: 10, BudgetRatio: 0.05, BudgetWindow: 20000,
-		ConnectTimeout: 2500, Verticals: []Vertical{{SLO: 12000, Deadline: 25000, Utility: 1, LateUtility: 0.1, Need: 1, Floor: 1}}}
+		Verticals: []Vertical{{SLO: 12000, Deadline: 25000, Utility: 1, LateUtility: 0.1, Need: 1, Floor: 1}}}
 	w.now = 1_000_000_000
 	for range 4 {
 		w.leafs = append(w.leafs, &coldLeaf{})
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -26,7 +26,7 @@
 func plain(change func(*Settings)) *Settings {
 	s := &Settings{Seed: 1, Roots: 1, Tick: 50, Shards: 4, Cells: 1, Span: 1, MaxCalls: 3, SecondCopies: true,
 		MayCancel: true, HoldOff: true, MaxHoldOff: 5000, ColdShare: 0.2, ColdTime: 100000, FallMultiple: 3,
-		FallTime: 20000, ConnectTimeout: 2500, Verticals: []Vertical{
+		FallTime: 20000, Verticals: []Vertical{
 			{SLO: 10000, Deadline: 30000, Utility: 1, LateUtility: 0.1, Need: 1, Floor: 1,
 				DedupWindow: 5000}}}
 	if change != nil {
@@ -85,7 +85,7 @@
 func (st *stage) end(name string, o Outcome, rep *Report) {
 	c := st.calls[name]
 	st.say("ended: call %s at %s: %s", name, st.names[c.Leaf], [...]string{"ok", "failed", "full", "timed out",
-		"no connection", "reset", "cancelled", "moot"}[o])
+		"no connection", "reset", "cancelled", "moot", "refused"}[o])
 	st.r.Outcome(st.now, c, o, st.now-c.sent, false, rep)
 }
 
--- a/choice/interface.go
+++ b/choice/interface.go
@@ -27,6 +27,7 @@
 	Reset
 	Cancelled
 	Moot
+	Refused // no connection either: where the leaf was, no process listens
 )
 
 // Condition is what the list of servers says of one of them.
@@ -106,8 +107,6 @@
 	ProbeReports bool // load reports come with probes alone
 	AskForList   bool
 
-	ConnectTimeout Time // in which a connection is refused or comes up; one that does neither tells nothing of the process
-
 	BudgetSet    bool
 	BudgetSpare  float64
 	BudgetRatio  float64
--- a/config/settings.go
+++ b/config/settings.go
@@ -155,8 +155,7 @@
 		MaxCalls: max(w.Caps.MaxAttempts, 1), SecondCopies: w.Caps.SecondCopies, MayCancel: w.Caps.Cancel,
 		MayProbe: w.Caps.MayProbe, HoldOff: w.Caps.RetryAfter, MaxHoldOff: FloorTime(w.Caps.MaxRetryAfter),
 		ProbeReports: w.Report.Via == "on_probe", AskForList: w.MembershipMode == "on_request",
-		ConnectTimeout: CeilTime(w.Caps.ConnectTimeout),
-		ColdShare:      w.Rules.ColdShare, ColdTime: CeilTime(w.Rules.Cold),
+		ColdShare: w.Rules.ColdShare, ColdTime: CeilTime(w.Rules.Cold),
 		FallMultiple: w.Rules.FallMultiple, FallTime: CeilTime(w.Rules.Fall),
 	}
 	if w.Rules.BudgetWindow != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,27 +111,25 @@
 
 // Rules is what the service's rules and protocol allow.
 type Rules struct {
-	Tick     time.Duration `yaml:"tick"`
-	Batch    int           `yaml:"batch"`
-	Overhead float64       `yaml:"overhead"` // work of a call beside its parts
-	MaxCalls int           `yaml:"max_calls"`
-	// A connection is refused or comes up within this time; one that does neither tells nothing of the leaf's process.
-	ConnectTimeout time.Duration `yaml:"connect_timeout"`
-	SecondCopies   bool          `yaml:"second_copies"`
-	Cancel         bool          `yaml:"cancel"`
-	Probes         bool          `yaml:"probes"`
-	ProbeReports   bool          `yaml:"probe_reports"` // load reports come with probes alone
-	HoldOff        bool          `yaml:"hold_off"`
-	MaxHoldOff     time.Duration `yaml:"max_hold_off"`
-	BudgetWindow   time.Duration `yaml:"budget_window"` // 0: no budget is stated
-	BudgetSpare    float64       `yaml:"budget_spare"`
-	BudgetRatio    float64       `yaml:"budget_ratio"`
-	ColdTime       time.Duration `yaml:"cold_time"`
-	ColdShare      float64       `yaml:"cold_share"`
-	FallTime       time.Duration `yaml:"fall_time"`
-	FallMultiple   float64       `yaml:"fall_multiple"`
-	CrossZone      float64       `yaml:"cross_zone"`
-	UtilityByWork  bool          `yaml:"utility_by_work"`
+	Tick          time.Duration `yaml:"tick"`
+	Batch         int           `yaml:"batch"`
+	Overhead      float64       `yaml:"overhead"` // work of a call beside its parts
+	MaxCalls      int           `yaml:"max_calls"`
+	SecondCopies  bool          `yaml:"second_copies"`
+	Cancel        bool          `yaml:"cancel"`
+	Probes        bool          `yaml:"probes"`
+	ProbeReports  bool          `yaml:"probe_reports"` // load reports come with probes alone
+	HoldOff       bool          `yaml:"hold_off"`
+	MaxHoldOff    time.Duration `yaml:"max_hold_off"`
+	BudgetWindow  time.Duration `yaml:"budget_window"` // 0: no budget is stated
+	BudgetSpare   float64       `yaml:"budget_spare"`
+	BudgetRatio   float64       `yaml:"budget_ratio"`
+	ColdTime      time.Duration `yaml:"cold_time"`
+	ColdShare     float64       `yaml:"cold_share"`
+	FallTime      time.Duration `yaml:"fall_time"`
+	FallMultiple  float64       `yaml:"fall_multiple"`
+	CrossZone     float64       `yaml:"cross_zone"`
+	UtilityByWork bool          `yaml:"utility_by_work"`
 }
 
 // Clients is what clients do when they are turned away.
@@ -149,23 +147,22 @@
 		Links: Links{Same: 200 * time.Microsecond, Cross: 600 * time.Microsecond, Jitter: 0.2},
 		Span:  1,
 		Rules: Rules{
-			Tick:           5 * time.Millisecond,
-			Batch:          16,
-			MaxCalls:       3,
-			ConnectTimeout: 250 * time.Millisecond,
-			SecondCopies:   true,
-			Cancel:         true,
-			Probes:         true,
-			HoldOff:        true,
-			MaxHoldOff:     time.Second,
-			BudgetWindow:   2 * time.Second,
-			BudgetSpare:    10,
-			BudgetRatio:    0.05,
-			ColdTime:       10 * time.Second,
-			ColdShare:      0.2,
-			FallTime:       2 * time.Second,
-			FallMultiple:   3,
-			UtilityByWork:  true,
+			Tick:          5 * time.Millisecond,
+			Batch:         16,
+			MaxCalls:      3,
+			SecondCopies:  true,
+			Cancel:        true,
+			Probes:        true,
+			HoldOff:       true,
+			MaxHoldOff:    time.Second,
+			BudgetWindow:  2 * time.Second,
+			BudgetSpare:   10,
+			BudgetRatio:   0.05,
+			ColdTime:      10 * time.Second,
+			ColdShare:     0.2,
+			FallTime:      2 * time.Second,
+			FallMultiple:  3,
+			UtilityByWork: true,
 		},
 		Clients: Clients{Retries: 2, Share: 0.8, Backoff: 100 * time.Millisecond, Honour: 0.8},
 	}
@@ -273,7 +270,6 @@
 	r := &f.Rules
 	c.span("rules.tick", r.Tick, 100*time.Microsecond, time.Second)
 	c.number("rules.max_calls", float64(r.MaxCalls), 1, 100)
-	c.span("rules.connect_timeout", r.ConnectTimeout, time.Millisecond, time.Minute)
 	c.number("rules.overhead", r.Overhead, 0, 1e6)
 	c.number("rules.cold_share", r.ColdShare, 0, 1)
 	c.number("clients.share", f.Clients.Share, 0, 1)
@@ -413,7 +409,6 @@
 		Batch:            r.Batch,
 		Overhead:         r.Overhead,
 		MaxCalls:         r.MaxCalls,
-		ConnectTimeout:   Tenths(r.ConnectTimeout),
 		SecondCopies:     r.SecondCopies,
 		MayCancel:        r.Cancel,
 		MayProbe:         r.Probes,
--- a/fleet/import.go
+++ b/fleet/import.go
@@ -71,23 +71,22 @@
 		f.Tenants = append(f.Tenants, Tenant{first.Settings.Tenants[i], t.PerSecond})
 	}
 	f.Rules = Rules{
-		Tick:           span(m.Tick),
-		Batch:          m.Batch,
-		Overhead:       m.Overhead,
-		MaxCalls:       m.MaxCalls,
-		ConnectTimeout: span(m.ConnectTimeout),
-		SecondCopies:   m.SecondCopies,
-		Cancel:         m.MayCancel,
-		Probes:         m.MayProbe,
-		ProbeReports:   m.ProbeReports,
-		HoldOff:        m.HoldOff,
-		MaxHoldOff:     span(m.MaxHoldOff),
-		ColdTime:       span(m.ColdTime),
-		ColdShare:      m.ColdShare,
-		FallTime:       span(m.FallTime),
-		FallMultiple:   m.FallMultiple,
-		CrossZone:      m.CrossZone,
-		UtilityByWork:  m.UtilityByWork,
+		Tick:          span(m.Tick),
+		Batch:         m.Batch,
+		Overhead:      m.Overhead,
+		MaxCalls:      m.MaxCalls,
+		SecondCopies:  m.SecondCopies,
+		Cancel:        m.MayCancel,
+		Probes:        m.MayProbe,
+		ProbeReports:  m.ProbeReports,
+		HoldOff:       m.HoldOff,
+		MaxHoldOff:    span(m.MaxHoldOff),
+		ColdTime:      span(m.ColdTime),
+		ColdShare:     m.ColdShare,
+		FallTime:      span(m.FallTime),
+		FallMultiple:  m.FallMultiple,
+		CrossZone:     m.CrossZone,
+		UtilityByWork: m.UtilityByWork,
 	}
 	if m.BudgetSet {
 		f.Rules.BudgetWindow = span(m.BudgetWindow)
@@ -278,12 +277,11 @@
 	}
 	r := &f.Rules
 	line(
-		"rules: {tick: %v, batch: %d, overhead: %g, max_calls: %d, connect_timeout: %v, second_copies: %v, cancel: %v, probes: %v, probe_reports: %v,",
+		"rules: {tick: %v, batch: %d, overhead: %g, max_calls: %d, second_copies: %v, cancel: %v, probes: %v, probe_reports: %v,",
 		r.Tick,
 		r.Batch,
 		r.Overhead,
 		r.MaxCalls,
-		r.ConnectTimeout,
 		r.SecondCopies,
 		r.Cancel,
 		r.Probes,
--- a/lab/emulate/leaf.go
+++ b/lab/emulate/leaf.go
@@ -55,7 +55,7 @@
 func (l *leaf) come(j *job) {
 	switch {
 	case !l.up:
-		j.call.back(choice.NoConnection, nil)
+		j.call.back(choice.Refused, nil)
 	case l.said != choice.Ready:
 		j.call.back(choice.Full, nil)
 	case len(l.waiting) >= l.kind.Queue && l.running >= l.kind.Cores:
--- a/lab/emulate/result.go
+++ b/lab/emulate/result.go
@@ -70,7 +70,7 @@
 // Router is what one router did.
 type Router struct {
 	Name     string
-	Calls    [8]int // by outcome
+	Calls    [choice.Refused + 1]int // by outcome
 	Probes   int
 	Full     int // turned away at the door
 	PeakOpen int // queries and parts held at once
--- a/router/duties.go
+++ b/router/duties.go
@@ -367,7 +367,7 @@
 	Found      string  `json:"found,omitempty"`
 }
 
-var outcomeWords = [...]string{"ok", "failed", "full", "timed out", "no connection", "reset", "cancelled", "moot"}
+var outcomeWords = [...]string{"ok", "failed", "full", "timed out", "no connection", "reset", "cancelled", "moot", "refused"}
 
 func (s *sharing) status() DutiesStatus {
 	st, c, now := s.node.Status(), s.node.Counts, duty.Time(s.o.now)
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -218,7 +218,7 @@
 	return len(p), nil
 }
 
-var outcomeNames = []string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT"}
+var outcomeNames = []string{"OK", "FAILED", "FULL", "TIMED OUT", "NO CONNECTION", "RESET", "CANCELLED", "MOOT", "REFUSED"}
 
 // The stage is the router's listener.
 func (st *stage) Accept() (net.Conn, error) {
@@ -232,7 +232,7 @@
 func (st *stage) Close() error   { st.once.Do(func() { close(st.shut) }); return nil }
 func (st *stage) Addr() net.Addr { return &net.UnixAddr{Name: "door"} }
 
-var errRefused = errors.New("refused")
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
 // dial connects the router with who is at an address. Where nobody is, the connection never comes up.
 func (st *stage) dial(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -14,6 +14,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -803,6 +804,9 @@
 	}
 	for _, k := range c.inOrder() {
 		outcome := choice.NoConnection
+		if errors.Is(err, syscall.ECONNREFUSED) && c.upSince() == 0 {
+			outcome = choice.Refused
+		}
 		if noFiles(err) &&
 			k.frame.stage != written { // the lack is this router's: the leaf is not to be blamed
 			outcome = choice.Moot
--- a/wire/host.go
+++ b/wire/host.go
@@ -238,7 +238,7 @@
 		old.kill()
 	}
 	in := &instance{host: h, name: h.named, verticals: len(s.Verticals), shards: s.Shards,
-		tenants: max(len(s.Tenants), 1), leaves: map[string]*choice.Leaf{}, nodes: map[*choice.Leaf]string{},
+		tenants: max(len(s.Tenants), 1), connectLimit: config.CeilTime(settings.ConnectTimeout.Seconds() * 1000), leaves: map[string]*choice.Leaf{}, nodes: map[*choice.Leaf]string{},
 		held: map[string]*held{}, parts: map[*choice.Part]*held{}, queries: map[*choice.Query]*held{},
 		numbers: map[string]*held{}}
 	in.act()
@@ -273,6 +273,7 @@
 	name                       string
 	root                       *choice.Root
 	verticals, shards, tenants int
+	connectLimit               choice.Time // in which a connection is refused or comes up
 	leaves                     map[string]*choice.Leaf
 	nodes                      map[*choice.Leaf]string
 	held                       map[string]*held // nil once let go: ids are never used again
@@ -477,6 +478,9 @@
 	o := f.outcome("how")
 	elapsed := config.CeilTime(f.number("elapsed"))
 	rep := f.report("gauge")
+	if o == choice.NoConnection && elapsed < in.connectLimit { // else it never came up
+		o = choice.Refused
+	}
 	if e := f.end(); e != nil || err != nil {
 		return firstOf(e, err)
 	}
