What went to a leaf's new process before its start was told counts as sent to a cold leaf

Lines: List, which empties the books of a leaf as its start is told, so that a root that has just sent there may send its whole share again; and warmEnough's lottery, in which the roots that have sent nothing draw for a window that the others may have filled already.

The books hold what went to a warm leaf in the last window, too, and a told start keeps what is younger than it. A root that is told so late that more than what is left for chance may have gone there draws from the next window on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -297,7 +297,8 @@
 	l.joined++
 	l.own += d
 	l.since += d
-	if r.capacity(l) < 1 {
+	if r.set.FallTime > 0 { // a warm leaf's too: it may have started anew, and the list is yet to tell
+		recent(&l.sent, r.now-r.set.FallTime-r.set.Tick)
 		l.sent = append(l.sent, amount{r.now, d})
 	}
 	until := r.last(p.query)
@@ -1054,7 +1055,12 @@
 		}
 		if e.Started != l.started && e.Started > 0 {
 			ended(l)
-			l.sent, l.window = nil, 0
+			recent(&l.sent, e.Started) // what went to the new process before its start was told counts
+			// Told late, the others may have sent by then what the window is good for, all but what is for chance.
+			l.window, l.lucky = 0, false
+			if late := now - e.Started; r.set.FallTime > 0 && float64(late) > (1-coldPart)*float64(r.set.FallTime) {
+				l.window = late/r.set.FallTime + 1
+			}
 		}
 		l.zone, l.cell, l.shards, l.condition, l.started = e.Zone, e.Cell, e.Shards, e.Condition, e.Started
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -998,3 +998,28 @@
 		}
 	}
 }
+
+// What a root sent to a leaf's new process before it was told of the start counts, and where it is told late it draws for no part
+// in the window of which it knows nothing. With one root, that knows no share, a draw always says yes.
+func TestSentBeforeToldCounts(t *testing.T) {
+	for _, c := range []struct {
+		sent     float64
+		late     Time
+		at, next bool // may it take a part as it is told, and a window later?
+	}{{0, 0, true, true}, {1, 0, false, true}, {0, 10000, false, true}} {
+		st := play(t, 2, plain(func(s *Settings) { s.Roots = 1 }))
+		st.warm(6)
+		l, start := st.leafs[0], st.now
+		if l.sent = nil; c.sent > 0 {
+			l.sent = []amount{{start, c.sent}}
+		}
+		st.r.bears = 0
+		st.pass(int(c.late/Millisecond) + 1)
+		st.r.List(st.now, []Entry{{Leaf: l, Zone: l.zone, Cell: l.cell, Condition: Ready, Started: start}}, false, false)
+		at := st.r.warmEnough(l, 1)
+		st.r.enter(start + st.set.FallTime + 100)
+		if next := st.r.warmEnough(l, 1); at != c.at || next != c.next {
+			t.Errorf("%.0f sent, told after %d: takes a part %v and a window later %v; want %v, %v", c.sent, c.late, at, next, c.at, c.next)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -97,7 +97,7 @@
 	reports  int
 	reported float64 // queue in the last report, as D
 	reportAt Time
-	sent     []amount // work sent to it while it was cold
+	sent     []amount // work sent to it in the last window of the cold rule
 	window   Time     // of the cold rule, counted from its start: the first not yet drawn for
 	lucky    bool     // one call may be sent in the last one drawn for
 
