--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1004,22 +1004,22 @@
 func TestSentBeforeToldCounts(t *testing.T) {
 	for _, c := range []struct {
 		sent     float64
-		late     Time
-		at, next bool // may it take a part as it is told, and a window later?
-	}{{0, 0, true, true}, {1, 0, false, true}, {0, 10000, false, true}} {
+		late     float64 // windows
+		at, next bool    // may it take a part as it is told, and a window later?
+	}{{0, 0, true, true}, {1, 0, false, true}, {0, 0.5, false, true}} {
 		st := play(t, 2, plain(func(s *Settings) { s.Roots = 1 }))
 		st.warm(6)
 		l, start := st.leafs[0], st.now
 		if l.sent = nil; c.sent > 0 {
 			l.sent = []amount{{start, c.sent}}
 		}
-		st.r.bears = 0
-		st.pass(int(c.late/Millisecond) + 1)
+		st.pass(int(c.late*float64(st.set.FallTime/Millisecond)) + 1)
 		st.r.List(st.now, []Entry{{Leaf: l, Zone: l.zone, Cell: l.cell, Condition: Ready, Started: start}}, false, false)
+		st.r.bears = 0
 		at := st.r.warmEnough(l, 1)
 		st.r.enter(start + st.set.FallTime + 100)
 		if next := st.r.warmEnough(l, 1); at != c.at || next != c.next {
-			t.Errorf("%.0f sent, told after %d: takes a part %v and a window later %v; want %v, %v", c.sent, c.late, at, next, c.at, c.next)
+			t.Errorf("%.0f sent, told %.1f windows late: takes a part %v and a window later %v; want %v, %v", c.sent, c.late, at, next, c.at, c.next)
 		}
 	}
 }
