A frame that has waited is written only after another look at its clients

Line: dropCanceled, which asks only for the mark that the client's reader sets, and after a standstill the reader and the writer wake in any order. Excluded: calls of this turn (looked at in flush), what the owner has been told (withdrawn), what the reader has marked (the test's other case, which passed).

A frame that goes out over a tick after the turn that made it, as one behind a dial or behind a full connection does, is looked at as flush does: is the client's end there, though unread? One more system call a call, in these cases alone.

--- a/router/back.go
+++ b/router/back.go
@@ -82,7 +82,7 @@
 // request writes one request.
 func (c *leafConn) request(o *owner, w *codec.Writer, f *frame) error {
 	c.mu.Lock()
-	f.dropCanceled()
+	f.dropCanceled(o.clk.now()-f.made > o.cfg.Settings.Module.Tick)
 	if f.stage == dropped {
 		c.mu.Unlock()
 		return nil
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -691,43 +691,66 @@
 	}
 }
 
-// A call waits for its connection, its client goes, and the connection comes up before the owner is told: its frame is
-// not written.
+// A call waits for its connection, its client goes, and the connection comes up before the owner is told, or before anybody has
+// read that the client went, as after a standstill: its frame is not written.
 func TestLeavesAsAConnectionComesUp(t *testing.T) {
-	dialing, up := make(chan struct{}, 2), make(chan struct{})
-	y := newYard(t, func(c *config.Config, y *yard) {
-		c.Known.Servers = c.Known.Servers[:1]
-		c.Settings.ConnectTimeout = patience
-		y.dial = func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-			if address == c.Known.Servers[0].Address {
-				dialing <- struct{}{}
-				<-up
+	for name, unread := range map[string]bool{"the owner is not told": false, "nobody has read it": true} {
+		t.Run(name, func(t *testing.T) {
+			dialing, up, goOn := make(chan struct{}, 2), make(chan struct{}), make(chan struct{})
+			y := newYard(t, func(c *config.Config, y *yard) {
+				c.Known.Servers = c.Known.Servers[:1]
+				c.Settings.ConnectTimeout = patience
+				y.dial = func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+					if address == c.Known.Servers[0].Address {
+						dialing <- struct{}{}
+						<-up
+					}
+					return dialTCP(ctx, address, limit)
+				}
+				y.hooks.reading = func(n int) {
+					if unread && n > 1 {
+						<-goOn
+					}
+				}
+			})
+			conn := y.connect()
+			io.WriteString(conn, request("q1", "search", 2400, 0))
+			<-dialing
+			if unread { // so that the frame has waited, and the end is there to be seen
+				conn.Close()
+				y.until("its end at the router, some ticks later", func() bool {
+					return y.owner(func(o *owner) int {
+						if q := o.queries["q1"]; o.now > q.taken+2*o.cfg.Settings.Module.Tick && q.from.look() {
+							return 1
+						}
+						return 0
+					}) == 1
+				})
 			}
-			return dialTCP(ctx, address, limit)
-		}
-	})
-	conn := y.connect()
-	io.WriteString(conn, request("q1", "search", 2400, 0))
-	<-dialing
-	letGo := y.stopOwner()
-	conn.Close()
-	y.until("the client gone", func() bool { return y.clients() == 0 })
-	close(up)
-	y.until("a connection at the leaf", func() bool {
-		y.mu.Lock()
-		defer y.mu.Unlock()
-		return len(y.conns) == 1
-	})
-	// What the leaf gets next on this connection comes behind the frame, if that was written.
-	y.p.owner.queue <- func(o *owner) { o.Probe(o.listed[0].l) }
-	letGo()
-	select {
-	case <-y.came:
-	case <-time.After(patience):
-		t.Fatal("no probe")
-	}
-	if n := y.sent("q1"); n > 0 {
-		t.Errorf("%d attempts after it had gone", n)
+			letGo := y.stopOwner()
+			if !unread {
+				conn.Close()
+				y.until("the client gone", func() bool { return y.clients() == 0 })
+			}
+			close(up)
+			y.until("a connection at the leaf", func() bool {
+				y.mu.Lock()
+				defer y.mu.Unlock()
+				return len(y.conns) == 1
+			})
+			// What the leaf gets next on this connection comes behind the frame, if that was written.
+			y.p.owner.queue <- func(o *owner) { o.Probe(o.listed[0].l) }
+			letGo()
+			select {
+			case <-y.came:
+			case <-time.After(patience):
+				t.Fatal("no probe")
+			}
+			close(goOn)
+			if n := y.sent("q1"); n > 0 {
+				t.Errorf("%d attempts after it had gone", n)
+			}
+		})
 	}
 }
 
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -143,6 +143,7 @@
 	conn  *leafConn
 	parts []codec.PartSent // of a call
 	calls []*call          // those that the parts are of, until it is written: a frame may be held for long
+	made  choice.Time      // the turn that made it
 	out   int              // calls whose outcome has not been told; the owner's
 
 	letter byte // of a short frame
@@ -233,7 +234,7 @@
 				o.endLater(k, choice.NoConnection)
 				continue
 			}
-			f = &frame{conn: c}
+			f = &frame{conn: c, made: o.now}
 			c.frames++
 			frames = append(frames, f)
 		}
@@ -389,10 +390,11 @@
 }
 
 // dropCanceled takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
-// told yet: the frame may have waited for its connection. What was never sent need not be given up either.
-func (f *frame) dropCanceled() {
+// told yet: the frame may have waited for its connection. One that has waited long is looked at harder, as the router may have
+// stood still meanwhile, with nobody to read that a client went. What was never sent need not be given up either.
+func (f *frame) dropCanceled(waited bool) {
 	for _, k := range slices.Clone(f.calls) {
-		if k.givenUp.Load() || k.part.query.from.canceled.Load() {
+		if from := k.part.query.from; k.givenUp.Load() || from.canceled.Load() || waited && from.look != nil && from.look() {
 			f.drop(k)
 		}
 	}
@@ -587,12 +589,13 @@
 		for len(c.queue) > 0 && len(bytes) < leafRing && (len(given) == 0 || !given[0].begun) {
 			f := c.queue[0]
 			c.queue = c.queue[1:]
-			if f.dropCanceled(); f.stage == dropped {
+			now := o.clk.now()
+			if f.dropCanceled(now-f.made > o.cfg.Settings.Module.Tick); f.stage == dropped {
 				continue
 			}
 			f.stage = inRing
 			size := len(bytes)
-			bytes = f.append(bytes, o.clk.now())
+			bytes = f.append(bytes, now)
 			f.left = len(bytes) - size
 			given = append(given, f)
 		}
