A call to discovery that is slow to come up has its whole turn, and none comes up beside it

Seen, by TestCallWaitsForItsTurn with dials of 1.5 s: never told, where the call then waits one or two seconds for its turn. Two causes: the calls made beside the slow dial come up while the first one waits, and fail both (open, at each step); and a call was given up 2.5 s after it began, dial and wait together being more (until).

Where the list is asked for, the first call whose connection is up has the others dropped, and any call's silence is counted from when its connection came up.

--- a/router/list.go
+++ b/router/list.go
@@ -210,8 +210,10 @@
 		return
 	}
 	if said.come != nothing {
-		if newest := w == l.watches[len(l.watches)-1]; newest && l.spoke == nil && l.cfg.Settings.Module.AskForList {
-			l.next = w.began.Add(l.turn())
+		w.until = time.Now().Add(l.cfg.Silence)
+		if l.spoke == nil && l.cfg.Settings.Module.AskForList {
+			l.drop([]*watch{w}) // the others would only come up beside it
+			l.next = time.Now().Add(l.turn())
 			if said.come == headed { // it has had its turn
 				l.next = time.Now().Add(l.step())
 			}
--- a/router/list_test.go
+++ b/router/list_test.go
@@ -195,9 +195,9 @@
 // Where the list is asked for, calls wait for their turn, and one that is made beside another fails both: one that waits is let
 // wait, however many routers ask at once.
 func TestCallWaitsForItsTurn(t *testing.T) {
-	for _, wait := range []time.Duration{0, time.Second, waits} {
-		open := atomic.Int32{}
-		a := &agent{hushed: func(_, _ time.Duration) bool { return false }, met: func(int, time.Duration) string { return "" },
+	for i, wait := range []time.Duration{0, time.Second, waits, 0, time.Second, waits} {
+		open, dial := atomic.Int32{}, time.Duration(i/3)*1500*time.Millisecond
+		a := &agent{slow: dial, hushed: func(_, _ time.Duration) bool { return false }, met: func(int, time.Duration) string { return "" },
 			change: func(time.Duration) bool { return true }}
 		a.turn = func(gone <-chan struct{}) bool {
 			if open.Add(1) > 1 {
@@ -214,8 +214,8 @@
 		}
 		took := told(t, func(c *config.Config) { c.Settings.Module.AskForList, c.Silence = true, config.Silence }, a,
 			func() time.Duration { return 0 }, func(*stage) {})
-		if took > wait+100*time.Millisecond {
-			t.Errorf("a call that waits %v: told after %v", wait, took)
+		if took > dial+wait+100*time.Millisecond {
+			t.Errorf("a dial of %v, a call that waits %v: told after %v", dial, wait, took)
 		}
 	}
 }
