The fleet's test at a cold leaf checks again what it checked before

Found on reading the change again: the test stopped looking once a leaf had fallen, and a start had moved behind what comes at the same moment. So in 'a part for each root comes again and again' three hundred roots, still untold, pushed the leaf over at once, and nothing after that was held against anything; before, that scene was told first and checked throughout. That was a check loosened, though none was meant to be.

Restored: a start without a time down comes before all else of its moment, and all that is sent from the first telling on has to stay under N + 2 root N + 2, whoever sends it, fall or no fall (but where the load is one and a half times what the leaves bear: there roots that are yet to be told are enough). New beside it: what roots sent once they were told stays under it at all times, in all scenes.

--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -28,7 +28,10 @@
 	sent   []coldSent // to the latest process of the first leaf, in the last window
 	fell   bool       // it got more than it bears
 	over   int        // starts after which it did, over two thirds of that from roots that had been told
-	most   float64    // of what it bears, from these
+	first  Time       // when the first root was told
+	late   int        // moments at which it got more from then on, whether it had fallen or not; of all roots
+	knew   int        // the same of what roots sent once they were told
+	most   float64    // of what it bears, from roots that had been told
 	calls  int
 }
 
@@ -36,6 +39,8 @@
 type coldSent struct {
 	at   Time
 	from *coldRoot
+	told bool // as it sent
+	late bool // some root had been told
 }
 
 // coldBears is what a leaf answers in a window at most, in parts of mean work.
@@ -169,25 +174,37 @@
 // the settings' budget, and what is left to chance. What a root sent before it was told counts as its own once it is.
 func (w *coldWorld) count(c *coldRoot, hint float64) {
 	for range int(math.Ceil(hint)) {
-		w.sent = append(w.sent, coldSent{w.now, c})
+		w.sent = append(w.sent, coldSent{w.now, c, c.told == w.leafs[0].started, w.first > 0})
 	}
 	for len(w.sent) > 0 && w.sent[0].at <= w.now-w.set.FallTime {
 		w.sent = w.sent[1:]
 	}
 	if share := w.capacity(w.leafs[0]); share < 1 {
-		n, told := w.set.FallMultiple*share*coldBears, 0.0
+		n, told, knew, late := w.set.FallMultiple*share*coldBears, 0.0, 0.0, 0.0
 		for _, s := range w.sent {
 			if s.from.told == w.leafs[0].started {
 				told++
 			}
+			if s.told {
+				knew++
+			}
+			if s.late {
+				late++
+			}
 		}
-		all := float64(len(w.sent))
+		all, bears := float64(len(w.sent)), n+2*math.Sqrt(n)+2
 		w.most = max(w.most, told/n)
-		if all > n+2*math.Sqrt(n)+2 && !w.fell {
+		if all > bears && !w.fell {
 			if w.fell = true; 3*told > 2*all {
 				w.over++
 			}
 		}
+		if late > bears {
+			w.late++
+		}
+		if knew > bears {
+			w.knew++
+		}
 	}
 }
 
@@ -218,19 +235,27 @@
 func (w *coldWorld) restart(down Time, late func() Time) {
 	l := w.leafs[0]
 	l.down, l.started = true, 0
-	w.at(w.now+down, func() {
+	start := func() {
 		l.started, l.down, l.busy, l.waits = w.now, false, 0, nil
-		w.sent, w.fell = nil, false
+		w.sent, w.fell, w.first = nil, false, 0
 		started := w.now
 		for _, c := range w.roots {
 			w.at(w.now+late(), func() {
 				if l.started == started && c.told != started {
 					c.told = started
+					if w.first == 0 {
+						w.first = w.now
+					}
 					c.r.List(w.now, []Entry{{Leaf: c.known[0], Condition: Ready, Started: started}}, false, false)
 				}
 			})
 		}
-	})
+	}
+	if down == 0 { // before all else that comes at this moment
+		start()
+	} else {
+		w.at(w.now+down, start)
+	}
 }
 
 // run plays 20 s of usual load at a part of what the leaves bear, then the scene, then the cold time.
@@ -328,7 +353,7 @@
 			if roots > 30 {
 				seeds = max(seeds/2, 1)
 			}
-			over, fell, most := 0, 0, 0.0
+			over, fell, late, knew, most := 0, 0, 0, 0, 0.0
 			for seed := range seeds {
 				w := &coldWorld{}
 				hint := even
@@ -342,12 +367,20 @@
 				if w.fell {
 					fell++
 				}
+				late += w.late
+				knew += w.knew
 				most = max(most, w.most)
 			}
 			out += fmt.Sprintf("  %3d roots: pushed over on %d of %d days, by roots that were told on %d; these sent %.2f of N at most\n", roots, fell, seeds, over, most)
 			if over > 0 {
 				t.Errorf("%s, %d roots: over what it bears and chance on %d of %d days", c.name, roots, over, seeds)
 			}
+			if knew > 0 {
+				t.Errorf("%s, %d roots: over at %d moments by what roots sent that had been told", c.name, roots, knew)
+			}
+			if late > 0 && c.load < 1 { // beyond that roots that are yet to be told are enough for it
+				t.Errorf("%s, %d roots: over at %d moments once one root was told", c.name, roots, late)
+			}
 		}
 	}
 	if *coldSeeds == 2 {
