--- a/router/back.go
+++ b/router/back.go
@@ -88,7 +88,7 @@
 		return nil
 	}
 	f.wait(o.clk.now())
-	f.stage, f.calls = inRing, nil
+	f.stage, f.calls = given, nil
 	parts := slices.Clone(f.parts)
 	c.flight = &flight{frame: f, parts: parts}
 	c.mu.Unlock()
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -159,7 +159,7 @@
 
 const (
 	queued progress = iota
-	inRing          // given to the connection, which may have taken some of it
+	given           // to the connection, which may have taken some of it
 	written
 	dropped
 )
@@ -576,7 +576,7 @@
 // the connection takes nothing for a while, as the leaf does not read, only the frame that it has begun to take stays as it is:
 // the others are queued again, so that they can be taken back, and what their clients wait for is looked at anew.
 func (c *leafConn) write(o *owner, conn net.Conn) {
-	var given []*frame     // not taken whole, oldest first
+	var out []*frame       // given, and not taken whole, oldest first
 	var room, bytes []byte // of these, from the first that was not taken on
 	for {
 		if len(bytes) == 0 {
@@ -586,25 +586,25 @@
 			bytes = room[:0]
 		}
 		c.mu.Lock()
-		for len(c.queue) > 0 && len(bytes) < leafRing && (len(given) == 0 || !given[0].begun) {
+		for len(c.queue) > 0 && len(bytes) < leafRing && (len(out) == 0 || !out[0].begun) {
 			f := c.queue[0]
 			c.queue = c.queue[1:]
 			now := o.clk.now()
 			if f.dropCanceled(now-f.made > o.cfg.Settings.Module.Tick); f.stage == dropped {
 				continue
 			}
-			f.stage = inRing
+			f.stage = given
 			size := len(bytes)
 			bytes = f.append(bytes, now)
 			f.left = len(bytes) - size
-			given = append(given, f)
+			out = append(out, f)
 		}
 		ended := c.over
 		c.mu.Unlock()
 		if ended {
 			return
 		}
-		if len(given) == 0 {
+		if len(out) == 0 {
 			<-c.wake
 			continue
 		}
@@ -613,29 +613,29 @@
 		n, err := conn.Write(bytes)
 		c.mu.Lock()
 		bytes = bytes[n:]
-		for len(given) > 0 && given[0].left <= n {
-			n -= given[0].left
-			given[0].stage, given[0].calls, given[0].of = written, nil, nil
-			given[0], given = nil, given[1:]
+		for len(out) > 0 && out[0].left <= n {
+			n -= out[0].left
+			out[0].stage, out[0].calls, out[0].of = written, nil, nil
+			out[0], out = nil, out[1:]
 		}
-		if len(given) > 0 && n > 0 {
-			given[0].left, given[0].begun = given[0].left-n, true
+		if len(out) > 0 && n > 0 {
+			out[0].left, out[0].begun = out[0].left-n, true
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = nil
 			begun := 0
-			if len(given) > 0 && given[0].begun {
+			if len(out) > 0 && out[0].begun {
 				begun = 1
-				bytes = bytes[:given[0].left]
+				bytes = bytes[:out[0].left]
 			} else {
 				bytes = bytes[:0]
 			}
-			for _, f := range given[begun:] {
+			for _, f := range out[begun:] {
 				f.stage = queued
 			}
-			c.queue = append(slices.Clone(given[begun:]), c.queue...)
-			clear(given[begun:])
-			given = given[:begun]
+			c.queue = append(slices.Clone(out[begun:]), c.queue...)
+			clear(out[begun:])
+			out = out[:begun]
 		}
 		c.mu.Unlock()
 		if err != nil {
--- a/router/list.go
+++ b/router/list.go
@@ -46,7 +46,7 @@
 	words   chan word
 	watches []*watch  // open, oldest first
 	spoke   *watch    // the one that is followed; nil: none has spoken yet
-	next    time.Time // when to open another, or have the module asked whether to; zero: no time is set
+	next    time.Time // when to open another; zero: no time is set
 	pause   time.Duration
 	ends    int
 	spread  bool // it has waited for its turn among all routers in this trouble
@@ -105,8 +105,8 @@
 // step is how long a call may say nothing before another is made beside it, and the longest pause between two.
 func (l *list) step() time.Duration { return l.cfg.Silence / 3 }
 
-// turn is how long it may where the list is asked for and the connection is up: calls wait there for their turn, and each
-// that is made beside one that waits makes all wait for longer.
+// turn is how long it may where the list is asked for and the connection is up: calls wait there for their turn, and one
+// that is made beside one that waits fails both.
 func (l *list) turn() time.Duration { return l.cfg.Silence * 5 / 6 }
 
 // run keeps a watch until the program ends. One that broke is opened anew at once, and ever later while that fails;
