A call taken out of a frame that was queued again ends as moot, with no answer awaited

A call is given up, or its client goes, while its frame is with a connection that takes nothing; as that is queued again the call is taken out. Seen by the new test: its id stayed among the answers still expected, for as long as the connection lives (so a retired one does not end where cancels are barred); and with cancels barred the call was told as no connection at its deadline, for which the module strikes the leaf.

The writer tells the owner of each call that it takes out: nothing is expected for it any more, it ends as moot, and its client is taken for gone if that was the cause.

--- a/router/back.go
+++ b/router/back.go
@@ -82,7 +82,8 @@
 // request writes one request.
 func (c *leafConn) request(o *owner, w *codec.Writer, f *frame) error {
 	c.mu.Lock()
-	f.dropCanceled(o.clk.now()-f.made > o.cfg.Settings.Module.Tick)
+	never := f.dropCanceled(o.clk.now()-f.made > o.cfg.Settings.Module.Tick)
+	defer c.tellNeverSent(o, never)
 	if f.stage == dropped {
 		c.mu.Unlock()
 		return nil
--- a/router/crossings_test.go
+++ b/router/crossings_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 
 	"github.com/rs/zerolog"
 
+	"moleshift/choice"
 	"moleshift/config"
 )
 
@@ -102,6 +104,8 @@
 	conns  []net.Conn // all
 	came   chan struct{}
 	serves atomic.Bool // leaves answer
+
+	outcomes []int // of calls, as the log tells them
 }
 
 func newYard(t *testing.T, change func(*config.Config, *yard)) *yard {
@@ -170,6 +174,12 @@
 	if _, to, is := strings.Cut(string(p), `"to":"`); is {
 		y.phases <- to[:strings.IndexByte(to, '"')]
 	}
+	var ended struct{ Outcome *int }
+	if json.Unmarshal(p, &ended) == nil && ended.Outcome != nil {
+		y.mu.Lock()
+		y.outcomes = append(y.outcomes, *ended.Outcome)
+		y.mu.Unlock()
+	}
 	return len(p), nil
 }
 
@@ -847,3 +857,62 @@
 		t.Errorf("sent %d, %d and %d times; want 1, 0, 1", y.sent("full"), y.sent("gone"), y.sent("stays"))
 	}
 }
+
+// stuck is a connection that takes nothing of its first write, until the write's time is up.
+type stuck struct {
+	*net.TCPConn
+	writing, goOn chan struct{}
+	once          sync.Once
+}
+
+func (s *stuck) Write(p []byte) (n int, err error) {
+	first := false
+	s.once.Do(func() { first = true })
+	if first {
+		close(s.writing)
+		<-s.goOn
+		return 0, os.ErrDeadlineExceeded
+	}
+	return s.TCPConn.Write(p)
+}
+
+// A call is given up, or its client goes, while its frame is with a connection that takes nothing of it: neither the frame goes out
+// later nor what gives it up, no answer is waited for, and the leaf is not blamed. Where cancels are barred as well.
+func TestGivenUpWhileAConnectionTakesNothing(t *testing.T) {
+	for name, cancels := range map[string]bool{"given up": true, "cancels are barred": false} {
+		t.Run(name, func(t *testing.T) {
+			writing, goOn := make(chan struct{}), make(chan struct{})
+			y := newYard(t, func(c *config.Config, y *yard) {
+				c.Known.Servers = c.Known.Servers[:1]
+				c.Settings.Module.MayCancel = cancels
+				v := &c.Settings.Module.Verticals[0]
+				v.SLO, v.Deadline = tenths(patience), tenths(patience)
+				y.dial = func(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+					conn, err := dialTCP(ctx, address, limit)
+					if err == nil && address == c.Known.Servers[0].Address {
+						conn = &stuck{TCPConn: conn.(*net.TCPConn), writing: writing, goOn: goOn}
+					}
+					return conn, err
+				}
+			})
+			conn := y.connect()
+			io.WriteString(conn, request("q1", "search", 10000, 0))
+			<-writing
+			conn.Close()
+			y.until("the query's end", func() bool {
+				return y.open() == 0 && (!cancels || y.owner(func(o *owner) int { return len(o.calls) }) == 0)
+			})
+			close(goOn)
+			y.until("nothing waited for", func() bool {
+				return y.owner(func(o *owner) int { return len(o.calls) + len(o.listed[0].conns[0].ghosts) }) == 0
+			})
+			y.p.owner.queue <- func(o *owner) { o.Probe(o.listed[0].l) }
+			<-y.came
+			y.mu.Lock()
+			defer y.mu.Unlock()
+			if len(y.frames) != 1 || y.frames[0] != "I" || len(y.outcomes) != 1 || y.outcomes[0] == int(choice.NoConnection) {
+				t.Errorf("the leaf got %q, the call ended as %v", y.frames, y.outcomes)
+			}
+		})
+	}
+}
--- a/router/leaves.go
+++ b/router/leaves.go
@@ -391,11 +391,13 @@
 
 // dropCanceled takes out of a frame that is about to be written what nobody waits for any more, though the owner has not been
 // told yet: the frame may have waited for its connection. One that has waited long is looked at harder, as the router may have
-// stood still meanwhile, with nobody to read that a client went. What was never sent need not be given up either.
-func (f *frame) dropCanceled(waited bool) {
+// stood still meanwhile, with nobody to read that a client went. What was never sent need not be given up either. The calls
+// taken out are to be told.
+func (f *frame) dropCanceled(waited bool) (out []*call) {
 	for _, k := range slices.Clone(f.calls) {
 		if from := k.part.query.from; k.givenUp.Load() || from.canceled.Load() || waited && from.look != nil && from.look() {
 			f.drop(k)
+			out = append(out, k)
 		}
 	}
 	if f.of != nil && f.of.withdrawn {
@@ -404,6 +406,30 @@
 	if f.stage == dropped {
 		f.of = nil
 	}
+	return out
+}
+
+// neverSent: a call was taken out of its frame, as its client had gone or as it had been given up. No answer comes for it, and its
+// leaf is not to be blamed.
+func (c *leafConn) neverSent(o *owner, k *call) {
+	if i := slices.Index(c.ghosts, k.part.id); i >= 0 {
+		c.ghosts = slices.Delete(c.ghosts, i, i+1)
+		c.letGo()
+	}
+	if k.ended {
+		return
+	}
+	if !k.part.over {
+		o.leave(k.part.query.from)
+	}
+	o.end(k, choice.Moot, nil, nil)
+}
+
+// tellNeverSent has the owner told; no lock is held.
+func (c *leafConn) tellNeverSent(o *owner, calls []*call) {
+	for _, k := range calls {
+		o.post(o.ctx, func(o *owner) { c.neverSent(o, k) })
+	}
 }
 
 func (c *leafConn) upSince() choice.Time {
@@ -585,12 +611,14 @@
 			}
 			bytes = room[:0]
 		}
+		var never []*call
 		c.mu.Lock()
 		for len(c.queue) > 0 && len(bytes) < leafRing && (len(out) == 0 || !out[0].begun) {
 			f := c.queue[0]
 			c.queue = c.queue[1:]
 			now := o.clk.now()
-			if f.dropCanceled(now-f.made > o.cfg.Settings.Module.Tick); f.stage == dropped {
+			never = append(never, f.dropCanceled(now-f.made > o.cfg.Settings.Module.Tick)...)
+			if f.stage == dropped {
 				continue
 			}
 			f.stage = given
@@ -601,6 +629,7 @@
 		}
 		ended := c.over
 		c.mu.Unlock()
+		c.tellNeverSent(o, never)
 		if ended {
 			return
 		}
