--- /dev/null
+++ b/cmd/moleshiftd/run.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/directory"
+	"moleshift/controlplane/server"
+	"moleshift/dataplane/follower"
+	"moleshift/dataplane/ingress"
+	"moleshift/dataplane/proxy"
+	"moleshift/internal/sock"
+	"moleshift/peer"
+	"moleshift/settings"
+	"moleshift/storage/ring"
+)
+
+const (
+	memoryShare = 0.75 // of the machine's memory, at which the collector works harder
+	diskShare   = 8    // a storage file is this part of the disk
+	mostFile    = 8 << 20
+	leastFile   = 1 << 20
+	megabyte    = 1 << 20
+)
+
+// run assembles a node and runs it until SIGTERM or SIGINT.
+func run(set *settings.Settings, log zerolog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryShare * set.Limits.MemoryMB * megabyte))
+	acceptor, err := openAcceptor(set, log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	self := peer.Node{
+		ID: randomID(), Name: set.NodeName, Address: set.PeerAddress(), Control: set.Listen.Control, Zone: set.Zone,
+	}
+	if acceptor != nil {
+		self.Acceptor, self.Fresh = acceptor.Identity(), set.Bootstrap && acceptor.Fresh()
+	}
+	caller := peer.NewClient(set.IP)
+	dir := directory.New()
+	control := server.New(set, self, acceptor, caller, dir, log)
+	var local func(in *peer.Poll) (*peer.PollReply, error)
+	if control.Counts() {
+		local = control.Poll
+	}
+	var traffic *proxy.Proxy
+	follow := follower.New(set, self, caller, dir, local, func(s *follower.Snapshot) { traffic.Update(s) }, log)
+	traffic = proxy.New(set, follow.Snapshot, follow.Fresh, log)
+	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
+	peers := peer.NewServer(control.Handlers())
+
+	failed := make(chan error, 4)
+	for _, s := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{set.PeerAddress(), peers.Serve}, {set.Listen.Control, control.ServeAPI},
+		{set.Listen.Ready, clients.ServeReady}, {set.Listen.Front, clients.Serve},
+	} {
+		if s.address == "" {
+			continue
+		}
+		l, err := sock.Listen(s.address)
+		if err != nil {
+			return trace.Wrap(trace.ConvertSystemError(err), "cannot listen on %s: see whether another process does", s.address)
+		}
+		go func() { failed <- s.serve(l) }()
+	}
+	go control.Run()
+	go follow.Run()
+	log.Info().Bool("counts", control.Counts()).Bool("fresh", self.Fresh).Msg("started")
+	return wait(set, clients, failed, log)
+}
+
+// wait returns at SIGTERM or SIGINT, once all that was taken is answered.
+func wait(set *settings.Settings, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-failed:
+			return trace.Wrap(err)
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				continue // what may change while a node runs comes from the controllers; seeds are read at the next start
+			}
+			log.Info().Str("signal", s.String()).Msg("draining")
+			clients.Drain(settings.Seconds(set.Bounds.GraceS))
+			log.Info().Msg("ended")
+			return nil
+		}
+	}
+}
+
+// openAcceptor opens what the node keeps where it counts for the quorum; nil: it does not.
+func openAcceptor(set *settings.Settings, log zerolog.Logger) (*core.Acceptor, error) {
+	if !set.CountsForQuorum {
+		return nil, nil
+	}
+	if set.DataDir == "" {
+		return core.NewAcceptor(nil)
+	}
+	dir, err := ring.Folder(set.DataDir)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	store, err := ring.Open(dir, min(max(int64(set.Limits.DiskMB*megabyte/diskShare), leastFile), mostFile))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if n := store.Damaged(); n > 0 {
+		log.Warn().Int("records", n).Msg("torn records on disk were left out: they had not been acknowledged")
+	}
+	return core.NewAcceptor(store)
+}
+
+func randomID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand never fails
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/controlplane/core/acceptor.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"moleshift/controlplane/quorum"
+	"moleshift/peer"
+	"moleshift/storage/ring"
+)
+
+const identityRecord = "identity"
+
+// Store keeps an acceptor's records. *ring.Ring is one.
+type Store interface {
+	Get(name string) []byte
+	Put(name string, data []byte) error
+}
+
+// memory is the store of a node without a disk: it is lost with the process, and so is its identity.
+type memory struct {
+	mu      sync.Mutex
+	records map[string][]byte
+}
+
+func (m *memory) Get(name string) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.records[name]
+}
+
+func (m *memory) Put(name string, data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records[name] = data
+	return nil
+}
+
+var _ Store = (*ring.Ring)(nil)
+
+// Acceptor keeps this node's share of every register. A reply leaves only once what it says lasts.
+type Acceptor struct {
+	store    Store
+	identity string
+	fresh    bool // nothing was kept when the process started
+
+	writing sync.Mutex // held across a write to the store
+	mu      sync.Mutex // short: guards states
+	states  map[string]quorum.State
+}
+
+// NewAcceptor opens the acceptor on a store, or a new one with an identity of its own where the store is empty.
+func NewAcceptor(store Store) (*Acceptor, error) {
+	if store == nil {
+		store = &memory{records: map[string][]byte{}}
+	}
+	a := &Acceptor{store: store, states: map[string]quorum.State{}}
+	if id := store.Get(identityRecord); id != nil {
+		a.identity = string(id)
+	} else {
+		a.fresh = true
+		a.identity = randomID()
+		if err := store.Put(identityRecord, []byte(a.identity)); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	for _, register := range registers {
+		var s quorum.State
+		data := store.Get(register)
+		if data == nil {
+			continue
+		}
+		if _, err := s.UnmarshalMsg(data); err != nil {
+			return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", register, err)
+		}
+		a.states[register] = s
+	}
+	return a, nil
+}
+
+func randomID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand never fails
+	return hex.EncodeToString(b[:])
+}
+
+// Identity names this acceptor; it is as old as what the store keeps.
+func (a *Acceptor) Identity() string { return a.identity }
+
+// Fresh tells that the store was empty when the process started.
+func (a *Acceptor) Fresh() bool { return a.fresh }
+
+// State gives what is kept of a register.
+func (a *Acceptor) State(register string) quorum.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.states[register]
+}
+
+// Empty tells whether the acceptor has neither promised nor accepted anything.
+func (a *Acceptor) Empty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.states) == 0
+}
+
+// keep writes a state and then lets others see it.
+func (a *Acceptor) keep(register string, s quorum.State) error {
+	data, err := s.MarshalMsg(nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := a.store.Put(register, data); err != nil {
+		return trace.Wrap(err)
+	}
+	a.mu.Lock()
+	a.states[register] = s
+	a.mu.Unlock()
+	return nil
+}
+
+// Prepare answers a prepare; a zero ballot only reads. An error means that nothing may be answered.
+func (a *Acceptor) Prepare(in *peer.Prepare) (*peer.AcceptorReply, error) {
+	if in.Target != a.identity {
+		return &peer.AcceptorReply{Wrong: true}, nil
+	}
+	s, ok := a.State(in.Register), true
+	if in.Ballot != (quorum.Ballot{}) {
+		a.writing.Lock()
+		defer a.writing.Unlock()
+		before := a.State(in.Register)
+		if s, ok = before.Prepare(in.Ballot); ok && s.Promised != before.Promised {
+			if err := a.keep(in.Register, s); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
+	}
+	reply := &peer.AcceptorReply{OK: ok, Promised: s.Promised, Accepted: s.Accepted}
+	if in.Have.Less(s.Accepted) {
+		reply.Value = &s.Value
+	}
+	return reply, nil
+}
+
+// Accept answers a request to accept. An error means that nothing may be answered.
+func (a *Acceptor) Accept(in *peer.Accept) (*peer.AcceptorReply, error) {
+	if in.Target != a.identity {
+		return &peer.AcceptorReply{Wrong: true}, nil
+	}
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	s, ok := a.State(in.Register).Accept(in.Ballot, in.Value)
+	if ok {
+		if err := a.keep(in.Register, s); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return &peer.AcceptorReply{OK: ok, Promised: s.Promised, Accepted: s.Accepted}, nil
+}
+
+// Install puts the first membership of all into an acceptor that has kept nothing yet; otherwise it does nothing.
+func (a *Acceptor) Install(members []quorum.Member) error {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	if !a.Empty() {
+		return nil
+	}
+	first := quorum.Ballot{Counter: 1}
+	for _, register := range registers {
+		s := quorum.State{Promised: first, Accepted: first, Value: quorum.Value{Members: members}}
+		if err := a.keep(register, s); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/controlplane/server/controller.go
@@ -0,0 +1,325 @@
+// Package server is the control plane of one node: the registers' driver with the clock and the network, the table of servers with
+// their heartbeats, the long polls of routers, the operator's orders and the rollout of weights.
+//
+// Every node has one; only on nodes that count for the quorum does it hold state. State that several goroutines share stands
+// behind short locks: no call, no disk and no log while one is held.
+package server
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tinylib/msgp/msgp"
+
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/directory"
+	"moleshift/controlplane/quorum"
+	"moleshift/controlplane/registry"
+	"moleshift/fault"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+const (
+	syncsPerContact  = 10 // looks at the members in bounds.contact-ms
+	minSync          = 100 * time.Millisecond
+	maxSync          = 500 * time.Millisecond
+	silentBeats      = 3.5 // heartbeats missed before a server is taken for silent
+	keepEntries      = time.Minute
+	loadingAtMost    = 12 * time.Second
+	sessionKeep      = 4 * time.Second // a router that has not polled for so long is taken for gone
+	scrubAfter       = 3               // syncs in a row with other digests before whole tables are exchanged
+	settleAfterFirst = 2               // looks in a row without a chosen newest value before the first live member settles it
+	settleAfterOther = 8               // the same before any other does
+)
+
+// Controller is the control plane of one node.
+type Controller struct {
+	set       *settings.Settings
+	self      peer.Node
+	acceptor  *core.Acceptor // nil: this node does not count
+	registers *core.Registers
+	directory *directory.Directory
+	caller    core.Caller
+	log       zerolog.Logger
+	started   time.Time
+	syncEvery time.Duration
+	closed    chan struct{}
+
+	mu           sync.Mutex
+	table        *registry.Table
+	tableID      string        // of this replica's revisions
+	tableChanged chan struct{} // closed and replaced when routers must hear of something
+	heard        map[string]bool
+	confirmed    map[string]int // by instance: the state of an end that a majority is known to keep
+	sessions     map[string]session
+	mismatch     map[string]int
+	lastSync     time.Time
+	applicants   map[string]applicant
+	freshNodes   map[string]peer.Node
+	lastFresh    time.Time
+	unsettled    map[string]int
+	loading      map[string]bool // instances with an order of this node under way
+}
+
+type session struct {
+	node peer.Node
+	last time.Time
+	here bool // it polls this controller
+}
+
+// New makes a controller. acceptor is nil on a node that does not count for the quorum.
+func New(set *settings.Settings, self peer.Node, acceptor *core.Acceptor, caller core.Caller, dir *directory.Directory, log zerolog.Logger) *Controller {
+	c := &Controller{
+		set: set, self: self, acceptor: acceptor, directory: dir, caller: caller, log: log,
+		registers: core.NewRegisters(acceptor, self, caller, log),
+		started:   time.Now(), closed: make(chan struct{}), tableID: self.ID,
+		table: registry.New(registry.Settings{
+			Silence: settings.Millis(silentBeats * set.HeartbeatMs), Keep: keepEntries, Loading: loadingAtMost,
+		}),
+		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
+		mismatch: map[string]int{}, applicants: map[string]applicant{}, freshNodes: map[string]peer.Node{},
+		unsettled: map[string]int{}, loading: map[string]bool{},
+	}
+	c.syncEvery = min(max(settings.Millis(set.Bounds.ContactMs/syncsPerContact), minSync), maxSync)
+	return c
+}
+
+// now is the controller's steady clock.
+func (c *Controller) now() time.Duration { return time.Since(c.started) }
+
+// Counts tells whether this node counts for the quorum.
+func (c *Controller) Counts() bool { return c.acceptor != nil }
+
+// Handlers gives the calls that the controller answers.
+func (c *Controller) Handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		peer.CallWho:       handle(c.who),
+		peer.CallGenesis:   handle(c.genesis),
+		peer.CallPrepare:   handle(c.prepare),
+		peer.CallAccept:    handle(c.accept),
+		peer.CallLearn:     handle(c.learn),
+		peer.CallSync:      handle(c.sync),
+		peer.CallPoll:      handle(c.Poll),
+		peer.CallBeat:      handle(c.beat),
+		peer.CallInstances: handle(c.instances),
+		peer.CallOrder:     handle(c.order),
+	}
+}
+
+// handle makes a Handler of a function with typed messages.
+func handle[In any, PtrIn interface {
+	*In
+	msgp.Unmarshaler
+}, Out msgp.Marshaler](f func(in *In) (Out, error)) peer.Handler {
+	return func(body []byte) (msgp.Marshaler, error) {
+		var in In
+		if _, err := PtrIn(&in).UnmarshalMsg(body); err != nil {
+			return nil, fault.New(fault.BadRequest, "message cannot be read: %v", err)
+		}
+		return f(&in)
+	}
+}
+
+var errNotMember = fault.New(fault.Unavailable, "this node does not count for the quorum")
+
+func (c *Controller) prepare(in *peer.Prepare) (*peer.AcceptorReply, error) {
+	if c.acceptor == nil {
+		return nil, errNotMember
+	}
+	return c.acceptor.Prepare(in)
+}
+
+func (c *Controller) accept(in *peer.Accept) (*peer.AcceptorReply, error) {
+	if c.acceptor == nil {
+		return nil, errNotMember
+	}
+	return c.acceptor.Accept(in)
+}
+
+func (c *Controller) learn(in *peer.Learn) (*peer.Empty, error) {
+	c.registers.Learn(in)
+	return &peer.Empty{}, nil
+}
+
+// Run works until Close. It is to be called in a goroutine of its own.
+func (c *Controller) Run() {
+	if c.acceptor != nil {
+		go c.runRollout()
+		go c.sweep()
+	}
+	c.findMembers()
+	if c.acceptor == nil {
+		return
+	}
+	ticker := time.NewTicker(c.syncEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-ticker.C:
+		}
+		c.syncOnce()
+		c.settle()
+		c.manageMembers()
+	}
+}
+
+// Close ends what Run does.
+func (c *Controller) Close() { close(c.closed) }
+
+// syncOnce looks at the registers at all members, tells them which instances were heard here, and compares tables.
+func (c *Controller) syncOnce() {
+	now := c.now()
+	c.mu.Lock()
+	if !c.lastSync.IsZero() && time.Since(c.lastSync) > 4*c.syncEvery {
+		c.table.Pause(now) // this process stood still: what it has not heard in that time is no sign of anything
+	}
+	c.lastSync = time.Now()
+	heard := slices.Sorted(maps.Keys(c.heard))
+	clear(c.heard)
+	message := &peer.Sync{From: c.self, Digest: c.table.Digest(), Heard: heard, Sessions: c.ownSessions()}
+	c.mu.Unlock()
+	for _, reply := range c.registers.Look(message) {
+		c.compare(&reply.From, reply.Digest)
+	}
+	c.directory.Set(c.registers.Members(core.Config))
+}
+
+func (c *Controller) sync(in *peer.Sync) (*peer.SyncReply, error) {
+	now := c.now()
+	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads)}
+	c.mu.Lock()
+	for _, id := range in.Heard {
+		c.table.Heard(now, id)
+	}
+	for _, node := range in.Sessions {
+		if s, ok := c.sessions[node.ID]; !ok || !s.here || time.Since(s.last) > c.syncEvery {
+			c.sessions[node.ID] = session{node: node, last: time.Now()}
+		}
+	}
+	reply.Digest = c.table.Digest()
+	c.mu.Unlock()
+	c.notify()
+	return reply, nil
+}
+
+// compare counts how often in a row a member's table differed, and then exchanges whole tables with it: the background scrub.
+func (c *Controller) compare(from *peer.Node, digest uint64) {
+	c.mu.Lock()
+	if digest == c.table.Digest() {
+		delete(c.mismatch, from.ID)
+		c.mu.Unlock()
+		return
+	}
+	c.mismatch[from.ID]++
+	due := c.mismatch[from.ID] >= scrubAfter
+	if due {
+		delete(c.mismatch, from.ID)
+	}
+	list, _ := c.table.Since(0)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	var theirs peer.Instances
+	if err := c.caller.Call(from.Address, peer.CallInstances, &peer.Instances{List: list, Want: true}, &theirs, callTimeout); err == nil {
+		c.takeAll(theirs.List)
+	}
+}
+
+// settle makes an accepted value chosen whose proposer seems to have failed midway.
+func (c *Controller) settle() {
+	for _, register := range core.Names() {
+		k := c.registers.Known(register)
+		c.mu.Lock()
+		if k.Ballot != (quorum.Ballot{}) && time.Since(k.Confirmed) < 2*c.syncEvery {
+			c.unsettled[register] = 0
+		} else {
+			c.unsettled[register]++
+		}
+		looks := c.unsettled[register]
+		c.mu.Unlock()
+		wait := settleAfterOther
+		if c.first(register) {
+			wait = settleAfterFirst
+		}
+		if looks >= wait {
+			c.registers.Settle(register, time.Now().Add(c.syncEvery))
+		}
+	}
+}
+
+// first tells whether this node is the first live member in the agreed order for a key.
+func (c *Controller) first(key string) bool {
+	for _, m := range directory.Rank(key, c.registers.Members(core.Config)) {
+		if m.ID == c.acceptor.Identity() {
+			return true
+		}
+		if c.registers.Silence(m.ID) < 3*c.syncEvery {
+			return false
+		}
+	}
+	return false
+}
+
+// owner gives the first live member in the agreed order for a key.
+func (c *Controller) owner(key string) (quorum.Member, bool) {
+	for _, m := range directory.Rank(key, c.registers.Members(core.Config)) {
+		if c.registers.Silence(m.ID) < 3*c.syncEvery {
+			return m, true
+		}
+	}
+	return quorum.Member{}, false
+}
+
+func (c *Controller) sweep() {
+	ticker := time.NewTicker(2 * c.syncEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		c.table.Sweep(c.now())
+		for id := range c.confirmed {
+			if _, ok := c.table.Get(id); !ok {
+				delete(c.confirmed, id)
+			}
+		}
+		for id, s := range c.sessions {
+			if time.Since(s.last) > sessionKeep {
+				delete(c.sessions, id)
+			}
+		}
+		c.mu.Unlock()
+		c.notify()
+	}
+}
+
+// ownSessions lists the routers that poll here. The lock is held.
+func (c *Controller) ownSessions() []peer.Node {
+	var nodes []peer.Node
+	for _, id := range slices.Sorted(maps.Keys(c.sessions)) {
+		if s := c.sessions[id]; s.here && time.Since(s.last) < sessionKeep {
+			nodes = append(nodes, s.node)
+		}
+	}
+	return nodes
+}
+
+// nodesHash sums up a list of nodes.
+func nodesHash(nodes []peer.Node) uint64 {
+	h := fnv.New64a()
+	for _, n := range nodes {
+		h.Write([]byte(n.ID))
+	}
+	return h.Sum64() | 1
+}
--- /dev/null
+++ b/controlplane/server/orders.go
@@ -0,0 +1,201 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/quorum"
+	"moleshift/controlplane/rollout"
+	"moleshift/fault"
+	"moleshift/peer"
+)
+
+// The kinds of orders, beside configuration.Replace and configuration.Patch.
+const (
+	orderRead    = "read"
+	orderVersion = "version"
+)
+
+const (
+	orderDeadline = 900 * time.Millisecond // of the work on an order at a member
+	orderCall     = 700 * time.Millisecond // of one call with an order
+	orderAll      = 1600 * time.Millisecond
+)
+
+// errNothing ends an edit that changes nothing.
+var errNothing = fault.New(fault.None, "nothing to change")
+
+// Order has an order of the operator carried out, by the owner of its register where that answers, else by the next member.
+func (c *Controller) Order(in *peer.Order) *peer.OrderReply {
+	began := time.Now()
+	reply := &peer.OrderReply{Kind: int(fault.Unavailable), Text: "the members are not known yet"}
+	for _, m := range c.directory.Try("order-" + registerOf(in.Kind)) {
+		if time.Since(began) > orderAll {
+			break
+		}
+		if c.acceptor != nil && m.ID == c.acceptor.Identity() {
+			if out, err := c.order(in); err == nil {
+				reply = out
+			}
+		} else {
+			var out peer.OrderReply
+			if err := c.caller.Call(m.Address, peer.CallOrder, in, &out, orderCall); err != nil {
+				c.directory.Failed(m.Address)
+				continue
+			}
+			reply = &out
+		}
+		if fault.Kind(reply.Kind) != fault.Unavailable {
+			return reply
+		}
+	}
+	return reply
+}
+
+func registerOf(kind string) string {
+	if kind == orderVersion {
+		return core.Weights
+	}
+	return core.Config
+}
+
+// order carries an order out at a member.
+func (c *Controller) order(in *peer.Order) (*peer.OrderReply, error) {
+	if c.acceptor == nil {
+		return nil, errNotMember
+	}
+	deadline := time.Now().Add(orderDeadline)
+	var body []byte
+	var err error
+	switch in.Kind {
+	case configuration.Replace, configuration.Patch:
+		err = c.configure(&configuration.Order{Kind: in.Kind, IfVersion: in.IfVersion, Body: in.Body}, deadline)
+	case orderRead:
+		body, err = c.read(deadline)
+	case orderVersion:
+		err = c.nameVersion(in.Body, deadline)
+	default:
+		err = fault.New(fault.UnknownCall, "%q", in.Kind)
+	}
+	kind, text := fault.KindOf(err), ""
+	if err != nil && kind != fault.None {
+		text = err.Error()
+	}
+	return &peer.OrderReply{Kind: int(kind), Text: text, Body: body}, nil
+}
+
+// configure changes the configuration; nil means that the order was taken, now or before.
+func (c *Controller) configure(order *configuration.Order, deadline time.Time) error {
+	_, err := c.registers.Change(core.Config, deadline, func(v quorum.Value) (quorum.Value, error) {
+		var state configuration.State
+		if len(v.Data) > 0 {
+			if _, err := state.UnmarshalMsg(v.Data); err != nil {
+				return v, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
+			}
+		}
+		next, result, err := state.Apply(order)
+		if err != nil {
+			return v, err
+		}
+		if result == configuration.Already {
+			return v, errNothing
+		}
+		data, err := next.MarshalMsg(nil)
+		if err != nil {
+			return v, fault.New(fault.Unavailable, "the configuration cannot be written: %v", err)
+		}
+		return quorum.Value{Members: v.Members, Old: v.Old, Data: data}, nil
+	})
+	if errors.Is(err, errNothing) {
+		return nil
+	}
+	return err
+}
+
+// read gives the newest configuration.
+func (c *Controller) read(deadline time.Time) ([]byte, error) {
+	k, err := c.registers.Refresh(core.Config, deadline)
+	if err != nil {
+		return nil, err
+	}
+	var state configuration.State
+	if len(k.Value.Data) > 0 {
+		if _, err := state.UnmarshalMsg(k.Value.Data); err != nil {
+			return nil, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
+		}
+	}
+	if state.Version == 0 {
+		return []byte(`{"version":0}`), nil
+	}
+	return state.Body, nil
+}
+
+// nameVersion notes new weights of a model.
+func (c *Controller) nameVersion(body []byte, deadline time.Time) error {
+	var named struct {
+		Model   string `json:"model"`
+		Version int64  `json:"version"`
+	}
+	if err := json.Unmarshal(body, &named); err != nil {
+		return fault.New(fault.BadConfig, "not readable as JSON: %v", err)
+	}
+	err := c.changeWeights(deadline, func(s *rollout.State) (*rollout.State, error) {
+		next, same, err := s.Name(named.Model, named.Version)
+		if same {
+			return nil, errNothing
+		}
+		return next, err
+	})
+	if errors.Is(err, errNothing) {
+		return nil
+	}
+	return err
+}
+
+// changeWeights changes the register of weights.
+func (c *Controller) changeWeights(deadline time.Time, edit func(s *rollout.State) (*rollout.State, error)) error {
+	_, err := c.registers.Change(core.Weights, deadline, func(v quorum.Value) (quorum.Value, error) {
+		state, err := readWeights(v.Data)
+		if err != nil {
+			return v, err
+		}
+		next, err := edit(state)
+		if err != nil {
+			return v, err
+		}
+		data, err := next.MarshalMsg(nil)
+		if err != nil {
+			return v, fault.New(fault.Unavailable, "the weights cannot be written: %v", err)
+		}
+		return quorum.Value{Members: v.Members, Old: v.Old, Data: data}, nil
+	})
+	return err
+}
+
+func readWeights(data []byte) (*rollout.State, error) {
+	var s rollout.State
+	if len(data) == 0 {
+		return &s, nil
+	}
+	if _, err := s.UnmarshalMsg(data); err != nil {
+		return nil, fault.New(fault.Unavailable, "the register of weights cannot be read: %v", err)
+	}
+	return &s, nil
+}
+
+// controlAddress gives a member's control address: ports are alike on all machines.
+func (c *Controller) controlAddress(m quorum.Member) string {
+	host, _, err := net.SplitHostPort(m.Address)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(c.set.Listen.Control)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
--- /dev/null
+++ b/controlplane/server/polls.go
@@ -0,0 +1,114 @@
+package server
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/quorum"
+	"moleshift/peer"
+)
+
+// notify wakes the polls that wait where the table has changed for routers.
+func (c *Controller) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.tableChanged)
+	c.tableChanged = make(chan struct{})
+}
+
+// Poll answers a router at once where it lacks something, and else when there is something new or its wait is over.
+func (c *Controller) Poll(in *peer.Poll) (*peer.PollReply, error) {
+	if c.acceptor == nil {
+		return nil, errNotMember
+	}
+	deadline := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		registersChanged, tableChanged := c.registers.Changed(), c.watchTable(in)
+		reply, news := c.pollReply(in)
+		if news {
+			return reply, nil
+		}
+		select {
+		case <-registersChanged:
+		case <-tableChanged:
+		case <-c.closed:
+			return reply, nil
+		case <-deadline.C:
+			reply, _ = c.pollReply(in)
+			return reply, nil
+		}
+	}
+}
+
+// watchTable notes the caller's session and gives the channel that is closed at the table's next change.
+func (c *Controller) watchTable(in *peer.Poll) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sessions[in.From.ID] = session{node: in.From, last: time.Now(), here: true}
+	return c.tableChanged
+}
+
+// pollReply gathers what the caller lacks and tells whether that is anything.
+func (c *Controller) pollReply(in *peer.Poll) (*peer.PollReply, bool) {
+	config, weights := c.registers.Known(core.Config), c.registers.Known(core.Weights)
+	reply := &peer.PollReply{Members: config.Value.Members}
+	news := false
+	if config.Ballot != (quorum.Ballot{}) && !config.Confirmed.IsZero() {
+		reply.Knows, reply.Config = true, config.Ballot
+		reply.AgeMs = float64(time.Since(config.Confirmed)) / float64(time.Millisecond)
+		if in.Config.Less(config.Ballot) {
+			reply.Data, news = forRouters(config.Value.Data), true
+		}
+	}
+	if weights.Ballot != (quorum.Ballot{}) {
+		reply.Weights = weights.Ballot
+		if in.Weights.Less(weights.Ballot) {
+			reply.WeightsIn = weights.Value.Data
+			news = true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Table, reply.Revision = c.tableID, c.table.Revision()
+	since := in.Revision
+	if in.Table != c.tableID {
+		since = 0
+	}
+	if since != reply.Revision || in.Table != c.tableID {
+		reply.Instances, reply.Full = c.table.Since(since)
+		news = true
+	}
+	nodes := c.nodes()
+	reply.NodesHash = nodesHash(nodes)
+	if reply.NodesHash != in.Nodes {
+		reply.Nodes, news = nodes, true
+	}
+	return reply, news
+}
+
+// nodes lists the routers with a session at any controller. The lock is held.
+func (c *Controller) nodes() []peer.Node {
+	nodes := make([]peer.Node, 0, len(c.sessions))
+	for _, id := range slices.Sorted(maps.Keys(c.sessions)) {
+		nodes = append(nodes, c.sessions[id].node)
+	}
+	return nodes
+}
+
+// forRouters leaves out of the register's state what only controllers need.
+func forRouters(data []byte) []byte {
+	var s configuration.State
+	if _, err := s.UnmarshalMsg(data); err != nil {
+		return nil // an empty register: there is no configuration yet
+	}
+	s.Orders = nil
+	out, err := s.MarshalMsg(nil)
+	if err != nil {
+		return nil
+	}
+	return out
+}
--- /dev/null
+++ b/dataplane/follower/follower.go
@@ -0,0 +1,323 @@
+// Package follower keeps a router's copy of the control plane's state: the configuration in force, the table of servers, the
+// weights that were named. It long-polls one controller at a time with the versions that it has, and goes to another where that one
+// does not answer or has lost the others.
+//
+// It never goes back: not to an older configuration, and not from an end of a server to before it.
+package follower
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/directory"
+	"moleshift/controlplane/quorum"
+	"moleshift/controlplane/registry"
+	"moleshift/controlplane/rollout"
+	"moleshift/dataplane/routing"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+const (
+	pollWait      = time.Second
+	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
+	firstPoll     = 350 * time.Millisecond // a first poll is not held
+	failPause     = 100 * time.Millisecond
+	staleAfter    = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
+	refreshBefore = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
+	tombstoneKeep = time.Minute
+	missingBeats  = 4 // heartbeats after which a server that no controller knows of is forgotten
+)
+
+// Snapshot is the state at one moment. It never changes.
+type Snapshot struct {
+	Table     *routing.Table // nil: no configuration is known
+	Weights   map[string]int64
+	WeightsAt map[string]time.Time       // when this router heard of them
+	Instances map[string][]peer.Instance // by service, without those that are gone
+	Nodes     []peer.Node
+}
+
+// Follower keeps the copy.
+type Follower struct {
+	set       *settings.Settings
+	self      peer.Node
+	caller    core.Caller
+	local     func(in *peer.Poll) (*peer.PollReply, error) // this process's own controller; nil: it has none
+	directory *directory.Directory
+	log       zerolog.Logger
+	closed    chan struct{}
+	onChange  func(s *Snapshot)
+
+	snapshot  atomic.Pointer[Snapshot]
+	confirmed atomic.Int64 // the configuration was in force then: nanoseconds since start; 0: never confirmed
+	start     time.Time
+
+	mu       sync.Mutex // guards what follows; used by run alone but for tests
+	config   quorum.Ballot
+	weights  quorum.Ballot
+	tableID  string
+	revision uint64
+	nodes    uint64
+	known    map[string]*known
+}
+
+type known struct {
+	instance peer.Instance
+	missing  time.Time // since when the controllers do not know it
+	ended    time.Time
+}
+
+// New makes a follower; onChange is called with every new snapshot.
+func New(set *settings.Settings, self peer.Node, caller core.Caller, dir *directory.Directory,
+	local func(in *peer.Poll) (*peer.PollReply, error), onChange func(s *Snapshot), log zerolog.Logger) *Follower {
+	f := &Follower{
+		set: set, self: self, caller: caller, directory: dir, local: local, onChange: onChange, log: log,
+		closed: make(chan struct{}), start: time.Now(), known: map[string]*known{},
+	}
+	f.snapshot.Store(&Snapshot{Instances: map[string][]peer.Instance{}})
+	return f
+}
+
+// Snapshot gives the state as it is now.
+func (f *Follower) Snapshot() *Snapshot { return f.snapshot.Load() }
+
+// Fresh tells whether the configuration may be acted upon where requests need a key: always, once there is one, unless the
+// deployment fails closed; then only while no key can have been taken away longer than revoke-ms ago.
+func (f *Follower) Fresh() bool {
+	if f.Snapshot().Table == nil {
+		return false
+	}
+	if !f.set.Bounds.FailClosed {
+		return true
+	}
+	at := f.confirmed.Load()
+	return at != 0 && time.Since(f.start)-time.Duration(at) < settings.Millis(f.set.Bounds.RevokeMs)-refreshBefore
+}
+
+// Run polls until Close.
+func (f *Follower) Run() {
+	at := 0
+	for {
+		members := f.order()
+		if len(members) == 0 {
+			if !f.pause(failPause) {
+				return
+			}
+			continue
+		}
+		if at >= len(members) {
+			at = 0
+		}
+		wait := pollWait
+		if f.Snapshot().Table == nil {
+			wait = firstPoll
+		}
+		began := time.Now()
+		reply, err := f.poll(members[at], wait)
+		if err == nil {
+			f.take(began, reply)
+		}
+		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
+			at = (at + 1) % len(members)
+			if !f.pause(failPause) {
+				return
+			}
+			continue
+		}
+		select {
+		case <-f.closed:
+			return
+		default:
+		}
+	}
+}
+
+// Close ends Run.
+func (f *Follower) Close() { close(f.closed) }
+
+func (f *Follower) pause(d time.Duration) bool {
+	select {
+	case <-f.closed:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// order gives the controllers to poll: this node's own first, then those of its zone, then the others by rendezvous.
+func (f *Follower) order() []quorum.Member {
+	members := f.directory.Try("poll-" + f.self.Name)
+	rank := func(m quorum.Member) int {
+		if m.Address == f.self.Address && f.local != nil {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(members, func(a, b quorum.Member) int { return rank(a) - rank(b) })
+	return members
+}
+
+func (f *Follower) poll(m quorum.Member, wait time.Duration) (*peer.PollReply, error) {
+	f.mu.Lock()
+	in := &peer.Poll{
+		From: f.self, Config: f.config, Weights: f.weights, Table: f.tableID, Revision: f.revision, Nodes: f.nodes,
+		WaitMs: int(wait / time.Millisecond),
+	}
+	f.mu.Unlock()
+	if f.local != nil && m.Address == f.self.Address {
+		return f.local(in)
+	}
+	var reply peer.PollReply
+	if err := f.caller.Call(m.Address, peer.CallPoll, in, &reply, wait+pollSlack); err != nil {
+		f.directory.Failed(m.Address)
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// take takes a poll's reply over. began is when the poll was begun: what the reply says was so at some moment after it, less AgeMs.
+func (f *Follower) take(began time.Time, reply *peer.PollReply) {
+	f.directory.Set(reply.Members)
+	f.mu.Lock()
+	s := *f.Snapshot()
+	changed := f.takeConfig(&s, reply)
+	if reply.Knows && reply.Config == f.config && s.Table != nil {
+		at := began.Sub(f.start) - time.Duration(reply.AgeMs*float64(time.Millisecond))
+		f.confirmed.Store(max(f.confirmed.Load(), int64(at), 1))
+	}
+	changed = f.takeWeights(&s, reply) || changed
+	changed = f.takeInstances(&s, reply) || changed
+	if reply.Nodes != nil {
+		s.Nodes, f.nodes = reply.Nodes, reply.NodesHash
+		changed = true
+	}
+	if changed {
+		f.snapshot.Store(&s)
+	}
+	f.mu.Unlock()
+	if changed {
+		f.onChange(&s)
+	}
+}
+
+func (f *Follower) takeConfig(s *Snapshot, reply *peer.PollReply) bool {
+	if len(reply.Data) == 0 || !f.config.Less(reply.Config) {
+		return false
+	}
+	if s.Table == nil && reply.AgeMs > float64(staleAfter/time.Millisecond) {
+		return false // a first configuration must be the newest one; a controller that was cut off may tell an old one
+	}
+	var state configuration.State
+	if _, err := state.UnmarshalMsg(reply.Data); err != nil {
+		f.log.Error().Err(err).Msg("configuration cannot be read: update this node to the release of the controllers")
+		return false
+	}
+	if s.Table != nil && state.Version <= s.Table.Version {
+		f.config = reply.Config // the same configuration under a newer ballot
+		return false
+	}
+	document, err := configuration.Parse(state.Body)
+	if err != nil {
+		f.log.Error().Err(err).Int64("version", state.Version).Msg("configuration is not valid here: update this node to the release of the controllers")
+		return false
+	}
+	f.config = reply.Config
+	s.Table = routing.Compile(document)
+	return true
+}
+
+func (f *Follower) takeWeights(s *Snapshot, reply *peer.PollReply) bool {
+	if len(reply.WeightsIn) == 0 || !f.weights.Less(reply.Weights) {
+		return false
+	}
+	var state rollout.State
+	if _, err := state.UnmarshalMsg(reply.WeightsIn); err != nil {
+		return false
+	}
+	f.weights = reply.Weights
+	weights, at := maps.Clone(s.Weights), maps.Clone(s.WeightsAt)
+	if weights == nil {
+		weights, at = map[string]int64{}, map[string]time.Time{}
+	}
+	changed := false
+	for _, m := range state.Versions {
+		if weights[m.Name] < m.Version {
+			weights[m.Name], at[m.Name] = m.Version, time.Now()
+			changed = true
+		}
+	}
+	s.Weights, s.WeightsAt = weights, at
+	return changed
+}
+
+func (f *Follower) takeInstances(s *Snapshot, reply *peer.PollReply) bool {
+	if reply.Table == "" {
+		return false
+	}
+	now := time.Now()
+	listed := map[string]bool{}
+	changed := false
+	for i := range reply.Instances {
+		in := reply.Instances[i]
+		listed[in.ID] = true
+		changed = f.join(now, in) || changed
+	}
+	for id, k := range f.known {
+		switch {
+		case k.instance.State == registry.Gone:
+			if now.Sub(k.ended) > tombstoneKeep {
+				delete(f.known, id)
+			}
+		case reply.Full && !listed[id] && k.missing.IsZero():
+			k.missing = now
+		case !k.missing.IsZero() && now.Sub(k.missing) > settings.Millis(missingBeats*f.set.HeartbeatMs):
+			delete(f.known, id)
+			changed = true
+		}
+	}
+	f.tableID, f.revision = reply.Table, reply.Revision
+	if !changed {
+		return false
+	}
+	s.Instances = map[string][]peer.Instance{}
+	for _, id := range slices.Sorted(maps.Keys(f.known)) {
+		if in := f.known[id].instance; in.State != registry.Gone {
+			s.Instances[in.Service] = append(s.Instances[in.Service], in)
+		}
+	}
+	return true
+}
+
+// join takes one account of an instance over: an end is final, and leaving is not taken back.
+func (f *Follower) join(now time.Time, in peer.Instance) bool {
+	k := f.known[in.ID]
+	if k == nil {
+		k = &known{instance: in}
+		if in.State == registry.Gone {
+			k.ended = now
+		}
+		f.known[in.ID] = k
+		return in.State != registry.Gone
+	}
+	k.missing = time.Time{}
+	if k.instance.State == registry.Gone {
+		return false
+	}
+	if in.State == registry.Gone {
+		k.ended = now
+	}
+	in.State = max(in.State, k.instance.State)
+	for i, m := range in.Models {
+		in.Models[i].Version = max(m.Version, rollout.VersionOf(k.instance.Models, m.Name))
+	}
+	k.instance = in
+	return true
+}
--- /dev/null
+++ b/dataplane/kvindex/index.go
@@ -0,0 +1,138 @@
+// Package kvindex is what this process knows of which server or store keeps which part of which prompt, under which salt.
+//
+// Entries come from the holders' events, which are late and have gaps, and from this process's own sends, which are a hint before
+// the event comes. What a holder can keep is bounded by its memory: the parts unused longest are taken to have given way first.
+// It is pure: it takes the time as an argument and answers look-ups; it never decides where to send.
+package kvindex
+
+import (
+	"container/list"
+	"time"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens float64
+}
+
+// key names a part under a salt: parts are shared under the same salt only.
+type key struct{ salt, part string }
+
+type entry struct {
+	key    key
+	tokens float64
+	used   time.Duration
+}
+
+type holder struct {
+	capacity float64 // tokens; 0: not known
+	kept     float64
+	parts    map[key]*list.Element
+	order    *list.List // of *entry, used longest ago first
+}
+
+// maxParts bounds the entries of one holder, whatever its capacity.
+const maxParts = 20000
+
+// Index may not be used by several goroutines at once.
+type Index struct {
+	holders map[string]*holder
+}
+
+// New makes an empty index.
+func New() *Index { return &Index{holders: map[string]*holder{}} }
+
+// SetHolder makes a holder known, with its memory in tokens.
+func (x *Index) SetHolder(id string, capacity float64) {
+	h := x.holders[id]
+	if h == nil {
+		h = &holder{parts: map[key]*list.Element{}, order: list.New()}
+		x.holders[id] = h
+	}
+	h.capacity = capacity
+}
+
+// DropHolder forgets a holder.
+func (x *Index) DropHolder(id string) { delete(x.holders, id) }
+
+// Reset forgets what a holder keeps: it has restarted, or its events had a gap.
+func (x *Index) Reset(id string) {
+	if h := x.holders[id]; h != nil {
+		h.parts, h.order, h.kept = map[key]*list.Element{}, list.New(), 0
+	}
+}
+
+// Kept notes that a holder keeps a part, or has just used it.
+func (x *Index) Kept(now time.Duration, id, salt string, p Part) {
+	h := x.holders[id]
+	if h == nil {
+		return
+	}
+	k := key{salt, p.ID}
+	if el := h.parts[k]; el != nil {
+		e := el.Value.(*entry)
+		h.kept += p.Tokens - e.tokens
+		e.tokens, e.used = p.Tokens, now
+		h.order.MoveToBack(el)
+	} else {
+		h.parts[k] = h.order.PushBack(&entry{k, p.Tokens, now})
+		h.kept += p.Tokens
+	}
+	for h.order.Len() > maxParts || (h.capacity > 0 && h.kept > h.capacity) {
+		h.remove(h.order.Front())
+	}
+}
+
+// Lost notes that a holder keeps a part no more.
+func (x *Index) Lost(id, salt, part string) {
+	h := x.holders[id]
+	if h == nil {
+		return
+	}
+	if el := h.parts[key{salt, part}]; el != nil {
+		h.remove(el)
+	}
+}
+
+func (h *holder) remove(el *list.Element) {
+	e := h.order.Remove(el).(*entry)
+	h.kept -= e.tokens
+	delete(h.parts, e.key)
+}
+
+// Prefix gives how many tokens of a prompt a holder keeps: those of its parts from the first on, as long as each is kept whole.
+func (x *Index) Prefix(id, salt string, prompt []Part) float64 {
+	h := x.holders[id]
+	if h == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, p := range prompt {
+		el := h.parts[key{salt, p.ID}]
+		if el == nil {
+			break
+		}
+		tokens := min(el.Value.(*entry).tokens, p.Tokens)
+		sum += tokens
+		if tokens < p.Tokens {
+			break
+		}
+	}
+	return sum
+}
+
+// Has tells whether a holder keeps a part.
+func (x *Index) Has(id, salt, part string) bool {
+	h := x.holders[id]
+	return h != nil && h.parts[key{salt, part}] != nil
+}
+
+// Size gives the number of entries.
+func (x *Index) Size() int {
+	n := 0
+	for _, h := range x.holders {
+		n += len(h.parts)
+	}
+	return n
+}
--- /dev/null
+++ b/dataplane/proxy/body.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+// The framings of a body.
+const (
+	framedByLength = iota
+	framedByChunks
+	framedByClose
+)
+
+var errGarbled = errors.New("bytes that are no answer")
+
+// bodyReader reads the body of an answer as it comes; io.EOF comes only at its proper end.
+type bodyReader struct {
+	reader  *bufio.Reader
+	framing int
+	left    int64 // of the body, or of the chunk
+	ended   bool
+}
+
+func newBodyReader(reader *bufio.Reader, h *fasthttp.ResponseHeader) *bodyReader {
+	b := &bodyReader{reader: reader}
+	status := h.StatusCode()
+	switch n := h.ContentLength(); {
+	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		b.ended = true
+	case n >= 0:
+		b.left, b.ended = int64(n), n == 0
+	case n == -1:
+		b.framing = framedByChunks
+	default:
+		b.framing = framedByClose
+	}
+	return b
+}
+
+// Read gives what has come, waiting only where nothing has.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	switch b.framing {
+	case framedByClose:
+		n, err := b.reader.Read(p)
+		if errors.Is(err, io.EOF) {
+			b.ended = true
+		}
+		return n, err
+	case framedByChunks:
+		if b.left == 0 {
+			if err := b.nextChunk(); err != nil {
+				return 0, err
+			}
+			if b.ended {
+				return 0, io.EOF
+			}
+		}
+	}
+	n, err := b.reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if err != nil {
+		return n, notEnd(err)
+	}
+	if b.left == 0 {
+		if b.framing == framedByLength {
+			b.ended = true
+		} else if err := b.crlf(); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func notEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func (b *bodyReader) line() (string, error) {
+	line, err := b.reader.ReadSlice('\n')
+	if err != nil {
+		return "", notEnd(err)
+	}
+	return strings.TrimRight(string(line), "\r\n"), nil
+}
+
+func (b *bodyReader) crlf() error {
+	line, err := b.line()
+	if err == nil && line != "" {
+		return errGarbled
+	}
+	return err
+}
+
+func (b *bodyReader) nextChunk() error {
+	line, err := b.line()
+	if err != nil {
+		return err
+	}
+	size, _, _ := strings.Cut(line, ";")
+	n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+	if err != nil {
+		return errGarbled
+	}
+	b.left = int64(n)
+	for n == 0 { // trailers, up to the empty line
+		line, err := b.line()
+		if err != nil {
+			return err
+		}
+		if line == "" {
+			b.ended = true
+			break
+		}
+	}
+	return nil
+}
+
+// eventBuffer gathers the bytes of a stream and gives whole events only.
+type eventBuffer struct {
+	pending []byte
+	lastID  string
+}
+
+// whole gives the events that are whole, together, and keeps the rest. The bytes are good until the next call.
+func (e *eventBuffer) whole() []byte {
+	end := max(bytes.LastIndex(e.pending, []byte("\n\n")), bytes.LastIndex(e.pending, []byte("\n\r\n"))+1)
+	if end < 1 {
+		return nil
+	}
+	end += 2
+	events := bytes.Clone(e.pending[:end])
+	e.pending = append(e.pending[:0], e.pending[end:]...)
+	for line := range bytes.Lines(events) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.lastID = string(bytes.TrimSpace(value))
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/dataplane/proxy/proxy.go
@@ -0,0 +1,367 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"moleshift/controlplane/registry"
+	"moleshift/dataplane/admission"
+	"moleshift/dataplane/attempt"
+	"moleshift/dataplane/balance"
+	"moleshift/dataplane/follower"
+	"moleshift/dataplane/kvindex"
+	"moleshift/dataplane/outlier"
+	"moleshift/fault"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+// newestOnly is the share of version-ms after which requests go only to servers with the newest weights named.
+const newestOnly = 0.6
+
+// Proxy sends requests to servers.
+type Proxy struct {
+	set     *settings.Settings
+	follow  func() *follower.Snapshot
+	fresh   func() bool // whether the configuration may be acted upon where a key is needed
+	log     zerolog.Logger
+	started time.Time
+
+	mu       sync.Mutex
+	targets  map[string]*target // by instance
+	services map[string][]*target
+	index    *kvindex.Index
+	retries  map[string]*admission.Retries
+	routers  int
+	random   *rand.Rand
+	capacity map[string]float64
+}
+
+// New makes a proxy.
+func New(set *settings.Settings, follow func() *follower.Snapshot, fresh func() bool, log zerolog.Logger) *Proxy {
+	return &Proxy{
+		set: set, follow: follow, fresh: fresh, log: log, started: time.Now(), targets: map[string]*target{},
+		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
+	}
+}
+
+func (p *Proxy) now() time.Duration { return time.Since(p.started) }
+
+// Update takes a new snapshot over: servers come, change and go.
+func (p *Proxy) Update(s *follower.Snapshot) {
+	var stale []*serverConn
+	p.mu.Lock()
+	p.routers = max(len(s.Nodes), 1)
+	listed := map[string]bool{}
+	p.services = map[string][]*target{}
+	for service, instances := range s.Instances {
+		for i := range instances {
+			in := instances[i]
+			listed[in.ID] = true
+			t := p.targets[in.ID]
+			if t == nil {
+				t = &target{versionNow: map[string]int64{}}
+				p.targets[in.ID] = t
+			}
+			t.instance = in
+			p.services[service] = append(p.services[service], t)
+			p.setHolder(s, &in)
+		}
+	}
+	for id, t := range p.targets {
+		if !listed[id] {
+			stale = append(stale, t.idle...)
+			t.conns -= len(t.idle)
+			t.idle = nil
+			delete(p.targets, id)
+			p.index.DropHolder(id)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.Close()
+	}
+}
+
+// setHolder makes a model server known to the index. The lock is held.
+func (p *Proxy) setHolder(s *follower.Snapshot, in *peer.Instance) {
+	if s.Table == nil {
+		return
+	}
+	if service := s.Table.Services[in.Service]; service != nil && service.Engine != nil {
+		p.index.SetHolder(in.ID, service.Engine.KvCapacityTokens)
+	}
+}
+
+// Serve answers one request of a client.
+func (p *Proxy) Serve(e *Exchange) {
+	r, err := newRequest(e, p.follow(), p.fresh())
+	if err != nil {
+		p.Refuse(e, fault.KindOf(err), err.Error())
+		return
+	}
+	p.mu.Lock()
+	p.budget(r.service.Name).Request(p.now())
+	p.mu.Unlock()
+	action, kind := attempt.Again, fault.None
+	for action == attempt.Again || action == attempt.Resume {
+		action, kind = p.try(r)
+	}
+	switch action {
+	case attempt.Answer:
+		p.Refuse(e, kind, "")
+	case attempt.Cut:
+		e.Closing = true
+	}
+}
+
+// try plays one attempt and says what comes next.
+func (p *Proxy) try(r *request) (attempt.Action, fault.Kind) {
+	if r.Gone() {
+		r.Closing = true
+		return attempt.Cut, fault.ClientGone
+	}
+	room := attempt.Room{Time: time.Now().Before(r.deadline)}
+	to := p.choose(r)
+	if to == nil || !room.Time {
+		return r.state.End(room, attempt.NotSent)
+	}
+	r.tried[to.target.instance.ID] = true
+	a, outcome := p.send(r, to)
+	if outcome == attempt.Done && a.stream != nil {
+		outcome = p.relay(r, to, a)
+		if outcome == attempt.Done {
+			p.succeeded(to.target)
+			return attempt.Pass, fault.None
+		}
+	} else if r.started && outcome != attempt.NotSent && outcome != attempt.TurnedAway {
+		outcome = attempt.Broken // an answer that is no stream cannot go on one
+	}
+	if r.Gone() {
+		r.Closing = true
+		return attempt.Cut, fault.ClientGone
+	}
+	p.learn(r, to, a, outcome)
+	action, kind := r.state.Next(outcome, p.room(r, outcome))
+	if action == attempt.Pass {
+		p.pass(r, a)
+	}
+	return action, kind
+}
+
+// room tells what there is for another attempt; the budget is drawn on only where the attempt would count against it.
+func (p *Proxy) room(r *request, o attempt.Outcome) attempt.Room {
+	room := attempt.Room{Time: time.Now().Before(r.deadline)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.services[r.service.Name] {
+		if !r.tried[t.instance.ID] && t.instance.State == registry.Ready {
+			room.Server = true
+		}
+	}
+	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed))
+	if needed && room.Server && room.Time {
+		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.routers)
+	}
+	return room
+}
+
+// budget gives the portion of a service's retry budget. The lock is held.
+func (p *Proxy) budget(service string) *admission.Retries {
+	b := p.retries[service]
+	if b == nil {
+		bounds := p.set.Bounds
+		b = admission.NewRetries(admission.Settings{
+			Ratio: bounds.RetryBudgetRatio, Base: bounds.RetryMin, Window: settings.Seconds(bounds.RetryWindowS),
+		})
+		p.retries[service] = b
+	}
+	return b
+}
+
+// choose picks the server of a request: of least marginal load among those of the best standing.
+func (p *Proxy) choose(r *request) *routed {
+	now := time.Now()
+	steady := p.now()
+	newest, newestFrom := r.newestVersion(p.set)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var options []routed
+	var candidates []balance.Candidate
+	for _, t := range p.services[r.service.Name] {
+		if r.tried[t.instance.ID] || t.instance.State != registry.Ready {
+			continue
+		}
+		to := routed{target: t}
+		kept := 0.0
+		if r.model != "" && r.service.Engine != nil {
+			to.version = max(t.version(r.model), 1)
+			if newest > to.version && now.After(newestFrom) {
+				continue
+			}
+			to.salt = r.salt(to.version)
+			kept = p.index.Prefix(t.instance.ID, to.salt, r.prompt)
+		}
+		to.size = r.size(kept)
+		standing := t.state.Standing(steady)
+		if t.instance.Loading {
+			standing = max(standing, outlier.Busy)
+		}
+		if t.instance.Silent {
+			standing = max(standing, outlier.Stalled)
+		}
+		options = append(options, to)
+		candidates = append(candidates, balance.Candidate{Size: to.size, Queue: t.queue + t.others(now), Standing: standing})
+	}
+	i := balance.Choose(candidates, p.random)
+	if i < 0 {
+		return nil
+	}
+	return &options[i]
+}
+
+// newestVersion gives the newest version named of the request's model, and from when on no older one will do.
+func (r *request) newestVersion(set *settings.Settings) (int64, time.Time) {
+	v := r.snapshot.Weights[r.model]
+	return v, r.snapshot.WeightsAt[r.model].Add(settings.Millis(newestOnly * set.Bounds.VersionMs))
+}
+
+// connLimit is how many connections this router may have to one server of the request's service.
+func (p *Proxy) connLimit(r *request) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.service.MaxConnections <= 0 {
+		return maxIdle
+	}
+	return max(int(connShare*float64(r.service.MaxConnections)/float64(p.routers)), leastConns)
+}
+
+// maySend tells whether the configuration may still be acted upon for the request, just before it is sent.
+func (p *Proxy) maySend(r *request) bool {
+	return r.tenant == nil || p.fresh()
+}
+
+// sent puts a request on the server's books.
+func (p *Proxy) sent(r *request, to *routed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := to.target
+	t.queue += to.size
+	t.inFlight++
+	t.sizes += (to.size - t.sizes) / 16
+	t.state.Sent(p.now())
+}
+
+// ended takes a request off the server's books.
+func (p *Proxy) ended(to *routed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := to.target
+	t.queue = max(t.queue-to.size, 0)
+	to.size = 0
+	t.inFlight--
+	t.state.Ended()
+}
+
+// promptRead notes that a server has read a request's prompt: its work shrinks to what it generates, and it keeps the parts.
+func (p *Proxy) promptRead(r *request, to *routed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if to.version == 0 {
+		return
+	}
+	done := max(to.size-r.maxOut, 0)
+	to.size -= done
+	to.target.queue = max(to.target.queue-done, 0)
+	for _, part := range r.prompt {
+		p.index.Kept(p.now(), to.target.instance.ID, to.salt, part)
+	}
+}
+
+// byteCame notes a sign of life, with the load that an answer's head tells.
+func (p *Proxy) byteCame(t *target, h *fasthttp.ResponseHeader) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.state.Byte(p.now())
+	if h == nil {
+		return
+	}
+	if report := h.Peek(headerLoad); len(report) > 0 {
+		t.noteLoad(time.Now(), string(report))
+	}
+}
+
+func (p *Proxy) broke(t *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.state.Broke(p.now())
+}
+
+func (p *Proxy) succeeded(t *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.state.Succeeded()
+}
+
+// learn draws from an attempt's outcome what concerns the server.
+func (p *Proxy) learn(r *request, to *routed, a *reply, o attempt.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := to.target
+	switch o {
+	case attempt.Done:
+		t.state.Succeeded()
+	case attempt.TurnedAway:
+		t.state.Full(p.now())
+		p.learnMisdirected(r, t, a)
+	}
+}
+
+// learnMisdirected takes a 421 apart: another instance at the address, or other weights than were expected. The lock is held.
+func (p *Proxy) learnMisdirected(r *request, t *target, a *reply) {
+	if a.header.StatusCode() != fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	if id := string(a.header.Peek(headerInstance)); id != "" && id != t.instance.ID {
+		t.state.Unreachable(p.now()) // its successor will be told of by the controllers
+		return
+	}
+	if v, err := strconv.ParseInt(string(a.header.Peek(headerVersions)), 10, 64); err == nil {
+		t.versionNow[r.model] = max(t.versionNow[r.model], v)
+	}
+}
+
+// Refuse gives the client an answer of our own, by the table of package fault.
+func (p *Proxy) Refuse(e *Exchange, kind fault.Kind, detail string) {
+	answer := kind.Answer()
+	text := answer.Text
+	if detail != "" {
+		text = detail
+	}
+	b := make([]byte, 0, 256)
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(answer.Status), 10)
+	b = append(b, ' ')
+	b = append(b, fasthttp.StatusMessage(answer.Status)...)
+	b = append(b, "\r\nContent-Type: text/plain\r\n"...)
+	if answer.RetryAfter > 0 {
+		b = appendHeader(b, headerRetryAfter, strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	if id := e.Header.Peek(headerRequestID); len(id) > 0 {
+		b = appendHeader(b, headerRequestID, string(id))
+	}
+	if e.Closing {
+		b = appendHeader(b, "Connection", "close")
+	}
+	b = appendHeader(b, "Content-Length", strconv.Itoa(len(text)+1))
+	b = append(b, "\r\n"...)
+	b = append(b, text...)
+	b = append(b, '\n')
+	p.write(&request{Exchange: e}, b)
+}
--- /dev/null
+++ b/dataplane/proxy/request.go
@@ -0,0 +1,210 @@
+// Package proxy carries one request to a server and its answer back: connections to servers, what is sent, streams and their
+// resumption. What may be tried and answered is decided by package attempt, where to send by package balance.
+//
+// State that several requests share stands behind one short lock: no I/O while it is held.
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/dataplane/attempt"
+	"moleshift/dataplane/follower"
+	"moleshift/dataplane/kvindex"
+	"moleshift/fault"
+)
+
+// The headers of the protocol.
+const (
+	headerRequestID    = "Moleshift-Request-Id"
+	headerDeadline     = "Moleshift-Deadline-Ms"
+	headerExpect       = "Moleshift-Expect-Instance"
+	headerTenant       = "Moleshift-Tenant-Id"
+	headerModel        = "Moleshift-Model-Id"
+	headerTokens       = "Moleshift-Token-Count"
+	headerPrefix       = "Moleshift-Prompt-Prefix"
+	headerNotExecuted  = "Moleshift-Not-Executed"
+	headerStamp        = "Moleshift-Response-Stamp"
+	headerLoad         = "Moleshift-Server-Load"
+	headerInstance     = "Moleshift-Instance-Id"
+	headerSalt         = "Cache-Salt"
+	headerFetch        = "Kv-Fetch"
+	headerSave         = "Kv-Save"
+	headerVersion      = "Expect-Version"
+	headerVersions     = "Versions"
+	headerPriority     = "Priority"
+	headerLastEvent    = "Last-Event-Id"
+	headerRetryAfter   = "Retry-After"
+	leastHang          = time.Second
+	hangObjectives     = 3 // an attempt of a repeatable request without a first byte for so many objectives is given up
+	defaultObjectiveMs = 1000
+	prioritiesOfRoutes = 3 // a tenant's priority counts before the route's
+	lowestPriority     = 9
+)
+
+// Exchange is one request of a client: what came, and the connection that the answer goes to.
+type Exchange struct {
+	Header  *fasthttp.RequestHeader
+	Body    []byte
+	Arrived time.Time
+	Conn    net.Conn
+	Writer  *bufio.Writer
+	Closing bool // the connection is closed after this answer
+
+	mu     sync.Mutex
+	gone   bool
+	server net.Conn // the connection to the server that works on it
+}
+
+// ClientGone is called when the client has closed its connection: the request is ended at its server.
+func (e *Exchange) ClientGone() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone = true
+	if e.server != nil {
+		_ = e.server.SetDeadline(time.Unix(1, 0)) // fails only where the connection is closed already
+	}
+}
+
+// Gone tells whether the client has closed its connection.
+func (e *Exchange) Gone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone
+}
+
+// setServer notes the connection to the server; false: the client has gone.
+func (e *Exchange) setServer(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server = c
+	return !e.gone
+}
+
+// request is an exchange with what the configuration says of it.
+type request struct {
+	*Exchange
+	snapshot *follower.Snapshot
+	route    *configuration.Route
+	service  *configuration.Service
+	tenant   *configuration.Tenant
+	id       string
+	model    string
+	prompt   []kvindex.Part
+	tokens   float64 // of the prompt
+	maxOut   float64 // tokens that it may generate
+	deadline time.Time
+	state    attempt.Request
+	tried    map[string]bool // servers that it was sent to or could not reach
+	lastID   string          // id of the last event passed on
+	started  bool            // the head of the answer has been passed on
+	byClose  bool            // the answer that was begun ends with the connection
+}
+
+// newRequest looks a request up in the configuration. Errors are of package fault's kinds.
+func newRequest(e *Exchange, s *follower.Snapshot, fresh bool) (*request, error) {
+	if s.Table == nil {
+		return nil, fault.New(fault.NoConfig, "none is known yet")
+	}
+	uri := string(e.Header.RequestURI())
+	path, _, _ := strings.Cut(uri, "?")
+	route := s.Table.Route(string(e.Header.Host()), path)
+	if !fresh && (route == nil || s.Table.Keyed(route)) {
+		return nil, fault.New(fault.NoConfig, "the one known may be out of date")
+	}
+	if route == nil {
+		return nil, fault.New(fault.NoRoute, "%s%s", e.Header.Host(), path)
+	}
+	tenant, err := s.Table.Tenant(route, string(e.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return nil, err
+	}
+	r := &request{
+		Exchange: e, snapshot: s, route: route, tenant: tenant, id: string(e.Header.Peek(headerRequestID)),
+		state: attempt.Request{Repeatable: route.Repeatable(), MaxAttempts: route.MaxAttempts}, tried: map[string]bool{},
+	}
+	if r.id == "" {
+		return nil, fault.New(fault.BadRequest, "%s is missing", headerRequestID)
+	}
+	r.service = s.Table.Service(route, r.id)
+	allowed := time.Duration(route.TimeoutMs * float64(time.Millisecond))
+	if ms, err := strconv.ParseFloat(string(e.Header.Peek(headerDeadline)), 64); err == nil && ms >= 0 {
+		allowed = min(allowed, time.Duration(ms*float64(time.Millisecond)))
+	}
+	r.deadline = e.Arrived.Add(allowed)
+	r.readPrompt()
+	return r, nil
+}
+
+func (r *request) readPrompt() {
+	r.model = string(r.Header.Peek(headerModel))
+	in, out, _ := strings.Cut(string(r.Header.Peek(headerTokens)), ",")
+	r.tokens = number(in)
+	r.maxOut = number(out)
+	for piece := range strings.SplitSeq(string(r.Header.Peek(headerPrefix)), ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
+		if ok {
+			r.prompt = append(r.prompt, kvindex.Part{ID: id, Tokens: number(tokens)})
+		}
+	}
+}
+
+func number(s string) float64 {
+	x, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
+	if err != nil || x < 0 {
+		return 0
+	}
+	return x
+}
+
+// size is the work that the request brings to a server that keeps so many tokens of its prompt.
+func (r *request) size(kept float64) float64 {
+	if r.tokens == 0 {
+		return 1
+	}
+	return max(r.tokens-kept, 1) + r.maxOut
+}
+
+// priority is the value of the Priority header; ok is false where none is set.
+func (r *request) priority() (int, bool) {
+	if r.service.Engine == nil {
+		return 0, false
+	}
+	p := r.route.Priority
+	if r.tenant != nil {
+		p += prioritiesOfRoutes * r.tenant.Priority
+	}
+	return min(max(p, 0), lowestPriority), true
+}
+
+// salt separates kept prompts: those made under other weights, and those of tenants that share with nobody.
+func (r *request) salt(version int64) string {
+	s := r.model + "@" + strconv.FormatInt(version, 10)
+	if r.tenant != nil && r.tenant.Isolated {
+		s += "/" + r.tenant.Name
+	}
+	return s
+}
+
+// hangLimit is when an attempt that has not brought a first byte is given up so that another may follow.
+func (r *request) hangLimit(now time.Time) time.Time {
+	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
+		return r.deadline
+	}
+	objective := r.route.TargetLatencyMs
+	if objective <= 0 {
+		objective = defaultObjectiveMs
+	}
+	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)))
+	if limit := now.Add(hang); limit.Before(r.deadline) {
+		return limit
+	}
+	return r.deadline
+}
--- /dev/null
+++ b/peer/messages.go
@@ -0,0 +1,203 @@
+// Package peer is what the system's own processes say to one another: the messages (MessagePack), the server that takes them and
+// the client that sends them, each with a deadline.
+//
+// It owns forms and connections. It must never decide anything: handlers are given to it.
+package peer
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -file messages.go -tests=false -o messages_gen.go
+
+import "moleshift/controlplane/quorum"
+
+// The calls, as paths.
+const (
+	CallWho       = "/who"
+	CallGenesis   = "/genesis"
+	CallPrepare   = "/prepare"
+	CallAccept    = "/accept"
+	CallLearn     = "/learn"
+	CallSync      = "/sync"
+	CallPoll      = "/poll"
+	CallBeat      = "/beat"
+	CallInstances = "/instances"
+	CallOrder     = "/order"
+	CallEvents    = "/events"
+)
+
+// Node describes one process of the system.
+type Node struct {
+	ID       string `msg:"i"` // of this incarnation
+	Name     string `msg:"n"`
+	Address  string `msg:"a"` // peer address
+	Control  string `msg:"c"` // control address
+	Zone     string `msg:"z"`
+	Acceptor string `msg:"k"` // identity as a member; empty: does not count for quorums
+	Fresh    bool   `msg:"f"` // first start of the whole system, nothing kept yet
+}
+
+// Who asks for what the callee knows of the members; it also introduces the caller.
+type Who struct {
+	From Node `msg:"f"`
+}
+
+// WhoReply lists the members, where the callee knows them.
+type WhoReply struct {
+	Members []quorum.Member `msg:"m"`
+	Nodes   []Node          `msg:"n"`
+}
+
+// Genesis is the first membership of all, decided by one process once.
+type Genesis struct {
+	Members []quorum.Member `msg:"m"`
+}
+
+// Prepare asks an acceptor to promise, or, where Ballot is zero, only to tell what it keeps.
+type Prepare struct {
+	Register string        `msg:"r"`
+	Target   string        `msg:"t"` // identity that is meant
+	Ballot   quorum.Ballot `msg:"b"`
+	Have     quorum.Ballot `msg:"h"` // the caller has the value accepted under this one
+}
+
+// Accept asks an acceptor to accept a value.
+type Accept struct {
+	Register string        `msg:"r"`
+	Target   string        `msg:"t"`
+	Ballot   quorum.Ballot `msg:"b"`
+	Value    quorum.Value  `msg:"v"`
+}
+
+// AcceptorReply answers Prepare and Accept.
+type AcceptorReply struct {
+	Wrong    bool          `msg:"w"` // another identity lives here
+	OK       bool          `msg:"o"`
+	Promised quorum.Ballot `msg:"p"`
+	Accepted quorum.Ballot `msg:"a"`
+	Value    *quorum.Value `msg:"v"` // unless the caller has it
+}
+
+// Learn tells that the value accepted under a ballot is chosen.
+type Learn struct {
+	Register string        `msg:"r"`
+	Ballot   quorum.Ballot `msg:"b"`
+}
+
+// Empty is an answer without content.
+type Empty struct{}
+
+// Sync is exchanged by members at a steady interval: what registers hold, which instances were heard, what the tables sum to.
+type Sync struct {
+	From     Node      `msg:"f"`
+	Reads    []Prepare `msg:"r"`
+	Digest   uint64    `msg:"d"` // of the table of instances
+	Heard    []string  `msg:"h"` // instances whose heartbeats came here since the last Sync
+	Sessions []Node    `msg:"s"` // routers that poll here
+}
+
+// SyncReply answers Sync.
+type SyncReply struct {
+	From   Node            `msg:"f"`
+	Reads  []AcceptorReply `msg:"r"`
+	Digest uint64          `msg:"d"`
+}
+
+// Model is one model's weights on an instance.
+type Model struct {
+	Name    string `msg:"n" json:"name"`
+	Version int64  `msg:"v" json:"version"`
+}
+
+// Instance is one incarnation of a server, as its newest heartbeat told.
+type Instance struct {
+	ID       string  `msg:"i"`
+	Service  string  `msg:"s"`
+	Address  string  `msg:"a"`
+	Zone     string  `msg:"z"`
+	Slots    int     `msg:"l"`
+	State    int     `msg:"t"` // see package registry
+	Sequence int64   `msg:"q"`
+	ColdMs   float64 `msg:"c"`
+	Silent   bool    `msg:"x"` // no heartbeat for some time
+	Loading  bool    `msg:"b"` // new weights are being loaded or are about to be
+	Models   []Model `msg:"m"`
+}
+
+// Beat passes a heartbeat on.
+type Beat struct {
+	Instance Instance `msg:"i"`
+}
+
+// BeatReply answers Beat.
+type BeatReply struct {
+	OK    bool   `msg:"o"`
+	Owner string `msg:"w"` // control address for later heartbeats
+}
+
+// Instances passes entries of the table on.
+type Instances struct {
+	List []Instance `msg:"l"`
+	Want bool       `msg:"w"` // answer with the whole table
+	Load bool       `msg:"o"` // Loading is to be taken over
+}
+
+// Poll asks for what is newer than the caller has, and is held until there is something or WaitMs are over.
+type Poll struct {
+	From     Node          `msg:"f"`
+	Config   quorum.Ballot `msg:"c"`
+	Weights  quorum.Ballot `msg:"w"`
+	Table    string        `msg:"t"` // incarnation whose revision Revision is
+	Revision uint64        `msg:"r"`
+	WaitMs   int           `msg:"m"`
+	Nodes    uint64        `msg:"n"` // hash of the list of nodes that the caller has
+}
+
+// PollReply answers Poll.
+type PollReply struct {
+	Knows     bool            `msg:"k"` // the callee knows a configuration that was in force AgeMs ago
+	AgeMs     float64         `msg:"g"` // how long ago a quorum confirmed what is told here
+	Config    quorum.Ballot   `msg:"c"`
+	Data      []byte          `msg:"d"` // the configuration's state; empty: the caller has it
+	Weights   quorum.Ballot   `msg:"w"`
+	WeightsIn []byte          `msg:"x"`
+	Table     string          `msg:"t"`
+	Revision  uint64          `msg:"r"`
+	Full      bool            `msg:"u"` // Instances is the whole table
+	Instances []Instance      `msg:"i"`
+	Members   []quorum.Member `msg:"m"`
+	Nodes     []Node          `msg:"n"` // where the caller's list is another one
+	NodesHash uint64          `msg:"h"`
+}
+
+// Order passes an order of the operator on.
+type Order struct {
+	Kind      string `msg:"k"` // replace, patch, read, version
+	IfVersion int64  `msg:"v"`
+	Body      []byte `msg:"b"`
+}
+
+// OrderReply is the answer for the operator.
+type OrderReply struct {
+	Kind int    `msg:"k"` // of package fault
+	Text string `msg:"t"`
+	Body []byte `msg:"b"`
+}
+
+// Event is a change of what a server keeps: gained (Tokens above 0) or lost.
+type Event struct {
+	Salt   string `msg:"s"`
+	Part   string `msg:"p"`
+	Tokens int    `msg:"t"`
+	Gained bool   `msg:"g"`
+}
+
+// Events passes on what the collector of a server's events has heard.
+type Events struct {
+	Instance string  `msg:"i"` // or the store's address
+	Epoch    int64   `msg:"e"`
+	Reset    bool    `msg:"r"` // forget what was known of it first
+	List     []Event `msg:"l"`
+}
+
+// EventBatch holds the events of several servers.
+type EventBatch struct {
+	List []Events `msg:"l"`
+}
