--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -17,6 +17,7 @@
 	"moleshift/controlplane/server"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/ingress"
+	"moleshift/dataplane/kvevents"
 	"moleshift/dataplane/proxy"
 	"moleshift/internal/sock"
 	"moleshift/peer"
@@ -53,10 +54,17 @@
 		local = control.Poll
 	}
 	var traffic *proxy.Proxy
-	follow := follower.New(set, self, caller, dir, local, func(s *follower.Snapshot) { traffic.Update(s) }, log)
+	var events *kvevents.Collector
+	follow := follower.New(set, self, caller, dir, local, func(s *follower.Snapshot) {
+		traffic.Update(s)
+		events.Update(s)
+	}, log)
 	traffic = proxy.New(set, follow.Snapshot, follow.Fresh, log)
+	events = kvevents.New(set.IP, self, caller, traffic, log)
 	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
-	peers := peer.NewServer(control.Handlers())
+	handlers := control.Handlers()
+	handlers[peer.CallEvents] = events.Handler
+	peers := peer.NewServer(handlers)
 
 	failed := make(chan error, 4)
 	for _, s := range []struct {
@@ -77,6 +85,7 @@
 	}
 	go control.Run()
 	go follow.Run()
+	go events.Run()
 	log.Info().Bool("counts", control.Counts()).Bool("fresh", self.Fresh).Msg("started")
 	return wait(set, clients, failed, log)
 }
--- a/controlplane/configuration/document.go
+++ b/controlplane/configuration/document.go
@@ -68,6 +68,7 @@
 	StoreAddress     string  `json:"kv-store-addr"`
 	Zone             string  `json:"zone"`
 	KvCapacityTokens float64 `json:"kv-capacity-tokens"`
+	LinkMbps         float64 `json:"link-mbps"`
 	MaxInFlight      int     `json:"max-in-flight"`
 }
 
--- a/controlplane/core/look.go
+++ b/controlplane/core/look.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -14,6 +15,9 @@
 	peerOut = msgp.Unmarshaler
 )
 
+// ErrStatus is the error of a call that was answered with a status other than 200.
+var ErrStatus = errors.New("status is not 200")
+
 // maxMembers bounds how many members a register may have, counted over a change of them.
 const maxMembers = 64
 
--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -61,14 +61,15 @@
 		reply.Knows, reply.Config = true, config.Ballot
 		reply.AgeMs = float64(time.Since(config.Confirmed)) / float64(time.Millisecond)
 		if in.Config.Less(config.Ballot) {
-			reply.Data, news = forRouters(config.Value.Data), true
+			reply.Data = forRouters(config.Value.Data)
+			news = len(reply.Data) > 0 // there is none before the operator's first order
 		}
 	}
 	if weights.Ballot != (quorum.Ballot{}) {
 		reply.Weights = weights.Ballot
 		if in.Weights.Less(weights.Ballot) {
 			reply.WeightsIn = weights.Value.Data
-			news = true
+			news = news || len(reply.WeightsIn) > 0
 		}
 	}
 	c.mu.Lock()
--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,12 +130,24 @@
 	e.Closing = req.Header.ConnectionClose() || s.draining.Load()
 	_ = c.SetReadDeadline(time.Time{})
 	watched := watch(e, reader)
-	s.proxy.Serve(e)
+	s.serve(e)
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 	<-watched
 	return !e.Closing && !e.Gone()
 }
 
+// serve has the request answered. A programming error ends this request alone: its connection is closed, which promises nothing.
+func (s *Server) serve(e *proxy.Exchange) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.log.Error().Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("request failed by a programming error: report it")
+			e.Closing = true
+			e.ClientGone()
+		}
+	}()
+	s.proxy.Serve(e)
+}
+
 func readBody(req *fasthttp.Request, reader *bufio.Reader, writer *bufio.Writer, most int) error {
 	if req.MayContinue() {
 		if _, err := writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
--- /dev/null
+++ b/dataplane/kvevents/collector.go
@@ -0,0 +1,289 @@
+package kvevents
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tinylib/msgp/msgp"
+	"github.com/valyala/fasthttp"
+
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/directory"
+	"moleshift/dataplane/follower"
+	"moleshift/internal/sock"
+	"moleshift/peer"
+)
+
+const (
+	holdEvents   = 1000 * time.Millisecond // the longest a holder holds a call
+	callSlack    = 600 * time.Millisecond
+	betweenCalls = 500 * time.Millisecond // events gather meanwhile: a call that is answered at once costs as much as a probe
+	failedPause  = time.Second
+	passEvery    = 200 * time.Millisecond
+	passTimeout  = 500 * time.Millisecond
+	headerWait   = "Wait-Ms"
+)
+
+// Sink takes what is learned of holders.
+type Sink interface {
+	TakeEvents(list []peer.Events)
+	// HolderState lists what is known of a holder, for a router that has just come.
+	HolderState(holder string) []peer.Event
+}
+
+// holderOf is a server or a store whose events may be drawn.
+type holderOf struct {
+	id, address, zone string
+}
+
+// Collector draws the events of the holders that fall to this router.
+type Collector struct {
+	self   peer.Node
+	caller core.Caller
+	sink   Sink
+	log    zerolog.Logger
+	client *fasthttp.Client
+	closed chan struct{}
+
+	mu      sync.Mutex
+	drawing map[string]chan struct{} // by holder: closed to end it
+	nodes   []peer.Node
+	greeted map[string]bool // nodes that have been sent the whole state
+	pending []peer.Events
+}
+
+// New makes a collector.
+func New(ip string, self peer.Node, caller core.Caller, sink Sink, log zerolog.Logger) *Collector {
+	return &Collector{
+		self: self, caller: caller, sink: sink, log: log, closed: make(chan struct{}),
+		drawing: map[string]chan struct{}{}, greeted: map[string]bool{},
+		client: &fasthttp.Client{
+			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2, MaxIdleConnDuration: 4 * time.Second,
+			Dial: func(address string) (net.Conn, error) { return sock.Dial(ip, address, callSlack) },
+		},
+	}
+}
+
+// Update takes a new snapshot: holders and routers come and go.
+func (c *Collector) Update(s *follower.Snapshot) {
+	if s.Table == nil {
+		return
+	}
+	mine := map[string]holderOf{}
+	for _, h := range holders(s) {
+		if collectorOf(h, s.Nodes) == c.self.ID {
+			mine[h.id] = h
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = s.Nodes
+	for id, end := range c.drawing {
+		if _, ok := mine[id]; !ok {
+			close(end)
+			delete(c.drawing, id)
+		}
+	}
+	for id, h := range mine {
+		if c.drawing[id] == nil {
+			end := make(chan struct{})
+			c.drawing[id] = end
+			go c.draw(h, end)
+		}
+	}
+}
+
+func holders(s *follower.Snapshot) []holderOf {
+	var list []holderOf
+	for name, instances := range s.Instances {
+		service := s.Table.Services[name]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		for _, in := range instances {
+			list = append(list, holderOf{in.ID, in.Address, in.Zone})
+		}
+	}
+	for _, store := range s.Table.Stores {
+		list = append(list, holderOf{store.StoreAddress, store.StoreAddress, store.Zone})
+	}
+	return list
+}
+
+// collectorOf names the router that draws a holder's events: of the holder's zone where there is one, by rendezvous.
+func collectorOf(h holderOf, nodes []peer.Node) string {
+	best, weight, inZone := "", uint64(0), false
+	for _, n := range nodes {
+		w, same := directory.Weight(h.id, n.ID), n.Zone == h.zone
+		if best == "" || (same && !inZone) || (same == inZone && w > weight) {
+			best, weight, inZone = n.ID, w, same
+		}
+	}
+	return best
+}
+
+// draw asks a holder for its events until end is closed.
+func (c *Collector) draw(h holderOf, end chan struct{}) {
+	since, epoch := "0", ""
+	pause := betweenCalls
+	for {
+		select {
+		case <-end:
+			return
+		case <-c.closed:
+			return
+		case <-time.After(pause):
+		}
+		body, err := c.ask(h.address, since)
+		if err != nil {
+			pause = failedPause
+			continue
+		}
+		p, events, err := parse(body)
+		if err != nil {
+			c.log.Warn().Err(err).Str("holder", h.id).Msg("events cannot be read: see whether the server speaks this release's protocol")
+			pause = failedPause
+			continue
+		}
+		pause = betweenCalls
+		restarted := epoch != "" && epoch != p.Epoch.String()
+		epoch, since = p.Epoch.String(), p.Next.String()
+		if restarted && len(events) == 0 {
+			since = "0"
+		}
+		if restarted || len(events) > 0 {
+			c.learned(peer.Events{Holder: h.id, Reset: restarted, List: events})
+		}
+	}
+}
+
+func (c *Collector) ask(address, since string) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + "/kv-events?since=" + since)
+	req.Header.Set(headerWait, strconv.Itoa(int(holdEvents/time.Millisecond)))
+	if err := c.client.DoTimeout(req, resp, holdEvents+callSlack); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, core.ErrStatus
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// learned takes events to this router's index and to what is passed on.
+func (c *Collector) learned(e peer.Events) {
+	c.sink.TakeEvents([]peer.Events{e})
+	c.mu.Lock()
+	c.pending = append(c.pending, e)
+	c.mu.Unlock()
+}
+
+// Run passes events on until Close.
+func (c *Collector) Run() {
+	ticker := time.NewTicker(passEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-ticker.C:
+			c.passOn()
+		}
+	}
+}
+
+// Close ends Run and all drawing.
+func (c *Collector) Close() { close(c.closed) }
+
+// passOn sends what has gathered to every router, and all that is known of this router's holders to those that have just come.
+func (c *Collector) passOn() {
+	c.mu.Lock()
+	batch, nodes := c.pending, c.nodes
+	c.pending = nil
+	var fresh []peer.Node
+	known := map[string]bool{}
+	for _, n := range nodes {
+		known[n.ID] = true
+		if n.ID != c.self.ID && !c.greeted[n.ID] {
+			c.greeted[n.ID] = true
+			fresh = append(fresh, n)
+		}
+	}
+	for id := range c.greeted {
+		if !known[id] {
+			delete(c.greeted, id)
+		}
+	}
+	var mine []string
+	for id := range c.drawing {
+		mine = append(mine, id)
+	}
+	c.mu.Unlock()
+	if len(batch) > 0 {
+		c.send(batch, nodes)
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	var whole []peer.Events
+	for _, id := range mine {
+		if state := c.sink.HolderState(id); len(state) > 0 {
+			whole = append(whole, peer.Events{Holder: id, Reset: true, List: state})
+		}
+	}
+	if len(whole) > 0 {
+		for _, n := range fresh {
+			go c.call(n.Address, &peer.EventBatch{List: whole})
+		}
+	}
+}
+
+// send passes a batch to the routers of this zone, and to one router of each other zone that passes it on there.
+func (c *Collector) send(batch []peer.Events, nodes []peer.Node) {
+	relays := map[string]peer.Node{}
+	for _, n := range nodes {
+		if n.ID == c.self.ID {
+			continue
+		}
+		if n.Zone == c.self.Zone {
+			go c.call(n.Address, &peer.EventBatch{List: batch})
+			continue
+		}
+		if r, ok := relays[n.Zone]; !ok || directory.Weight(c.self.ID, n.ID) > directory.Weight(c.self.ID, r.ID) {
+			relays[n.Zone] = n
+		}
+	}
+	for _, n := range relays {
+		go c.call(n.Address, &peer.EventBatch{Forward: true, List: batch})
+	}
+}
+
+func (c *Collector) call(address string, batch *peer.EventBatch) {
+	// What is lost here is learned from own sends, or at the latest when the part is used again.
+	_ = c.caller.Call(address, peer.CallEvents, batch, &peer.Empty{}, passTimeout)
+}
+
+// Handler takes batches from other routers.
+func (c *Collector) Handler(body []byte) (msgp.Marshaler, error) {
+	var batch peer.EventBatch
+	if _, err := batch.UnmarshalMsg(body); err != nil {
+		return nil, err
+	}
+	c.sink.TakeEvents(batch.List)
+	if batch.Forward {
+		c.mu.Lock()
+		nodes := c.nodes
+		c.mu.Unlock()
+		for _, n := range nodes {
+			if n.ID != c.self.ID && n.Zone == c.self.Zone {
+				go c.call(n.Address, &peer.EventBatch{List: batch.List})
+			}
+		}
+	}
+	return &peer.Empty{}, nil
+}
--- a/dataplane/kvindex/index.go
+++ b/dataplane/kvindex/index.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/list"
+	"strings"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	Tokens float64
 }
 
+// PartID gives the form of a part's id by which it is compared: it is a number in hex, written with leading zeros or without.
+func PartID(id string) string { return strings.TrimLeft(id, "0") }
+
 // key names a part under a salt: parts are shared under the same salt only.
 type key struct{ salt, part string }
 
@@ -101,6 +105,18 @@
 	delete(h.parts, e.key)
 }
 
+// State lists what a holder keeps, used longest ago first.
+func (x *Index) State(id string, each func(salt, part string, tokens float64)) {
+	h := x.holders[id]
+	if h == nil {
+		return
+	}
+	for el := h.order.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		each(e.key.salt, e.key.part, e.tokens)
+	}
+}
+
 // Prefix gives how many tokens of a prompt a holder keeps: those of its parts from the first on, as long as each is kept whole.
 func (x *Index) Prefix(id, salt string, prompt []Part) float64 {
 	h := x.holders[id]
--- a/dataplane/proxy/headers.go
+++ b/dataplane/proxy/headers.go
@@ -44,8 +44,10 @@
 	target  *target
 	version int64 // of the model's weights that the server is believed to run; 0: no model
 	salt    string
-	fetch   string // address of the source of parts that the server lacks
-	save    string // address of the store that is to keep the parts
+	fetch   string  // address of the source of parts that the server lacks
+	source  string  // the holder at that address
+	moves   float64 // tokens to be fetched from it
+	save    string  // address of the store that is to keep the parts
 	size    float64
 }
 
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -12,12 +13,9 @@
 	"moleshift/controlplane/registry"
 	"moleshift/dataplane/admission"
 	"moleshift/dataplane/attempt"
-	"moleshift/dataplane/balance"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/kvindex"
-	"moleshift/dataplane/outlier"
 	"moleshift/fault"
-	"moleshift/peer"
 	"moleshift/settings"
 )
 
@@ -33,7 +31,9 @@
 	started time.Time
 
 	mu       sync.Mutex
-	targets  map[string]*target // by instance
+	saving   map[string]time.Duration // by salt and part: until when this router sends no second save
+	moving   map[string]float64       // by holder: tokens that servers fetch from there for this router's requests
+	targets  map[string]*target       // by instance
 	services map[string][]*target
 	index    *kvindex.Index
 	retries  map[string]*admission.Retries
@@ -46,6 +46,7 @@
 func New(set *settings.Settings, follow func() *follower.Snapshot, fresh func() bool, log zerolog.Logger) *Proxy {
 	return &Proxy{
 		set: set, follow: follow, fresh: fresh, log: log, started: time.Now(), targets: map[string]*target{},
+		moving: map[string]float64{}, saving: map[string]time.Duration{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
 	}
@@ -58,6 +59,7 @@
 	var stale []*serverConn
 	p.mu.Lock()
 	p.routers = max(len(s.Nodes), 1)
+	maps.DeleteFunc(p.saving, func(_ string, until time.Duration) bool { return until < p.now() })
 	listed := map[string]bool{}
 	p.services = map[string][]*target{}
 	for service, instances := range s.Instances {
@@ -74,6 +76,7 @@
 			p.setHolder(s, &in)
 		}
 	}
+	p.setStores(s, listed)
 	for id, t := range p.targets {
 		if !listed[id] {
 			stale = append(stale, t.idle...)
@@ -89,16 +92,6 @@
 	}
 }
 
-// setHolder makes a model server known to the index. The lock is held.
-func (p *Proxy) setHolder(s *follower.Snapshot, in *peer.Instance) {
-	if s.Table == nil {
-		return
-	}
-	if service := s.Table.Services[in.Service]; service != nil && service.Engine != nil {
-		p.index.SetHolder(in.ID, service.Engine.KvCapacityTokens)
-	}
-}
-
 // Serve answers one request of a client.
 func (p *Proxy) Serve(e *Exchange) {
 	r, err := newRequest(e, p.follow(), p.fresh())
@@ -185,53 +178,6 @@
 	return b
 }
 
-// choose picks the server of a request: of least marginal load among those of the best standing.
-func (p *Proxy) choose(r *request) *routed {
-	now := time.Now()
-	steady := p.now()
-	newest, newestFrom := r.newestVersion(p.set)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var options []routed
-	var candidates []balance.Candidate
-	for _, t := range p.services[r.service.Name] {
-		if r.tried[t.instance.ID] || t.instance.State != registry.Ready {
-			continue
-		}
-		to := routed{target: t}
-		kept := 0.0
-		if r.model != "" && r.service.Engine != nil {
-			to.version = max(t.version(r.model), 1)
-			if newest > to.version && now.After(newestFrom) {
-				continue
-			}
-			to.salt = r.salt(to.version)
-			kept = p.index.Prefix(t.instance.ID, to.salt, r.prompt)
-		}
-		to.size = r.size(kept)
-		standing := t.state.Standing(steady)
-		if t.instance.Loading {
-			standing = max(standing, outlier.Busy)
-		}
-		if t.instance.Silent {
-			standing = max(standing, outlier.Stalled)
-		}
-		options = append(options, to)
-		candidates = append(candidates, balance.Candidate{Size: to.size, Queue: t.queue + t.others(now), Standing: standing})
-	}
-	i := balance.Choose(candidates, p.random)
-	if i < 0 {
-		return nil
-	}
-	return &options[i]
-}
-
-// newestVersion gives the newest version named of the request's model, and from when on no older one will do.
-func (r *request) newestVersion(set *settings.Settings) (int64, time.Time) {
-	v := r.snapshot.Weights[r.model]
-	return v, r.snapshot.WeightsAt[r.model].Add(settings.Millis(newestOnly * set.Bounds.VersionMs))
-}
-
 // connLimit is how many connections this router may have to one server of the request's service.
 func (p *Proxy) connLimit(r *request) int {
 	p.mu.Lock()
@@ -255,6 +201,9 @@
 	t.queue += to.size
 	t.inFlight++
 	t.sizes += (to.size - t.sizes) / 16
+	if to.fetch != "" {
+		p.moving[to.source] += to.moves
+	}
 	t.state.Sent(p.now())
 }
 
@@ -265,6 +214,7 @@
 	t := to.target
 	t.queue = max(t.queue-to.size, 0)
 	to.size = 0
+	p.moved(to)
 	t.inFlight--
 	t.state.Ended()
 }
@@ -279,8 +229,12 @@
 	done := max(to.size-r.maxOut, 0)
 	to.size -= done
 	to.target.queue = max(to.target.queue-done, 0)
+	p.moved(to)
 	for _, part := range r.prompt {
 		p.index.Kept(p.now(), to.target.instance.ID, to.salt, part)
+		if to.save != "" {
+			p.index.Kept(p.now(), to.save, to.salt, part)
+		}
 	}
 }
 
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -151,7 +151,7 @@
 	for piece := range strings.SplitSeq(string(r.Header.Peek(headerPrefix)), ",") {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
 		if ok {
-			r.prompt = append(r.prompt, kvindex.Part{ID: id, Tokens: number(tokens)})
+			r.prompt = append(r.prompt, kvindex.Part{ID: kvindex.PartID(id), Tokens: number(tokens)})
 		}
 	}
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -181,23 +181,22 @@
 	Body []byte `msg:"b"`
 }
 
-// Event is a change of what a server keeps: gained (Tokens above 0) or lost.
+// Event is what a holder keeps of a part after a change; Tokens 0: nothing any more.
 type Event struct {
 	Salt   string `msg:"s"`
 	Part   string `msg:"p"`
 	Tokens int    `msg:"t"`
-	Gained bool   `msg:"g"`
 }
 
-// Events passes on what the collector of a server's events has heard.
+// Events passes on what the collector of a holder's events has heard.
 type Events struct {
-	Instance string  `msg:"i"` // or the store's address
-	Epoch    int64   `msg:"e"`
-	Reset    bool    `msg:"r"` // forget what was known of it first
-	List     []Event `msg:"l"`
+	Holder string  `msg:"h"` // instance, or address of a store
+	Reset  bool    `msg:"r"` // the list is all that the holder keeps
+	List   []Event `msg:"l"`
 }
 
-// EventBatch holds the events of several servers.
+// EventBatch holds the events of several holders.
 type EventBatch struct {
-	List []Events `msg:"l"`
+	Forward bool     `msg:"f"` // the receiver passes it on within its zone
+	List    []Events `msg:"l"`
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -804,12 +804,6 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
-		case "g":
-			z.Gained, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Gained")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -822,10 +816,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Event) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+func (z Event) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x83, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -854,25 +848,15 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Gained)
-	if err != nil {
-		err = msgp.WrapError(err, "Gained")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Event) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Event) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 3
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x83, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Salt)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -880,9 +864,6 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt(o, z.Tokens)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Gained)
 	return
 }
 
@@ -922,12 +903,6 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
-		case "g":
-			z.Gained, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gained")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -941,8 +916,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Event) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Salt) + 2 + msgp.StringPrefixSize + len(z.Part) + 2 + msgp.IntSize + 2 + msgp.BoolSize
+func (z Event) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Salt) + 2 + msgp.StringPrefixSize + len(z.Part) + 2 + msgp.IntSize
 	return
 }
 
@@ -964,6 +939,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "f":
+			z.Forward, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Forward")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -996,9 +977,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EventBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 2
+	// write "f"
+	err = en.Append(0x82, 0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Forward)
+	if err != nil {
+		err = msgp.WrapError(err, "Forward")
+		return
+	}
 	// write "l"
-	err = en.Append(0x81, 0xa1, 0x6c)
+	err = en.Append(0xa1, 0x6c)
 	if err != nil {
 		return
 	}
@@ -1020,9 +1011,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Forward)
 	// string "l"
-	o = append(o, 0x81, 0xa1, 0x6c)
+	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -1052,6 +1046,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "f":
+			z.Forward, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Forward")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1085,7 +1085,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EventBatch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
 		s += z.List[za0001].Msgsize()
 	}
@@ -1110,16 +1110,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Instance, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "e":
-			z.Epoch, err = dc.ReadInt64()
+		case "h":
+			z.Holder, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
+				err = msgp.WrapError(err, "Holder")
 				return
 			}
 		case "r":
@@ -1141,11 +1135,46 @@
 				z.List = make([]Event, zb0002)
 			}
 			for za0001 := range z.List {
-				err = z.List[za0001].DecodeMsg(dc)
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.List[za0001].Salt, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Salt")
+							return
+						}
+					case "p":
+						z.List[za0001].Part, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Part")
+							return
+						}
+					case "t":
+						z.List[za0001].Tokens, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -1160,25 +1189,15 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Events) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "i"
-	err = en.Append(0x84, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Instance)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
+	// map header, size 3
+	// write "h"
+	err = en.Append(0x83, 0xa1, 0x68)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt64(z.Epoch)
+	err = en.WriteString(z.Holder)
 	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
+		err = msgp.WrapError(err, "Holder")
 		return
 	}
 	// write "r"
@@ -1202,9 +1221,35 @@
 		return
 	}
 	for za0001 := range z.List {
-		err = z.List[za0001].EncodeMsg(en)
+		// map header, size 3
+		// write "s"
+		err = en.Append(0x83, 0xa1, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		err = en.WriteString(z.List[za0001].Salt)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Salt")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.List[za0001].Part)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.List[za0001].Tokens)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Tokens")
 			return
 		}
 	}
@@ -1214,13 +1259,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Events) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Instance)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
+	// map header, size 3
+	// string "h"
+	o = append(o, 0x83, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Reset)
@@ -1228,11 +1270,16 @@
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
-		o, err = z.List[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.List[za0001].Salt)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.List[za0001].Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
 	}
 	return
 }
@@ -1255,16 +1302,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Instance, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "e":
-			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
+				err = msgp.WrapError(err, "Holder")
 				return
 			}
 		case "r":
@@ -1286,11 +1327,46 @@
 				z.List = make([]Event, zb0002)
 			}
 			for za0001 := range z.List {
-				bts, err = z.List[za0001].UnmarshalMsg(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.List[za0001].Salt, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Salt")
+							return
+						}
+					case "p":
+						z.List[za0001].Part, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Part")
+							return
+						}
+					case "t":
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1306,9 +1382,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Events) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
-		s += z.List[za0001].Msgsize()
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Salt) + 2 + msgp.StringPrefixSize + len(z.List[za0001].Part) + 2 + msgp.IntSize
 	}
 	return
 }
