--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -72,8 +72,8 @@
 	return peer.Model{}, false
 }
 
-// Next gives the orders to give now. busy holds the instances for which one is under way; load tells how much an instance has to
-// do, the least comes first.
+// Next gives the servers whose turn it is. busy holds those whose turn is not over; load tells how much an instance has to do, the
+// least comes first. Twice as many have their turn as may load at once: half of them let their runs end meanwhile.
 func (s *State) Next(live []peer.Instance, busy func(id string) bool, load func(id string) float64) []Step {
 	count, loading := map[string]int{}, map[string]int{}
 	var behind []Step
@@ -96,7 +96,7 @@
 	var steps []Step
 	for _, step := range behind {
 		service := step.Instance.Service
-		if loading[service] >= AtOnce(count[service]) {
+		if loading[service] >= 2*AtOnce(count[service]) {
 			continue
 		}
 		loading[service]++
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/core"
@@ -22,12 +23,12 @@
 	rolloutTick    = 100 * time.Millisecond
 	leaseUse       = 1200 * time.Millisecond
 	leaseMargin    = 200 * time.Millisecond
-	reportEvery    = 250 * time.Millisecond
-	firstReport    = 500 * time.Millisecond
+	reportEvery    = 150 * time.Millisecond
 	loadAtMost     = 6 * time.Second
 	serverTimeout  = 600 * time.Millisecond
-	orderPause     = 60 * time.Millisecond // routers hear that a server is about to load before it does
-	modeWait       = "wait"                // runs end under the weights with which they began
+	emptyAfter     = 300 * time.Millisecond  // before the first look whether a server's runs have ended: reports lag behind
+	emptyAtMost    = 1200 * time.Millisecond // then it is ordered to load all the same, and waits for its last runs itself
+	modeWait       = "wait"                  // runs end under the weights with which they began
 	operationLoad  = "version"
 	statusAccepted = 202
 )
@@ -37,7 +38,7 @@
 	b := c.set.Bounds
 	rest := settings.Millis(b.LeaseMs+b.FreezeSlackMs) + leaseMargin
 	watch := singleton.NewWatch(singleton.Settings{Use: leaseUse, Guard: leaseUse + rest}, c.self.ID)
-	r := &roller{c: c, watch: watch, client: &fasthttp.Client{
+	r := &roller{c: c, watch: watch, slots: map[string]int{}, client: &fasthttp.Client{
 		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 4, MaxIdleConnDuration: 2 * time.Second,
 		Dial: func(address string) (net.Conn, error) { return sock.Dial(c.set.IP, address, serverTimeout) },
 	}}
@@ -56,8 +57,9 @@
 // roller carries the rollout out.
 type roller struct {
 	c      *Controller
-	watch  *singleton.Watch // used by tick alone, but for Holds under the controller's lock
+	watch  *singleton.Watch // guarded by the controller's lock
 	client *fasthttp.Client
+	slots  map[string]int // servers that load now, by service; guarded by the controller's lock
 }
 
 func (r *roller) tick() {
@@ -122,7 +124,7 @@
 	return holds
 }
 
-// load orders one server to load and follows it until it has.
+// load has one server's turn: routers send it nothing new, its runs end, it is ordered to load and followed until it has.
 func (r *roller) load(step rollout.Step) {
 	c, id := r.c, step.Instance.ID
 	r.setLoading(step.Instance, true)
@@ -132,7 +134,11 @@
 		delete(c.loading, id)
 		c.mu.Unlock()
 	}()
-	time.Sleep(orderPause)
+	r.awaitEmpty(step.Instance.Address)
+	if !r.takeSlot(step.Instance.Service) {
+		return
+	}
+	defer r.freeSlot(step.Instance.Service)
 	c.mu.Lock()
 	epoch, holds := r.watch.Holds(c.now())
 	c.mu.Unlock()
@@ -144,17 +150,58 @@
 		c.log.Info().Str("instance", id).Int("status", status).Msg("server did not take the order to load")
 		return
 	}
-	time.Sleep(firstReport)
+	r.awaitLoaded(step)
+}
+
+// awaitEmpty waits until a server tells that nothing runs there, for emptyAtMost at the longest.
+func (r *roller) awaitEmpty(address string) {
+	began := time.Now()
+	for time.Sleep(emptyAfter); time.Since(began) < emptyAtMost; time.Sleep(reportEvery) {
+		if report, err := r.report(address); err == nil && report.Running == 0 && report.Queued == 0 {
+			return
+		}
+	}
+}
+
+// takeSlot waits until fewer than AtOnce servers of the service load; false: the lease ran out meanwhile.
+func (r *roller) takeSlot(service string) bool {
+	c := r.c
+	for {
+		c.mu.Lock()
+		_, holds := r.watch.Holds(c.now())
+		count := len(lo.Filter(c.table.Live(), func(in peer.Instance, _ int) bool { return in.Service == service }))
+		free := r.slots[service] < rollout.AtOnce(count)
+		if free && holds {
+			r.slots[service]++
+		}
+		c.mu.Unlock()
+		if !holds || free {
+			return holds
+		}
+		time.Sleep(reportEvery / 3)
+	}
+}
+
+func (r *roller) freeSlot(service string) {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	r.slots[service]--
+}
+
+// awaitLoaded follows a server that took an order until it has the new weights.
+func (r *roller) awaitLoaded(step rollout.Step) {
+	c := r.c
+	time.Sleep(emptyAfter)
 	for began := time.Now(); time.Since(began) < loadAtMost; time.Sleep(reportEvery) {
-		models, busy, err := r.report(step.Instance.Address)
-		if err != nil || busy {
+		report, err := r.report(step.Instance.Address)
+		if err != nil || report.Busy {
 			continue
 		}
-		if rollout.VersionOf(models, step.Model.Name) < step.Model.Version {
+		if rollout.VersionOf(report.Models, step.Model.Name) < step.Model.Version {
 			return // it did not take the order: another is given at the next tick
 		}
 		loaded := step.Instance
-		loaded.Models, loaded.State = models, registry.Ready
+		loaded.Models, loaded.State = report.Models, registry.Ready
 		c.takeAll([]peer.Instance{loaded})
 		c.push([]peer.Instance{loaded}, false, false)
 		return
@@ -182,19 +229,27 @@
 	return status, err
 }
 
-func (r *roller) report(address string) ([]peer.Model, bool, error) {
+// report is a server's account of itself; it lags some hundred milliseconds behind.
+type report struct {
+	Models  []peer.Model `json:"models"`
+	Busy    bool         `json:"busy"`
+	Running int          `json:"running"`
+	Queued  int          `json:"queued"`
+}
+
+func (r *roller) report(address string) (*report, error) {
 	status, body, err := r.do(fasthttp.MethodGet, address, "/report", nil)
-	if err != nil || status != fasthttp.StatusOK {
-		return nil, true, err
+	if err != nil {
+		return nil, err
 	}
-	var report struct {
-		Models []peer.Model `json:"models"`
-		Busy   bool         `json:"busy"`
+	if status != fasthttp.StatusOK {
+		return nil, core.ErrStatus
 	}
-	if err := json.Unmarshal(body, &report); err != nil {
-		return nil, true, err
+	var out report
+	if err := json.Unmarshal(body, &out); err != nil {
+		return nil, err
 	}
-	return report.Models, report.Busy, nil
+	return &out, nil
 }
 
 func (r *roller) do(method, address, path string, body []byte) (int, []byte, error) {
--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -15,6 +15,7 @@
 	TurnedAway                // the server says that it has not run the request: Moleshift-Not-Executed, or 421
 	Failed                    // a whole answer with a failure of the server's own: it counts as run
 	Broken                    // sent, and then a reset, a close, silence or bytes that are no answer
+	Moved                     // this process broke a stream off to take it up elsewhere: the budget was drawn on already
 	Done                      // a whole answer with success
 )
 
@@ -46,6 +47,11 @@
 // MayHaveRun tells whether some attempt may have run. Until then, and only then, a promise that it has not is true.
 func (r *Request) MayHaveRun() bool { return r.runs > 0 }
 
+// MayMove tells whether a stream that runs may be broken off and taken up at another server.
+func (r *Request) MayMove() bool {
+	return r.Repeatable && r.runs+1 < max(r.MaxAttempts, 1) && r.turns+1 < maxTurns
+}
+
 // HeadPassed notes that the client has got the head of an answer.
 func (r *Request) HeadPassed() { r.passed = true }
 
@@ -71,6 +77,10 @@
 			return Cut, fault.None
 		}
 		return Pass, fault.None
+	case Moved:
+		if room.Time && room.Server {
+			return r.again()
+		}
 	case Broken:
 		if r.Repeatable && r.mayRunAgain(room) {
 			return r.again()
--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	holdEvents   = 1000 * time.Millisecond // the longest a holder holds a call
-	callSlack    = 600 * time.Millisecond
-	betweenCalls = 500 * time.Millisecond // events gather meanwhile: a call that is answered at once costs as much as a probe
+	holdEvents   = 600 * time.Millisecond // a holder without events answers after that: then it is known to live
+	callSlack    = 500 * time.Millisecond
+	betweenCalls = 200 * time.Millisecond // events gather meanwhile
 	failedPause  = time.Second
 	passEvery    = 200 * time.Millisecond
 	passTimeout  = 500 * time.Millisecond
@@ -129,6 +129,7 @@
 func (c *Collector) draw(h holderOf, end chan struct{}) {
 	since, epoch := "0", ""
 	pause := betweenCalls
+	down := false
 	for {
 		select {
 		case <-end:
@@ -140,6 +141,10 @@
 		body, err := c.ask(h.address, since)
 		if err != nil {
 			pause = failedPause
+			if !down {
+				down = true
+				c.learned(peer.Events{Holder: h.id, Down: true})
+			}
 			continue
 		}
 		p, events, err := parse(body)
@@ -154,7 +159,8 @@
 		if restarted && len(events) == 0 {
 			since = "0"
 		}
-		if restarted || len(events) > 0 {
+		if restarted || down || len(events) > 0 {
+			down = false
 			c.learned(peer.Events{Holder: h.id, Reset: restarted, List: events})
 		}
 	}
--- a/dataplane/proxy/choose.go
+++ b/dataplane/proxy/choose.go
@@ -21,7 +21,7 @@
 	moveOtherZone   = 2.0
 	moveOtherRegion = 10.0
 	leastMove       = 64   // tokens: less than that is read again sooner than fetched
-	movedShare      = 0.25  // what a token that is fetched counts against one that is read: it takes up memory all the same
+	movedShare      = 0.25 // what a token that is fetched counts against one that is read: it takes up memory all the same
 	leastSave       = 1024 // tokens of shared parts: fewer are not worth a move to the store
 	savingFor       = 2 * time.Second
 )
@@ -104,11 +104,14 @@
 func (p *Proxy) sources(r *request, steady time.Duration) []sourceOf {
 	var list []sourceOf
 	for _, t := range p.services[r.service.Name] {
-		if p.standing(t, steady) <= outlier.Busy {
+		if p.standing(t, steady) <= outlier.Busy && !p.down[t.instance.ID] {
 			list = append(list, sourceOf{t.instance.ID, t.instance.Address, t.instance.Zone, 1})
 		}
 	}
 	for _, store := range r.snapshot.Table.Stores {
+		if p.down[store.StoreAddress] {
+			continue
+		}
 		slowness := 1.0
 		if store.LinkMbps > 0 && r.service.Engine.LinkMbps > 0 {
 			slowness = r.service.Engine.LinkMbps / store.LinkMbps
@@ -167,7 +170,7 @@
 		tokens += part.Tokens
 	}
 	store := r.snapshot.Table.Stores[0]
-	if tokens < leastSave || p.index.Prefix(store.StoreAddress, to.salt, shared) >= tokens {
+	if tokens < leastSave || p.down[store.StoreAddress] || p.index.Prefix(store.StoreAddress, to.salt, shared) >= tokens {
 		return
 	}
 	key := to.salt + " " + shared[len(shared)-1].ID
@@ -219,6 +222,11 @@
 		if events.Reset {
 			p.index.Reset(events.Holder)
 		}
+		if events.Down {
+			p.down[events.Holder] = true
+		} else {
+			delete(p.down, events.Holder)
+		}
 		for _, e := range events.List {
 			if e.Tokens <= 0 {
 				p.index.Lost(events.Holder, e.Salt, e.Part)
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -184,6 +184,10 @@
 	piece := make([]byte, streamBuffer)
 	byClose := a.stream.framing == framedByClose
 	for {
+		if r.started && p.mustMove(r, to) {
+			p.endAttempt(r, to, a.conn, false)
+			return attempt.Moved
+		}
 		p.boundSilence(r, a)
 		n, err := a.stream.Read(piece)
 		if n > 0 {
@@ -218,6 +222,18 @@
 	return attempt.Done
 }
 
+// mustMove tells whether a stream is to be taken up at another server because its own is about to load new weights, and waits for
+// its runs to end before that.
+func (p *Proxy) mustMove(r *request, to *routed) bool {
+	if !r.state.MayMove() {
+		return false
+	}
+	p.mu.Lock()
+	loading := to.target.instance.Loading
+	p.mu.Unlock()
+	return loading && p.room(r, attempt.Moved).Budget
+}
+
 // boundSilence bounds the wait for the next piece of a stream that may be taken up elsewhere.
 func (p *Proxy) boundSilence(r *request, a *reply) {
 	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -20,7 +20,7 @@
 )
 
 // newestOnly is the share of version-ms after which requests go only to servers with the newest weights named.
-const newestOnly = 0.6
+const newestOnly = 0.92
 
 // Proxy sends requests to servers.
 type Proxy struct {
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	saving   map[string]time.Duration // by salt and part: until when this router sends no second save
 	moving   map[string]float64       // by holder: tokens that servers fetch from there for this router's requests
+	down     map[string]bool          // holders that did not answer their collector lately
 	targets  map[string]*target       // by instance
 	services map[string][]*target
 	index    *kvindex.Index
@@ -46,7 +47,7 @@
 func New(set *settings.Settings, follow func() *follower.Snapshot, fresh func() bool, log zerolog.Logger) *Proxy {
 	return &Proxy{
 		set: set, follow: follow, fresh: fresh, log: log, started: time.Now(), targets: map[string]*target{},
-		moving: map[string]float64{}, saving: map[string]time.Duration{},
+		moving: map[string]float64{}, saving: map[string]time.Duration{}, down: map[string]bool{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
 	}
@@ -83,6 +84,7 @@
 			t.conns -= len(t.idle)
 			t.idle = nil
 			delete(p.targets, id)
+			delete(p.down, id)
 			p.index.DropHolder(id)
 		}
 	}
@@ -141,7 +143,11 @@
 		return attempt.Cut, fault.ClientGone
 	}
 	p.learn(r, to, a, outcome)
-	action, kind := r.state.Next(outcome, p.room(r, outcome))
+	room = attempt.Room{Time: time.Now().Before(r.deadline), Server: true}
+	if outcome != attempt.Moved {
+		room = p.room(r, outcome)
+	}
+	action, kind := r.state.Next(outcome, room)
 	if action == attempt.Pass {
 		p.pass(r, a)
 	}
@@ -158,7 +164,7 @@
 			room.Server = true
 		}
 	}
-	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed))
+	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed || o == attempt.Moved))
 	if needed && room.Server && room.Time {
 		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.routers)
 	}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -192,6 +192,7 @@
 type Events struct {
 	Holder string  `msg:"h"` // instance, or address of a store
 	Reset  bool    `msg:"r"` // the list is all that the holder keeps
+	Down   bool    `msg:"d"` // the holder does not answer: nothing is to be fetched from it or saved there
 	List   []Event `msg:"l"`
 }
 
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1122,6 +1122,12 @@
 				err = msgp.WrapError(err, "Reset")
 				return
 			}
+		case "d":
+			z.Down, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Down")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1189,9 +1195,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Events) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "h"
-	err = en.Append(0x83, 0xa1, 0x68)
+	err = en.Append(0x84, 0xa1, 0x68)
 	if err != nil {
 		return
 	}
@@ -1210,6 +1216,16 @@
 		err = msgp.WrapError(err, "Reset")
 		return
 	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Down)
+	if err != nil {
+		err = msgp.WrapError(err, "Down")
+		return
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -1259,13 +1275,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Events) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "h"
-	o = append(o, 0x83, 0xa1, 0x68)
+	o = append(o, 0x84, 0xa1, 0x68)
 	o = msgp.AppendString(o, z.Holder)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Reset)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Down)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
@@ -1314,6 +1333,12 @@
 				err = msgp.WrapError(err, "Reset")
 				return
 			}
+		case "d":
+			z.Down, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Down")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1382,7 +1407,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Events) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Salt) + 2 + msgp.StringPrefixSize + len(z.List[za0001].Part) + 2 + msgp.IntSize
 	}
