--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -93,6 +93,12 @@
 // Fresh tells that the store was empty when the process started.
 func (a *Acceptor) Fresh() bool { return a.fresh }
 
+// Keep stores a record of another kind beside the registers. Nothing is promised by it.
+func (a *Acceptor) Keep(name string, data []byte) error { return trace.Wrap(a.store.Put(name, data)) }
+
+// Kept gives such a record, or nil.
+func (a *Acceptor) Kept(name string) []byte { return a.store.Get(name) }
+
 // State gives what is kept of a register.
 func (a *Acceptor) State(register string) quorum.State {
 	a.mu.Lock()
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -26,6 +26,7 @@
 
 const (
 	syncsPerContact  = 10 // looks at the members in bounds.contact-ms
+	firstSync        = 40 * time.Millisecond
 	minSync          = 100 * time.Millisecond
 	maxSync          = 500 * time.Millisecond
 	silentBeats      = 3.5 // heartbeats missed before a server is taken for silent
@@ -63,6 +64,7 @@
 	freshNodes   map[string]peer.Node
 	lastFresh    time.Time
 	unsettled    map[string]int
+	remembered   uint64          // digest of the table as it was last kept on disk
 	loading      map[string]bool // instances with an order of this node under way
 }
 
@@ -85,6 +87,7 @@
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, freshNodes: map[string]peer.Node{},
 		unsettled: map[string]int{}, loading: map[string]bool{},
 	}
+	c.recall()
 	c.syncEvery = min(max(settings.Millis(set.Bounds.ContactMs/syncsPerContact), minSync), maxSync)
 	return c
 }
@@ -156,17 +159,19 @@
 	if c.acceptor == nil {
 		return
 	}
-	ticker := time.NewTicker(c.syncEvery)
-	defer ticker.Stop()
 	for {
+		c.syncOnce()
+		c.settle()
+		c.manageMembers()
+		pause := c.syncEvery
+		if c.registers.Known(core.Config).Confirmed.IsZero() {
+			pause = firstSync // until a quorum was heard, nothing can be answered
+		}
 		select {
 		case <-c.closed:
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
-		c.syncOnce()
-		c.settle()
-		c.manageMembers()
 	}
 }
 
@@ -301,6 +306,7 @@
 		}
 		c.mu.Unlock()
 		c.notify()
+		c.remember()
 	}
 }
 
--- a/controlplane/server/members.go
+++ b/controlplane/server/members.go
@@ -12,7 +12,7 @@
 
 const (
 	callTimeout    = 350 * time.Millisecond
-	findEvery      = 150 * time.Millisecond
+	findEvery      = 80 * time.Millisecond
 	applyEvery     = 400 * time.Millisecond
 	applicantKeep  = 2 * time.Second
 	genesisLeast   = 1500 * time.Millisecond // after the start, before the first membership is decided
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -30,6 +30,7 @@
 	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
 	firstPoll     = 350 * time.Millisecond // a first poll is not held
 	failPause     = 100 * time.Millisecond
+	firstPause    = 30 * time.Millisecond   // until there is a configuration
 	staleAfter    = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
 	refreshBefore = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
 	tombstoneKeep = time.Minute
@@ -108,7 +109,7 @@
 	for {
 		members := f.order()
 		if len(members) == 0 {
-			if !f.pause(failPause) {
+			if !f.pause(firstPause) {
 				return
 			}
 			continue
@@ -127,7 +128,11 @@
 		}
 		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
 			at = (at + 1) % len(members)
-			if !f.pause(failPause) {
+			pause := failPause
+			if f.Snapshot().Table == nil {
+				pause = firstPause
+			}
+			if !f.pause(pause) {
 				return
 			}
 			continue
@@ -230,6 +235,9 @@
 		return false
 	}
 	f.config = reply.Config
+	if s.Table == nil {
+		f.log.Info().Int64("version", document.Version).Dur("since-start-ms", time.Since(f.start)).Msg("first configuration in force")
+	}
 	s.Table = routing.Compile(document)
 	return true
 }
