--- a/controlplane/core/look.go
+++ b/controlplane/core/look.go
@@ -27,20 +27,14 @@
 	reply  *peer.SyncReply
 }
 
-// Look asks all members what they keep of every register and notes what it shows to be chosen. extra fills in the rest of the
-// message; what members answer comes back. It is also how members know of one another that they live.
-func (r *Registers) Look(extra *peer.Sync) []peer.SyncReply {
+// Look asks all members what they keep of every register and notes what it shows to be chosen; it returns once that is settled or
+// nothing more can come in time. extra fills in the rest of the message. Each answer goes to each, also one that comes later.
+// It is also how members know of one another that they live.
+func (r *Registers) Look(extra *peer.Sync, each func(reply *peer.SyncReply)) {
 	began := time.Now()
-	views := map[string]*quorum.View{}
-	for _, register := range registers {
-		b, v := r.accepted(register)
-		if len(v.Members) == 0 {
-			return nil
-		}
-		views[register] = quorum.NewView(b, v)
-		if r.acceptor != nil {
-			views[register].Note(r.acceptor.identity, r.acceptor.State(register).Accepted, nil)
-		}
+	views := r.views()
+	if views == nil {
+		return
 	}
 	asked := map[string]bool{}
 	if r.acceptor != nil {
@@ -48,7 +42,6 @@
 	}
 	answers := make(chan syncAnswer, maxMembers)
 	waiting := 0
-	var replies []peer.SyncReply
 	timer := time.NewTimer(phaseTimeout)
 	defer timer.Stop()
 	for {
@@ -58,46 +51,53 @@
 			}
 			asked[m.ID] = true
 			waiting++
-			go r.askSync(m, extra, answers)
+			go func() {
+				a := syncAnswer{m, r.askSync(m, extra)}
+				if a.reply != nil && each != nil {
+					each(a.reply)
+				}
+				answers <- a
+			}()
 		}
 		if waiting == 0 || r.noteViews(views, began) {
-			break
+			return
 		}
 		select {
 		case a := <-answers:
 			waiting--
-			if a.reply == nil {
-				continue
-			}
-			replies = append(replies, *a.reply)
-			for i, read := range a.reply.Reads {
-				if i < len(registers) && !read.Wrong {
-					r.met(registers[i], read.Promised)
-					views[registers[i]].Note(a.member.ID, read.Accepted, read.Value)
-				}
-			}
+			r.noteAnswer(views, a)
 		case <-timer.C:
-			waiting = 0
+			return
 		}
 	}
-	r.noteViews(views, began)
-	return append(replies, late(answers, waiting, timer)...)
 }
 
-// late collects the answers that are still due, so that all who live are heard.
-func late(answers chan syncAnswer, waiting int, timer *time.Timer) []peer.SyncReply {
-	var replies []peer.SyncReply
-	for ; waiting > 0; waiting-- {
-		select {
-		case a := <-answers:
-			if a.reply != nil {
-				replies = append(replies, *a.reply)
-			}
-		case <-timer.C:
-			return replies
+// views begins a look at each register with what this node keeps; nil: the members are not known yet.
+func (r *Registers) views() map[string]*quorum.View {
+	views := map[string]*quorum.View{}
+	for _, register := range registers {
+		b, v := r.accepted(register)
+		if len(v.Members) == 0 {
+			return nil
+		}
+		views[register] = quorum.NewView(b, v)
+		if r.acceptor != nil {
+			views[register].Note(r.acceptor.identity, r.acceptor.State(register).Accepted, nil)
+		}
+	}
+	return views
+}
+
+func (r *Registers) noteAnswer(views map[string]*quorum.View, a syncAnswer) {
+	if a.reply == nil {
+		return
+	}
+	for i, read := range a.reply.Reads {
+		if i < len(registers) && !read.Wrong {
+			r.met(registers[i], read.Promised)
+			views[registers[i]].Note(a.member.ID, read.Accepted, read.Value)
 		}
 	}
-	return replies
 }
 
 func targets(views map[string]*quorum.View) []quorum.Member {
@@ -122,7 +122,8 @@
 	return all
 }
 
-func (r *Registers) askSync(m quorum.Member, extra *peer.Sync, answers chan<- syncAnswer) {
+// askSync asks one member; nil: it did not answer.
+func (r *Registers) askSync(m quorum.Member, extra *peer.Sync) *peer.SyncReply {
 	in := peer.Sync{From: r.self}
 	if extra != nil {
 		in = *extra
@@ -134,13 +135,12 @@
 	}
 	var reply peer.SyncReply
 	if err := r.caller.Call(m.Address, peer.CallSync, &in, &reply, callTimeout); err != nil {
-		answers <- syncAnswer{member: m}
-		return
+		return nil
 	}
 	if len(reply.Reads) > 0 && !reply.Reads[0].Wrong {
 		r.alive(m.ID)
 	}
-	answers <- syncAnswer{m, &reply}
+	return &reply
 }
 
 // AnswerReads answers the reads of a Sync.
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -334,7 +334,7 @@
 func (r *Registers) Refresh(register string, deadline time.Time) (Known, error) {
 	began := time.Now()
 	for {
-		r.Look(nil)
+		r.Look(nil, nil)
 		if k := r.Known(register); !k.Confirmed.Before(began) {
 			return k, nil
 		}
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -159,22 +159,33 @@
 	if c.acceptor == nil {
 		return
 	}
+	// Until a quorum was heard nothing can be answered, and others may be on their way: look anew without waiting for the last look.
+	for pause := firstSync; c.registers.Known(core.Config).Confirmed.IsZero(); pause = min(pause*3/2, c.syncEvery) {
+		go c.syncOnce()
+		if !c.pause(pause) {
+			return
+		}
+	}
 	for {
 		c.syncOnce()
 		c.settle()
 		c.manageMembers()
-		pause := c.syncEvery
-		if c.registers.Known(core.Config).Confirmed.IsZero() {
-			pause = firstSync // until a quorum was heard, nothing can be answered
-		}
-		select {
-		case <-c.closed:
+		if !c.pause(c.syncEvery) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
 
+// pause waits; false: the controller was closed.
+func (c *Controller) pause(d time.Duration) bool {
+	select {
+	case <-c.closed:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // Close ends what Run does.
 func (c *Controller) Close() { close(c.closed) }
 
@@ -190,9 +201,7 @@
 	clear(c.heard)
 	message := &peer.Sync{From: c.self, Digest: c.table.Digest(), Heard: heard, Sessions: c.ownSessions()}
 	c.mu.Unlock()
-	for _, reply := range c.registers.Look(message) {
-		c.compare(&reply.From, reply.Digest)
-	}
+	c.registers.Look(message, func(reply *peer.SyncReply) { c.compare(&reply.From, reply.Digest) })
 	c.directory.Set(c.registers.Members(core.Config))
 }
 
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -30,7 +30,8 @@
 	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
 	firstPoll     = 350 * time.Millisecond // a first poll is not held
 	failPause     = 100 * time.Millisecond
-	firstPause    = 30 * time.Millisecond   // until there is a configuration
+	firstPause    = 60 * time.Millisecond // until there is a configuration, at first
+	mostPause     = time.Second
 	staleAfter    = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
 	refreshBefore = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
 	tombstoneKeep = time.Minute
@@ -105,44 +106,50 @@
 
 // Run polls until Close.
 func (f *Follower) Run() {
-	at := 0
-	for {
+	if !f.first() {
+		return
+	}
+	for at := 0; ; {
 		members := f.order()
-		if len(members) == 0 {
-			if !f.pause(firstPause) {
-				return
-			}
-			continue
-		}
 		if at >= len(members) {
 			at = 0
 		}
-		wait := pollWait
-		if f.Snapshot().Table == nil {
-			wait = firstPoll
-		}
 		began := time.Now()
-		reply, err := f.poll(members[at], wait)
+		reply, err := f.poll(members[at], pollWait)
 		if err == nil {
 			f.take(began, reply)
 		}
-		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
-			at = (at + 1) % len(members)
-			pause := failPause
-			if f.Snapshot().Table == nil {
-				pause = firstPause
-			}
-			if !f.pause(pause) {
-				return
-			}
-			continue
-		}
 		select {
 		case <-f.closed:
 			return
 		default:
 		}
+		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
+			at++
+			if !f.pause(failPause) {
+				return
+			}
+		}
+	}
+}
+
+// first asks all controllers at once, anew and anew at growing intervals, until there is a configuration: after a start some of them
+// may be on their way too, and a machine without power takes a call's whole time. false: closed.
+func (f *Follower) first() bool {
+	for pause := firstPause; f.Snapshot().Table == nil; pause = min(pause*3/2, mostPause) {
+		for _, m := range f.order() {
+			go func() {
+				began := time.Now()
+				if reply, err := f.poll(m, firstPoll); err == nil {
+					f.take(began, reply)
+				}
+			}()
+		}
+		if !f.pause(pause) {
+			return false
+		}
 	}
+	return true
 }
 
 // Close ends Run.
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	dialTimeout     = 400 * time.Millisecond
+	dialTimeout     = 250 * time.Millisecond
 	idleTimeout     = 20 * time.Second
 	connectionsEach = 32
 	maxBody         = 16 << 20
