--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -232,7 +232,7 @@
 	if to.version == 0 {
 		return
 	}
-	done := max(to.size-r.maxOut, 0)
+	done := max(to.size-r.decode(), 0)
 	to.size -= done
 	to.target.queue = max(to.target.queue-done, 0)
 	p.moved(to)
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -42,6 +42,7 @@
 	headerPriority     = "Priority"
 	headerLastEvent    = "Last-Event-Id"
 	headerRetryAfter   = "Retry-After"
+	decodeShare        = 0.1 // what a token to be generated counts against one to be read
 	leastHang          = time.Second
 	hangObjectives     = 3 // an attempt of a repeatable request without a first byte for so many objectives is given up
 	defaultObjectiveMs = 1000
@@ -169,9 +170,12 @@
 	if r.tokens == 0 {
 		return 1
 	}
-	return max(r.tokens-kept, 1) + r.maxOut
+	return max(r.tokens-kept, 1) + r.decode()
 }
 
+// decode is the work that the tokens bring which the request may generate: each shares its step with all that run there.
+func (r *request) decode() float64 { return decodeShare * r.maxOut }
+
 // priority is the value of the Priority header; ok is false where none is set.
 func (r *request) priority() (int, bool) {
 	if r.service.Engine == nil {
