--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -20,9 +20,9 @@
 const (
 	holdEvents   = 600 * time.Millisecond // a holder without events answers after that: then it is known to live
 	callSlack    = 500 * time.Millisecond
-	betweenCalls = 200 * time.Millisecond // events gather meanwhile
+	betweenCalls = 100 * time.Millisecond // events gather meanwhile
 	failedPause  = time.Second
-	passEvery    = 200 * time.Millisecond
+	passEvery    = 100 * time.Millisecond
 	passTimeout  = 500 * time.Millisecond
 	headerWait   = "Wait-Ms"
 )
