--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -32,6 +32,7 @@
 	silentBeats      = 3.5 // heartbeats missed before a server is taken for silent
 	keepEntries      = time.Minute
 	loadingAtMost    = 12 * time.Second
+	sessionsEvery    = 4               // of all syncs carry the sessions
 	sessionKeep      = 4 * time.Second // a router that has not polled for so long is taken for gone
 	scrubAfter       = 3               // syncs in a row with other digests before whole tables are exchanged
 	settleAfterFirst = 2               // looks in a row without a chosen newest value before the first live member settles it
@@ -60,6 +61,7 @@
 	sessions     map[string]session
 	mismatch     map[string]int
 	lastSync     time.Time
+	syncs        int
 	applicants   map[string]applicant
 	freshNodes   map[string]peer.Node
 	lastFresh    time.Time
@@ -199,7 +201,10 @@
 	c.lastSync = time.Now()
 	heard := slices.Sorted(maps.Keys(c.heard))
 	clear(c.heard)
-	message := &peer.Sync{From: c.self, Digest: c.table.Digest(), Heard: heard, Sessions: c.ownSessions()}
+	message := &peer.Sync{From: c.self, Digest: c.table.Digest(), Heard: heard}
+	if c.syncs++; c.syncs%sessionsEvery == 0 {
+		message.Sessions = c.ownSessions()
+	}
 	c.mu.Unlock()
 	c.registers.Look(message, func(reply *peer.SyncReply) { c.compare(&reply.From, reply.Digest) })
 	c.directory.Set(c.registers.Members(core.Config))
--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 	"github.com/tinylib/msgp/msgp"
 	"github.com/valyala/fasthttp"
 
@@ -23,6 +24,7 @@
 	betweenCalls = 100 * time.Millisecond // events gather meanwhile
 	failedPause  = time.Second
 	passEvery    = 100 * time.Millisecond
+	exportEvery  = 2 // of passEvery: batches for other zones gather for longer, as their bytes are dear
 	passTimeout  = 500 * time.Millisecond
 	headerWait   = "Wait-Ms"
 )
@@ -52,7 +54,8 @@
 	drawing map[string]chan struct{} // by holder: closed to end it
 	nodes   []peer.Node
 	greeted map[string]bool // nodes that have been sent the whole state
-	pending []peer.Events
+	pending []peer.Events   // drawn here, for this zone
+	export  []peer.Events   // drawn in this zone, for the others
 }
 
 // New makes a collector.
@@ -193,12 +196,15 @@
 func (c *Collector) Run() {
 	ticker := time.NewTicker(passEvery)
 	defer ticker.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-c.closed:
 			return
 		case <-ticker.C:
-			c.passOn()
+		}
+		c.passOn()
+		if n%exportEvery == 0 {
+			c.passOut()
 		}
 	}
 }
@@ -231,7 +237,8 @@
 	}
 	c.mu.Unlock()
 	if len(batch) > 0 {
-		c.send(batch, nodes)
+		c.toZone(nodes, &peer.EventBatch{Export: true, List: batch})
+		c.collect(batch)
 	}
 	if len(fresh) == 0 {
 		return
@@ -249,24 +256,49 @@
 	}
 }
 
-// send passes a batch to the routers of this zone, and to one router of each other zone that passes it on there.
-func (c *Collector) send(batch []peer.Events, nodes []peer.Node) {
-	relays := map[string]peer.Node{}
+// toZone passes a batch to the other routers of this zone.
+func (c *Collector) toZone(nodes []peer.Node, batch *peer.EventBatch) {
 	for _, n := range nodes {
-		if n.ID == c.self.ID {
-			continue
+		if n.ID != c.self.ID && n.Zone == c.self.Zone {
+			go c.call(n.Address, batch)
 		}
-		if n.Zone == c.self.Zone {
-			go c.call(n.Address, &peer.EventBatch{List: batch})
-			continue
-		}
-		if r, ok := relays[n.Zone]; !ok || directory.Weight(c.self.ID, n.ID) > directory.Weight(c.self.ID, r.ID) {
-			relays[n.Zone] = n
+	}
+}
+
+// collect takes what was drawn in this zone for the other zones, where this router is the zone's leader.
+func (c *Collector) collect(batch []peer.Events) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if leaderOf(c.self.Zone, c.nodes).ID == c.self.ID {
+		c.export = append(c.export, batch...)
+	}
+}
+
+// passOut sends what was drawn in this zone to the leaders of the other zones.
+func (c *Collector) passOut() {
+	c.mu.Lock()
+	batch, nodes := c.export, c.nodes
+	c.export = nil
+	c.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	for _, zone := range lo.Uniq(lo.Map(nodes, func(n peer.Node, _ int) string { return n.Zone })) {
+		if zone != c.self.Zone {
+			go c.call(leaderOf(zone, nodes).Address, &peer.EventBatch{Forward: true, List: batch})
 		}
 	}
-	for _, n := range relays {
-		go c.call(n.Address, &peer.EventBatch{Forward: true, List: batch})
+}
+
+// leaderOf names the router that passes events on for its zone: the first by rendezvous.
+func leaderOf(zone string, nodes []peer.Node) peer.Node {
+	var leader peer.Node
+	for _, n := range nodes {
+		if n.Zone == zone && (leader.ID == "" || directory.Weight(zone, n.ID) > directory.Weight(zone, leader.ID)) {
+			leader = n
+		}
 	}
+	return leader
 }
 
 func (c *Collector) call(address string, batch *peer.EventBatch) {
@@ -281,15 +313,14 @@
 		return nil, err
 	}
 	c.sink.TakeEvents(batch.List)
+	if batch.Export {
+		c.collect(batch.List)
+	}
 	if batch.Forward {
 		c.mu.Lock()
 		nodes := c.nodes
 		c.mu.Unlock()
-		for _, n := range nodes {
-			if n.ID != c.self.ID && n.Zone == c.self.Zone {
-				go c.call(n.Address, &peer.EventBatch{List: batch.List})
-			}
-		}
+		c.toZone(nodes, &peer.EventBatch{List: batch.List})
 	}
 	return &peer.Empty{}, nil
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -198,6 +198,7 @@
 
 // EventBatch holds the events of several holders.
 type EventBatch struct {
-	Forward bool     `msg:"f"` // the receiver passes it on within its zone
+	Forward bool     `msg:"f"` // it comes from another zone: the receiver passes it on within its own
+	Export  bool     `msg:"x"` // it was drawn in the receiver's zone: the zone's leader passes it on to other zones
 	List    []Events `msg:"l"`
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -945,6 +945,12 @@
 				err = msgp.WrapError(err, "Forward")
 				return
 			}
+		case "x":
+			z.Export, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Export")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -977,9 +983,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EventBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "f"
-	err = en.Append(0x82, 0xa1, 0x66)
+	err = en.Append(0x83, 0xa1, 0x66)
 	if err != nil {
 		return
 	}
@@ -988,6 +994,16 @@
 		err = msgp.WrapError(err, "Forward")
 		return
 	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Export)
+	if err != nil {
+		err = msgp.WrapError(err, "Export")
+		return
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -1011,10 +1027,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
+	o = append(o, 0x83, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Forward)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Export)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
@@ -1052,6 +1071,12 @@
 				err = msgp.WrapError(err, "Forward")
 				return
 			}
+		case "x":
+			z.Export, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Export")
+				return
+			}
 		case "l":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1085,7 +1110,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EventBatch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
 		s += z.List[za0001].Msgsize()
 	}
