--- a/dataplane/proxy/choose.go
+++ b/dataplane/proxy/choose.go
@@ -15,7 +15,7 @@
 const (
 	// Marginal loads of servers in other zones and regions count so many times as much: bytes between zones are dear, and an answer
 	// takes longer. docs/design/system.md says what that departs from.
-	otherZone   = 4.0
+	otherZone   = 8.0
 	otherRegion = 16.0
 	// Moves of kept parts take so many times as long between zones and between regions (PROTOCOL.md).
 	moveOtherZone   = 2.0
