--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -25,6 +25,7 @@
 	leaseMargin    = 200 * time.Millisecond
 	reportEvery    = 150 * time.Millisecond
 	loadAtMost     = 6 * time.Second
+	takenWithin    = time.Second // after which a server that is not busy and has the old weights has not taken an order
 	serverTimeout  = 600 * time.Millisecond
 	emptyAfter     = 300 * time.Millisecond  // before the first look whether a server's runs have ended: reports lag behind
 	emptyAtMost    = 1200 * time.Millisecond // then it is ordered to load all the same, and waits for its last runs itself
@@ -198,7 +199,10 @@
 			continue
 		}
 		if rollout.VersionOf(report.Models, step.Model.Name) < step.Model.Version {
-			return // it did not take the order: another is given at the next tick
+			if time.Since(began) > takenWithin {
+				return // it did not take the order: another is given at the next tick
+			}
+			continue // the report lags behind: it need not tell of the order yet
 		}
 		loaded := step.Instance
 		loaded.Models, loaded.State = report.Models, registry.Ready
--- a/dataplane/admission/retries.go
+++ b/dataplane/admission/retries.go
@@ -5,12 +5,24 @@
 
 import "time"
 
+const slices = 10 // a window is counted in so many slices
+
+// Purpose is what a further attempt is for; the shares of the portion that purposes may use leave room for the more urgent ones.
+type Purpose int
+
+// The purposes.
 const (
-	slices    = 10  // a window is counted in so many slices
-	ratioUsed = 0.7 // of the ratio: windows of the judge and of this router lie differently
-	baseUsed  = 0.5 // of the base, for routers that are not known yet
+	Move   Purpose = iota // a stream is taken elsewhere to empty its server: it could stay
+	Retry                 // a request is tried again
+	Rescue                // a stream that has begun would be lost
 )
 
+// shares of the portion: windows of a judge and of this router lie differently, so none uses it whole.
+var shares = [...]float64{Move: 0.35, Retry: 0.65, Rescue: 0.9}
+
+// baseUsed is the part of the base that is given out at all, for routers that are not known yet.
+const baseUsed = 0.75
+
 // Settings are the figures of the budget over all routers.
 type Settings struct {
 	Ratio  float64       // further attempts allowed for each request of the service
@@ -45,8 +57,8 @@
 // Request notes a request of a client.
 func (r *Retries) Request(now time.Duration) { r.requests[r.enter(now)]++ }
 
-// Spend takes one further attempt out of the portion, where there is one. routers is how many share the base.
-func (r *Retries) Spend(now time.Duration, routers int) bool {
+// Spend takes one further attempt out of the portion, where the purpose may. routers is how many share the base.
+func (r *Retries) Spend(now time.Duration, routers int, purpose Purpose) bool {
 	at := r.enter(now)
 	var requests, used float64
 	for i := range slices + 1 {
@@ -54,7 +66,7 @@
 		requests += r.requests[s]
 		used += r.used[s]
 	}
-	if used+1 > ratioUsed*r.set.Ratio*requests+baseUsed*r.set.Base/float64(max(routers, 1)) {
+	if used+1 > shares[purpose]*(r.set.Ratio*requests+baseUsed*r.set.Base/float64(max(routers, 1))) {
 		return false
 	}
 	r.used[at]++
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -166,11 +166,22 @@
 	}
 	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed || o == attempt.Moved))
 	if needed && room.Server && room.Time {
-		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.routers)
+		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.routers, r.purpose(o))
 	}
 	return room
 }
 
+// purpose tells what a further attempt after the outcome is for.
+func (r *request) purpose(o attempt.Outcome) admission.Purpose {
+	switch {
+	case o == attempt.Moved:
+		return admission.Move
+	case r.started:
+		return admission.Rescue
+	}
+	return admission.Retry
+}
+
 // budget gives the portion of a service's retry budget. The lock is held.
 func (p *Proxy) budget(service string) *admission.Retries {
 	b := p.retries[service]
