--- /dev/null
+++ b/controlplane/registry/registry_test.go
@@ -0,0 +1,143 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"moleshift/peer"
+)
+
+var set = Settings{Silence: 4 * time.Second, Keep: time.Minute, Loading: 12 * time.Second}
+
+func instance(id string, sequence int64, state int) peer.Instance {
+	return peer.Instance{ID: id, Service: "llm", Address: id + ":1", Zone: "a", Sequence: sequence, State: state, Models: []peer.Model{{Name: "m", Version: 1}}}
+}
+
+// Tables that heard the same accounts agree, in whatever order and however often they heard them.
+func TestTablesThatHeardTheSameAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accounts := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) peer.Instance {
+			in := instance(rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "id"), int64(rapid.IntRange(1, 6).Draw(t, "sequence")), Ready)
+			// What a server says is a function of its sequence: it drains from 4 on, and loaded new weights at 3.
+			if in.Sequence >= 4 {
+				in.State = Draining
+			}
+			if in.Sequence >= 3 {
+				in.Models[0].Version = 2
+			}
+			return in
+		}), 1, 12).Draw(t, "accounts")
+		order := rapid.Permutation(accounts).Draw(t, "order")
+		a, b := New(set), New(set)
+		for _, in := range accounts {
+			a.Take(0, clone(in), true)
+		}
+		for _, in := range append(slices.Clone(order), order...) {
+			b.Take(0, clone(in), false)
+		}
+		if a.Digest() != b.Digest() {
+			t.Fatalf("%v differs from %v", entries(a), entries(b))
+		}
+	})
+}
+
+func clone(in peer.Instance) peer.Instance {
+	in.Models = slices.Clone(in.Models)
+	return in
+}
+
+func entries(t *Table) []peer.Instance {
+	list, _ := t.Since(0)
+	return list
+}
+
+func TestLateHeartbeatsChangeNothing(t *testing.T) {
+	table := New(set)
+	must.True(t, table.Take(0, instance("i1", 5, Draining), true))
+	must.False(t, table.Take(0, instance("i1", 4, Ready), true), must.Sprint("a heartbeat of before it drained"))
+	must.False(t, table.Take(0, instance("i1", 6, Ready), true), must.Sprint("draining is not taken back"))
+	in, _ := table.Get("i1")
+	must.Eq(t, Draining, in.State)
+	must.True(t, table.End(0, "i1"))
+	must.False(t, table.Take(0, instance("i1", 9, Ready), true), must.Sprint("an end is final"))
+}
+
+func TestNewIncarnationEndsTheOneAtItsAddress(t *testing.T) {
+	table := New(set)
+	table.Take(0, instance("i1", 1, Ready), true)
+	next := instance("i2", 1, Ready)
+	next.Address = "i1:1"
+	table.Take(0, next, true)
+	in, _ := table.Get("i1")
+	must.Eq(t, Gone, in.State)
+	must.Len(t, 1, table.Live())
+}
+
+func TestSilenceIsMarkedAndTakenBack(t *testing.T) {
+	table := New(set)
+	table.Take(0, instance("i1", 1, Ready), true)
+	table.Sweep(3 * time.Second)
+	must.Len(t, 1, table.Live())
+	table.Sweep(5 * time.Second)
+	must.Len(t, 0, table.Live())
+	before := table.Revision()
+	table.Heard(6*time.Second, "i1")
+	must.Len(t, 1, table.Live())
+	must.Greater(t, before, table.Revision())
+	table.Pause(20 * time.Second) // the process stood still until then
+	table.Sweep(21 * time.Second)
+	must.Len(t, 1, table.Live())
+}
+
+func TestOldEntriesAreForgotten(t *testing.T) {
+	table := New(set)
+	table.Take(0, instance("i1", 1, Ready), true)
+	table.End(time.Second, "i1")
+	table.Sweep(30 * time.Second)
+	must.Eq(t, 1, table.Len())
+	table.Sweep(62 * time.Second)
+	must.Eq(t, 0, table.Len())
+}
+
+func TestDeltas(t *testing.T) {
+	table := New(set)
+	table.Take(0, instance("i1", 1, Ready), true)
+	at := table.Revision()
+	table.Take(0, instance("i2", 1, Ready), true)
+	list, full := table.Since(at)
+	must.False(t, full)
+	must.Len(t, 1, list)
+	must.Eq(t, "i2", list[0].ID)
+	list, full = table.Since(0)
+	must.True(t, full)
+	must.Len(t, 2, list)
+	_, full = table.Since(at + 100)
+	must.True(t, full, must.Sprint("a revision of another replica"))
+}
+
+func TestLoadingEndsByItself(t *testing.T) {
+	table := New(set)
+	table.Take(0, instance("i1", 1, Ready), true)
+	table.SetLoading(0, "i1", true)
+	table.Take(time.Second, instance("i1", 2, Ready), true)
+	in, _ := table.Get("i1")
+	must.True(t, in.Loading, must.Sprint("a heartbeat does not end it"))
+	table.Heard(12*time.Second, "i1")
+	table.Sweep(13 * time.Second)
+	in, _ = table.Get("i1")
+	must.False(t, in.Loading, must.Sprint("whoever ordered it is gone"))
+}
+
+func TestWeightsNeverGoBack(t *testing.T) {
+	table := New(set)
+	in := instance("i1", 1, Ready)
+	in.Models[0].Version = 3
+	table.Take(0, in, false)
+	table.Take(0, instance("i1", 7, Ready), true)
+	got, _ := table.Get("i1")
+	must.Eq(t, 3, got.Models[0].Version)
+}
--- /dev/null
+++ b/controlplane/rollout/rollout_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"moleshift/controlplane/registry"
+	"moleshift/fault"
+	"moleshift/peer"
+)
+
+func servers(n int, version int64) []peer.Instance {
+	var list []peer.Instance
+	for i := range n {
+		list = append(list, peer.Instance{ID: fmt.Sprintf("i%02d", i), Service: "llm", Models: []peer.Model{{Name: "m", Version: version}}})
+	}
+	return list
+}
+
+func TestNamedVersionsOnlyRise(t *testing.T) {
+	s := &State{}
+	s, same, err := s.Name("m", 2)
+	must.NoError(t, err)
+	must.False(t, same)
+	_, same, err = s.Name("m", 2)
+	must.NoError(t, err)
+	must.True(t, same, must.Sprint("the same call again"))
+	_, same, err = s.Name("m", 1)
+	must.NoError(t, err)
+	must.True(t, same, must.Sprint("a call that was late"))
+	must.Eq(t, 2, s.Version("m"))
+	must.Eq(t, 0, s.Version("other"))
+	_, _, err = s.Name("", 2)
+	must.Eq(t, fault.BadConfig, fault.KindOf(err))
+	_, _, err = s.Name("m", 0)
+	must.Eq(t, fault.BadConfig, fault.KindOf(err))
+}
+
+func TestTurnsAreBounded(t *testing.T) {
+	for n, atOnce := range map[int]int{1: 1, 3: 1, 9: 2, 12: 2, 90: 18, 140: 28} {
+		must.Eq(t, atOnce, AtOnce(n))
+		s, _, err := (&State{}).Name("m", 2)
+		must.NoError(t, err)
+		busy := map[string]bool{}
+		has := func(id string) bool { return busy[id] }
+		load := func(string) float64 { return 0 }
+		steps := s.Next(servers(n, 1), has, load)
+		must.Len(t, min(2*atOnce, n), steps)
+		for _, step := range steps {
+			busy[step.Instance.ID] = true
+			must.Eq(t, 2, step.Model.Version)
+		}
+		must.Len(t, 0, s.Next(servers(n, 1), has, load), must.Sprint("all turns are taken"))
+		must.Len(t, 0, s.Next(servers(n, 2), func(string) bool { return false }, load), must.Sprint("all have them"))
+	}
+}
+
+func TestLeavingServersAreLeftAlone(t *testing.T) {
+	s, _, err := (&State{}).Name("m", 2)
+	must.NoError(t, err)
+	list := servers(2, 1)
+	list[0].State = registry.Draining
+	steps := s.Next(list, func(string) bool { return false }, func(string) float64 { return 0 })
+	must.Len(t, 1, steps)
+	must.Eq(t, "i01", steps[0].Instance.ID)
+}
+
+func TestLeastLoadedFirst(t *testing.T) {
+	s, _, err := (&State{}).Name("m", 2)
+	must.NoError(t, err)
+	load := map[string]float64{"i00": 9, "i01": 5, "i02": 7}
+	steps := s.Next(servers(3, 1), func(string) bool { return false }, func(id string) float64 { return load[id] })
+	must.Eq(t, "i01", steps[0].Instance.ID)
+}
