--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// CloseIdle closes all connections of clients. It is for the end, after Drain.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
 func (s *Server) serveConn(c net.Conn) {
 	defer c.Close()
 	s.mu.Lock()
