--- a/cmd/moleshiftd/main.go
+++ b/cmd/moleshiftd/main.go
@@ -33,8 +33,8 @@
 
 func main() {
 	parser := flags.NewParser(&common, flags.Default)
-	must(parser.AddCommand("node", "run a node", "Runs a node of the system with the settings file that MOLESHIFT_BOOT names, until SIGTERM.", &nodeCommand{}))
-	must(parser.AddCommand("check", "check a settings file", "Reads a settings file and tells what a node would do with it, or what is wrong.", &checkCommand{}))
+	added(parser.AddCommand("node", "run a node", "Runs a node of the system with the settings file that MOLESHIFT_BOOT names, until SIGTERM.", &nodeCommand{}))
+	added(parser.AddCommand("check", "check a settings file", "Reads a settings file and tells what a node would do with it, or what is wrong.", &checkCommand{}))
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) {
@@ -47,7 +47,7 @@
 	}
 }
 
-func must(_ *flags.Command, err error) {
+func added(_ *flags.Command, err error) {
 	if err != nil {
 		panic(err)
 	}
--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -87,11 +87,11 @@
 	go follow.Run()
 	go events.Run()
 	log.Info().Bool("counts", control.Counts()).Bool("fresh", self.Fresh).Msg("started")
-	return wait(set, clients, failed, log)
+	return awaitSignal(set, clients, failed, log)
 }
 
-// wait returns at SIGTERM or SIGINT, once all that was taken is answered.
-func wait(set *settings.Settings, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
+// awaitSignal returns at SIGTERM or SIGINT, once all that was taken is answered.
+func awaitSignal(set *settings.Settings, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
