--- /dev/null
+++ b/dataplane/follower/follower_test.go
@@ -0,0 +1,115 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/directory"
+	"moleshift/controlplane/quorum"
+	"moleshift/controlplane/registry"
+	"moleshift/controlplane/rollout"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+func newFollower(failClosed bool) *Follower {
+	set := settings.Default()
+	set.Bounds.FailClosed = failClosed
+	return New(&set, peer.Node{ID: "me"}, nil, directory.New(), nil, func(*Snapshot) {}, zerolog.Nop())
+}
+
+func config(t *testing.T, version int64) []byte {
+	t.Helper()
+	s := configuration.State{Version: version, Body: []byte(`{"version":` + string(rune('0'+version)) + `,"routes":[],"services":[{"name":"llm"}]}`)}
+	data, err := s.MarshalMsg(nil)
+	must.NoError(t, err)
+	return data
+}
+
+func reply(ballot uint64, data []byte, ageMs float64) *peer.PollReply {
+	return &peer.PollReply{Knows: true, Config: quorum.Ballot{Counter: ballot}, Data: data, AgeMs: ageMs}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFollower(false)
+	must.False(t, f.Fresh())
+	f.take(time.Now(), reply(5, config(t, 3), 9000))
+	must.Nil(t, f.Snapshot().Table, must.Sprint("a first configuration that nobody confirmed lately may be an old one"))
+	f.take(time.Now(), reply(5, config(t, 3), 100))
+	must.Eq(t, 3, f.Snapshot().Table.Version)
+	f.take(time.Now(), reply(4, config(t, 2), 0))
+	must.Eq(t, 3, f.Snapshot().Table.Version, must.Sprint("a controller that lags behind"))
+	f.take(time.Now(), reply(7, config(t, 2), 0))
+	must.Eq(t, 3, f.Snapshot().Table.Version)
+	f.take(time.Now(), reply(8, []byte("garbage"), 0))
+	must.Eq(t, 3, f.Snapshot().Table.Version)
+	f.take(time.Now(), reply(9, config(t, 6), 0))
+	must.Eq(t, 6, f.Snapshot().Table.Version)
+	must.True(t, f.Fresh())
+}
+
+// Where the deployment fails closed, the configuration serves keyed routes until a second before revoke-ms after the moment at which
+// it is known to have been in force: the poll's beginning, less the age that the controller tells.
+func TestLeaseOnTheConfiguration(t *testing.T) {
+	f := newFollower(true)
+	asked := time.Now()
+	f.take(asked, reply(5, config(t, 3), 100))
+	must.True(t, f.Fresh())
+	f.start = f.start.Add(-3500 * time.Millisecond) // as if that time had gone by
+	must.True(t, f.Fresh())
+	f.start = f.start.Add(-500 * time.Millisecond)
+	must.False(t, f.Fresh(), must.Sprint("4.1 s of 5 s"))
+	f.take(time.Now(), reply(6, nil, 0))
+	must.False(t, f.Fresh(), must.Sprint("a newer configuration is in force, and it was not delivered"))
+	f.take(time.Now(), reply(5, nil, 0))
+	must.True(t, f.Fresh())
+	f.take(asked, reply(5, nil, 0))
+	must.True(t, f.Fresh(), must.Sprint("an answer to an earlier poll takes nothing back"))
+}
+
+func instances(revision uint64, full bool, list ...peer.Instance) *peer.PollReply {
+	return &peer.PollReply{Table: "controller", Revision: revision, Full: full, Instances: list}
+}
+
+func server(id string, state int, version int64) peer.Instance {
+	return peer.Instance{ID: id, Service: "llm", State: state, Models: []peer.Model{{Name: "m", Version: version}}}
+}
+
+func TestServersJoin(t *testing.T) {
+	f := newFollower(false)
+	f.take(time.Now(), instances(2, true, server("a", registry.Ready, 2), server("b", registry.Draining, 1)))
+	must.Len(t, 2, f.Snapshot().Instances["llm"])
+	f.take(time.Now(), instances(3, false, server("a", registry.Ready, 1), server("b", registry.Ready, 1)))
+	must.Eq(t, registry.Draining, f.Snapshot().Instances["llm"][1].State, must.Sprint("leaving is not taken back"))
+	must.Eq(t, 2, rollout.VersionOf(f.Snapshot().Instances["llm"][0].Models, "m"))
+	f.take(time.Now(), instances(4, false, server("b", registry.Gone, 1)))
+	must.Len(t, 1, f.Snapshot().Instances["llm"])
+	f.take(time.Now(), instances(1, true, server("b", registry.Ready, 1)))
+	must.Len(t, 1, f.Snapshot().Instances["llm"], must.Sprint("an end is final, and what a controller does not know is kept for a while"))
+	must.Eq(t, "a", f.Snapshot().Instances["llm"][0].ID)
+	f.known["a"].missing = time.Now().Add(-time.Hour)
+	f.take(time.Now(), instances(1, true))
+	must.Len(t, 0, f.Snapshot().Instances["llm"])
+}
+
+func TestWeightsOnlyRise(t *testing.T) {
+	f := newFollower(false)
+	weights := func(ballot uint64, version int64) *peer.PollReply {
+		s := rollout.State{Versions: []peer.Model{{Name: "m", Version: version}}}
+		data, err := s.MarshalMsg(nil)
+		must.NoError(t, err)
+		return &peer.PollReply{Weights: quorum.Ballot{Counter: ballot}, WeightsIn: data}
+	}
+	f.take(time.Now(), weights(2, 4))
+	at := f.Snapshot().WeightsAt["m"]
+	f.take(time.Now(), weights(1, 9))
+	must.Eq(t, 4, f.Snapshot().Weights["m"])
+	f.take(time.Now(), weights(3, 4)) // the lease was renewed
+	must.Eq(t, at, f.Snapshot().WeightsAt["m"])
+	f.take(time.Now(), weights(4, 5))
+	must.Eq(t, 5, f.Snapshot().Weights["m"])
+}
--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -49,6 +49,7 @@
 	log    zerolog.Logger
 	client *fasthttp.Client
 	closed chan struct{}
+	send   func(to peer.Node, batch *peer.EventBatch) // in a goroutine of its own
 
 	mu      sync.Mutex
 	drawing map[string]chan struct{} // by holder: closed to end it
@@ -60,7 +61,7 @@
 
 // New makes a collector.
 func New(ip string, self peer.Node, caller core.Caller, sink Sink, log zerolog.Logger) *Collector {
-	return &Collector{
+	c := &Collector{
 		self: self, caller: caller, sink: sink, log: log, closed: make(chan struct{}),
 		drawing: map[string]chan struct{}{}, greeted: map[string]bool{},
 		client: &fasthttp.Client{
@@ -68,6 +69,8 @@
 			Dial: func(address string) (net.Conn, error) { return sock.Dial(ip, address, callSlack) },
 		},
 	}
+	c.send = func(to peer.Node, batch *peer.EventBatch) { go c.call(to.Address, batch) }
+	return c
 }
 
 // Update takes a new snapshot: holders and routers come and go.
@@ -251,7 +254,7 @@
 	}
 	if len(whole) > 0 {
 		for _, n := range fresh {
-			go c.call(n.Address, &peer.EventBatch{List: whole})
+			c.send(n, &peer.EventBatch{List: whole})
 		}
 	}
 }
@@ -260,7 +263,7 @@
 func (c *Collector) toZone(nodes []peer.Node, batch *peer.EventBatch) {
 	for _, n := range nodes {
 		if n.ID != c.self.ID && n.Zone == c.self.Zone {
-			go c.call(n.Address, batch)
+			c.send(n, batch)
 		}
 	}
 }
@@ -285,7 +288,7 @@
 	}
 	for _, zone := range lo.Uniq(lo.Map(nodes, func(n peer.Node, _ int) string { return n.Zone })) {
 		if zone != c.self.Zone {
-			go c.call(leaderOf(zone, nodes).Address, &peer.EventBatch{Forward: true, List: batch})
+			c.send(leaderOf(zone, nodes), &peer.EventBatch{Forward: true, List: batch})
 		}
 	}
 }
--- /dev/null
+++ b/dataplane/kvevents/kvevents_test.go
@@ -0,0 +1,119 @@
+package kvevents
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"moleshift/peer"
+)
+
+func TestParse(t *testing.T) {
+	p, events, err := parse([]byte(`{"epoch":77120,"next-page-token":120,"lost":false,"events":[[119,"+","m@1/t","00ab",800,"m"],[120,"-","m@1","cd",0,"m"]]}`))
+	must.NoError(t, err)
+	must.Eq(t, "77120", p.Epoch.String())
+	must.Eq(t, "120", p.Next.String())
+	must.Eq(t, []peer.Event{{Salt: "m@1/t", Part: "ab", Tokens: 800}, {Salt: "m@1", Part: "cd"}}, events)
+	for _, wrong := range []string{"", "{", `{"events":[[1,"+"]]}`, `{"events":[[1,"+",2,"a",3,"m"]]}`} {
+		_, _, err := parse([]byte(wrong))
+		must.Error(t, err, must.Sprint(wrong))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"epoch":1,"next-page-token":2,"events":[[1,"+","s","a",3,"m"]]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p, events, err := parse(body)
+		if err == nil {
+			must.Eq(t, len(p.Events), len(events))
+		}
+	})
+}
+
+func nodes(zones, each int) []peer.Node {
+	var list []peer.Node
+	for z := range zones {
+		for n := range each {
+			id := fmt.Sprintf("n%d-%d", z, n)
+			list = append(list, peer.Node{ID: id, Address: id, Zone: fmt.Sprint("z", z)})
+		}
+	}
+	return list
+}
+
+// Each holder has one collector, of its zone where there is one, and the holders are spread over the routers.
+func TestCollectors(t *testing.T) {
+	list := nodes(3, 30)
+	count := map[string]int{}
+	for i := range 140 {
+		h := holderOf{id: fmt.Sprint("i", i), zone: fmt.Sprint("z", i%3)}
+		c := collectorOf(h, list)
+		must.StrHasPrefix(t, fmt.Sprintf("n%d-", i%3), c)
+		count[c]++
+	}
+	for id, n := range count {
+		must.LessEq(t, 6, n, must.Sprint(id))
+	}
+	must.NotEq(t, "", collectorOf(holderOf{id: "i", zone: "elsewhere"}, list))
+	must.Eq(t, "", collectorOf(holderOf{id: "i"}, nil))
+}
+
+type sink struct{ got map[string]int }
+
+func (s *sink) TakeEvents(list []peer.Events) {
+	for _, e := range list {
+		s.got[e.Holder]++
+	}
+}
+func (s *sink) HolderState(string) []peer.Event { return nil }
+
+// What one router draws reaches every router once, and crosses each border between zones once.
+func TestEventsReachAllOnce(t *testing.T) {
+	list := nodes(4, 6)
+	network := &memory{collectors: map[string]*Collector{}, crossed: map[string]int{}, zones: map[string]string{}}
+	sinks := map[string]*sink{}
+	for _, n := range list {
+		sinks[n.ID] = &sink{got: map[string]int{}}
+		c := New("127.0.0.1", n, network, sinks[n.ID], zerolog.Nop())
+		c.nodes = list
+		c.send = func(to peer.Node, batch *peer.EventBatch) {
+			if to.Zone != n.Zone {
+				network.crossed[n.Zone+" to "+to.Zone]++
+			}
+			c.call(to.Address, batch)
+		}
+		for _, other := range list {
+			c.greeted[other.ID] = true
+		}
+		network.collectors[n.Address], network.zones[n.Address] = c, n.Zone
+	}
+	for _, n := range list {
+		network.collectors[n.Address].learned(peer.Events{Holder: n.ID, List: []peer.Event{{Salt: "s", Part: "p", Tokens: 1}}})
+	}
+	for _, n := range list {
+		network.collectors[n.Address].passOn()
+	}
+	for _, n := range list {
+		network.collectors[n.Address].passOut()
+	}
+	for _, n := range list {
+		must.MapLen(t, len(list), sinks[n.ID].got)
+		for holder, times := range sinks[n.ID].got {
+			must.Eq(t, 1, times, must.Sprintf("%s at %s", holder, n.ID))
+		}
+	}
+	must.Len(t, 4*3, keys(network.crossed))
+	for border, times := range network.crossed {
+		must.Eq(t, 1, times, must.Sprint(border))
+	}
+}
+
+func keys(m map[string]int) []string {
+	var list []string
+	for k := range m {
+		list = append(list, k)
+	}
+	return list
+}
