--- a/controlplane/server/instances.go
+++ b/controlplane/server/instances.go
@@ -1,10 +1,10 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"moleshift/controlplane/core"
-	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -30,7 +30,7 @@
 	if state == registry.Gone && !exists {
 		c.mu.Unlock()
 		// This member has not heard of it, or not any more: others may have.
-		if !c.push([]peer.Instance{in.Instance}, false, true) {
+		if !c.push(in.Instance, false, true) {
 			return nil, fault.New(fault.Unavailable, "no majority of the members knows of the instance's end yet")
 		}
 		return &peer.BeatReply{OK: true}, nil
@@ -45,7 +45,7 @@
 	if changed {
 		c.notify()
 	}
-	if (changed || unconfirmed) && !c.push([]peer.Instance{current}, false, unconfirmed) {
+	if (changed || unconfirmed) && !c.push(current, false, unconfirmed) {
 		return nil, fault.New(fault.Unavailable, "no majority of the members knows of the instance's end yet")
 	}
 	if unconfirmed {
@@ -65,31 +65,27 @@
 	return c.controlAddress(m)
 }
 
-// push passes entries on to the other members. With wait it returns once a majority of all members has them, or false.
-func (c *Controller) push(list []peer.Instance, load, wait bool) bool {
+// push passes an entry on to the other members; load says that Loading is to be taken over. With wait it returns once a majority of
+// all members has it, or false.
+func (c *Controller) push(in peer.Instance, load, wait bool) bool {
 	members := c.registers.Members(core.Config)
-	got := make(chan bool, len(members))
+	delivered := make(chan struct{}, len(members))
 	count := 0
 	for _, m := range members {
 		if m.ID == c.acceptor.Identity() {
 			count++
 			continue
 		}
-		go func() { got <- c.pushTo(m, list, load) }()
+		c.outboxOf(m).add(in, load, delivered)
 	}
 	if !wait {
 		return true
 	}
 	deadline := time.After(pushWait)
-	for answers := 0; 2*count <= len(members); answers++ {
-		if answers >= len(members) {
-			return false
-		}
+	for 2*count <= len(members) {
 		select {
-		case ok := <-got:
-			if ok {
-				count++
-			}
+		case <-delivered:
+			count++
 		case <-deadline:
 			return false
 		}
@@ -97,15 +93,6 @@
 	return true
 }
 
-func (c *Controller) pushTo(m quorum.Member, list []peer.Instance, load bool) bool {
-	for range 2 {
-		if err := c.caller.Call(m.Address, peer.CallInstances, &peer.Instances{List: list, Load: load}, &peer.Instances{}, callTimeout); err == nil {
-			return true
-		}
-	}
-	return false // the background scrub repairs it
-}
-
 // instances takes entries from another member.
 func (c *Controller) instances(in *peer.Instances) (*peer.Instances, error) {
 	if c.acceptor == nil {
@@ -114,8 +101,8 @@
 	c.takeAll(in.List)
 	reply := &peer.Instances{}
 	c.mu.Lock()
-	if in.Load {
-		for i := range in.List {
+	for i := range in.List {
+		if slices.Contains(in.Load, in.List[i].ID) {
 			c.table.SetLoading(c.now(), in.List[i].ID, in.List[i].Loading)
 		}
 	}
@@ -123,7 +110,7 @@
 		reply.List, _ = c.table.Since(0)
 	}
 	c.mu.Unlock()
-	if in.Load {
+	if len(in.Load) > 0 {
 		c.notify()
 	}
 	return reply, nil
--- /dev/null
+++ b/controlplane/server/outbox.go
@@ -0,0 +1,121 @@
+package server
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"moleshift/controlplane/quorum"
+	"moleshift/peer"
+)
+
+const (
+	outboxPause = 80 * time.Millisecond // after a call that failed
+	outboxKeep  = 3 * time.Second       // what could not be delivered for so long is left to the background scrub
+)
+
+// outbox gathers entries for one member and delivers them in order, those that come meanwhile together: a burst of changes costs
+// one call at a time.
+type outbox struct {
+	controller *Controller
+	to         quorum.Member
+
+	mu      sync.Mutex
+	pending map[string]outgoing
+	sending bool
+}
+
+type outgoing struct {
+	instance  peer.Instance
+	load      bool // Loading is to be taken over too
+	since     time.Time
+	delivered []chan<- struct{} // told when the member has it; each has room for it
+}
+
+// outboxOf gives the outbox for a member.
+func (c *Controller) outboxOf(m quorum.Member) *outbox {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.outboxes[m.ID]
+	if o == nil {
+		o = &outbox{controller: c, to: m, pending: map[string]outgoing{}}
+		c.outboxes[m.ID] = o
+	}
+	return o
+}
+
+// add queues an entry; a newer account of the same instance takes the place of one that waits.
+func (o *outbox) add(in peer.Instance, load bool, delivered chan<- struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := o.pending[in.ID]
+	out.instance, out.since = in, time.Now()
+	out.load = out.load || load
+	out.delivered = append(out.delivered, delivered)
+	o.pending[in.ID] = out
+	if !o.sending {
+		o.sending = true
+		go o.run()
+	}
+}
+
+// run delivers until nothing is left.
+func (o *outbox) run() {
+	for {
+		batch, message := o.take()
+		if batch == nil {
+			return
+		}
+		if err := o.controller.caller.Call(o.to.Address, peer.CallInstances, message, &peer.Instances{}, callTimeout); err == nil {
+			for _, out := range batch {
+				for _, d := range out.delivered {
+					d <- struct{}{}
+				}
+			}
+			continue
+		}
+		o.putBack(batch)
+		if !o.controller.pause(outboxPause) {
+			return
+		}
+	}
+}
+
+// take empties the outbox; nil: there was nothing, and the sender has ended.
+func (o *outbox) take() (map[string]outgoing, *peer.Instances) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.pending) == 0 {
+		o.sending = false
+		return nil, nil
+	}
+	batch := o.pending
+	o.pending = map[string]outgoing{}
+	message := &peer.Instances{}
+	for _, id := range slices.Sorted(maps.Keys(batch)) {
+		message.List = append(message.List, batch[id].instance)
+		if batch[id].load {
+			message.Load = append(message.Load, id)
+		}
+	}
+	return batch, message
+}
+
+// putBack keeps what was not delivered, unless something newer waits already.
+func (o *outbox) putBack(batch map[string]outgoing) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, out := range batch {
+		if time.Since(out.since) > outboxKeep {
+			continue
+		}
+		if newer, ok := o.pending[id]; ok {
+			newer.load = newer.load || out.load
+			newer.delivered = append(newer.delivered, out.delivered...)
+			o.pending[id] = newer
+			continue
+		}
+		o.pending[id] = out
+	}
+}
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -27,9 +27,9 @@
 	loadAtMost     = 6 * time.Second
 	takenWithin    = time.Second // after which a server that is not busy and has the old weights has not taken an order
 	serverTimeout  = 600 * time.Millisecond
-	emptyAfter     = 300 * time.Millisecond  // before the first look whether a server's runs have ended: reports lag behind
-	emptyAtMost    = 1200 * time.Millisecond // then it is ordered to load all the same, and waits for its last runs itself
-	modeWait       = "wait"                  // runs end under the weights with which they began
+	emptyAfter     = 300 * time.Millisecond // before the first look whether a server's runs have ended: reports lag behind
+	emptyShare     = 0.25                   // of version-ms: after that a server is ordered to load all the same, and waits for its last runs itself
+	modeWait       = "wait"                 // runs end under the weights with which they began
 	operationLoad  = "version"
 	statusAccepted = 202
 )
@@ -154,10 +154,11 @@
 	r.awaitLoaded(step)
 }
 
-// awaitEmpty waits until a server tells that nothing runs there, for emptyAtMost at the longest.
+// awaitEmpty waits until a server tells that nothing runs there, for emptyShare of version-ms at the longest.
 func (r *roller) awaitEmpty(address string) {
 	began := time.Now()
-	for time.Sleep(emptyAfter); time.Since(began) < emptyAtMost; time.Sleep(reportEvery) {
+	atMost := settings.Millis(emptyShare * r.c.set.Bounds.VersionMs)
+	for time.Sleep(emptyAfter); time.Since(began) < atMost; time.Sleep(reportEvery) {
 		if report, err := r.report(address); err == nil && report.Running == 0 && report.Queued == 0 {
 			return
 		}
@@ -207,7 +208,7 @@
 		loaded := step.Instance
 		loaded.Models, loaded.State = report.Models, registry.Ready
 		c.takeAll([]peer.Instance{loaded})
-		c.push([]peer.Instance{loaded}, false, false)
+		c.push(loaded, false, false)
 		return
 	}
 }
@@ -218,7 +219,7 @@
 	r.c.table.SetLoading(r.c.now(), in.ID, loading)
 	r.c.mu.Unlock()
 	r.c.notify()
-	r.c.push([]peer.Instance{in}, true, false)
+	r.c.push(in, true, false)
 }
 
 func (r *roller) order(step rollout.Step, epoch uint64) (int, error) {
--- a/dataplane/admission/retries.go
+++ b/dataplane/admission/retries.go
@@ -18,7 +18,7 @@
 )
 
 // shares of the portion: windows of a judge and of this router lie differently, so none uses it whole.
-var shares = [...]float64{Move: 0.35, Retry: 0.65, Rescue: 0.9}
+var shares = [...]float64{Move: 0.5, Retry: 0.65, Rescue: 0.9}
 
 // baseUsed is the part of the base that is given out at all, for routers that are not known yet.
 const baseUsed = 0.75
--- a/dataplane/proxy/choose.go
+++ b/dataplane/proxy/choose.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
+	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/registry"
 	"moleshift/dataplane/balance"
 	"moleshift/dataplane/follower"
@@ -21,9 +23,12 @@
 	moveOtherZone   = 2.0
 	moveOtherRegion = 10.0
 	leastMove       = 64   // tokens: less than that is read again sooner than fetched
-	movedShare      = 0.25 // what a token that is fetched counts against one that is read: it takes up memory all the same
+	movedShare      = 0.25 // what a token that is fetched counts against one that is read
 	leastSave       = 1024 // tokens of shared parts: fewer are not worth a move to the store
 	savingFor       = 2 * time.Second
+	saveShare       = 0.6             // of a store's link that saves of all routers together may take
+	saveAhead       = 5 * time.Second // saves that were not made may be made up for so long
+	ownLoadOver     = 4 * time.Second // own work in flight is averaged over that
 )
 
 // distance tells how much more something costs to a server of another zone.
@@ -47,6 +52,7 @@
 	defer p.mu.Unlock()
 	var options []routed
 	var candidates []balance.Candidate
+	unseen := p.unseen(r, steady)
 	most := map[string]float64{} // by salt: the longest prefix that any holder keeps
 	for _, t := range p.services[r.service.Name] {
 		if r.tried[t.instance.ID] || t.instance.State != registry.Ready {
@@ -67,7 +73,7 @@
 		}
 		options = append(options, to)
 		candidates = append(candidates, balance.Candidate{
-			Size: to.size, Queue: t.queue + t.others(now), Standing: p.standing(t, steady),
+			Size: to.size, Queue: t.queue + p.others(r, t, now, unseen), Standing: p.standing(t, steady),
 			Slowness: p.distance(t.instance.Zone, p.set.Zone, otherZone, otherRegion),
 		})
 	}
@@ -81,6 +87,44 @@
 	return to
 }
 
+// unseen estimates the work that the other routers have in flight at a server of the request's service, from this router's own mean
+// and the number of routers. The lock is held.
+func (p *Proxy) unseen(r *request, steady time.Duration) float64 {
+	name := r.service.Name
+	list := p.services[name]
+	own := 0.0
+	for _, t := range list {
+		own += t.queue
+	}
+	mean := p.means[name]
+	if mean == nil {
+		mean = &meanLoad{}
+		p.means[name] = mean
+	}
+	return mean.note(steady, own) * float64(p.routers-1) / float64(max(len(list), 1))
+}
+
+// others is the work that other routers have at a server: what its newest report tells, as far as that is fresh, and for the rest a
+// draw from what may be there. Routers that see little of one another would all take the same server for the least loaded; what is
+// drawn differs from one to the next, the more the less they know.
+func (p *Proxy) others(r *request, t *target, now time.Time, unseen float64) float64 {
+	told, fresh := t.others(now)
+	return told + (1-fresh)*unseen*p.random.ExpFloat64()
+}
+
+// meanLoad is a mean over time that fades.
+type meanLoad struct {
+	value float64
+	last  time.Duration
+}
+
+func (m *meanLoad) note(now time.Duration, x float64) float64 {
+	weight := 1 - math.Exp(-float64(now-m.last)/float64(ownLoadOver))
+	m.value += (x - m.value) * weight
+	m.last = now
+	return m.value
+}
+
 // standing is how a server stands by its own record and by what the controllers tell.
 func (p *Proxy) standing(t *target, steady time.Duration) int {
 	standing := t.state.Standing(steady)
@@ -165,14 +209,14 @@
 		return
 	}
 	shared := r.prompt[:len(r.prompt)-1]
-	tokens := 0.0
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
+	tokens := r.shared()
 	store := r.snapshot.Table.Stores[0]
 	if tokens < leastSave || p.down[store.StoreAddress] || p.index.Prefix(store.StoreAddress, to.salt, shared) >= tokens {
 		return
 	}
+	if !p.maySave(r, store, steady) {
+		return
+	}
 	key := to.salt + " " + shared[len(shared)-1].ID
 	if until, ok := p.saving[key]; ok && steady < until {
 		return
@@ -181,6 +225,33 @@
 	to.save = store.StoreAddress
 }
 
+// maySave takes a save of the request's prompt out of this router's portion of the store's link, where there is one. The lock is held.
+func (p *Proxy) maySave(r *request, store *configuration.Service, steady time.Duration) bool {
+	engine := r.service.Engine
+	if store.LinkMbps <= 0 || engine.KvTokenBytes <= 0 {
+		return true
+	}
+	perSecond := saveShare * store.LinkMbps * 1e6 / 8 / engine.KvTokenBytes / float64(p.routers)
+	b := p.saves[store.StoreAddress]
+	if b == nil {
+		b = &bucket{level: perSecond * saveAhead.Seconds(), last: steady}
+		p.saves[store.StoreAddress] = b
+	}
+	b.level = min(b.level+perSecond*(steady-b.last).Seconds(), perSecond*saveAhead.Seconds())
+	b.last = steady
+	if b.level <= 0 {
+		return false
+	}
+	b.level -= r.tokens // it may go below 0: one prompt may be more than a portion
+	return true
+}
+
+// bucket is what may still be moved, in tokens.
+type bucket struct {
+	level float64
+	last  time.Duration
+}
+
 // moved takes a fetch off its source's books. The lock is held.
 func (p *Proxy) moved(to *routed) {
 	if to.source == "" {
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -32,6 +32,8 @@
 
 	mu       sync.Mutex
 	saving   map[string]time.Duration // by salt and part: until when this router sends no second save
+	saves    map[string]*bucket       // by store
+	means    map[string]*meanLoad     // by service: own work in flight
 	moving   map[string]float64       // by holder: tokens that servers fetch from there for this router's requests
 	down     map[string]bool          // holders that did not answer their collector lately
 	targets  map[string]*target       // by instance
@@ -47,7 +49,7 @@
 func New(set *settings.Settings, follow func() *follower.Snapshot, fresh func() bool, log zerolog.Logger) *Proxy {
 	return &Proxy{
 		set: set, follow: follow, fresh: fresh, log: log, started: time.Now(), targets: map[string]*target{},
-		moving: map[string]float64{}, saving: map[string]time.Duration{}, down: map[string]bool{},
+		moving: map[string]float64{}, saving: map[string]time.Duration{}, saves: map[string]*bucket{}, means: map[string]*meanLoad{}, down: map[string]bool{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
 	}
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -173,6 +173,15 @@
 	return max(r.tokens-kept, 1) + r.decode()
 }
 
+// shared gives the tokens of the parts that others may use too: all but the last.
+func (r *request) shared() float64 {
+	tokens := 0.0
+	for i := range max(len(r.prompt)-1, 0) {
+		tokens += r.prompt[i].Tokens
+	}
+	return tokens
+}
+
 // decode is the work that the tokens bring which the request may generate: each shares its step with all that run there.
 func (r *request) decode() float64 { return decodeShare * r.maxOut }
 
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -59,13 +59,10 @@
 	return v
 }
 
-// others is the work that other routers have there, by its newest report; it fades as the report ages.
-func (t *target) others(now time.Time) float64 {
-	age := now.Sub(t.reported)
-	if age >= loadFadesOver || t.reportedElse <= 0 {
-		return 0
-	}
-	return t.reportedElse * t.sizes * (1 - float64(age)/float64(loadFadesOver))
+// others is the work that other routers have there, by its newest report, and how fresh that is: 1 when it comes, 0 a second later.
+func (t *target) others(now time.Time) (work, fresh float64) {
+	fresh = max(1-float64(now.Sub(t.reported))/float64(loadFadesOver), 0)
+	return t.reportedElse * t.sizes * fresh, fresh
 }
 
 // noteLoad takes the report in an answer: requests running, waiting, and slots.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -136,7 +136,7 @@
 type Instances struct {
 	List []Instance `msg:"l"`
 	Want bool       `msg:"w"` // answer with the whole table
-	Load bool       `msg:"o"` // Loading is to be taken over
+	Load []string   `msg:"o"` // instances of which Loading is to be taken over too
 }
 
 // Poll asks for what is newer than the caller has, and is held until there is something or WaitMs are over.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -2101,11 +2101,24 @@
 				return
 			}
 		case "o":
-			z.Load, err = dc.ReadBool()
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
+			if cap(z.Load) >= int(zb0003) {
+				z.Load = (z.Load)[:zb0003]
+			} else {
+				z.Load = make([]string, zb0003)
+			}
+			for za0002 := range z.Load {
+				z.Load[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2152,11 +2165,18 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Load)
+	err = en.WriteArrayHeader(uint32(len(z.Load)))
 	if err != nil {
 		err = msgp.WrapError(err, "Load")
 		return
 	}
+	for za0002 := range z.Load {
+		err = en.WriteString(z.Load[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Load", za0002)
+			return
+		}
+	}
 	return
 }
 
@@ -2179,7 +2199,10 @@
 	o = msgp.AppendBool(o, z.Want)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.Load)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
+	for za0002 := range z.Load {
+		o = msgp.AppendString(o, z.Load[za0002])
+	}
 	return
 }
 
@@ -2227,11 +2250,24 @@
 				return
 			}
 		case "o":
-			z.Load, bts, err = msgp.ReadBoolBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
+			if cap(z.Load) >= int(zb0003) {
+				z.Load = (z.Load)[:zb0003]
+			} else {
+				z.Load = make([]string, zb0003)
+			}
+			for za0002 := range z.Load {
+				z.Load[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2250,7 +2286,10 @@
 	for za0001 := range z.List {
 		s += z.List[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Load {
+		s += msgp.StringPrefixSize + len(z.Load[za0002])
+	}
 	return
 }
 
