--- a/dataplane/proxy/choose.go
+++ b/dataplane/proxy/choose.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// Marginal loads of servers in other zones and regions count so many times as much: bytes between zones are dear, and an answer
-	// takes longer. docs/design/system.md says what that departs from.
-	otherZone   = 8.0
-	otherRegion = 16.0
+	// A server in another zone or region counts as if so many usual requests more were in flight there: bytes between zones are dear,
+	// and an answer takes longer. docs/design/system.md says what that departs from.
+	otherZone   = 3.0
+	otherRegion = 8.0
 	// Moves of kept parts take so many times as long between zones and between regions (PROTOCOL.md).
 	moveOtherZone   = 2.0
 	moveOtherRegion = 10.0
@@ -29,13 +29,14 @@
 	saveShare       = 0.6             // of a store's link that saves of all routers together may take
 	saveAhead       = 5 * time.Second // saves that were not made may be made up for so long
 	ownLoadOver     = 4 * time.Second // own work in flight is averaged over that
+	usualOver       = 32              // requests over which the usual size is averaged
 )
 
-// distance tells how much more something costs to a server of another zone.
-func (p *Proxy) distance(zone, from string, zoneFactor, regionFactor float64) float64 {
+// distance gives the factor for the way between two zones.
+func (p *Proxy) distance(zone, from string, here, zoneFactor, regionFactor float64) float64 {
 	switch {
 	case zone == from:
-		return 1
+		return here
 	case p.set.Zones[zone] == p.set.Zones[from]:
 		return zoneFactor
 	}
@@ -52,7 +53,7 @@
 	defer p.mu.Unlock()
 	var options []routed
 	var candidates []balance.Candidate
-	unseen := p.unseen(r, steady)
+	unseen, usual := p.unseen(r, steady)
 	most := map[string]float64{} // by salt: the longest prefix that any holder keeps
 	for _, t := range p.services[r.service.Name] {
 		if r.tried[t.instance.ID] || t.instance.State != registry.Ready {
@@ -72,9 +73,9 @@
 			to.size = r.size(own + (1-movedShare)*max(most[to.salt]-own, 0))
 		}
 		options = append(options, to)
+		away := usual * p.distance(t.instance.Zone, p.set.Zone, 0, otherZone, otherRegion)
 		candidates = append(candidates, balance.Candidate{
-			Size: to.size, Queue: t.queue + p.others(r, t, now, unseen), Standing: p.standing(t, steady),
-			Slowness: p.distance(t.instance.Zone, p.set.Zone, otherZone, otherRegion),
+			Size: to.size, Queue: t.queue + p.others(r, t, now, unseen) + away, Standing: p.standing(t, steady),
 		})
 	}
 	i := balance.Choose(candidates, p.random)
@@ -88,8 +89,8 @@
 }
 
 // unseen estimates the work that the other routers have in flight at a server of the request's service, from this router's own mean
-// and the number of routers. The lock is held.
-func (p *Proxy) unseen(r *request, steady time.Duration) float64 {
+// and the number of routers, and gives the size of a usual request. The lock is held.
+func (p *Proxy) unseen(r *request, steady time.Duration) (unseen, usual float64) {
 	name := r.service.Name
 	list := p.services[name]
 	own := 0.0
@@ -98,10 +99,11 @@
 	}
 	mean := p.means[name]
 	if mean == nil {
-		mean = &meanLoad{}
+		mean = &meanLoad{size: r.size(0)}
 		p.means[name] = mean
 	}
-	return mean.note(steady, own) * float64(p.routers-1) / float64(max(len(list), 1))
+	mean.size += (r.size(0) - mean.size) / usualOver
+	return mean.note(steady, own) * float64(p.routers-1) / float64(max(len(list), 1)), mean.size
 }
 
 // others is the work that other routers have at a server: what its newest report tells, as far as that is fresh, and for the rest a
@@ -116,6 +118,7 @@
 type meanLoad struct {
 	value float64
 	last  time.Duration
+	size  float64 // mean size of the service's requests
 }
 
 func (m *meanLoad) note(now time.Duration, x float64) float64 {
@@ -194,7 +197,7 @@
 		list = append(list, s)
 		candidates = append(candidates, balance.Candidate{
 			Size: kept - own, Queue: p.moving[s.id],
-			Slowness: s.slowness * p.distance(s.zone, to.target.instance.Zone, moveOtherZone, moveOtherRegion),
+			Slowness: s.slowness * p.distance(s.zone, to.target.instance.Zone, 1, moveOtherZone, moveOtherRegion),
 		})
 	}
 	if i := balance.Choose(candidates, p.random); i >= 0 {
