--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -56,6 +56,7 @@
 	directory *directory.Directory
 	log       zerolog.Logger
 	closed    chan struct{}
+	started   chan struct{} // closed once there is a configuration
 	onChange  func(s *Snapshot)
 
 	snapshot  atomic.Pointer[Snapshot]
@@ -82,7 +83,7 @@
 	local func(in *peer.Poll) (*peer.PollReply, error), onChange func(s *Snapshot), log zerolog.Logger) *Follower {
 	f := &Follower{
 		set: set, self: self, caller: caller, directory: dir, local: local, onChange: onChange, log: log,
-		closed: make(chan struct{}), start: time.Now(), known: map[string]*known{},
+		closed: make(chan struct{}), started: make(chan struct{}), start: time.Now(), known: map[string]*known{},
 	}
 	f.snapshot.Store(&Snapshot{Instances: map[string][]peer.Instance{}})
 	return f
@@ -91,6 +92,9 @@
 // Snapshot gives the state as it is now.
 func (f *Follower) Snapshot() *Snapshot { return f.snapshot.Load() }
 
+// Started gives a channel that is closed once there is a configuration.
+func (f *Follower) Started() <-chan struct{} { return f.started }
+
 // Fresh tells whether the configuration may be acted upon where requests need a key: always, once there is one, unless the
 // deployment fails closed; then only while no key can have been taken away longer than revoke-ms ago.
 func (f *Follower) Fresh() bool {
@@ -211,9 +215,13 @@
 		s.Nodes, f.nodes = reply.Nodes, reply.NodesHash
 		changed = true
 	}
+	isFirst := s.Table != nil && f.Snapshot().Table == nil
 	if changed {
 		f.snapshot.Store(&s)
 	}
+	if isFirst {
+		close(f.started)
+	}
 	f.mu.Unlock()
 	if changed {
 		f.onChange(&s)
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -125,7 +125,9 @@
 		snapshot.Instances[in.Service] = append(snapshot.Instances[in.Service], in)
 	}
 	r := &router{t: t, fresh: true}
-	r.proxy = proxy.New(&set, func() *follower.Snapshot { return snapshot }, func() bool { return r.fresh }, zerolog.Nop())
+	started := make(chan struct{})
+	close(started)
+	r.proxy = proxy.New(&set, func() *follower.Snapshot { return snapshot }, started, func() bool { return r.fresh }, zerolog.Nop())
 	r.proxy.Update(snapshot)
 	server := ingress.New(r.proxy, func() *follower.Snapshot { return snapshot }, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -22,13 +22,19 @@
 // newestOnly is the share of version-ms after which requests go only to servers with the newest weights named.
 const newestOnly = 0.92
 
+const (
+	startWait = 3 * time.Second        // after the start a request may wait for the first configuration
+	firstWait = 400 * time.Millisecond // the longest that one does
+)
+
 // Proxy sends requests to servers.
 type Proxy struct {
 	set     *settings.Settings
 	follow  func() *follower.Snapshot
-	fresh   func() bool // whether the configuration may be acted upon where a key is needed
+	started <-chan struct{} // closed once there is a configuration
+	fresh   func() bool     // whether the configuration may be acted upon where a key is needed
 	log     zerolog.Logger
-	started time.Time
+	began   time.Time
 
 	mu       sync.Mutex
 	saving   map[string]time.Duration // by salt and part: until when this router sends no second save
@@ -46,16 +52,16 @@
 }
 
 // New makes a proxy.
-func New(set *settings.Settings, follow func() *follower.Snapshot, fresh func() bool, log zerolog.Logger) *Proxy {
+func New(set *settings.Settings, follow func() *follower.Snapshot, started <-chan struct{}, fresh func() bool, log zerolog.Logger) *Proxy {
 	return &Proxy{
-		set: set, follow: follow, fresh: fresh, log: log, started: time.Now(), targets: map[string]*target{},
+		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
 		moving: map[string]float64{}, saving: map[string]time.Duration{}, saves: map[string]*bucket{}, means: map[string]*meanLoad{}, down: map[string]bool{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
 	}
 }
 
-func (p *Proxy) now() time.Duration { return time.Since(p.started) }
+func (p *Proxy) now() time.Duration { return time.Since(p.began) }
 
 // Update takes a new snapshot over: servers come, change and go.
 func (p *Proxy) Update(s *follower.Snapshot) {
@@ -98,6 +104,7 @@
 
 // Serve answers one request of a client.
 func (p *Proxy) Serve(e *Exchange) {
+	p.awaitStart(e)
 	r, err := newRequest(e, p.follow(), p.fresh())
 	if err != nil {
 		p.Refuse(e, fault.KindOf(err), err.Error())
@@ -118,6 +125,21 @@
 	}
 }
 
+// awaitStart lets a request that came before the first configuration wait for it: right after the start of a process it is on its
+// way, and a refusal would only bring the client back. Later there is no wait.
+func (p *Proxy) awaitStart(e *Exchange) {
+	left := startWait - p.now()
+	if left <= 0 || p.follow().Table != nil {
+		return
+	}
+	timer := time.NewTimer(min(left, firstWait))
+	defer timer.Stop()
+	select {
+	case <-p.started:
+	case <-timer.C:
+	}
+}
+
 // try plays one attempt and says what comes next.
 func (p *Proxy) try(r *request) (attempt.Action, fault.Kind) {
 	if r.Gone() {
