--- a/controlplane/core/core_test.go
+++ b/controlplane/core/core_test.go
@@ -265,6 +265,21 @@
 	must.Eq(t, "ab", string(k.Value.Data))
 }
 
+// A node that is no member yet learns what is chosen also where the last answer that can come is the one that settles it.
+func TestLookThatNeedsEveryAnswer(t *testing.T) {
+	net := newNetwork(t, 3, 1)
+	must.NoError(t, put(net.driver(0), "a"))
+	members := net.driver(0).Members(Config)
+	wiped := net.member(2)
+	wiped.store = &memory{records: map[string][]byte{}}
+	net.start(t, wiped)
+	wiped.registers.Hint(members)
+	wiped.registers.Look(nil, nil)
+	k := wiped.registers.Known(Config)
+	must.False(t, k.Confirmed.IsZero())
+	must.Eq(t, "a", string(k.Value.Data))
+}
+
 // Histories of appends and reads by several clients, while messages are lost, processes are killed and start again on their disks,
 // are linearizable.
 func TestHistoriesAreLinearizable(t *testing.T) {
--- a/controlplane/core/look.go
+++ b/controlplane/core/look.go
@@ -59,7 +59,7 @@
 				answers <- a
 			}()
 		}
-		if waiting == 0 || r.noteViews(views, began) {
+		if r.noteViews(views, began) || waiting == 0 {
 			return
 		}
 		select {
