--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -47,7 +47,7 @@
 // MayHaveRun tells whether some attempt may have run. Until then, and only then, a promise that it has not is true.
 func (r *Request) MayHaveRun() bool { return r.runs > 0 }
 
-// MayMove tells whether a stream that runs may be broken off and taken up at another server.
+// MayMove tells whether an attempt that runs may be given up for another one at another server.
 func (r *Request) MayMove() bool {
 	return r.Repeatable && r.runs+1 < max(r.MaxAttempts, 1) && r.turns+1 < maxTurns
 }
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -431,6 +431,31 @@
 	must.Eq(t, event(1), body)
 }
 
+// A stream that has been taken up once may not be a second time: then its server has until the deadline, however long it is silent.
+func TestLastAttemptIsNotGivenUp(t *testing.T) {
+	silent := make(chan struct{})
+	play := func(c net.Conn, _ int, r *http.Request, _ string) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			streamHead(c, r)
+			chunk(c, event(1))
+			c.Close()
+			return
+		}
+		<-silent
+		streamHead(c, r)
+		chunk(c, event(2))
+		io.WriteString(c, "0\r\n\r\n")
+	}
+	one, two := serve(t, "i1", play), serve(t, "i2", play)
+	c := start(t, one.instance("llm"), two.instance("llm")).dial()
+	c.send("/stream/", "a", "Moleshift-Model-Id: m", "Moleshift-Token-Count: 100,5")
+	timer := time.AfterFunc(1300*time.Millisecond, func() { close(silent) }) // longer than a silence that has another attempt
+	defer timer.Stop()
+	_, body, err := c.answer()
+	must.NoError(t, err)
+	must.Eq(t, event(1)+event(2), body)
+}
+
 // A client that goes has its request ended at the server.
 func TestClientThatGoes(t *testing.T) {
 	ended := make(chan error, 1)
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -236,7 +236,7 @@
 
 // boundSilence bounds the wait for the next piece of a stream that may be taken up elsewhere.
 func (p *Proxy) boundSilence(r *request, a *reply) {
-	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
+	if !r.state.MayMove() {
 		return
 	}
 	silence := max(leastHang, time.Duration(silentGaps*r.route.GapAimMs*float64(time.Millisecond)))
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -208,7 +208,7 @@
 
 // hangLimit is when an attempt that has not brought a first byte is given up so that another may follow.
 func (r *request) hangLimit(now time.Time) time.Time {
-	if !r.state.Repeatable || r.route.MaxAttempts < 2 {
+	if !r.state.MayMove() {
 		return r.deadline
 	}
 	objective := r.route.TargetLatencyMs
