--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -72,18 +72,33 @@
 	return peer.Model{}, false
 }
 
-// Next gives the servers whose turn it is. busy holds those whose turn is not over; load tells how much an instance has to do, the
-// least comes first. Twice as many have their turn as may load at once: half of them let their runs end meanwhile.
-func (s *State) Next(live []peer.Instance, busy func(id string) bool, load func(id string) float64) []Step {
-	count, loading := map[string]int{}, map[string]int{}
+// Turn is how far a server's turn is.
+type Turn int
+
+// The states of a turn.
+const (
+	NoTurn   Turn = iota
+	Emptying      // routers send it nothing new, its runs end
+	Lasting       // the same, and they take long to end
+	Loading
+)
+
+// Next gives the servers whose turn begins now. turn tells how far the turns of others are; load how much an instance has to do, the
+// least comes first. Twice as many have their turn as may load at once, so that half of them let their runs end meanwhile. Servers
+// whose runs take long do not hold the others up, but at most half of a service's servers are out at a time.
+func (s *State) Next(live []peer.Instance, turn func(id string) Turn, load func(id string) float64) []Step {
+	count, out, lasting := map[string]int{}, map[string]int{}, map[string]int{}
 	var behind []Step
 	for _, in := range live {
 		if in.State > 0 { // it leaves: new weights would come too late for it
 			continue
 		}
 		count[in.Service]++
-		if busy(in.ID) {
-			loading[in.Service]++
+		if t := turn(in.ID); t != NoTurn {
+			out[in.Service]++
+			if t == Lasting {
+				lasting[in.Service]++
+			}
 			continue
 		}
 		if m, ok := s.Behind(&in); ok {
@@ -96,10 +111,10 @@
 	var steps []Step
 	for _, step := range behind {
 		service := step.Instance.Service
-		if loading[service] >= 2*AtOnce(count[service]) {
+		if out[service]-lasting[service] >= 2*AtOnce(count[service]) || 2*out[service] >= max(count[service], 2) {
 			continue
 		}
-		loading[service]++
+		out[service]++
 		steps = append(steps, step)
 	}
 	return steps
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -19,6 +19,7 @@
 	"moleshift/controlplane/directory"
 	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
+	"moleshift/controlplane/rollout"
 	"moleshift/fault"
 	"moleshift/peer"
 	"moleshift/settings"
@@ -66,9 +67,9 @@
 	freshNodes   map[string]peer.Node
 	lastFresh    time.Time
 	unsettled    map[string]int
-	remembered   uint64             // digest of the table as it was last kept on disk
-	outboxes     map[string]*outbox // by member
-	loading      map[string]bool    // instances with an order of this node under way
+	remembered   uint64                  // digest of the table as it was last kept on disk
+	outboxes     map[string]*outbox      // by member
+	turns        map[string]rollout.Turn // of instances that this node rolls weights out to
 }
 
 type session struct {
@@ -88,7 +89,7 @@
 		}),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, freshNodes: map[string]peer.Node{},
-		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, loading: map[string]bool{},
+		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
 	}
 	c.recall()
 	c.syncEvery = min(max(settings.Millis(set.Bounds.ContactMs/syncsPerContact), minSync), maxSync)
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -28,7 +28,8 @@
 	takenWithin    = time.Second // after which a server that is not busy and has the old weights has not taken an order
 	serverTimeout  = 600 * time.Millisecond
 	emptyAfter     = 300 * time.Millisecond // before the first look whether a server's runs have ended: reports lag behind
-	emptyShare     = 0.25                   // of version-ms: after that a server is ordered to load all the same, and waits for its last runs itself
+	emptyShare     = 0.6                    // of version-ms after the rollout began servers load though something runs, and wait for that themselves
+	lastsAfter     = time.Second            // a server that is not empty by then lets others have their turn
 	modeWait       = "wait"                 // runs end under the weights with which they began
 	operationLoad  = "version"
 	statusAccepted = 202
@@ -39,7 +40,7 @@
 	b := c.set.Bounds
 	rest := settings.Millis(b.LeaseMs+b.FreezeSlackMs) + leaseMargin
 	watch := singleton.NewWatch(singleton.Settings{Use: leaseUse, Guard: leaseUse + rest}, c.self.ID)
-	r := &roller{c: c, watch: watch, slots: map[string]int{}, client: &fasthttp.Client{
+	r := &roller{c: c, watch: watch, slots: map[string]int{}, began: map[peer.Model]time.Duration{}, client: &fasthttp.Client{
 		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 4, MaxIdleConnDuration: 2 * time.Second,
 		Dial: func(address string) (net.Conn, error) { return sock.Dial(c.set.IP, address, serverTimeout) },
 	}}
@@ -60,7 +61,8 @@
 	c      *Controller
 	watch  *singleton.Watch // guarded by the controller's lock
 	client *fasthttp.Client
-	slots  map[string]int // servers that load now, by service; guarded by the controller's lock
+	slots  map[string]int               // servers that load now, by service; guarded by the controller's lock
+	began  map[peer.Model]time.Duration // when the first server had its turn for a version; the same
 }
 
 func (r *roller) tick() {
@@ -80,10 +82,13 @@
 		return
 	}
 	r.c.mu.Lock()
-	busy := func(id string) bool { return r.c.loading[id] }
-	steps := state.Next(live, busy, func(string) float64 { return 0 })
+	turn := func(id string) rollout.Turn { return r.c.turns[id] }
+	steps := state.Next(live, turn, func(string) float64 { return 0 })
 	for _, step := range steps {
-		r.c.loading[step.Instance.ID] = true
+		r.c.turns[step.Instance.ID] = rollout.Emptying
+		if _, ok := r.began[step.Model]; !ok {
+			r.began[step.Model] = r.c.now()
+		}
 	}
 	r.c.mu.Unlock()
 	for _, step := range steps {
@@ -132,11 +137,10 @@
 	defer func() {
 		r.setLoading(step.Instance, false)
 		c.mu.Lock()
-		delete(c.loading, id)
+		delete(c.turns, id)
 		c.mu.Unlock()
 	}()
-	r.awaitEmpty(step.Instance.Address)
-	if !r.takeSlot(step.Instance.Service) {
+	if !r.awaitTurn(step) {
 		return
 	}
 	defer r.freeSlot(step.Instance.Service)
@@ -154,33 +158,32 @@
 	r.awaitLoaded(step)
 }
 
-// awaitEmpty waits until a server tells that nothing runs there, for emptyShare of version-ms at the longest.
-func (r *roller) awaitEmpty(address string) {
-	began := time.Now()
-	atMost := settings.Millis(emptyShare * r.c.set.Bounds.VersionMs)
-	for time.Sleep(emptyAfter); time.Since(began) < atMost; time.Sleep(reportEvery) {
-		if report, err := r.report(address); err == nil && report.Running == 0 && report.Queued == 0 {
-			return
+// awaitTurn waits until the server may load: nothing runs there, or time is getting short, and fewer than AtOnce others load. false:
+// the lease ran out meanwhile.
+func (r *roller) awaitTurn(step rollout.Step) bool {
+	c, service := r.c, step.Instance.Service
+	began := c.now()
+	empty := false
+	for c.pause(emptyAfter); ; c.pause(reportEvery) {
+		if report, err := r.report(step.Instance.Address); err == nil {
+			empty = report.Running == 0 && report.Queued == 0
 		}
-	}
-}
-
-// takeSlot waits until fewer than AtOnce servers of the service load; false: the lease ran out meanwhile.
-func (r *roller) takeSlot(service string) bool {
-	c := r.c
-	for {
 		c.mu.Lock()
-		_, holds := r.watch.Holds(c.now())
+		now := c.now()
+		_, holds := r.watch.Holds(now)
+		late := now-r.began[step.Model] > settings.Millis(emptyShare*c.set.Bounds.VersionMs)
 		count := len(lo.Filter(c.table.Live(), func(in peer.Instance, _ int) bool { return in.Service == service }))
-		free := r.slots[service] < rollout.AtOnce(count)
-		if free && holds {
+		may := holds && (empty || late) && r.slots[service] < rollout.AtOnce(count)
+		if may {
 			r.slots[service]++
+			c.turns[step.Instance.ID] = rollout.Loading
+		} else if now-began > lastsAfter {
+			c.turns[step.Instance.ID] = rollout.Lasting
 		}
 		c.mu.Unlock()
-		if !holds || free {
-			return holds
+		if may || !holds {
+			return may
 		}
-		time.Sleep(reportEvery / 3)
 	}
 }
 
--- a/dataplane/admission/retries.go
+++ b/dataplane/admission/retries.go
@@ -17,11 +17,11 @@
 	Rescue                // a stream that has begun would be lost
 )
 
-// shares of the portion: windows of a judge and of this router lie differently, so none uses it whole.
-var shares = [...]float64{Move: 0.5, Retry: 0.65, Rescue: 0.9}
+// shares of the portion that purposes may use: each leaves something for the more urgent ones.
+var shares = [...]float64{Move: 0.7, Retry: 0.85, Rescue: 1}
 
 // baseUsed is the part of the base that is given out at all, for routers that are not known yet.
-const baseUsed = 0.75
+const baseUsed = 0.8
 
 // Settings are the figures of the budget over all routers.
 type Settings struct {
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -19,8 +19,9 @@
 	"moleshift/settings"
 )
 
-// newestOnly is the share of version-ms after which requests go only to servers with the newest weights named.
-const newestOnly = 0.92
+// newestOnly is the share of version-ms after which requests go only to servers with the newest weights named: one may wait some
+// time at its server before it begins.
+const newestOnly = 0.75
 
 const (
 	startWait = 3 * time.Second        // after the start a request may wait for the first configuration
