--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -48,7 +48,7 @@
 	}
 	caller := peer.NewClient(set.IP)
 	dir := directory.New()
-	control := server.New(set, self, acceptor, caller, dir, log)
+	control := server.New(set, settings.NewReloader(os.Getenv(settings.Variable), set).SeedPeers, self, acceptor, caller, dir, log)
 	var local func(in *peer.Poll) (*peer.PollReply, error)
 	if control.Counts() {
 		local = control.Poll
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -43,6 +43,7 @@
 // Controller is the control plane of one node.
 type Controller struct {
 	set       *settings.Settings
+	seeds     func() []string // peer addresses of the seeds, as the settings file names them now
 	self      peer.Node
 	acceptor  *core.Acceptor // nil: this node does not count
 	registers *core.Registers
@@ -52,6 +53,7 @@
 	started   time.Time
 	syncEvery time.Duration
 	closed    chan struct{}
+	closeOnce sync.Once
 
 	mu           sync.Mutex
 	table        *registry.Table
@@ -79,9 +81,9 @@
 }
 
 // New makes a controller. acceptor is nil on a node that does not count for the quorum.
-func New(set *settings.Settings, self peer.Node, acceptor *core.Acceptor, caller core.Caller, dir *directory.Directory, log zerolog.Logger) *Controller {
+func New(set *settings.Settings, seeds func() []string, self peer.Node, acceptor *core.Acceptor, caller core.Caller, dir *directory.Directory, log zerolog.Logger) *Controller {
 	c := &Controller{
-		set: set, self: self, acceptor: acceptor, directory: dir, caller: caller, log: log,
+		set: set, seeds: seeds, self: self, acceptor: acceptor, directory: dir, caller: caller, log: log,
 		registers: core.NewRegisters(acceptor, self, caller, log),
 		started:   time.Now(), closed: make(chan struct{}), tableID: self.ID,
 		table: registry.New(registry.Settings{
@@ -156,6 +158,7 @@
 // Run works until Close. It is to be called in a goroutine of its own.
 func (c *Controller) Run() {
 	if c.acceptor != nil {
+		go c.announce()
 		go c.runRollout()
 		go c.sweep()
 	}
@@ -190,8 +193,8 @@
 	}
 }
 
-// Close ends what Run does.
-func (c *Controller) Close() { close(c.closed) }
+// Close ends what Run does. It may be called more than once.
+func (c *Controller) Close() { c.closeOnce.Do(func() { close(c.closed) }) }
 
 // syncOnce looks at the registers at all members, tells them which instances were heard here, and compares tables.
 func (c *Controller) syncOnce() {
--- a/controlplane/server/members.go
+++ b/controlplane/server/members.go
@@ -13,6 +13,7 @@
 const (
 	callTimeout    = 350 * time.Millisecond
 	findEvery      = 80 * time.Millisecond
+	announceEvery  = time.Second
 	applyEvery     = 400 * time.Millisecond
 	applicantKeep  = 2 * time.Second
 	genesisLeast   = 1500 * time.Millisecond // after the start, before the first membership is decided
@@ -39,19 +40,46 @@
 				c.lastFresh = time.Now()
 			}
 		}
+		for id, a := range c.applicants {
+			if a.node.Address == in.From.Address {
+				delete(c.applicants, id) // whoever was at the address before has lost its state
+			}
+		}
 		c.applicants[in.From.Acceptor] = applicant{in.From, time.Now()}
 		c.mu.Unlock()
 	}
+	if len(in.Members) > 0 && len(c.directory.Members()) == 0 {
+		c.learnMembers(in.Members)
+	}
 	return &peer.WhoReply{Members: c.directory.Members()}, nil
 }
 
+// announce tells the seeds who the members are, again and again. Seeds may be machines that count for no quorum and keep nothing:
+// after a loss of power they know nobody, and all who look for the members ask them.
+func (c *Controller) announce() {
+	for pause := findEvery; ; pause = min(2*pause, announceEvery) {
+		if members := c.directory.Members(); len(members) > 0 {
+			for _, address := range c.seeds() {
+				if address != c.self.Address {
+					go func() {
+						_ = c.caller.Call(address, peer.CallWho, &peer.Who{From: c.self, Members: members}, &peer.WhoReply{}, callTimeout)
+					}()
+				}
+			}
+		}
+		if !c.pause(pause) {
+			return
+		}
+	}
+}
+
 // findMembers asks seeds until the members are known, then applies where this node counts and is none of them.
 func (c *Controller) findMembers() {
 	if c.acceptor != nil && !c.acceptor.Empty() {
 		c.directory.Set(c.registers.Members(core.Config))
 	}
 	for len(c.directory.Members()) == 0 {
-		for _, address := range c.set.SeedPeers() {
+		for _, address := range c.seeds() {
 			go c.askWho(address)
 		}
 		c.decideGenesis()
@@ -221,7 +249,11 @@
 		}
 		node := applicants[id].node
 		next := slices.Clone(v.Members)
-		if i := c.givesWay(next, node.Address); i >= 0 {
+		i := c.givesWay(next, node.Address)
+		if i >= 0 && c.registers.Silence(next[i].ID) < 2*c.syncEvery {
+			continue // the member at that address lives: what applied is older than it
+		}
+		if i >= 0 {
 			next = slices.Delete(next, i, i+1)
 		}
 		return append(next, quorum.Member{ID: id, Address: node.Address})
--- /dev/null
+++ b/controlplane/server/server_test.go
@@ -0,0 +1,222 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/tinylib/msgp/msgp"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/directory"
+	"moleshift/controlplane/registry"
+	"moleshift/fault"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+// lan carries calls between controllers in memory; those that are off, or cut off from the caller, do not answer.
+type lan struct {
+	mu       sync.Mutex
+	handlers map[string]map[string]peer.Handler
+	off      map[string]bool
+}
+
+var errOff = errors.New("no answer")
+
+// port is one controller's way into the lan.
+type port struct {
+	lan  *lan
+	from string
+}
+
+func (p *port) Call(address, call string, in msgp.Marshaler, out msgp.Unmarshaler, _ time.Duration) error {
+	p.lan.mu.Lock()
+	h := p.lan.handlers[address][call]
+	off := p.lan.off[address] || p.lan.off[p.from]
+	p.lan.mu.Unlock()
+	if h == nil || off {
+		return errOff
+	}
+	body, err := in.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	reply, err := h(body)
+	if err != nil {
+		return err
+	}
+	body, err = reply.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = out.UnmarshalMsg(body)
+	return err
+}
+
+func (l *lan) set(address string, off bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.off[address] = off
+}
+
+// node starts a controller. seeds are the addresses that its settings file names.
+func (l *lan) node(t *testing.T, i int, counts, first bool, store core.Store, seeds ...string) *Controller {
+	t.Helper()
+	set := settings.Default()
+	set.IP = fmt.Sprintf("10.0.0.%d", i)
+	set.PortRange = []int{7000, 7009}
+	set.Bootstrap, set.HeartbeatMs = first, 200
+	set.Listen.Control = set.IP + ":80"
+	set.Seeds = nil
+	for _, s := range seeds {
+		set.Seeds = append(set.Seeds, s+":80")
+	}
+	var acceptor *core.Acceptor
+	self := peer.Node{ID: fmt.Sprintf("incarnation-%d-%p", i, &set), Address: set.PeerAddress()}
+	if counts {
+		var err error
+		acceptor, err = core.NewAcceptor(store)
+		must.NoError(t, err)
+		self.Acceptor, self.Fresh = acceptor.Identity(), first && acceptor.Fresh()
+	}
+	c := New(&set, set.SeedPeers, self, acceptor, &port{l, self.Address}, directory.New(), zerolog.Nop())
+	l.mu.Lock()
+	l.handlers[self.Address] = c.Handlers()
+	l.off[self.Address] = false
+	l.mu.Unlock()
+	go c.Run()
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func newLan() *lan {
+	return &lan{handlers: map[string]map[string]peer.Handler{}, off: map[string]bool{}}
+}
+
+// eventually waits for what comes about within a bound, not at once.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)), must.Sprint(what))
+}
+
+const wholeText = `{"version":2,"routes":[],"services":[{"name":"llm"}]}`
+
+func replace(c *Controller, ifVersion int64, body string) fault.Kind {
+	return fault.Kind(c.Order(&peer.Order{Kind: configuration.Replace, IfVersion: ifVersion, Body: []byte(body)}).Kind)
+}
+
+// A core of four with three seeds, one of which is a machine that does not count: one membership of all four, known to everyone.
+func TestFirstMembership(t *testing.T) {
+	l := newLan()
+	var members []*Controller
+	for i := 1; i <= 4; i++ {
+		members = append(members, l.node(t, i, true, true, nil, "10.0.0.2", "10.0.0.3", "10.0.0.9"))
+	}
+	router := l.node(t, 9, false, true, nil, "10.0.0.2", "10.0.0.3", "10.0.0.9")
+	for _, c := range append(members, router) {
+		eventually(t, "four members are known", func() bool { return len(c.directory.Members()) == 4 })
+	}
+	eventually(t, "configuration through a node that does not count", func() bool { return replace(router, 0, wholeText) == fault.None })
+	must.Eq(t, fault.None, replace(members[3], 0, wholeText), must.Sprint("the same order again, elsewhere"))
+	must.Eq(t, fault.WrongVersion, replace(members[0], 0, `{"version":3,"routes":[],"services":[]}`))
+	read := members[1].Order(&peer.Order{Kind: orderRead})
+	must.Eq(t, wholeText, string(read.Body))
+	must.Eq(t, fault.BadConfig, fault.Kind(router.Order(&peer.Order{Kind: orderVersion, Body: []byte(`{"model":"","version":1}`)}).Kind))
+
+	// One member may be off; a server that leaves is acknowledged by a majority, and by nobody without one.
+	l.set(members[3].self.Address, true)
+	server := peer.Instance{ID: "i1", Service: "llm", Address: "10.1.0.1:80", Sequence: 1}
+	_, err := members[0].passBeat(&peer.Beat{Instance: server})
+	must.NoError(t, err)
+	server.Sequence, server.State = 2, registry.Draining
+	_, err = members[0].passBeat(&peer.Beat{Instance: server})
+	must.NoError(t, err)
+	known, ok := members[1].table.Get("i1")
+	must.True(t, ok)
+	must.Eq(t, registry.Draining, known.State)
+	l.set(members[2].self.Address, true)
+	_, err = members[0].passBeat(&peer.Beat{Instance: peer.Instance{ID: "i1", State: registry.Gone}})
+	must.Error(t, err, must.Sprint("two of four cannot promise that routers will hear of it"))
+	must.Eq(t, fault.Unavailable, replace(members[0], 2, `{"version":3,"routes":[],"services":[]}`))
+	l.set(members[2].self.Address, false)
+	_, err = members[0].passBeat(&peer.Beat{Instance: peer.Instance{ID: "i1", State: registry.Gone}})
+	must.NoError(t, err, must.Sprint("the same call again"))
+}
+
+// Seeds that keep nothing know nobody after a loss of all power; members tell them, and those who ask them find the members.
+func TestSeedsThatKeepNothing(t *testing.T) {
+	l := newLan()
+	stores := map[int]core.Store{1: newStore(), 2: newStore(), 3: newStore()}
+	for i := range 3 {
+		l.node(t, i+1, true, true, stores[i+1], "10.0.0.1", "10.0.0.2", "10.0.0.3")
+	}
+	one := l.node(t, 8, false, true, nil, "10.0.0.1")
+	eventually(t, "members are known", func() bool { return len(one.directory.Members()) == 3 })
+	eventually(t, "configuration", func() bool { return replace(one, 0, wholeText) == fault.None })
+
+	seeds := []string{"10.0.0.21", "10.0.0.22", "10.0.0.23"}
+	var routers []*Controller
+	for i := 21; i <= 25; i++ {
+		routers = append(routers, l.node(t, i, false, false, nil, seeds...))
+	}
+	for i := range 3 {
+		l.node(t, i+1, true, false, stores[i+1], seeds...)
+	}
+	for _, c := range routers {
+		eventually(t, "members are known again", func() bool { return len(c.directory.Members()) == 3 })
+	}
+	eventually(t, "what was acknowledged", func() bool {
+		return string(routers[4].Order(&peer.Order{Kind: orderRead}).Body) == wholeText
+	})
+}
+
+// A member whose disk was lost is taken in under its new identity, and the change ends: then another member may be lost.
+func TestWipedMemberIsTakenIn(t *testing.T) {
+	l := newLan()
+	seeds := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	var members []*Controller
+	for i := range 3 {
+		members = append(members, l.node(t, i+1, true, true, newStore(), seeds...))
+	}
+	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	members[2].Close()
+	members[2] = l.node(t, 3, true, false, newStore(), seeds...)
+	for _, register := range core.Names() {
+		eventually(t, "the change has ended", func() bool {
+			v := members[0].registers.Known(register).Value
+			return len(v.Old) == 0 && len(v.Members) == 3 && v.Has(members[2].acceptor.Identity())
+		})
+	}
+	l.set(members[1].self.Address, true)
+	eventually(t, "a change by the new one and another", func() bool {
+		return replace(members[0], 2, `{"version":5,"routes":[],"services":[]}`) == fault.None
+	})
+}
+
+// store is a disk in memory.
+type store struct {
+	mu      sync.Mutex
+	records map[string][]byte
+}
+
+func newStore() *store { return &store{records: map[string][]byte{}} }
+
+func (s *store) Get(name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[name]
+}
+
+func (s *store) Put(name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[name] = data
+	return nil
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -36,7 +36,8 @@
 
 // Who asks for what the callee knows of the members; it also introduces the caller.
 type Who struct {
-	From Node `msg:"f"`
+	From    Node            `msg:"f"`
+	Members []quorum.Member `msg:"m"` // as far as the caller knows them
 }
 
 // WhoReply lists the members, where the callee knows them.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -4665,6 +4665,25 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "m":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]quorum.Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				err = z.Members[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4678,9 +4697,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Who) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 2
 	// write "f"
-	err = en.Append(0x81, 0xa1, 0x66)
+	err = en.Append(0x82, 0xa1, 0x66)
 	if err != nil {
 		return
 	}
@@ -4689,20 +4708,47 @@
 		err = msgp.WrapError(err, "From")
 		return
 	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0001 := range z.Members {
+		err = z.Members[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Who) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "f"
-	o = append(o, 0x81, 0xa1, 0x66)
+	o = append(o, 0x82, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
 		return
 	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
 	return
 }
 
@@ -4730,6 +4776,25 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "m":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]quorum.Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4744,7 +4809,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Who) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize()
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
 	return
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,9 +4,11 @@
 package settings
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -189,6 +191,32 @@
 	return net.JoinHostPort(ip, strconv.Itoa(s.PortRange[0]))
 }
 
+// Reloader reads the file again where it has changed. Of what it finds only the seeds matter to a node that runs: whoever starts
+// anew looks for the others there.
+type Reloader struct {
+	path string
+	mu   sync.Mutex
+	text []byte
+	set  *Settings
+}
+
+// NewReloader makes a reloader of the file that set came from.
+func NewReloader(path string, set *Settings) *Reloader { return &Reloader{path: path, set: set} }
+
+// SeedPeers gives the peer addresses of the seeds that the file names now; a file that cannot be read changes nothing.
+func (r *Reloader) SeedPeers() []string {
+	text, err := os.ReadFile(r.path)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil && !bytes.Equal(text, r.text) {
+		r.text = text
+		if set, err := Parse(text); err == nil {
+			r.set = set
+		}
+	}
+	return r.set.SeedPeers()
+}
+
 // SeedPeers gives the peer addresses of the seeds, in the order of the file.
 func (s *Settings) SeedPeers() []string {
 	peers := make([]string, 0, len(s.Seeds))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -79,6 +79,21 @@
 	must.Eq(t, "edge-a-1", s.NodeName)
 }
 
+func TestReloader(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "local.yaml")
+	must.NoError(t, os.WriteFile(path, []byte(example), 0o600))
+	s, err := Load(path)
+	must.NoError(t, err)
+	r := NewReloader(path, s)
+	must.Eq(t, s.SeedPeers(), r.SeedPeers())
+	must.NoError(t, os.WriteFile(path, []byte(strings.Replace(example, "127.0.0.2:8381", "127.0.0.9:8381", 1)), 0o600))
+	must.Eq(t, []string{"127.0.0.1:7560", "127.0.0.9:7560"}, r.SeedPeers())
+	must.NoError(t, os.WriteFile(path, []byte("node-name: ["), 0o600))
+	must.Eq(t, []string{"127.0.0.1:7560", "127.0.0.9:7560"}, r.SeedPeers(), must.Sprint("a file that cannot be read changes nothing"))
+	must.NoError(t, os.Remove(path))
+	must.Len(t, 2, r.SeedPeers())
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(example))
 	f.Fuzz(func(t *testing.T, text []byte) {
