--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -24,7 +24,8 @@
 	betweenCalls = 100 * time.Millisecond // events gather meanwhile
 	failedPause  = time.Second
 	passEvery    = 100 * time.Millisecond
-	exportEvery  = 2 // of passEvery: batches for other zones gather for longer, as their bytes are dear
+	exportEvery  = 2  // of passEvery: batches for other zones gather for longer, as their bytes are dear
+	fanOut       = 12 // routers that one sends a batch to at the most; with more in a zone, they pass it on to groups
 	passTimeout  = 500 * time.Millisecond
 	headerWait   = "Wait-Ms"
 )
@@ -55,8 +56,9 @@
 	drawing map[string]chan struct{} // by holder: closed to end it
 	nodes   []peer.Node
 	greeted map[string]bool // nodes that have been sent the whole state
-	pending []peer.Events   // drawn here, for this zone
-	export  []peer.Events   // drawn in this zone, for the others
+	drawn   []peer.Events   // drawn here, not passed on yet
+	zone    []peer.Events   // to be spread in this zone, at its leader
+	export  []peer.Events   // drawn in this zone, for the others, at its leader
 }
 
 // New makes a collector.
@@ -191,7 +193,7 @@
 func (c *Collector) learned(e peer.Events) {
 	c.sink.TakeEvents([]peer.Events{e})
 	c.mu.Lock()
-	c.pending = append(c.pending, e)
+	c.drawn = append(c.drawn, e)
 	c.mu.Unlock()
 }
 
@@ -218,8 +220,8 @@
 // passOn sends what has gathered to every router, and all that is known of this router's holders to those that have just come.
 func (c *Collector) passOn() {
 	c.mu.Lock()
-	batch, nodes := c.pending, c.nodes
-	c.pending = nil
+	batch, nodes := c.drawn, c.nodes
+	c.drawn = nil
 	var fresh []peer.Node
 	known := map[string]bool{}
 	for _, n := range nodes {
@@ -240,9 +242,9 @@
 	}
 	c.mu.Unlock()
 	if len(batch) > 0 {
-		c.toZone(nodes, &peer.EventBatch{Export: true, List: batch})
-		c.collect(batch)
+		c.toZone(batch, nodes)
 	}
+	c.spread(nodes)
 	if len(fresh) == 0 {
 		return
 	}
@@ -259,24 +261,58 @@
 	}
 }
 
-// toZone passes a batch to the other routers of this zone.
-func (c *Collector) toZone(nodes []peer.Node, batch *peer.EventBatch) {
-	for _, n := range nodes {
-		if n.ID != c.self.ID && n.Zone == c.self.Zone {
-			c.send(n, batch)
-		}
+// toZone brings what was drawn here to the routers of the zone: to each where they are few, else to the leader, which spreads it. The
+// leader sends it to the other zones in any case.
+func (c *Collector) toZone(batch []peer.Events, nodes []peer.Node) {
+	others, leader := c.zoneMates(nodes), leaderOf(c.self.Zone, nodes)
+	few := len(others) <= fanOut
+	if leader.ID == c.self.ID {
+		c.collect(batch, true, !few)
+	} else if !few {
+		c.send(leader, &peer.EventBatch{Export: true, Spread: true, List: batch})
+	}
+	if !few {
+		return
+	}
+	for _, n := range others {
+		c.send(n, &peer.EventBatch{Export: n.ID == leader.ID, List: batch})
 	}
 }
 
-// collect takes what was drawn in this zone for the other zones, where this router is the zone's leader.
-func (c *Collector) collect(batch []peer.Events) {
+// zoneMates lists the other routers of this zone.
+func (c *Collector) zoneMates(nodes []peer.Node) []peer.Node {
+	return lo.Filter(nodes, func(n peer.Node, _ int) bool { return n.Zone == c.self.Zone && n.ID != c.self.ID })
+}
+
+// collect takes what this router, as its zone's leader, is to send to other zones or to spread in its own.
+func (c *Collector) collect(batch []peer.Events, export, spread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leaderOf(c.self.Zone, c.nodes).ID == c.self.ID {
+	if spread {
+		c.zone = append(c.zone, batch...)
+	}
+	if export {
 		c.export = append(c.export, batch...)
 	}
 }
 
+// spread sends what has gathered to the routers of the zone: to fanOut of them, which pass it on to a group each.
+func (c *Collector) spread(nodes []peer.Node) {
+	c.mu.Lock()
+	batch := c.zone
+	c.zone = nil
+	c.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	others := c.zoneMates(nodes)
+	size := max(1, (len(others)+fanOut-1)/fanOut)
+	for _, group := range lo.Chunk(others, size) {
+		passTo := lo.Map(group[1:], func(n peer.Node, _ int) string { return n.Address })
+		c.send(group[0], &peer.EventBatch{PassTo: passTo, List: batch})
+	}
+}
+
 // passOut sends what was drawn in this zone to the leaders of the other zones.
 func (c *Collector) passOut() {
 	c.mu.Lock()
@@ -288,7 +324,7 @@
 	}
 	for _, zone := range lo.Uniq(lo.Map(nodes, func(n peer.Node, _ int) string { return n.Zone })) {
 		if zone != c.self.Zone {
-			c.send(leaderOf(zone, nodes), &peer.EventBatch{Forward: true, List: batch})
+			c.send(leaderOf(zone, nodes), &peer.EventBatch{Spread: true, List: batch})
 		}
 	}
 }
@@ -315,15 +351,17 @@
 	if _, err := batch.UnmarshalMsg(body); err != nil {
 		return nil, err
 	}
-	c.sink.TakeEvents(batch.List)
-	if batch.Export {
-		c.collect(batch.List)
-	}
-	if batch.Forward {
-		c.mu.Lock()
-		nodes := c.nodes
-		c.mu.Unlock()
-		c.toZone(nodes, &peer.EventBatch{List: batch.List})
+	c.sink.TakeEvents(c.news(batch.List))
+	c.collect(batch.List, batch.Export, batch.Spread)
+	for _, address := range batch.PassTo {
+		c.send(peer.Node{Address: address, Zone: c.self.Zone}, &peer.EventBatch{List: batch.List})
 	}
 	return &peer.Empty{}, nil
 }
+
+// news leaves out the events of holders that this router draws itself: it knew them first.
+func (c *Collector) news(list []peer.Events) []peer.Events {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lo.Filter(list, func(e peer.Events, _ int) bool { return c.drawing[e.Holder] == nil })
+}
--- a/dataplane/kvevents/kvevents_test.go
+++ b/dataplane/kvevents/kvevents_test.go
@@ -71,14 +71,21 @@
 
 // What one router draws reaches every router once, and crosses each border between zones once.
 func TestEventsReachAllOnce(t *testing.T) {
-	list := nodes(4, 6)
-	network := &memory{collectors: map[string]*Collector{}, crossed: map[string]int{}, zones: map[string]string{}}
+	for _, each := range []int{1, 6, 40} {
+		reachAllOnce(t, nodes(4, each))
+	}
+}
+
+func reachAllOnce(t *testing.T, list []peer.Node) {
+	network := &memory{collectors: map[string]*Collector{}, crossed: map[string]int{}, sent: map[string]int{}, zones: map[string]string{}}
 	sinks := map[string]*sink{}
 	for _, n := range list {
 		sinks[n.ID] = &sink{got: map[string]int{}}
 		c := New("127.0.0.1", n, network, sinks[n.ID], zerolog.Nop())
 		c.nodes = list
+		c.drawing[n.ID] = make(chan struct{})
 		c.send = func(to peer.Node, batch *peer.EventBatch) {
+			network.sent[n.ID]++
 			if to.Zone != n.Zone {
 				network.crossed[n.Zone+" to "+to.Zone]++
 			}
@@ -92,11 +99,16 @@
 	for _, n := range list {
 		network.collectors[n.Address].learned(peer.Events{Holder: n.ID, List: []peer.Event{{Salt: "s", Part: "p", Tokens: 1}}})
 	}
-	for _, n := range list {
-		network.collectors[n.Address].passOn()
-	}
-	for _, n := range list {
-		network.collectors[n.Address].passOut()
+	for range 2 { // leaders spread what came from other zones at their next turn
+		for _, n := range list {
+			network.collectors[n.Address].passOn()
+		}
+		for _, n := range list {
+			network.collectors[n.Address].spread(list)
+		}
+		for _, n := range list {
+			network.collectors[n.Address].passOut()
+		}
 	}
 	for _, n := range list {
 		must.MapLen(t, len(list), sinks[n.ID].got)
@@ -105,6 +117,9 @@
 		}
 	}
 	must.Len(t, 4*3, keys(network.crossed))
+	for id, n := range network.sent {
+		must.LessEq(t, 4*fanOut+8, n, must.Sprintf("%s sends to too many", id))
+	}
 	for border, times := range network.crossed {
 		must.Eq(t, 1, times, must.Sprint(border))
 	}
--- a/dataplane/kvevents/memory_test.go
+++ b/dataplane/kvevents/memory_test.go
@@ -11,6 +11,7 @@
 	collectors map[string]*Collector
 	zones      map[string]string
 	crossed    map[string]int
+	sent       map[string]int // by node
 }
 
 func (m *memory) Call(address, _ string, in msgp.Marshaler, out msgp.Unmarshaler, _ time.Duration) error {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -199,7 +199,8 @@
 
 // EventBatch holds the events of several holders.
 type EventBatch struct {
-	Forward bool     `msg:"f"` // it comes from another zone: the receiver passes it on within its own
-	Export  bool     `msg:"x"` // it was drawn in the receiver's zone: the zone's leader passes it on to other zones
-	List    []Events `msg:"l"`
+	Export bool     `msg:"x"` // the receiver, its zone's leader, sends them to the other zones
+	Spread bool     `msg:"f"` // the receiver, its zone's leader, spreads them in the zone
+	PassTo []string `msg:"p"` // the receiver passes them on to these addresses
+	List   []Events `msg:"l"`
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -939,34 +939,53 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Forward, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Forward")
-				return
-			}
 		case "x":
 			z.Export, err = dc.ReadBool()
 			if err != nil {
 				err = msgp.WrapError(err, "Export")
 				return
 			}
-		case "l":
+		case "f":
+			z.Spread, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Spread")
+				return
+			}
+		case "p":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "PassTo")
+				return
+			}
+			if cap(z.PassTo) >= int(zb0002) {
+				z.PassTo = (z.PassTo)[:zb0002]
+			} else {
+				z.PassTo = make([]string, zb0002)
+			}
+			for za0001 := range z.PassTo {
+				z.PassTo[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "PassTo", za0001)
+					return
+				}
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "List")
 				return
 			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
+			if cap(z.List) >= int(zb0003) {
+				z.List = (z.List)[:zb0003]
 			} else {
-				z.List = make([]Events, zb0002)
+				z.List = make([]Events, zb0003)
 			}
-			for za0001 := range z.List {
-				err = z.List[za0001].DecodeMsg(dc)
+			for za0002 := range z.List {
+				err = z.List[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
+					err = msgp.WrapError(err, "List", za0002)
 					return
 				}
 			}
@@ -983,27 +1002,44 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EventBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
+	// write "x"
+	err = en.Append(0x84, 0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Export)
+	if err != nil {
+		err = msgp.WrapError(err, "Export")
+		return
+	}
 	// write "f"
-	err = en.Append(0x83, 0xa1, 0x66)
+	err = en.Append(0xa1, 0x66)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Forward)
+	err = en.WriteBool(z.Spread)
 	if err != nil {
-		err = msgp.WrapError(err, "Forward")
+		err = msgp.WrapError(err, "Spread")
 		return
 	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
+	// write "p"
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Export)
+	err = en.WriteArrayHeader(uint32(len(z.PassTo)))
 	if err != nil {
-		err = msgp.WrapError(err, "Export")
+		err = msgp.WrapError(err, "PassTo")
 		return
 	}
+	for za0001 := range z.PassTo {
+		err = en.WriteString(z.PassTo[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "PassTo", za0001)
+			return
+		}
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -1014,10 +1050,10 @@
 		err = msgp.WrapError(err, "List")
 		return
 	}
-	for za0001 := range z.List {
-		err = z.List[za0001].EncodeMsg(en)
+	for za0002 := range z.List {
+		err = z.List[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
+			err = msgp.WrapError(err, "List", za0002)
 			return
 		}
 	}
@@ -1027,20 +1063,26 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "f"
-	o = append(o, 0x83, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Forward)
+	// map header, size 4
 	// string "x"
-	o = append(o, 0xa1, 0x78)
+	o = append(o, 0x84, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.Export)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Spread)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.PassTo)))
+	for za0001 := range z.PassTo {
+		o = msgp.AppendString(o, z.PassTo[za0001])
+	}
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		o, err = z.List[za0001].MarshalMsg(o)
+	for za0002 := range z.List {
+		o, err = z.List[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
+			err = msgp.WrapError(err, "List", za0002)
 			return
 		}
 	}
@@ -1065,34 +1107,53 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Forward, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Forward")
-				return
-			}
 		case "x":
 			z.Export, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Export")
 				return
 			}
-		case "l":
+		case "f":
+			z.Spread, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spread")
+				return
+			}
+		case "p":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PassTo")
+				return
+			}
+			if cap(z.PassTo) >= int(zb0002) {
+				z.PassTo = (z.PassTo)[:zb0002]
+			} else {
+				z.PassTo = make([]string, zb0002)
+			}
+			for za0001 := range z.PassTo {
+				z.PassTo[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PassTo", za0001)
+					return
+				}
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "List")
 				return
 			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
+			if cap(z.List) >= int(zb0003) {
+				z.List = (z.List)[:zb0003]
 			} else {
-				z.List = make([]Events, zb0002)
+				z.List = make([]Events, zb0003)
 			}
-			for za0001 := range z.List {
-				bts, err = z.List[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.List {
+				bts, err = z.List[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
+					err = msgp.WrapError(err, "List", za0002)
 					return
 				}
 			}
@@ -1111,8 +1172,12 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EventBatch) Msgsize() (s int) {
 	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.List {
-		s += z.List[za0001].Msgsize()
+	for za0001 := range z.PassTo {
+		s += msgp.StringPrefixSize + len(z.PassTo[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.List {
+		s += z.List[za0002].Msgsize()
 	}
 	return
 }
