--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -134,11 +134,16 @@
 	return true
 }
 
-// SetLoading notes whether an instance loads new weights; routers then prefer others.
+// SetLoading notes whether an instance loads new weights; routers then prefer others. It is to be noted again and again: whoever
+// orders the load may be gone.
 func (t *Table) SetLoading(now time.Duration, id string, loading bool) {
 	e := t.entries[id]
-	if e != nil && e.instance.Loading != loading {
-		e.instance.Loading, e.loading = loading, now
+	if e == nil {
+		return
+	}
+	e.loading = now
+	if e.instance.Loading != loading {
+		e.instance.Loading = loading
 		t.mark(e)
 	}
 }
--- a/controlplane/registry/registry_test.go
+++ b/controlplane/registry/registry_test.go
@@ -11,7 +11,7 @@
 	"moleshift/peer"
 )
 
-var set = Settings{Silence: 4 * time.Second, Keep: time.Minute, Loading: 12 * time.Second}
+var set = Settings{Silence: 4 * time.Second, Keep: time.Minute, Loading: 3 * time.Second}
 
 func instance(id string, sequence int64, state int) peer.Instance {
 	return peer.Instance{ID: id, Service: "llm", Address: id + ":1", Zone: "a", Sequence: sequence, State: state, Models: []peer.Model{{Name: "m", Version: 1}}}
@@ -126,8 +126,13 @@
 	table.Take(time.Second, instance("i1", 2, Ready), true)
 	in, _ := table.Get("i1")
 	must.True(t, in.Loading, must.Sprint("a heartbeat does not end it"))
-	table.Heard(12*time.Second, "i1")
-	table.Sweep(13 * time.Second)
+	table.SetLoading(2*time.Second, "i1", true)
+	table.Heard(4*time.Second, "i1")
+	table.Sweep(4500 * time.Millisecond)
+	in, _ = table.Get("i1")
+	must.True(t, in.Loading, must.Sprint("it was noted again"))
+	table.Heard(6*time.Second, "i1")
+	table.Sweep(6 * time.Second)
 	in, _ = table.Get("i1")
 	must.False(t, in.Loading, must.Sprint("whoever ordered it is gone"))
 }
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -84,7 +84,7 @@
 )
 
 // Next gives the servers whose turn begins now. turn tells how far the turns of others are; load how much an instance has to do, the
-// least comes first. Twice as many have their turn as may load at once, so that half of them let their runs end meanwhile. Servers
+// least comes first. More have their turn than may load at once, so that some let their runs end meanwhile. Servers
 // whose runs take long do not hold the others up, but at most half of a service's servers are out at a time.
 func (s *State) Next(live []peer.Instance, turn func(id string) Turn, load func(id string) float64) []Step {
 	count, out, lasting := map[string]int{}, map[string]int{}, map[string]int{}
@@ -111,7 +111,7 @@
 	var steps []Step
 	for _, step := range behind {
 		service := step.Instance.Service
-		if out[service]-lasting[service] >= 2*AtOnce(count[service]) || 2*out[service] >= max(count[service], 2) {
+		if out[service]-lasting[service] >= Turns(count[service]) || 2*out[service] >= max(count[service], 2) {
 			continue
 		}
 		out[service]++
@@ -120,5 +120,8 @@
 	return steps
 }
 
+// Turns is how many of a service's servers have their turn at the same time: those that load, and half as many that empty meanwhile.
+func Turns(servers int) int { return AtOnce(servers) + max(1, AtOnce(servers)/2) }
+
 // AtOnce is how many of a service's servers may load at the same time.
 func AtOnce(servers int) int { return max(1, int(math.Round(atOnceShare*float64(servers)))) }
--- a/controlplane/rollout/rollout_test.go
+++ b/controlplane/rollout/rollout_test.go
@@ -42,7 +42,7 @@
 func idle(string) float64 { return 0 }
 
 func TestTurnsAreBounded(t *testing.T) {
-	for n, turns := range map[int]int{1: 1, 3: 2, 9: 4, 12: 4, 90: 36, 140: 56} {
+	for n, turns := range map[int]int{1: 1, 3: 2, 9: 3, 12: 3, 90: 27, 140: 42} {
 		s, _, err := (&State{}).Name("m", 2)
 		must.NoError(t, err)
 		states := map[string]Turn{}
@@ -70,7 +70,7 @@
 		states[step.Instance.ID] = Lasting
 	}
 	steps := s.Next(servers(12, 1), turn, idle)
-	must.Len(t, 2, steps, must.Sprint("half of twelve are out then"))
+	must.Len(t, 3, steps, must.Sprint("half of twelve are out then"))
 	for _, step := range steps {
 		states[step.Instance.ID] = Emptying
 	}
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -32,7 +32,7 @@
 	maxSync          = 500 * time.Millisecond
 	silentBeats      = 3.5 // heartbeats missed before a server is taken for silent
 	keepEntries      = time.Minute
-	loadingAtMost    = 12 * time.Second
+	loadingAtMost    = 3 * time.Second // without word from the node that orders a load
 	sessionsEvery    = 4               // of all syncs carry the sessions
 	sessionKeep      = 4 * time.Second // a router that has not polled for so long is taken for gone
 	scrubAfter       = 3               // syncs in a row with other digests before whole tables are exchanged
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -134,7 +134,10 @@
 func (r *roller) load(step rollout.Step) {
 	c, id := r.c, step.Instance.ID
 	r.setLoading(step.Instance, true)
+	over := make(chan struct{})
+	go r.keepLoading(step.Instance, over)
 	defer func() {
+		close(over)
 		r.setLoading(step.Instance, false)
 		c.mu.Lock()
 		delete(c.turns, id)
@@ -216,6 +219,24 @@
 	}
 }
 
+// keepLoading says again that a server is about to load or loads, for as long as its turn lasts.
+func (r *roller) keepLoading(in peer.Instance, over <-chan struct{}) {
+	in.Loading = true
+	for {
+		select {
+		case <-over:
+			return
+		case <-r.c.closed:
+			return
+		case <-time.After(loadingAtMost / 3):
+		}
+		r.c.mu.Lock()
+		r.c.table.SetLoading(r.c.now(), in.ID, true)
+		r.c.mu.Unlock()
+		r.c.push(in, true, false)
+	}
+}
+
 func (r *roller) setLoading(in peer.Instance, loading bool) {
 	in.Loading = loading
 	r.c.mu.Lock()
