A stream goes on elsewhere only after an event that named an id

Change: the buffer of events notes whether the last event with data had an id; behind one without, the request is pinned to its attempt and neither moved nor taken up. Comments do not count as events. An event's own id counts, not that of one before.

--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -42,6 +42,7 @@
 	runs   int  // attempts that may have run
 	turns  int  // attempts in all
 	passed bool // the head of an answer has been passed on
+	pinned bool // what was passed on ends where no other attempt could go on
 }
 
 // MayHaveRun tells whether some attempt may have run. Until then, and only then, a promise that it has not is true.
@@ -49,9 +50,14 @@
 
 // MayMove tells whether an attempt that runs may be given up for another one at another server.
 func (r *Request) MayMove() bool {
-	return r.Repeatable && r.runs+1 < max(r.MaxAttempts, 1) && r.turns+1 < maxTurns
+	return r.repeatable() && r.runs+1 < max(r.MaxAttempts, 1) && r.turns+1 < maxTurns
 }
 
+// Pin notes whether the answer passed on so far ends where no other attempt could go on: then the request must not run again.
+func (r *Request) Pin(pinned bool) { r.pinned = pinned }
+
+func (r *Request) repeatable() bool { return r.Repeatable && !r.pinned }
+
 // HeadPassed notes that the client has got the head of an answer.
 func (r *Request) HeadPassed() { r.passed = true }
 
@@ -70,7 +76,7 @@
 	case Done:
 		return Pass, fault.None
 	case Failed:
-		if r.Repeatable && !r.passed && r.mayRunAgain(room) {
+		if r.repeatable() && !r.passed && r.mayRunAgain(room) {
 			return Again, fault.None
 		}
 		if r.passed {
@@ -78,11 +84,11 @@
 		}
 		return Pass, fault.None
 	case Moved:
-		if room.Time && room.Server {
+		if room.Time && room.Server && !r.pinned {
 			return r.again()
 		}
 	case Broken:
-		if r.Repeatable && r.mayRunAgain(room) {
+		if r.repeatable() && r.mayRunAgain(room) {
 			return r.again()
 		}
 	default:
--- a/dataplane/attempt/attempt_test.go
+++ b/dataplane/attempt/attempt_test.go
@@ -19,6 +19,7 @@
 	spent := Request{MaxAttempts: 2, Repeatable: true, runs: 1, turns: 1, passed: true}
 	streaming := Request{MaxAttempts: 2, Repeatable: true, passed: true}
 	unsafeStream := Request{MaxAttempts: 1, passed: true}
+	pinned := Request{MaxAttempts: 2, Repeatable: true, passed: true, pinned: true}
 	tired := Request{MaxAttempts: 2, Repeatable: true, turns: maxTurns - 1}
 	no := func(r Room, what string) Room {
 		switch what {
@@ -66,6 +67,8 @@
 		{"stream taken up, turned away", spent, TurnedAway, all, Resume, fault.None},
 		{"stream taken up, no connection", spent, NotSent, all, Resume, fault.None},
 		{"stream moved", streaming, Moved, no(all, "budget"), Resume, fault.None},
+		{"stream broken behind an event without an id", pinned, Broken, all, Cut, fault.None},
+		{"stream moved behind an event without an id", pinned, Moved, all, Cut, fault.None},
 		{"stream moved, no server left", streaming, Moved, no(all, "server"), Cut, fault.None},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/dataplane/proxy/body.go
+++ b/dataplane/proxy/body.go
@@ -130,8 +130,9 @@
 
 // eventBuffer gathers the bytes of a stream and gives whole events only.
 type eventBuffer struct {
-	pending []byte
-	lastID  string
+	pending    []byte
+	lastID     string
+	unnumbered bool // the last event with data had no id: no id tells where a stream taken up after it would have to go on
 }
 
 // whole gives the events that are whole, together, and keeps the rest. The bytes are good until the next call.
@@ -143,10 +144,24 @@
 	end += 2
 	events := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
+	e.note(events)
+	return events
+}
+
+// note keeps the id of the last event, and whether the last one with data had none.
+func (e *eventBuffer) note(events []byte) {
+	var numbered, data bool
 	for line := range bytes.Lines(events) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastID = string(bytes.TrimSpace(value))
+			e.lastID, numbered = string(bytes.TrimSpace(value)), true
 		}
+		data = data || bytes.HasPrefix(line, []byte("data"))
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		if data {
+			e.unnumbered = !numbered
+		}
+		numbered, data = false, false
 	}
-	return events
 }
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -200,6 +200,7 @@
 			if events.lastID != "" {
 				r.lastID = events.lastID
 			}
+			r.state.Pin(events.unnumbered)
 		}
 		if errors.Is(err, io.EOF) && (!byClose || !r.started || r.byClose) {
 			break
