While draining, late requests are taken only where they end in time; seats handed over; electors

A member that got SIGTERM stayed a member for 10 s after it was gone. One process alone decided the first membership, in memory. Leave gives up the seat by agreement. The seeds choose the first membership by ballots; votes are on disk before they count. Excluded: ending earlier (clients still come for seconds: DRAIN, prices).

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -44,11 +44,15 @@
 		ID: randomID(), Name: set.NodeName, Address: set.PeerAddress(), Control: set.Listen.Control, Zone: set.Zone,
 	}
 	if acceptor != nil {
-		self.Acceptor, self.Fresh = acceptor.Identity(), set.Bootstrap && acceptor.Fresh()
+		self.Acceptor, self.Fresh = acceptor.Identity(), acceptor.Empty()
+	}
+	elector, err := core.NewElector(self.Address, set.SeedPeers(), set.Bootstrap, acceptor)
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	caller := peer.NewClient(set.IP)
 	dir := directory.New()
-	control := server.New(set, settings.NewReloader(os.Getenv(settings.Variable), set).SeedPeers, self, acceptor, caller, dir, log)
+	control := server.New(set, settings.NewReloader(os.Getenv(settings.Variable), set).SeedPeers, self, acceptor, elector, caller, dir, log)
 	var local func(in *peer.Poll) (*peer.PollReply, error)
 	if control.Counts() {
 		local = control.Poll
@@ -87,11 +91,11 @@
 	go follow.Run()
 	go events.Run()
 	log.Info().Bool("counts", control.Counts()).Bool("fresh", self.Fresh).Msg("started")
-	return awaitSignal(set, clients, failed, log)
+	return awaitSignal(set, control, clients, failed, log)
 }
 
 // awaitSignal returns at SIGTERM or SIGINT, once all that was taken is answered.
-func awaitSignal(set *settings.Settings, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
+func awaitSignal(set *settings.Settings, control *server.Controller, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
@@ -103,7 +107,12 @@
 				continue // what may change while a node runs comes from the controllers; seeds are read at the next start
 			}
 			log.Info().Str("signal", s.String()).Msg("draining")
-			clients.Drain(settings.Seconds(set.Bounds.GraceS))
+			released := make(chan struct{})
+			go func() {
+				defer close(released)
+				control.Leave(settings.Seconds(set.Bounds.GraceS))
+			}()
+			clients.Drain(settings.Seconds(set.Bounds.GraceS), released)
 			log.Info().Msg("ended")
 			return nil
 		}
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -176,7 +176,7 @@
 // answer is a member's answer to a call of a phase.
 type answer struct {
 	from  string
-	reply *peer.AcceptorReply
+	reply *peer.AcceptorReply // nil: none that counts
 }
 
 // ask sends a phase's call to one member, or to this node's own acceptor.
@@ -198,8 +198,21 @@
 	return &reply, nil
 }
 
-// phase asks all targets of a round at once, and takes answers until the round leaves the phase or the time is over.
+// phase plays a phase of a round on a register.
 func (r *Registers) phase(register string, round *quorum.Round, message func(m quorum.Member) (string, peerIn)) {
+	playPhase(round, func(m quorum.Member) (*peer.AcceptorReply, error) {
+		call, in := message(m)
+		reply, err := r.ask(m, call, in)
+		if err == nil {
+			r.met(register, reply.Promised)
+		}
+		return reply, err
+	})
+}
+
+// playPhase asks all targets of a round at once, and takes answers until the round leaves the phase or the time is over. Who does
+// not answer, or answers that it is somebody else, counts for nothing.
+func playPhase(round *quorum.Round, ask func(m quorum.Member) (*peer.AcceptorReply, error)) {
 	phase := round.Phase
 	answers := make(chan answer, maxMembers)
 	asked := map[string]bool{}
@@ -213,10 +226,9 @@
 			}
 			asked[m.ID] = true
 			waiting++
-			call, in := message(m)
 			go func() {
-				reply, err := r.ask(m, call, in)
-				if err != nil {
+				reply, err := ask(m)
+				if err != nil || reply.Wrong {
 					reply = nil
 				}
 				answers <- answer{m.ID, reply}
@@ -228,21 +240,24 @@
 		select {
 		case a := <-answers:
 			waiting--
-			if a.reply == nil {
-				continue
-			}
-			r.met(register, a.reply.Promised)
-			if phase == quorum.Preparing {
-				round.Promise(a.from, a.reply.OK, a.reply.Promised, a.reply.Accepted, a.reply.Value)
-			} else {
-				round.Accept(a.from, a.reply.OK, a.reply.Promised)
-			}
+			a.give(round, phase)
 		case <-timer.C:
 			return
 		}
 	}
 }
 
+// give lets a round take an answer of the given phase.
+func (a *answer) give(round *quorum.Round, phase quorum.Phase) {
+	switch {
+	case a.reply == nil:
+	case phase == quorum.Preparing:
+		round.Promise(a.from, a.reply.OK, a.reply.Promised, a.reply.Accepted, a.reply.Value)
+	default:
+		round.Accept(a.from, a.reply.OK, a.reply.Promised)
+	}
+}
+
 // Change changes a register: edit gets the newest value and gives the next. Where edit fails, the register stays as it is, and its
 // error comes back once the value that it saw is chosen. Other errors are of kind Unavailable; then the change may come about or not.
 func (r *Registers) Change(register string, deadline time.Time, edit func(v quorum.Value) (quorum.Value, error)) (quorum.Value, error) {
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -46,6 +46,7 @@
 	seeds     func() []string // peer addresses of the seeds, as the settings file names them now
 	self      peer.Node
 	acceptor  *core.Acceptor // nil: this node does not count
+	elector   *core.Elector
 	registers *core.Registers
 	directory *directory.Directory
 	caller    core.Caller
@@ -66,7 +67,8 @@
 	lastSync     time.Time
 	syncs        int
 	applicants   map[string]applicant
-	freshNodes   map[string]peer.Node
+	leavers      map[string]leaver    // members that are about to end, by identity
+	freshNodes   map[string]peer.Node // nodes that count and have kept nothing, by address
 	lastFresh    time.Time
 	unsettled    map[string]int
 	remembered   uint64                  // digest of the table as it was last kept on disk
@@ -81,16 +83,16 @@
 }
 
 // New makes a controller. acceptor is nil on a node that does not count for the quorum.
-func New(set *settings.Settings, seeds func() []string, self peer.Node, acceptor *core.Acceptor, caller core.Caller, dir *directory.Directory, log zerolog.Logger) *Controller {
+func New(set *settings.Settings, seeds func() []string, self peer.Node, acceptor *core.Acceptor, elector *core.Elector, caller core.Caller, dir *directory.Directory, log zerolog.Logger) *Controller {
 	c := &Controller{
-		set: set, seeds: seeds, self: self, acceptor: acceptor, directory: dir, caller: caller, log: log,
+		set: set, seeds: seeds, self: self, acceptor: acceptor, elector: elector, directory: dir, caller: caller, log: log,
 		registers: core.NewRegisters(acceptor, self, caller, log),
 		started:   time.Now(), closed: make(chan struct{}), tableID: self.ID,
 		table: registry.New(registry.Settings{
 			Silence: settings.Millis(silentBeats * set.HeartbeatMs), Keep: keepEntries, Loading: loadingAtMost,
 		}),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
-		mismatch: map[string]int{}, applicants: map[string]applicant{}, freshNodes: map[string]peer.Node{},
+		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
 	}
 	c.recall()
@@ -109,6 +111,8 @@
 	return map[string]peer.Handler{
 		peer.CallWho:       handle(c.who),
 		peer.CallGenesis:   handle(c.genesis),
+		peer.CallVote:      handle(c.vote),
+		peer.CallLeave:     handle(c.leave),
 		peer.CallPrepare:   handle(c.prepare),
 		peer.CallAccept:    handle(c.accept),
 		peer.CallLearn:     handle(c.learn),
@@ -162,6 +166,7 @@
 		go c.runRollout()
 		go c.sweep()
 	}
+	go c.runGenesis()
 	c.findMembers()
 	if c.acceptor == nil {
 		return
@@ -211,12 +216,16 @@
 		message.Sessions = c.ownSessions()
 	}
 	c.mu.Unlock()
-	c.registers.Look(message, func(reply *peer.SyncReply) { c.compare(&reply.From, reply.Digest) })
+	c.registers.Look(message, func(reply *peer.SyncReply) {
+		c.returned(&reply.From)
+		c.compare(&reply.From, reply.Digest)
+	})
 	c.directory.Set(c.registers.Members(core.Config))
 }
 
 func (c *Controller) sync(in *peer.Sync) (*peer.SyncReply, error) {
 	now := c.now()
+	c.returned(&in.From)
 	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads)}
 	c.mu.Lock()
 	for _, id := range in.Heard {
@@ -281,21 +290,14 @@
 
 // first tells whether this node is the first live member in the agreed order for a key.
 func (c *Controller) first(key string) bool {
-	for _, m := range directory.Rank(key, c.registers.Members(core.Config)) {
-		if m.ID == c.acceptor.Identity() {
-			return true
-		}
-		if c.registers.Silence(m.ID) < 3*c.syncEvery {
-			return false
-		}
-	}
-	return false
+	m, ok := c.owner(key)
+	return ok && m.ID == c.acceptor.Identity()
 }
 
-// owner gives the first live member in the agreed order for a key.
+// owner gives the first live member in the agreed order for a key; members that are about to end own nothing.
 func (c *Controller) owner(key string) (quorum.Member, bool) {
 	for _, m := range directory.Rank(key, c.registers.Members(core.Config)) {
-		if c.registers.Silence(m.ID) < 3*c.syncEvery {
+		if c.registers.Silence(m.ID) < 3*c.syncEvery && !c.isLeaving(m.ID) {
 			return m, true
 		}
 	}
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -84,9 +84,11 @@
 		var err error
 		acceptor, err = core.NewAcceptor(store)
 		must.NoError(t, err)
-		self.Acceptor, self.Fresh = acceptor.Identity(), first && acceptor.Fresh()
+		self.Acceptor, self.Fresh = acceptor.Identity(), acceptor.Empty()
 	}
-	c := New(&set, set.SeedPeers, self, acceptor, &port{l, self.Address}, directory.New(), zerolog.Nop())
+	elector, err := core.NewElector(self.Address, set.SeedPeers(), first, acceptor)
+	must.NoError(t, err)
+	c := New(&set, set.SeedPeers, self, acceptor, elector, &port{l, self.Address}, directory.New(), zerolog.Nop())
 	l.mu.Lock()
 	l.handlers[self.Address] = c.Handlers()
 	l.off[self.Address] = false
--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"moleshift/dataplane/admission"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/proxy"
 	"moleshift/fault"
@@ -23,9 +24,6 @@
 const (
 	writerSize   = 4 << 10
 	bodyTime     = 10 * time.Second // for a body to come whole
-	drainLeast   = 2500 * time.Millisecond
-	drainMargin  = 700 * time.Millisecond // before the platform's grace ends
-	drainCheck   = 50 * time.Millisecond
 	readyReadBuf = 1024
 )
 
@@ -36,16 +34,22 @@
 	ready  func() bool
 	log    zerolog.Logger
 
-	draining atomic.Bool
-	active   atomic.Int64 // requests being answered
+	drain  atomic.Pointer[admission.Drain] // nil: the process was not told to end
+	ending atomic.Bool                     // no further request is read
 
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns map[net.Conn]*connection
+}
+
+// connection is what is known of a client's connection. The server's lock guards it.
+type connection struct {
+	active   bool            // a request is being read or answered
+	exchange *proxy.Exchange // the request that is being answered, once it was read
 }
 
 // New makes a server; ready tells whether this node may take clients.
 func New(p *proxy.Proxy, follow func() *follower.Snapshot, ready func() bool, log zerolog.Logger) *Server {
-	return &Server{proxy: p, follow: follow, ready: ready, log: log, conns: map[net.Conn]struct{}{}}
+	return &Server{proxy: p, follow: follow, ready: ready, log: log, conns: map[net.Conn]*connection{}}
 }
 
 // Serve takes clients until the listener is closed.
@@ -68,7 +72,7 @@
 	h := &fasthttp.Server{
 		NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: readyReadBuf, WriteBufferSize: readyReadBuf, Logger: sock.Quiet{},
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			if s.draining.Load() || !s.ready() {
+			if s.drain.Load() != nil || !s.ready() {
 				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			}
 		},
@@ -76,32 +80,11 @@
 	return h.Serve(l)
 }
 
-// Drain tells the platform to send no more clients, serves those that are there and that still come, and returns when nothing is
-// left to answer or the time is over.
-func (s *Server) Drain(grace time.Duration) {
-	s.draining.Store(true)
-	began := time.Now()
-	for time.Since(began) < grace-drainMargin {
-		if time.Since(began) >= min(drainLeast, grace/2) && s.active.Load() == 0 {
-			return
-		}
-		time.Sleep(drainCheck)
-	}
-}
-
-// CloseIdle closes all connections of clients. It is for the end, after Drain.
-func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.Close()
-	}
-}
-
 func (s *Server) serveConn(c net.Conn) {
 	defer c.Close()
+	state := &connection{}
 	s.mu.Lock()
-	s.conns[c] = struct{}{}
+	s.conns[c] = state
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -110,19 +93,29 @@
 	}()
 	reader := bufio.NewReaderSize(c, s.follow().Table.MaxHeader())
 	writer := bufio.NewWriterSize(c, writerSize)
-	for s.serveOne(c, reader, writer) {
+	for s.serveOne(c, state, reader, writer) {
 	}
 }
 
+// set notes what a connection is at.
+func (s *Server) set(state *connection, active bool, e *proxy.Exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.active, state.exchange = active, e
+}
+
 // serveOne serves one request; false: the connection is to be closed.
-func (s *Server) serveOne(c net.Conn, reader *bufio.Reader, writer *bufio.Writer) bool {
+func (s *Server) serveOne(c net.Conn, state *connection, reader *bufio.Reader, writer *bufio.Writer) bool {
 	table := s.follow().Table
 	_ = c.SetReadDeadline(time.Now().Add(table.Idle()))
+	if s.ending.Load() { // looked at behind the deadline: whoever sets it ends the read that follows
+		return false
+	}
 	if _, err := reader.Peek(1); err != nil {
 		return false
 	}
-	s.active.Add(1)
-	defer s.active.Add(-1)
+	s.set(state, true, nil)
+	defer s.set(state, false, nil)
 	arrived := time.Now()
 	_ = c.SetReadDeadline(arrived.Add(table.HeadTime()))
 	req := fasthttp.AcquireRequest()
@@ -136,7 +129,11 @@
 		return s.refuseBody(e, err)
 	}
 	e.Body = req.Body()
-	e.Closing = req.Header.ConnectionClose() || s.draining.Load()
+	e.Closing = req.Header.ConnectionClose()
+	if drain := s.drain.Load(); drain != nil {
+		e.Closing, e.Drain = true, *drain
+	}
+	s.set(state, true, e)
 	_ = c.SetReadDeadline(time.Time{})
 	watched := watch(e, reader)
 	s.serve(e)
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -108,10 +108,11 @@
 
 // router is a data plane under test.
 type router struct {
-	t     *testing.T
-	front string
-	proxy *proxy.Proxy
-	fresh bool
+	t      *testing.T
+	front  string
+	proxy  *proxy.Proxy
+	server *ingress.Server
+	fresh  bool
 }
 
 func start(t *testing.T, instances ...peer.Instance) *router {
@@ -129,17 +130,17 @@
 	close(started)
 	r.proxy = proxy.New(&set, func() *follower.Snapshot { return snapshot }, started, func() bool { return r.fresh }, zerolog.Nop())
 	r.proxy.Update(snapshot)
-	server := ingress.New(r.proxy, func() *follower.Snapshot { return snapshot }, func() bool { return true }, zerolog.Nop())
+	r.server = ingress.New(r.proxy, func() *follower.Snapshot { return snapshot }, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	r.front = l.Addr().String()
 	var done sync.WaitGroup
-	done.Go(func() { _ = server.Serve(l) })
+	done.Go(func() { _ = r.server.Serve(l) })
 	t.Cleanup(func() {
 		l.Close()
 		done.Wait()
 		r.proxy.Update(&follower.Snapshot{Instances: map[string][]peer.Instance{}})
-		server.CloseIdle()
+		r.server.CloseIdle()
 	})
 	return r
 }
--- /dev/null
+++ b/dataplane/proxy/client.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"moleshift/dataplane/admission"
+)
+
+// longPast is a deadline that ends every read and write under way.
+var longPast = time.Unix(1, 0)
+
+// Exchange is one request of a client: what came, and the connection that the answer goes to.
+type Exchange struct {
+	Header  *fasthttp.RequestHeader
+	Body    []byte
+	Arrived time.Time
+	Conn    net.Conn
+	Writer  *bufio.Writer
+	Closing bool            // the connection is closed after this answer
+	Drain   admission.Drain // of the process, as it stood when the request came
+
+	mu      sync.Mutex
+	gone    bool
+	expired bool
+	server  net.Conn // the connection to the server that works on it
+}
+
+// ClientGone is called when the client has closed its connection: the request is ended at its server.
+func (e *Exchange) ClientGone() { e.end(&e.gone) }
+
+// Expire is called when the process is about to end: the request is ended at its server, and the client gets an answer that says
+// so where none has begun.
+func (e *Exchange) Expire() { e.end(&e.expired) }
+
+func (e *Exchange) end(how *bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*how = true
+	if e.server != nil {
+		_ = e.server.SetDeadline(longPast) // fails only where the connection is closed already
+	}
+}
+
+// Gone tells whether the client has closed its connection.
+func (e *Exchange) Gone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone
+}
+
+// over tells whether nothing more may be tried: the deadline has passed, or the process is about to end.
+func (e *Exchange) over(deadline time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.expired || !time.Now().Before(deadline)
+}
+
+// setServer notes the connection to the server; false: the request has been ended.
+func (e *Exchange) setServer(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server = c
+	return !e.gone && !e.expired
+}
+
+// limitServer sets a deadline of the connection to the server, unless the request was ended: that deadline stands.
+func (e *Exchange) limitServer(set func(time.Time) error, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.gone && !e.expired {
+		_ = set(at) // fails only where the connection is closed already
+	}
+}
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -36,13 +36,13 @@
 	if c == nil {
 		return nil, attempt.NotSent
 	}
-	if !r.setServer(c) || !time.Now().Before(r.deadline) || !p.maySend(r) {
+	if !r.setServer(c) || r.over(r.deadline) || !p.maySend(r) {
 		r.setServer(nil)
 		p.closeConn(t, c)
 		return nil, attempt.NotSent
 	}
 	now := time.Now()
-	_ = c.SetDeadline(r.hangLimit(now))
+	r.limitServer(c.SetDeadline, r.hangLimit(now))
 	p.sent(r, to)
 	message := r.message(to, r.deadline.Sub(now))
 	if n, err := c.Write(message); err != nil {
@@ -82,7 +82,7 @@
 	status := a.header.StatusCode()
 	if isStream(r, &a.header) {
 		a.stream = body
-		_ = a.conn.SetDeadline(r.deadline)
+		r.limitServer(a.conn.SetDeadline, r.deadline)
 		return attempt.Done
 	}
 	var err error
@@ -242,7 +242,7 @@
 	}
 	silence := max(leastHang, time.Duration(silentGaps*r.route.GapAimMs*float64(time.Millisecond)))
 	if limit := time.Now().Add(silence); limit.Before(r.deadline) {
-		_ = a.conn.SetReadDeadline(limit)
+		r.limitServer(a.conn.SetReadDeadline, limit)
 	}
 }
 
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -111,6 +111,10 @@
 		p.Refuse(e, fault.KindOf(err), err.Error())
 		return
 	}
+	if !e.Drain.Takes(e.Arrived, r.deadline) {
+		p.Refuse(e, fault.Leaving, "")
+		return
+	}
 	p.mu.Lock()
 	p.budget(r.service.Name).Request(p.now())
 	p.mu.Unlock()
@@ -147,7 +151,7 @@
 		r.Closing = true
 		return attempt.Cut, fault.ClientGone
 	}
-	room := attempt.Room{Time: time.Now().Before(r.deadline)}
+	room := attempt.Room{Time: !r.over(r.deadline)}
 	to := p.choose(r)
 	if to == nil || !room.Time {
 		return r.state.End(room, attempt.NotSent)
@@ -168,7 +172,7 @@
 		return attempt.Cut, fault.ClientGone
 	}
 	p.learn(r, to, a, outcome)
-	room = attempt.Room{Time: time.Now().Before(r.deadline), Server: true}
+	room = attempt.Room{Time: !r.over(r.deadline), Server: true}
 	if outcome != attempt.Moved {
 		room = p.room(r, outcome)
 	}
@@ -181,7 +185,7 @@
 
 // room tells what there is for another attempt; the budget is drawn on only where the attempt would count against it.
 func (p *Proxy) room(r *request, o attempt.Outcome) attempt.Room {
-	room := attempt.Room{Time: time.Now().Before(r.deadline)}
+	room := attempt.Room{Time: !r.over(r.deadline)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.services[r.service.Name] {
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -5,11 +5,8 @@
 package proxy
 
 import (
-	"bufio"
-	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -50,45 +47,6 @@
 	lowestPriority     = 9
 )
 
-// Exchange is one request of a client: what came, and the connection that the answer goes to.
-type Exchange struct {
-	Header  *fasthttp.RequestHeader
-	Body    []byte
-	Arrived time.Time
-	Conn    net.Conn
-	Writer  *bufio.Writer
-	Closing bool // the connection is closed after this answer
-
-	mu     sync.Mutex
-	gone   bool
-	server net.Conn // the connection to the server that works on it
-}
-
-// ClientGone is called when the client has closed its connection: the request is ended at its server.
-func (e *Exchange) ClientGone() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.gone = true
-	if e.server != nil {
-		_ = e.server.SetDeadline(time.Unix(1, 0)) // fails only where the connection is closed already
-	}
-}
-
-// Gone tells whether the client has closed its connection.
-func (e *Exchange) Gone() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.gone
-}
-
-// setServer notes the connection to the server; false: the client has gone.
-func (e *Exchange) setServer(c net.Conn) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.server = c
-	return !e.gone
-}
-
 // request is an exchange with what the configuration says of it.
 type request struct {
 	*Exchange
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,7 @@
 	Unavailable        // no quorum, or this node cannot serve the call now
 	UnknownCall        // no such interface
 	NotRegistered      // the instance is not known
+	Leaving            // this process is about to end and the request may outlast it
 	numKinds
 )
 
@@ -62,6 +63,7 @@
 	Unavailable:   {Status: 503, Promise: true, RetryAfter: 200 * time.Millisecond, Text: "not available now", Remedy: "send it again, to any node"},
 	UnknownCall:   {Status: 404, Text: "no such interface", Remedy: "see docs/system.md for what is served"},
 	NotRegistered: {Status: 404, Text: "instance is not known", Remedy: "let the server send a heartbeat first"},
+	Leaving:       {Status: 503, Promise: true, RetryAfter: 20 * time.Millisecond, Text: "this router is about to end", Remedy: "nothing: the client comes back to another router"},
 }
 
 // Answer gives the table's row for the kind.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -12,6 +12,8 @@
 const (
 	CallWho       = "/who"
 	CallGenesis   = "/genesis"
+	CallVote      = "/vote"
+	CallLeave     = "/leave"
 	CallPrepare   = "/prepare"
 	CallAccept    = "/accept"
 	CallLearn     = "/learn"
@@ -31,13 +33,14 @@
 	Control  string `msg:"c"` // control address
 	Zone     string `msg:"z"`
 	Acceptor string `msg:"k"` // identity as a member; empty: does not count for quorums
-	Fresh    bool   `msg:"f"` // first start of the whole system, nothing kept yet
+	Fresh    bool   `msg:"f"` // counts, and has neither promised nor accepted anything
 }
 
 // Who asks for what the callee knows of the members; it also introduces the caller.
 type Who struct {
 	From    Node            `msg:"f"`
 	Members []quorum.Member `msg:"m"` // as far as the caller knows them
+	Applies bool            `msg:"a"` // the caller counts for the quorum and asks to be taken in
 }
 
 // WhoReply lists the members, where the callee knows them.
@@ -46,7 +49,19 @@
 	Nodes   []Node          `msg:"n"`
 }
 
-// Genesis is the first membership of all, decided by one process once.
+// Leave tells that the sender was told to end and gives up its seat.
+type Leave struct {
+	From Node `msg:"f"`
+}
+
+// Vote asks an elector of the first membership to promise, or, where Value is set, to accept it. Electors are the seeds.
+type Vote struct {
+	Target string        `msg:"t"` // peer address of the elector that is meant
+	Ballot quorum.Ballot `msg:"b"`
+	Value  *quorum.Value `msg:"v"`
+}
+
+// Genesis is the first membership of all, chosen by a majority of the electors.
 type Genesis struct {
 	Members []quorum.Member `msg:"m"`
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -2490,6 +2490,113 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Leave) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			err = z.From.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Leave) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "f"
+	err = en.Append(0x81, 0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = z.From.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Leave) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "f"
+	o = append(o, 0x81, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Leave) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize()
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Model) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -4706,6 +4813,206 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Vote) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			z.Target, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "b":
+			err = z.Ballot.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+		case "v":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Value")
+					return
+				}
+				z.Value = nil
+			} else {
+				if z.Value == nil {
+					z.Value = new(quorum.Value)
+				}
+				err = z.Value.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Value")
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Vote) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "t"
+	err = en.Append(0x83, 0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = z.Ballot.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	if z.Value == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Value.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Value")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Vote) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "t"
+	o = append(o, 0x83, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o, err = z.Ballot.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot")
+		return
+	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	if z.Value == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Value.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Value")
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Vote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "b":
+			bts, err = z.Ballot.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+		case "v":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Value = nil
+			} else {
+				if z.Value == nil {
+					z.Value = new(quorum.Value)
+				}
+				bts, err = z.Value.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Value")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Vote) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + z.Ballot.Msgsize() + 2
+	if z.Value == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Value.Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Who) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -4749,6 +5056,12 @@
 					return
 				}
 			}
+		case "a":
+			z.Applies, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Applies")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4762,9 +5075,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Who) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "f"
-	err = en.Append(0x82, 0xa1, 0x66)
+	err = en.Append(0x83, 0xa1, 0x66)
 	if err != nil {
 		return
 	}
@@ -4790,15 +5103,25 @@
 			return
 		}
 	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Applies)
+	if err != nil {
+		err = msgp.WrapError(err, "Applies")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Who) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
+	o = append(o, 0x83, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -4814,6 +5137,9 @@
 			return
 		}
 	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Applies)
 	return
 }
 
@@ -4860,6 +5186,12 @@
 					return
 				}
 			}
+		case "a":
+			z.Applies, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Applies")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4878,6 +5210,7 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,15 @@
 	DataDir         string            `koanf:"data-dir"`
 	HeartbeatMs     float64           `koanf:"heartbeat-ms"`
 	Bounds          Bounds            `koanf:"bounds"`
+	FaultTolerance  FaultTolerance    `koanf:"fault-tolerance"`
+}
+
+// FaultTolerance is what may be lost at one time while every rule is kept: machines that count for the quorum, or whole zones or
+// regions.
+type FaultTolerance struct {
+	Machines int `koanf:"machines"`
+	Zones    int `koanf:"zones"`
+	Regions  int `koanf:"regions"`
 }
 
 // Listen holds the addresses that others call; an empty one is not served.
@@ -90,7 +99,7 @@
 // Default holds what a file that lacks a key gets.
 func Default() Settings {
 	return Settings{
-		HeartbeatMs: 1000,
+		HeartbeatMs: 1000, FaultTolerance: FaultTolerance{Machines: 1},
 		Limits:      Limits{CPUShare: 1, CPUCores: 1, MemoryMB: 256, MaxFDs: 1024, LinkMbps: 1000, DiskMB: 64},
 		Bounds: Bounds{
 			ReuseDelayS: 2, ContactMs: 3000, AckTimeoutMs: 4000, CatchUpS: 4, DrainMs: 2000, GraceS: 8, ConfigApplyMs: 2000,
