--- /dev/null
+++ b/cmd/molelab/days.go
@@ -0,0 +1,41 @@
+package main
+
+// days.go owns the flags of `molelab days`. It must hold no part of the drawing itself.
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"moleshift/lab/days"
+)
+
+type daysCmd struct {
+	Seed  uint64 `default:"1" help:"Of the first day; each further day takes the next."`
+	Days  int    `default:"1" help:"How many."`
+	Focus string `default:"any" enum:"any,control,start" help:"What the days are drawn from: any kind, kinds that strike the control plane, or those with the start of the system disturbed."`
+	Out   string `type:"path" help:"Folder for a file a day; without it the days are printed."`
+}
+
+func (c *daysCmd) Validate() error {
+	if c.Days < 1 || c.Days > 10000 {
+		return errors.New("--days from 1 to 10000")
+	}
+	return nil
+}
+
+// Run draws the days.
+func (c *daysCmd) Run() error {
+	for i := range uint64(c.Days) {
+		day := days.Draw(c.Seed+i, days.Focus(c.Focus))
+		if c.Out == "" {
+			fmt.Print(day.TOML())
+			continue
+		}
+		if err := os.WriteFile(filepath.Join(c.Out, day.Name+".toml"), []byte(day.TOML()), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/molelab/main.go
+++ b/cmd/molelab/main.go
@@ -21,6 +21,7 @@
 	Conform  conformCmd  `cmd:"" help:"One script through both fronts: is it settled the same, and is every answer right?"`
 	Reshape  reshapeCmd  `cmd:"" help:"Have shards split, merge and move under load: is every answer complete and right?"`
 	Emulate  emulateCmd  `cmd:"" help:"Play a described fleet and load in virtual time, with the real decision module in each router."`
+	Days     daysCmd     `cmd:"" help:"Draw day files for the operators' bench, over every kind of disruption."`
 }
 
 func main() {
--- a/dataplane/proxy/choose.go
+++ b/dataplane/proxy/choose.go
@@ -9,7 +9,6 @@
 	"moleshift/controlplane/registry"
 	"moleshift/dataplane/balance"
 	"moleshift/dataplane/outlier"
-	"moleshift/settings"
 )
 
 const (
@@ -38,9 +37,9 @@
 func (p *Proxy) choose(r *request) *routed {
 	now := time.Now()
 	steady := p.now()
-	newest, newestFrom := r.newestVersion(p.set)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	newest, newestFrom := p.newestVersion(r, steady)
 	var options []routed
 	var candidates []balance.Candidate
 	unseen, usual := p.unseen(r, steady)
@@ -129,9 +128,3 @@
 	}
 	return standing
 }
-
-// newestVersion gives the newest version named of the request's model, and from when on no older one will do.
-func (r *request) newestVersion(set *settings.Settings) (int64, time.Time) {
-	v := r.snapshot.Weights[r.model]
-	return v, r.snapshot.WeightsAt[r.model].Add(settings.Millis(newestOnly * set.Bounds.VersionMs))
-}
--- a/dataplane/proxy/headers.go
+++ b/dataplane/proxy/headers.go
@@ -49,6 +49,7 @@
 	moves   float64 // tokens to be fetched from it
 	save    string  // address of the store that is to keep the parts
 	size    float64
+	sentAt  time.Duration // steady clock of the proxy
 }
 
 // message builds what is sent to the server: method, path, query and body as they came.
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -19,10 +19,6 @@
 	"moleshift/settings"
 )
 
-// newestOnly is the share of version-ms after which requests go only to servers with the newest weights named: one may wait some
-// time at its server before it begins.
-const newestOnly = 0.75
-
 const (
 	startWait = 3 * time.Second        // after the start a request may wait for the first configuration
 	firstWait = 400 * time.Millisecond // the longest that one does
@@ -49,7 +45,7 @@
 	retries  map[string]*admission.Retries
 	routers  int
 	random   *rand.Rand
-	capacity map[string]float64
+	waits    map[string]*longestWait // by service
 }
 
 // New makes a proxy.
@@ -58,7 +54,7 @@
 		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
 		moving: map[string]float64{}, saving: map[string]time.Duration{}, saves: map[string]*bucket{}, means: map[string]*meanLoad{}, down: map[string]bool{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), capacity: map[string]float64{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), waits: map[string]*longestWait{},
 	}
 }
 
@@ -244,6 +240,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := to.target
+	to.sentAt = p.now()
 	t.queue += to.size
 	t.inFlight++
 	t.sizes += (to.size - t.sizes) / 16
@@ -272,6 +269,7 @@
 	if to.version == 0 {
 		return
 	}
+	p.waited(r, to)
 	done := max(to.size-r.decode(), 0)
 	to.size -= done
 	to.target.queue = max(to.target.queue-done, 0)
