--- a/lab/control/control_test.go
+++ b/lab/control/control_test.go
@@ -49,6 +49,18 @@
 	return result
 }
 
+// The failures that operators have met, and those found here, each with three seeds.
+func TestScenarios(t *testing.T) {
+	for _, s := range Scenarios {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				play(t, seed, s.Options)
+			}
+		})
+	}
+}
+
 func TestQuietWorld(t *testing.T) {
 	o := drawn(0)
 	o.Script = []Step{}
