--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -296,14 +296,11 @@
 		return v, false, fault.New(fault.Unavailable, "no quorum of %d members promised", len(known.All()))
 	}
 	next, editErr := edit(round.Current())
-	if editErr != nil {
-		if round.CurrentChosen() {
-			r.chosen(register, round.Seen(), round.Current(), began)
-			return round.Current(), true, editErr
-		}
-		next = round.Current()
+	if round.Decide(next, editErr != nil) {
+		r.chosen(register, round.Seen(), round.Current(), began)
+		return round.Current(), true, editErr
 	}
-	round.Propose(next)
+	next = round.Proposal()
 	r.phase(register, round, func(m quorum.Member) (string, peerIn) {
 		return peer.CallAccept, &peer.Accept{Register: register, Target: m.ID, Ballot: round.Ballot, Value: next}
 	})
--- a/controlplane/quorum/quorum.go
+++ b/controlplane/quorum/quorum.go
@@ -12,7 +12,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // Ballot orders attempts to change a register; two proposers never share one.
@@ -197,6 +200,19 @@
 	r.Phase = Accepting
 }
 
+// Decide takes what an edit made of Current: the value to propose, or that it refuses. A refusal stands only where Current is chosen,
+// then Decide returns true and the round is over; else Current is proposed once more, so that it comes to be chosen.
+func (r *Round) Decide(next Value, refuses bool) (settled bool) {
+	if refuses && r.CurrentChosen() {
+		return true
+	}
+	if refuses {
+		next = r.Current()
+	}
+	r.Propose(next)
+	return false
+}
+
 // Proposal is what the round asks to accept.
 func (r *Round) Proposal() Value { return r.proposal }
 
@@ -271,3 +287,71 @@
 func (w *View) Heard() bool {
 	return w.value.Quorum(func(id string) bool { _, ok := w.have[id]; return ok })
 }
+
+// Clone gives a copy that shares nothing that changes.
+func (r *Round) Clone() *Round {
+	c := *r
+	c.promised, c.holds, c.accepted = maps.Clone(r.promised), maps.Clone(r.holds), maps.Clone(r.accepted)
+	return &c
+}
+
+// Clone gives a copy that shares nothing that changes.
+func (w *View) Clone() *View {
+	c := *w
+	c.have = maps.Clone(w.have)
+	return &c
+}
+
+// String prints a ballot.
+func (b Ballot) String() string { return strconv.FormatUint(b.Counter, 10) + b.Proposer }
+
+// String prints a value in one line.
+func (v Value) String() string {
+	text := strconv.Quote(string(v.Data)) + " of " + names(v.Members)
+	if len(v.Old) > 0 {
+		text += " and " + names(v.Old)
+	}
+	return text
+}
+
+func names(members []Member) string {
+	var b strings.Builder
+	for _, m := range members {
+		b.WriteString(m.ID)
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// String prints what an acceptor keeps in one line.
+func (s State) String() string {
+	return "promised " + s.Promised.String() + ", accepted " + s.Accepted.String() + ": " + s.Value.String()
+}
+
+// String prints a round in one line, in a fixed order.
+func (r *Round) String() string {
+	var b strings.Builder
+	b.WriteString(r.Ballot.String() + " phase " + strconv.Itoa(int(r.Phase)) + ", highest " + r.Higher.String() + "; " + r.current.String() + "of " + r.seen.String() + " from")
+	printHolds(&b, r.holds)
+	if r.Phase >= Accepting {
+		b.WriteString("; asks for " + r.proposal.String() + "and has")
+		for _, id := range slices.Sorted(maps.Keys(r.accepted)) {
+			b.WriteString(" " + id)
+		}
+	}
+	return b.String()
+}
+
+// String prints a look in one line, in a fixed order.
+func (w *View) String() string {
+	var b strings.Builder
+	b.WriteString(w.value.String() + "of " + w.highest.String() + " from")
+	printHolds(&b, w.have)
+	return b.String()
+}
+
+func printHolds(b *strings.Builder, holds map[string]Ballot) {
+	for _, id := range slices.Sorted(maps.Keys(holds)) {
+		b.WriteString(" " + id + ":" + holds[id].String())
+	}
+}
--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -92,7 +92,7 @@
 			return r.again()
 		}
 	default:
-		if r.turns < maxTurns && room.Time && room.Server && (o == NotSent || room.Budget) {
+		if r.turns < maxTurns && !r.pinned && room.Time && room.Server && (o == NotSent || room.Budget) {
 			return r.again()
 		}
 	}
