Contents travel as changes to what the reader has; deadlines follow size

Cause: each acceptance, poll and stored state took the whole configuration: at 12,000 routes 3 MB (0.3 MB packed) to every member and router for each change, with calls cut at 350 ms (a change acknowledged after 10.5 s, 404 for what is in force). Acceptances are written against the current content, whole only where the acceptor lacks it; polls against what the router says it has; many readers of one change cost one writing. States on disk are compressed. Deadlines of calls, phases and orders grow with the bytes sent. A large first configuration is fetched from one controller, not from all. Not in pieces: one lost transfer of a whole begins anew.

--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"sync"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/semaphore"
 
+	"moleshift/controlplane/delta"
 	"moleshift/controlplane/quorum"
 	"moleshift/peer"
 	"moleshift/storage/ring"
@@ -50,8 +52,10 @@
 	fresh    bool // nothing was kept when the process started
 
 	writing *semaphore.Weighted // of one; held across a write to the store
-	mu      sync.Mutex          // short: guards states
-	states  map[string]quorum.State
+	writers map[string]*delta.Writer
+
+	mu     sync.Mutex // short: guards states
+	states map[string]quorum.State
 }
 
 // NewAcceptor opens the acceptor on a store, or a new one with an identity of its own where the store is empty.
@@ -59,7 +63,10 @@
 	if store == nil {
 		store = &memory{records: map[string][]byte{}}
 	}
-	a := &Acceptor{store: store, writing: semaphore.NewWeighted(1), states: map[string]quorum.State{}}
+	a := &Acceptor{store: store, writing: semaphore.NewWeighted(1), writers: map[string]*delta.Writer{}, states: map[string]quorum.State{}}
+	for _, register := range registers {
+		a.writers[register] = &delta.Writer{}
+	}
 	if id := store.Get(identityRecord); id != nil {
 		a.identity = string(id)
 	} else {
@@ -70,12 +77,12 @@
 		}
 	}
 	for _, register := range registers {
-		var s quorum.State
 		data := store.Get(register)
 		if data == nil {
 			continue
 		}
-		if _, err := s.UnmarshalMsg(data); err != nil {
+		s, err := decodeRecord(data)
+		if err != nil {
 			return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", register, err)
 		}
 		a.states[register] = s
@@ -122,7 +129,7 @@
 
 // keep writes a state and then lets others see it.
 func (a *Acceptor) keep(register string, s quorum.State) error {
-	data, err := s.MarshalMsg(nil)
+	data, err := encodeRecord(s, a.writers[register])
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -174,6 +181,44 @@
 	return &peer.AcceptorReply{OK: ok, Promised: s.Promised, Accepted: s.Accepted}, nil
 }
 
+// TakeAccept answers a request to accept as it came over the wire.
+func (a *Acceptor) TakeAccept(in *peer.Accept) (*peer.AcceptorReply, error) {
+	if in.Target != a.identity {
+		return &peer.AcceptorReply{Wrong: true}, nil
+	}
+	data, err := in.Content.Open(a.State(in.Register).Value.Data)
+	if errors.Is(err, delta.ErrNoBase) {
+		return &peer.AcceptorReply{Lacks: true}, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	in.Value.Data = data
+	return a.Accept(in)
+}
+
+// TakePrepare answers a prepare as it goes over the wire.
+func (a *Acceptor) TakePrepare(in *peer.Prepare) (*peer.AcceptorReply, error) {
+	reply, err := a.Prepare(in)
+	if err != nil || reply.Value == nil {
+		return reply, err
+	}
+	bare := *reply.Value
+	bare.Data = nil
+	reply.Content, reply.Value = a.writers[in.Register].Write(reply.Value.Data, nil), &bare
+	return reply, nil
+}
+
+// unpack puts the data of a reply's value into its place.
+func unpack(reply *peer.AcceptorReply) error {
+	if reply.Value == nil || reply.Content == nil {
+		return nil
+	}
+	data, err := reply.Content.Open(nil)
+	reply.Value.Data = data
+	return trace.Wrap(err)
+}
+
 // Install puts the first membership of all into an acceptor that has kept nothing yet; otherwise it does nothing.
 func (a *Acceptor) Install(members []quorum.Member) error {
 	a.beginWrite()
--- a/controlplane/core/core_test.go
+++ b/controlplane/core/core_test.go
@@ -117,11 +117,11 @@
 	case peer.CallPrepare:
 		var msg peer.Prepare
 		_, _ = msg.UnmarshalMsg(body)
-		reply, err = acceptor.Prepare(&msg)
+		reply, err = acceptor.TakePrepare(&msg)
 	case peer.CallAccept:
 		var msg peer.Accept
 		_, _ = msg.UnmarshalMsg(body)
-		reply, err = acceptor.Accept(&msg)
+		reply, err = acceptor.TakeAccept(&msg)
 	case peer.CallLearn:
 		var msg peer.Learn
 		_, _ = msg.UnmarshalMsg(body)
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -125,14 +125,14 @@
 		err := caller.Call(m.Address, peer.CallVote, in, &reply, callTimeout)
 		return &reply, err
 	}
-	playPhase(round, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
+	playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
 	if round.Phase == quorum.Prepared {
 		proposal := round.Current()
 		if round.Seen() == (quorum.Ballot{}) {
 			proposal.Data = value
 		}
 		round.Propose(proposal)
-		playPhase(round, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, &proposal) })
+		playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, &proposal) })
 	}
 	*above = round.Higher
 	return round.Proposal().Data, round.Phase == quorum.Chosen
--- a/controlplane/core/look.go
+++ b/controlplane/core/look.go
@@ -137,6 +137,11 @@
 	if err := r.caller.Call(m.Address, peer.CallSync, &in, &reply, callTimeout); err != nil {
 		return nil
 	}
+	for i := range reply.Reads {
+		if unpack(&reply.Reads[i]) != nil {
+			return nil
+		}
+	}
 	if len(reply.Reads) > 0 && !reply.Reads[0].Wrong {
 		r.alive(m.ID)
 	}
@@ -151,7 +156,7 @@
 		if r.acceptor == nil {
 			continue
 		}
-		if reply, err := r.acceptor.Prepare(&reads[i]); err == nil {
+		if reply, err := r.acceptor.TakePrepare(&reads[i]); err == nil {
 			out[i] = *reply
 		}
 	}
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"moleshift/controlplane/delta"
 	"moleshift/controlplane/quorum"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -28,9 +29,11 @@
 var registers = []string{Config, Weights}
 
 const (
-	callTimeout  = 350 * time.Millisecond // of one call to a member
-	phaseTimeout = 500 * time.Millisecond // of one phase of a round
-	retryPause   = 4 * time.Millisecond   // least pause before a refused round is tried again; up to eight times as long
+	callTimeout       = 350 * time.Millisecond // of one call to a member
+	phaseTimeout      = 500 * time.Millisecond // of one phase of a round
+	leastBytesASecond = 400_000                // of a transfer that is waited for: a third of a link of 10 Mbit/s
+
+	retryPause = 4 * time.Millisecond // least pause before a refused round is tried again; up to eight times as long
 )
 
 // Caller sends a call to another node. *peer.Client is one.
@@ -52,6 +55,7 @@
 	caller   Caller
 	log      zerolog.Logger
 
+	writers   map[string]*delta.Writer
 	proposing map[string]chan struct{} // one proposal of this node at a time, by register
 
 	mu      sync.Mutex
@@ -65,11 +69,12 @@
 func NewRegisters(acceptor *Acceptor, self peer.Node, caller Caller, log zerolog.Logger) *Registers {
 	r := &Registers{
 		acceptor: acceptor, self: self, caller: caller, log: log,
-		proposing: map[string]chan struct{}{}, known: map[string]Known{}, highest: map[string]uint64{},
+		writers: map[string]*delta.Writer{}, proposing: map[string]chan struct{}{}, known: map[string]Known{}, highest: map[string]uint64{},
 		heard: map[string]time.Time{}, changed: make(chan struct{}),
 	}
 	for _, register := range registers {
 		r.proposing[register] = make(chan struct{}, 1)
+		r.writers[register] = &delta.Writer{}
 	}
 	return r
 }
@@ -179,16 +184,26 @@
 	reply *peer.AcceptorReply // nil: none that counts
 }
 
-// ask sends a phase's call to one member, or to this node's own acceptor.
-func (r *Registers) ask(m quorum.Member, call string, in peerIn) (*peer.AcceptorReply, error) {
+// ask sends a phase's call to one member, or to this node's own acceptor. has is the content that the member is expected to have.
+func (r *Registers) ask(m quorum.Member, call string, in peerIn, has []byte) (*peer.AcceptorReply, error) {
+	prepare, isPrepare := in.(*peer.Prepare)
 	if r.acceptor != nil && m.ID == r.acceptor.identity {
-		if p, ok := in.(*peer.Prepare); ok {
-			return r.acceptor.Prepare(p)
+		if isPrepare {
+			return r.acceptor.Prepare(prepare)
 		}
 		return r.acceptor.Accept(in.(*peer.Accept))
 	}
 	var reply peer.AcceptorReply
-	if err := r.caller.Call(m.Address, call, in, &reply, callTimeout); err != nil {
+	var err error
+	if isPrepare {
+		err = r.caller.Call(m.Address, call, in, &reply, callTimeout)
+	} else {
+		err = r.sendAccept(m, in.(*peer.Accept), has, &reply)
+	}
+	if err == nil {
+		err = unpack(&reply)
+	}
+	if err != nil {
 		return nil, err
 	}
 	if reply.Wrong {
@@ -198,11 +213,36 @@
 	return &reply, nil
 }
 
-// phase plays a phase of a round on a register.
+// sendAccept sends a request to accept with its data written against what the member is expected to have, and whole where it has not.
+func (r *Registers) sendAccept(m quorum.Member, in *peer.Accept, has []byte, reply *peer.AcceptorReply) error {
+	bare := *in
+	bare.Value.Data = nil
+	bare.Content = r.writers[in.Register].Write(in.Value.Data, has)
+	err := r.caller.Call(m.Address, peer.CallAccept, &bare, reply, callTimeout+TransferTime(len(bare.Content.Data)))
+	if err != nil || !reply.Lacks {
+		return err
+	}
+	*reply = peer.AcceptorReply{}
+	bare.Content = r.writers[in.Register].Write(in.Value.Data, nil)
+	return r.caller.Call(m.Address, peer.CallAccept, &bare, reply, callTimeout+TransferTime(len(bare.Content.Data)))
+}
+
+// TransferTime is how long so many bytes may take between two nodes, beside the usual time of a call.
+func TransferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / leastBytesASecond
+}
+
+// phase plays a phase of a round on a register. Members are expected to have the round's current content.
 func (r *Registers) phase(register string, round *quorum.Round, message func(m quorum.Member) (string, peerIn)) {
-	playPhase(round, func(m quorum.Member) (*peer.AcceptorReply, error) {
+	var has []byte
+	size := 0
+	if round.Phase == quorum.Accepting {
+		has = r.writers[register].Learn(round.Current().Data)
+		size = len(r.writers[register].Write(round.Proposal().Data, has).Data)
+	}
+	playPhase(round, phaseTimeout+TransferTime(size), func(m quorum.Member) (*peer.AcceptorReply, error) {
 		call, in := message(m)
-		reply, err := r.ask(m, call, in)
+		reply, err := r.ask(m, call, in, has)
 		if err == nil {
 			r.met(register, reply.Promised)
 		}
@@ -212,11 +252,11 @@
 
 // playPhase asks all targets of a round at once, and takes answers until the round leaves the phase or the time is over. Who does
 // not answer, or answers that it is somebody else, counts for nothing.
-func playPhase(round *quorum.Round, ask func(m quorum.Member) (*peer.AcceptorReply, error)) {
+func playPhase(round *quorum.Round, within time.Duration, ask func(m quorum.Member) (*peer.AcceptorReply, error)) {
 	phase := round.Phase
 	answers := make(chan answer, maxMembers)
 	asked := map[string]bool{}
-	timer := time.NewTimer(phaseTimeout)
+	timer := time.NewTimer(within)
 	defer timer.Stop()
 	waiting := 0
 	for round.Phase == phase {
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/tinylib/msgp/msgp"
+	"golang.org/x/sync/semaphore"
 
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/directory"
@@ -55,6 +56,7 @@
 	syncEvery time.Duration
 	closed    chan struct{}
 	closeOnce sync.Once
+	configs   routerConfigs
 
 	mu           sync.Mutex
 	table        *registry.Table
@@ -95,6 +97,7 @@
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
 	}
+	c.configs.building = semaphore.NewWeighted(1)
 	c.recall()
 	c.syncEvery = min(max(settings.Millis(set.Bounds.ContactMs/syncsPerContact), minSync), maxSync)
 	return c
@@ -144,14 +147,14 @@
 	if c.acceptor == nil {
 		return nil, errNotMember
 	}
-	return c.acceptor.Prepare(in)
+	return c.acceptor.TakePrepare(in)
 }
 
 func (c *Controller) accept(in *peer.Accept) (*peer.AcceptorReply, error) {
 	if c.acceptor == nil {
 		return nil, errNotMember
 	}
-	return c.acceptor.Accept(in)
+	return c.acceptor.TakeAccept(in)
 }
 
 func (c *Controller) learn(in *peer.Learn) (*peer.Empty, error) {
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -31,10 +31,10 @@
 
 // Order has an order of the operator carried out, by the owner of its register where that answers, else by the next member.
 func (c *Controller) Order(in *peer.Order) *peer.OrderReply {
-	began := time.Now()
+	began, transfer := time.Now(), core.TransferTime(len(in.Body))
 	reply := &peer.OrderReply{Kind: int(fault.Unavailable), Text: "the members are not known yet"}
 	for _, m := range c.directory.Try("order-" + registerOf(in.Kind)) {
-		if time.Since(began) > orderAll {
+		if time.Since(began) > orderAll+transfer {
 			break
 		}
 		if c.acceptor != nil && m.ID == c.acceptor.Identity() {
@@ -43,7 +43,7 @@
 			}
 		} else {
 			var out peer.OrderReply
-			if err := c.caller.Call(m.Address, peer.CallOrder, in, &out, orderCall); err != nil {
+			if err := c.caller.Call(m.Address, peer.CallOrder, in, &out, orderCall+transfer); err != nil {
 				c.directory.Failed(m.Address)
 				continue
 			}
@@ -68,7 +68,7 @@
 	if c.acceptor == nil {
 		return nil, errNotMember
 	}
-	deadline := time.Now().Add(orderDeadline)
+	deadline := time.Now().Add(orderDeadline + core.TransferTime(len(in.Body)))
 	var body []byte
 	var err error
 	switch in.Kind {
--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -1,12 +1,16 @@
 package server
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
+	"moleshift/controlplane/delta"
 	"moleshift/controlplane/quorum"
 	"moleshift/peer"
 )
@@ -61,8 +65,7 @@
 		reply.Knows, reply.Config = true, config.Ballot
 		reply.AgeMs = float64(time.Since(config.Confirmed)) / float64(time.Millisecond)
 		if in.Config.Less(config.Ballot) {
-			reply.Data = forRouters(config.Value.Data)
-			news = len(reply.Data) > 0 // there is none before the operator's first order
+			news = c.writeConfig(reply, in, &config)
 		}
 	}
 	if weights.Ballot != (quorum.Ballot{}) {
@@ -100,8 +103,41 @@
 	return nodes
 }
 
-// forRouters leaves out of the register's state what only controllers need.
-func forRouters(data []byte) []byte {
+// routerConfigs writes the configuration for routers: many polls that wait for the same change cost one writing.
+type routerConfigs struct {
+	building *semaphore.Weighted // of one; guards state
+	state    routerState
+	writer   delta.Writer
+}
+
+// routerState is the configuration's state without what only controllers need.
+type routerState struct {
+	ballot quorum.Ballot
+	data   []byte
+}
+
+// writeConfig puts the configuration into a reply, written against the one that the caller has where that is known here; false: there
+// is none before the operator's first order.
+func (c *Controller) writeConfig(reply *peer.PollReply, in *peer.Poll, config *core.Known) bool {
+	_ = c.configs.building.Acquire(context.Background(), 1) // fails only where the context ends
+	defer c.configs.building.Release(1)
+	if c.configs.state.ballot != config.Ballot {
+		c.configs.state = routerState{config.Ballot, withoutOrders(config.Value.Data)}
+	}
+	if len(c.configs.state.data) == 0 {
+		return false
+	}
+	content := c.configs.writer.Write(c.configs.state.data, in.Hash)
+	if in.Most > 0 && len(content.Data) > in.Most {
+		reply.Size = len(content.Data)
+	} else {
+		reply.Content = content
+	}
+	return true
+}
+
+// withoutOrders leaves out of the register's state what only controllers need.
+func withoutOrders(data []byte) []byte {
 	var s configuration.State
 	if _, err := s.UnmarshalMsg(data); err != nil {
 		return nil // an empty register: there is no configuration yet
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -6,6 +6,7 @@
 package follower
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -32,6 +33,8 @@
 	failPause     = 100 * time.Millisecond
 	firstPause    = 60 * time.Millisecond // until there is a configuration, at first
 	mostPause     = time.Second
+	firstMost     = 32 << 10                // bytes of a first configuration that every controller may send at once
+	pollMost      = 256 << 10               // bytes of a configuration that come with a held poll; a larger one is fetched by a call of its own
 	staleAfter    = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
 	refreshBefore = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
 	tombstoneKeep = time.Minute
@@ -61,10 +64,13 @@
 
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64 // the configuration was in force then: nanoseconds since start; 0: never confirmed
+	fetching  atomic.Bool  // a first configuration is on its way
 	start     time.Time
 
 	mu       sync.Mutex // guards what follows; used by run alone but for tests
 	config   quorum.Ballot
+	data     []byte // the configuration as it came
+	hash     []byte // of data
 	weights  quorum.Ballot
 	tableID  string
 	revision uint64
@@ -119,7 +125,11 @@
 			at = 0
 		}
 		began := time.Now()
-		reply, err := f.poll(members[at], pollWait)
+		reply, err := f.poll(members[at], pollWait, pollMost, pollWait+pollSlack)
+		if err == nil && reply.Size > 0 {
+			began = time.Now()
+			reply, err = f.poll(members[at], 0, 0, pollSlack+core.TransferTime(reply.Size))
+		}
 		if err == nil {
 			f.take(began, reply)
 		}
@@ -139,12 +149,18 @@
 
 // first asks all controllers at once, anew and anew at growing intervals, until there is a configuration: after a start some of them
 // may be on their way too, and a machine without power takes a call's whole time. false: closed.
+// A large configuration is then fetched from one of them.
 func (f *Follower) first() bool {
 	for pause := firstPause; f.Snapshot().Table == nil; pause = min(pause*3/2, mostPause) {
 		for _, m := range f.order() {
 			go func() {
 				began := time.Now()
-				if reply, err := f.poll(m, firstPoll); err == nil {
+				reply, err := f.poll(m, 0, firstMost, firstPoll)
+				if err == nil && reply.Size > 0 {
+					began = time.Now()
+					reply, err = f.fetchFirst(m, reply.Size)
+				}
+				if err == nil {
 					f.take(began, reply)
 				}
 			}()
@@ -156,6 +172,18 @@
 	return true
 }
 
+// errFetching is the error of a fetch beside another one.
+var errFetching = errors.New("another controller is sending the configuration")
+
+// fetchFirst fetches a first configuration of a known size from one controller, unless another one sends it already.
+func (f *Follower) fetchFirst(m quorum.Member, size int) (*peer.PollReply, error) {
+	if !f.fetching.CompareAndSwap(false, true) {
+		return nil, errFetching
+	}
+	defer f.fetching.Store(false)
+	return f.poll(m, 0, 0, firstPoll+core.TransferTime(size))
+}
+
 // Close ends Run.
 func (f *Follower) Close() { close(f.closed) }
 
@@ -181,18 +209,20 @@
 	return members
 }
 
-func (f *Follower) poll(m quorum.Member, wait time.Duration) (*peer.PollReply, error) {
+// poll asks a controller, which holds the call for wait at most where it has no news. most bounds the bytes of a configuration, 0 does
+// not. A reply with a change of a large configuration comes within the time of a call: only a whole one takes longer.
+func (f *Follower) poll(m quorum.Member, wait time.Duration, most int, timeout time.Duration) (*peer.PollReply, error) {
 	f.mu.Lock()
 	in := &peer.Poll{
 		From: f.self, Config: f.config, Weights: f.weights, Table: f.tableID, Revision: f.revision, Nodes: f.nodes,
-		WaitMs: int(wait / time.Millisecond),
+		WaitMs: int(wait / time.Millisecond), Hash: f.hash, Most: most,
 	}
 	f.mu.Unlock()
 	if f.local != nil && m.Address == f.self.Address {
 		return f.local(in)
 	}
 	var reply peer.PollReply
-	if err := f.caller.Call(m.Address, peer.CallPoll, in, &reply, wait+pollSlack); err != nil {
+	if err := f.caller.Call(m.Address, peer.CallPoll, in, &reply, timeout); err != nil {
 		f.directory.Failed(m.Address)
 		return nil, err
 	}
@@ -229,19 +259,25 @@
 }
 
 func (f *Follower) takeConfig(s *Snapshot, reply *peer.PollReply) bool {
-	if len(reply.Data) == 0 || !f.config.Less(reply.Config) {
+	if reply.Content == nil || !f.config.Less(reply.Config) {
 		return false
 	}
 	if s.Table == nil && reply.AgeMs > float64(staleAfter/time.Millisecond) {
 		return false // a first configuration must be the newest one; a controller that was cut off may tell an old one
 	}
+	data, err := reply.Content.Open(f.data)
+	if err != nil {
+		f.data, f.hash = nil, nil // the next poll gets the whole
+		f.log.Warn().Err(err).Msg("configuration did not come whole: asking for it again")
+		return false
+	}
 	var state configuration.State
-	if _, err := state.UnmarshalMsg(reply.Data); err != nil {
+	if _, err := state.UnmarshalMsg(data); err != nil {
 		f.log.Error().Err(err).Msg("configuration cannot be read: update this node to the release of the controllers")
 		return false
 	}
 	if s.Table != nil && state.Version <= s.Table.Version {
-		f.config = reply.Config // the same configuration under a newer ballot
+		f.config, f.data, f.hash = reply.Config, data, reply.Content.Hash // the same configuration under a newer ballot
 		return false
 	}
 	document, err := configuration.Parse(state.Body)
@@ -249,7 +285,7 @@
 		f.log.Error().Err(err).Int64("version", state.Version).Msg("configuration is not valid here: update this node to the release of the controllers")
 		return false
 	}
-	f.config = reply.Config
+	f.config, f.data, f.hash = reply.Config, data, reply.Content.Hash
 	if s.Table == nil {
 		f.log.Info().Int64("version", document.Version).Dur("since-start-ms", time.Since(f.start)).Msg("first configuration in force")
 	}
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/delta"
 	"moleshift/controlplane/directory"
 	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
@@ -31,7 +32,7 @@
 }
 
 func reply(ballot uint64, data []byte, ageMs float64) *peer.PollReply {
-	return &peer.PollReply{Knows: true, Config: quorum.Ballot{Counter: ballot}, Data: data, AgeMs: ageMs}
+	return &peer.PollReply{Knows: true, Config: quorum.Ballot{Counter: ballot}, Content: delta.Whole(data), AgeMs: ageMs}
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -6,7 +6,10 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file messages.go -tests=false -o messages_gen.go
 
-import "moleshift/controlplane/quorum"
+import (
+	"moleshift/controlplane/delta"
+	"moleshift/controlplane/quorum"
+)
 
 // The calls, as paths.
 const (
@@ -76,19 +79,22 @@
 
 // Accept asks an acceptor to accept a value.
 type Accept struct {
-	Register string        `msg:"r"`
-	Target   string        `msg:"t"`
-	Ballot   quorum.Ballot `msg:"b"`
-	Value    quorum.Value  `msg:"v"`
+	Register string         `msg:"r"`
+	Target   string         `msg:"t"`
+	Ballot   quorum.Ballot  `msg:"b"`
+	Value    quorum.Value   `msg:"v"` // on the wire without its data
+	Content  *delta.Content `msg:"c"` // the data; may be written against what the acceptor has accepted
 }
 
 // AcceptorReply answers Prepare and Accept.
 type AcceptorReply struct {
-	Wrong    bool          `msg:"w"` // another identity lives here
-	OK       bool          `msg:"o"`
-	Promised quorum.Ballot `msg:"p"`
-	Accepted quorum.Ballot `msg:"a"`
-	Value    *quorum.Value `msg:"v"` // unless the caller has it
+	Wrong    bool           `msg:"w"` // another identity lives here
+	OK       bool           `msg:"o"`
+	Promised quorum.Ballot  `msg:"p"`
+	Accepted quorum.Ballot  `msg:"a"`
+	Value    *quorum.Value  `msg:"v"` // unless the caller has it; on the wire without its data
+	Content  *delta.Content `msg:"c"` // the data of Value
+	Lacks    bool           `msg:"l"` // the content is written against one that is not known here: send the whole
 }
 
 // Learn tells that the value accepted under a ballot is chosen.
@@ -164,6 +170,8 @@
 	Revision uint64        `msg:"r"`
 	WaitMs   int           `msg:"m"`
 	Nodes    uint64        `msg:"n"` // hash of the list of nodes that the caller has
+	Hash     []byte        `msg:"h"` // of the configuration that the caller has; empty: none
+	Most     int           `msg:"b"` // bytes of the configuration that the callee may send; 0: any number
 }
 
 // PollReply answers Poll.
@@ -171,7 +179,8 @@
 	Knows     bool            `msg:"k"` // the callee knows a configuration that was in force AgeMs ago
 	AgeMs     float64         `msg:"g"` // how long ago a quorum confirmed what is told here
 	Config    quorum.Ballot   `msg:"c"`
-	Data      []byte          `msg:"d"` // the configuration's state; empty: the caller has it
+	Content   *delta.Content  `msg:"d"` // the configuration's state; nil: the caller has it, or it is over Most
+	Size      int             `msg:"z"` // bytes of Content, where it was over Most
 	Weights   quorum.Ballot   `msg:"w"`
 	WeightsIn []byte          `msg:"x"`
 	Table     string          `msg:"t"`
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"moleshift/controlplane/delta"
 	"moleshift/controlplane/quorum"
 
 	"github.com/tinylib/msgp/msgp"
@@ -50,6 +51,24 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+		case "c":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				err = z.Content.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -63,9 +82,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Accept) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "r"
-	err = en.Append(0x84, 0xa1, 0x72)
+	err = en.Append(0x85, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -104,15 +123,32 @@
 		err = msgp.WrapError(err, "Value")
 		return
 	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	if z.Content == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Content.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "r"
-	o = append(o, 0x84, 0xa1, 0x72)
+	o = append(o, 0x85, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Register)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -131,6 +167,17 @@
 		err = msgp.WrapError(err, "Value")
 		return
 	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	if z.Content == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Content.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
 	return
 }
 
@@ -176,6 +223,23 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+		case "c":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				bts, err = z.Content.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -190,7 +254,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + z.Ballot.Msgsize() + 2 + z.Value.Msgsize()
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + z.Ballot.Msgsize() + 2 + z.Value.Msgsize() + 2
+	if z.Content == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Content.Msgsize()
+	}
 	return
 }
 
@@ -254,6 +323,30 @@
 					return
 				}
 			}
+		case "c":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				err = z.Content.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
+		case "l":
+			z.Lacks, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Lacks")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -267,9 +360,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *AcceptorReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 7
 	// write "w"
-	err = en.Append(0x85, 0xa1, 0x77)
+	err = en.Append(0x87, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -325,15 +418,42 @@
 			return
 		}
 	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	if z.Content == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Content.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Lacks)
+	if err != nil {
+		err = msgp.WrapError(err, "Lacks")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *AcceptorReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "w"
-	o = append(o, 0x85, 0xa1, 0x77)
+	o = append(o, 0x87, 0xa1, 0x77)
 	o = msgp.AppendBool(o, z.Wrong)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -363,6 +483,20 @@
 			return
 		}
 	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	if z.Content == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Content.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Lacks)
 	return
 }
 
@@ -425,6 +559,29 @@
 					return
 				}
 			}
+		case "c":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				bts, err = z.Content.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
+		case "l":
+			z.Lacks, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lacks")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -445,6 +602,13 @@
 	} else {
 		s += z.Value.Msgsize()
 	}
+	s += 2
+	if z.Content == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Content.Msgsize()
+	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
@@ -3344,6 +3508,18 @@
 				err = msgp.WrapError(err, "Nodes")
 				return
 			}
+		case "h":
+			z.Hash, err = dc.ReadBytes(z.Hash)
+			if err != nil {
+				err = msgp.WrapError(err, "Hash")
+				return
+			}
+		case "b":
+			z.Most, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Most")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3357,9 +3533,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Poll) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 9
 	// write "f"
-	err = en.Append(0x87, 0xa1, 0x66)
+	err = en.Append(0x89, 0xa1, 0x66)
 	if err != nil {
 		return
 	}
@@ -3428,15 +3604,35 @@
 		err = msgp.WrapError(err, "Nodes")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Hash)
+	if err != nil {
+		err = msgp.WrapError(err, "Hash")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Most)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Poll) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "f"
-	o = append(o, 0x87, 0xa1, 0x66)
+	o = append(o, 0x89, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -3468,6 +3664,12 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendUint64(o, z.Nodes)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendBytes(o, z.Hash)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.Most)
 	return
 }
 
@@ -3531,6 +3733,18 @@
 				err = msgp.WrapError(err, "Nodes")
 				return
 			}
+		case "h":
+			z.Hash, bts, err = msgp.ReadBytesBytes(bts, z.Hash)
+			if err != nil {
+				err = msgp.WrapError(err, "Hash")
+				return
+			}
+		case "b":
+			z.Most, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Most")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3545,7 +3759,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Poll) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.IntSize
 	return
 }
 
@@ -3586,9 +3800,27 @@
 				return
 			}
 		case "d":
-			z.Data, err = dc.ReadBytes(z.Data)
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				err = z.Content.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
+		case "z":
+			z.Size, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Data")
+				err = msgp.WrapError(err, "Size")
 				return
 			}
 		case "w":
@@ -3697,9 +3929,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PollReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
+	// map header, size 14
 	// write "k"
-	err = en.Append(0x8d, 0xa1, 0x6b)
+	err = en.Append(0x8e, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -3733,9 +3965,26 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes(z.Data)
+	if z.Content == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Content.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
 	if err != nil {
-		err = msgp.WrapError(err, "Data")
+		return
+	}
+	err = en.WriteInt(z.Size)
+	if err != nil {
+		err = msgp.WrapError(err, "Size")
 		return
 	}
 	// write "w"
@@ -3855,9 +4104,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PollReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "k"
-	o = append(o, 0x8d, 0xa1, 0x6b)
+	o = append(o, 0x8e, 0xa1, 0x6b)
 	o = msgp.AppendBool(o, z.Knows)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -3871,7 +4120,18 @@
 	}
 	// string "d"
 	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Data)
+	if z.Content == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Content.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Content")
+			return
+		}
+	}
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendInt(o, z.Size)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o, err = z.Weights.MarshalMsg(o)
@@ -3964,9 +4224,26 @@
 				return
 			}
 		case "d":
-			z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				bts, err = z.Content.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
+			}
+		case "z":
+			z.Size, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Data")
+				err = msgp.WrapError(err, "Size")
 				return
 			}
 		case "w":
@@ -4076,7 +4353,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PollReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Data) + 2 + z.Weights.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.WeightsIn) + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2
+	if z.Content == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Content.Msgsize()
+	}
+	s += 2 + msgp.IntSize + 2 + z.Weights.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.WeightsIn) + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Instances {
 		s += z.Instances[za0001].Msgsize()
 	}
