Hash of orders that can't be made to collide; metrics; what stood twice goes

Cause: orders were told apart by 64 bits of FNV; an order older than the 1,024 remembered was refused although it may have been taken; figures were to be had from logs only; randomID, callTimeout and the error of an edit that changes nothing stood twice. The processes test counts the log line of an ended change, which is now told once a register and no longer carries a field ended.

--- a/cmd/moleshiftd/processes_test.go
+++ b/cmd/moleshiftd/processes_test.go
@@ -256,7 +256,7 @@
 		log, _ := os.ReadFile(filepath.Join(f.dir, "node-1.log"))
 		other, _ := os.ReadFile(filepath.Join(f.dir, "node-2.log"))
 		third, _ := os.ReadFile(filepath.Join(f.dir, "node-0.log"))
-		return strings.Count(string(log)+string(other)+string(third), `"ended":true`) >= 2
+		return strings.Count(string(log)+string(other)+string(third), `"members changed"`) >= 2 // one for each register, told when the change has ended
 	}), wait.Timeout(20*time.Second), wait.Gap(100*time.Millisecond)), must.Func(f.logs))
 	f.kill(0)
 	f.await("change by the one with the new disk and another", 200, put(2, "/config/patch", "7", patch(9, "without-0")))
--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"os"
 	"os/signal"
@@ -41,7 +39,7 @@
 		return trace.Wrap(err)
 	}
 	self := peer.Node{
-		ID: randomID(), Name: set.NodeName, Address: set.PeerAddress(), Control: set.Listen.Control, Zone: set.Zone,
+		ID: peer.NewID(), Name: set.NodeName, Address: set.PeerAddress(), Control: set.Listen.Control, Zone: set.Zone,
 	}
 	if acceptor != nil {
 		self.Acceptor, self.Fresh = acceptor.Identity(), acceptor.Empty()
@@ -87,6 +85,15 @@
 		}
 		go func() { failed <- s.serve(l) }()
 	}
+	if address, path, ok := set.MetricsAt(); ok {
+		l, err := sock.Listen(address)
+		if err != nil {
+			return trace.Wrap(trace.ConvertSystemError(err), "cannot listen on %s for metrics: see whether another process does", address)
+		}
+		go func() {
+			failed <- serveMetrics(l, path, control.WriteMetrics, follow.WriteMetrics, traffic.WriteMetrics)
+		}()
+	}
 	go control.Run()
 	go follow.Run()
 	go events.Run()
@@ -140,9 +147,3 @@
 	}
 	return core.NewAcceptor(store)
 }
-
-func randomID() string {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // crypto/rand never fails
-	return hex.EncodeToString(b[:])
-}
--- a/controlplane/configuration/configuration_test.go
+++ b/controlplane/configuration/configuration_test.go
@@ -127,3 +127,24 @@
 		must.NoError(t, err, must.Sprint("what is taken is valid"))
 	})
 }
+
+// An order older than all that is remembered gets no clear answer: it may have been taken, and then it must not be refused.
+func TestOrdersOlderThanWhatIsRemembered(t *testing.T) {
+	state := &State{}
+	change := func(base, version int64) *Order {
+		return &Order{Kind: Replace, IfVersion: base, Body: fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)}
+	}
+	for version := int64(1); version <= rememberedOrders+10; version++ {
+		next, result, err := state.Apply(change(version-1, version))
+		must.NoError(t, err)
+		must.Eq(t, Applied, result)
+		state = next
+	}
+	_, _, err := state.Apply(change(2, 3))
+	must.Eq(t, fault.Unavailable, fault.KindOf(err))
+	_, result, err := state.Apply(change(rememberedOrders-1, rememberedOrders))
+	must.NoError(t, err)
+	must.Eq(t, Already, result)
+	_, _, err = state.Apply(change(3, rememberedOrders+20))
+	must.Eq(t, fault.WrongVersion, fault.KindOf(err))
+}
--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -3,9 +3,10 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -tests=false -o state_gen.go
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
-	"hash/fnv"
 
 	"moleshift/fault"
 )
@@ -22,7 +23,7 @@
 // Taken is an order that was taken: the version it brought and a hash of all it said.
 type Taken struct {
 	Version int64  `msg:"v"`
-	Hash    uint64 `msg:"h"`
+	Hash    []byte `msg:"d"` // the first hashBytes of a SHA-256
 }
 
 // State is what the register of the configuration holds. The zero State is that of a system that was never configured.
@@ -48,16 +49,20 @@
 	Already               // this very order was taken before
 )
 
-func (o *Order) hash() uint64 {
-	h := fnv.New64a()
+// hashBytes is how much is kept of an order's hash: orders that collide cannot be made.
+const hashBytes = 20
+
+func (o *Order) hash() []byte {
+	h := sha256.New()
 	h.Write([]byte(o.Kind))
 	h.Write(binary.LittleEndian.AppendUint64(nil, uint64(o.IfVersion)))
 	h.Write(o.Body)
-	return h.Sum64()
+	return h.Sum(nil)[:hashBytes]
 }
 
 // Apply gives the state after an order. The same order has the same outcome however often it comes: Already once it was taken,
-// whatever came later. Errors are of the kinds WrongVersion and BadConfig.
+// whatever came later. Errors are of the kinds WrongVersion and BadConfig, and Unavailable for an order so old that whether it was
+// taken is not known any more: it must not be refused.
 func (s *State) Apply(o *Order) (*State, Result, error) {
 	var head struct {
 		Version int64 `json:"version"`
@@ -70,11 +75,14 @@
 		if taken.Version != head.Version {
 			continue
 		}
-		if taken.Hash == hash {
+		if bytes.Equal(taken.Hash, hash) {
 			return s, Already, nil
 		}
 		return nil, 0, fault.New(fault.WrongVersion, "version %d was taken by another order", head.Version)
 	}
+	if len(s.Orders) >= rememberedOrders && head.Version < s.Orders[0].Version {
+		return nil, 0, fault.New(fault.Unavailable, "version %d is older than the last %d orders: read the configuration instead", head.Version, rememberedOrders)
+	}
 	if o.IfVersion != s.Version {
 		return nil, 0, fault.New(fault.WrongVersion, "the order builds on version %d, current is %d", o.IfVersion, s.Version)
 	}
--- a/controlplane/configuration/state_gen.go
+++ b/controlplane/configuration/state_gen.go
@@ -274,8 +274,8 @@
 							err = msgp.WrapError(err, "Orders", za0001, "Version")
 							return
 						}
-					case "h":
-						z.Orders[za0001].Hash, err = dc.ReadUint64()
+					case "d":
+						z.Orders[za0001].Hash, err = dc.ReadBytes(z.Orders[za0001].Hash)
 						if err != nil {
 							err = msgp.WrapError(err, "Orders", za0001, "Hash")
 							return
@@ -345,12 +345,12 @@
 			err = msgp.WrapError(err, "Orders", za0001, "Version")
 			return
 		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
+		// write "d"
+		err = en.Append(0xa1, 0x64)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Orders[za0001].Hash)
+		err = en.WriteBytes(z.Orders[za0001].Hash)
 		if err != nil {
 			err = msgp.WrapError(err, "Orders", za0001, "Hash")
 			return
@@ -377,9 +377,9 @@
 		// string "v"
 		o = append(o, 0x82, 0xa1, 0x76)
 		o = msgp.AppendInt64(o, z.Orders[za0001].Version)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendUint64(o, z.Orders[za0001].Hash)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Orders[za0001].Hash)
 	}
 	return
 }
@@ -447,8 +447,8 @@
 							err = msgp.WrapError(err, "Orders", za0001, "Version")
 							return
 						}
-					case "h":
-						z.Orders[za0001].Hash, bts, err = msgp.ReadUint64Bytes(bts)
+					case "d":
+						z.Orders[za0001].Hash, bts, err = msgp.ReadBytesBytes(bts, z.Orders[za0001].Hash)
 						if err != nil {
 							err = msgp.WrapError(err, "Orders", za0001, "Hash")
 							return
@@ -476,7 +476,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *State) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.ArrayHeaderSize + (len(z.Orders) * (5 + msgp.Int64Size + msgp.Uint64Size))
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Orders {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Orders[za0001].Hash)
+	}
 	return
 }
 
@@ -504,8 +507,8 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "h":
-			z.Hash, err = dc.ReadUint64()
+		case "d":
+			z.Hash, err = dc.ReadBytes(z.Hash)
 			if err != nil {
 				err = msgp.WrapError(err, "Hash")
 				return
@@ -522,7 +525,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Taken) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Taken) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 2
 	// write "v"
 	err = en.Append(0x82, 0xa1, 0x76)
@@ -534,12 +537,12 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
+	// write "d"
+	err = en.Append(0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Hash)
+	err = en.WriteBytes(z.Hash)
 	if err != nil {
 		err = msgp.WrapError(err, "Hash")
 		return
@@ -548,15 +551,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Taken) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Taken) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
 	// string "v"
 	o = append(o, 0x82, 0xa1, 0x76)
 	o = msgp.AppendInt64(o, z.Version)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendUint64(o, z.Hash)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Hash)
 	return
 }
 
@@ -584,8 +587,8 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "h":
-			z.Hash, bts, err = msgp.ReadUint64Bytes(bts)
+		case "d":
+			z.Hash, bts, err = msgp.ReadBytesBytes(bts, z.Hash)
 			if err != nil {
 				err = msgp.WrapError(err, "Hash")
 				return
@@ -603,7 +606,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Taken) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+func (z *Taken) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Hash)
 	return
 }
--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"sync"
 
@@ -71,7 +69,7 @@
 		a.identity = string(id)
 	} else {
 		a.fresh = true
-		a.identity = randomID()
+		a.identity = peer.NewID()
 		if err := store.Put(identityRecord, []byte(a.identity)); err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -90,12 +88,6 @@
 	return a, nil
 }
 
-func randomID() string {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // crypto/rand never fails
-	return hex.EncodeToString(b[:])
-}
-
 // Identity names this acceptor; it is as old as what the store keeps.
 func (a *Acceptor) Identity() string { return a.identity }
 
--- a/controlplane/core/core_test.go
+++ b/controlplane/core/core_test.go
@@ -90,7 +90,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m.acceptor, m.off = acceptor, false
-	m.registers = NewRegisters(acceptor, peer.Node{ID: randomID(), Address: m.address, Acceptor: acceptor.Identity()}, n, zerolog.Nop())
+	m.registers = NewRegisters(acceptor, peer.Node{ID: peer.NewID(), Address: m.address, Acceptor: acceptor.Identity()}, n, zerolog.Nop())
 }
 
 var errLost = errors.New("lost")
@@ -362,12 +362,12 @@
 		// An append that is sent again must not come about twice: it looks for itself first, as orders of the operator do.
 		_, err = r.Change(Config, time.Now().Add(300*time.Millisecond), func(v quorum.Value) (quorum.Value, error) {
 			if strings.Contains(string(v.Data), text) {
-				return v, errKeep
+				return v, ErrUnchanged
 			}
 			v.Data = append([]byte(string(v.Data)), text...)
 			return v, nil
 		})
-		if errors.Is(err, errKeep) {
+		if errors.Is(err, ErrUnchanged) {
 			err = nil
 		}
 	}
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -122,7 +122,7 @@
 			return e.Vote(in)
 		}
 		var reply peer.AcceptorReply
-		err := caller.Call(m.Address, peer.CallVote, in, &reply, callTimeout)
+		err := caller.Call(m.Address, peer.CallVote, in, &reply, CallTimeout)
 		return &reply, err
 	}
 	playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
--- a/controlplane/core/look.go
+++ b/controlplane/core/look.go
@@ -134,7 +134,7 @@
 		in.Reads = append(in.Reads, peer.Prepare{Register: register, Target: m.ID, Have: have})
 	}
 	var reply peer.SyncReply
-	if err := r.caller.Call(m.Address, peer.CallSync, &in, &reply, callTimeout); err != nil {
+	if err := r.caller.Call(m.Address, peer.CallSync, &in, &reply, CallTimeout); err != nil {
 		return nil
 	}
 	for i := range reply.Reads {
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -29,7 +29,7 @@
 var registers = []string{Config, Weights}
 
 const (
-	callTimeout       = 350 * time.Millisecond // of one call to a member
+	CallTimeout       = 350 * time.Millisecond // of one call to a member
 	phaseTimeout      = 500 * time.Millisecond // of one phase of a round
 	leastBytesASecond = 400_000                // of a transfer that is waited for: a third of a link of 10 Mbit/s
 
@@ -196,7 +196,7 @@
 	var reply peer.AcceptorReply
 	var err error
 	if isPrepare {
-		err = r.caller.Call(m.Address, call, in, &reply, callTimeout)
+		err = r.caller.Call(m.Address, call, in, &reply, CallTimeout)
 	} else {
 		err = r.sendAccept(m, in.(*peer.Accept), has, &reply)
 	}
@@ -218,13 +218,13 @@
 	bare := *in
 	bare.Value.Data = nil
 	bare.Content = r.writers[in.Register].Write(in.Value.Data, has)
-	err := r.caller.Call(m.Address, peer.CallAccept, &bare, reply, callTimeout+TransferTime(len(bare.Content.Data)))
+	err := r.caller.Call(m.Address, peer.CallAccept, &bare, reply, CallTimeout+TransferTime(len(bare.Content.Data)))
 	if err != nil || !reply.Lacks {
 		return err
 	}
 	*reply = peer.AcceptorReply{}
 	bare.Content = r.writers[in.Register].Write(in.Value.Data, nil)
-	return r.caller.Call(m.Address, peer.CallAccept, &bare, reply, callTimeout+TransferTime(len(bare.Content.Data)))
+	return r.caller.Call(m.Address, peer.CallAccept, &bare, reply, CallTimeout+TransferTime(len(bare.Content.Data)))
 }
 
 // TransferTime is how long so many bytes may take between two nodes, beside the usual time of a call.
@@ -359,7 +359,7 @@
 			continue
 		}
 		go func() {
-			_ = r.caller.Call(m.Address, peer.CallLearn, &peer.Learn{Register: register, Ballot: b}, &peer.Empty{}, callTimeout)
+			_ = r.caller.Call(m.Address, peer.CallLearn, &peer.Learn{Register: register, Ballot: b}, &peer.Empty{}, CallTimeout)
 		}()
 	}
 }
@@ -374,12 +374,12 @@
 	}
 }
 
-// errKeep ends an edit that changes nothing.
-var errKeep = fault.New(fault.None, "nothing to change")
+// ErrUnchanged ends an edit that changes nothing.
+var ErrUnchanged = fault.New(fault.None, "nothing to change")
 
 // Settle makes the newest value chosen where it is not known to be.
 func (r *Registers) Settle(register string, deadline time.Time) {
-	_, _ = r.Change(register, deadline, func(v quorum.Value) (quorum.Value, error) { return v, errKeep })
+	_, _ = r.Change(register, deadline, func(v quorum.Value) (quorum.Value, error) { return v, ErrUnchanged })
 }
 
 // Refresh makes sure that what Known tells was the newest at a moment after the call began.
--- a/controlplane/server/api.go
+++ b/controlplane/server/api.go
@@ -68,6 +68,11 @@
 		answerError(ctx, &fault.Error{Kind: kind, Detail: reply.Text})
 		return
 	}
+	if reply.Redirect != "" {
+		ctx.Response.Header.Set(fasthttp.HeaderLocation, "http://"+reply.Redirect+string(ctx.Path()))
+		ctx.SetStatusCode(fasthttp.StatusTemporaryRedirect)
+		return
+	}
 	ctx.SetContentType("application/json")
 	if reply.Body == nil {
 		ctx.SetBodyString("{}")
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -264,7 +264,7 @@
 		return
 	}
 	var theirs peer.Instances
-	if err := c.caller.Call(from.Address, peer.CallInstances, &peer.Instances{List: list, Want: true}, &theirs, callTimeout); err == nil {
+	if err := c.caller.Call(from.Address, peer.CallInstances, &peer.Instances{List: list, Want: true}, &theirs, core.CallTimeout); err == nil {
 		c.takeAll(theirs.List)
 	}
 }
--- a/controlplane/server/genesis.go
+++ b/controlplane/server/genesis.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"moleshift/controlplane/core"
 	"moleshift/controlplane/membership"
 	"moleshift/controlplane/quorum"
 	"moleshift/peer"
@@ -91,7 +92,7 @@
 
 func (c *Controller) sendGenesis(to quorum.Member, members []quorum.Member) {
 	for {
-		err := c.caller.Call(to.Address, peer.CallGenesis, &peer.Genesis{Members: members}, &peer.Empty{}, callTimeout)
+		err := c.caller.Call(to.Address, peer.CallGenesis, &peer.Genesis{Members: members}, &peer.Empty{}, core.CallTimeout)
 		if err == nil || !c.pause(findEvery) {
 			return
 		}
--- a/controlplane/server/management.go
+++ b/controlplane/server/management.go
@@ -55,7 +55,7 @@
 func (c *Controller) changeMembers(register string, from, next []quorum.Member) {
 	_, err := c.registers.Change(register, time.Now().Add(changeDeadline), func(v quorum.Value) (quorum.Value, error) {
 		if len(v.Old) > 0 || !slices.Equal(v.Members, from) {
-			return v, errNothing
+			return v, core.ErrUnchanged
 		}
 		return quorum.Begin(v, next), nil
 	})
@@ -67,7 +67,7 @@
 func (c *Controller) endChange(register string) {
 	v, err := c.registers.Change(register, time.Now().Add(changeDeadline), func(v quorum.Value) (quorum.Value, error) {
 		if len(v.Old) == 0 {
-			return v, errNothing
+			return v, core.ErrUnchanged
 		}
 		return quorum.End(v), nil
 	})
@@ -108,7 +108,7 @@
 		for _, m := range c.registers.Members(core.Config) {
 			if m.ID != self {
 				go func() {
-					_ = c.caller.Call(m.Address, peer.CallLeave, &peer.Leave{From: c.self}, &peer.Empty{}, callTimeout)
+					_ = c.caller.Call(m.Address, peer.CallLeave, &peer.Leave{From: c.self}, &peer.Empty{}, core.CallTimeout)
 				}()
 			}
 		}
--- a/controlplane/server/members.go
+++ b/controlplane/server/members.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	callTimeout   = 350 * time.Millisecond
 	findEvery     = 80 * time.Millisecond
 	announceEvery = time.Second
 	applyEvery    = 400 * time.Millisecond
@@ -59,7 +58,7 @@
 			for _, address := range c.seeds() {
 				if address != c.self.Address {
 					go func() {
-						_ = c.caller.Call(address, peer.CallWho, &peer.Who{From: c.self, Members: members}, &peer.WhoReply{}, callTimeout)
+						_ = c.caller.Call(address, peer.CallWho, &peer.Who{From: c.self, Members: members}, &peer.WhoReply{}, core.CallTimeout)
 					}()
 				}
 			}
@@ -98,7 +97,7 @@
 		return
 	}
 	var reply peer.WhoReply
-	if err := c.caller.Call(address, peer.CallWho, in, &reply, callTimeout); err != nil {
+	if err := c.caller.Call(address, peer.CallWho, in, &reply, core.CallTimeout); err != nil {
 		return
 	}
 	if len(reply.Members) > 0 && len(c.directory.Members()) == 0 {
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -24,11 +24,9 @@
 	orderDeadline = 900 * time.Millisecond // of the work on an order at a member
 	orderCall     = 700 * time.Millisecond // of one call with an order
 	orderAll      = 1600 * time.Millisecond
+	mostPassedOn  = 256 << 10 // bytes of a configuration that a node passes on; for a larger one the operator is sent to a member
 )
 
-// errNothing ends an edit that changes nothing.
-var errNothing = fault.New(fault.None, "nothing to change")
-
 // Order has an order of the operator carried out, by the owner of its register where that answers, else by the next member.
 func (c *Controller) Order(in *peer.Order) *peer.OrderReply {
 	began, transfer := time.Now(), core.TransferTime(len(in.Body))
@@ -43,11 +41,15 @@
 			}
 		} else {
 			var out peer.OrderReply
+			in.Most = mostPassedOn
 			if err := c.caller.Call(m.Address, peer.CallOrder, in, &out, orderCall+transfer); err != nil {
 				c.directory.Failed(m.Address)
 				continue
 			}
 			reply = &out
+			if out.Size > 0 {
+				reply.Redirect = c.controlAddress(m)
+			}
 		}
 		if fault.Kind(reply.Kind) != fault.Unavailable {
 			return reply
@@ -85,6 +87,9 @@
 	if err != nil && kind != fault.None {
 		text = err.Error()
 	}
+	if in.Most > 0 && len(body) > in.Most {
+		return &peer.OrderReply{Kind: int(kind), Text: text, Size: len(body)}, nil
+	}
 	return &peer.OrderReply{Kind: int(kind), Text: text, Body: body}, nil
 }
 
@@ -102,7 +107,7 @@
 			return v, err
 		}
 		if result == configuration.Already {
-			return v, errNothing
+			return v, core.ErrUnchanged
 		}
 		data, err := next.MarshalMsg(nil)
 		if err != nil {
@@ -110,7 +115,7 @@
 		}
 		return quorum.Value{Members: v.Members, Old: v.Old, Data: data}, nil
 	})
-	if errors.Is(err, errNothing) {
+	if errors.Is(err, core.ErrUnchanged) {
 		return nil
 	}
 	return err
@@ -146,11 +151,11 @@
 	err := c.changeWeights(deadline, func(s *rollout.State) (*rollout.State, error) {
 		next, same, err := s.Name(named.Model, named.Version)
 		if same {
-			return nil, errNothing
+			return nil, core.ErrUnchanged
 		}
 		return next, err
 	})
-	if errors.Is(err, errNothing) {
+	if errors.Is(err, core.ErrUnchanged) {
 		return nil
 	}
 	return err
--- a/controlplane/server/outbox.go
+++ b/controlplane/server/outbox.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"moleshift/controlplane/core"
 	"moleshift/controlplane/quorum"
 	"moleshift/peer"
 )
@@ -67,7 +68,7 @@
 		if batch == nil {
 			return
 		}
-		if err := o.controller.caller.Call(o.to.Address, peer.CallInstances, message, &peer.Instances{}, callTimeout); err == nil {
+		if err := o.controller.caller.Call(o.to.Address, peer.CallInstances, message, &peer.Instances{}, core.CallTimeout); err == nil {
 			for _, out := range batch {
 				for _, d := range out.delivered {
 					d <- struct{}{}
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -112,7 +113,7 @@
 	if !may || (state.Lease.Holder != c.self.ID && !c.first(core.Weights)) {
 		return false
 	}
-	err := c.changeWeights(time.Now().Add(callTimeout), func(s *rollout.State) (*rollout.State, error) {
+	err := c.changeWeights(time.Now().Add(core.CallTimeout), func(s *rollout.State) (*rollout.State, error) {
 		if s.Lease != over {
 			return nil, fault.New(fault.WrongVersion, "the lease has changed")
 		}
@@ -149,6 +150,9 @@
 	defer r.freeSlot(step.Instance.Service)
 	c.mu.Lock()
 	epoch, holds := r.watch.Holds(c.now())
+	maps.DeleteFunc(r.began, func(m peer.Model, _ time.Duration) bool {
+		return m.Name == step.Model.Name && m.Version < step.Model.Version
+	})
 	c.mu.Unlock()
 	if !holds {
 		return
@@ -167,7 +171,7 @@
 	c, service := r.c, step.Instance.Service
 	began := c.now()
 	empty := false
-	for c.pause(emptyAfter); ; c.pause(reportEvery) {
+	for open := c.pause(emptyAfter); open; open = c.pause(reportEvery) {
 		if report, err := r.report(step.Instance.Address); err == nil {
 			empty = report.Running == 0 && report.Queued == 0
 		}
@@ -188,6 +192,7 @@
 			return may
 		}
 	}
+	return false
 }
 
 func (r *roller) freeSlot(service string) {
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -152,6 +153,27 @@
 	must.NoError(t, err, must.Sprint("the same call again"))
 }
 
+// A node that is no member passes a small configuration on, and sends the operator to a member for a large one.
+func TestLargeConfigurationIsReadAtAMember(t *testing.T) {
+	l := newLan()
+	seeds := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	for i := 1; i <= 3; i++ {
+		l.node(t, i, true, true, nil, seeds...)
+	}
+	router := l.node(t, 9, false, true, nil, seeds...)
+	eventually(t, "configuration", func() bool { return replace(router, 0, wholeText) == fault.None })
+	read := router.Order(&peer.Order{Kind: orderRead})
+	must.Eq(t, wholeText, string(read.Body))
+	must.Eq(t, "", read.Redirect)
+	large := `{"version":3,"routes":[],"services":[{"name":"` + strings.Repeat("x", mostPassedOn) + `"}]}`
+	must.Eq(t, fault.None, replace(router, 2, large))
+	read = router.Order(&peer.Order{Kind: orderRead})
+	must.Eq(t, fault.None, fault.Kind(read.Kind))
+	must.Zero(t, len(read.Body))
+	must.StrContains(t, read.Redirect, "10.0.0.")
+	must.StrHasSuffix(t, ":80", read.Redirect)
+}
+
 // Seeds that keep nothing know nobody after a loss of all power; members tell them, and those who ask them find the members.
 func TestSeedsThatKeepNothing(t *testing.T) {
 	l := newLan()
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -7,12 +7,14 @@
 
 import (
 	"errors"
+	"io"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"moleshift/controlplane/configuration"
@@ -114,6 +116,16 @@
 	return at != 0 && time.Since(f.start)-time.Duration(at) < settings.Millis(f.set.Bounds.RevokeMs)-refreshBefore
 }
 
+// WriteMetrics writes this router's figures of the configuration as text, in the form of Prometheus.
+func (f *Follower) WriteMetrics(w io.Writer) {
+	if t := f.Snapshot().Table; t != nil {
+		metrics.WriteGaugeUint64(w, "moleshift_config_version", uint64(t.Version))
+	}
+	if at := f.confirmed.Load(); at != 0 {
+		metrics.WriteGaugeFloat64(w, "moleshift_config_confirmed_age_seconds", (time.Since(f.start) - time.Duration(at)).Seconds())
+	}
+}
+
 // Run polls until Close.
 func (f *Follower) Run() {
 	if !f.first() {
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -46,6 +46,8 @@
 	routers  int
 	random   *rand.Rand
 	waits    map[string]*longestWait // by service
+
+	outcomes *outcomeCounts
 }
 
 // New makes a proxy.
@@ -54,7 +56,7 @@
 		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
 		moving: map[string]float64{}, saving: map[string]time.Duration{}, saves: map[string]*bucket{}, means: map[string]*meanLoad{}, down: map[string]bool{},
 		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), waits: map[string]*longestWait{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), waits: map[string]*longestWait{}, outcomes: newOutcomeCounts(),
 	}
 }
 
@@ -123,6 +125,9 @@
 		p.Refuse(e, kind, "")
 	case attempt.Cut:
 		e.Closing = true
+		p.outcomes.cut.Add(1)
+	default:
+		p.outcomes.kinds[fault.None].Add(1)
 	}
 }
 
@@ -337,6 +342,7 @@
 
 // Refuse gives the client an answer of our own, by the table of package fault.
 func (p *Proxy) Refuse(e *Exchange, kind fault.Kind, detail string) {
+	p.outcomes.kinds[kind].Add(1)
 	answer := kind.Answer()
 	text := answer.Text
 	if detail != "" {
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -30,7 +30,6 @@
 	reader *bufio.Reader
 	since  time.Time // idle since
 	keep   time.Duration
-	used   bool // it has carried a request before
 }
 
 // target is one incarnation of a server as this router sees it. The proxy's lock guards it.
@@ -152,7 +151,7 @@
 // keepConn keeps a connection for the next request.
 func (p *Proxy) keepConn(t *target, c *serverConn) {
 	_ = c.SetDeadline(time.Time{})
-	c.since, c.used = time.Now(), true
+	c.since = time.Now()
 	p.mu.Lock()
 	keep := p.targets[t.instance.ID] == t && len(t.idle) < maxIdle
 	if keep {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -66,6 +66,15 @@
 	Leaving:       {Status: 503, Promise: true, RetryAfter: 20 * time.Millisecond, Text: "this router is about to end", Remedy: "nothing: the client comes back to another router"},
 }
 
+// Kinds lists all kinds in their order.
+func Kinds() []Kind {
+	var kinds []Kind
+	for k := None; k < numKinds; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
 // Answer gives the table's row for the kind.
 func (k Kind) Answer() Answer { return answers[k] }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -197,6 +197,7 @@
 	Kind      string `msg:"k"` // replace, patch, read, version
 	IfVersion int64  `msg:"v"`
 	Body      []byte `msg:"b"`
+	Most      int    `msg:"m"` // bytes of a reply's body that the caller takes; 0: any number
 }
 
 // OrderReply is the answer for the operator.
@@ -204,6 +205,9 @@
 	Kind int    `msg:"k"` // of package fault
 	Text string `msg:"t"`
 	Body []byte `msg:"b"`
+	Size int    `msg:"s"` // bytes of the body, where it was over Most
+
+	Redirect string `msg:"-"` // control address that the operator is to ask, set by the node that was asked
 }
 
 // Event is what a holder keeps of a part after a change; Tokens 0: nothing any more.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -3178,6 +3178,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "m":
+			z.Most, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Most")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3191,9 +3197,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Order) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
+	err = en.Append(0x84, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -3222,15 +3228,25 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Most)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "k"
-	o = append(o, 0x83, 0xa1, 0x6b)
+	o = append(o, 0x84, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Kind)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
@@ -3238,6 +3254,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.Most)
 	return
 }
 
@@ -3277,6 +3296,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "m":
+			z.Most, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Most")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3291,7 +3316,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Order) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
 	return
 }
 
@@ -3331,6 +3356,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "s":
+			z.Size, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3344,9 +3375,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *OrderReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
+	err = en.Append(0x84, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -3375,15 +3406,25 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Size)
+	if err != nil {
+		err = msgp.WrapError(err, "Size")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "k"
-	o = append(o, 0x83, 0xa1, 0x6b)
+	o = append(o, 0x84, 0xa1, 0x6b)
 	o = msgp.AppendInt(o, z.Kind)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -3391,6 +3432,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Size)
 	return
 }
 
@@ -3430,6 +3474,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "s":
+			z.Size, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3444,7 +3494,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OrderReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
 	return
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +42,16 @@
 	HeartbeatMs     float64           `koanf:"heartbeat-ms"`
 	Bounds          Bounds            `koanf:"bounds"`
 	FaultTolerance  FaultTolerance    `koanf:"fault-tolerance"`
+	Metrics         string            `koanf:"metrics"` // PORT/PATH at which figures are told as text; empty: nowhere
+}
+
+// MetricsAt gives the address and the path at which figures are told; ok is false where they are not.
+func (s *Settings) MetricsAt() (address, path string, ok bool) {
+	port, path, found := strings.Cut(s.Metrics, "/")
+	if n, err := strconv.Atoi(port); !found || err != nil || n < 1 || n > 65535 {
+		return "", "", false
+	}
+	return net.JoinHostPort(s.IP, port), "/" + path, true
 }
 
 // FaultTolerance is what may be lost at one time while every rule is kept: machines that count for the quorum, or whole zones or
@@ -100,7 +111,7 @@
 func Default() Settings {
 	return Settings{
 		HeartbeatMs: 1000, FaultTolerance: FaultTolerance{Machines: 1},
-		Limits:      Limits{CPUShare: 1, CPUCores: 1, MemoryMB: 256, MaxFDs: 1024, LinkMbps: 1000, DiskMB: 64},
+		Limits: Limits{CPUShare: 1, CPUCores: 1, MemoryMB: 256, MaxFDs: 1024, LinkMbps: 1000, DiskMB: 64},
 		Bounds: Bounds{
 			ReuseDelayS: 2, ContactMs: 3000, AckTimeoutMs: 4000, CatchUpS: 4, DrainMs: 2000, GraceS: 8, ConfigApplyMs: 2000,
 			RevokeMs: 5000, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryMin: 10, TransitMs: 120, AgainS: 10,
@@ -144,6 +155,9 @@
 	if net.ParseIP(s.IP) == nil {
 		return trace.BadParameter("ip is %q: it must be the machine's IPv4 address", s.IP)
 	}
+	if _, _, ok := s.MetricsAt(); s.Metrics != "" && !ok {
+		return trace.BadParameter("metrics is %q: it must be PORT/PATH, as 9100/metrics", s.Metrics)
+	}
 	if len(s.PortRange) != 2 || s.PortRange[0] < 1 || s.PortRange[1] > 65535 || s.PortRange[0] > s.PortRange[1] {
 		return trace.BadParameter("port-range is %v: it must hold the first and the last free port, each 1 to 65535", s.PortRange)
 	}
