--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
+	go tool staticcheck ./cmd/... ./controlplane/... ./dataplane/... ./fault ./internal/... ./lab/... ./peer ./settings ./storage/...
 
 run: build
 	EDGE_CONFIG=$(CONFIG) exec bin/moleshift
--- a/lab/duties/world.go
+++ b/lab/duties/world.go
@@ -60,7 +60,6 @@
 
 	sent, bytes int
 	told        []func() // while it stood still
-	lastCounts  duty.Counts
 }
 
 // world is all of it.
--- a/lab/emulate/router.go
+++ b/lab/emulate/router.go
@@ -41,7 +41,6 @@
 	rq    *request
 	q     *choice.Query
 	parts []*part
-	sent  bool // a part that may have run
 }
 
 type part struct {
--- a/lab/explore/register.go
+++ b/lab/explore/register.go
@@ -80,7 +80,6 @@
 	view      *quorum.View
 	ackedThen []string // at the begin of a read
 	sent      map[string]bool
-	ending    bool // the second step of a change of members comes next
 	known     quorum.Value
 	knownAt   quorum.Ballot
 }
