--- a/lab/control/control_test.go
+++ b/lab/control/control_test.go
@@ -20,7 +20,7 @@
 
 // Drawn faults over the whole control plane: whatever crosses whatever, operators and routers see what the rules promise.
 func TestDrawnWorlds(t *testing.T) {
-	seeds := 60
+	seeds := 300
 	if n, err := strconv.Atoi(os.Getenv(seedsVariable)); err == nil {
 		seeds = n
 	}
