--- a/controlplane/core/core_test.go
+++ b/controlplane/core/core_test.go
@@ -387,3 +387,37 @@
 	}
 	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: in, Call: began, Output: out, Return: ended})
 }
+
+// An acceptor that promised something in one register before word of the first membership came has that membership in every register.
+func TestInstallAfterAPromise(t *testing.T) {
+	a, err := NewAcceptor(nil)
+	must.NoError(t, err)
+	first := []quorum.Member{{ID: a.Identity(), Address: "n0"}, {ID: "other", Address: "n1"}}
+	_, err = a.Prepare(&peer.Prepare{Register: Config, Target: a.Identity(), Ballot: quorum.Ballot{Counter: 5, Proposer: "p"}})
+	must.NoError(t, err)
+	must.NoError(t, a.Install(first))
+	for _, register := range registers {
+		s := a.State(register)
+		must.Eq(t, first, s.Value.Members, must.Sprint(register))
+		must.Eq(t, quorum.Ballot{Counter: 1}, s.Accepted, must.Sprint(register))
+	}
+	must.Eq(t, 5, a.State(Config).Promised.Counter, must.Sprint("the promise stands"))
+}
+
+// Members that a node was only told of are whom to ask, and no quorum: a register that none of them has a value of is not written.
+func TestHintedMembersAreNoQuorum(t *testing.T) {
+	net := &network{rand: rand.New(rand.NewPCG(1, 4)), nodes: map[string]*member{}}
+	var hinted []quorum.Member
+	for i := range 3 {
+		m := &member{address: fmt.Sprint("n", i), store: &memory{records: map[string][]byte{}}}
+		net.nodes[m.address] = m
+		net.start(t, m)
+		hinted = append(hinted, quorum.Member{ID: m.acceptor.Identity(), Address: m.address})
+	}
+	driver := net.driver(0)
+	driver.Hint(hinted)
+	driver.Look(nil, nil)
+	must.True(t, driver.Known(Weights).Confirmed.IsZero(), must.Sprint("nothing is chosen there"))
+	_, err := driver.Change(Weights, time.Now().Add(50*time.Millisecond), func(v quorum.Value) (quorum.Value, error) { return v, nil })
+	must.Error(t, err)
+}
