The first membership is installed register by register; hinted members are no quorum

(1) Word of the first membership installed it only in an acceptor that had promised nothing in any register: one that promised in config first never had it in weights, and members that a node was only told of counted as a quorum there. (2) Newcomers introduce themselves to the seeds of the moment, who need not be the electors. Change: Install goes register by register and keeps promises; a round is prepared, and a look shows a value to be chosen, only on the members of a value accepted under a ballot; electors stand under a ballot of their own below all votes; answers on the members carry the first members and, while the members are unknown, the newcomers heard of. Excluded: taking config's members for those of a register without a value (two sets of members could each be a quorum).

--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -211,16 +211,21 @@
 	return trace.Wrap(err)
 }
 
-// Install puts the first membership of all into an acceptor that has kept nothing yet; otherwise it does nothing.
+// Install puts the first membership of all into each register of which this acceptor has accepted nothing. It is what every one of the
+// first members has accepted from the beginning, whether it knows that yet or not: a promise that was given before stands.
 func (a *Acceptor) Install(members []quorum.Member) error {
 	a.beginWrite()
 	defer a.writing.Release(1)
-	if !a.Empty() {
-		return nil
-	}
 	first := quorum.Ballot{Counter: 1}
 	for _, register := range registers {
-		s := quorum.State{Promised: first, Accepted: first, Value: quorum.Value{Members: members}}
+		s := a.State(register)
+		if s.Accepted != (quorum.Ballot{}) {
+			continue
+		}
+		s.Accepted, s.Value = first, quorum.Value{Members: members}
+		if s.Promised.Less(first) {
+			s.Promised = first
+		}
 		if err := a.keep(register, s); err != nil {
 			return trace.Wrap(err)
 		}
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -13,6 +13,9 @@
 
 const electorRecord = "elector"
 
+// electorsBallot is the ballot of the electors themselves, who are given: below every ballot of a vote.
+var electorsBallot = quorum.Ballot{Proposer: "electors"}
+
 // Elector is a seed's vote on the first membership of the system. The electors are the seeds of the first start, and a majority
 // of them chooses, by ballots as in any register, once.
 //
@@ -115,7 +118,7 @@
 	if electors == nil {
 		return nil, false
 	}
-	round := quorum.NewRound(above.Next(e.address), quorum.Ballot{}, quorum.Value{Members: electors})
+	round := quorum.NewRound(above.Next(e.address), electorsBallot, quorum.Value{Members: electors})
 	ask := func(m quorum.Member, proposal *quorum.Value) (*peer.AcceptorReply, error) {
 		in := &peer.Vote{Target: m.ID, Ballot: round.Ballot, Value: proposal}
 		if m.ID == e.address {
@@ -128,7 +131,7 @@
 	playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
 	if round.Phase == quorum.Prepared {
 		proposal := round.Current()
-		if round.Seen() == (quorum.Ballot{}) {
+		if round.Seen() == electorsBallot {
 			proposal.Data = value
 		}
 		round.Propose(proposal)
--- a/controlplane/quorum/quorum.go
+++ b/controlplane/quorum/quorum.go
@@ -178,11 +178,15 @@
 		r.seen, r.current = accepted, *v
 	}
 	r.promised[from], r.holds[from] = true, accepted
-	if r.current.Quorum(func(id string) bool { return r.promised[id] }) {
+	if r.hasBase() && r.current.Quorum(func(id string) bool { return r.promised[id] }) {
 		r.Phase = Prepared
 	}
 }
 
+// hasBase tells whether the members of the current value are those of a value that was accepted somewhere: members that a proposer
+// was only told of are whom to ask, and no quorum.
+func (r *Round) hasBase() bool { return r.seen != Ballot{} }
+
 // Current is the value that the proposal must build on, once the round is Prepared.
 func (r *Round) Current() Value { return r.current }
 
@@ -278,9 +282,10 @@
 	return slices.DeleteFunc(w.value.All(), func(m Member) bool { _, ok := w.have[m.ID]; return ok })
 }
 
-// Chosen tells whether a quorum keeps the newest value met: then nothing newer was chosen before the look began.
+// Chosen tells whether a quorum keeps the newest value met: then nothing newer was chosen before the look began. Members without a
+// value that was accepted are no quorum.
 func (w *View) Chosen() bool {
-	return w.value.Quorum(func(id string) bool { b, ok := w.have[id]; return ok && b == w.highest })
+	return w.highest != (Ballot{}) && w.value.Quorum(func(id string) bool { b, ok := w.have[id]; return ok && b == w.highest })
 }
 
 // Heard tells whether a quorum answered at all.
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -72,6 +72,7 @@
 	leavers      map[string]leaver    // members that are about to end, by identity
 	freshNodes   map[string]peer.Node // nodes that count and have kept nothing, by address
 	lastFresh    time.Time
+	firstMembers []quorum.Member // of all, once this node has heard of their choice
 	unsettled    map[string]int
 	remembered   uint64                  // digest of the table as it was last kept on disk
 	outboxes     map[string]*outbox      // by member
--- a/controlplane/server/genesis.go
+++ b/controlplane/server/genesis.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// genesis takes the first membership. An acceptor whose identity it names has promised and accepted nothing before, or it keeps
-// what it has: an identity does not outlive its state.
+// genesis takes the first membership. An acceptor whose identity it names has it in every register of which it has accepted nothing:
+// an identity does not outlive its state.
 func (c *Controller) genesis(in *peer.Genesis) (*peer.Empty, error) {
 	isMember := c.acceptor != nil && slices.ContainsFunc(in.Members, func(m quorum.Member) bool { return m.ID == c.acceptor.Identity() })
 	if isMember {
@@ -108,6 +108,9 @@
 			return nil, err
 		}
 	}
+	c.mu.Lock()
+	c.firstMembers = in.Members
+	c.mu.Unlock()
 	if len(c.directory.Members()) == 0 {
 		c.learnMembers(in.Members)
 	}
--- a/controlplane/server/members.go
+++ b/controlplane/server/members.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,7 +31,16 @@
 	if len(in.Members) > 0 && len(c.directory.Members()) == 0 {
 		c.learnMembers(in.Members)
 	}
-	return &peer.WhoReply{Members: c.directory.Members()}, nil
+	reply := &peer.WhoReply{Members: c.directory.Members()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.First = c.firstMembers
+	if len(reply.Members) == 0 {
+		for _, address := range slices.Sorted(maps.Keys(c.freshNodes)) {
+			reply.Fresh = append(reply.Fresh, c.freshNodes[address])
+		}
+	}
+	return reply, nil
 }
 
 func (c *Controller) noteNode(in *peer.Who) {
@@ -100,9 +110,26 @@
 	if err := c.caller.Call(address, peer.CallWho, in, &reply, core.CallTimeout); err != nil {
 		return
 	}
+	c.hearOfFresh(reply.Fresh)
 	if len(reply.Members) > 0 && len(c.directory.Members()) == 0 {
 		c.learnMembers(reply.Members)
 	}
+	if len(reply.First) > 0 {
+		_, _ = c.genesis(&peer.Genesis{Members: reply.First}) // what fails is tried again with the next answer
+	}
+}
+
+// hearOfFresh notes nodes that another one has heard of: an elector may not be among the seeds any more that newcomers ask. What a
+// node says of itself supersedes it.
+func (c *Controller) hearOfFresh(nodes []peer.Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, node := range nodes {
+		if _, known := c.freshNodes[node.Address]; !known {
+			c.freshNodes[node.Address] = node
+			c.lastFresh = time.Now()
+		}
+	}
 }
 
 func (c *Controller) learnMembers(members []quorum.Member) {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -49,7 +49,8 @@
 // WhoReply lists the members, where the callee knows them.
 type WhoReply struct {
 	Members []quorum.Member `msg:"m"`
-	Nodes   []Node          `msg:"n"`
+	First   []quorum.Member `msg:"f"` // the first members of all, where the callee heard of their choice
+	Fresh   []Node          `msg:"n"` // nodes that count and have kept nothing, while the members are unknown
 }
 
 // Leave tells that the sender was told to end and gives up its seat.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -5584,22 +5584,41 @@
 					return
 				}
 			}
-		case "n":
+		case "f":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
+				err = msgp.WrapError(err, "First")
+				return
+			}
+			if cap(z.First) >= int(zb0003) {
+				z.First = (z.First)[:zb0003]
+			} else {
+				z.First = make([]quorum.Member, zb0003)
+			}
+			for za0002 := range z.First {
+				err = z.First[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "First", za0002)
+					return
+				}
+			}
+		case "n":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Fresh")
 				return
 			}
-			if cap(z.Nodes) >= int(zb0003) {
-				z.Nodes = (z.Nodes)[:zb0003]
+			if cap(z.Fresh) >= int(zb0004) {
+				z.Fresh = (z.Fresh)[:zb0004]
 			} else {
-				z.Nodes = make([]Node, zb0003)
+				z.Fresh = make([]Node, zb0004)
 			}
-			for za0002 := range z.Nodes {
-				err = z.Nodes[za0002].DecodeMsg(dc)
+			for za0003 := range z.Fresh {
+				err = z.Fresh[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0002)
+					err = msgp.WrapError(err, "Fresh", za0003)
 					return
 				}
 			}
@@ -5616,9 +5635,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WhoReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "m"
-	err = en.Append(0x82, 0xa1, 0x6d)
+	err = en.Append(0x83, 0xa1, 0x6d)
 	if err != nil {
 		return
 	}
@@ -5634,20 +5653,37 @@
 			return
 		}
 	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.First)))
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
+	for za0002 := range z.First {
+		err = z.First[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "First", za0002)
+			return
+		}
+	}
 	// write "n"
 	err = en.Append(0xa1, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Nodes)))
+	err = en.WriteArrayHeader(uint32(len(z.Fresh)))
 	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
+		err = msgp.WrapError(err, "Fresh")
 		return
 	}
-	for za0002 := range z.Nodes {
-		err = z.Nodes[za0002].EncodeMsg(en)
+	for za0003 := range z.Fresh {
+		err = z.Fresh[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0002)
+			err = msgp.WrapError(err, "Fresh", za0003)
 			return
 		}
 	}
@@ -5657,9 +5693,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WhoReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "m"
-	o = append(o, 0x82, 0xa1, 0x6d)
+	o = append(o, 0x83, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
 		o, err = z.Members[za0001].MarshalMsg(o)
@@ -5668,13 +5704,23 @@
 			return
 		}
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.First)))
+	for za0002 := range z.First {
+		o, err = z.First[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "First", za0002)
+			return
+		}
+	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
-	for za0002 := range z.Nodes {
-		o, err = z.Nodes[za0002].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Fresh)))
+	for za0003 := range z.Fresh {
+		o, err = z.Fresh[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0002)
+			err = msgp.WrapError(err, "Fresh", za0003)
 			return
 		}
 	}
@@ -5718,22 +5764,41 @@
 					return
 				}
 			}
-		case "n":
+		case "f":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
+				err = msgp.WrapError(err, "First")
 				return
 			}
-			if cap(z.Nodes) >= int(zb0003) {
-				z.Nodes = (z.Nodes)[:zb0003]
+			if cap(z.First) >= int(zb0003) {
+				z.First = (z.First)[:zb0003]
 			} else {
-				z.Nodes = make([]Node, zb0003)
+				z.First = make([]quorum.Member, zb0003)
 			}
-			for za0002 := range z.Nodes {
-				bts, err = z.Nodes[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.First {
+				bts, err = z.First[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0002)
+					err = msgp.WrapError(err, "First", za0002)
+					return
+				}
+			}
+		case "n":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fresh")
+				return
+			}
+			if cap(z.Fresh) >= int(zb0004) {
+				z.Fresh = (z.Fresh)[:zb0004]
+			} else {
+				z.Fresh = make([]Node, zb0004)
+			}
+			for za0003 := range z.Fresh {
+				bts, err = z.Fresh[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fresh", za0003)
 					return
 				}
 			}
@@ -5756,8 +5821,12 @@
 		s += z.Members[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Nodes {
-		s += z.Nodes[za0002].Msgsize()
+	for za0002 := range z.First {
+		s += z.First[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Fresh {
+		s += z.Fresh[za0003].Msgsize()
 	}
 	return
 }
