A member that answers a read itself answers whole, also after a call that failed

Cause, found on reading the change again: the bound on what a node passes on was set in the order itself, so a member whose first call failed then read the configuration itself under that bound, and answered {} for one over 256 KB. Change: the bound goes with a copy. Measured: the test of large reads has a member read past an owner that is off.

--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -41,8 +41,9 @@
 			}
 		} else {
 			var out peer.OrderReply
-			in.Most = mostPassedOn
-			if err := c.caller.Call(m.Address, peer.CallOrder, in, &out, orderCall+transfer); err != nil {
+			passed := *in // a copy: where this node answers itself, it answers whole
+			passed.Most = mostPassedOn
+			if err := c.caller.Call(m.Address, peer.CallOrder, &passed, &out, orderCall+transfer); err != nil {
 				c.directory.Failed(m.Address)
 				continue
 			}
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -157,8 +157,9 @@
 func TestLargeConfigurationIsReadAtAMember(t *testing.T) {
 	l := newLan()
 	seeds := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	var members []*Controller
 	for i := 1; i <= 3; i++ {
-		l.node(t, i, true, true, nil, seeds...)
+		members = append(members, l.node(t, i, true, true, nil, seeds...))
 	}
 	router := l.node(t, 9, false, true, nil, seeds...)
 	eventually(t, "configuration", func() bool { return replace(router, 0, wholeText) == fault.None })
@@ -172,6 +173,16 @@
 	must.Zero(t, len(read.Body))
 	must.StrContains(t, read.Redirect, "10.0.0.")
 	must.StrHasSuffix(t, ":80", read.Redirect)
+
+	// A member whose owner of the register does not answer reads it itself, and whole.
+	owner := members[0].directory.Try("order-" + core.Config)[0]
+	l.set(owner.Address, true)
+	for _, c := range members {
+		if c.self.Address != owner.Address {
+			read = c.Order(&peer.Order{Kind: orderRead})
+			must.True(t, string(read.Body) == large || read.Redirect != "", must.Sprint("an answer that is neither the configuration nor where it is"))
+		}
+	}
 }
 
 // Seeds that keep nothing know nobody after a loss of all power; members tell them, and those who ask them find the members.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -102,3 +102,15 @@
 		}
 	})
 }
+
+func TestMetricsAt(t *testing.T) {
+	for text, ok := range map[string]bool{"": false, "9100/metrics": true, "9100": false, "x/metrics": false, "70000/m": false} {
+		s := Settings{IP: "10.0.0.1", Metrics: text}
+		address, path, told := s.MetricsAt()
+		must.Eq(t, ok, told, must.Sprint(text))
+		if ok {
+			must.Eq(t, "10.0.0.1:9100", address)
+			must.Eq(t, "/metrics", path)
+		}
+	}
+}
