--- a/cmd/molelab/days.go
+++ b/cmd/molelab/days.go
@@ -14,7 +14,7 @@
 type daysCmd struct {
 	Seed    uint64   `default:"1" help:"Of the first day; each further day takes the next."`
 	Days    int      `default:"1" help:"How many."`
-	Focus   string   `default:"any" enum:"any,control,start" help:"What the days are drawn from: any kind, kinds that strike the control plane, or those with the start of the system disturbed."`
+	Focus   string   `default:"any" enum:"any,control,start,weights,planned" help:"What the days are drawn from: any kind, kinds that strike the control plane, those with the start of the system disturbed, weights named in series beside planned work, or the same without any fault."`
 	Without []string `help:"Kinds to leave out, where a deployment does not know them."`
 	Out     string   `type:"path" help:"Folder for a file a day; without it the days are printed."`
 }
--- a/lab/days/days.go
+++ b/lab/days/days.go
@@ -20,10 +20,12 @@
 	Any     Focus = "any"     // every kind
 	Control Focus = "control" // what strikes the control plane, crossed with planned work
 	Start   Focus = "start"   // disruptions that begin before the first traffic
+	Weights Focus = "weights" // weights of one model named in series beside planned work; some days are long, some have faults too
+	Planned Focus = "planned" // the same without any fault
 )
 
 // Focuses lists them.
-var Focuses = []Focus{Any, Control, Start}
+var Focuses = []Focus{Any, Control, Start, Weights, Planned}
 
 // Day is one drawn day.
 type Day struct {
@@ -53,12 +55,23 @@
 	mostPlans     = 5
 	crossingShare = 0.6 // of the faults begin within crossingSpan of another entry
 	crossingSpan  = 1.5
+
+	leastNamings  = 3
+	mostNamings   = 6
+	shortestPause = 4.0 // seconds between two namings of the same model's weights
+	longestPause  = 12.0
+	stormGap      = 0.2 // seconds between two changes of the configuration on a long day
+	longDay       = 60.0
 )
 
 // Draw draws the day of a seed, without the kinds that its deployment does not know.
 func Draw(seed uint64, focus Focus, without ...string) *Day {
 	d := &drawer{without: without, rand: rand.New(rand.NewPCG(seed, 0x64617973))}
 	day := &Day{Name: fmt.Sprintf("drawn-%s-%d", focus, seed), Seed: seed%900_000_000 + 1}
+	if focus == Weights || focus == Planned {
+		d.weightsInSeries(day, focus)
+		return day
+	}
 	for range leastPlans + d.rand.IntN(mostPlans-leastPlans+1) {
 		day.Plan = append(day.Plan, d.entry(planned, d.rand.Float64()*dayLength))
 	}
@@ -87,6 +100,30 @@
 	without []string
 }
 
+// weightsInSeries draws a day on which weights of one model are named again and again. Planned work strikes beside that; on a long
+// day, the configuration changes all the while.
+func (d *drawer) weightsInSeries(day *Day, focus Focus) {
+	at := 1 + 4*d.rand.Float64()
+	for range leastNamings + d.rand.IntN(mostNamings-leastNamings+1) {
+		day.Plan = append(day.Plan, Entry{At: at, Kind: "version_bump", Fields: []Field{{"count", "0"}}})
+		at += shortestPause + (longestPause-shortestPause)*d.rand.Float64()
+	}
+	length := dayLength
+	if d.rand.IntN(2) == 0 {
+		length = longDay
+		storm := []Field{{"gap_s", number(stormGap)}, {"for_s", number(longDay)}}
+		day.Plan = append(day.Plan, Entry{At: 2, Kind: "config_storm", Fields: storm})
+	}
+	for range leastPlans + d.rand.IntN(mostPlans-leastPlans+1) {
+		day.Plan = append(day.Plan, d.entry(planned, d.rand.Float64()*length))
+	}
+	if focus == Weights && d.rand.IntN(2) == 0 {
+		for range leastFaults {
+			day.Faults = append(day.Faults, d.entry(faults, d.moment(day)))
+		}
+	}
+}
+
 // moment draws when a fault begins: often close to something that happens already.
 func (d *drawer) moment(day *Day) float64 {
 	others := append(append([]Entry{}, day.Plan...), day.Faults...)
--- a/lab/days/days_test.go
+++ b/lab/days/days_test.go
@@ -57,3 +57,19 @@
 		must.GreaterEq(t, 2, early)
 	}
 }
+
+func TestWeightsAreNamedInSeries(t *testing.T) {
+	for seed := range uint64(50) {
+		for _, focus := range []Focus{Weights, Planned} {
+			day := Draw(seed, focus)
+			namings := 0
+			for _, e := range day.Plan {
+				if e.Kind == "version_bump" {
+					namings++
+				}
+			}
+			must.GreaterEq(t, leastNamings, namings)
+			must.True(t, focus == Weights || len(day.Faults) == 0)
+		}
+	}
+}
