One line a step of a request, and the cause of an answer that is cut

Cause: logs told nothing of streams that were cut, and nothing of orders to load. Change: at the level debug a line for each attempt (request, route, configuration, instance, weights believed and named, outcome, what follows), each naming heard of, each order to load and its end; an answer that is cut is told at the level info.

--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -158,6 +158,7 @@
 		return
 	}
 	status, err := r.order(step, epoch)
+	c.log.Debug().Str("instance", id).Int64("weights", step.Model.Version).Int("status", status).Err(err).Msg("server ordered to load")
 	if err == nil && status != fasthttp.StatusOK && status != statusAccepted {
 		c.log.Info().Str("instance", id).Int("status", status).Msg("server did not take the order to load")
 		return
@@ -216,6 +217,7 @@
 			}
 			continue // the report lags behind: it need not tell of the order yet
 		}
+		c.log.Debug().Str("instance", step.Instance.ID).Int64("weights", step.Model.Version).Dur("after-ms", time.Since(began)).Msg("server has loaded")
 		loaded := step.Instance
 		loaded.Models, loaded.State = report.Models, registry.Ready
 		c.takeAll([]peer.Instance{loaded})
--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -19,6 +19,11 @@
 	Done                      // a whole answer with success
 )
 
+// String gives the outcome's name in logs.
+func (o Outcome) String() string {
+	return [...]string{"not sent", "turned away", "failed", "broken", "moved", "done"}[o]
+}
+
 // Action is what to do next.
 type Action int
 
@@ -31,6 +36,11 @@
 	Cut                  // end the answer that has begun, so that it does not look complete
 )
 
+// String gives the action's name in logs.
+func (a Action) String() string {
+	return [...]string{"again", "resume", "pass", "answer", "cut"}[a]
+}
+
 // maxTurns bounds the attempts that came to nothing, so that a request does not go round for ever.
 const maxTurns = 6
 
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -322,6 +322,7 @@
 	for _, m := range state.Versions {
 		if weights[m.Name] < m.Version {
 			weights[m.Name], at[m.Name] = m.Version, time.Now()
+			f.log.Debug().Str("model", m.Name).Int64("weights", m.Version).Msg("heard of new weights")
 			changed = true
 		}
 	}
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -44,6 +44,7 @@
 	now := time.Now()
 	r.limitServer(c.SetDeadline, r.hangLimit(now))
 	p.sent(r, to)
+	p.logSent(r, to)
 	message := r.message(to, r.deadline.Sub(now))
 	if n, err := c.Write(message); err != nil {
 		p.endAttempt(r, to, c, false)
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -120,6 +120,7 @@
 	for action == attempt.Again || action == attempt.Resume {
 		action, kind = p.try(r)
 	}
+	p.logEnd(r, action, kind)
 	switch action {
 	case attempt.Answer:
 		p.Refuse(e, kind, "")
@@ -155,7 +156,9 @@
 	room := attempt.Room{Time: !r.over(r.deadline)}
 	to := p.choose(r)
 	if to == nil || !room.Time {
-		return r.state.End(room, attempt.NotSent)
+		action, kind := r.state.End(room, attempt.NotSent)
+		p.logOutcome(r, to, attempt.NotSent, action)
+		return action, kind
 	}
 	r.tried[to.target.instance.ID] = true
 	a, outcome := p.send(r, to)
@@ -178,6 +181,8 @@
 		room = p.room(r, outcome)
 	}
 	action, kind := r.state.Next(outcome, room)
+	r.lastOutcome = outcome
+	p.logOutcome(r, to, outcome, action)
 	if action == attempt.Pass {
 		p.pass(r, a)
 	}
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -65,6 +65,8 @@
 	lastID   string          // id of the last event passed on
 	started  bool            // the head of the answer has been passed on
 	byClose  bool            // the answer that was begun ends with the connection
+
+	lastOutcome attempt.Outcome
 }
 
 // newRequest looks a request up in the configuration. Errors are of package fault's kinds.
--- /dev/null
+++ b/dataplane/proxy/requestlog.go
@@ -0,0 +1,50 @@
+package proxy
+
+// One line of JSON for each step of a request, on at the level debug; an answer that is cut is told at the level info. A request is
+// followed by its id through routers, attempts and servers.
+
+import (
+	"github.com/rs/zerolog"
+
+	"moleshift/dataplane/attempt"
+	"moleshift/fault"
+)
+
+// step begins the line of a step of a request; nil where the level is off, at the cost of one comparison.
+func (p *Proxy) step(r *request) *zerolog.Event {
+	event := p.log.Debug()
+	if event == nil {
+		return nil
+	}
+	return event.Str("request", r.id).Str("route", r.route.Name).Int64("config", r.snapshot.Table.Version)
+}
+
+// logSent tells that a request goes to a server.
+func (p *Proxy) logSent(r *request, to *routed) {
+	if event := p.step(r); event != nil {
+		event.Str("instance", to.target.instance.ID).Int64("weights", to.version).Int64("named", r.snapshot.Weights[r.model]).
+			Str("after-event", r.lastID).Msg("request sent")
+	}
+}
+
+// logOutcome tells what became of an attempt, and what follows from that.
+func (p *Proxy) logOutcome(r *request, to *routed, outcome attempt.Outcome, action attempt.Action) {
+	if event := p.step(r); event != nil {
+		if to != nil {
+			event = event.Str("instance", to.target.instance.ID)
+		}
+		event.Stringer("outcome", outcome).Stringer("action", action).Bool("started", r.started).Msg("attempt ended")
+	}
+}
+
+// logEnd tells how a request ended.
+func (p *Proxy) logEnd(r *request, action attempt.Action, kind fault.Kind) {
+	if action == attempt.Cut && !r.Gone() {
+		p.log.Info().Str("request", r.id).Str("route", r.route.Name).Str("last-event", r.lastID).Stringer("last-outcome", r.lastOutcome).
+			Msg("answer cut")
+		return
+	}
+	if event := p.step(r); event != nil {
+		event.Stringer("action", action).Int("status", kind.Answer().Status).Msg("request ended")
+	}
+}
