--- a/controlplane/rollout/rollout_test.go
+++ b/controlplane/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -100,3 +101,43 @@
 	steps := s.Next(servers(3, 1), none, func(id string) float64 { return load[id] })
 	must.Eq(t, "i01", steps[0].Instance.ID)
 }
+
+// Where versions are named faster than all servers load, each server still gets its turn in time: no server runs weights older than
+// those named versionBound ago.
+func TestNamingsInSeriesStarveNoServer(t *testing.T) {
+	const (
+		versionBound = 8 * time.Second
+		every        = 4 * time.Second
+		loadTime     = time.Second
+		tick         = 100 * time.Millisecond
+	)
+	s := &State{}
+	list := servers(9, 1)
+	ends := map[string]time.Duration{} // of loads under way
+	goal := map[string]int64{}
+	turn := func(id string) Turn {
+		if _, ok := ends[id]; ok {
+			return Loading
+		}
+		return NoTurn
+	}
+	for now := time.Duration(0); now < time.Minute; now += tick {
+		if now%every == 0 {
+			s, _, _ = s.Name("m", int64(now/every)+2)
+		}
+		for i := range list {
+			if end, ok := ends[list[i].ID]; ok && now >= end {
+				list[i].Models = []peer.Model{{Name: "m", Version: goal[list[i].ID]}}
+				delete(ends, list[i].ID)
+			}
+			least := int64((now-versionBound)/every) + 2
+			must.True(t, now < versionBound || list[i].Models[0].Version >= least,
+				must.Sprintf("at %v server %s runs version %d, wanted is %d", now, list[i].ID, list[i].Models[0].Version, least))
+		}
+		for _, step := range s.Next(list, turn, idle) {
+			if len(ends) < AtOnce(len(list)) {
+				ends[step.Instance.ID], goal[step.Instance.ID] = now+loadTime, step.Model.Version
+			}
+		}
+	}
+}
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,6 +116,25 @@
 	proxy  *proxy.Proxy
 	server *ingress.Server
 	fresh  bool
+
+	snapshot atomic.Pointer[follower.Snapshot]
+}
+
+// update puts a changed snapshot in force.
+func (r *router) update(change func(s *follower.Snapshot)) {
+	s := *r.snapshot.Load()
+	s.Instances = maps.Clone(s.Instances)
+	change(&s)
+	r.snapshot.Store(&s)
+	r.proxy.Update(&s)
+}
+
+// setLoading marks the first server of a service as one that is about to load new weights.
+func (r *router) setLoading(service string) {
+	r.update(func(s *follower.Snapshot) {
+		s.Instances[service] = slices.Clone(s.Instances[service])
+		s.Instances[service][0].Loading = true
+	})
 }
 
 func start(t *testing.T, instances ...peer.Instance) *router {
@@ -126,11 +148,12 @@
 		snapshot.Instances[in.Service] = append(snapshot.Instances[in.Service], in)
 	}
 	r := &router{t: t, fresh: true}
+	r.snapshot.Store(snapshot)
 	started := make(chan struct{})
 	close(started)
-	r.proxy = proxy.New(&set, func() *follower.Snapshot { return snapshot }, started, func() bool { return r.fresh }, zerolog.Nop())
+	r.proxy = proxy.New(&set, r.snapshot.Load, started, func() bool { return r.fresh }, zerolog.Nop())
 	r.proxy.Update(snapshot)
-	r.server = ingress.New(r.proxy, func() *follower.Snapshot { return snapshot }, func() bool { return true }, zerolog.Nop())
+	r.server = ingress.New(r.proxy, r.snapshot.Load, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	r.front = l.Addr().String()
@@ -457,6 +480,50 @@
 	must.Eq(t, event(1)+event(2), body)
 }
 
+// A stream that another server should take up, because its own is about to load new weights or is silent, stays where it is when no
+// other takes it: only its server, its deadline or its client may end it.
+func TestStreamStaysWhereNoOtherServerTakesIt(t *testing.T) {
+	for name, row := range map[string]struct {
+		silence time.Duration
+		loading bool
+	}{
+		"its server is about to load": {0, true},
+		"its server is silent":        {1300 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			goOn := sync.OnceFunc(func() { close(proceed) })
+			one := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) {
+				streamHead(c, r)
+				chunk(c, event(1))
+				<-proceed
+				chunk(c, event(2))
+				chunk(c, event(3))
+				io.WriteString(c, "0\r\n\r\n")
+			})
+			full := serve(t, "i2", func(c net.Conn, _ int, _ *http.Request, _ string) { notExecuted(c) })
+			router := start(t, one.instance("llm"))
+			c := router.dial()
+			c.send("/stream/", "a", "Moleshift-Model-Id: m", "Moleshift-Token-Count: 100,5")
+			resp, err := http.ReadResponse(c.reader, nil)
+			must.NoError(t, err)
+			router.update(func(s *follower.Snapshot) {
+				s.Instances["llm"] = append(slices.Clone(s.Instances["llm"]), full.instance("llm"))
+			})
+			if row.loading {
+				router.setLoading("llm")
+			}
+			timer := time.AfterFunc(row.silence, goOn)
+			defer timer.Stop()
+			defer goOn()
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			must.Eq(t, event(1)+event(2)+event(3), string(body))
+			must.Len(t, 1, one.seen())
+		})
+	}
+}
+
 // Events without ids tell no place to go on from: such a stream must be cut, or its pieces would come twice.
 func TestStreamWithoutIDsIsNotTakenUp(t *testing.T) {
 	play := func(c net.Conn, _ int, r *http.Request, _ string) {
--- a/dataplane/proxy/versions_test.go
+++ b/dataplane/proxy/versions_test.go
@@ -37,3 +37,17 @@
 	must.Eq(t, 2*time.Second, w.now(4*time.Second))
 	must.Eq(t, 0, w.now(time.Minute))
 }
+
+// Each naming of new weights has a bound of its own: a second one must not put off the first one's.
+func TestEachNamingKeepsItsOwnBound(t *testing.T) {
+	fleet, first := fleetOf(t, 1, 1)
+	now := time.Now()
+	first.Weights, first.WeightsAt = map[string]int64{"m": 2}, map[string]time.Time{"m": now.Add(-9 * time.Second)}
+	fleet[0].Update(first)
+	must.Nil(t, fleet[0].choose(requestFor(t, first)), must.Sprint("version 2 was named 9 s of 10 ago"))
+
+	second := *first
+	second.Weights, second.WeightsAt = map[string]int64{"m": 3}, map[string]time.Time{"m": now.Add(-time.Second)}
+	fleet[0].Update(&second)
+	must.Nil(t, fleet[0].choose(requestFor(t, &second)), must.Sprint("version 3 was named since"))
+}
