What was read behind the last answer is answered; late completion counts while draining

Cause, found looking for the same class elsewhere: one moment stood for several. A request that was read while the answer before it was under way was dropped when the process ended just then; a request that began before SIGTERM and was complete long after it was taken by its first byte; one complete after the last answers were ended was not ended. Change: what stands in the reader is served or refused; a drain judges by the moment at which a request was complete; requests that come after the end are ended at once.

--- a/dataplane/admission/drain.go
+++ b/dataplane/admission/drain.go
@@ -30,8 +30,8 @@
 // Ends is when the last answers are cut.
 func (d Drain) Ends() time.Time { return d.ends }
 
-// Takes tells whether a request that arrived at the given moment and is over by deadline is still taken: in the first seconds
+// Takes tells whether a request that was complete at the given moment and is over by deadline is still taken: in the first seconds
 // any, later only one that is over before the process ends.
-func (d Drain) Takes(arrived, deadline time.Time) bool {
-	return !d.Begun() || arrived.Sub(d.began) < takeAllFor || !deadline.After(d.ends.Add(-answerMargin))
+func (d Drain) Takes(complete, deadline time.Time) bool {
+	return !d.Begun() || complete.Sub(d.began) < takeAllFor || !deadline.After(d.ends.Add(-answerMargin))
 }
--- a/dataplane/ingress/drain.go
+++ b/dataplane/ingress/drain.go
@@ -79,10 +79,11 @@
 	}
 }
 
-// expire ends the requests that are still being answered.
+// expire ends the requests that are still being answered, and those that are read from now on.
 func (s *Server) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expired = true
 	for _, state := range s.conns {
 		if state.exchange != nil {
 			state.exchange.Expire()
--- a/dataplane/ingress/drain_test.go
+++ b/dataplane/ingress/drain_test.go
@@ -108,3 +108,40 @@
 	close(held)
 	<-ended
 }
+
+// What was read behind a request that is being answered gets an answer too, also when the process ends behind the first answer.
+func TestRequestReadBehindTheLastAnswer(t *testing.T) {
+	hold, reached := make(chan struct{}), make(chan struct{})
+	s := serve(t, "i1", func(net.Conn, int, *http.Request, string) { close(reached); <-hold })
+	router := start(t, s.instance("batch"))
+	t.Cleanup(func() { close(hold) })
+	c := router.dial()
+	c.send("/once/", "a")
+	<-reached
+	c.send("/once/", "b")
+	router.server.Drain(900*time.Millisecond, released)
+	resp, _, err := c.answer()
+	must.NoError(t, err)
+	must.Eq(t, 504, resp.StatusCode, must.Sprint("the first may have run"))
+	resp, _, err = c.answer()
+	must.NoError(t, err)
+	must.Eq(t, 503, resp.StatusCode, must.Sprint("the second was refused with a promise"))
+	must.Len(t, 1, s.seen())
+}
+
+// A request that began long before it was complete is taken or refused by the moment at which it was complete.
+func TestRequestThatIsCompleteLate(t *testing.T) {
+	s := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "fine") })
+	router := start(t, s.instance("llm"))
+	c := router.dial()
+	_, err := io.WriteString(c.conn, "POST /stream/ HTTP/1.1\r\nHost: h\r\nMoleshift-Request-Id: a\r\nAuthorization: Token key\r\nContent-Length: 4\r\n\r\nbo")
+	must.NoError(t, err)
+	router.server.AwaitActive()
+	router.server.BeginDrain(admission.NewDrain(time.Now().Add(-2650*time.Millisecond), 6*time.Second))
+	timer := time.AfterFunc(100*time.Millisecond, func() { _, _ = io.WriteString(c.conn, "dy") })
+	defer timer.Stop()
+	resp, _, err := c.answer()
+	must.NoError(t, err)
+	must.Eq(t, 503, resp.StatusCode)
+	must.Len(t, 0, s.seen())
+}
--- a/dataplane/ingress/export_test.go
+++ b/dataplane/ingress/export_test.go
@@ -1,6 +1,17 @@
 package ingress
 
-import "moleshift/dataplane/admission"
+import (
+	"runtime"
+
+	"moleshift/dataplane/admission"
+)
 
 // BeginDrain puts the server into the state of one that was told to end as the given drain says.
 func (s *Server) BeginDrain(d admission.Drain) { s.drain.Store(&d) }
+
+// AwaitActive returns once some request is being read or answered.
+func (s *Server) AwaitActive() {
+	for s.active() == 0 {
+		runtime.Gosched()
+	}
+}
--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -37,8 +37,9 @@
 	drain  atomic.Pointer[admission.Drain] // nil: the process was not told to end
 	ending atomic.Bool                     // no further request is read
 
-	mu    sync.Mutex
-	conns map[net.Conn]*connection
+	mu      sync.Mutex
+	conns   map[net.Conn]*connection
+	expired bool // the time of the process is over: requests that come now are ended at once
 }
 
 // connection is what is known of a client's connection. The server's lock guards it.
@@ -102,13 +103,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.active, state.exchange = active, e
+	if e != nil && s.expired {
+		e.Expire()
+	}
 }
 
 // serveOne serves one request; false: the connection is to be closed.
 func (s *Server) serveOne(c net.Conn, state *connection, reader *bufio.Reader, writer *bufio.Writer) bool {
 	table := s.follow().Table
 	_ = c.SetReadDeadline(time.Now().Add(table.Idle()))
-	if s.ending.Load() { // looked at behind the deadline: whoever sets it ends the read that follows
+	// Looked at behind the deadline: whoever sets it ends the read that follows. What was read already, while the last answer was under
+	// way, is answered: its client could not know that it was not taken.
+	if s.ending.Load() && reader.Buffered() == 0 {
 		return false
 	}
 	if _, err := reader.Peek(1); err != nil {
@@ -128,7 +134,7 @@
 	if err := readBody(req, reader, writer, table.MaxBody()); err != nil {
 		return s.refuseBody(e, err)
 	}
-	e.Body = req.Body()
+	e.Body, e.Complete = req.Body(), time.Now()
 	e.Closing = req.Header.ConnectionClose()
 	if drain := s.drain.Load(); drain != nil {
 		e.Closing, e.Drain = true, *drain
--- a/dataplane/proxy/client.go
+++ b/dataplane/proxy/client.go
@@ -17,13 +17,14 @@
 
 // Exchange is one request of a client: what came, and the connection that the answer goes to.
 type Exchange struct {
-	Header  *fasthttp.RequestHeader
-	Body    []byte
-	Arrived time.Time
-	Conn    net.Conn
-	Writer  *bufio.Writer
-	Closing bool            // the connection is closed after this answer
-	Drain   admission.Drain // of the process, as it stood when the request came
+	Header   *fasthttp.RequestHeader
+	Body     []byte
+	Arrived  time.Time // when its first byte was there; deadlines count from then
+	Complete time.Time // when it had been read whole
+	Conn     net.Conn
+	Writer   *bufio.Writer
+	Closing  bool            // the connection is closed after this answer
+	Drain    admission.Drain // of the process, as it stood when the request was complete
 
 	mu      sync.Mutex
 	gone    bool
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -109,7 +109,7 @@
 		p.Refuse(e, fault.KindOf(err), err.Error())
 		return
 	}
-	if !e.Drain.Takes(e.Arrived, r.deadline) {
+	if !e.Drain.Takes(e.Complete, r.deadline) {
 		p.Refuse(e, fault.Leaving, "")
 		return
 	}
