--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -151,6 +151,7 @@
 		default:
 		}
 		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
+			f.logUnfit(members[at], began, reply, err)
 			at++
 			if !f.pause(failPause) {
 				return
@@ -159,6 +160,15 @@
 	}
 }
 
+// logUnfit tells why another controller is polled from now on.
+func (f *Follower) logUnfit(m quorum.Member, began time.Time, reply *peer.PollReply, err error) {
+	event := f.log.Debug().Str("controller", m.Address).Dur("took-ms", time.Since(began)).Err(err)
+	if err == nil {
+		event = event.Bool("knows", reply.Knows).Float64("age-ms", reply.AgeMs)
+	}
+	event.Msg("going to another controller")
+}
+
 // first asks all controllers at once, anew and anew at growing intervals, until there is a configuration: after a start some of them
 // may be on their way too, and a machine without power takes a call's whole time. false: closed.
 // A large configuration is then fetched from one of them.
@@ -301,6 +311,7 @@
 	if s.Table == nil {
 		f.log.Info().Int64("version", document.Version).Dur("since-start-ms", time.Since(f.start)).Msg("first configuration in force")
 	}
+	f.log.Debug().Int64("version", document.Version).Msg("configuration in force")
 	s.Table = routing.Compile(document)
 	return true
 }
