--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -255,3 +255,24 @@
 	s.records[name] = data
 	return nil
 }
+
+// A controller that has just started knows few routers: one that has a list of all keeps it until the others have had time to come.
+func TestYoungControllerDoesNotShortenTheListOfNodes(t *testing.T) {
+	set := settings.Default()
+	acceptor, err := core.NewAcceptor(nil)
+	must.NoError(t, err)
+	c := New(&set, set.SeedPeers, peer.Node{ID: "self"}, acceptor, nil, nil, directory.New(), zerolog.Nop()) // it does not run
+	in := &peer.Poll{From: peer.Node{ID: "router"}, Nodes: 77}
+	c.watchTable(in)
+	reply, _ := c.pollReply(in)
+	must.SliceEmpty(t, reply.Nodes)
+
+	in.Nodes = 0
+	reply, _ = c.pollReply(in)
+	must.Len(t, 1, reply.Nodes, must.Sprint("a router without a list takes what there is"))
+
+	in.Nodes = 77
+	c.started = c.started.Add(-time.Minute)
+	reply, _ = c.pollReply(in)
+	must.Len(t, 1, reply.Nodes)
+}
