--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -99,7 +99,9 @@
 // knowsSessions tells whether this controller has run for long enough to have heard of every router's session. Until then its list
 // of nodes lacks most of them: a router that has a list keeps it, or it would take itself for almost alone, with the work and the
 // retry budget of all.
-func (c *Controller) knowsSessions() bool { return c.now() >= sessionKeep+time.Duration(sessionsEvery)*c.syncEvery }
+func (c *Controller) knowsSessions() bool {
+	return c.now() >= sessionKeep+time.Duration(sessionsEvery)*c.syncEvery
+}
 
 // nodes lists the routers with a session at any controller. The lock is held.
 func (c *Controller) nodes() []peer.Node {
