Two data races that the soak's programs with -race told of

Cause: (1) a reply of the controller in the same process shares the models of its table, and the follower wrote to them: the table took versions over that it had not been told; (2) a server's identity and address were read without the lock while a newer account of the server was put in place. Change: the follower writes to a copy; a target's identity never changes and stands beside its account, the address is read under the lock.

--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -395,6 +395,7 @@
 		k.ended = now
 	}
 	in.State = max(in.State, k.instance.State)
+	in.Models = slices.Clone(in.Models) // a controller in this process gives the models of its own table
 	for i, m := range in.Models {
 		in.Models[i].Version = max(m.Version, rollout.VersionOf(k.instance.Models, m.Name))
 	}
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -97,6 +97,16 @@
 	must.Len(t, 0, f.Snapshot().Instances["llm"])
 }
 
+// A reply may share its parts with the table of a controller in the same process: it must not be written to.
+func TestRepliesAreNotWrittenTo(t *testing.T) {
+	f := newFollower(false)
+	f.take(time.Now(), instances(2, true, server("a", registry.Ready, 2)))
+	older := instances(3, false, server("a", registry.Ready, 1))
+	f.take(time.Now(), older)
+	must.Eq(t, 1, older.Instances[0].Models[0].Version)
+	must.Eq(t, 2, rollout.VersionOf(f.Snapshot().Instances["llm"][0].Models, "m"))
+}
+
 func TestWeightsOnlyRise(t *testing.T) {
 	f := newFollower(false)
 	weights := func(ballot uint64, version int64) *peer.PollReply {
--- a/dataplane/proxy/headers.go
+++ b/dataplane/proxy/headers.go
@@ -73,7 +73,7 @@
 		b = appendHeader(b, name, string(value))
 	}
 	b = appendHeader(b, headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	b = appendHeader(b, headerExpect, to.target.instance.ID)
+	b = appendHeader(b, headerExpect, to.target.id)
 	if r.tenant != nil {
 		b = appendHeader(b, headerTenant, r.tenant.Name)
 	}
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -76,7 +76,7 @@
 			listed[in.ID] = true
 			t := p.targets[in.ID]
 			if t == nil {
-				t = &target{versionNow: map[string]int64{}}
+				t = &target{id: in.ID, versionNow: map[string]int64{}}
 				p.targets[in.ID] = t
 			}
 			t.instance = in
@@ -160,7 +160,7 @@
 		p.logOutcome(r, to, attempt.NotSent, action)
 		return action, kind
 	}
-	r.tried[to.target.instance.ID] = true
+	r.tried[to.target.id] = true
 	a, outcome := p.send(r, to)
 	if outcome == attempt.Done && a.stream != nil {
 		to, outcome = p.relay(r, to, a)
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -22,7 +22,7 @@
 // logSent tells that a request goes to a server.
 func (p *Proxy) logSent(r *request, to *routed) {
 	if event := p.step(r); event != nil {
-		event.Str("instance", to.target.instance.ID).Int64("weights", to.version).Int64("named", p.follow().Namings.Newest(r.model)).
+		event.Str("instance", to.target.id).Int64("weights", to.version).Int64("named", p.follow().Namings.Newest(r.model)).
 			Str("after-event", r.lastID).Msg("request sent")
 	}
 }
@@ -31,7 +31,7 @@
 func (p *Proxy) logOutcome(r *request, to *routed, outcome attempt.Outcome, action attempt.Action) {
 	if event := p.step(r); event != nil {
 		if to != nil {
-			event = event.Str("instance", to.target.instance.ID)
+			event = event.Str("instance", to.target.id)
 		}
 		event.Stringer("outcome", outcome).Stringer("action", action).Bool("started", r.started).Msg("attempt ended")
 	}
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -114,7 +114,7 @@
 	if to == nil || !p.isGood(to.target) || !p.spend(r, purpose) {
 		return
 	}
-	r.tried[to.target.instance.ID] = true
+	r.tried[to.target.id] = true
 	a, outcome := p.send(r, to)
 	if outcome != attempt.Done || a.stream == nil {
 		if outcome == attempt.Done {
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -34,6 +34,7 @@
 
 // target is one incarnation of a server as this router sees it. The proxy's lock guards it.
 type target struct {
+	id       string // of the instance; never changes, so it may be read without the lock
 	instance peer.Instance
 	queue    float64 // Q: work in flight from this router, in tokens
 	inFlight int
@@ -112,9 +113,11 @@
 
 // connect gives a connection to the target, a kept one where there is one. nil: none came up, or the target's share is used up.
 func (p *Proxy) connect(t *target, limit int, deadline time.Time) *serverConn {
+	var address string
 	for {
 		now := time.Now()
 		p.mu.Lock()
+		address = t.instance.Address
 		c, stale := t.takeIdle(now)
 		t.conns -= len(stale)
 		full := c == nil && t.conns >= limit
@@ -137,7 +140,7 @@
 		p.closeConn(t, c)
 	}
 	wait := min(dialServer, time.Until(deadline))
-	conn, err := sock.Dial(p.set.IP, t.instance.Address, max(wait, time.Millisecond))
+	conn, err := sock.Dial(p.set.IP, address, max(wait, time.Millisecond))
 	if err != nil {
 		p.mu.Lock()
 		t.conns--
