A young controller's list of nodes adds to what a router knows, and takes nothing away

Cause, found on reading again: a young controller sent its list only to routers without one. Change: the list always comes; a controller younger than its sessions says that it may lack some, and the follower then keeps the others that it knew, one node an address. The whole list comes once the controller is old enough, also where the names are the same.

--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -363,11 +363,14 @@
 	return nodes
 }
 
-// nodesHash sums up a list of nodes.
-func nodesHash(nodes []peer.Node) uint64 {
+// nodesHash sums up a list of nodes; a list that may lack some differs from the same one that lacks none.
+func nodesHash(nodes []peer.Node, some bool) uint64 {
 	h := fnv.New64a()
 	for _, n := range nodes {
 		h.Write([]byte(n.ID))
 	}
+	if some {
+		h.Write([]byte("some"))
+	}
 	return h.Sum64() | 1
 }
--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -89,16 +89,17 @@
 		news = true
 	}
 	nodes := c.nodes()
-	reply.NodesHash = nodesHash(nodes)
-	if reply.NodesHash != in.Nodes && (in.Nodes == 0 || c.knowsSessions()) {
+	reply.NodesSome = !c.knowsSessions()
+	reply.NodesHash = nodesHash(nodes, reply.NodesSome)
+	if reply.NodesHash != in.Nodes {
 		reply.Nodes, news = nodes, true
 	}
 	return reply, news
 }
 
 // knowsSessions tells whether this controller has run for long enough to have heard of every router's session. Until then its list
-// of nodes lacks most of them: a router that has a list keeps it, or it would take itself for almost alone, with the work and the
-// retry budget of all.
+// of nodes lacks many of them, and says so: a router that took it for the whole would take itself for almost alone, with the work and
+// the retry budget of all.
 func (c *Controller) knowsSessions() bool {
 	return c.now() >= sessionKeep+time.Duration(sessionsEvery)*c.syncEvery
 }
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -11,6 +11,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -264,8 +265,8 @@
 	changed = f.takeWeights(&s, reply) || changed
 	changed = f.takeInstances(&s, reply) || changed
 	if reply.Nodes != nil {
-		s.Nodes, f.nodes = reply.Nodes, reply.NodesHash
-		changed = true
+		f.nodes, changed = reply.NodesHash, true
+		s.Nodes = takeNodes(s.Nodes, reply)
 	}
 	isFirst := s.Table != nil && f.Snapshot().Table == nil
 	if changed {
@@ -280,6 +281,22 @@
 	}
 }
 
+// takeNodes gives the nodes that are known after a reply: those that it tells, and where it may lack some, those that were known
+// besides. At one address there is one node, the one told last.
+func takeNodes(known []peer.Node, reply *peer.PollReply) []peer.Node {
+	if !reply.NodesSome {
+		return reply.Nodes
+	}
+	nodes := slices.Clone(reply.Nodes)
+	for _, n := range known {
+		if !slices.ContainsFunc(nodes, func(told peer.Node) bool { return told.Address == n.Address }) {
+			nodes = append(nodes, n)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b peer.Node) int { return strings.Compare(a.ID, b.ID) })
+	return nodes
+}
+
 func (f *Follower) takeConfig(s *Snapshot, reply *peer.PollReply) bool {
 	if reply.Content == nil || !f.config.Less(reply.Config) {
 		return false
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -142,3 +142,31 @@
 	f.take(time.Now(), &peer.PollReply{Namings: []peer.Naming{{Model: "m", Version: 4, AgeMs: 3000}}})
 	must.Eq(t, 4, f.Snapshot().Namings.NamedBy("m", time.Now().Add(-2900*time.Millisecond)), must.Sprint("another controller knew of it earlier"))
 }
+
+// Some of the nodes take no others away; the whole list does. A router that knew none has what it is told, and grows from there.
+func TestSomeNodesTakeNoOthersAway(t *testing.T) {
+	f := newFollower(false)
+	nodes := func(some bool, hash uint64, ids ...string) *peer.PollReply {
+		reply := &peer.PollReply{NodesHash: hash, NodesSome: some}
+		for _, id := range ids {
+			reply.Nodes = append(reply.Nodes, peer.Node{ID: id, Address: id[:1]})
+		}
+		return reply
+	}
+	known := func() (ids []string) {
+		for _, n := range f.Snapshot().Nodes {
+			ids = append(ids, n.ID)
+		}
+		return ids
+	}
+	f.take(time.Now(), nodes(true, 1, "a1"))
+	must.Eq(t, []string{"a1"}, known())
+	f.take(time.Now(), nodes(true, 2, "a1", "b1"))
+	must.Eq(t, []string{"a1", "b1"}, known())
+	f.take(time.Now(), nodes(false, 3, "a1", "b1", "c1", "d1"))
+	f.take(time.Now(), nodes(true, 4, "c2"))
+	must.Eq(t, []string{"a1", "b1", "c2", "d1"}, known(), must.Sprint("a node that started again takes its own place"))
+	f.take(time.Now(), nodes(false, 5, "a1", "c2"))
+	must.Eq(t, []string{"a1", "c2"}, known())
+	must.Eq(t, 5, f.nodes)
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -200,6 +200,7 @@
 	Members   []quorum.Member `msg:"m"`
 	Nodes     []Node          `msg:"n"` // where the caller's list is another one
 	NodesHash uint64          `msg:"h"`
+	NodesSome bool            `msg:"s"` // Nodes may lack some that live
 	Namings   []Naming        `msg:"y"` // of weights, lately
 }
 
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -4119,6 +4119,12 @@
 				err = msgp.WrapError(err, "NodesHash")
 				return
 			}
+		case "s":
+			z.NodesSome, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "NodesSome")
+				return
+			}
 		case "y":
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
@@ -4186,9 +4192,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PollReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 15
+	// map header, size 16
 	// write "k"
-	err = en.Append(0x8f, 0xa1, 0x6b)
+	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -4355,6 +4361,16 @@
 		err = msgp.WrapError(err, "NodesHash")
 		return
 	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.NodesSome)
+	if err != nil {
+		err = msgp.WrapError(err, "NodesSome")
+		return
+	}
 	// write "y"
 	err = en.Append(0xa1, 0x79)
 	if err != nil {
@@ -4404,9 +4420,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PollReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "k"
-	o = append(o, 0x8f, 0xa1, 0x6b)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6b)
 	o = msgp.AppendBool(o, z.Knows)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -4484,6 +4500,9 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendUint64(o, z.NodesHash)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.NodesSome)
 	// string "y"
 	o = append(o, 0xa1, 0x79)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Namings)))
@@ -4654,6 +4673,12 @@
 				err = msgp.WrapError(err, "NodesHash")
 				return
 			}
+		case "s":
+			z.NodesSome, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesSome")
+				return
+			}
 		case "y":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -4722,7 +4747,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PollReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2
+	s = 3 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2
 	if z.Content == nil {
 		s += msgp.NilSize
 	} else {
@@ -4740,7 +4765,7 @@
 	for za0003 := range z.Nodes {
 		s += z.Nodes[za0003].Msgsize()
 	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.Namings {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
 	}
