A takeover needs an answer with an end; its server has read the prompt; bounds and double work

Cause, found on reading the change again: (1) a stream was handed over to an answer that ends with its connection, which a chunked answer to the client cannot tell from a break: it was cut at its proper end; (2) the server that took a stream over kept the whole prompt on this router's books and in no index until the stream ended, so Q there was too large for the choice of the next requests; (3) a partial event put a move off by a second; (4) a line between chunks that comes in pieces was not bounded; (5) the register of weights was read anew for every poll and sync. Change: checkTakeover; pieceCame notes the prompt at each server of a stream; a line of 4 KiB at most; the register is read where its ballot is new. Measured: TestStreamIsNotTakenOverByAnAnswerWithoutAnEnd fails without the check; the other two tests hold what they name.

--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -78,6 +78,7 @@
 	outboxes     map[string]*outbox      // by member
 	turns        map[string]rollout.Turn // of instances that this node rolls weights out to
 	namings      rollout.Namings         // when weights were named
+	namingsFrom  quorum.Ballot           // of the value that they were last noted from
 }
 
 type session struct {
--- a/controlplane/server/namings.go
+++ b/controlplane/server/namings.go
@@ -10,15 +10,19 @@
 // namingsKeep is how many times version-ms a naming is told of and remembered after it was followed by another one.
 const namingsKeep = 4
 
-// noteNamings notes when weights were named: at the latest now, for what the register holds.
+// noteNamings notes when weights were named: at the latest now, where the register holds something new.
 func (c *Controller) noteNamings() {
 	k := c.registers.Known(core.Weights)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.Ballot == c.namingsFrom {
+		return
+	}
 	state, err := readWeights(k.Value.Data)
 	if err != nil {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.namingsFrom = k.Ballot
 	now := time.Now()
 	for _, m := range state.Versions {
 		c.namings, _ = c.namings.Note(m.Name, m.Version, now)
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -524,6 +524,38 @@
 	}
 }
 
+// An answer that ends with its connection cannot take a stream over that has an end of its own: its end could not be told from a break.
+func TestStreamIsNotTakenOverByAnAnswerWithoutAnEnd(t *testing.T) {
+	proceed := make(chan struct{})
+	goOn := sync.OnceFunc(func() { close(proceed) })
+	defer goOn()
+	one := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) {
+		streamHead(c, r)
+		chunk(c, event(1))
+		<-proceed
+		chunk(c, event(2))
+		io.WriteString(c, "0\r\n\r\n")
+	})
+	unframed := serve(t, "i2", func(c net.Conn, _ int, r *http.Request, _ string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: %s\r\nMoleshift-Response-Stamp: st\r\nContent-Type: text/event-stream\r\n\r\n%s",
+			r.Header.Get("Moleshift-Request-Id"), event(2))
+		goOn()
+		c.Close()
+	})
+	router := start(t, one.instance("llm"))
+	c := router.dial()
+	c.send("/stream/", "a", "Moleshift-Model-Id: m", "Moleshift-Token-Count: 100,5")
+	resp, err := http.ReadResponse(c.reader, nil)
+	must.NoError(t, err)
+	router.update(func(s *follower.Snapshot) {
+		s.Instances["llm"] = append(slices.Clone(s.Instances["llm"]), unframed.instance("llm"))
+	})
+	body, err := io.ReadAll(resp.Body) // i1 is silent until i2 has been asked
+	must.NoError(t, err)
+	must.Eq(t, event(1)+event(2), string(body))
+	must.Len(t, 1, unframed.seen())
+}
+
 // Events without ids tell no place to go on from: such a stream must be cut, or its pieces would come twice.
 func TestStreamWithoutIDsIsNotTakenUp(t *testing.T) {
 	play := func(c net.Conn, _ int, r *http.Request, _ string) {
--- a/dataplane/proxy/body.go
+++ b/dataplane/proxy/body.go
@@ -18,6 +18,9 @@
 	framedByClose
 )
 
+// maxLine bounds a line between chunks, in bytes.
+const maxLine = 4 << 10
+
 var errGarbled = errors.New("bytes that are no answer")
 
 // bodyReader reads the body of an answer as it comes; io.EOF comes only at its proper end. A read that timed out may be followed by
@@ -92,6 +95,9 @@
 // line reads a line; what has come of one that is not whole is kept for the next call.
 func (b *bodyReader) line() (string, error) {
 	line, err := b.reader.ReadSlice('\n')
+	if len(b.begun)+len(line) > maxLine {
+		return "", errGarbled
+	}
 	if err != nil {
 		b.begun = append(b.begun, line...)
 		return "", notEnd(err)
--- a/dataplane/proxy/body_test.go
+++ b/dataplane/proxy/body_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -74,3 +75,18 @@
 		must.Eq(t, row.unnumbered, events.unnumbered, must.Sprint(row.text))
 	}
 }
+
+func TestEndlessLineBetweenChunksIsNoAnswer(t *testing.T) {
+	source := &halting{}
+	for range 2 * maxLine / 64 {
+		source.pieces = append(source.pieces, strings.Repeat("0", 64))
+	}
+	var h fasthttp.ResponseHeader
+	h.SetContentLength(-1)
+	body := newBodyReader(bufio.NewReader(source), &h)
+	var err error
+	for err == nil || isTimeout(err) {
+		_, err = body.Read(make([]byte, 7))
+	}
+	must.ErrorIs(t, err, errGarbled)
+}
--- a/dataplane/proxy/choose_test.go
+++ b/dataplane/proxy/choose_test.go
@@ -104,3 +104,19 @@
 	must.LessEq(t, perSecond*(span+saveAhead).Seconds()+90*r.tokens, saved)
 	must.Greater(t, perSecond*span.Seconds()/2, saved)
 }
+
+// The server that takes a stream over has read its prompt too: only what it still generates counts as queued there, and it keeps the
+// parts. That the first server had read it says nothing of the second.
+func TestPromptIsReadAtEachServerOfAStream(t *testing.T) {
+	fleet, snapshot := fleetOf(t, 1, 2)
+	p, r := fleet[0], requestFor(t, snapshot)
+	r.started = true
+	for _, id := range []string{"i0", "i1"} {
+		s := &stream{to: &routed{target: p.targets[id], version: 1, salt: "m@1", size: r.size(0)}}
+		p.sent(r, s.to)
+		p.pieceCame(r, s)
+		p.pieceCame(r, s)
+		must.Eq(t, r.decode(), p.targets[id].queue)
+		must.Eq(t, 9000, p.index.Prefix(id, "m@1", r.prompt))
+	}
+}
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -27,6 +27,7 @@
 	events     eventBuffer
 	nextTry    time.Time // no takeover is tried before
 	silentFrom time.Time // nothing came since
+	begun      bool      // something has come from this server: it has read the prompt
 }
 
 // relay passes a stream on, whole events only, as they come. It returns the server at which it ended. Done: it ended as it should.
@@ -43,8 +44,7 @@
 		p.boundSilence(r, s)
 		n, err := s.reply.stream.Read(piece)
 		if n > 0 {
-			s.silentFrom = time.Now()
-			p.byteCame(s.to.target, nil)
+			p.pieceCame(r, s)
 			if !p.passPiece(r, s, piece[:n]) {
 				p.endAttempt(r, s.to, s.reply.conn, false)
 				return s.to, attempt.Broken
@@ -62,6 +62,16 @@
 	}
 }
 
+// pieceCame notes a sign of life of the stream's server, and with the first one that it has read the prompt.
+func (p *Proxy) pieceCame(r *request, s *stream) {
+	s.silentFrom = time.Now()
+	p.byteCame(s.to.target, nil)
+	if !s.begun {
+		s.begun = true
+		p.promptRead(r, s.to)
+	}
+}
+
 // passPiece takes bytes of a stream and gives the client the events that are whole by now; false: the client does not take them.
 func (p *Proxy) passPiece(r *request, s *stream, piece []byte) bool {
 	s.events.pending = append(s.events.pending, piece...)
@@ -95,7 +105,7 @@
 // mustMove tells whether a stream should be taken over by another server because its own is about to load new weights, and waits for
 // its runs to end before that.
 func (p *Proxy) mustMove(r *request, s *stream) bool {
-	if !r.state.MayMove() || time.Now().Before(s.nextTry) {
+	if !r.state.MayMove() || len(s.events.pending) > 0 || time.Now().Before(s.nextTry) {
 		return false
 	}
 	p.mu.Lock()
@@ -107,7 +117,7 @@
 // once the other one has begun its answer; until then the stream can go on where it is.
 func (p *Proxy) takeOver(r *request, s *stream, purpose admission.Purpose) {
 	s.nextTry = time.Now().Add(tryAgain)
-	if !r.state.MayMove() || len(s.events.pending) > 0 && purpose == admission.Move {
+	if !r.state.MayMove() {
 		return
 	}
 	to := p.choose(r)
@@ -116,10 +126,10 @@
 	}
 	r.tried[to.target.id] = true
 	a, outcome := p.send(r, to)
-	if outcome != attempt.Done || a.stream == nil {
-		if outcome == attempt.Done {
-			outcome = attempt.Failed // a whole answer cannot go on a stream
-		}
+	if outcome == attempt.Done {
+		outcome = p.checkTakeover(r, to, a)
+	}
+	if outcome != attempt.Done {
 		p.learn(r, to, a, outcome)
 		r.state.NotTakenOver(outcome)
 		p.logOutcome(r, to, outcome, attempt.Stay)
@@ -134,6 +144,19 @@
 	*s = stream{to: to, reply: a, nextTry: s.nextTry, silentFrom: time.Now()}
 }
 
+// checkTakeover ends an answer that cannot go on the client's: a whole one, or one whose end cannot be told from a break where the
+// client's answer has an end of its own.
+func (p *Proxy) checkTakeover(r *request, to *routed, a *reply) attempt.Outcome {
+	if a.stream == nil {
+		return attempt.Failed
+	}
+	if a.stream.framing == framedByClose && !r.byClose {
+		p.endAttempt(r, to, a.conn, false)
+		return attempt.Failed
+	}
+	return attempt.Done
+}
+
 // spend draws on the retry budget for one more attempt, where there is room for it.
 func (p *Proxy) spend(r *request, purpose admission.Purpose) bool {
 	p.mu.Lock()
@@ -186,7 +209,6 @@
 		b = append(b, "\r\n"...)
 		r.started = true
 		r.state.HeadPassed()
-		p.promptRead(r, s.to)
 	}
 	if r.byClose {
 		b = append(b, events...)
