Placement of requests is a package of its own, with work in flight told among routers and homes

Change: dataplane/placement (target, source, store) is pure and out of dataplane/proxy; dataplane/inflight keeps what all routers have in flight, told every 100 ms with the events; a prompt that nobody is known to keep goes to its home by rendezvous hash; a second copy counts for more than the time it takes; a server in another zone counts as 0.2 usual requests more instead of 3; the report of a server's load is not used any more. TestRoutersThatSeeLittleSpreadOut asks with prompts that differ, as equal ones now go to one home on purpose, which a test of its own holds.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -61,7 +61,7 @@
 		traffic.Update(s)
 		events.Update(s)
 	}, log)
-	traffic = proxy.New(set, follow.Snapshot, follow.Started(), follow.Fresh, log)
+	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), follow.Fresh, log)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
 	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
 	handlers := control.Handlers()
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -151,7 +151,7 @@
 	r.snapshot.Store(snapshot)
 	started := make(chan struct{})
 	close(started)
-	r.proxy = proxy.New(&set, r.snapshot.Load, started, func() bool { return r.fresh }, zerolog.Nop())
+	r.proxy = proxy.New(&set, "n0", r.snapshot.Load, started, func() bool { return r.fresh }, zerolog.Nop())
 	r.proxy.Update(snapshot)
 	r.server = ingress.New(r.proxy, r.snapshot.Load, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -35,6 +35,10 @@
 	TakeEvents(list []peer.Events)
 	// HolderState lists what is known of a holder, for a router that has just come.
 	HolderState(holder string) []peer.Event
+	// LoadAccount gives what is due to the other routers of this router's work in flight; nil: nothing.
+	LoadAccount() *peer.LoadAccount
+	// TakeAccounts takes what other routers told of theirs.
+	TakeAccounts(list []peer.LoadAccount)
 }
 
 // holderOf is a server or a store whose events may be drawn.
@@ -42,6 +46,19 @@
 	id, address, zone string
 }
 
+// news is what is passed on together.
+type news struct {
+	events   []peer.Events
+	accounts []peer.LoadAccount
+}
+
+func (n *news) add(more news) {
+	n.events = append(n.events, more.events...)
+	n.accounts = append(n.accounts, more.accounts...)
+}
+
+func (n *news) empty() bool { return len(n.events) == 0 && len(n.accounts) == 0 }
+
 // Collector draws the events of the holders that fall to this router.
 type Collector struct {
 	self   peer.Node
@@ -56,9 +73,9 @@
 	drawing map[string]chan struct{} // by holder: closed to end it
 	nodes   []peer.Node
 	greeted map[string]bool // nodes that have been sent the whole state
-	drawn   []peer.Events   // drawn here, not passed on yet
-	zone    []peer.Events   // to be spread in this zone, at its leader
-	export  []peer.Events   // drawn in this zone, for the others, at its leader
+	drawn   news            // drawn here, not passed on yet
+	zone    news            // to be spread in this zone, at its leader
+	export  news            // drawn in this zone, for the others, at its leader
 }
 
 // New makes a collector.
@@ -193,7 +210,7 @@
 func (c *Collector) learned(e peer.Events) {
 	c.sink.TakeEvents([]peer.Events{e})
 	c.mu.Lock()
-	c.drawn = append(c.drawn, e)
+	c.drawn.events = append(c.drawn.events, e)
 	c.mu.Unlock()
 }
 
@@ -219,9 +236,13 @@
 
 // passOn sends what has gathered to every router, and all that is known of this router's holders to those that have just come.
 func (c *Collector) passOn() {
+	account := c.sink.LoadAccount()
 	c.mu.Lock()
+	if account != nil {
+		c.drawn.accounts = append(c.drawn.accounts, *account)
+	}
 	batch, nodes := c.drawn, c.nodes
-	c.drawn = nil
+	c.drawn = news{}
 	var fresh []peer.Node
 	known := map[string]bool{}
 	for _, n := range nodes {
@@ -241,7 +262,7 @@
 		mine = append(mine, id)
 	}
 	c.mu.Unlock()
-	if len(batch) > 0 {
+	if !batch.empty() {
 		c.toZone(batch, nodes)
 	}
 	c.spread(nodes)
@@ -263,19 +284,19 @@
 
 // toZone brings what was drawn here to the routers of the zone: to each where they are few, else to the leader, which spreads it. The
 // leader sends it to the other zones in any case.
-func (c *Collector) toZone(batch []peer.Events, nodes []peer.Node) {
+func (c *Collector) toZone(batch news, nodes []peer.Node) {
 	others, leader := c.zoneMates(nodes), leaderOf(c.self.Zone, nodes)
 	few := len(others) <= fanOut
 	if leader.ID == c.self.ID {
 		c.collect(batch, true, !few)
 	} else if !few {
-		c.send(leader, &peer.EventBatch{Export: true, Spread: true, List: batch})
+		c.send(leader, &peer.EventBatch{Export: true, Spread: true, List: batch.events, Accounts: batch.accounts})
 	}
 	if !few {
 		return
 	}
 	for _, n := range others {
-		c.send(n, &peer.EventBatch{Export: n.ID == leader.ID, List: batch})
+		c.send(n, &peer.EventBatch{Export: n.ID == leader.ID, List: batch.events, Accounts: batch.accounts})
 	}
 }
 
@@ -285,14 +306,14 @@
 }
 
 // collect takes what this router, as its zone's leader, is to send to other zones or to spread in its own.
-func (c *Collector) collect(batch []peer.Events, export, spread bool) {
+func (c *Collector) collect(batch news, export, spread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if spread {
-		c.zone = append(c.zone, batch...)
+		c.zone.add(batch)
 	}
 	if export {
-		c.export = append(c.export, batch...)
+		c.export.add(batch)
 	}
 }
 
@@ -300,16 +321,16 @@
 func (c *Collector) spread(nodes []peer.Node) {
 	c.mu.Lock()
 	batch := c.zone
-	c.zone = nil
+	c.zone = news{}
 	c.mu.Unlock()
-	if len(batch) == 0 {
+	if batch.empty() {
 		return
 	}
 	others := c.zoneMates(nodes)
 	size := max(1, (len(others)+fanOut-1)/fanOut)
 	for _, group := range lo.Chunk(others, size) {
 		passTo := lo.Map(group[1:], func(n peer.Node, _ int) string { return n.Address })
-		c.send(group[0], &peer.EventBatch{PassTo: passTo, List: batch})
+		c.send(group[0], &peer.EventBatch{PassTo: passTo, List: batch.events, Accounts: batch.accounts})
 	}
 }
 
@@ -317,14 +338,14 @@
 func (c *Collector) passOut() {
 	c.mu.Lock()
 	batch, nodes := c.export, c.nodes
-	c.export = nil
+	c.export = news{}
 	c.mu.Unlock()
-	if len(batch) == 0 {
+	if batch.empty() {
 		return
 	}
 	for _, zone := range lo.Uniq(lo.Map(nodes, func(n peer.Node, _ int) string { return n.Zone })) {
 		if zone != c.self.Zone {
-			c.send(leaderOf(zone, nodes), &peer.EventBatch{Spread: true, List: batch})
+			c.send(leaderOf(zone, nodes), &peer.EventBatch{Spread: true, List: batch.events, Accounts: batch.accounts})
 		}
 	}
 }
@@ -351,16 +372,17 @@
 	if _, err := batch.UnmarshalMsg(body); err != nil {
 		return nil, err
 	}
-	c.sink.TakeEvents(c.news(batch.List))
-	c.collect(batch.List, batch.Export, batch.Spread)
+	c.sink.TakeEvents(c.unknown(batch.List))
+	c.sink.TakeAccounts(batch.Accounts)
+	c.collect(news{batch.List, batch.Accounts}, batch.Export, batch.Spread)
 	for _, address := range batch.PassTo {
-		c.send(peer.Node{Address: address, Zone: c.self.Zone}, &peer.EventBatch{List: batch.List})
+		c.send(peer.Node{Address: address, Zone: c.self.Zone}, &peer.EventBatch{List: batch.List, Accounts: batch.Accounts})
 	}
 	return &peer.Empty{}, nil
 }
 
-// news leaves out the events of holders that this router draws itself: it knew them first.
-func (c *Collector) news(list []peer.Events) []peer.Events {
+// unknown leaves out the events of holders that this router draws itself: it knew them first.
+func (c *Collector) unknown(list []peer.Events) []peer.Events {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return lo.Filter(list, func(e peer.Events, _ int) bool { return c.drawing[e.Holder] == nil })
--- a/dataplane/kvevents/kvevents_test.go
+++ b/dataplane/kvevents/kvevents_test.go
@@ -60,7 +60,10 @@
 	must.Eq(t, "", collectorOf(holderOf{id: "i"}, nil))
 }
 
-type sink struct{ got map[string]int }
+type sink struct {
+	got, told map[string]int
+	account   *peer.LoadAccount
+}
 
 func (s *sink) TakeEvents(list []peer.Events) {
 	for _, e := range list {
@@ -68,6 +71,16 @@
 	}
 }
 func (s *sink) HolderState(string) []peer.Event { return nil }
+func (s *sink) LoadAccount() *peer.LoadAccount {
+	due := s.account
+	s.account = nil
+	return due
+}
+func (s *sink) TakeAccounts(list []peer.LoadAccount) {
+	for _, a := range list {
+		s.told[a.Router]++
+	}
+}
 
 // What one router draws reaches every router once, and crosses each border between zones once.
 func TestEventsReachAllOnce(t *testing.T) {
@@ -80,7 +93,7 @@
 	network := &memory{collectors: map[string]*Collector{}, crossed: map[string]int{}, sent: map[string]int{}, zones: map[string]string{}}
 	sinks := map[string]*sink{}
 	for _, n := range list {
-		sinks[n.ID] = &sink{got: map[string]int{}}
+		sinks[n.ID] = &sink{got: map[string]int{}, told: map[string]int{}, account: &peer.LoadAccount{Router: n.ID}}
 		c := New("127.0.0.1", n, network, sinks[n.ID], zerolog.Nop())
 		c.nodes = list
 		c.drawing[n.ID] = make(chan struct{})
@@ -114,6 +127,13 @@
 			must.Eq(t, 1, times, must.Sprintf("%s at %s", holder, n.ID))
 		}
 	}
+	for _, to := range list {
+		for _, from := range list {
+			if to.ID != from.ID {
+				must.Eq(t, 1, sinks[to.ID].told[from.ID], must.Sprintf("account of %s at %s", from.ID, to.ID))
+			}
+		}
+	}
 	must.Len(t, 4*3, keys(network.crossed))
 	for border, times := range network.crossed {
 		must.Eq(t, 1, times, must.Sprint(border))
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -75,7 +75,7 @@
 			return p.failAttempt(r, to, a)
 		}
 	}
-	p.byteCame(to.target, &a.header)
+	p.byteCame(to.target)
 	body := newBodyReader(a.conn.reader, &a.header)
 	status := a.header.StatusCode()
 	if isStream(r, &a.header) {
--- a/dataplane/proxy/headers.go
+++ b/dataplane/proxy/headers.go
@@ -39,19 +39,6 @@
 	return names
 }
 
-// routed is what a request gets on its way to one server.
-type routed struct {
-	target  *target
-	version int64 // of the model's weights that the server is believed to run; 0: no model
-	salt    string
-	fetch   string  // address of the source of parts that the server lacks
-	source  string  // the holder at that address
-	moves   float64 // tokens to be fetched from it
-	save    string  // address of the store that is to keep the parts
-	size    float64
-	sentAt  time.Duration // steady clock of the proxy
-}
-
 // message builds what is sent to the server: method, path, query and body as they came.
 func (r *request) message(to *routed, left time.Duration) []byte {
 	h := r.Header
@@ -93,16 +80,16 @@
 
 // appendMemory sets what concerns kept prompts. A server that runs other weights than the salt was made for answers 421.
 func (r *request) appendMemory(b []byte, to *routed) []byte {
-	if to.version == 0 {
+	if to.Version == 0 {
 		return b
 	}
-	b = appendHeader(b, headerSalt, to.salt)
-	b = appendHeader(b, headerVersion, strconv.FormatInt(to.version, 10))
-	if to.fetch != "" {
-		b = appendHeader(b, headerFetch, to.fetch)
+	b = appendHeader(b, headerSalt, to.Salt)
+	b = appendHeader(b, headerVersion, strconv.FormatInt(to.Version, 10))
+	if to.Fetch != "" {
+		b = appendHeader(b, headerFetch, to.Fetch)
 	}
-	if to.save != "" {
-		b = appendHeader(b, headerSave, to.save)
+	if to.Save != "" {
+		b = appendHeader(b, headerSave, to.Save)
 	}
 	return b
 }
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -1,21 +1,22 @@
 package proxy
 
 import (
-	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/registry"
 	"moleshift/dataplane/admission"
 	"moleshift/dataplane/attempt"
 	"moleshift/dataplane/follower"
-	"moleshift/dataplane/kvindex"
+	"moleshift/dataplane/placement"
 	"moleshift/fault"
+	"moleshift/peer"
 	"moleshift/settings"
 )
 
@@ -34,29 +35,22 @@
 	began   time.Time
 
 	mu       sync.Mutex
-	saving   map[string]time.Duration // by salt and part: until when this router sends no second save
-	saves    map[string]*bucket       // by store
-	means    map[string]*meanLoad     // by service: own work in flight
-	moving   map[string]float64       // by holder: tokens that servers fetch from there for this router's requests
-	down     map[string]bool          // holders that did not answer their collector lately
-	targets  map[string]*target       // by instance
+	placer   *placement.Placer
+	targets  map[string]*target // by instance
 	services map[string][]*target
-	index    *kvindex.Index
 	retries  map[string]*admission.Retries
-	routers  int
-	random   *rand.Rand
 	waits    map[string]*longestWait // by service
 
 	outcomes *outcomeCounts
 }
 
-// New makes a proxy.
-func New(set *settings.Settings, follow func() *follower.Snapshot, started <-chan struct{}, fresh func() bool, log zerolog.Logger) *Proxy {
+// New makes the proxy of the node with the given ID.
+func New(set *settings.Settings, self string, follow func() *follower.Snapshot, started <-chan struct{}, fresh func() bool, log zerolog.Logger) *Proxy {
+	place := placement.Settings{Router: self, Zone: set.Zone, Zones: set.Zones}
 	return &Proxy{
 		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
-		moving: map[string]float64{}, saving: map[string]time.Duration{}, saves: map[string]*bucket{}, means: map[string]*meanLoad{}, down: map[string]bool{},
-		services: map[string][]*target{}, index: kvindex.New(), retries: map[string]*admission.Retries{}, routers: 1,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), waits: map[string]*longestWait{}, outcomes: newOutcomeCounts(),
+		services: map[string][]*target{}, retries: map[string]*admission.Retries{}, waits: map[string]*longestWait{},
+		placer: placement.New(place, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), outcomes: newOutcomeCounts(),
 	}
 }
 
@@ -66,8 +60,7 @@
 func (p *Proxy) Update(s *follower.Snapshot) {
 	var stale []*serverConn
 	p.mu.Lock()
-	p.routers = max(len(s.Nodes), 1)
-	maps.DeleteFunc(p.saving, func(_ string, until time.Duration) bool { return until < p.now() })
+	p.placer.SetRouters(p.now(), lo.Map(s.Nodes, func(n peer.Node, _ int) string { return n.ID }))
 	listed := map[string]bool{}
 	p.services = map[string][]*target{}
 	for service, instances := range s.Instances {
@@ -91,8 +84,7 @@
 			t.conns -= len(t.idle)
 			t.idle = nil
 			delete(p.targets, id)
-			delete(p.down, id)
-			p.index.DropHolder(id)
+			p.placer.Forget(id)
 		}
 	}
 	p.mu.Unlock()
@@ -198,7 +190,7 @@
 	}
 	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed))
 	if needed && room.Server && room.Time {
-		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.routers, r.purpose())
+		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.placer.Routers(), r.purpose())
 	}
 	return room
 }
@@ -231,7 +223,7 @@
 	if r.service.MaxConnections <= 0 {
 		return maxIdle
 	}
-	return max(int(connShare*float64(r.service.MaxConnections)/float64(p.routers)), leastConns)
+	return max(int(connShare*float64(r.service.MaxConnections)/float64(p.placer.Routers())), leastConns)
 }
 
 // maySend tells whether the configuration may still be acted upon for the request, just before it is sent.
@@ -245,12 +237,7 @@
 	defer p.mu.Unlock()
 	t := to.target
 	to.sentAt = p.now()
-	t.queue += to.size
-	t.inFlight++
-	t.sizes += (to.size - t.sizes) / 16
-	if to.fetch != "" {
-		p.moving[to.source] += to.moves
-	}
+	p.placer.Sent(&to.Placement, r.work)
 	t.state.Sent(p.now())
 }
 
@@ -258,45 +245,26 @@
 func (p *Proxy) ended(to *routed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := to.target
-	t.queue = max(t.queue-to.size, 0)
-	to.size = 0
-	p.moved(to)
-	t.inFlight--
-	t.state.Ended()
+	p.placer.Ended(&to.Placement)
+	to.target.state.Ended()
 }
 
 // promptRead notes that a server has read a request's prompt: its work shrinks to what it generates, and it keeps the parts.
 func (p *Proxy) promptRead(r *request, to *routed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if to.version == 0 {
+	if to.Version == 0 {
 		return
 	}
 	p.waited(r, to)
-	done := max(to.size-r.decode(), 0)
-	to.size -= done
-	to.target.queue = max(to.target.queue-done, 0)
-	p.moved(to)
-	for _, part := range r.prompt {
-		p.index.Kept(p.now(), to.target.instance.ID, to.salt, part)
-		if to.save != "" {
-			p.index.Kept(p.now(), to.save, to.salt, part)
-		}
-	}
+	p.placer.PromptRead(p.now(), &to.Placement, r.work)
 }
 
-// byteCame notes a sign of life, with the load that an answer's head tells.
-func (p *Proxy) byteCame(t *target, h *fasthttp.ResponseHeader) {
+// byteCame notes a sign of life of a server.
+func (p *Proxy) byteCame(t *target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t.state.Byte(p.now())
-	if h == nil {
-		return
-	}
-	if report := h.Peek(headerLoad); len(report) > 0 {
-		t.noteLoad(time.Now(), string(report))
-	}
 }
 
 func (p *Proxy) broke(t *target) {
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -15,6 +15,7 @@
 	"moleshift/dataplane/attempt"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/kvindex"
+	"moleshift/dataplane/placement"
 	"moleshift/fault"
 )
 
@@ -39,7 +40,6 @@
 	headerPriority     = "Priority"
 	headerLastEvent    = "Last-Event-Id"
 	headerRetryAfter   = "Retry-After"
-	decodeShare        = 0.1 // what a token to be generated counts against one to be read
 	leastHang          = time.Second
 	hangObjectives     = 3 // an attempt of a repeatable request without a first byte for so many objectives is given up
 	defaultObjectiveMs = 1000
@@ -56,9 +56,7 @@
 	tenant   *configuration.Tenant
 	id       string
 	model    string
-	prompt   []kvindex.Part
-	tokens   float64 // of the prompt
-	maxOut   float64 // tokens that it may generate
+	work     placement.Work
 	deadline time.Time
 	state    attempt.Request
 	tried    map[string]bool // servers that it was sent to or could not reach
@@ -107,12 +105,11 @@
 func (r *request) readPrompt() {
 	r.model = string(r.Header.Peek(headerModel))
 	in, out, _ := strings.Cut(string(r.Header.Peek(headerTokens)), ",")
-	r.tokens = number(in)
-	r.maxOut = number(out)
+	r.work.Tokens, r.work.MaxOut = number(in), number(out)
 	for piece := range strings.SplitSeq(string(r.Header.Peek(headerPrefix)), ",") {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(piece), ":")
 		if ok {
-			r.prompt = append(r.prompt, kvindex.Part{ID: kvindex.PartID(id), Tokens: number(tokens)})
+			r.work.Parts = append(r.work.Parts, kvindex.Part{ID: kvindex.PartID(id), Tokens: number(tokens)})
 		}
 	}
 }
@@ -125,26 +122,6 @@
 	return x
 }
 
-// size is the work that the request brings to a server that keeps so many tokens of its prompt.
-func (r *request) size(kept float64) float64 {
-	if r.tokens == 0 {
-		return 1
-	}
-	return max(r.tokens-kept, 1) + r.decode()
-}
-
-// shared gives the tokens of the parts that others may use too: all but the last.
-func (r *request) shared() float64 {
-	tokens := 0.0
-	for i := range max(len(r.prompt)-1, 0) {
-		tokens += r.prompt[i].Tokens
-	}
-	return tokens
-}
-
-// decode is the work that the tokens bring which the request may generate: each shares its step with all that run there.
-func (r *request) decode() float64 { return decodeShare * r.maxOut }
-
 // priority is the value of the Priority header; ok is false where none is set.
 func (r *request) priority() (int, bool) {
 	if r.service.Engine == nil {
@@ -170,10 +147,10 @@
 // more on its server's weights.
 func (p *Proxy) headLimit(r *request, to *routed, now time.Time) time.Time {
 	limit := r.hangLimit(now)
-	if to.version == 0 {
+	if to.Version == 0 {
 		return limit
 	}
-	if by := p.beginBy(r, to.version, now); by.Before(limit) {
+	if by := p.beginBy(r, to.Version, now); by.Before(limit) {
 		return by
 	}
 	return limit
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -65,7 +65,7 @@
 // pieceCame notes a sign of life of the stream's server, and with the first one that it has read the prompt.
 func (p *Proxy) pieceCame(r *request, s *stream) {
 	s.silentFrom = time.Now()
-	p.byteCame(s.to.target, nil)
+	p.byteCame(s.to.target)
 	if !s.begun {
 		s.begun = true
 		p.promptRead(r, s.to)
@@ -161,7 +161,7 @@
 func (p *Proxy) spend(r *request, purpose admission.Purpose) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget(r.service.Name).Spend(p.now(), p.routers, purpose)
+	return p.budget(r.service.Name).Spend(p.now(), p.placer.Routers(), purpose)
 }
 
 // isGood tells whether nothing speaks against a server.
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -14,14 +14,13 @@
 )
 
 const (
-	dialServer    = 300 * time.Millisecond
-	reuseShare    = 0.6 // of the time that a server keeps an idle connection
-	reuseUnknown  = 4 * time.Second
-	maxIdle       = 64
-	readerSize    = 8 << 10
-	connShare     = 0.9 // of a server's connections that all routers together use
-	leastConns    = 2
-	loadFadesOver = time.Second
+	dialServer   = 300 * time.Millisecond
+	reuseShare   = 0.6 // of the time that a server keeps an idle connection
+	reuseUnknown = 4 * time.Second
+	maxIdle      = 64
+	readerSize   = 8 << 10
+	connShare    = 0.9 // of a server's connections that all routers together use
+	leastConns   = 2
 )
 
 // serverConn is one connection to a server. It carries one request at a time.
@@ -36,16 +35,11 @@
 type target struct {
 	id       string // of the instance; never changes, so it may be read without the lock
 	instance peer.Instance
-	queue    float64 // Q: work in flight from this router, in tokens
-	inFlight int
-	sizes    float64 // mean size of the requests sent there
 	state    outlier.State
 	idle     []*serverConn
 	conns    int
 
-	reported     time.Time // when the newest report of its load came
-	reportedElse float64   // requests of others that it told of
-	versionNow   map[string]int64
+	versionNow map[string]int64
 }
 
 // version is the version of a model's weights that the server is believed to run.
@@ -59,22 +53,6 @@
 	return v
 }
 
-// others is the work that other routers have there, by its newest report, and how fresh that is: 1 when it comes, 0 a second later.
-func (t *target) others(now time.Time) (work, fresh float64) {
-	fresh = max(1-float64(now.Sub(t.reported))/float64(loadFadesOver), 0)
-	return t.reportedElse * t.sizes * fresh, fresh
-}
-
-// noteLoad takes the report in an answer: requests running, waiting, and slots.
-func (t *target) noteLoad(now time.Time, report string) {
-	fields := strings.Split(report, ",")
-	if len(fields) < 2 {
-		return
-	}
-	t.reported = now
-	t.reportedElse = max(number(fields[0])+number(fields[1])-float64(t.inFlight), 0)
-}
-
 // takeIdle takes the newest idle connection that may still be used. The lock is held; those that are to be closed come back.
 func (t *target) takeIdle(now time.Time) (c *serverConn, stale []*serverConn) {
 	for len(t.idle) > 0 {
--- a/dataplane/proxy/versions_test.go
+++ b/dataplane/proxy/versions_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"moleshift/dataplane/placement"
 	"moleshift/settings"
 )
 
@@ -65,6 +66,6 @@
 	snapshot.Namings, _ = snapshot.Namings.Note("m", 3, now.Add(-time.Second))
 	must.Eq(t, now.Add(2200*time.Millisecond), fleet[0].beginBy(r, 1, now))
 	must.Eq(t, now.Add(8200*time.Millisecond), fleet[0].beginBy(r, 2, now))
-	to := &routed{version: 1}
+	to := &routed{Placement: placement.Placement{Version: 1}}
 	must.Eq(t, now.Add(2200*time.Millisecond), fleet[0].headLimit(r, to, now))
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -237,10 +237,28 @@
 	List   []Event `msg:"l"`
 }
 
-// EventBatch holds the events of several holders.
+// ServerLoad is what one router has in flight at one server.
+type ServerLoad struct {
+	Server   string `msg:"s"` // instance
+	Tokens   int    `msg:"t"` // still to be worked off
+	Held     int    `msg:"h"` // tokens of the server's memory that the requests take up
+	Requests int    `msg:"r"`
+}
+
+// LoadAccount tells what one router has in flight at servers.
+type LoadAccount struct {
+	Router string       `msg:"i"` // ID of its node
+	Number uint64       `msg:"n"` // rises with each account
+	Whole  bool         `msg:"w"` // the list is all that it has in flight; otherwise what changed
+	List   []ServerLoad `msg:"l"`
+}
+
+// EventBatch holds the events of several holders, and routers' accounts of what they have in flight.
 type EventBatch struct {
 	Export bool     `msg:"x"` // the receiver, its zone's leader, sends them to the other zones
 	Spread bool     `msg:"f"` // the receiver, its zone's leader, spreads them in the zone
 	PassTo []string `msg:"p"` // the receiver passes them on to these addresses
 	List   []Events `msg:"l"`
+
+	Accounts []LoadAccount `msg:"a"`
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1153,6 +1153,25 @@
 					return
 				}
 			}
+		case "a":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if cap(z.Accounts) >= int(zb0004) {
+				z.Accounts = (z.Accounts)[:zb0004]
+			} else {
+				z.Accounts = make([]LoadAccount, zb0004)
+			}
+			for za0003 := range z.Accounts {
+				err = z.Accounts[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1166,9 +1185,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EventBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "x"
-	err = en.Append(0x84, 0xa1, 0x78)
+	err = en.Append(0x85, 0xa1, 0x78)
 	if err != nil {
 		return
 	}
@@ -1221,15 +1240,32 @@
 			return
 		}
 	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Accounts")
+		return
+	}
+	for za0003 := range z.Accounts {
+		err = z.Accounts[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "x"
-	o = append(o, 0x84, 0xa1, 0x78)
+	o = append(o, 0x85, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.Export)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
@@ -1250,6 +1286,16 @@
 			return
 		}
 	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+	for za0003 := range z.Accounts {
+		o, err = z.Accounts[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -1321,6 +1367,25 @@
 					return
 				}
 			}
+		case "a":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if cap(z.Accounts) >= int(zb0004) {
+				z.Accounts = (z.Accounts)[:zb0004]
+			} else {
+				z.Accounts = make([]LoadAccount, zb0004)
+			}
+			for za0003 := range z.Accounts {
+				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1343,6 +1408,10 @@
 	for za0002 := range z.List {
 		s += z.List[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Accounts {
+		s += z.Accounts[za0003].Msgsize()
+	}
 	return
 }
 
@@ -2761,6 +2830,227 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LoadAccount) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Router, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Router")
+				return
+			}
+		case "n":
+			z.Number, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "w":
+			z.Whole, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
+			} else {
+				z.List = make([]ServerLoad, zb0002)
+			}
+			for za0001 := range z.List {
+				err = z.List[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadAccount) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "i"
+	err = en.Append(0x84, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Router)
+	if err != nil {
+		err = msgp.WrapError(err, "Router")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.List)))
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	for za0001 := range z.List {
+		err = z.List[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadAccount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "i"
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Router)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadAccount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Router, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Router")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
+			} else {
+				z.List = make([]ServerLoad, zb0002)
+			}
+			for za0001 := range z.List {
+				bts, err = z.List[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadAccount) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Router) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Model) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -4958,6 +5248,184 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ServerLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Server, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Server")
+				return
+			}
+		case "t":
+			z.Tokens, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "h":
+			z.Held, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "r":
+			z.Requests, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Server)
+	if err != nil {
+		err = msgp.WrapError(err, "Server")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Tokens)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Held)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Requests)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Server)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Tokens)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.Held)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt(o, z.Requests)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Server, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Server")
+				return
+			}
+		case "t":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "h":
+			z.Held, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "r":
+			z.Requests, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Sync) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
