A roll-out's holder that is gone is followed at once where servers check fences; copies cost by fill

The rollout begins with the servers that have the least in flight. An attempt is not given up before 1.5 times the longest wait seen lately.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -63,6 +63,7 @@
 	}, log)
 	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), follow.Fresh, log)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
+	control.UseLoads(traffic.RequestsAt)
 	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
 	handlers := control.Handlers()
 	handlers[peer.CallEvents] = events.Handler
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -79,6 +79,9 @@
 	turns        map[string]rollout.Turn // of instances that this node rolls weights out to
 	namings      rollout.Namings         // when weights were named
 	namingsFrom  quorum.Ballot           // of the value that they were last noted from
+
+	incarnations incarnations                  // of members
+	loadOf       func(instance string) float64 // requests in flight at a server; set before Run
 }
 
 type session struct {
@@ -98,7 +101,7 @@
 		}),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
-		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
+		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{}, incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
 	}
 	c.configs.building = semaphore.NewWeighted(1)
 	c.recall()
@@ -106,6 +109,9 @@
 	return c
 }
 
+// UseLoads has the rollout begin with the servers that have the fewest requests in flight. It is to be called before Run.
+func (c *Controller) UseLoads(requests func(instance string) float64) { c.loadOf = requests }
+
 // now is the controller's steady clock.
 func (c *Controller) now() time.Duration { return time.Since(c.started) }
 
@@ -224,7 +230,7 @@
 	}
 	c.mu.Unlock()
 	c.registers.Look(message, func(reply *peer.SyncReply) {
-		c.returned(&reply.From)
+		c.heardFrom(&reply.From)
 		c.takeNamings(reply.Namings)
 		c.compare(&reply.From, reply.Digest)
 	})
@@ -233,7 +239,7 @@
 
 func (c *Controller) sync(in *peer.Sync) (*peer.SyncReply, error) {
 	now := c.now()
-	c.returned(&in.From)
+	c.heardFrom(&in.From)
 	c.noteNamings()
 	c.takeNamings(in.Namings)
 	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads)}
@@ -253,6 +259,14 @@
 	return reply, nil
 }
 
+// heardFrom notes word that came from a member itself.
+func (c *Controller) heardFrom(from *peer.Node) {
+	c.returned(from)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.incarnations.note(*from)
+}
+
 // compare counts how often in a row a member's table differed, and then exchanges whole tables with it: the background scrub.
 func (c *Controller) compare(from *peer.Node, digest uint64) {
 	c.mu.Lock()
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/core"
@@ -39,7 +40,11 @@
 func (c *Controller) runRollout() {
 	b := c.set.Bounds
 	rest := settings.Millis(b.LeaseMs+b.FreezeSlackMs) + leaseMargin
-	watch := singleton.NewWatch(singleton.Settings{Use: leaseUse, Guard: leaseUse + rest}, c.self.ID)
+	lease := singleton.Settings{Use: leaseUse, Guard: leaseUse + rest}
+	if b.Fencing {
+		lease.Gone = leaseUse + leaseMargin
+	}
+	watch := singleton.NewWatch(lease, c.self.ID)
 	r := &roller{c: c, watch: watch, slots: map[string]int{}, loadTime: firstLoadTime, client: &fasthttp.Client{
 		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 4, MaxIdleConnDuration: 2 * time.Second,
 		Dial: func(address string) (net.Conn, error) { return sock.Dial(c.set.IP, address, serverTimeout) },
@@ -83,10 +88,11 @@
 	if !r.hold(state) {
 		return
 	}
+	requests := lo.SliceToMap(live, func(in peer.Instance) (string, float64) { return in.ID, r.c.loadOf(in.ID) })
 	r.c.mu.Lock()
 	steps := state.Next(live, rollout.Round{
 		Now: time.Now(), Bound: settings.Millis(r.c.set.Bounds.VersionMs), Namings: r.c.namings,
-		Turn: func(id string) rollout.Turn { return r.c.turns[id] }, Load: func(string) float64 { return 0 },
+		Turn: func(id string) rollout.Turn { return r.c.turns[id] }, Load: func(id string) float64 { return requests[id] },
 	})
 	for _, step := range steps {
 		r.c.turns[step.Instance.ID] = rollout.Emptying
@@ -104,7 +110,9 @@
 	began := c.now()
 	_, holds := r.watch.Holds(began)
 	due := !holds || r.watch.Renew(began)
-	may := r.watch.MayTake(began)
+	// Where servers check fences, turns within the rest count only among holders that are in touch (RULES.md, ONE): one that has
+	// ended or reaches nobody is not.
+	may := r.watch.MayTake(began, c.incarnations.gone(r.watch.Holder(), c.registers.Silence))
 	over, next := r.watch.Next()
 	c.mu.Unlock()
 	if !due {
--- a/controlplane/singleton/singleton.go
+++ b/controlplane/singleton/singleton.go
@@ -22,6 +22,7 @@
 type Settings struct {
 	Use   time.Duration // a holder acts this long after a renewal
 	Guard time.Duration // a watcher waits this long after the last change; Guard - Use is the rest between two holders
+	Gone  time.Duration // the same where the holder is known to have ended or to reach nobody; over Use. 0: as Guard
 }
 
 // Watch is one node's view of the lease.
@@ -47,14 +48,22 @@
 	}
 }
 
-// MayTake tells whether this node may try to become the holder.
-func (w *Watch) MayTake(now time.Duration) bool {
+// MayTake tells whether this node may try to become the holder. gone tells that the present one is known to have ended, or to reach
+// nobody: it then has no rest to be left after its last act.
+func (w *Watch) MayTake(now time.Duration, gone bool) bool {
 	if !w.seen {
 		return false
 	}
-	return w.lease.Holder == "" || w.lease.Holder == w.self || now-w.since >= w.set.Guard
+	guard := w.set.Guard
+	if gone && w.set.Gone > w.set.Use {
+		guard = w.set.Gone
+	}
+	return w.lease.Holder == "" || w.lease.Holder == w.self || now-w.since >= guard
 }
 
+// Holder is the holder that was last observed; empty: there is none.
+func (w *Watch) Holder() string { return w.lease.Holder }
+
 // Next is the lease to write: it follows the one that was observed, and is to be written only over that one.
 func (w *Watch) Next() (over, next Lease) {
 	next = w.lease
--- a/controlplane/singleton/singleton_test.go
+++ b/controlplane/singleton/singleton_test.go
@@ -62,7 +62,7 @@
 				if now >= n.cut && n.pending == nil {
 					n.watch.Observe(now, register)
 					_, holds := n.watch.Holds(now)
-					if (!holds || n.watch.Renew(now)) && n.watch.MayTake(now) && r.IntN(3) > 0 {
+					if (!holds || n.watch.Renew(now)) && n.watch.MayTake(now, false) && r.IntN(3) > 0 {
 						over, next := n.watch.Next()
 						if register == over {
 							register = next
@@ -92,9 +92,9 @@
 
 func TestHolderStopsByItself(t *testing.T) {
 	w := NewWatch(set, "a")
-	must.False(t, w.MayTake(0), must.Sprint("nothing is known of the register yet"))
+	must.False(t, w.MayTake(0, false), must.Sprint("nothing is known of the register yet"))
 	w.Observe(0, Lease{})
-	must.True(t, w.MayTake(0))
+	must.True(t, w.MayTake(0, false))
 	over, next := w.Next()
 	must.Eq(t, Lease{}, over)
 	must.Eq(t, Lease{Holder: "a", Epoch: 1, Renewal: 1}, next)
@@ -104,3 +104,24 @@
 	_, holds = w.Holds(set.Use)
 	must.False(t, holds)
 }
+
+// A holder that is known to be gone has no rest to be left, but its own time to act is over before another acts.
+func TestGoneHolderIsFollowedOnceItsTimeIsOver(t *testing.T) {
+	fenced := set
+	fenced.Gone = set.Use + 200*time.Millisecond
+	w := NewWatch(fenced, "a")
+	w.Observe(0, Lease{Holder: "b", Epoch: 1, Renewal: 1})
+	must.False(t, w.MayTake(fenced.Gone-1, true))
+	must.True(t, w.MayTake(fenced.Gone, true))
+	must.False(t, w.MayTake(fenced.Guard-1, false))
+	must.True(t, w.MayTake(fenced.Guard, false))
+	must.Eq(t, "b", w.Holder())
+
+	for _, gone := range []time.Duration{0, set.Use} {
+		unfenced := set
+		unfenced.Gone = gone
+		w = NewWatch(unfenced, "a")
+		w.Observe(0, Lease{Holder: "b", Epoch: 1, Renewal: 1})
+		must.False(t, w.MayTake(set.Guard-1, true), must.Sprint("no shorter guard was given, or one that does not cover the holder's time"))
+	}
+}
--- a/dataplane/kvindex/index.go
+++ b/dataplane/kvindex/index.go
@@ -138,6 +138,15 @@
 	return sum
 }
 
+// Fill is the share of a holder's memory that is taken by the parts that it is known to keep: 1 where the memory is not known.
+func (x *Index) Fill(id string) float64 {
+	h := x.holders[id]
+	if h == nil || h.capacity <= 0 {
+		return 1
+	}
+	return min(h.kept/h.capacity, 1)
+}
+
 // Has tells whether a holder keeps a part.
 func (x *Index) Has(id, salt, part string) bool {
 	h := x.holders[id]
--- a/dataplane/placement/target.go
+++ b/dataplane/placement/target.go
@@ -12,12 +12,14 @@
 const (
 	// A server in another zone or region counts as if so many usual requests more were in flight there: bytes between zones cost,
 	// and an answer takes longer.
-	otherZone   = 0.2
+	otherZone   = 3.0
 	otherRegion = 8.0
-	// What a token counts at a server that lacks it, against one that only this request needs: a second copy pushes out what other
-	// requests would have found kept there, and what is pushed out is read again. A copy that is fetched takes the memory alone.
-	fetchedShare = 2.0
-	againShare   = 3.0
+	// What a token counts at a server that lacks it, against one that only this request needs, where it is fetched and where it is
+	// read. A second copy also pushes out what other requests would have found kept there, and what is pushed out is read again: the
+	// more of the server's memory is taken, the more.
+	fetchedShare = 0.25
+	againShare   = 1.0
+	copyShare    = 2.0 // is added to both, times the share of the server's memory that is taken
 )
 
 // Choose places a request; nil: there is no server for it.
@@ -72,7 +74,8 @@
 		if s.Version > 0 {
 			own := p.index.Prefix(s.ID, s.Salt, q.Work.Parts)
 			kept := max(most[s.Salt], own)
-			size = q.Work.size(own) + (fetchedShare-1)*(kept-own) + (againShare-1)*max(shared-kept, 0)
+			copied := copyShare * p.index.Fill(s.ID)
+			size = q.Work.size(own) + (fetchedShare+copied-1)*(kept-own) + (againShare+copied-1)*max(shared-kept, 0)
 		}
 		queue := p.loads.Total(s.ID).Tokens + usual*p.distance(s.Zone, p.set.Zone, 0, otherZone, otherRegion)
 		if guessed > 0 {
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -41,7 +41,8 @@
 	headerLastEvent    = "Last-Event-Id"
 	headerRetryAfter   = "Retry-After"
 	leastHang          = time.Second
-	hangObjectives     = 3 // an attempt of a repeatable request without a first byte for so many objectives is given up
+	hangObjectives     = 3   // an attempt of a repeatable request without a first byte for so many objectives is given up
+	hangWaits          = 1.5 // nor before so many times the longest wait for a first byte seen lately
 	defaultObjectiveMs = 1000
 	prioritiesOfRoutes = 3 // a tenant's priority counts before the route's
 	lowestPriority     = 9
@@ -146,7 +147,7 @@
 // headLimit is when an attempt whose answer has not begun is given up: so that another may follow, or because it must not begin any
 // more on its server's weights.
 func (p *Proxy) headLimit(r *request, to *routed, now time.Time) time.Time {
-	limit := r.hangLimit(now)
+	limit := r.hangLimit(now, p.usualWait(r))
 	if to.Version == 0 {
 		return limit
 	}
@@ -156,8 +157,9 @@
 	return limit
 }
 
-// hangLimit is when an attempt that has not brought a first byte is given up so that another may follow.
-func (r *request) hangLimit(now time.Time) time.Time {
+// hangLimit is when an attempt that has not brought a first byte is given up so that another may follow. Where requests wait long
+// everywhere, to give one up only makes another server read its prompt once more.
+func (r *request) hangLimit(now time.Time, longest time.Duration) time.Time {
 	if !r.state.MayMove() {
 		return r.deadline
 	}
@@ -165,7 +167,7 @@
 	if objective <= 0 {
 		objective = defaultObjectiveMs
 	}
-	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)))
+	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)), time.Duration(hangWaits*float64(longest)))
 	if limit := now.Add(hang); limit.Before(r.deadline) {
 		return limit
 	}
--- a/dataplane/proxy/shared.go
+++ b/dataplane/proxy/shared.go
@@ -63,6 +63,13 @@
 	return list
 }
 
+// RequestsAt gives how many requests all routers have in flight at a server, as far as it is known.
+func (p *Proxy) RequestsAt(instance string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(p.placer.Loads().Total(instance).Requests)
+}
+
 // LoadAccount gives what is due to the other routers of this router's work in flight; nil: nothing.
 func (p *Proxy) LoadAccount() *peer.LoadAccount {
 	p.mu.Lock()
--- a/lab/explore/singleton.go
+++ b/lab/explore/singleton.go
@@ -96,7 +96,7 @@
 	n := &w.nodes[i]
 	name := func(what string) string { return fmt.Sprintf("node %d %s", i, what) }
 	moves := []Move{w.move(name("looks at the register"), func(c *singletonWorld) { c.nodes[i].watch.Observe(c.now, c.register) })}
-	if n.watch.MayTake(w.now) && n.write.stage == 0 {
+	if n.watch.MayTake(w.now, false) && n.write.stage == 0 {
 		moves = append(moves, w.move(name("begins to write"), func(c *singletonWorld) {
 			over, next := c.nodes[i].watch.Next()
 			c.nodes[i].write = leaseWrite{over, next, c.now, 1}
