Servers are ordered to load at once and paced; distance by the request's size; a draw for what is untold

Routers that were told the same 0.2 s ago all took the same servers for the least loaded. Requests of a few hundred tokens were kept in their zone by three requests of the usual, larger size. Change: the order goes out 0.3 s after the routers hear of it, with wait: the server goes on by itself; turns begin over half of version-ms where that keeps fewer out; half of what the other routers are estimated to have at a server is drawn at random; another zone counts as two requests of the same size.

--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -11,6 +11,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"moleshift/controlplane/singleton"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -20,10 +22,8 @@
 // leaves too few to serve.
 const atOnceShare = 0.2
 
-const (
-	loadedBy  = 0.75 // share of version-ms in which all servers should have loaded: routers then send nothing to older weights
-	orderedBy = 0.88 // share of version-ms after which a server is ordered whatever runs there and however many others load
-)
+// orderedBy is the share of version-ms after which a server is ordered however many others load.
+const orderedBy = 0.88
 
 // State is what the register of weights holds.
 type State struct {
@@ -89,10 +89,9 @@
 
 // The states of a turn.
 const (
-	NoTurn   Turn = iota
-	Emptying      // routers send it nothing new, its runs end
-	Lasting       // the same, and they take long to end
-	Loading
+	NoTurn  Turn = iota
+	Loading      // routers send it nothing new, its runs end and it loads
+	Lasting      // the same, and its runs take long to end
 )
 
 // Round is what the choice of the next servers depends on, beside the versions and the servers.
@@ -104,6 +103,16 @@
 	Load    func(id string) float64 // how much an instance has to do
 }
 
+// pacedBy is the share of version-ms by which all turns have begun where that keeps fewer servers out at a time than may be.
+const pacedBy = 0.5
+
+// paced tells whether one more of a service's servers may have its turn for weights named so long ago, of which begun servers had
+// theirs or have it: what loads is empty afterwards, and a few at a time are filled again with less harm than many.
+func paced(begun, servers int, since, bound time.Duration) bool {
+	due := float64(servers) * float64(since) / (pacedBy * float64(bound))
+	return float64(begun) < float64(Turns(servers))/3+due
+}
+
 // Next gives the servers whose turn begins now: first those for whom the first version that they lack was named earliest, so that a
 // series of namings keeps nobody waiting, then those with the least to do. More have their turn than may load at once, so that some
 // let their runs end meanwhile. Servers whose runs take long do not hold the others up, but at most half of a service's servers are
@@ -131,31 +140,28 @@
 		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(round.Load(a.Instance.ID), round.Load(b.Instance.ID)), cmp.Compare(a.Instance.ID, b.Instance.ID))
 	})
 	var steps []Step
+	waiting := lo.CountValuesBy(behind, func(step Step) string { return step.Instance.Service })
 	for _, step := range behind {
 		service := step.Instance.Service
+		since := round.Now.Sub(step.Since)
 		full := out[service]-lasting[service] >= Turns(count[service]) || 2*out[service] >= max(count[service], 2)
-		if full && !Overdue(round.Now.Sub(step.Since), round.Bound) {
+		early := !paced(count[service]-waiting[service], count[service], since, round.Bound)
+		if (full || early) && !Overdue(since, round.Bound) {
 			continue
 		}
 		out[service]++
+		waiting[service]--
 		steps = append(steps, step)
 	}
 	return steps
 }
 
-// MayWait tells whether a server may wait for its runs to end before it is ordered to load: since is how long ago the first version
-// that it lacks was named, behind how many of its service's servers lack that one, and load how long one load takes.
-func MayWait(since, bound time.Duration, behind, atOnce int, load time.Duration) bool {
-	rounds := (behind + atOnce - 1) / max(atOnce, 1)
-	return since+time.Duration(rounds)*load < time.Duration(loadedBy*float64(bound))
-}
-
 // Overdue tells whether a server has to be ordered at once: from the order on, no request begins there on its old weights.
 func Overdue(since, bound time.Duration) bool {
 	return since >= time.Duration(orderedBy*float64(bound))
 }
 
-// Turns is how many of a service's servers have their turn at the same time: those that load, and half as many that empty meanwhile.
+// Turns is how many of a service's servers have their turn at the same time: those that load, and half as many whose runs end meanwhile.
 func Turns(servers int) int { return AtOnce(servers) + max(1, AtOnce(servers)/2) }
 
 // AtOnce is how many of a service's servers may load at the same time.
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -24,13 +24,11 @@
 	leaseUse       = 1200 * time.Millisecond
 	leaseMargin    = 200 * time.Millisecond
 	reportEvery    = 150 * time.Millisecond
-	loadAtMost     = 6 * time.Second
-	takenWithin    = time.Second // after which a server that is not busy and has the old weights has not taken an order
+	loadAtMost     = 20 * time.Second // from the order to the new weights, with the runs that end before
+	takenWithin    = time.Second      // after which a server that is not busy and has the old weights has not taken an order
 	serverTimeout  = 600 * time.Millisecond
-	emptyAfter     = 300 * time.Millisecond // before the first look whether a server's runs have ended: reports lag behind
-	firstLoadTime  = time.Second            // taken for the time of a load until one was seen
-	loadTimeOver   = 4                      // loads over which their time is averaged
-	lastsAfter     = time.Second            // a server that is not empty by then lets others have their turn
+	emptyAfter     = 300 * time.Millisecond // from word to the routers to the order: what waits in the server's queue begins meanwhile
+	lastsAfter     = 3 * time.Second        // a server whose runs have not ended by then lets others have their turn
 	modeWait       = "wait"                 // runs end under the weights with which they began
 	operationLoad  = "version"
 	statusAccepted = 202
@@ -45,7 +43,7 @@
 		lease.Gone = leaseUse + leaseMargin
 	}
 	watch := singleton.NewWatch(lease, c.self.ID)
-	r := &roller{c: c, watch: watch, slots: map[string]int{}, loadTime: firstLoadTime, client: &fasthttp.Client{
+	r := &roller{c: c, watch: watch, client: &fasthttp.Client{
 		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 4, MaxIdleConnDuration: 2 * time.Second,
 		Dial: func(address string) (net.Conn, error) { return sock.Dial(c.set.IP, address, serverTimeout) },
 	}}
@@ -66,9 +64,6 @@
 	c      *Controller
 	watch  *singleton.Watch // guarded by the controller's lock
 	client *fasthttp.Client
-	slots  map[string]int // servers that load now, by service; guarded by the controller's lock
-
-	loadTime time.Duration // mean time from an order to the new weights; guarded by the controller's lock
 }
 
 func (r *roller) tick() {
@@ -95,7 +90,7 @@
 		Turn: func(id string) rollout.Turn { return r.c.turns[id] }, Load: func(id string) float64 { return requests[id] },
 	})
 	for _, step := range steps {
-		r.c.turns[step.Instance.ID] = rollout.Emptying
+		r.c.turns[step.Instance.ID] = rollout.Loading
 	}
 	r.c.mu.Unlock()
 	for _, step := range steps {
@@ -139,7 +134,8 @@
 	return holds
 }
 
-// load has one server's turn: routers send it nothing new, its runs end, it is ordered to load and followed until it has.
+// load has one server's turn: routers send it nothing new, it is ordered to load once its runs have ended, and followed until it has.
+// The order is given at once: a server that has it goes on by itself, whatever becomes of this node.
 func (r *roller) load(step rollout.Step) {
 	c, id := r.c, step.Instance.ID
 	r.setLoading(step.Instance, true)
@@ -152,10 +148,9 @@
 		delete(c.turns, id)
 		c.mu.Unlock()
 	}()
-	if !r.awaitTurn(step) {
+	if !c.pause(emptyAfter) {
 		return
 	}
-	defer r.freeSlot(step.Instance.Service)
 	c.mu.Lock()
 	epoch, holds := r.watch.Holds(c.now())
 	c.mu.Unlock()
@@ -181,67 +176,6 @@
 	return state.Version(model)
 }
 
-// awaitTurn waits until the server may load: nothing runs there, or time is getting short, and fewer than AtOnce others load. false:
-// the lease ran out meanwhile.
-func (r *roller) awaitTurn(step rollout.Step) bool {
-	c, service := r.c, step.Instance.Service
-	began := c.now()
-	empty := false
-	for open := c.pause(emptyAfter); open; open = c.pause(reportEvery) {
-		if report, err := r.report(step.Instance.Address); err == nil {
-			empty = report.Running == 0 && report.Queued == 0
-		}
-		c.mu.Lock()
-		now := c.now()
-		_, holds := r.watch.Holds(now)
-		may := holds && r.mayLoad(step, empty)
-		if may {
-			r.slots[service]++
-			c.turns[step.Instance.ID] = rollout.Loading
-		} else if now-began > lastsAfter {
-			c.turns[step.Instance.ID] = rollout.Lasting
-		}
-		c.mu.Unlock()
-		if may || !holds {
-			return may
-		}
-	}
-	return false
-}
-
-// mayLoad tells whether a server may be ordered to load now. The controller's lock is held.
-func (r *roller) mayLoad(step rollout.Step, empty bool) bool {
-	servers, behind := 0, 0
-	for _, in := range r.c.table.Live() {
-		if in.Service != step.Instance.Service {
-			continue
-		}
-		servers++
-		if first, ok := r.c.namings.FirstAbove(step.Model.Name, rollout.VersionOf(in.Models, step.Model.Name)); ok && !first.After(step.Since) {
-			behind++
-		}
-	}
-	since, bound := time.Since(step.Since), settings.Millis(r.c.set.Bounds.VersionMs)
-	if rollout.Overdue(since, bound) {
-		return true
-	}
-	atOnce := rollout.AtOnce(servers)
-	return r.slots[step.Instance.Service] < atOnce && (empty || !rollout.MayWait(since, bound, behind, atOnce, r.loadTime))
-}
-
-// noteLoadTime averages the time that loads take.
-func (r *roller) noteLoadTime(d time.Duration) {
-	r.c.mu.Lock()
-	defer r.c.mu.Unlock()
-	r.loadTime += (d - r.loadTime) / loadTimeOver
-}
-
-func (r *roller) freeSlot(service string) {
-	r.c.mu.Lock()
-	defer r.c.mu.Unlock()
-	r.slots[service]--
-}
-
 // awaitLoaded follows a server that took an order until it has the new weights.
 func (r *roller) awaitLoaded(step rollout.Step) {
 	c := r.c
@@ -249,6 +183,9 @@
 	time.Sleep(emptyAfter)
 	for began := time.Now(); time.Since(began) < loadAtMost; time.Sleep(reportEvery) {
 		report, err := r.report(step.Instance.Address)
+		if err == nil && report.Running > 0 && time.Since(began) > lastsAfter {
+			r.setTurn(step.Instance.ID, rollout.Lasting)
+		}
 		if err != nil || report.Busy {
 			continue
 		}
@@ -259,7 +196,6 @@
 			continue // the report lags behind: it need not tell of the order yet
 		}
 		c.log.Debug().Str("instance", step.Instance.ID).Int64("weights", step.Model.Version).Dur("after-ms", time.Since(ordered)).Msg("server has loaded")
-		r.noteLoadTime(time.Since(ordered))
 		loaded := step.Instance
 		loaded.Models, loaded.State = report.Models, registry.Ready
 		c.takeAll([]peer.Instance{loaded})
@@ -268,6 +204,13 @@
 	}
 }
 
+// setTurn notes how far a server's turn is.
+func (r *roller) setTurn(id string, turn rollout.Turn) {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	r.c.turns[id] = turn
+}
+
 // keepLoading says again that a server is about to load or loads, for as long as its turn lasts.
 func (r *roller) keepLoading(in peer.Instance, over <-chan struct{}) {
 	in.Loading = true
--- a/dataplane/placement/placement.go
+++ b/dataplane/placement/placement.go
@@ -17,10 +17,8 @@
 	"moleshift/dataplane/kvindex"
 )
 
-const (
-	ownLoadOver = 4 * time.Second // own work in flight is averaged over that
-	usualOver   = 32              // requests over which the usual size is averaged
-)
+// ownLoadOver is the time over which own work in flight is averaged.
+const ownLoadOver = 4 * time.Second
 
 // Settings are what a router knows of its place.
 type Settings struct {
@@ -189,7 +187,6 @@
 type meanLoad struct {
 	value float64
 	last  time.Duration
-	size  float64 // mean size of the service's requests
 }
 
 func (m *meanLoad) note(now time.Duration, x float64) float64 {
--- a/dataplane/placement/target.go
+++ b/dataplane/placement/target.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	// A server in another zone or region counts as if so many usual requests more were in flight there: bytes between zones cost,
-	// and an answer takes longer.
-	otherZone   = 3.0
+	// A server in another zone or region counts as if so many requests of the same size more were in flight there: the bytes that
+	// cross are as many as the request is large, and an answer takes longer.
+	otherZone   = 2.0
 	otherRegion = 8.0
+	// What others sent in the last moments is not told yet, and routers that were told the same would all take the same server for
+	// the least loaded: so much of what they may have there is drawn at random, also where all of them are heard.
+	untoldShare = 0.5
 	// What a token counts at a server that lacks it, against one that only this request needs, where it is fetched and where it is
 	// read. A second copy also pushes out what other requests would have found kept there, and what is pushed out is read again: the
 	// more of the server's memory is taken, the more.
@@ -64,20 +67,20 @@
 
 // candidates weighs each server of a query.
 func (p *Placer) candidates(now time.Duration, q *Query, most map[string]float64) []balance.Candidate {
-	unseen, usual := p.unseen(now, q)
-	guessed := (1 - p.heard()) * unseen
+	guessed := max(1-p.heard(), untoldShare) * p.unseen(now, q)
+	whole := q.Work.size(0)
 	_, shared := q.Work.shared()
 	list := make([]balance.Candidate, len(q.Servers))
 	for i := range q.Servers {
 		s := &q.Servers[i]
-		size := q.Work.size(0)
+		size := whole
 		if s.Version > 0 {
 			own := p.index.Prefix(s.ID, s.Salt, q.Work.Parts)
 			kept := max(most[s.Salt], own)
 			copied := copyShare * p.index.Fill(s.ID)
 			size = q.Work.size(own) + (fetchedShare+copied-1)*(kept-own) + (againShare+copied-1)*max(shared-kept, 0)
 		}
-		queue := p.loads.Total(s.ID).Tokens + usual*p.distance(s.Zone, p.set.Zone, 0, otherZone, otherRegion)
+		queue := p.loads.Total(s.ID).Tokens + whole*p.distance(s.Zone, p.set.Zone, 0, otherZone, otherRegion)
 		if guessed > 0 {
 			queue += guessed * p.random.ExpFloat64()
 		}
@@ -110,21 +113,18 @@
 	return homes
 }
 
-// unseen estimates the work that a router which told nothing of its own has in flight at a server of the service, times the number of
-// the other routers: from this router's own mean. It also gives the size of a usual request. Routers that see little of one another
-// would all take the same server for the least loaded; what is drawn from the estimate differs from one to the next.
-func (p *Placer) unseen(now time.Duration, q *Query) (unseen, usual float64) {
+// unseen estimates the work that the other routers have in flight at a server of the service from this router's own mean.
+func (p *Placer) unseen(now time.Duration, q *Query) float64 {
 	own := 0.0
 	for i := range q.Servers {
 		own += p.loads.Own(q.Servers[i].ID).Tokens
 	}
 	mean := p.means[q.Service]
 	if mean == nil {
-		mean = &meanLoad{size: q.Work.size(0)}
+		mean = &meanLoad{}
 		p.means[q.Service] = mean
 	}
-	mean.size += (q.Work.size(0) - mean.size) / usualOver
-	return mean.note(now, own) * float64(p.routers-1) / float64(max(len(q.Servers), 1)), mean.size
+	return mean.note(now, own) * float64(p.routers-1) / float64(max(len(q.Servers), 1))
 }
 
 // distance gives the factor for the way between two zones.
