--- a/cmd/molelab/days.go
+++ b/cmd/molelab/days.go
@@ -28,6 +28,11 @@
 
 // Run draws the days.
 func (c *daysCmd) Run() error {
+	if c.Out != "" {
+		if err := os.MkdirAll(c.Out, 0o755); err != nil {
+			return fmt.Errorf("the folder for the days cannot be made, see --out: %w", err)
+		}
+	}
 	for i := range uint64(c.Days) {
 		day := days.Draw(c.Seed+i, days.Focus(c.Focus), c.Without...)
 		if c.Out == "" {
