A stream that stands still waits no longer for its takeover because requests wait long

Cause, by reading: since attempts are given up only after 1.5 times the longest wait seen lately. The attempt that is to take a stream over waits as long, and nothing of the stream is passed on meanwhile, not even its end, which was there already. Change: that wait holds only for requests of which nothing has been passed on; takeovers are waited for as before. An unused constant goes. Measured: TestStreamThatStandsStillWaitsNoLongerForItsTakeover fails without it.

--- a/dataplane/proxy/place_test.go
+++ b/dataplane/proxy/place_test.go
@@ -75,3 +75,21 @@
 		must.Eq(t, 9000, p.placer.Index().Prefix(id, "m@1", r.work.Parts))
 	}
 }
+
+// Where requests wait long everywhere, an attempt is given up later; one that is to take a stream over is not waited for longer, as
+// nothing is passed on meanwhile.
+func TestStreamThatStandsStillWaitsNoLongerForItsTakeover(t *testing.T) {
+	fleet, snapshot := fleetOf(t, 1, 2)
+	p, r := fleet[0], requestFor(t, snapshot)
+	r.state.Repeatable, r.state.MaxAttempts = true, 2
+	must.True(t, r.state.MayMove())
+	now := r.Arrived
+	r.deadline = now.Add(time.Minute)
+	usual := now.Add(hangObjectives * defaultObjectiveMs * time.Millisecond)
+	must.Eq(t, usual, r.hangLimit(now, p.usualWait(r)))
+
+	const longest = 10 * time.Second
+	must.Eq(t, now.Add(longest+longest/2), r.hangLimit(now, longest))
+	r.started = true
+	must.Eq(t, usual, r.hangLimit(now, longest))
+}
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -30,7 +30,6 @@
 	headerPrefix       = "Moleshift-Prompt-Prefix"
 	headerNotExecuted  = "Moleshift-Not-Executed"
 	headerStamp        = "Moleshift-Response-Stamp"
-	headerLoad         = "Moleshift-Server-Load"
 	headerInstance     = "Moleshift-Instance-Id"
 	headerSalt         = "Cache-Salt"
 	headerFetch        = "Kv-Fetch"
@@ -158,7 +157,8 @@
 }
 
 // hangLimit is when an attempt that has not brought a first byte is given up so that another may follow. Where requests wait long
-// everywhere, to give one up only makes another server read its prompt once more.
+// everywhere, to give one up only makes another server read its prompt once more. One that is to take a stream over is waited for no
+// longer for that: the stream stands still meanwhile.
 func (r *request) hangLimit(now time.Time, longest time.Duration) time.Time {
 	if !r.state.MayMove() {
 		return r.deadline
@@ -167,7 +167,10 @@
 	if objective <= 0 {
 		objective = defaultObjectiveMs
 	}
-	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)), time.Duration(hangWaits*float64(longest)))
+	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)))
+	if !r.started {
+		hang = max(hang, time.Duration(hangWaits*float64(longest)))
+	}
 	if limit := now.Add(hang); limit.Before(r.deadline) {
 		return limit
 	}
