Work in flight without what nobody reads; holders and targets listed once a choice

Cause, found on reading the change again: accounts carried the memory that requests hold, which decides nothing; the holders of a request's parts were listed twice for each choice, and servers that may not be sent to were weighed and then left out; five messages of the collector were put together alike; silence of a router was looked at only when something else changed; a callback that takes another lock was called under the controller's. Change: each of these, no decision differs. The test of two holders also plays every holder as taken for gone: two still never act at once. TestNodeIsGoneOnceAnotherIncarnationIsHeardOrItIsSilent holds what it held.

--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -101,7 +101,8 @@
 		}),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
-		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{}, incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
+		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
+		incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
 	}
 	c.configs.building = semaphore.NewWeighted(1)
 	c.recall()
--- a/controlplane/server/incarnations.go
+++ b/controlplane/server/incarnations.go
@@ -34,10 +34,24 @@
 
 // gone tells whether a node is known to have ended, as another incarnation of it was heard since, or to reach nobody: as a member it
 // has been silent for as long as after which it gives way to another. A node that was never heard is not known to be gone.
-func (x *incarnations) gone(id string, silence func(acceptor string) time.Duration) bool {
+func (x *incarnations) gone(id string, silence time.Duration) bool {
 	node, ok := x.nodes[id]
 	if !ok {
 		return false
 	}
-	return x.newest[node.Address] != id || node.Acceptor != "" && silence(node.Acceptor) >= goneAfter
+	return x.newest[node.Address] != id || node.Acceptor != "" && silence >= goneAfter
+}
+
+// isGone tells whether a node is known to be gone.
+func (c *Controller) isGone(id string) bool {
+	c.mu.Lock()
+	acceptor := c.incarnations.nodes[id].Acceptor
+	c.mu.Unlock()
+	silence := time.Duration(0)
+	if acceptor != "" {
+		silence = c.registers.Silence(acceptor)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.incarnations.gone(id, silence)
 }
--- a/controlplane/server/incarnations_test.go
+++ b/controlplane/server/incarnations_test.go
@@ -14,7 +14,7 @@
 	x := newIncarnations()
 	silent := map[string]time.Duration{}
 	gone := func(id string) bool {
-		return x.gone(id, func(acceptor string) time.Duration { return silent[acceptor] })
+		return x.gone(id, silent[x.nodes[id].Acceptor])
 	}
 	must.False(t, gone("a1"), must.Sprint("never heard"))
 	x.note(peer.Node{ID: "a1", Address: "10.0.0.1:1", Acceptor: "disk-a"})
@@ -39,5 +39,5 @@
 		x.note(peer.Node{ID: fmt.Sprint("n", i), Address: fmt.Sprint("10.0.0.", i%3)})
 		must.LessEq(t, mostIncarnations, len(x.nodes))
 	}
-	must.False(t, x.gone(fmt.Sprint("n", 10*mostIncarnations-1), nil))
+	must.False(t, x.gone(fmt.Sprint("n", 10*mostIncarnations-1), 0))
 }
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -101,13 +101,14 @@
 // hold renews or takes the lease where that is due, and tells whether this node holds it.
 func (r *roller) hold(state *rollout.State) bool {
 	c := r.c
+	holderGone := c.isGone(state.Lease.Holder)
 	c.mu.Lock()
 	began := c.now()
 	_, holds := r.watch.Holds(began)
 	due := !holds || r.watch.Renew(began)
 	// Where servers check fences, turns within the rest count only among holders that are in touch (RULES.md, ONE): one that has
 	// ended or reaches nobody is not.
-	may := r.watch.MayTake(began, c.incarnations.gone(r.watch.Holder(), c.registers.Silence))
+	may := r.watch.MayTake(began, holderGone)
 	over, next := r.watch.Next()
 	c.mu.Unlock()
 	if !due {
--- a/controlplane/singleton/singleton.go
+++ b/controlplane/singleton/singleton.go
@@ -61,9 +61,6 @@
 	return w.lease.Holder == "" || w.lease.Holder == w.self || now-w.since >= guard
 }
 
-// Holder is the holder that was last observed; empty: there is none.
-func (w *Watch) Holder() string { return w.lease.Holder }
-
 // Next is the lease to write: it follows the one that was observed, and is to be written only over that one.
 func (w *Watch) Next() (over, next Lease) {
 	next = w.lease
--- a/controlplane/singleton/singleton_test.go
+++ b/controlplane/singleton/singleton_test.go
@@ -20,6 +20,19 @@
 // Four nodes want to act alone. They freeze, cannot reach the register, restart as new incarnations, and a write's success is seen
 // late or never. Whatever is drawn, two holders act at least Guard - Use apart, and epochs only grow.
 func TestNoTwoHoldersWithinTheRest(t *testing.T) {
+	playHolders(t, set, false, set.Guard-set.Use)
+}
+
+// Where every holder is taken for gone, also the living, the rest is shorter, but two still never act at once.
+func TestNoTwoHoldersAtOnceWhereAllAreTakenForGone(t *testing.T) {
+	fenced := set
+	fenced.Gone = set.Use + 200*time.Millisecond
+	playHolders(t, fenced, true, fenced.Gone-fenced.Use)
+}
+
+// playHolders plays drawn schedules; rest is the least time between the acts of two holders.
+func playHolders(t *testing.T, set Settings, gone bool, rest time.Duration) {
+	t.Helper()
 	turns := 0
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 3))
@@ -62,7 +75,7 @@
 				if now >= n.cut && n.pending == nil {
 					n.watch.Observe(now, register)
 					_, holds := n.watch.Holds(now)
-					if (!holds || n.watch.Renew(now)) && n.watch.MayTake(now, false) && r.IntN(3) > 0 {
+					if (!holds || n.watch.Renew(now)) && n.watch.MayTake(now, gone) && r.IntN(3) > 0 {
 						over, next := n.watch.Next()
 						if register == over {
 							register = next
@@ -84,7 +97,7 @@
 			}
 			turns++
 			must.Greater(t, before.epoch, after.epoch)
-			must.GreaterEq(t, set.Guard-set.Use, after.at-before.at, must.Sprintf("seed %d: two holders within the rest", seed))
+			must.GreaterEq(t, rest, after.at-before.at, must.Sprintf("seed %d: two holders within the rest", seed))
 		}
 	}
 	must.Greater(t, 300, turns, must.Sprint("the schedules let too little happen"))
@@ -115,7 +128,6 @@
 	must.True(t, w.MayTake(fenced.Gone, true))
 	must.False(t, w.MayTake(fenced.Guard-1, false))
 	must.True(t, w.MayTake(fenced.Guard, false))
-	must.Eq(t, "b", w.Holder())
 
 	for _, gone := range []time.Duration{0, set.Use} {
 		unfenced := set
--- a/dataplane/inflight/inflight.go
+++ b/dataplane/inflight/inflight.go
@@ -21,20 +21,17 @@
 // Load is work at a server.
 type Load struct {
 	Tokens   float64 // still to be worked off, as the choice of servers counts it
-	Held     float64 // tokens of the server's memory that the requests take up, prompts and answers
 	Requests int
 }
 
 // plus gives the sum of two loads.
 func (l Load) plus(other Load) Load {
-	return Load{Tokens: l.Tokens + other.Tokens, Held: l.Held + other.Held, Requests: l.Requests + other.Requests}
+	return Load{Tokens: l.Tokens + other.Tokens, Requests: l.Requests + other.Requests}
 }
 
 // minus takes a load off; rounding never leaves less than nothing.
 func (l Load) minus(other Load) Load {
-	return Load{
-		Tokens: max(l.Tokens-other.Tokens, 0), Held: max(l.Held-other.Held, 0), Requests: max(l.Requests-other.Requests, 0),
-	}
+	return Load{Tokens: max(l.Tokens-other.Tokens, 0), Requests: max(l.Requests-other.Requests, 0)}
 }
 
 // At is the load at one server.
@@ -99,8 +96,10 @@
 // Total is the work in flight at a server, as far as it is known.
 func (t *Table) Total(server string) Load { return t.own[server].plus(t.sums[server]) }
 
-// Tell gives the account that the other routers are due: what changed since the last one, or everything. nil: nothing is due.
+// Tell gives the account that the other routers are due: what changed since the last one, or everything. nil: nothing is due. Called
+// steadily, it also forgets what routers told that have been silent for too long.
 func (t *Table) Tell(now time.Duration) *Account {
+	t.keep(func(_ string, o *account) bool { return now-o.at <= silentAfter })
 	whole := !t.told || now-t.whole >= WholeEvery
 	if !whole && len(t.changed) == 0 {
 		return nil
@@ -173,10 +172,14 @@
 	t.sums[server] = sum
 }
 
-// Keep forgets what routers told that are not among those listed, or have been silent for too long.
-func (t *Table) Keep(now time.Duration, listed func(router string) bool) {
+// Keep forgets what routers told that are not among those listed.
+func (t *Table) Keep(listed func(router string) bool) {
+	t.keep(func(router string, _ *account) bool { return listed(router) })
+}
+
+func (t *Table) keep(wanted func(router string, o *account) bool) {
 	for router, o := range t.others {
-		if !listed(router) || now-o.at > silentAfter {
+		if !wanted(router, o) {
 			t.drop(o)
 			delete(t.others, router)
 		}
--- a/dataplane/inflight/inflight_test.go
+++ b/dataplane/inflight/inflight_test.go
@@ -47,7 +47,7 @@
 		for range 200 {
 			for i, table := range tables {
 				server := fmt.Sprint("s", random.IntN(servers))
-				load := Load{Tokens: float64(random.IntN(9000)), Held: float64(random.IntN(9000)), Requests: random.IntN(4)}
+				load := Load{Tokens: float64(random.IntN(9000)), Requests: random.IntN(4)}
 				if load.Requests == 0 {
 					delete(loads[i], server)
 				} else {
@@ -75,7 +75,6 @@
 				}
 				must.Eq(t, want.Requests, table.Others(server).Requests)
 				must.InDelta(t, want.Tokens, table.Others(server).Tokens, 1e-6)
-				must.InDelta(t, want.Held, table.Others(server).Held, 1e-6)
 			}
 		}
 	}
@@ -98,12 +97,12 @@
 	table := New("a")
 	table.Take(0, &Account{Router: "b", Number: 1, Whole: true, List: []At{{"s", Load{Tokens: 7, Requests: 1}}}})
 	table.Take(time.Second, &Account{Router: "c", Number: 1, Whole: true, List: []At{{"s", Load{Tokens: 3, Requests: 1}}}})
-	all := func(string) bool { return true }
-	table.Keep(silentAfter, all)
+	table.Tell(silentAfter)
 	must.Eq(t, 10, table.Others("s").Tokens)
-	table.Keep(silentAfter+time.Millisecond, all)
+	table.Tell(silentAfter + time.Millisecond)
 	must.Eq(t, 3, table.Others("s").Tokens)
-	table.Keep(silentAfter, func(router string) bool { return router != "c" })
+	must.Eq(t, 1, table.Heard())
+	table.Keep(func(router string) bool { return router != "c" })
 	must.Eq(t, Load{}, table.Others("s"))
 	must.Eq(t, 0, table.Heard())
 }
--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -57,6 +57,11 @@
 	n.accounts = append(n.accounts, more.accounts...)
 }
 
+// batch gives the message that brings the news to another router.
+func (n *news) batch() *peer.EventBatch {
+	return &peer.EventBatch{List: n.events, Accounts: n.accounts}
+}
+
 func (n *news) empty() bool { return len(n.events) == 0 && len(n.accounts) == 0 }
 
 // Collector draws the events of the holders that fall to this router.
@@ -290,13 +295,17 @@
 	if leader.ID == c.self.ID {
 		c.collect(batch, true, !few)
 	} else if !few {
-		c.send(leader, &peer.EventBatch{Export: true, Spread: true, List: batch.events, Accounts: batch.accounts})
+		message := batch.batch()
+		message.Export, message.Spread = true, true
+		c.send(leader, message)
 	}
 	if !few {
 		return
 	}
 	for _, n := range others {
-		c.send(n, &peer.EventBatch{Export: n.ID == leader.ID, List: batch.events, Accounts: batch.accounts})
+		message := batch.batch()
+		message.Export = n.ID == leader.ID
+		c.send(n, message)
 	}
 }
 
@@ -330,7 +339,9 @@
 	size := max(1, (len(others)+fanOut-1)/fanOut)
 	for _, group := range lo.Chunk(others, size) {
 		passTo := lo.Map(group[1:], func(n peer.Node, _ int) string { return n.Address })
-		c.send(group[0], &peer.EventBatch{PassTo: passTo, List: batch.events, Accounts: batch.accounts})
+		message := batch.batch()
+		message.PassTo = passTo
+		c.send(group[0], message)
 	}
 }
 
@@ -345,7 +356,9 @@
 	}
 	for _, zone := range lo.Uniq(lo.Map(nodes, func(n peer.Node, _ int) string { return n.Zone })) {
 		if zone != c.self.Zone {
-			c.send(leaderOf(zone, nodes), &peer.EventBatch{Spread: true, List: batch.events, Accounts: batch.accounts})
+			message := batch.batch()
+			message.Spread = true
+			c.send(leaderOf(zone, nodes), message)
 		}
 	}
 }
@@ -374,9 +387,10 @@
 	}
 	c.sink.TakeEvents(c.unknown(batch.List))
 	c.sink.TakeAccounts(batch.Accounts)
-	c.collect(news{batch.List, batch.Accounts}, batch.Export, batch.Spread)
+	got := news{batch.List, batch.Accounts}
+	c.collect(got, batch.Export, batch.Spread)
 	for _, address := range batch.PassTo {
-		c.send(peer.Node{Address: address, Zone: c.self.Zone}, &peer.EventBatch{List: batch.List, Accounts: batch.Accounts})
+		c.send(peer.Node{Address: address, Zone: c.self.Zone}, got.batch())
 	}
 	return &peer.Empty{}, nil
 }
--- a/dataplane/placement/placement.go
+++ b/dataplane/placement/placement.go
@@ -66,7 +66,6 @@
 	Moves   float64 // tokens to be fetched from it
 	Save    string  // address of the store that is to keep the parts
 	Size    float64 // work that the request still brings to the server, in tokens
-	Held    float64 // tokens of the server's memory that it takes up until it ends
 	Reason  Reason
 }
 
@@ -116,7 +115,7 @@
 	for _, id := range ids {
 		listed[id] = true
 	}
-	p.loads.Keep(now, func(router string) bool { return listed[router] })
+	p.loads.Keep(func(router string) bool { return listed[router] })
 	for key, until := range p.saving {
 		if until < now {
 			delete(p.saving, key)
@@ -143,9 +142,8 @@
 }
 
 // Sent puts a request on its server's books, and its fetch on the source's.
-func (p *Placer) Sent(to *Placement, work Work) {
-	to.Held = work.held()
-	p.loads.Add(to.Server, inflight.Load{Tokens: to.Size, Held: to.Held, Requests: 1})
+func (p *Placer) Sent(to *Placement) {
+	p.loads.Add(to.Server, inflight.Load{Tokens: to.Size, Requests: 1})
 	if to.Fetch != "" {
 		p.moving[to.Source] += to.Moves
 	}
@@ -170,8 +168,8 @@
 
 // Ended takes a request off its server's books.
 func (p *Placer) Ended(to *Placement) {
-	p.loads.Lower(to.Server, inflight.Load{Tokens: to.Size, Held: to.Held, Requests: 1})
-	to.Size, to.Held = 0, 0
+	p.loads.Lower(to.Server, inflight.Load{Tokens: to.Size, Requests: 1})
+	to.Size = 0
 	p.moved(to)
 }
 
--- a/dataplane/placement/placement_test.go
+++ b/dataplane/placement/placement_test.go
@@ -192,7 +192,7 @@
 			q.Servers[i].Target = random.IntN(3) > 0
 		}
 		if to := p.Choose(now, q); to != nil {
-			p.Sent(to, q.Work)
+			p.Sent(to)
 			open, works = append(open, to), append(works, q.Work)
 		}
 	}
--- a/dataplane/placement/source.go
+++ b/dataplane/placement/source.go
@@ -36,19 +36,15 @@
 }
 
 // longestBySalt gives the longest prefix of a request's prompt that any source keeps, in tokens, for each salt of the servers.
-func (p *Placer) longestBySalt(q *Query) map[string]float64 {
+func (p *Placer) longestBySalt(q *Query, holders []source) map[string]float64 {
 	longest := map[string]float64{}
-	var list []source
 	for i := range q.Servers {
 		s := &q.Servers[i]
 		if _, ok := longest[s.Salt]; ok || s.Version == 0 {
 			continue
 		}
-		if list == nil {
-			list = p.sources(q)
-		}
 		most := 0.0
-		for _, holder := range list {
+		for _, holder := range holders {
 			most = max(most, p.index.Prefix(holder.id, s.Salt, q.Work.Parts))
 		}
 		longest[s.Salt] = most
@@ -58,11 +54,11 @@
 
 // nameSource names the source of least marginal load among those that keep the most of what the server lacks, which keeps own tokens
 // itself.
-func (p *Placer) nameSource(q *Query, to *Placement, own float64) {
+func (p *Placer) nameSource(q *Query, holders []source, to *Placement, own float64) {
 	var list []source
 	var candidates []balance.Candidate
 	most := own + leastMove
-	for _, s := range p.sources(q) {
+	for _, s := range holders {
 		kept := p.index.Prefix(s.id, to.Salt, q.Work.Parts)
 		if s.id == to.Server || kept < most {
 			continue
--- a/dataplane/placement/target.go
+++ b/dataplane/placement/target.go
@@ -27,56 +27,59 @@
 
 // Choose places a request; nil: there is no server for it.
 func (p *Placer) Choose(now time.Duration, q *Query) *Placement {
-	most := p.longestBySalt(q)
-	candidates := p.candidates(now, q, most)
-	homes := p.homes(q, candidates, most)
+	holders := p.sources(q)
+	longest := p.longestBySalt(q, holders)
+	targets := targetsOf(q)
+	candidates := p.candidates(now, q, targets, longest)
+	homes := p.homes(q, targets, longest)
 	_, shared := q.Work.shared()
 	for _, home := range homes {
 		candidates[home].Size = q.Work.size(shared)
 	}
-	indices, admitted := admit(q, candidates)
-	chosen := balance.Choose(admitted, p.random)
+	chosen := balance.Choose(candidates, p.random)
 	if chosen < 0 {
 		return nil
 	}
-	i := indices[chosen]
+	i := targets[chosen]
 	server := &q.Servers[i]
 	to := &Placement{Index: i, Server: server.ID, Version: server.Version, Salt: server.Salt, Size: q.Work.size(0), Reason: ReasonLoad}
-	if server.Version > 0 {
-		own := p.index.Prefix(server.ID, server.Salt, q.Work.Parts)
-		if home, ok := homes[server.Salt]; ok && home == i {
-			to.Reason = ReasonHome
-		} else if shared > 0 && own >= shared {
-			to.Reason = ReasonKept
-		}
-		p.nameSource(q, to, own)
-		p.nameStore(now, q, to)
+	if server.Version == 0 {
+		return to
+	}
+	own := p.index.Prefix(server.ID, server.Salt, q.Work.Parts)
+	if home, ok := homes[server.Salt]; ok && home == chosen {
+		to.Reason = ReasonHome
+	} else if shared > 0 && own >= shared {
+		to.Reason = ReasonKept
 	}
+	p.nameSource(q, holders, to, own)
+	p.nameStore(now, q, to)
 	return to
 }
 
-// admit gives the candidates that the request may be sent to, with their indices.
-func admit(q *Query, candidates []balance.Candidate) (indices []int, admitted []balance.Candidate) {
-	for i := range candidates {
+// targetsOf lists the servers that the request may be sent to, as indices into Query.Servers.
+func targetsOf(q *Query) []int {
+	targets := make([]int, 0, len(q.Servers))
+	for i := range q.Servers {
 		if q.Servers[i].Target {
-			indices, admitted = append(indices, i), append(admitted, candidates[i])
+			targets = append(targets, i)
 		}
 	}
-	return indices, admitted
+	return targets
 }
 
-// candidates weighs each server of a query.
-func (p *Placer) candidates(now time.Duration, q *Query, most map[string]float64) []balance.Candidate {
+// candidates weighs each target of a query.
+func (p *Placer) candidates(now time.Duration, q *Query, targets []int, longest map[string]float64) []balance.Candidate {
 	guessed := max(1-p.heard(), untoldShare) * p.unseen(now, q)
 	whole := q.Work.size(0)
 	_, shared := q.Work.shared()
-	list := make([]balance.Candidate, len(q.Servers))
-	for i := range q.Servers {
+	list := make([]balance.Candidate, 0, len(targets))
+	for _, i := range targets {
 		s := &q.Servers[i]
 		size := whole
 		if s.Version > 0 {
 			own := p.index.Prefix(s.ID, s.Salt, q.Work.Parts)
-			kept := max(most[s.Salt], own)
+			kept := max(longest[s.Salt], own)
 			copied := copyShare * p.index.Fill(s.ID)
 			size = q.Work.size(own) + (fetchedShare+copied-1)*(kept-own) + (againShare+copied-1)*max(shared-kept, 0)
 		}
@@ -84,35 +87,44 @@
 		if guessed > 0 {
 			queue += guessed * p.random.ExpFloat64()
 		}
-		list[i] = balance.Candidate{Size: size, Queue: queue, Standing: s.Standing}
+		list = append(list, balance.Candidate{Size: size, Queue: queue, Standing: s.Standing})
 	}
 	return list
 }
 
-// homes gives, for each salt under which no holder is known to keep all shared parts of a request, the server at which they are
-// looked for: the first by rendezvous hash among those of the best standing. Routers that know nothing of one another's latest sends
-// so bring a prompt to the server that is reading it.
-func (p *Placer) homes(q *Query, candidates []balance.Candidate, most map[string]float64) map[string]int {
+// homes gives, for each salt under which no holder is known to keep all shared parts of a request, the target at which they are
+// looked for, as an index into targets: the first by rendezvous hash among those of the best standing. Routers that know nothing of
+// one another's latest sends so bring a prompt to the server that is reading it.
+func (p *Placer) homes(q *Query, targets []int, longest map[string]float64) map[string]int {
 	parts, shared := q.Work.shared()
 	if shared < leastMove {
 		return nil
 	}
 	homes, weights := map[string]int{}, map[string]uint64{}
 	last := parts[len(parts)-1].ID
-	for i := range candidates {
+	for n, i := range targets {
 		s := &q.Servers[i]
-		if !s.Target || s.Version == 0 || most[s.Salt] >= shared {
+		if s.Version == 0 || longest[s.Salt] >= shared {
 			continue
 		}
 		weight := directory.Weight(s.ID, last)
 		best, ok := homes[s.Salt]
-		if !ok || s.Standing < q.Servers[best].Standing || (s.Standing == q.Servers[best].Standing && weight > weights[s.Salt]) {
-			homes[s.Salt], weights[s.Salt] = i, weight
+		if ok && !goesBefore(s.Standing, weight, q.Servers[targets[best]].Standing, weights[s.Salt]) {
+			continue
 		}
+		homes[s.Salt], weights[s.Salt] = n, weight
 	}
 	return homes
 }
 
+// goesBefore tells whether a server goes before another as the home of a prompt: the better standing, then the greater weight.
+func goesBefore(standing int, weight uint64, otherStanding int, otherWeight uint64) bool {
+	if standing != otherStanding {
+		return standing < otherStanding
+	}
+	return weight > otherWeight
+}
+
 // unseen estimates the work that the other routers have in flight at a server of the service from this router's own mean.
 func (p *Placer) unseen(now time.Duration, q *Query) float64 {
 	own := 0.0
--- a/dataplane/placement/work.go
+++ b/dataplane/placement/work.go
@@ -23,9 +23,6 @@
 // decode is the work that the tokens bring which the request may generate.
 func (w *Work) decode() float64 { return decodeShare * w.MaxOut }
 
-// held is what the request takes up of a server's memory until it ends: its prompt and what it may generate, in tokens.
-func (w *Work) held() float64 { return w.Tokens + w.MaxOut }
-
 // shared gives the parts that others may use too, all but the last, and their tokens.
 func (w *Work) shared() (parts []kvindex.Part, tokens float64) {
 	parts = w.Parts[:max(len(w.Parts)-1, 0)]
--- a/dataplane/proxy/place_test.go
+++ b/dataplane/proxy/place_test.go
@@ -86,7 +86,7 @@
 	now := r.Arrived
 	r.deadline = now.Add(time.Minute)
 	usual := now.Add(hangObjectives * defaultObjectiveMs * time.Millisecond)
-	must.Eq(t, usual, r.hangLimit(now, p.usualWait(r)))
+	must.Eq(t, usual, r.hangLimit(now, p.longestSeen(r)))
 
 	const longest = 10 * time.Second
 	must.Eq(t, now.Add(longest+longest/2), r.hangLimit(now, longest))
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -237,7 +237,7 @@
 	defer p.mu.Unlock()
 	t := to.target
 	to.sentAt = p.now()
-	p.placer.Sent(&to.Placement, r.work)
+	p.placer.Sent(&to.Placement)
 	t.state.Sent(p.now())
 }
 
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -146,7 +146,7 @@
 // headLimit is when an attempt whose answer has not begun is given up: so that another may follow, or because it must not begin any
 // more on its server's weights.
 func (p *Proxy) headLimit(r *request, to *routed, now time.Time) time.Time {
-	limit := r.hangLimit(now, p.usualWait(r))
+	limit := r.hangLimit(now, p.longestSeen(r))
 	if to.Version == 0 {
 		return limit
 	}
--- a/dataplane/proxy/shared.go
+++ b/dataplane/proxy/shared.go
@@ -81,7 +81,7 @@
 	told := &peer.LoadAccount{Router: a.Router, Number: a.Number, Whole: a.Whole}
 	for _, at := range a.List {
 		told.List = append(told.List, peer.ServerLoad{
-			Server: at.Server, Tokens: int(math.Round(at.Load.Tokens)), Held: int(math.Round(at.Load.Held)), Requests: at.Load.Requests,
+			Server: at.Server, Tokens: int(math.Round(at.Load.Tokens)), Requests: at.Load.Requests,
 		})
 	}
 	return told
@@ -99,7 +99,7 @@
 func accountOf(told *peer.LoadAccount) *inflight.Account {
 	a := &inflight.Account{Router: told.Router, Number: told.Number, Whole: told.Whole}
 	for _, at := range told.List {
-		load := inflight.Load{Tokens: float64(at.Tokens), Held: float64(at.Held), Requests: at.Requests}
+		load := inflight.Load{Tokens: float64(at.Tokens), Requests: at.Requests}
 		a.List = append(a.List, inflight.At{Server: at.Server, Load: load})
 	}
 	return a
--- a/dataplane/proxy/versions.go
+++ b/dataplane/proxy/versions.go
@@ -63,8 +63,8 @@
 	return named.Add(time.Duration(withdrawAt * float64(settings.Millis(p.set.Bounds.VersionMs))))
 }
 
-// usualWait gives the longest wait for a first piece of an answer of the request's service that was seen lately.
-func (p *Proxy) usualWait(r *request) time.Duration {
+// longestSeen gives the longest wait for a first piece of an answer of the request's service that was seen lately.
+func (p *Proxy) longestSeen(r *request) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w := p.waits[r.service.Name]; w != nil {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -241,7 +241,6 @@
 type ServerLoad struct {
 	Server   string `msg:"s"` // instance
 	Tokens   int    `msg:"t"` // still to be worked off
-	Held     int    `msg:"h"` // tokens of the server's memory that the requests take up
 	Requests int    `msg:"r"`
 }
 
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -2879,11 +2879,46 @@
 				z.List = make([]ServerLoad, zb0002)
 			}
 			for za0001 := range z.List {
-				err = z.List[za0001].DecodeMsg(dc)
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.List[za0001].Server, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Server")
+							return
+						}
+					case "t":
+						z.List[za0001].Tokens, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					case "r":
+						z.List[za0001].Requests, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Requests")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -2940,9 +2975,35 @@
 		return
 	}
 	for za0001 := range z.List {
-		err = z.List[za0001].EncodeMsg(en)
+		// map header, size 3
+		// write "s"
+		err = en.Append(0x83, 0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.List[za0001].Server)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Server")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		err = en.WriteInt(z.List[za0001].Tokens)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Tokens")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.List[za0001].Requests)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Requests")
 			return
 		}
 	}
@@ -2966,11 +3027,16 @@
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
-		o, err = z.List[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.List[za0001].Server)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.List[za0001].Requests)
 	}
 	return
 }
@@ -3024,11 +3090,46 @@
 				z.List = make([]ServerLoad, zb0002)
 			}
 			for za0001 := range z.List {
-				bts, err = z.List[za0001].UnmarshalMsg(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.List[za0001].Server, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Server")
+							return
+						}
+					case "t":
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					case "r":
+						z.List[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Requests")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001)
+							return
+						}
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -3046,7 +3147,7 @@
 func (z *LoadAccount) Msgsize() (s int) {
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.Router) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.List {
-		s += z.List[za0001].Msgsize()
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	return
 }
@@ -5278,12 +5379,6 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
-		case "h":
-			z.Held, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
 		case "r":
 			z.Requests, err = dc.ReadInt()
 			if err != nil {
@@ -5302,10 +5397,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+func (z ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x83, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -5324,16 +5419,6 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Held)
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
-	}
 	// write "r"
 	err = en.Append(0xa1, 0x72)
 	if err != nil {
@@ -5348,18 +5433,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
+func (z ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 3
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x83, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Server)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt(o, z.Tokens)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendInt(o, z.Held)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendInt(o, z.Requests)
@@ -5396,12 +5478,6 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
-		case "h":
-			z.Held, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
 		case "r":
 			z.Requests, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5421,8 +5497,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ServerLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+func (z ServerLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
