--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -22,8 +22,9 @@
 // leaves too few to serve.
 const atOnceShare = 0.2
 
-// orderedBy is the share of version-ms after which a server is ordered however many others load.
-const orderedBy = 0.88
+// orderedBy is the share of version-ms after which a server is ordered however many others load: routers send nothing to older weights
+// from then on, so that a server with such is of no use.
+const orderedBy = 0.75
 
 // State is what the register of weights holds.
 type State struct {
@@ -113,7 +114,7 @@
 	return float64(begun) < float64(Turns(servers))/3+due
 }
 
-// Next gives the servers whose turn begins now: first those for whom the first version that they lack was named earliest, so that a
+// Next gives the servers whose turn begins now, as the pace allows: first those for whom the first version that they lack was named earliest, so that a
 // series of namings keeps nobody waiting, then those with the least to do. More have their turn than may load at once, so that some
 // let their runs end meanwhile. Servers whose runs take long do not hold the others up, but at most half of a service's servers are
 // out at a time. Servers whose time is over have their turn whatever others do.
--- a/controlplane/rollout/rollout_test.go
+++ b/controlplane/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -164,7 +165,7 @@
 	next.Bound = 8 * time.Second
 	next.Namings = Namings{"m": {{1, next.Now}, {2, next.Now}}}
 	must.Len(t, 0, s.Next(servers(9, 1), next))
-	next.Now = next.Now.Add(7100 * time.Millisecond)
+	next.Now = next.Now.Add(6 * time.Second)
 	must.Len(t, 6, s.Next(servers(9, 1), next))
 }
 
@@ -189,3 +190,49 @@
 	}
 	must.Eq(t, 90, begun)
 }
+
+// However long runs last and loads take, every server has been ordered by the time from which routers send nothing to older weights.
+func TestAllServersAreOrderedInTime(t *testing.T) {
+	const (
+		bound = 10 * time.Second
+		tick  = 100 * time.Millisecond
+	)
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		s, _, err := (&State{}).Name("m", 2)
+		must.NoError(t, err)
+		list := servers(1+random.IntN(140), 1)
+		began, longest := map[string]time.Duration{}, time.Duration(1+random.IntN(8))*time.Second
+		takes := map[string]time.Duration{}
+		now := time.Duration(0)
+		next := round(func(id string) Turn {
+			at, ok := began[id]
+			switch {
+			case !ok:
+				return NoTurn
+			case now-at > 3*time.Second:
+				return Lasting
+			}
+			return Loading
+		})
+		named := next.Now
+		next.Bound, next.Namings = bound, Namings{"m": {{2, named}}}
+		for ; now <= time.Duration(orderedBy*float64(bound)); now += tick {
+			next.Now = named.Add(now)
+			for _, step := range s.Next(list, next) {
+				began[step.Instance.ID] = now
+				takes[step.Instance.ID] = 500*time.Millisecond + time.Duration(random.Int64N(int64(longest)))
+			}
+			for i := range list {
+				if at, ok := began[list[i].ID]; ok && now-at >= takes[list[i].ID] {
+					list[i].Models = []peer.Model{{Name: "m", Version: 2}}
+					delete(began, list[i].ID)
+				}
+			}
+		}
+		for _, in := range list {
+			_, turn := began[in.ID]
+			must.True(t, turn || in.Models[0].Version == 2, must.Sprintf("seed %d: %s of %d has not been ordered", seed, in.ID, len(list)))
+		}
+	}
+}
