--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
@@ -59,6 +60,7 @@
 	proposing map[string]chan struct{} // one proposal of this node at a time, by register
 
 	mu      sync.Mutex
+	random  *rand.Rand // seeded by the node's ID, so that a play from a seed repeats
 	known   map[string]Known
 	highest map[string]uint64    // highest counter of a ballot met
 	heard   map[string]time.Time // by identity: last answer
@@ -70,7 +72,7 @@
 	r := &Registers{
 		acceptor: acceptor, self: self, caller: caller, log: log,
 		writers: map[string]*delta.Writer{}, proposing: map[string]chan struct{}{}, known: map[string]Known{}, highest: map[string]uint64{},
-		heard: map[string]time.Time{}, changed: make(chan struct{}),
+		heard: map[string]time.Time{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(xxhash.Sum64String(self.ID), 0)),
 	}
 	for _, register := range registers {
 		r.proposing[register] = make(chan struct{}, 1)
@@ -312,7 +314,7 @@
 		if done {
 			return v, err
 		}
-		pause := retryPause + rand.N(7*retryPause)
+		pause := r.drawPause()
 		if time.Now().Add(pause).After(deadline) {
 			return quorum.Value{}, err
 		}
@@ -320,6 +322,13 @@
 	}
 }
 
+// drawPause draws how long to wait before a refused round is tried again.
+func (r *Registers) drawPause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return retryPause + time.Duration(r.random.Int64N(int64(7*retryPause)))
+}
+
 // attempt plays one round. Where done is false the round came to nothing and another may be tried.
 func (r *Registers) attempt(register string, edit func(v quorum.Value) (quorum.Value, error)) (v quorum.Value, done bool, err error) {
 	began := time.Now()
