Events that a holder says were lost are made up for by its list

Change: the drawing of one holder's events is a type of its own (drawer.go, out of collector.go); after a gap it asks GET /kv-list, at most once in five seconds for a holder, and tells all routers what the holder keeps. Rows of events and lists are read by one function.

--- a/dataplane/kvevents/collector.go
+++ b/dataplane/kvevents/collector.go
@@ -1,33 +1,24 @@
 package kvevents
 
 import (
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 	"github.com/tinylib/msgp/msgp"
-	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/directory"
 	"moleshift/dataplane/follower"
-	"moleshift/internal/sock"
 	"moleshift/peer"
 )
 
 const (
-	holdEvents   = 600 * time.Millisecond // a holder without events answers after that: then it is known to live
-	callSlack    = 500 * time.Millisecond
-	betweenCalls = 100 * time.Millisecond // events gather meanwhile
-	failedPause  = time.Second
-	passEvery    = 100 * time.Millisecond
-	exportEvery  = 2  // of passEvery: batches for other zones gather for longer, as their bytes are dear
-	fanOut       = 12 // routers that one sends a batch to at the most; with more in a zone, they pass it on to groups
-	passTimeout  = 500 * time.Millisecond
-	headerWait   = "Wait-Ms"
+	passEvery   = 100 * time.Millisecond
+	exportEvery = 2  // of passEvery: batches for other zones gather for longer, as their bytes are dear
+	fanOut      = 12 // routers that one sends a batch to at the most; with more in a zone, they pass it on to groups
+	passTimeout = 500 * time.Millisecond
 )
 
 // Sink takes what is learned of holders.
@@ -70,8 +61,8 @@
 	caller core.Caller
 	sink   Sink
 	log    zerolog.Logger
-	client *fasthttp.Client
 	closed chan struct{}
+	get    func(address, path string) ([]byte, error) // asks a holder
 	send   func(to peer.Node, batch *peer.EventBatch) // in a goroutine of its own
 
 	mu      sync.Mutex
@@ -88,10 +79,7 @@
 	c := &Collector{
 		self: self, caller: caller, sink: sink, log: log, closed: make(chan struct{}),
 		drawing: map[string]chan struct{}{}, greeted: map[string]bool{},
-		client: &fasthttp.Client{
-			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2, MaxIdleConnDuration: 4 * time.Second,
-			Dial: func(address string) (net.Conn, error) { return sock.Dial(ip, address, callSlack) },
-		},
+		get: newHolderClient(ip),
 	}
 	c.send = func(to peer.Node, batch *peer.EventBatch) { go c.call(to.Address, batch) }
 	return c
@@ -121,7 +109,7 @@
 		if c.drawing[id] == nil {
 			end := make(chan struct{})
 			c.drawing[id] = end
-			go c.draw(h, end)
+			go newDrawer(c, h).run(end)
 		}
 	}
 }
@@ -155,62 +143,6 @@
 	return best
 }
 
-// draw asks a holder for its events until end is closed.
-func (c *Collector) draw(h holderOf, end chan struct{}) {
-	since, epoch := "0", ""
-	pause := betweenCalls
-	down := false
-	for {
-		select {
-		case <-end:
-			return
-		case <-c.closed:
-			return
-		case <-time.After(pause):
-		}
-		body, err := c.ask(h.address, since)
-		if err != nil {
-			pause = failedPause
-			if !down {
-				down = true
-				c.learned(peer.Events{Holder: h.id, Down: true})
-			}
-			continue
-		}
-		p, events, err := parse(body)
-		if err != nil {
-			c.log.Warn().Err(err).Str("holder", h.id).Msg("events cannot be read: see whether the server speaks this release's protocol")
-			pause = failedPause
-			continue
-		}
-		pause = betweenCalls
-		restarted := epoch != "" && epoch != p.Epoch.String()
-		epoch, since = p.Epoch.String(), p.Next.String()
-		if restarted && len(events) == 0 {
-			since = "0"
-		}
-		if restarted || down || len(events) > 0 {
-			down = false
-			c.learned(peer.Events{Holder: h.id, Reset: restarted, List: events})
-		}
-	}
-}
-
-func (c *Collector) ask(address, since string) ([]byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + "/kv-events?since=" + since)
-	req.Header.Set(headerWait, strconv.Itoa(int(holdEvents/time.Millisecond)))
-	if err := c.client.DoTimeout(req, resp, holdEvents+callSlack); err != nil {
-		return nil, err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, core.ErrStatus
-	}
-	return append([]byte(nil), resp.Body()...), nil
-}
-
 // learned takes events to this router's index and to what is passed on.
 func (c *Collector) learned(e peer.Events) {
 	c.sink.TakeEvents([]peer.Events{e})
--- a/dataplane/kvevents/kvevents_test.go
+++ b/dataplane/kvevents/kvevents_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+func TestParseList(t *testing.T) {
+	p, held, err := parseList([]byte(`{"epoch":77120,"next-page-token":120,"held":[["m@1/t","00ab",800,"m"]]}`))
+	must.NoError(t, err)
+	must.Eq(t, "77120", p.Epoch.String())
+	must.Eq(t, "120", p.Next.String())
+	must.Eq(t, []peer.Event{{Salt: "m@1/t", Part: "ab", Tokens: 800}}, held)
+	for _, wrong := range []string{"", "{", `{"held":[["s","a"]]}`, `{"held":[[1,"a",2]]}`} {
+		_, _, err := parseList([]byte(wrong))
+		must.Error(t, err, must.Sprint(wrong))
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"epoch":1,"next-page-token":2,"events":[[1,"+","s","a",3,"m"]]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
--- a/dataplane/kvevents/parse.go
+++ b/dataplane/kvevents/parse.go
@@ -21,35 +21,60 @@
 	Events [][]json.RawMessage `json:"events"`
 }
 
-// The fields of an event: number, + or -, salt, id of the part, tokens kept now, model.
-const (
-	fieldSalt = iota + 2
-	fieldPart
-	fieldTokens
-	numFields
+// list is an answer to GET /kv-list.
+type list struct {
+	Epoch json.Number         `json:"epoch"`
+	Next  json.Number         `json:"next-page-token"`
+	Held  [][]json.RawMessage `json:"held"`
+}
+
+// layout tells at which places of a row its fields stand, and how many there are at least.
+type layout struct {
+	salt, part, tokens, fields int
+}
+
+var (
+	eventLayout = layout{salt: 2, part: 3, tokens: 4, fields: 5} // number, + or -, salt, id of the part, tokens kept now, model
+	heldLayout  = layout{salt: 0, part: 1, tokens: 2, fields: 3} // salt, id of the part, tokens, model
 )
 
-// parse reads a page. Events that cannot be read are an error: the caller forgets what it knows of the holder.
+// parse reads a page. Events that cannot be read are an error.
 func parse(body []byte) (*page, []peer.Event, error) {
 	var p page
 	if err := json.Unmarshal(body, &p); err != nil {
 		return nil, nil, fault.New(fault.BadRequest, "events: %v", err)
 	}
-	events := make([]peer.Event, 0, len(p.Events))
-	for _, fields := range p.Events {
-		if len(fields) < numFields {
-			return nil, nil, fault.New(fault.BadRequest, "an event of %d fields", len(fields))
+	events, err := eventLayout.read(p.Events)
+	return &p, events, err
+}
+
+// parseList reads a list. Parts that cannot be read are an error.
+func parseList(body []byte) (*list, []peer.Event, error) {
+	var p list
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, nil, fault.New(fault.BadRequest, "list of kept parts: %v", err)
+	}
+	held, err := heldLayout.read(p.Held)
+	return &p, held, err
+}
+
+// read reads rows of fields.
+func (at layout) read(rows [][]json.RawMessage) ([]peer.Event, error) {
+	events := make([]peer.Event, 0, len(rows))
+	for _, fields := range rows {
+		if len(fields) < at.fields {
+			return nil, fault.New(fault.BadRequest, "a row of %d fields where %d are wanted", len(fields), at.fields)
 		}
 		var e peer.Event
 		var tokens float64
-		for i, into := range map[int]any{fieldSalt: &e.Salt, fieldPart: &e.Part, fieldTokens: &tokens} {
+		for i, into := range map[int]any{at.salt: &e.Salt, at.part: &e.Part, at.tokens: &tokens} {
 			if err := json.Unmarshal(fields[i], into); err != nil {
-				return nil, nil, fault.New(fault.BadRequest, "field %d of an event: %v", i, err)
+				return nil, fault.New(fault.BadRequest, "field %d: %v", i, err)
 			}
 		}
 		e.Part = kvindex.PartID(e.Part)
 		e.Tokens = int(tokens) // after a loss too: a part may give way from its end
 		events = append(events, e)
 	}
-	return &p, events, nil
+	return events, nil
 }
