--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -1,6 +1,6 @@
 package configuration
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -file state.go -tests=false -o state_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file state.go -tests=false -o state_gen.go
 
 import (
 	"bytes"
--- a/controlplane/core/record.go
+++ b/controlplane/core/record.go
@@ -1,6 +1,6 @@
 package core
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -file record.go -io=false -tests=false -unexported -o record_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file record.go -tests=false -unexported -o record_gen.go
 
 import (
 	"github.com/gravitational/trace"
--- a/controlplane/delta/delta.go
+++ b/controlplane/delta/delta.go
@@ -4,7 +4,7 @@
 // It is pure: it must never send or store anything.
 package delta
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -tests=false -o delta_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -o delta_gen.go
 
 import (
 	"bytes"
--- a/controlplane/quorum/quorum.go
+++ b/controlplane/quorum/quorum.go
@@ -8,7 +8,7 @@
 // State's methods return on disk before it sends the reply, and carries out what a Round asks for.
 package quorum
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -tests=false -o quorum_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -o quorum_gen.go
 
 import (
 	"cmp"
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -3,7 +3,8 @@
 // It owns the versions that were named and how many servers of a service may load at once. It is pure: orders are sent by others.
 package rollout
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -file rollout.go -tests=false -o rollout_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file rollout.go -tests=false -o rollout_gen.go
+//msgp:ignore Step Round
 
 import (
 	"cmp"
--- a/controlplane/rollout/rollout_gen.go
+++ b/controlplane/rollout/rollout_gen.go
@@ -8,93 +8,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *State) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Versions")
-				return
-			}
-			if cap(z.Versions) >= int(zb0002) {
-				z.Versions = (z.Versions)[:zb0002]
-			} else {
-				z.Versions = make([]peer.Model, zb0002)
-			}
-			for za0001 := range z.Versions {
-				err = z.Versions[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0001)
-					return
-				}
-			}
-		case "l":
-			err = z.Lease.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Lease")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "v"
-	err = en.Append(0x82, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Versions)))
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	for za0001 := range z.Versions {
-		err = z.Versions[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
-			return
-		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = z.Lease.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Lease")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -184,138 +97,30 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Step) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Instance":
-			err = z.Instance.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "Model":
-			err = z.Model.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Model")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Step) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "Instance"
-	err = en.Append(0x82, 0xa8, 0x49, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = z.Instance.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	// write "Model"
-	err = en.Append(0xa5, 0x4d, 0x6f, 0x64, 0x65, 0x6c)
-	if err != nil {
-		return
-	}
-	err = z.Model.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
-func (z *Step) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Turn) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "Instance"
-	o = append(o, 0x82, 0xa8, 0x49, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
-	o, err = z.Instance.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	// string "Model"
-	o = append(o, 0xa5, 0x4d, 0x6f, 0x64, 0x65, 0x6c)
-	o, err = z.Model.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
+	o = msgp.AppendInt(o, int(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Step) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+func (z *Turn) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 int
+		zb0001, bts, err = msgp.ReadIntBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "Instance":
-			bts, err = z.Instance.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		case "Model":
-			bts, err = z.Model.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Model")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		(*z) = Turn(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Step) Msgsize() (s int) {
-	s = 1 + 9 + z.Instance.Msgsize() + 6 + z.Model.Msgsize()
+func (z Turn) Msgsize() (s int) {
+	s = msgp.IntSize
 	return
 }
--- a/controlplane/singleton/singleton.go
+++ b/controlplane/singleton/singleton.go
@@ -7,7 +7,7 @@
 // The package is pure: it must never read a clock or a socket.
 package singleton
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -file singleton.go -tests=false -o singleton_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file singleton.go -tests=false -o singleton_gen.go
 
 import "time"
 
--- a/controlplane/singleton/singleton_gen.go
+++ b/controlplane/singleton/singleton_gen.go
@@ -6,89 +6,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Lease) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			z.Holder, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Holder")
-				return
-			}
-		case "e":
-			z.Epoch, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
-				return
-			}
-		case "r":
-			z.Renewal, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Renewal")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Lease) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "h"
-	err = en.Append(0x83, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Holder)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Epoch)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Renewal)
-	if err != nil {
-		err = msgp.WrapError(err, "Renewal")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Lease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -159,83 +76,19 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Settings) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Use":
-			z.Use, err = dc.ReadDuration()
-			if err != nil {
-				err = msgp.WrapError(err, "Use")
-				return
-			}
-		case "Guard":
-			z.Guard, err = dc.ReadDuration()
-			if err != nil {
-				err = msgp.WrapError(err, "Guard")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Settings) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "Use"
-	err = en.Append(0x82, 0xa3, 0x55, 0x73, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteDuration(z.Use)
-	if err != nil {
-		err = msgp.WrapError(err, "Use")
-		return
-	}
-	// write "Guard"
-	err = en.Append(0xa5, 0x47, 0x75, 0x61, 0x72, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteDuration(z.Guard)
-	if err != nil {
-		err = msgp.WrapError(err, "Guard")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Settings) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "Use"
-	o = append(o, 0x82, 0xa3, 0x55, 0x73, 0x65)
+	o = append(o, 0x83, 0xa3, 0x55, 0x73, 0x65)
 	o = msgp.AppendDuration(o, z.Use)
 	// string "Guard"
 	o = append(o, 0xa5, 0x47, 0x75, 0x61, 0x72, 0x64)
 	o = msgp.AppendDuration(o, z.Guard)
+	// string "Gone"
+	o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendDuration(o, z.Gone)
 	return
 }
 
@@ -269,6 +122,12 @@
 				err = msgp.WrapError(err, "Guard")
 				return
 			}
+		case "Gone":
+			z.Gone, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -283,47 +142,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Settings) Msgsize() (s int) {
-	s = 1 + 4 + msgp.DurationSize + 6 + msgp.DurationSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Watch) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Watch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
+	s = 1 + 4 + msgp.DurationSize + 6 + msgp.DurationSize + 5 + msgp.DurationSize
 	return
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -4,7 +4,7 @@
 // It owns forms and connections. It must never decide anything: handlers are given to it.
 package peer
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -file messages.go -tests=false -o messages_gen.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file messages.go -tests=false -o messages_gen.go
 
 import (
 	"moleshift/controlplane/delta"
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -9,140 +9,6 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// DecodeMsg implements msgp.Decodable
-func (z *Accept) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Register, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Register")
-				return
-			}
-		case "t":
-			z.Target, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Target")
-				return
-			}
-		case "b":
-			err = z.Ballot.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-		case "v":
-			err = z.Value.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
-		case "c":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-				z.Content = nil
-			} else {
-				if z.Content == nil {
-					z.Content = new(delta.Content)
-				}
-				err = z.Content.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Accept) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "r"
-	err = en.Append(0x85, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Register)
-	if err != nil {
-		err = msgp.WrapError(err, "Register")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = z.Ballot.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.Value.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	if z.Content == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Content.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Content")
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -263,191 +129,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *AcceptorReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "w":
-			z.Wrong, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Wrong")
-				return
-			}
-		case "o":
-			z.OK, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "p":
-			err = z.Promised.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Promised")
-				return
-			}
-		case "a":
-			err = z.Accepted.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Accepted")
-				return
-			}
-		case "v":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Value")
-					return
-				}
-				z.Value = nil
-			} else {
-				if z.Value == nil {
-					z.Value = new(quorum.Value)
-				}
-				err = z.Value.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Value")
-					return
-				}
-			}
-		case "c":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-				z.Content = nil
-			} else {
-				if z.Content == nil {
-					z.Content = new(delta.Content)
-				}
-				err = z.Content.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-			}
-		case "l":
-			z.Lacks, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Lacks")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *AcceptorReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "w"
-	err = en.Append(0x87, 0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Wrong)
-	if err != nil {
-		err = msgp.WrapError(err, "Wrong")
-		return
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.OK)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = z.Promised.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Promised")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = z.Accepted.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Accepted")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	if z.Value == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Value.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Value")
-			return
-		}
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	if z.Content == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Content.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Content")
-			return
-		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Lacks)
-	if err != nil {
-		err = msgp.WrapError(err, "Lacks")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *AcceptorReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -612,66 +293,15 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Beat) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+// MarshalMsg implements msgp.Marshaler
+func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "i"
+	o = append(o, 0x81, 0xa1, 0x69)
+	o, err = z.Instance.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			err = z.Instance.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Instance")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "i"
-	err = en.Append(0x81, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = z.Instance.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "i"
-	o = append(o, 0x81, 0xa1, 0x69)
-	o, err = z.Instance.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Instance")
+		err = msgp.WrapError(err, "Instance")
 		return
 	}
 	return
@@ -719,73 +349,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *BeatReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.OK, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "w":
-			z.Owner, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Owner")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z BeatReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "o"
-	err = en.Append(0x82, 0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.OK)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Owner)
-	if err != nil {
-		err = msgp.WrapError(err, "Owner")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z BeatReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -847,46 +410,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Empty) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Empty) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 0
-	_ = z
-	err = en.Append(0x80)
-	if err != nil {
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Empty) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -932,89 +455,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Event) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Salt, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Salt")
-				return
-			}
-		case "p":
-			z.Part, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "t":
-			z.Tokens, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Event) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Salt)
-	if err != nil {
-		err = msgp.WrapError(err, "Salt")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Tokens)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Event) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1085,39 +525,78 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *EventBatch) DecodeMsg(dc *msgp.Reader) (err error) {
+// MarshalMsg implements msgp.Marshaler
+func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "x"
+	o = append(o, 0x85, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Export)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Spread)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.PassTo)))
+	for za0001 := range z.PassTo {
+		o = msgp.AppendString(o, z.PassTo[za0001])
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0002 := range z.List {
+		o, err = z.List[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0002)
+			return
+		}
+	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+	for za0003 := range z.Accounts {
+		o, err = z.Accounts[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accounts", za0003)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EventBatch) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
 		case "x":
-			z.Export, err = dc.ReadBool()
+			z.Export, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Export")
 				return
 			}
 		case "f":
-			z.Spread, err = dc.ReadBool()
+			z.Spread, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Spread")
 				return
 			}
 		case "p":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "PassTo")
 				return
@@ -1128,7 +607,7 @@
 				z.PassTo = make([]string, zb0002)
 			}
 			for za0001 := range z.PassTo {
-				z.PassTo[za0001], err = dc.ReadString()
+				z.PassTo[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "PassTo", za0001)
 					return
@@ -1136,7 +615,7 @@
 			}
 		case "l":
 			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "List")
 				return
@@ -1147,7 +626,7 @@
 				z.List = make([]Events, zb0003)
 			}
 			for za0002 := range z.List {
-				err = z.List[za0002].DecodeMsg(dc)
+				bts, err = z.List[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0002)
 					return
@@ -1155,7 +634,7 @@
 			}
 		case "a":
 			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Accounts")
 				return
@@ -1166,141 +645,74 @@
 				z.Accounts = make([]LoadAccount, zb0004)
 			}
 			for za0003 := range z.Accounts {
-				err = z.Accounts[za0003].DecodeMsg(dc)
+				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Accounts", za0003)
 					return
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *EventBatch) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "x"
-	err = en.Append(0x85, 0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Export)
-	if err != nil {
-		err = msgp.WrapError(err, "Export")
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EventBatch) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.PassTo {
+		s += msgp.StringPrefixSize + len(z.PassTo[za0001])
 	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Spread)
-	if err != nil {
-		err = msgp.WrapError(err, "Spread")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.PassTo)))
-	if err != nil {
-		err = msgp.WrapError(err, "PassTo")
-		return
-	}
-	for za0001 := range z.PassTo {
-		err = en.WriteString(z.PassTo[za0001])
-		if err != nil {
-			err = msgp.WrapError(err, "PassTo", za0001)
-			return
-		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.List)))
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	for za0002 := range z.List {
-		err = z.List[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0002)
-			return
-		}
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Accounts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Accounts")
-		return
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.List {
+		s += z.List[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Accounts {
-		err = z.Accounts[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
-			return
-		}
+		s += z.Accounts[za0003].Msgsize()
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EventBatch) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Events) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "x"
-	o = append(o, 0x85, 0xa1, 0x78)
-	o = msgp.AppendBool(o, z.Export)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Spread)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.PassTo)))
-	for za0001 := range z.PassTo {
-		o = msgp.AppendString(o, z.PassTo[za0001])
-	}
+	// map header, size 4
+	// string "h"
+	o = append(o, 0x84, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Reset)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Down)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0002 := range z.List {
-		o, err = z.List[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0002)
-			return
-		}
-	}
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
-	for za0003 := range z.Accounts {
-		o, err = z.Accounts[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Accounts", za0003)
-			return
-		}
+	for za0001 := range z.List {
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.List[za0001].Salt)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.List[za0001].Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *EventBatch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Events) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1317,143 +729,27 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "x":
-			z.Export, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Export")
-				return
-			}
-		case "f":
-			z.Spread, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Spread")
-				return
-			}
-		case "p":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PassTo")
-				return
-			}
-			if cap(z.PassTo) >= int(zb0002) {
-				z.PassTo = (z.PassTo)[:zb0002]
-			} else {
-				z.PassTo = make([]string, zb0002)
-			}
-			for za0001 := range z.PassTo {
-				z.PassTo[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "PassTo", za0001)
-					return
-				}
-			}
-		case "l":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "List")
-				return
-			}
-			if cap(z.List) >= int(zb0003) {
-				z.List = (z.List)[:zb0003]
-			} else {
-				z.List = make([]Events, zb0003)
-			}
-			for za0002 := range z.List {
-				bts, err = z.List[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "List", za0002)
-					return
-				}
-			}
-		case "a":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Accounts")
-				return
-			}
-			if cap(z.Accounts) >= int(zb0004) {
-				z.Accounts = (z.Accounts)[:zb0004]
-			} else {
-				z.Accounts = make([]LoadAccount, zb0004)
-			}
-			for za0003 := range z.Accounts {
-				bts, err = z.Accounts[za0003].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Accounts", za0003)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *EventBatch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.PassTo {
-		s += msgp.StringPrefixSize + len(z.PassTo[za0001])
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.List {
-		s += z.List[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Accounts {
-		s += z.Accounts[za0003].Msgsize()
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Events) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
 		case "h":
-			z.Holder, err = dc.ReadString()
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Holder")
 				return
 			}
 		case "r":
-			z.Reset, err = dc.ReadBool()
+			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Reset")
 				return
 			}
 		case "d":
-			z.Down, err = dc.ReadBool()
+			z.Down, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Down")
 				return
 			}
 		case "l":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "List")
 				return
@@ -1465,39 +761,39 @@
 			}
 			for za0001 := range z.List {
 				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
-					field, err = dc.ReadMapKeyPtr()
+					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "List", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "s":
-						z.List[za0001].Salt, err = dc.ReadString()
+						z.List[za0001].Salt, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "List", za0001, "Salt")
 							return
 						}
 					case "p":
-						z.List[za0001].Part, err = dc.ReadString()
+						z.List[za0001].Part, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "List", za0001, "Part")
 							return
 						}
 					case "t":
-						z.List[za0001].Tokens, err = dc.ReadInt()
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "List", za0001, "Tokens")
 							return
 						}
 					default:
-						err = dc.Skip()
+						bts, err = msgp.Skip(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "List", za0001)
 							return
@@ -1506,128 +802,152 @@
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Events) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "h"
-	err = en.Append(0x84, 0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Holder)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Events) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Salt) + 2 + msgp.StringPrefixSize + len(z.List[za0001].Part) + 2 + msgp.IntSize
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Genesis) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "m"
+	o = append(o, 0x81, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
 	}
-	err = en.WriteBool(z.Reset)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Genesis) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Reset")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Down)
-	if err != nil {
-		err = msgp.WrapError(err, "Down")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.List)))
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	for za0001 := range z.List {
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.List[za0001].Salt)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Salt")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.List[za0001].Part)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Part")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
+			err = msgp.WrapError(err)
 			return
 		}
-		err = en.WriteInt(z.List[za0001].Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Tokens")
-			return
+		switch msgp.UnsafeString(field) {
+		case "m":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0002) {
+				z.Members = (z.Members)[:zb0002]
+			} else {
+				z.Members = make([]quorum.Member, zb0002)
+			}
+			for za0001 := range z.Members {
+				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Genesis) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Events) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "h"
-	o = append(o, 0x84, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Holder)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Reset)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Down)
+	// map header, size 11
+	// string "i"
+	o = append(o, 0x8b, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		// map header, size 3
-		// string "s"
-		o = append(o, 0x83, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.List[za0001].Salt)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendString(o, z.List[za0001].Part)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt(o, z.List[za0001].Tokens)
+	o = msgp.AppendInt(o, z.Slots)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.State)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.Sequence)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendFloat64(o, z.ColdMs)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Silent)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBool(o, z.Loading)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0001 := range z.Models {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Models[za0001].Name)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.Models[za0001].Version)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Events) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Instance) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1644,73 +964,109 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "h":
-			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Holder")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "r":
-			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reset")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "d":
-			z.Down, bts, err = msgp.ReadBoolBytes(bts)
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Down")
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		case "l":
+			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slots")
+				return
+			}
+		case "t":
+			z.State, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "q":
+			z.Sequence, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		case "c":
+			z.ColdMs, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdMs")
+				return
+			}
+		case "x":
+			z.Silent, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
+		case "b":
+			z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loading")
+				return
+			}
+		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Models")
 				return
 			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
 			} else {
-				z.List = make([]Event, zb0002)
+				z.Models = make([]Model, zb0002)
 			}
-			for za0001 := range z.List {
+			for za0001 := range z.Models {
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
+					err = msgp.WrapError(err, "Models", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "List", za0001)
+						err = msgp.WrapError(err, "Models", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "s":
-						z.List[za0001].Salt, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Salt")
-							return
-						}
-					case "p":
-						z.List[za0001].Part, bts, err = msgp.ReadStringBytes(bts)
+					case "n":
+						z.Models[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Part")
+							err = msgp.WrapError(err, "Models", za0001, "Name")
 							return
 						}
-					case "t":
-						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+					case "v":
+						z.Models[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							err = msgp.WrapError(err, "Models", za0001, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "List", za0001)
+							err = msgp.WrapError(err, "Models", za0001)
 							return
 						}
 					}
@@ -1729,104 +1085,208 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Events) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.List {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Salt) + 2 + msgp.StringPrefixSize + len(z.List[za0001].Part) + 2 + msgp.IntSize
+func (z *Instance) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Name) + 2 + msgp.Int64Size
 	}
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Genesis) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+// MarshalMsg implements msgp.Marshaler
+func (z *Instances) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "l"
+	o = append(o, 0x83, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "List", za0001)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "m":
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Want)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
+	for za0002 := range z.Load {
+		o = msgp.AppendString(o, z.Load[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Instances) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "List")
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
 			} else {
-				z.Members = make([]quorum.Member, zb0002)
+				z.List = make([]Instance, zb0002)
 			}
-			for za0001 := range z.Members {
-				err = z.Members[za0001].DecodeMsg(dc)
+			for za0001 := range z.List {
+				bts, err = z.List[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
+					err = msgp.WrapError(err, "List", za0001)
+					return
+				}
+			}
+		case "w":
+			z.Want, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want")
+				return
+			}
+		case "o":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+			if cap(z.Load) >= int(zb0003) {
+				z.Load = (z.Load)[:zb0003]
+			} else {
+				z.Load = make([]string, zb0003)
+			}
+			for za0002 := range z.Load {
+				z.Load[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0002)
 					return
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Genesis) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "m"
-	err = en.Append(0x81, 0xa1, 0x6d)
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Instances) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Load {
+		s += msgp.StringPrefixSize + len(z.Load[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Learn) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "r"
+	o = append(o, 0x82, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Register)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o, err = z.Ballot.MarshalMsg(o)
 	if err != nil {
+		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Learn) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Members")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Register, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Register")
+				return
+			}
+		case "b":
+			bts, err = z.Ballot.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Learn) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + z.Ballot.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Genesis) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Leave) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 1
-	// string "m"
-	o = append(o, 0x81, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
+	// string "f"
+	o = append(o, 0x81, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Genesis) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1843,25 +1303,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "m":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]quorum.Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				bts, err = z.Members[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1875,341 +1322,232 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Genesis) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Members {
-		s += z.Members[za0001].Msgsize()
+func (z *Leave) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadAccount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "i"
+	o = append(o, 0x84, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Router)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.List[za0001].Server)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.List[za0001].Tokens)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt(o, z.List[za0001].Requests)
 	}
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Instance) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadAccount) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
 		case "i":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "s":
-			z.Service, err = dc.ReadString()
+			z.Router, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "Router")
 				return
 			}
-		case "a":
-			z.Address, err = dc.ReadString()
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "Number")
 				return
 			}
-		case "z":
-			z.Zone, err = dc.ReadString()
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Whole")
 				return
 			}
 		case "l":
-			z.Slots, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Slots")
-				return
-			}
-		case "t":
-			z.State, err = dc.ReadInt()
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "State")
+				err = msgp.WrapError(err, "List")
 				return
 			}
-		case "q":
-			z.Sequence, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
-				return
+			if cap(z.List) >= int(zb0002) {
+				z.List = (z.List)[:zb0002]
+			} else {
+				z.List = make([]ServerLoad, zb0002)
 			}
-		case "c":
-			z.ColdMs, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "ColdMs")
-				return
-			}
-		case "x":
-			z.Silent, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Silent")
-				return
-			}
-		case "b":
-			z.Loading, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Loading")
-				return
-			}
-		case "m":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Models")
-				return
-			}
-			if cap(z.Models) >= int(zb0002) {
-				z.Models = (z.Models)[:zb0002]
-			} else {
-				z.Models = make([]Model, zb0002)
-			}
-			for za0001 := range z.Models {
+			for za0001 := range z.List {
 				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Models", za0001)
+					err = msgp.WrapError(err, "List", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
-					field, err = dc.ReadMapKeyPtr()
+					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Models", za0001)
+						err = msgp.WrapError(err, "List", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Models[za0001].Name, err = dc.ReadString()
+					case "s":
+						z.List[za0001].Server, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Name")
+							err = msgp.WrapError(err, "List", za0001, "Server")
 							return
 						}
-					case "v":
-						z.Models[za0001].Version, err = dc.ReadInt64()
+					case "t":
+						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Version")
+							err = msgp.WrapError(err, "List", za0001, "Tokens")
+							return
+						}
+					case "r":
+						z.List[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "List", za0001, "Requests")
 							return
 						}
 					default:
-						err = dc.Skip()
+						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001)
+							err = msgp.WrapError(err, "List", za0001)
 							return
 						}
 					}
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Instance) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
-	// write "i"
-	err = en.Append(0x8b, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Slots)
-	if err != nil {
-		err = msgp.WrapError(err, "Slots")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.ColdMs)
-	if err != nil {
-		err = msgp.WrapError(err, "ColdMs")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Silent)
-	if err != nil {
-		err = msgp.WrapError(err, "Silent")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Loading)
-	if err != nil {
-		err = msgp.WrapError(err, "Loading")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadAccount) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Router) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Models)))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Model) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Model) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Models")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0001 := range z.Models {
-		// map header, size 2
-		// write "n"
-		err = en.Append(0x82, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Models[za0001].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Name")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
+			err = msgp.WrapError(err)
 			return
 		}
-		err = en.WriteInt64(z.Models[za0001].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Models", za0001, "Version")
-			return
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Model) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Naming) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "i"
-	o = append(o, 0x8b, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
+	// map header, size 3
+	// string "n"
+	o = append(o, 0x83, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Model)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendInt(o, z.Slots)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt(o, z.State)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt64(o, z.Sequence)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendFloat64(o, z.ColdMs)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBool(o, z.Silent)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBool(o, z.Loading)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
-	for za0001 := range z.Models {
-		// map header, size 2
-		// string "n"
-		o = append(o, 0x82, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Models[za0001].Name)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Models[za0001].Version)
-	}
+	o = msgp.AppendFloat64(o, z.AgeMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Instance) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Naming) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2226,114 +1564,130 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		case "n":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Model")
 				return
 			}
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "a":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			z.AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
-		case "l":
-			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Naming) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "i"
+	o = append(o, 0x87, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Control)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Acceptor)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Fresh)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Node) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Slots")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "t":
-			z.State, bts, err = msgp.ReadIntBytes(bts)
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "State")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "q":
-			z.Sequence, bts, err = msgp.ReadInt64Bytes(bts)
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sequence")
+				err = msgp.WrapError(err, "Address")
 				return
 			}
 		case "c":
-			z.ColdMs, bts, err = msgp.ReadFloat64Bytes(bts)
+			z.Control, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ColdMs")
+				err = msgp.WrapError(err, "Control")
 				return
 			}
-		case "x":
-			z.Silent, bts, err = msgp.ReadBoolBytes(bts)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Silent")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "b":
-			z.Loading, bts, err = msgp.ReadBoolBytes(bts)
+		case "k":
+			z.Acceptor, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Loading")
+				err = msgp.WrapError(err, "Acceptor")
 				return
 			}
-		case "m":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "f":
+			z.Fresh, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Models")
+				err = msgp.WrapError(err, "Fresh")
 				return
 			}
-			if cap(z.Models) >= int(zb0002) {
-				z.Models = (z.Models)[:zb0002]
-			} else {
-				z.Models = make([]Model, zb0002)
-			}
-			for za0001 := range z.Models {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Models", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Models", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Models[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Name")
-							return
-						}
-					case "v":
-						z.Models[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Version")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001)
-							return
-						}
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2347,165 +1701,111 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Instance) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Models {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Name) + 2 + msgp.Int64Size
-	}
+func (z *Node) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Acceptor) + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "k"
+	o = append(o, 0x84, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Kind)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.IfVersion)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.Most)
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Instances) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Order) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "k":
+			z.Kind, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Kind")
 				return
 			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
-			} else {
-				z.List = make([]Instance, zb0002)
-			}
-			for za0001 := range z.List {
-				err = z.List[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
-					return
-				}
-			}
-		case "w":
-			z.Want, err = dc.ReadBool()
+		case "v":
+			z.IfVersion, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Want")
+				err = msgp.WrapError(err, "IfVersion")
 				return
 			}
-		case "o":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Load")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if cap(z.Load) >= int(zb0003) {
-				z.Load = (z.Load)[:zb0003]
-			} else {
-				z.Load = make([]string, zb0003)
-			}
-			for za0002 := range z.Load {
-				z.Load[za0002], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Load", za0002)
-					return
-				}
+		case "m":
+			z.Most, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Most")
+				return
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Instances) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "l"
-	err = en.Append(0x83, 0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.List)))
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	for za0001 := range z.List {
-		err = z.List[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Want)
-	if err != nil {
-		err = msgp.WrapError(err, "Want")
-		return
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Load)))
-	if err != nil {
-		err = msgp.WrapError(err, "Load")
-		return
-	}
-	for za0002 := range z.Load {
-		err = en.WriteString(z.Load[za0002])
-		if err != nil {
-			err = msgp.WrapError(err, "Load", za0002)
-			return
-		}
-	}
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Order) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Instances) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OrderReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "l"
-	o = append(o, 0x83, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		o, err = z.List[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
-	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Want)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
-	for za0002 := range z.Load {
-		o = msgp.AppendString(o, z.Load[za0002])
-	}
+	// map header, size 4
+	// string "k"
+	o = append(o, 0x84, 0xa1, 0x6b)
+	o = msgp.AppendInt(o, z.Kind)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Text)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Size)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Instances) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *OrderReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2522,49 +1822,29 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "k":
+			z.Kind, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Kind")
 				return
 			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
-			} else {
-				z.List = make([]Instance, zb0002)
-			}
-			for za0001 := range z.List {
-				bts, err = z.List[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
-					return
-				}
-			}
-		case "w":
-			z.Want, bts, err = msgp.ReadBoolBytes(bts)
+		case "t":
+			z.Text, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Want")
+				err = msgp.WrapError(err, "Text")
 				return
 			}
-		case "o":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Load")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if cap(z.Load) >= int(zb0003) {
-				z.Load = (z.Load)[:zb0003]
-			} else {
-				z.Load = make([]string, zb0003)
-			}
-			for za0002 := range z.Load {
-				z.Load[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Load", za0002)
-					return
-				}
+		case "s":
+			z.Size, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2579,104 +1859,59 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Instances) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.List {
-		s += z.List[za0001].Msgsize()
-	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Load {
-		s += msgp.StringPrefixSize + len(z.Load[za0002])
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Learn) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Register, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Register")
-				return
-			}
-		case "b":
-			err = z.Ballot.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
+func (z *OrderReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Learn) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "r"
-	err = en.Append(0x82, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Register)
+// MarshalMsg implements msgp.Marshaler
+func (z *Poll) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "f"
+	o = append(o, 0x89, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Register")
+		err = msgp.WrapError(err, "From")
 		return
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o, err = z.Config.MarshalMsg(o)
 	if err != nil {
+		err = msgp.WrapError(err, "Config")
 		return
 	}
-	err = z.Ballot.EncodeMsg(en)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o, err = z.Weights.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
+		err = msgp.WrapError(err, "Weights")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Learn) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Table)
 	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Register)
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.WaitMs)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Nodes)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendBytes(o, z.Hash)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o, err = z.Ballot.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
-		return
-	}
+	o = msgp.AppendInt(o, z.Most)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Learn) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Poll) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2693,16 +1928,58 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "c":
+			bts, err = z.Config.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "w":
+			bts, err = z.Weights.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weights")
+				return
+			}
+		case "t":
+			z.Table, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Table")
+				return
+			}
 		case "r":
-			z.Register, bts, err = msgp.ReadStringBytes(bts)
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Register")
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "m":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		case "n":
+			z.Nodes, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nodes")
+				return
+			}
+		case "h":
+			z.Hash, bts, err = msgp.ReadBytesBytes(bts, z.Hash)
+			if err != nil {
+				err = msgp.WrapError(err, "Hash")
 				return
 			}
 		case "b":
-			bts, err = z.Ballot.UnmarshalMsg(bts)
+			z.Most, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
+				err = msgp.WrapError(err, "Most")
 				return
 			}
 		default:
@@ -2718,2579 +1995,117 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Learn) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + z.Ballot.Msgsize()
+func (z *Poll) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.IntSize
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Leave) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+// MarshalMsg implements msgp.Marshaler
+func (z *PollReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 16
+	// string "k"
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Knows)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendFloat64(o, z.AgeMs)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o, err = z.Config.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "Config")
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			err = z.From.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Leave) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "f"
-	err = en.Append(0x81, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Leave) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "f"
-	o = append(o, 0x81, 0xa1, 0x66)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			bts, err = z.From.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Leave) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *LoadAccount) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Router, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Router")
-				return
-			}
-		case "n":
-			z.Number, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Number")
-				return
-			}
-		case "w":
-			z.Whole, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Whole")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "List")
-				return
-			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
-			} else {
-				z.List = make([]ServerLoad, zb0002)
-			}
-			for za0001 := range z.List {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "List", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.List[za0001].Server, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Server")
-							return
-						}
-					case "t":
-						z.List[za0001].Tokens, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Tokens")
-							return
-						}
-					case "r":
-						z.List[za0001].Requests, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Requests")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *LoadAccount) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "i"
-	err = en.Append(0x84, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Router)
-	if err != nil {
-		err = msgp.WrapError(err, "Router")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Number)
-	if err != nil {
-		err = msgp.WrapError(err, "Number")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Whole)
-	if err != nil {
-		err = msgp.WrapError(err, "Whole")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.List)))
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	for za0001 := range z.List {
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.List[za0001].Server)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Server")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.List[za0001].Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Tokens")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.List[za0001].Requests)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Requests")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LoadAccount) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "i"
-	o = append(o, 0x84, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Router)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Number)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Whole)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		// map header, size 3
-		// string "s"
-		o = append(o, 0x83, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.List[za0001].Server)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt(o, z.List[za0001].Tokens)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendInt(o, z.List[za0001].Requests)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadAccount) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.Router, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Router")
-				return
-			}
-		case "n":
-			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Number")
-				return
-			}
-		case "w":
-			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Whole")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "List")
-				return
-			}
-			if cap(z.List) >= int(zb0002) {
-				z.List = (z.List)[:zb0002]
-			} else {
-				z.List = make([]ServerLoad, zb0002)
-			}
-			for za0001 := range z.List {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "List", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.List[za0001].Server, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Server")
-							return
-						}
-					case "t":
-						z.List[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Tokens")
-							return
-						}
-					case "r":
-						z.List[za0001].Requests, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001, "Requests")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "List", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadAccount) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Router) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.List {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.List[za0001].Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Model) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "v":
-			z.Version, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Model) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Model) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Version)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Model) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "v":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Model) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Naming) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Model, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Model")
-				return
-			}
-		case "v":
-			z.Version, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "a":
-			z.AgeMs, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Naming) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "n"
-	err = en.Append(0x83, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Model)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Version)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.AgeMs)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Naming) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "n"
-	o = append(o, 0x83, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Model)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Version)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendFloat64(o, z.AgeMs)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Naming) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Model, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Model")
-				return
-			}
-		case "v":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "a":
-			z.AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Naming) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Node) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "n":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "a":
-			z.Address, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "c":
-			z.Control, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Control")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "k":
-			z.Acceptor, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Acceptor")
-				return
-			}
-		case "f":
-			z.Fresh, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Fresh")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Node) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "i"
-	err = en.Append(0x87, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Control)
-	if err != nil {
-		err = msgp.WrapError(err, "Control")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "k"
-	err = en.Append(0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Acceptor)
-	if err != nil {
-		err = msgp.WrapError(err, "Acceptor")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Fresh)
-	if err != nil {
-		err = msgp.WrapError(err, "Fresh")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Node) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "i"
-	o = append(o, 0x87, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendString(o, z.Control)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Acceptor)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Fresh)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Node) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "a":
-			z.Address, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Address")
-				return
-			}
-		case "c":
-			z.Control, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Control")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "k":
-			z.Acceptor, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Acceptor")
-				return
-			}
-		case "f":
-			z.Fresh, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Fresh")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Node) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Acceptor) + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Order) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Kind, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "v":
-			z.IfVersion, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "IfVersion")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "m":
-			z.Most, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Most")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Order) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Kind)
-	if err != nil {
-		err = msgp.WrapError(err, "Kind")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.IfVersion)
-	if err != nil {
-		err = msgp.WrapError(err, "IfVersion")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Most)
-	if err != nil {
-		err = msgp.WrapError(err, "Most")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Kind)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.IfVersion)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt(o, z.Most)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Order) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Kind, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "v":
-			z.IfVersion, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "IfVersion")
-				return
-			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "m":
-			z.Most, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Most")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Order) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Kind) + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *OrderReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Kind, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "t":
-			z.Text, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Text")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "s":
-			z.Size, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Size")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *OrderReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Kind)
-	if err != nil {
-		err = msgp.WrapError(err, "Kind")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Text)
-	if err != nil {
-		err = msgp.WrapError(err, "Text")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Size)
-	if err != nil {
-		err = msgp.WrapError(err, "Size")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *OrderReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
-	o = msgp.AppendInt(o, z.Kind)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Text)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt(o, z.Size)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *OrderReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Kind, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "t":
-			z.Text, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Text")
-				return
-			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "s":
-			z.Size, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Size")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *OrderReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Poll) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			err = z.From.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "c":
-			err = z.Config.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
-			}
-		case "w":
-			err = z.Weights.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Weights")
-				return
-			}
-		case "t":
-			z.Table, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Table")
-				return
-			}
-		case "r":
-			z.Revision, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "m":
-			z.WaitMs, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "WaitMs")
-				return
-			}
-		case "n":
-			z.Nodes, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-		case "h":
-			z.Hash, err = dc.ReadBytes(z.Hash)
-			if err != nil {
-				err = msgp.WrapError(err, "Hash")
-				return
-			}
-		case "b":
-			z.Most, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Most")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Poll) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
-	// write "f"
-	err = en.Append(0x89, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Config.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = z.Weights.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Weights")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Table)
-	if err != nil {
-		err = msgp.WrapError(err, "Table")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Revision)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.WaitMs)
-	if err != nil {
-		err = msgp.WrapError(err, "WaitMs")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Nodes)
-	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Hash)
-	if err != nil {
-		err = msgp.WrapError(err, "Hash")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Most)
-	if err != nil {
-		err = msgp.WrapError(err, "Most")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Poll) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "f"
-	o = append(o, 0x89, 0xa1, 0x66)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o, err = z.Config.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o, err = z.Weights.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Weights")
-		return
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Table)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt(o, z.WaitMs)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Nodes)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendBytes(o, z.Hash)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt(o, z.Most)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Poll) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			bts, err = z.From.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "c":
-			bts, err = z.Config.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
-			}
-		case "w":
-			bts, err = z.Weights.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Weights")
-				return
-			}
-		case "t":
-			z.Table, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Table")
-				return
-			}
-		case "r":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "m":
-			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "WaitMs")
-				return
-			}
-		case "n":
-			z.Nodes, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-		case "h":
-			z.Hash, bts, err = msgp.ReadBytesBytes(bts, z.Hash)
-			if err != nil {
-				err = msgp.WrapError(err, "Hash")
-				return
-			}
-		case "b":
-			z.Most, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Most")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Poll) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *PollReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Knows, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Knows")
-				return
-			}
-		case "g":
-			z.AgeMs, err = dc.ReadFloat64()
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
-				return
-			}
-		case "c":
-			err = z.Config.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
-			}
-		case "d":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-				z.Content = nil
-			} else {
-				if z.Content == nil {
-					z.Content = new(delta.Content)
-				}
-				err = z.Content.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-			}
-		case "z":
-			z.Size, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Size")
-				return
-			}
-		case "w":
-			err = z.Weights.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Weights")
-				return
-			}
-		case "x":
-			z.WeightsIn, err = dc.ReadBytes(z.WeightsIn)
-			if err != nil {
-				err = msgp.WrapError(err, "WeightsIn")
-				return
-			}
-		case "t":
-			z.Table, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Table")
-				return
-			}
-		case "r":
-			z.Revision, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "u":
-			z.Full, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Full")
-				return
-			}
-		case "i":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Instances")
-				return
-			}
-			if cap(z.Instances) >= int(zb0002) {
-				z.Instances = (z.Instances)[:zb0002]
-			} else {
-				z.Instances = make([]Instance, zb0002)
-			}
-			for za0001 := range z.Instances {
-				err = z.Instances[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Instances", za0001)
-					return
-				}
-			}
-		case "m":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0003) {
-				z.Members = (z.Members)[:zb0003]
-			} else {
-				z.Members = make([]quorum.Member, zb0003)
-			}
-			for za0002 := range z.Members {
-				err = z.Members[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0002)
-					return
-				}
-			}
-		case "n":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0004) {
-				z.Nodes = (z.Nodes)[:zb0004]
-			} else {
-				z.Nodes = make([]Node, zb0004)
-			}
-			for za0003 := range z.Nodes {
-				err = z.Nodes[za0003].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0003)
-					return
-				}
-			}
-		case "h":
-			z.NodesHash, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "NodesHash")
-				return
-			}
-		case "s":
-			z.NodesSome, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "NodesSome")
-				return
-			}
-		case "y":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Namings")
-				return
-			}
-			if cap(z.Namings) >= int(zb0005) {
-				z.Namings = (z.Namings)[:zb0005]
-			} else {
-				z.Namings = make([]Naming, zb0005)
-			}
-			for za0004 := range z.Namings {
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Namings", za0004)
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Namings", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Namings[za0004].Model, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "Model")
-							return
-						}
-					case "v":
-						z.Namings[za0004].Version, err = dc.ReadInt64()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "Version")
-							return
-						}
-					case "a":
-						z.Namings[za0004].AgeMs, err = dc.ReadFloat64()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "AgeMs")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *PollReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
-	// write "k"
-	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Knows)
-	if err != nil {
-		err = msgp.WrapError(err, "Knows")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteFloat64(z.AgeMs)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = z.Config.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	if z.Content == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Content.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Content")
-			return
-		}
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Size)
-	if err != nil {
-		err = msgp.WrapError(err, "Size")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = z.Weights.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Weights")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.WeightsIn)
-	if err != nil {
-		err = msgp.WrapError(err, "WeightsIn")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Table)
-	if err != nil {
-		err = msgp.WrapError(err, "Table")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Revision)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Full)
-	if err != nil {
-		err = msgp.WrapError(err, "Full")
-		return
-	}
-	// write "i"
-	err = en.Append(0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Instances)))
-	if err != nil {
-		err = msgp.WrapError(err, "Instances")
-		return
-	}
-	for za0001 := range z.Instances {
-		err = z.Instances[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Instances", za0001)
-			return
-		}
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	for za0002 := range z.Members {
-		err = z.Members[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0002)
-			return
-		}
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Nodes)))
-	if err != nil {
-		err = msgp.WrapError(err, "Nodes")
-		return
-	}
-	for za0003 := range z.Nodes {
-		err = z.Nodes[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0003)
-			return
-		}
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.NodesHash)
-	if err != nil {
-		err = msgp.WrapError(err, "NodesHash")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.NodesSome)
-	if err != nil {
-		err = msgp.WrapError(err, "NodesSome")
-		return
-	}
-	// write "y"
-	err = en.Append(0xa1, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Namings)))
-	if err != nil {
-		err = msgp.WrapError(err, "Namings")
-		return
-	}
-	for za0004 := range z.Namings {
-		// map header, size 3
-		// write "n"
-		err = en.Append(0x83, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Namings[za0004].Model)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "Model")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Namings[za0004].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "Version")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteFloat64(z.Namings[za0004].AgeMs)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "AgeMs")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *PollReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
-	// string "k"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6b)
-	o = msgp.AppendBool(o, z.Knows)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendFloat64(o, z.AgeMs)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o, err = z.Config.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	if z.Content == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Content.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Content")
-			return
-		}
-	}
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendInt(o, z.Size)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o, err = z.Weights.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Weights")
-		return
-	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBytes(o, z.WeightsIn)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Table)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendBool(o, z.Full)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
-	for za0001 := range z.Instances {
-		o, err = z.Instances[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Instances", za0001)
-			return
-		}
-	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0002 := range z.Members {
-		o, err = z.Members[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0002)
-			return
-		}
-	}
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
-	for za0003 := range z.Nodes {
-		o, err = z.Nodes[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Nodes", za0003)
-			return
-		}
-	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendUint64(o, z.NodesHash)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendBool(o, z.NodesSome)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Namings)))
-	for za0004 := range z.Namings {
-		// map header, size 3
-		// string "n"
-		o = append(o, 0x83, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Namings[za0004].Model)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Namings[za0004].Version)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendFloat64(o, z.Namings[za0004].AgeMs)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PollReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Knows, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Knows")
-				return
-			}
-		case "g":
-			z.AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeMs")
-				return
-			}
-		case "c":
-			bts, err = z.Config.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
-			}
-		case "d":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Content = nil
-			} else {
-				if z.Content == nil {
-					z.Content = new(delta.Content)
-				}
-				bts, err = z.Content.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Content")
-					return
-				}
-			}
-		case "z":
-			z.Size, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Size")
-				return
-			}
-		case "w":
-			bts, err = z.Weights.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Weights")
-				return
-			}
-		case "x":
-			z.WeightsIn, bts, err = msgp.ReadBytesBytes(bts, z.WeightsIn)
-			if err != nil {
-				err = msgp.WrapError(err, "WeightsIn")
-				return
-			}
-		case "t":
-			z.Table, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Table")
-				return
-			}
-		case "r":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
-		case "u":
-			z.Full, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Full")
-				return
-			}
-		case "i":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Instances")
-				return
-			}
-			if cap(z.Instances) >= int(zb0002) {
-				z.Instances = (z.Instances)[:zb0002]
-			} else {
-				z.Instances = make([]Instance, zb0002)
-			}
-			for za0001 := range z.Instances {
-				bts, err = z.Instances[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Instances", za0001)
-					return
-				}
-			}
-		case "m":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0003) {
-				z.Members = (z.Members)[:zb0003]
-			} else {
-				z.Members = make([]quorum.Member, zb0003)
-			}
-			for za0002 := range z.Members {
-				bts, err = z.Members[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0002)
-					return
-				}
-			}
-		case "n":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Nodes")
-				return
-			}
-			if cap(z.Nodes) >= int(zb0004) {
-				z.Nodes = (z.Nodes)[:zb0004]
-			} else {
-				z.Nodes = make([]Node, zb0004)
-			}
-			for za0003 := range z.Nodes {
-				bts, err = z.Nodes[za0003].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Nodes", za0003)
-					return
-				}
-			}
-		case "h":
-			z.NodesHash, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "NodesHash")
-				return
-			}
-		case "s":
-			z.NodesSome, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "NodesSome")
-				return
-			}
-		case "y":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Namings")
-				return
-			}
-			if cap(z.Namings) >= int(zb0005) {
-				z.Namings = (z.Namings)[:zb0005]
-			} else {
-				z.Namings = make([]Naming, zb0005)
-			}
-			for za0004 := range z.Namings {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Namings", za0004)
-					return
-				}
-				for zb0006 > 0 {
-					zb0006--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Namings", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Namings[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "Model")
-							return
-						}
-					case "v":
-						z.Namings[za0004].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "Version")
-							return
-						}
-					case "a":
-						z.Namings[za0004].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004, "AgeMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0004)
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PollReply) Msgsize() (s int) {
-	s = 3 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2
+	// string "d"
+	o = append(o, 0xa1, 0x64)
 	if z.Content == nil {
-		s += msgp.NilSize
+		o = msgp.AppendNil(o)
 	} else {
-		s += z.Content.Msgsize()
-	}
-	s += 2 + msgp.IntSize + 2 + z.Weights.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.WeightsIn) + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Instances {
-		s += z.Instances[za0001].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Members {
-		s += z.Members[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Nodes {
-		s += z.Nodes[za0003].Msgsize()
-	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.Namings {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Prepare) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		o, err = z.Content.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Content")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Register, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Register")
-				return
-			}
-		case "t":
-			z.Target, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Target")
-				return
-			}
-		case "b":
-			err = z.Ballot.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-		case "h":
-			err = z.Have.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Have")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Prepare) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "r"
-	err = en.Append(0x84, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Register)
-	if err != nil {
-		err = msgp.WrapError(err, "Register")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = z.Ballot.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
 	}
-	err = z.Have.EncodeMsg(en)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendInt(o, z.Size)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o, err = z.Weights.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Have")
+		err = msgp.WrapError(err, "Weights")
 		return
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "r"
-	o = append(o, 0x84, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Register)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.WeightsIn)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Target)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o, err = z.Ballot.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
-		return
+	o = msgp.AppendString(o, z.Table)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Revision)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Full)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Instances)))
+	for za0001 := range z.Instances {
+		o, err = z.Instances[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Instances", za0001)
+			return
+		}
+	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Nodes)))
+	for za0003 := range z.Nodes {
+		o, err = z.Nodes[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Nodes", za0003)
+			return
+		}
 	}
 	// string "h"
 	o = append(o, 0xa1, 0x68)
-	o, err = z.Have.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Have")
-		return
+	o = msgp.AppendUint64(o, z.NodesHash)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.NodesSome)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Namings)))
+	for za0004 := range z.Namings {
+		// map header, size 3
+		// string "n"
+		o = append(o, 0x83, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Namings[za0004].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.Namings[za0004].Version)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendFloat64(o, z.Namings[za0004].AgeMs)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Prepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PollReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5307,291 +2122,149 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Register, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Register")
-				return
-			}
-		case "t":
-			z.Target, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Target")
-				return
-			}
-		case "b":
-			bts, err = z.Ballot.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-		case "h":
-			bts, err = z.Have.UnmarshalMsg(bts)
+		case "k":
+			z.Knows, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "Knows")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		case "g":
+			z.AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Prepare) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + z.Ballot.Msgsize() + 2 + z.Have.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ServerLoad) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Server, err = dc.ReadString()
+		case "c":
+			bts, err = z.Config.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Server")
+				err = msgp.WrapError(err, "Config")
 				return
 			}
-		case "t":
-			z.Tokens, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
+		case "d":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Content = nil
+			} else {
+				if z.Content == nil {
+					z.Content = new(delta.Content)
+				}
+				bts, err = z.Content.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Content")
+					return
+				}
 			}
-		case "r":
-			z.Requests, err = dc.ReadInt()
+		case "z":
+			z.Size, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Requests")
+				err = msgp.WrapError(err, "Size")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "w":
+			bts, err = z.Weights.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Weights")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Server)
-	if err != nil {
-		err = msgp.WrapError(err, "Server")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Tokens)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Requests)
-	if err != nil {
-		err = msgp.WrapError(err, "Requests")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Server)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt(o, z.Tokens)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.Requests)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ServerLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "s":
-			z.Server, bts, err = msgp.ReadStringBytes(bts)
+		case "x":
+			z.WeightsIn, bts, err = msgp.ReadBytesBytes(bts, z.WeightsIn)
 			if err != nil {
-				err = msgp.WrapError(err, "Server")
+				err = msgp.WrapError(err, "WeightsIn")
 				return
 			}
 		case "t":
-			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			z.Table, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
+				err = msgp.WrapError(err, "Table")
 				return
 			}
 		case "r":
-			z.Requests, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Requests")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Revision")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ServerLoad) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Sync) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			err = z.From.DecodeMsg(dc)
+		case "u":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Full")
 				return
 			}
-		case "r":
+		case "i":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reads")
+				err = msgp.WrapError(err, "Instances")
 				return
 			}
-			if cap(z.Reads) >= int(zb0002) {
-				z.Reads = (z.Reads)[:zb0002]
+			if cap(z.Instances) >= int(zb0002) {
+				z.Instances = (z.Instances)[:zb0002]
 			} else {
-				z.Reads = make([]Prepare, zb0002)
+				z.Instances = make([]Instance, zb0002)
 			}
-			for za0001 := range z.Reads {
-				err = z.Reads[za0001].DecodeMsg(dc)
+			for za0001 := range z.Instances {
+				bts, err = z.Instances[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Reads", za0001)
+					err = msgp.WrapError(err, "Instances", za0001)
 					return
 				}
 			}
-		case "d":
-			z.Digest, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "h":
+		case "m":
 			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Heard")
+				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Heard) >= int(zb0003) {
-				z.Heard = (z.Heard)[:zb0003]
+			if cap(z.Members) >= int(zb0003) {
+				z.Members = (z.Members)[:zb0003]
 			} else {
-				z.Heard = make([]string, zb0003)
+				z.Members = make([]quorum.Member, zb0003)
 			}
-			for za0002 := range z.Heard {
-				z.Heard[za0002], err = dc.ReadString()
+			for za0002 := range z.Members {
+				bts, err = z.Members[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Heard", za0002)
+					err = msgp.WrapError(err, "Members", za0002)
 					return
 				}
 			}
-		case "s":
+		case "n":
 			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sessions")
+				err = msgp.WrapError(err, "Nodes")
 				return
 			}
-			if cap(z.Sessions) >= int(zb0004) {
-				z.Sessions = (z.Sessions)[:zb0004]
+			if cap(z.Nodes) >= int(zb0004) {
+				z.Nodes = (z.Nodes)[:zb0004]
 			} else {
-				z.Sessions = make([]Node, zb0004)
+				z.Nodes = make([]Node, zb0004)
 			}
-			for za0003 := range z.Sessions {
-				err = z.Sessions[za0003].DecodeMsg(dc)
+			for za0003 := range z.Nodes {
+				bts, err = z.Nodes[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Sessions", za0003)
+					err = msgp.WrapError(err, "Nodes", za0003)
 					return
 				}
 			}
-		case "n":
+		case "h":
+			z.NodesHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesHash")
+				return
+			}
+		case "s":
+			z.NodesSome, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NodesSome")
+				return
+			}
+		case "y":
 			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Namings")
 				return
@@ -5603,39 +2276,39 @@
 			}
 			for za0004 := range z.Namings {
 				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Namings", za0004)
 					return
 				}
 				for zb0006 > 0 {
 					zb0006--
-					field, err = dc.ReadMapKeyPtr()
+					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Namings", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "n":
-						z.Namings[za0004].Model, err = dc.ReadString()
+						z.Namings[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Namings", za0004, "Model")
 							return
 						}
 					case "v":
-						z.Namings[za0004].Version, err = dc.ReadInt64()
+						z.Namings[za0004].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Namings", za0004, "Version")
 							return
 						}
 					case "a":
-						z.Namings[za0004].AgeMs, err = dc.ReadFloat64()
+						z.Namings[za0004].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Namings", za0004, "AgeMs")
 							return
 						}
 					default:
-						err = dc.Skip()
+						bts, err = msgp.Skip(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Namings", za0004)
 							return
@@ -5644,133 +2317,198 @@
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Sync) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "f"
-	err = en.Append(0x86, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PollReply) Msgsize() (s int) {
+	s = 3 + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + z.Config.Msgsize() + 2
+	if z.Content == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Content.Msgsize()
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
+	s += 2 + msgp.IntSize + 2 + z.Weights.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.WeightsIn) + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Instances {
+		s += z.Instances[za0001].Msgsize()
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Reads)))
-	if err != nil {
-		err = msgp.WrapError(err, "Reads")
-		return
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
 	}
-	for za0001 := range z.Reads {
-		err = z.Reads[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Reads", za0001)
-			return
-		}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Nodes {
+		s += z.Nodes[za0003].Msgsize()
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
+	s += 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Namings {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
 	}
-	err = en.WriteUint64(z.Digest)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "r"
+	o = append(o, 0x84, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Register)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o, err = z.Ballot.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Digest")
+		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o, err = z.Have.MarshalMsg(o)
 	if err != nil {
+		err = msgp.WrapError(err, "Have")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Heard)))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Prepare) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Heard")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0002 := range z.Heard {
-		err = en.WriteString(z.Heard[za0002])
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Heard", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Sessions)))
-	if err != nil {
-		err = msgp.WrapError(err, "Sessions")
-		return
-	}
-	for za0003 := range z.Sessions {
-		err = z.Sessions[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003)
-			return
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Register, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Register")
+				return
+			}
+		case "t":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "b":
+			bts, err = z.Ballot.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+		case "h":
+			bts, err = z.Have.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Namings)))
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Prepare) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Register) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + z.Ballot.Msgsize() + 2 + z.Have.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "s"
+	o = append(o, 0x83, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Server)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Tokens)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt(o, z.Requests)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Namings")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0004 := range z.Namings {
-		// map header, size 3
-		// write "n"
-		err = en.Append(0x83, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Namings[za0004].Model)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "Model")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Namings[za0004].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "Version")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
+			err = msgp.WrapError(err)
 			return
 		}
-		err = en.WriteFloat64(z.Namings[za0004].AgeMs)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0004, "AgeMs")
-			return
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Server, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Server")
+				return
+			}
+		case "t":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "r":
+			z.Requests, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Requests")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
 		}
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ServerLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
@@ -6006,206 +2744,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *SyncReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			err = z.From.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Reads")
-				return
-			}
-			if cap(z.Reads) >= int(zb0002) {
-				z.Reads = (z.Reads)[:zb0002]
-			} else {
-				z.Reads = make([]AcceptorReply, zb0002)
-			}
-			for za0001 := range z.Reads {
-				err = z.Reads[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Reads", za0001)
-					return
-				}
-			}
-		case "d":
-			z.Digest, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "n":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Namings")
-				return
-			}
-			if cap(z.Namings) >= int(zb0003) {
-				z.Namings = (z.Namings)[:zb0003]
-			} else {
-				z.Namings = make([]Naming, zb0003)
-			}
-			for za0002 := range z.Namings {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Namings", za0002)
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Namings", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Namings[za0002].Model, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "Model")
-							return
-						}
-					case "v":
-						z.Namings[za0002].Version, err = dc.ReadInt64()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "Version")
-							return
-						}
-					case "a":
-						z.Namings[za0002].AgeMs, err = dc.ReadFloat64()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "AgeMs")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *SyncReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "f"
-	err = en.Append(0x84, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Reads)))
-	if err != nil {
-		err = msgp.WrapError(err, "Reads")
-		return
-	}
-	for za0001 := range z.Reads {
-		err = z.Reads[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Reads", za0001)
-			return
-		}
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Namings)))
-	if err != nil {
-		err = msgp.WrapError(err, "Namings")
-		return
-	}
-	for za0002 := range z.Namings {
-		// map header, size 3
-		// write "n"
-		err = en.Append(0x83, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Namings[za0002].Model)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0002, "Model")
-			return
-		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Namings[za0002].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0002, "Version")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteFloat64(z.Namings[za0002].AgeMs)
-		if err != nil {
-			err = msgp.WrapError(err, "Namings", za0002, "AgeMs")
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *SyncReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6323,157 +2861,55 @@
 						err = msgp.WrapError(err, "Namings", za0002)
 						return
 					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Namings[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "Model")
-							return
-						}
-					case "v":
-						z.Namings[za0002].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "Version")
-							return
-						}
-					case "a":
-						z.Namings[za0002].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002, "AgeMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Namings", za0002)
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SyncReply) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Reads {
-		s += z.Reads[za0001].Msgsize()
-	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Namings {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0002].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Vote) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "t":
-			z.Target, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Target")
-				return
-			}
-		case "b":
-			err = z.Ballot.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-		case "v":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Value")
-					return
-				}
-				z.Value = nil
-			} else {
-				if z.Value == nil {
-					z.Value = new(quorum.Value)
-				}
-				err = z.Value.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Value")
-					return
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Namings[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Namings", za0002, "Model")
+							return
+						}
+					case "v":
+						z.Namings[za0002].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Namings", za0002, "Version")
+							return
+						}
+					case "a":
+						z.Namings[za0002].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Namings", za0002, "AgeMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Namings", za0002)
+							return
+						}
+					}
 				}
 			}
 		default:
-			err = dc.Skip()
+			bts, err = msgp.Skip(bts)
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
+	o = bts
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Vote) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "t"
-	err = en.Append(0x83, 0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = z.Ballot.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot")
-		return
-	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SyncReply) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Reads {
+		s += z.Reads[za0001].Msgsize()
 	}
-	if z.Value == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		err = z.Value.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Value")
-			return
-		}
+	s += 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Namings {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0002].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
 	}
 	return
 }
@@ -6576,109 +3012,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Who) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			err = z.From.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "m":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]quorum.Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				err = z.Members[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
-		case "a":
-			z.Applies, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Applies")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Who) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "f"
-	err = en.Append(0x83, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = z.From.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Applies)
-	if err != nil {
-		err = msgp.WrapError(err, "Applies")
-		return
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Who) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6777,149 +3110,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *WhoReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "m":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Members")
-				return
-			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
-			} else {
-				z.Members = make([]quorum.Member, zb0002)
-			}
-			for za0001 := range z.Members {
-				err = z.Members[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
-					return
-				}
-			}
-		case "f":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "First")
-				return
-			}
-			if cap(z.First) >= int(zb0003) {
-				z.First = (z.First)[:zb0003]
-			} else {
-				z.First = make([]quorum.Member, zb0003)
-			}
-			for za0002 := range z.First {
-				err = z.First[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "First", za0002)
-					return
-				}
-			}
-		case "n":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Fresh")
-				return
-			}
-			if cap(z.Fresh) >= int(zb0004) {
-				z.Fresh = (z.Fresh)[:zb0004]
-			} else {
-				z.Fresh = make([]Node, zb0004)
-			}
-			for za0003 := range z.Fresh {
-				err = z.Fresh[za0003].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Fresh", za0003)
-					return
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *WhoReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "m"
-	err = en.Append(0x83, 0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	for za0001 := range z.Members {
-		err = z.Members[za0001].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.First)))
-	if err != nil {
-		err = msgp.WrapError(err, "First")
-		return
-	}
-	for za0002 := range z.First {
-		err = z.First[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "First", za0002)
-			return
-		}
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Fresh)))
-	if err != nil {
-		err = msgp.WrapError(err, "Fresh")
-		return
-	}
-	for za0003 := range z.Fresh {
-		err = z.Fresh[za0003].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Fresh", za0003)
-			return
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *WhoReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
