Counters of placements by reason and of shared tokens by where servers have them from

Cause: where the shared parts of prompts come from could be read off debug lines only, and these did not tell what the server kept itself. Change: moleshift_placements_total{reason}, moleshift_shared_prompt_tokens_total{from=kept, fetched, read} and moleshift_prompt_saves_total beside the counts of requests; the line of a request that is sent also has the prompt, its salt, its shared tokens and those kept there. No decision differs.

--- a/dataplane/placement/placement.go
+++ b/dataplane/placement/placement.go
@@ -67,6 +67,15 @@
 	Save    string  // address of the store that is to keep the parts
 	Size    float64 // work that the request still brings to the server, in tokens
 	Reason  Reason
+	Prompt  Prompt // what the server is known to keep of the prompt
+}
+
+// Prompt tells what a server is known to keep of a request's prompt when the request is placed there. What it neither keeps nor
+// fetches (Placement.Moves) it reads.
+type Prompt struct {
+	Shared float64 // tokens of the parts that other requests may use too
+	Kept   float64 // of these, what the server keeps itself
+	Last   string  // ID of the last shared part, by which the prompt is told from others
 }
 
 // Reason tells why a server was chosen.
@@ -79,6 +88,9 @@
 	ReasonHome Reason = "home of the prompt" // nobody is known to keep them: the server is where all routers look for them
 )
 
+// Reasons lists all reasons, in a fixed order.
+func Reasons() []Reason { return []Reason{ReasonLoad, ReasonKept, ReasonHome} }
+
 // Placer keeps what the decisions depend on.
 type Placer struct {
 	set     Settings
--- a/dataplane/placement/target.go
+++ b/dataplane/placement/target.go
@@ -32,7 +32,7 @@
 	targets := targetsOf(q)
 	candidates := p.candidates(now, q, targets, longest)
 	homes := p.homes(q, targets, longest)
-	_, shared := q.Work.shared()
+	parts, shared := q.Work.shared()
 	for _, home := range homes {
 		candidates[home].Size = q.Work.size(shared)
 	}
@@ -47,6 +47,10 @@
 		return to
 	}
 	own := p.index.Prefix(server.ID, server.Salt, q.Work.Parts)
+	to.Prompt = Prompt{Shared: shared, Kept: min(own, shared)}
+	if len(parts) > 0 {
+		to.Prompt.Last = parts[len(parts)-1].ID
+	}
 	if home, ok := homes[server.Salt]; ok && home == chosen {
 		to.Reason = ReasonHome
 	} else if shared > 0 && own >= shared {
--- a/dataplane/proxy/metrics.go
+++ b/dataplane/proxy/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"moleshift/dataplane/placement"
 	"moleshift/fault"
 )
 
@@ -20,6 +21,44 @@
 	return &outcomeCounts{kinds: make([]atomic.Uint64, len(fault.Kinds()))}
 }
 
+// placementCounts counts where requests were placed, and the shared tokens of their prompts by where the server had them from.
+type placementCounts struct {
+	reasons             map[placement.Reason]*atomic.Uint64
+	kept, fetched, read atomic.Uint64 // tokens
+	saves               atomic.Uint64
+}
+
+func newPlacementCounts() *placementCounts {
+	counts := &placementCounts{reasons: map[placement.Reason]*atomic.Uint64{}}
+	for _, reason := range placement.Reasons() {
+		counts.reasons[reason] = &atomic.Uint64{}
+	}
+	return counts
+}
+
+func (c *placementCounts) note(to *placement.Placement) {
+	if count := c.reasons[to.Reason]; count != nil {
+		count.Add(1)
+	}
+	fetched := min(to.Moves, to.Prompt.Shared-to.Prompt.Kept)
+	c.kept.Add(uint64(to.Prompt.Kept))
+	c.fetched.Add(uint64(fetched))
+	c.read.Add(uint64(to.Prompt.Shared - to.Prompt.Kept - fetched))
+	if to.Save != "" {
+		c.saves.Add(1)
+	}
+}
+
+func (c *placementCounts) write(w io.Writer) {
+	for _, reason := range placement.Reasons() {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_placements_total{reason=%q}", reason), c.reasons[reason].Load())
+	}
+	metrics.WriteCounterUint64(w, `moleshift_shared_prompt_tokens_total{from="kept"}`, c.kept.Load())
+	metrics.WriteCounterUint64(w, `moleshift_shared_prompt_tokens_total{from="fetched"}`, c.fetched.Load())
+	metrics.WriteCounterUint64(w, `moleshift_shared_prompt_tokens_total{from="read"}`, c.read.Load())
+	metrics.WriteCounterUint64(w, "moleshift_prompt_saves_total", c.saves.Load())
+}
+
 // WriteMetrics writes this router's counts of requests as text, in the form of Prometheus.
 func (p *Proxy) WriteMetrics(w io.Writer) {
 	for i, kind := range fault.Kinds() {
@@ -30,4 +69,5 @@
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_requests_total{outcome=%q,status=\"%d\"}", name, kind.Answer().Status), p.outcomes.kinds[i].Load())
 	}
 	metrics.WriteCounterUint64(w, `moleshift_requests_total{outcome="cut"}`, p.outcomes.cut.Load())
+	p.placed.write(w)
 }
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -42,6 +42,7 @@
 	waits    map[string]*longestWait // by service
 
 	outcomes *outcomeCounts
+	placed   *placementCounts
 }
 
 // New makes the proxy of the node with the given ID.
@@ -51,6 +52,7 @@
 		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
 		services: map[string][]*target{}, retries: map[string]*admission.Retries{}, waits: map[string]*longestWait{},
 		placer: placement.New(place, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), outcomes: newOutcomeCounts(),
+		placed: newPlacementCounts(),
 	}
 }
 
@@ -238,6 +240,7 @@
 	defer p.mu.Unlock()
 	t := to.target
 	to.sentAt = p.now()
+	p.placed.note(&to.Placement)
 	p.placer.Sent(&to.Placement)
 	t.state.Sent(p.now())
 }
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -23,8 +23,9 @@
 func (p *Proxy) logSent(r *request, to *routed) {
 	if event := p.step(r); event != nil {
 		event.Str("instance", to.target.id).Int64("weights", to.Version).Int64("named", p.follow().Namings.Newest(r.model)).
-			Str("after-event", r.lastID).Str("reason", string(to.Reason)).Str("source", to.Source).Float64("fetched-tokens", to.Moves).
-			Float64("work-tokens", to.Size).Bool("saved", to.Save != "").Msg("request sent")
+			Str("after-event", r.lastID).Str("reason", string(to.Reason)).Str("source", to.Source).Str("salt", to.Salt).
+			Str("prompt", to.Prompt.Last).Float64("shared-tokens", to.Prompt.Shared).Float64("kept-tokens", to.Prompt.Kept).
+			Float64("fetched-tokens", to.Moves).Float64("work-tokens", to.Size).Bool("saved", to.Save != "").Msg("request sent")
 	}
 }
 
