--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -18,8 +18,18 @@
 	Once      Kind = "once"      // whole answer, may run once
 	Resumable Kind = "resumable" // a stream that may be taken over
 	Single    Kind = "single"    // a stream that may run once
+	Again     Kind = "again"     // whole answer, may run more than once
 )
 
+// Kinds lists all kinds of requests.
+func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again} }
+
+// IsStream tells whether the answer is a series of events.
+func (k Kind) IsStream() bool { return k == Resumable || k == Single }
+
+// MayRepeat tells whether such a request may run more than once.
+func (k Kind) MayRepeat() bool { return k == Resumable || k == Again }
+
 // Request is one request of a client.
 type Request struct {
 	ID       string
@@ -41,6 +51,22 @@
 	Version int64 // of the weights on which it began; 0: the service has none
 	Began   time.Duration
 	Ended   time.Duration
+	Broken  bool // the server broke off: it closed the connection before its answer was complete
+}
+
+// Change is a version of the configuration that was acknowledged.
+type Change struct {
+	Version int64
+	Acked   time.Duration
+}
+
+// Read is an answer to a read of the configuration.
+type Read struct {
+	Node    int
+	Sent    time.Duration
+	Status  int   // 0: none came
+	Version int64 // of the configuration that came
+	Final   bool  // asked after all strikes, as at the end of a day
 }
 
 // Naming is a version of the weights whose naming was acknowledged.
@@ -75,7 +101,8 @@
 	Runs     []Execution
 	Namings  []Naming
 	Strikes  []Strike
-	Changes  int // of the configuration, acknowledged
+	Changes  []Change
+	Reads    []Read
 }
 
 // Now is the time since the run began.
@@ -87,18 +114,33 @@
 	h.Requests = append(h.Requests, r)
 }
 
-// begin records that a server began work; the function that comes back records the end.
-func (h *History) begin(r Execution) (end func()) {
+// execution is a run under way.
+type execution struct {
+	history *History
+	index   int
+}
+
+// begin records that a server began work.
+func (h *History) begin(r Execution) *execution {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	i := len(h.Runs)
 	h.Runs = append(h.Runs, r)
-	return func() {
-		now := h.Now()
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.Runs[i].Ended = now
-	}
+	return &execution{h, len(h.Runs) - 1}
+}
+
+// end records that the server works on it no more.
+func (e *execution) end() {
+	now := e.history.Now()
+	e.history.mu.Lock()
+	defer e.history.mu.Unlock()
+	e.history.Runs[e.index].Ended = now
+}
+
+// breakOff records that the server broke off.
+func (e *execution) breakOff() {
+	e.history.mu.Lock()
+	defer e.history.mu.Unlock()
+	e.history.Runs[e.index].Broken = true
 }
 
 func (h *History) addNaming(n Naming) {
@@ -107,10 +149,16 @@
 	h.Namings = append(h.Namings, n)
 }
 
-func (h *History) addChange() {
+func (h *History) addChange(c Change) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Changes = append(h.Changes, c)
+}
+
+func (h *History) addRead(r Read) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Changes++
+	h.Reads = append(h.Reads, r)
 }
 
 // strike records a strike; the function that comes back records its end.
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -43,14 +43,15 @@
 	ordered  int64 // the version that is being loaded; 0: none
 	sequence int64
 	fence    int64
+	faults   serverFaults
 }
 
-func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet) (*modelServer, error) {
+func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet, faults serverFaults) (*modelServer, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l}
+	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l, faults: faults}
 	if service == modelService {
 		s.version = 1
 	}
@@ -118,6 +119,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.faults.isDeaf(s.history.Now()) {
+		panic(http.ErrAbortHandler) // no answer, and nothing was taken
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -197,18 +201,39 @@
 		return
 	}
 	defer s.leave()
-	defer s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now()})()
+	run := s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now()})
+	defer run.end()
+	broken := s.faults.drawBreak()
+	if broken == beforeAnswer {
+		run.breakOff()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Moleshift-Response-Stamp", s.id)
 	if s.service == batchService {
 		pause(ctx, batchWork)
-		fmt.Fprintf(w, "answer to %s", id)
+		answer := "answer to " + id
+		if broken == withinAnswer {
+			run.breakOff()
+			w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+			writeNow(w, answer[:len(answer)/2])
+			panic(http.ErrAbortHandler)
+		}
+		writeNow(w, answer)
 		return
 	}
-	s.streamEvents(ctx, w, r, id, version)
+	s.streamEvents(ctx, w, r, id, version, run, broken)
+}
+
+// writeNow sends what is written at once.
+func writeNow(w http.ResponseWriter, text string) {
+	_, _ = io.WriteString(w, text) // a caller that has left is noticed by the context
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
 }
 
 // streamEvents sends the events of a request from the one behind Last-Event-Id on.
-func (s *modelServer) streamEvents(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64) {
+func (s *modelServer) streamEvents(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, broken breakPoint) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -217,10 +242,12 @@
 		if n > last+1 && !pause(ctx, eventEvery) {
 			panic(http.ErrAbortHandler) // the connection is cut, so that the answer does not look complete
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id)
-		if flusher, ok := w.(http.Flusher); ok {
-			flusher.Flush()
+		if broken == withinAnswer && n > (last+events)/2 {
+			run.breakOff()
+			writeNow(w, fmt.Sprintf("id: %d\nda", n)) // in the middle of an event
+			panic(http.ErrAbortHandler)
 		}
+		writeNow(w, fmt.Sprintf("id: %d\ndata: %s\n\n", n, id))
 	}
 }
 
