--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,20 +57,23 @@
 // Where the deployment fails closed, the configuration serves keyed routes until a second before revoke-ms after the moment at which
 // it is known to have been in force: the poll's beginning, less the age that the controller tells.
 func TestLeaseOnTheConfiguration(t *testing.T) {
-	f := newFollower(true)
-	asked := time.Now()
-	f.take(asked, reply(5, config(t, 3), 100))
-	must.True(t, f.Fresh())
-	f.start = f.start.Add(-3500 * time.Millisecond) // as if that time had gone by
-	must.True(t, f.Fresh())
-	f.start = f.start.Add(-500 * time.Millisecond)
-	must.False(t, f.Fresh(), must.Sprint("4.1 s of 5 s"))
-	f.take(time.Now(), reply(6, nil, 0))
-	must.False(t, f.Fresh(), must.Sprint("a newer configuration is in force, and it was not delivered"))
-	f.take(time.Now(), reply(5, nil, 0))
-	must.True(t, f.Fresh())
-	f.take(asked, reply(5, nil, 0))
-	must.True(t, f.Fresh(), must.Sprint("an answer to an earlier poll takes nothing back"))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower(true)
+		time.Sleep(time.Second) // what was in force before the start counts from the start
+		asked := time.Now()
+		f.take(asked, reply(5, config(t, 3), 100))
+		must.True(t, f.Fresh())
+		time.Sleep(3899 * time.Millisecond)
+		must.True(t, f.Fresh(), must.Sprint("3.999 s of 5 s"))
+		time.Sleep(time.Millisecond)
+		must.False(t, f.Fresh(), must.Sprint("4 s of 5 s"))
+		f.take(time.Now(), reply(6, nil, 0))
+		must.False(t, f.Fresh(), must.Sprint("a newer configuration is in force, and it was not delivered"))
+		f.take(time.Now(), reply(5, nil, 0))
+		must.True(t, f.Fresh())
+		f.take(asked, reply(5, nil, 0))
+		must.True(t, f.Fresh(), must.Sprint("an answer to an earlier poll takes nothing back"))
+	})
 }
 
 func instances(revision uint64, full bool, list ...peer.Instance) *peer.PollReply {
