The soak gives and takes keys, and judges requests that run on one that was taken away

Every eighth change gives the tenant a key and takes its oldest; clients use the three newest ones given, good or not; nodes fail closed with revoke-ms 3000. Rules KEY (it runs later than that after the acknowledgement) and DENIED (401 for a key that all configurations of the moment hold), with six planted histories.

--- a/cmd/molelab/system.go
+++ b/cmd/molelab/system.go
@@ -151,8 +151,8 @@
 	for _, status := range slices.Sorted(maps.Keys(outcomes)) {
 		fmt.Printf("%d: %d, ", status, outcomes[status])
 	}
-	fmt.Printf("not whole %d), %d judged for loss, %d for versions, %d runs, %d broken off, %d changes, %d reads, %d namings, strikes %v; %.2f of the bound on versions used; broken: %d\n",
-		cut, result.Judged.Lost, result.Judged.Version, len(h.Runs), brokenOff(h), len(h.Changes), len(h.Reads), len(h.Namings), strikes, result.Margin, len(result.Violations))
+	fmt.Printf("not whole %d), %d judged for loss, %d for versions, %d runs, %d broken off, %d changes, %d reads, %d keys, %d namings, strikes %v; %.2f of the bound on versions used; broken: %d\n",
+		cut, result.Judged.Lost, result.Judged.Version, len(h.Runs), brokenOff(h), len(h.Changes), len(h.Reads), len(h.Keys), len(h.Namings), strikes, result.Margin, len(result.Violations))
 	rules := map[string]int{}
 	for _, v := range result.Violations {
 		if rules[v.Rule]++; rules[v.Rule] <= mostStories {
--- a/lab/nodes/nodes.go
+++ b/lab/nodes/nodes.go
@@ -49,6 +49,8 @@
 // Bounds are figures of the rules that nodes are told; those that are 0 are left to the nodes' defaults.
 type Bounds struct {
 	Contact, Grace, Version, Lease, Apply time.Duration
+
+	Revoke time.Duration // not 0: nodes also fail closed
 }
 
 // Fleet is some nodes. Its methods may be called by several goroutines, for one node by one at a time.
@@ -160,6 +162,10 @@
 	add("version-ms", b.Version.Milliseconds())
 	add("lease-ms", b.Lease.Milliseconds())
 	add("config-apply-ms", b.Apply.Milliseconds())
+	add("revoke-ms", b.Revoke.Milliseconds())
+	if b.Revoke > 0 {
+		items = append(items, "fail-closed: true")
+	}
 	return strings.Join(items, ", ")
 }
 
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -78,6 +78,9 @@
 	c.sent++
 	r := Request{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Node: at}
 	r.Kind = Kinds()[c.random.IntN(len(Kinds()))]
+	if r.Kind == Keyed {
+		r.Key = c.history.someKey(c.random)
+	}
 	events := 1 + c.random.IntN(mostEvents)
 	r.Deadline = c.history.Now() + requestDeadline
 	if !c.write(ctx, conn, &r, events) {
@@ -105,6 +108,9 @@
 	if r.Kind.IsStream() {
 		head += "Moleshift-Model-Id: " + modelName + "\r\nMoleshift-Token-Count: 100,20\r\nMoleshift-Prompt-Prefix: ab:60,cd:40\r\n"
 	}
+	if r.Key != "" {
+		head += "Authorization: Token " + r.Key + "\r\n"
+	}
 	text := head + "\r\n" + body
 	if c.random.Float64() < slowBodyShare {
 		cut := len(text) - 1 - c.random.IntN(len(body)+20)
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -6,10 +6,15 @@
 package soak
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
+// newestKeys is how many of the keys clients use: one that is good, or two, and those that went before.
+const newestKeys = 3
+
 // Kind is a kind of requests.
 type Kind string
 
@@ -19,10 +24,11 @@
 	Resumable Kind = "resumable" // a stream that may be taken over
 	Single    Kind = "single"    // a stream that may run once
 	Again     Kind = "again"     // whole answer, may run more than once
+	Keyed     Kind = "keyed"     // whole answer, may run once, on a route that wants a key
 )
 
 // Kinds lists all kinds of requests.
-func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again} }
+func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again, Keyed} }
 
 // IsStream tells whether the answer is a series of events.
 func (k Kind) IsStream() bool { return k == Resumable || k == Single }
@@ -34,6 +40,7 @@
 type Request struct {
 	ID       string
 	Kind     Kind
+	Key      string // that it carries; empty: none
 	Node     int
 	Sent     time.Duration // when its last byte was written
 	Deadline time.Duration // counted from its first byte
@@ -60,6 +67,17 @@
 	Acked   time.Duration
 }
 
+// Key is a key of a tenant and when the operator gave and took it. What has not happened yet is at never.
+type Key struct {
+	Name      string
+	Given     time.Duration // acknowledged
+	TakenSent time.Duration // the change that takes it away was sent first
+	Taken     time.Duration // acknowledged
+}
+
+// never is later than any run.
+const never = time.Hour
+
 // Read is an answer to a read of the configuration.
 type Read struct {
 	Node    int
@@ -103,6 +121,7 @@
 	Strikes  []Strike
 	Changes  []Change
 	Reads    []Read
+	Keys     []Key
 }
 
 // Now is the time since the run began.
@@ -155,6 +174,37 @@
 	h.Changes = append(h.Changes, c)
 }
 
+// giveKey records that the operator's tenant has a key from now on.
+func (h *History) giveKey(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Keys = append(h.Keys, Key{Name: name, Given: h.Now(), TakenSent: never, Taken: never})
+}
+
+// takeKey records that a key is being taken away; the function that comes back records the acknowledgement.
+func (h *History) takeKey(name string) (acknowledged func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := slices.IndexFunc(h.Keys, func(k Key) bool { return k.Name == name })
+	h.Keys[i].TakenSent = h.Now()
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.Keys[i].Taken = h.Now()
+	}
+}
+
+// someKey draws one of the newest keys, some of which have been taken away; empty: there is none yet.
+func (h *History) someKey(random *rand.Rand) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.Keys) == 0 {
+		return ""
+	}
+	newest := h.Keys[max(0, len(h.Keys)-newestKeys):]
+	return newest[random.IntN(len(newest))].Name
+}
+
 func (h *History) addRead(r Read) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -166,7 +216,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	i := len(h.Strikes)
-	s.Until = time.Hour
+	s.Until = never
 	h.Strikes = append(h.Strikes, s)
 	return func(until time.Duration) {
 		h.mu.Lock()
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -12,6 +12,7 @@
 	Version   time.Duration // no run begins later than this on weights older than those whose naming was acknowledged
 	Grace     time.Duration // from SIGTERM to the end of a process
 	Contact   time.Duration // without a strike for so long, a node is in touch
+	Revoke    time.Duration // a request sent later than this after its key was taken away does not run
 	Apply     time.Duration // a read sent later than this after an acknowledgement gives nothing older
 	LossSlack time.Duration // a request that crosses the end of its connection by less may not have been read
 }
@@ -59,6 +60,7 @@
 		j.judgeAnswer(r)
 		j.judgeRuns(r)
 		j.judgeVersion(r)
+		j.judgeKey(r)
 	}
 	j.judgeReads()
 	return j.found, j.judged
@@ -147,6 +149,21 @@
 	}
 }
 
+// judgeKey looks at requests that run though their key was taken away, at any node, and at those that are refused though theirs is good.
+func (j *judge) judgeKey(r *Request) {
+	i := slices.IndexFunc(j.Keys, func(k Key) bool { return r.Key != "" && k.Name == r.Key })
+	if i < 0 {
+		return
+	}
+	key, first := j.Keys[i], r.Deadline-requestDeadline
+	switch {
+	case len(j.runs[r.ID]) > 0 && first > key.Taken+j.bounds.Revoke:
+		j.add(r, "KEY", "it ran, sent %v after %s was taken away", (first - key.Taken).Round(time.Millisecond), key.Name)
+	case r.Status == 401 && first > key.Given+j.bounds.Apply && r.Ended < key.TakenSent && !j.outOfTouch(r):
+		j.add(r, "DENIED", "its key %s was good", key.Name)
+	}
+}
+
 // judgeReads looks at whether what was acknowledged is shown, by every node and at any time, and is there in the end.
 func (j *judge) judgeReads() {
 	asked, answered := false, false
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-var testBounds = Bounds{Version: 4 * time.Second, Grace: 6 * time.Second, Contact: 2 * time.Second, Apply: 2 * time.Second, LossSlack: 200 * time.Millisecond}
+var testBounds = Bounds{Version: 4 * time.Second, Grace: 6 * time.Second, Contact: 2 * time.Second, Apply: 2 * time.Second, Revoke: 3 * time.Second, LossSlack: 200 * time.Millisecond}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -30,6 +30,13 @@
 	left.Left = true
 	broken := run(1, 2, 1)
 	broken.Broken = true
+	keyed := func(first float64, status int) Request {
+		r := request(Keyed, first, first+0.5, status, true)
+		r.Key, r.Deadline = "k", seconds(first)+requestDeadline
+		return r
+	}
+	keys := []Key{{Name: "k", Given: seconds(1), TakenSent: seconds(9.9), Taken: seconds(10)}}
+	ran := func(at float64) []Execution { return []Execution{run(at, at+0.4, 0)} }
 	changes := []Change{{1, seconds(1)}, {2, seconds(5)}}
 	for name, row := range map[string]struct {
 		history *History
@@ -49,6 +56,12 @@
 		"not answered as its server broke off":       {&History{Requests: []Request{request(Single, 1, 2, 0, false)}, Runs: []Execution{broken}}, "LOST"},
 		"sent again after its server broke off":      {&History{Requests: []Request{request(Again, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, ""},
 		"may run once, sent again after a break":     {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, "TWICE"},
+		"a good key":                                 {&History{Requests: []Request{keyed(5, 200)}, Runs: ran(5), Keys: keys}, ""},
+		"its key has just gone":                      {&History{Requests: []Request{keyed(12.9, 200)}, Runs: ran(13), Keys: keys}, ""},
+		"its key went long ago":                      {&History{Requests: []Request{keyed(13.1, 200)}, Runs: ran(13.2), Keys: keys}, "KEY"},
+		"refused as its key has gone":                {&History{Requests: []Request{keyed(14, 401)}, Keys: keys}, ""},
+		"refused as its key has just come":           {&History{Requests: []Request{keyed(2.9, 401)}, Keys: keys}, ""},
+		"refused though its key is good":             {&History{Requests: []Request{keyed(5, 401)}, Keys: keys}, "DENIED"},
 		"the newest is read":                         {&History{Changes: changes, Reads: []Read{{Sent: seconds(8), Status: 200, Version: 2}}}, ""},
 		"an older one is read in time":               {&History{Changes: changes, Reads: []Read{{Sent: seconds(6.9), Status: 200, Version: 1}}}, ""},
 		"an older one is read too late":              {&History{Changes: changes, Reads: []Read{{Sent: seconds(7.1), Status: 200, Version: 1}}}, "CONFIG"},
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -14,6 +14,9 @@
 	"moleshift/lab/nodes"
 )
 
+// changesAKey is after how many changes of the configuration the keys change.
+const changesAKey = 8
+
 // call sends a call with a JSON body; status 0: no answer.
 func call(ctx context.Context, client *http.Client, method, url string, body any, headers ...string) (status int, text string) {
 	encoded, err := json.Marshal(body)
@@ -44,6 +47,8 @@
 	random  *rand.Rand
 	version int64 // of the configuration in force
 	weights int64
+	keys    []string // of the tenant, oldest first
+	given   int      // keys so far
 }
 
 func newOperator(f *nodes.Fleet, h *History, random *rand.Rand) *operator {
@@ -67,10 +72,15 @@
 func route(name, kind, service string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
 		"name": name, "host": "h", "path-prefix": "/" + name + "/", "route-type": kind, "timeout-ms": 8000, "target-latency-ms": 300,
-		"service": service, "max-attempts": attempts, "resumable": resumable, "gap_aim_ms": 250,
+		"service": service, "max-attempts": attempts, "resumable": resumable, "gap_aim_ms": 250, "public": name != string(Keyed),
 	}
 }
 
+// tenantOf describes the tenant that has the given keys.
+func tenantOf(keys []string) map[string]any {
+	return map[string]any{"name": "t0", "api-keys": keys, "priority": 0, "isolated": false}
+}
+
 // configure sends the first configuration.
 func (o *operator) configure(ctx context.Context, slots int) error {
 	body := map[string]any{
@@ -78,7 +88,9 @@
 		"routes": []any{
 			route(string(Once), "non_idempotent", batchService, 1, false), route(string(Single), "streaming", modelService, 1, false),
 			route(string(Resumable), "streaming", modelService, 2, true), route(string(Again), "idempotent", batchService, 2, false),
+			route(string(Keyed), "non_idempotent", batchService, 1, false),
 		},
+		"tenants": []any{tenantOf([]string{o.nextKey()})},
 		"services": []any{
 			map[string]any{"name": batchService, "max-connections": 200},
 			map[string]any{"name": modelService, "max-connections": 200, "engine": map[string]any{
@@ -91,9 +103,36 @@
 	}
 	o.version = 1
 	o.history.addChange(Change{1, o.history.Now()})
+	o.history.giveKey(o.keys[0])
 	return nil
 }
 
+// nextKey adds a key to those of the tenant.
+func (o *operator) nextKey() string {
+	o.given++
+	key := fmt.Sprint("key-", o.given)
+	o.keys = append(o.keys, key)
+	return key
+}
+
+// changeKeys gives the tenant another key and, where it has two already, takes the oldest away.
+func (o *operator) changeKeys(ctx context.Context) {
+	acknowledged := func() {}
+	if len(o.keys) > 1 {
+		acknowledged = o.history.takeKey(o.keys[0])
+		o.keys = o.keys[1:]
+	}
+	key := o.nextKey()
+	next := o.version + 1
+	body := map[string]any{"version": next, "upsert": map[string]any{"tenants": []any{tenantOf(o.keys)}}}
+	if status, ok := o.send(ctx, "/config/patch", body); ok && status == http.StatusOK {
+		o.version = next
+		o.history.addChange(Change{next, o.history.Now()})
+		acknowledged()
+		o.history.giveKey(key)
+	}
+}
+
 // change adds or replaces a route that nobody uses.
 func (o *operator) change(ctx context.Context) {
 	next := o.version + 1
@@ -118,8 +157,12 @@
 // run changes and names until the context ends.
 func (o *operator) run(ctx context.Context, options *Options) {
 	naming := time.Now().Add(time.Second)
-	for pause(ctx, options.ChangeEvery) {
-		o.change(ctx)
+	for n := 1; pause(ctx, options.ChangeEvery); n++ {
+		if n%changesAKey == 0 {
+			o.changeKeys(ctx)
+		} else {
+			o.change(ctx)
+		}
 		if time.Now().After(naming) {
 			o.name(ctx)
 			naming = time.Now().Add(options.Bounds.Version/2 + time.Duration(o.random.Int64N(int64(options.Bounds.Version))))
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -31,7 +31,7 @@
 }
 
 // DefaultBounds are the bounds that nodes are told and histories are judged by.
-var DefaultBounds = Bounds{Version: 5 * time.Second, Grace: 6 * time.Second, Contact: 1500 * time.Millisecond, LossSlack: 200 * time.Millisecond, Apply: 2 * time.Second}
+var DefaultBounds = Bounds{Version: 5 * time.Second, Grace: 6 * time.Second, Contact: 1500 * time.Millisecond, LossSlack: 200 * time.Millisecond, Apply: 2 * time.Second, Revoke: 3 * time.Second}
 
 const (
 	coreNodes     = 3
@@ -66,7 +66,7 @@
 	}
 	fleet, err := nodes.New(nodes.Options{
 		Program: o.Program, Dir: o.Dir, LogLevel: o.LogLevel, Nodes: o.Nodes, Core: coreNodes, Heartbeat: heartbeatEvery,
-		Bounds: nodes.Bounds{Contact: o.Bounds.Contact, Grace: o.Bounds.Grace, Version: o.Bounds.Version, Lease: leaseOfHolder, Apply: o.Bounds.Apply},
+		Bounds: nodes.Bounds{Contact: o.Bounds.Contact, Grace: o.Bounds.Grace, Version: o.Bounds.Version, Lease: leaseOfHolder, Apply: o.Bounds.Apply, Revoke: o.Bounds.Revoke},
 	})
 	if err != nil {
 		return nil, err
