--- a/lab/placements/placements.go
+++ b/lab/placements/placements.go
@@ -98,20 +98,23 @@
 
 // Age is what became of prompts that were last used so long ago.
 type Age struct {
-	Until     time.Duration // 0: whatever is older
-	Requests  int
-	SameAsOne int // that went to the server of the last use
-	ReadAgain int // that had shared parts read again
+	Until      time.Duration `json:"until_ns"` // 0: whatever is older
+	Requests   int           `json:"requests"`
+	SameServer int           `json:"same_server"` // that went to the server of the last use
+	ReadAgain  int           `json:"read_again"`  // that had shared parts read again
 }
 
 // Table is what the requests of a log come to. Tokens are those of shared parts.
 type Table struct {
-	Requests                        int
-	Prompts                         int // with shared parts, told apart by salt
-	Reasons                         map[string]int
-	Saves                           int
-	Kept, Fetched, ReadFirst, Again float64
-	Ages                            []Age
+	Requests  int            `json:"requests"`
+	Prompts   int            `json:"prompts"` // with shared parts, told apart by salt
+	Reasons   map[string]int `json:"reasons"`
+	Saves     int            `json:"saves"`
+	Kept      float64        `json:"kept"`
+	Fetched   float64        `json:"fetched"`
+	ReadFirst float64        `json:"read_first"`
+	Again     float64        `json:"read_again"`
+	Ages      []Age          `json:"ages"`
 }
 
 // lastUse is the last request with a prompt.
@@ -165,7 +168,7 @@
 	age := &t.Ages[i]
 	age.Requests++
 	if s.Instance == last.instance {
-		age.SameAsOne++
+		age.SameServer++
 	}
 	if read >= leastRead {
 		age.ReadAgain++
@@ -193,6 +196,6 @@
 		if age.Until > 0 {
 			name = "within " + age.Until.String()
 		}
-		fmt.Fprintf(w, "%-14s %9d %12d %11d\n", name, age.Requests, age.SameAsOne, age.ReadAgain)
+		fmt.Fprintf(w, "%-14s %9d %12d %11d\n", name, age.Requests, age.SameServer, age.ReadAgain)
 	}
 }
