A stand-in server of the soak ends with what it loads

Change: close wakes loads and waits for them; nothing is ordered to load from then on. TestCloseEndsLoads fails on the text before.

--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -44,6 +44,10 @@
 	sequence int64
 	fence    int64
 	faults   serverFaults
+
+	closed chan struct{}  // closed when the server ends
+	ended  bool           // the same, under the lock
+	loads  sync.WaitGroup // under way
 }
 
 func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet, faults serverFaults) (*modelServer, error) {
@@ -51,7 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l, faults: faults}
+	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l, faults: faults,
+		closed: make(chan struct{})}
 	if service == modelService {
 		s.version = 1
 	}
@@ -66,7 +71,16 @@
 	return s, nil
 }
 
-func (s *modelServer) close() { s.http.Close() }
+// close ends the server, with what it loads.
+func (s *modelServer) close() {
+	s.mu.Lock()
+	s.ended = true
+	s.changed.Broadcast()
+	s.mu.Unlock()
+	close(s.closed)
+	s.http.Close()
+	s.loads.Wait()
+}
 
 // heartbeats tells the nodes of this server until the context ends.
 func (s *modelServer) heartbeats(ctx context.Context) {
@@ -125,6 +139,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case s.ended:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case order.Fence < s.fence:
 		w.WriteHeader(http.StatusPreconditionFailed)
 	case s.ordered > 0:
@@ -135,18 +151,22 @@
 		s.fence, s.ordered = order.Fence, order.Version
 		s.sequence++
 		s.changed.Broadcast()
-		go s.load()
+		s.loads.Go(s.load)
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
 func (s *modelServer) load() {
 	s.mu.Lock()
-	for s.running > 0 {
+	for s.running > 0 && !s.ended {
 		s.changed.Wait()
 	}
 	s.mu.Unlock()
-	time.Sleep(s.loadTime)
+	select {
+	case <-time.After(s.loadTime):
+	case <-s.closed:
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.ordered = s.ordered, 0
