--- a/lab/placements/placements.go
+++ b/lab/placements/placements.go
@@ -2,7 +2,7 @@
 // read again that some server had read before.
 //
 // It reads the lines "request sent" of the level debug. A line may have text before its JSON, as the operators' bench writes it: the
-// seconds since the day began, and the router.
+// seconds since the day began, and the router. Without them the time that the router wrote counts, which has whole seconds only.
 package placements
 
 import (
@@ -25,7 +25,7 @@
 
 // Sent is a request that a router sent to a server.
 type Sent struct {
-	At       time.Duration // since the first line
+	At       time.Duration // since the day began, or where a log has no such figure, since 1970
 	Instance string
 	Reason   string
 	Salt     string // under which the server keeps the prompt's parts
@@ -52,7 +52,6 @@
 // Read reads logs, of one router or of several one after the other. Lines of other kinds are passed over.
 func Read(r io.Reader) ([]Sent, error) {
 	var list []Sent
-	var first time.Time
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, longestLine)
 	for scanner.Scan() {
@@ -67,10 +66,7 @@
 		}
 		at, ok := secondsBefore(text[:start])
 		if !ok {
-			if first.IsZero() {
-				first = l.Time
-			}
-			at = l.Time.Sub(first)
+			at = time.Duration(l.Time.UnixNano()) // logs of several routers have to be put in one order
 		}
 		list = append(list, Sent{
 			At: at, Instance: l.Instance, Reason: l.Reason, Salt: l.Salt, Prompt: l.Prompt,
--- a/lab/placements/placements_test.go
+++ b/lab/placements/placements_test.go
@@ -46,6 +46,9 @@
 	must.NoError(t, err)
 	must.Len(t, 2, list)
 	must.Eq(t, 2*time.Second, list[1].At-list[0].At)
+	other, err := Read(strings.NewReader(`{"time":"2026-12-02T10:00:06Z","prompt":"p","message":"request sent"}`))
+	must.NoError(t, err)
+	must.Eq(t, time.Second, other[0].At-list[0].At, must.Sprint("another router's log"))
 	_, err = Read(strings.NewReader(strings.Repeat("x", longestLine+1)))
 	must.ErrorContains(t, err, "a log line of over")
 }
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -115,9 +117,15 @@
 	})
 }
 
-// brokenOff tells whether a server broke a request off after its answer had begun: what was passed on can only be cut.
+// brokenOff tells whether the server that ran a request last broke it off after its answer had begun: what was passed on can only be
+// cut, where no other server took it up.
 func (j *judge) brokenOff(r *Request) bool {
-	return r.Status == 200 && slices.ContainsFunc(j.runs[r.ID], func(run Execution) bool { return run.Broken })
+	runs := j.runs[r.ID]
+	if r.Status != http.StatusOK || len(runs) == 0 {
+		return false
+	}
+	last := slices.MaxFunc(runs, func(a, b Execution) int { return cmp.Compare(a.Began, b.Began) })
+	return last.Broken
 }
 
 // judgeRuns looks at how often a request ran, and at promises that it had not.
@@ -169,7 +177,7 @@
 	asked, answered := false, false
 	for _, read := range j.Reads {
 		asked = asked || read.Final
-		if read.Status != 200 {
+		if read.Status != http.StatusOK {
 			continue
 		}
 		answered = answered || read.Final
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -123,26 +123,28 @@
 		o.keys = o.keys[1:]
 	}
 	key := o.nextKey()
-	next := o.version + 1
-	body := map[string]any{"version": next, "upsert": map[string]any{"tenants": []any{tenantOf(o.keys)}}}
-	if status, ok := o.send(ctx, "/config/patch", body); ok && status == http.StatusOK {
-		o.version = next
-		o.history.addChange(Change{next, o.history.Now()})
+	if o.patch(ctx, map[string]any{"tenants": []any{tenantOf(o.keys)}}) {
 		acknowledged()
 		o.history.giveKey(key)
 	}
 }
 
-// change adds or replaces a route that nobody uses.
-func (o *operator) change(ctx context.Context) {
+// patch adds or replaces items of the configuration; false: that was not acknowledged.
+func (o *operator) patch(ctx context.Context, upsert map[string]any) bool {
 	next := o.version + 1
-	body := map[string]any{"version": next, "upsert": map[string]any{
-		"routes": []any{route(fmt.Sprint("added-", next%5), "non_idempotent", batchService, 1, false)},
-	}}
-	if status, ok := o.send(ctx, "/config/patch", body); ok && status == http.StatusOK {
-		o.version = next
-		o.history.addChange(Change{next, o.history.Now()})
+	status, ok := o.send(ctx, "/config/patch", map[string]any{"version": next, "upsert": upsert})
+	if !ok || status != http.StatusOK {
+		return false
 	}
+	o.version = next
+	o.history.addChange(Change{next, o.history.Now()})
+	return true
+}
+
+// change adds or replaces a route that nobody uses.
+func (o *operator) change(ctx context.Context) {
+	name := fmt.Sprint("added-", (o.version+1)%5)
+	o.patch(ctx, map[string]any{"routes": []any{route(name, "non_idempotent", batchService, 1, false)}})
 }
 
 // name names new weights.
@@ -169,51 +171,3 @@
 		}
 	}
 }
-
-const (
-	readEvery   = 120 * time.Millisecond
-	readTimeout = 1500 * time.Millisecond
-)
-
-// reader reads the configuration back, at one node after the other drawn by lot.
-type reader struct {
-	fleet   *nodes.Fleet
-	history *History
-	client  *http.Client
-	random  *rand.Rand
-}
-
-func newReader(f *nodes.Fleet, h *History, random *rand.Rand) *reader {
-	return &reader{fleet: f, history: h, random: random,
-		client: &http.Client{Timeout: readTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
-}
-
-// run reads until the context ends.
-func (r *reader) run(ctx context.Context) {
-	for pause(ctx, readEvery) {
-		r.read(ctx, r.random.IntN(r.fleet.Len()), false)
-	}
-}
-
-// final reads at every node until each has answered, or the time is over.
-func (r *reader) final(ctx context.Context) {
-	for node := range r.fleet.Len() {
-		for !r.read(ctx, node, true) && pause(ctx, readEvery) {
-		}
-	}
-}
-
-// read reads at one node; false: it gave no configuration.
-func (r *reader) read(ctx context.Context, node int, final bool) bool {
-	read := Read{Node: node, Sent: r.history.Now(), Final: final}
-	status, text := call(ctx, r.client, "GET", "http://"+r.fleet.Address(node, nodes.Control)+"/config/read", nil)
-	read.Status = status
-	var config struct {
-		Version int64 `json:"version"`
-	}
-	if status == http.StatusOK && json.Unmarshal([]byte(text), &config) == nil {
-		read.Version = config.Version
-	}
-	r.history.addRead(read)
-	return status == http.StatusOK
-}
