--- a/review/standin/forgotten.go
+++ b/review/standin/forgotten.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +17,10 @@
 	lingers     = 12 * time.Second       // how long the server serves on behind its end: "at times many seconds"
 	killAfter   = 100 * time.Millisecond // behind the acknowledgement
 	leaveMargin = 200 * time.Millisecond // for the way of a request from its client to a server
+
+	// With LATE=1 the kill comes when every member has written the table, and a heartbeat that the server sent before its end comes late.
+	lateKill = 1500 * time.Millisecond // behind the acknowledgement
+	lateBeat = 5 * time.Second         // the same
 )
 
 // forgotten has a server end: it sends its deregistration first, is acknowledged, and serves on for some seconds. Right after that all
@@ -101,9 +106,12 @@
 	if acknowledged == 0 {
 		return 0, fmt.Errorf("no node acknowledges the end of a server")
 	}
-	back := acknowledged
+	back, kill, late := acknowledged, killAfter, os.Getenv("LATE") == "1"
+	if late {
+		kill = lateKill
+	}
 	if trouble {
-		time.Sleep(killAfter)
+		time.Sleep(kill)
 		for i := range f.core {
 			f.signal(i, syscall.SIGKILL)
 		}
@@ -118,7 +126,13 @@
 			}
 		}
 		back = r.now()
-		r.tell("they are started again, %.3f s after the kill", (back - acknowledged - killAfter).Seconds())
+		r.tell("they are started again, %.3f s after the kill", (back - acknowledged - kill).Seconds())
+	}
+	if late {
+		time.Sleep(time.Until(r.began.Add(acknowledged + lateBeat)))
+		leaver.sentBefore()
+		leaver.beat()
+		r.tell("a heartbeat that the server sent before its end comes %.3f s after that", (r.now() - acknowledged).Seconds())
 	}
 	time.Sleep(time.Until(r.began.Add(acknowledged + lingers)))
 	leaver.close()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -222,6 +222,13 @@
 	}
 }
 
+// sentBefore makes the next heartbeat one that was sent before the newest and comes late: its sequence is lower.
+func (s *server) sentBefore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence -= 2
+}
+
 // heartbeats registers the server and keeps it registered until stop is closed.
 func (s *server) heartbeats(stop <-chan struct{}) {
 	for {
