A surplus answer is matched by its id, whatever its status says

Cause: an answer with the id of another request, or none, counted as the request's own where its status was 421 or it had Moleshift-Not-Executed. A surplus answer that had turned an earlier request away so became a promise about the next one on the connection, which went to a second server while the first ran it. One without an id counts only as turning away, on a connection that has carried no other request. Unmatched answers are logged (debug) and counted. Evidence: the test's ten surplus answers; nine fail on the text before. Why it works: no answer but the request's own can allow another attempt any more.

--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -341,6 +341,53 @@
 	}
 }
 
+// Guards against TWICE and REFUSED by a surplus answer: one that turns an earlier request away, or has no id, was taken for the answer
+// to the next request, which went to a second server while the first ran it.
+func TestSurplusAnswerThatTurnsAwayBelongsToNobody(t *testing.T) {
+	const head = "Moleshift-Request-Id: first\r\n"
+	for name, row := range map[string]struct {
+		surplus string
+		status  int // of the answer that the client gets
+	}{
+		"full":                         {"503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\n" + head, 200},
+		"too many requests":            {"429 Too Many Requests\r\nMoleshift-Not-Executed: 1\r\n" + head, 200},
+		"no id in the request":         {"400 Bad Request\r\nMoleshift-Not-Executed: 1\r\n" + head, 200},
+		"another instance":             {"421 Misdirected Request\r\nMoleshift-Instance-Id: i9\r\n" + head, 200},
+		"a failure of its own":         {"500 Internal Server Error\r\nMoleshift-Response-Stamp: st\r\n" + head, 200},
+		"without an id, full":          {"503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\n", 502},
+		"without an id, misdirected":   {"421 Misdirected Request\r\n", 502},
+		"without an id, with success":  {"200 OK\r\nMoleshift-Response-Stamp: st\r\n", 502},
+		"without an id, not executed":  {"200 OK\r\nMoleshift-Not-Executed: 1\r\n", 502},
+		"without an id, its own error": {"500 Internal Server Error\r\nMoleshift-Response-Stamp: st\r\n", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := serve(t, "i2", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "of another server") })
+			var router *router
+			s := serve(t, "i1", func(c net.Conn, n int, r *http.Request, _ string) {
+				if n > 0 {
+					router.update(func(s *follower.Snapshot) {
+						s.Instances["batch"] = append(slices.Clone(s.Instances["batch"]), other.instance("batch"))
+					})
+					io.WriteString(c, "HTTP/1.1 "+row.surplus+"Content-Length: 0\r\n\r\n")
+				}
+				ok(c, r, "fine")
+			})
+			router = start(t, s.instance("batch"))
+			c := router.dial()
+			for _, id := range []string{"first", "second"} {
+				c.send("/once/", id)
+				resp, _, err := c.answer()
+				must.NoError(t, err)
+				if id == "second" {
+					must.Eq(t, row.status, resp.StatusCode)
+				}
+			}
+			must.Len(t, 2, s.seen())
+			must.Len(t, 0, other.seen(), must.Sprint("a request that the first server runs must not be sent to a second"))
+		})
+	}
+}
+
 func TestAnswersThatAreNone(t *testing.T) {
 	for name, text := range map[string]string{
 		"garbage":           "\x00\x01\x02 this is no answer\r\n\r\n",
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -58,22 +58,10 @@
 	return a, attempt.Done
 }
 
-// readAnswer reads the head, skipping surplus answers to earlier requests, and the body where it is no stream.
+// readAnswer reads the head of the request's own answer, past surplus ones to earlier requests, and the body where it is no stream.
 func (p *Proxy) readAnswer(r *request, to *routed, a *reply) attempt.Outcome {
-	for skipped := 0; ; skipped++ {
-		if err := p.readHead(a); err != nil || skipped > maxSurplus {
-			return p.failAttempt(r, to, a)
-		}
-		if string(a.header.Peek(headerRequestID)) == r.id {
-			break
-		}
-		a.odd = true
-		if a.header.StatusCode() == fasthttp.StatusMisdirectedRequest || len(a.header.Peek(headerNotExecuted)) > 0 {
-			break // turned away before the request was looked at: there is no id in such an answer
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(newBodyReader(a.conn.reader, &a.header), maxBuffered)); err != nil {
-			return p.failAttempt(r, to, a)
-		}
+	if !p.readOwnHead(r, a) {
+		return p.failAttempt(r, to, a)
 	}
 	p.byteCame(to.target)
 	body := newBodyReader(a.conn.reader, &a.header)
@@ -92,6 +80,32 @@
 	return classify(status, &a.header)
 }
 
+// readOwnHead reads heads until that of the request's own answer; false: none came that is known to be its own. An answer that is
+// passed over leaves the connection unfit for another request.
+func (p *Proxy) readOwnHead(r *request, a *reply) bool {
+	for range maxSurplus + 1 {
+		if p.readHead(a) != nil {
+			return false
+		}
+		owner := ownerOf(&a.header, r.id, a.conn.kept())
+		if owner == ownRequest {
+			a.odd = len(a.header.Peek(headerRequestID)) == 0 || a.odd
+			return true
+		}
+		a.odd = true
+		p.unmatched[owner].Add(1)
+		p.logUnmatched(r, a, owner)
+		if owner == unknownRequest {
+			return false
+		}
+		surplus := newBodyReader(a.conn.reader, &a.header)
+		if _, err := io.Copy(io.Discard, io.LimitReader(surplus, maxBuffered)); err != nil || !surplus.ended {
+			return false
+		}
+	}
+	return false
+}
+
 // isStream tells whether an answer is passed on event by event.
 func isStream(r *request, h *fasthttp.ResponseHeader) bool {
 	return h.StatusCode() == fasthttp.StatusOK && bytes.HasPrefix(h.ContentType(), []byte("text/event-stream"))
@@ -100,7 +114,7 @@
 // classify tells what a whole answer means.
 func classify(status int, h *fasthttp.ResponseHeader) attempt.Outcome {
 	switch {
-	case len(h.Peek(headerNotExecuted)) > 0, status == fasthttp.StatusMisdirectedRequest:
+	case turnsAway(h):
 		return attempt.TurnedAway
 	case status >= 500:
 		return attempt.Failed
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,8 +42,9 @@
 	retries  map[string]*admission.Retries
 	waits    map[string]*longestWait // by service
 
-	outcomes *outcomeCounts
-	placed   *placementCounts
+	outcomes  *outcomeCounts
+	placed    *placementCounts
+	unmatched [answerOwners]atomic.Uint64 // answers that were not taken for those of the request that waited
 }
 
 // New makes the proxy of the node with the given ID.
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// logUnmatched tells of an answer that was not taken for the request's own.
+func (p *Proxy) logUnmatched(r *request, a *reply, owner answerOwner) {
+	if event := p.step(r); event != nil {
+		event.Stringer("owner", owner).Bytes("answered", a.header.Peek(headerRequestID)).Int("status", a.header.StatusCode()).
+			Bool("turns-away", turnsAway(&a.header)).Bool("kept-connection", a.conn.kept()).Msg("answer not matched")
+	}
+}
+
 // logOutcome tells what became of an attempt, and what follows from that.
 func (p *Proxy) logOutcome(r *request, to *routed, outcome attempt.Outcome, action attempt.Action) {
 	if event := p.step(r); event != nil {
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -27,10 +27,13 @@
 type serverConn struct {
 	net.Conn
 	reader *bufio.Reader
-	since  time.Time // idle since
+	since  time.Time // idle since; zero: it has carried no request before
 	keep   time.Duration
 }
 
+// kept tells whether the connection has carried other requests before.
+func (c *serverConn) kept() bool { return !c.since.IsZero() }
+
 // target is one incarnation of a server as this router sees it. The proxy's lock guards it.
 type target struct {
 	id       string // of the instance; never changes, so it may be read without the lock
