Answers to calls of our own to servers are told apart; an order names its incarnation

Calls to servers (events, lists, reports, orders) share kept connections and their answers carry no id, so a surplus answer was read as that to the next call: a page as an empty list (all that a holder keeps was forgotten), a list as a page (events passed over), a report as the answer to an order. Change: internal/servercall in place of two clients alike. Orders and lists go on connections of their own; pages and reports that are none, or are older than what was drawn, are not taken. Tests: TestSurplusPageIsNotTaken and the added rows of TestParse and TestParseList fail without it.

--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"net"
+	"errors"
 	"slices"
 	"time"
 
@@ -14,7 +14,7 @@
 	"moleshift/controlplane/rollout"
 	"moleshift/controlplane/singleton"
 	"moleshift/fault"
-	"moleshift/internal/sock"
+	"moleshift/internal/servercall"
 	"moleshift/peer"
 	"moleshift/settings"
 )
@@ -27,11 +27,14 @@
 	loadAtMost     = 20 * time.Second // from the order to the new weights, with the runs that end before
 	takenWithin    = time.Second      // after which a server that is not busy and has the old weights has not taken an order
 	serverTimeout  = 600 * time.Millisecond
+	serverConns    = 4
+	serverIdle     = 2 * time.Second
 	emptyAfter     = 300 * time.Millisecond // from word to the routers to the order: what waits in the server's queue begins meanwhile
 	lastsAfter     = 3 * time.Second        // a server whose runs have not ended by then lets others have their turn
 	modeWait       = "wait"                 // runs end under the weights with which they began
 	operationLoad  = "version"
 	statusAccepted = 202
+	headerExpect   = "Moleshift-Expect-Instance"
 )
 
 // runRollout brings servers to the versions that were named, while this node holds the lease.
@@ -43,10 +46,9 @@
 		lease.Gone = leaseUse + leaseMargin
 	}
 	watch := singleton.NewWatch(lease, c.self.ID)
-	r := &roller{c: c, watch: watch, client: &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 4, MaxIdleConnDuration: 2 * time.Second,
-		Dial: func(address string) (net.Conn, error) { return sock.Dial(c.set.IP, address, serverTimeout) },
-	}}
+	r := &roller{c: c, watch: watch, client: servercall.New(servercall.Settings{
+		IP: c.set.IP, DialTimeout: serverTimeout, PerServer: serverConns, Idle: serverIdle,
+	})}
 	ticker := time.NewTicker(rolloutTick)
 	defer ticker.Stop()
 	for {
@@ -63,7 +65,7 @@
 type roller struct {
 	c      *Controller
 	watch  *singleton.Watch // guarded by the controller's lock
-	client *fasthttp.Client
+	client *servercall.Client
 }
 
 func (r *roller) tick() {
@@ -239,6 +241,8 @@
 	r.c.push(in, true, false)
 }
 
+// order sends an order to the incarnation that it is meant for. Its answer tells whether the order was taken: the call is made alone, so
+// that no surplus answer is taken for it.
 func (r *roller) order(step rollout.Step, epoch uint64) (int, error) {
 	body, err := json.Marshal(map[string]any{
 		"op": operationLoad, "model": step.Model.Name, "version": step.Model.Version, "mode": modeWait,
@@ -247,10 +251,16 @@
 	if err != nil {
 		return 0, err
 	}
-	status, _, err := r.do(fasthttp.MethodPost, step.Instance.Address, "/order", body)
+	status, _, err := r.client.Do(&servercall.Call{
+		Method: fasthttp.MethodPost, Address: step.Instance.Address, Path: "/order", JSON: body, Alone: true, Timeout: serverTimeout,
+		Headers: map[string]string{headerExpect: step.Instance.ID},
+	})
 	return status, err
 }
 
+// errNoReport is the error of an answer that has none of the fields of a report: that to another call.
+var errNoReport = errors.New("answer is no report")
+
 // report is a server's account of itself; it lags some hundred milliseconds behind.
 type report struct {
 	Models  []peer.Model `json:"models"`
@@ -260,7 +270,7 @@
 }
 
 func (r *roller) report(address string) (*report, error) {
-	status, body, err := r.do(fasthttp.MethodGet, address, "/report", nil)
+	status, body, err := r.client.Do(&servercall.Call{Address: address, Path: "/report", Timeout: serverTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -271,21 +281,8 @@
 	if err := json.Unmarshal(body, &out); err != nil {
 		return nil, err
 	}
-	return &out, nil
-}
-
-func (r *roller) do(method, address, path string, body []byte) (int, []byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + address + path)
-	if body != nil {
-		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(body)
-	}
-	if err := r.client.DoTimeout(req, resp, serverTimeout); err != nil {
-		return 0, nil, err
+	if out.Models == nil {
+		return nil, errNoReport
 	}
-	return resp.StatusCode(), slices.Clone(resp.Body()), nil
+	return &out, nil
 }
--- a/dataplane/kvevents/drawer.go
+++ b/dataplane/kvevents/drawer.go
@@ -3,14 +3,13 @@
 // How one router draws the events of one holder: page by page, and the whole list where a page says that events were lost.
 
 import (
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/core"
-	"moleshift/internal/sock"
+	"moleshift/internal/servercall"
 	"moleshift/peer"
 )
 
@@ -20,6 +19,8 @@
 	betweenCalls = 100 * time.Millisecond // events gather meanwhile
 	failedPause  = time.Second
 	listPause    = 5 * time.Second // least time between two lists of one holder: they hold up its work
+	holderConns  = 2
+	holderIdle   = 4 * time.Second
 
 	headerWait = "Wait-Ms"
 	eventsPath = "/kv-events?since="
@@ -27,25 +28,22 @@
 	fromStart  = "0" // asks for the oldest events that are kept
 )
 
-// newHolderClient gives the call by which a holder is asked.
+// newHolderClient gives the call by which a holder is asked. A list stands for all that a holder keeps: it is asked for on a connection of
+// its own, so that no surplus page is taken for it.
 func newHolderClient(ip string) func(address, path string) ([]byte, error) {
-	client := &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2, MaxIdleConnDuration: 4 * time.Second,
-		Dial: func(address string) (net.Conn, error) { return sock.Dial(ip, address, callSlack) },
-	}
+	client := servercall.New(servercall.Settings{IP: ip, DialTimeout: callSlack, PerServer: holderConns, Idle: holderIdle})
 	return func(address, path string) ([]byte, error) {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseRequest(req)
-		defer fasthttp.ReleaseResponse(resp)
-		req.SetRequestURI("http://" + address + path)
-		req.Header.Set(headerWait, strconv.Itoa(int(holdEvents/time.Millisecond)))
-		if err := client.DoTimeout(req, resp, holdEvents+callSlack); err != nil {
+		status, body, err := client.Do(&servercall.Call{
+			Address: address, Path: path, Headers: map[string]string{headerWait: strconv.Itoa(int(holdEvents / time.Millisecond))},
+			Alone: path == listPath, Timeout: holdEvents + callSlack,
+		})
+		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode() != fasthttp.StatusOK {
+		if status != fasthttp.StatusOK {
 			return nil, core.ErrStatus
 		}
-		return append([]byte(nil), resp.Body()...), nil
+		return body, nil
 	}
 }
 
@@ -87,13 +85,16 @@
 		d.noAnswer()
 		return failedPause
 	}
-	p, events, err := parse(body)
+	p, events, err := parse(body, d.position())
 	if err != nil {
 		d.c.log.Warn().Err(err).Str("holder", d.holder.id).Msg("events cannot be read: see whether the server speaks this release's protocol")
 		return failedPause
 	}
 	restarted := d.epoch != "" && d.epoch != p.Epoch.String()
-	d.epoch, d.since = p.Epoch.String(), p.Next.String()
+	if restarted || !p.isOlderThan(d.position()) {
+		d.since = p.Next.String()
+	}
+	d.epoch = p.Epoch.String()
 	if restarted && len(events) == 0 {
 		d.since = fromStart
 	}
@@ -108,6 +109,9 @@
 	return betweenCalls
 }
 
+// position is what the drawer has of the holder's events.
+func (d *drawer) position() position { return position{epoch: d.epoch, since: d.since} }
+
 // noAnswer tells the others that the holder is neither source nor store now.
 func (d *drawer) noAnswer() {
 	if !d.down {
--- a/dataplane/kvevents/drawer_test.go
+++ b/dataplane/kvevents/drawer_test.go
@@ -18,7 +18,8 @@
 type fakeHolder struct {
 	epoch, next int
 	held        []string
-	events      []string // of parts that it began to keep
+	events      []string // of parts that it began to keep, with the numbers
+	surplus     []byte   // is answered in place of the next page, which comes one call later
 	lost        bool     // the next page tells of a gap
 	off, noList bool
 	lists       []time.Time
@@ -29,7 +30,7 @@
 	h.held = append(h.held, part)
 	h.next++
 	if told {
-		h.events = append(h.events, part)
+		h.events = append(h.events, fmt.Sprintf(`[%d,"+","s","%s",10,"m"]`, h.next, part))
 	} else {
 		h.lost = true
 	}
@@ -44,8 +45,11 @@
 		h.events = nil
 		return fmt.Appendf(nil, `{"epoch":%d,"next-page-token":%d,"held":[%s]}`, h.epoch, h.next, rows(h.held, `["s","%s",10,"m"]`)), nil
 	}
-	page := fmt.Appendf(nil, `{"epoch":%d,"next-page-token":%d,"lost":%t,"events":[%s]}`, h.epoch, h.next, h.lost, rows(h.events, `[1,"+","s","%s",10,"m"]`))
+	page := fmt.Appendf(nil, `{"epoch":%d,"next-page-token":%d,"lost":%t,"events":[%s]}`, h.epoch, h.next, h.lost, strings.Join(h.events, ","))
 	h.events, h.lost = nil, false
+	if h.surplus != nil {
+		h.surplus, page = page, h.surplus
+	}
 	return page, nil
 }
 
@@ -131,6 +135,28 @@
 	})
 }
 
+// Guards against an answer to an earlier call that comes once more, in the place of the next: what it tells is older than what is known,
+// and the drawer must neither take it nor go back to its end.
+func TestSurplusPageIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &fakeHolder{epoch: 7}
+		d, k := newTestDrawer(h)
+		h.keep("a", true)
+		d.turn()
+		h.surplus = []byte(`{"epoch":7,"next-page-token":0,"lost":false,"events":[[0,"+","s","old",10,"m"]]}`)
+		h.keep("b", true)
+		d.turn()
+		must.Eq(t, map[string]bool{"a": true}, k.parts)
+		must.Eq(t, "1", d.since)
+		d.turn()
+		must.Eq(t, map[string]bool{"a": true, "b": true}, k.parts)
+		must.Eq(t, "2", d.since)
+		h.surplus = []byte(`{"epoch":7,"next-page-token":9,"held":[["s","z",10,"m"]]}`)
+		must.Eq(t, failedPause, d.turn(), must.Sprint("a list is no page"))
+		must.Eq(t, "2", d.since)
+	})
+}
+
 // A restart makes a gap before it of no account, and a list of the process that is gone is not taken.
 func TestRestartEndsTheGap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dataplane/kvevents/kvevents_test.go
+++ b/dataplane/kvevents/kvevents_test.go
@@ -11,13 +11,16 @@
 )
 
 func TestParse(t *testing.T) {
-	p, events, err := parse([]byte(`{"epoch":77120,"next-page-token":120,"lost":false,"events":[[119,"+","m@1/t","00ab",800,"m"],[120,"-","m@1","cd",0,"m"]]}`))
+	p, events, err := parse([]byte(`{"epoch":77120,"next-page-token":120,"lost":false,"events":[[119,"+","m@1/t","00ab",800,"m"],[120,"-","m@1","cd",0,"m"]]}`), position{})
 	must.NoError(t, err)
 	must.Eq(t, "77120", p.Epoch.String())
 	must.Eq(t, "120", p.Next.String())
 	must.Eq(t, []peer.Event{{Salt: "m@1/t", Part: "ab", Tokens: 800}, {Salt: "m@1", Part: "cd"}}, events)
-	for _, wrong := range []string{"", "{", `{"events":[[1,"+"]]}`, `{"events":[[1,"+",2,"a",3,"m"]]}`} {
-		_, _, err := parse([]byte(wrong))
+	for _, wrong := range []string{
+		"", "{", `{"next-page-token":2,"events":[[1,"+"]]}`, `{"next-page-token":2,"events":[[1,"+",2,"a",3,"m"]]}`,
+		`{"epoch":1,"next-page-token":2,"held":[]}`, `{"epoch":1,"events":[]}`,
+	} {
+		_, _, err := parse([]byte(wrong), position{})
 		must.Error(t, err, must.Sprint(wrong))
 	}
 }
@@ -28,7 +31,10 @@
 	must.Eq(t, "77120", p.Epoch.String())
 	must.Eq(t, "120", p.Next.String())
 	must.Eq(t, []peer.Event{{Salt: "m@1/t", Part: "ab", Tokens: 800}}, held)
-	for _, wrong := range []string{"", "{", `{"held":[["s","a"]]}`, `{"held":[[1,"a",2]]}`} {
+	for _, wrong := range []string{
+		"", "{", `{"next-page-token":2,"held":[["s","a"]]}`, `{"next-page-token":2,"held":[[1,"a",2]]}`,
+		`{"epoch":1,"next-page-token":2,"lost":false,"events":[]}`, `{"epoch":1,"held":[]}`,
+	} {
 		_, _, err := parseList([]byte(wrong))
 		must.Error(t, err, must.Sprint(wrong))
 	}
@@ -37,7 +43,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"epoch":1,"next-page-token":2,"events":[[1,"+","s","a",3,"m"]]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		p, events, err := parse(body)
+		p, events, err := parse(body, position{epoch: "1", since: "1"})
 		if err == nil {
 			must.Eq(t, len(p.Events), len(events))
 		}
--- a/dataplane/kvevents/parse.go
+++ b/dataplane/kvevents/parse.go
@@ -7,6 +7,9 @@
 
 import (
 	"encoding/json"
+	"strconv"
+
+	"github.com/samber/lo"
 
 	"moleshift/dataplane/kvindex"
 	"moleshift/fault"
@@ -28,6 +31,19 @@
 	Held  [][]json.RawMessage `json:"held"`
 }
 
+// position is how far a holder's events have been drawn.
+type position struct {
+	epoch string // of the holder's process; empty: not known yet
+	since string // number of the newest event drawn
+}
+
+// isOlderThan tells whether a page was made for an earlier call than the one at a position: a surplus answer.
+func (p *page) isOlderThan(at position) bool {
+	next, err := p.Next.Int64()
+	since, sinceErr := strconv.ParseInt(at.since, 10, 64)
+	return err == nil && sinceErr == nil && p.Epoch.String() == at.epoch && next < since
+}
+
 // layout tells at which places of a row its fields stand, and how many there are at least.
 type layout struct {
 	salt, part, tokens, fields int
@@ -38,22 +54,44 @@
 	heldLayout  = layout{salt: 0, part: 1, tokens: 2, fields: 3} // salt, id of the part, tokens, model
 )
 
-// parse reads a page. Events that cannot be read are an error.
-func parse(body []byte) (*page, []peer.Event, error) {
+// parse reads a page and gives its events behind a position: those before it came in a surplus answer. Events that cannot be read, and a
+// page that has none of the fields of one, are an error.
+func parse(body []byte, at position) (*page, []peer.Event, error) {
 	var p page
 	if err := json.Unmarshal(body, &p); err != nil {
 		return nil, nil, fault.New(fault.BadRequest, "events: %v", err)
 	}
+	if p.Events == nil || p.Next == "" {
+		return nil, nil, fault.New(fault.BadRequest, "events: no page of events")
+	}
+	if p.Epoch.String() == at.epoch {
+		p.Events = behind(p.Events, at.since)
+	}
 	events, err := eventLayout.read(p.Events)
 	return &p, events, err
 }
 
+// behind leaves the events out whose number is not above one that was drawn.
+func behind(rows [][]json.RawMessage, since string) [][]json.RawMessage {
+	drawn, err := strconv.ParseInt(since, 10, 64)
+	if err != nil {
+		return rows
+	}
+	return lo.Reject(rows, func(fields []json.RawMessage, _ int) bool {
+		var number int64
+		return len(fields) > 0 && json.Unmarshal(fields[0], &number) == nil && number <= drawn
+	})
+}
+
 // parseList reads a list. Parts that cannot be read are an error.
 func parseList(body []byte) (*list, []peer.Event, error) {
 	var p list
 	if err := json.Unmarshal(body, &p); err != nil {
 		return nil, nil, fault.New(fault.BadRequest, "list of kept parts: %v", err)
 	}
+	if p.Held == nil || p.Next == "" {
+		return nil, nil, fault.New(fault.BadRequest, "list of kept parts: no list")
+	}
 	held, err := heldLayout.read(p.Held)
 	return &p, held, err
 }
