A stream is passed on in chunks however its server frames it; a cut one never looks complete

Cause: such a stream was framed by the close of the client's connection too, and a cut closed it in the same way. Change: chunks for clients of HTTP/1.1. For HTTP/1.0 the connection is reset on close from the head on, until the proper end: also by a kill. A stream without a length that ends within an event has broken off. An answer without a length over what is held is a failure.

--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -40,7 +40,7 @@
 
 // scripted is a server that plays one script for each request that it gets; after the last it repeats it.
 type scripted struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 	id       string
 	play     func(c net.Conn, n int, r *http.Request, body string)
@@ -52,7 +52,7 @@
 	done     sync.WaitGroup
 }
 
-func serve(t *testing.T, id string, play func(c net.Conn, n int, r *http.Request, body string)) *scripted {
+func serve(t testing.TB, id string, play func(c net.Conn, n int, r *http.Request, body string)) *scripted {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -111,7 +111,7 @@
 
 // router is a data plane under test.
 type router struct {
-	t      *testing.T
+	t      testing.TB
 	front  string
 	proxy  *proxy.Proxy
 	server *ingress.Server
@@ -137,7 +137,7 @@
 	})
 }
 
-func start(t *testing.T, instances ...peer.Instance) *router {
+func start(t testing.TB, instances ...peer.Instance) *router {
 	t.Helper()
 	set := settings.Default()
 	set.IP, set.Zone, set.Zones = "127.0.0.1", "a", map[string]string{"a": "r"}
@@ -170,7 +170,7 @@
 
 // client is one connection of a client.
 type client struct {
-	t      *testing.T
+	t      testing.TB
 	conn   net.Conn
 	reader *bufio.Reader
 }
--- a/dataplane/proxy/client.go
+++ b/dataplane/proxy/client.go
@@ -15,6 +15,9 @@
 // longPast is a deadline that ends every read and write under way.
 var longPast = time.Unix(1, 0)
 
+// lingerDefault has the system send what is left when a connection is closed.
+const lingerDefault = -1
+
 // Exchange is one request of a client: what came, and the connection that the answer goes to.
 type Exchange struct {
 	Header   *fasthttp.RequestHeader
@@ -32,6 +35,19 @@
 	servers []net.Conn // the connections to servers that work on it: two while a stream is taken over
 }
 
+// resetOnClose sets whether the client's connection is reset when it is closed, by whatever ends this process too.
+func (e *Exchange) resetOnClose(reset bool) {
+	lingers, ok := e.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := lingerDefault
+	if reset {
+		seconds = 0
+	}
+	_ = lingers.SetLinger(seconds) // fails only where the connection is closed already
+}
+
 // ClientGone is called when the client has closed its connection: the request is ended at its server.
 func (e *Exchange) ClientGone() { e.end(&e.gone) }
 
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -72,7 +72,7 @@
 		return attempt.Done
 	}
 	var err error
-	if a.body, err = io.ReadAll(io.LimitReader(body, maxBuffered)); err != nil || !body.ended && body.framing != framedByClose {
+	if a.body, err = io.ReadAll(io.LimitReader(body, maxBuffered)); err != nil || !body.ended {
 		return p.failAttempt(r, to, a)
 	}
 	reusable := !a.odd && body.framing != framedByClose && !a.header.ConnectionClose() && a.conn.reader.Buffered() == 0
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -62,7 +62,7 @@
 	tried    map[string]bool // servers that it was sent to or could not reach
 	lastID   string          // id of the last event passed on
 	started  bool            // the head of the answer has been passed on
-	byClose  bool            // the answer that was begun ends with the connection
+	byClose  bool            // the client knows no chunks: the answer that was begun ends with the connection
 
 	lastOutcome attempt.Outcome
 }
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -52,16 +52,21 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && (s.reply.stream.framing != framedByClose || !r.started || r.byClose):
+		case errors.Is(err, io.EOF) && !s.brokeOff():
 			return s.to, p.endStream(r, s)
 		case isTimeout(err) && !r.Gone() && !r.over(r.deadline):
 			p.takeOver(r, s, admission.Rescue)
-		default: // among them a close that cannot be told from a break, in an answer that has an end of its own
+		default:
 			return s.to, p.failAttempt(r, s.to, s.reply)
 		}
 	}
 }
 
+// brokeOff tells whether a stream that ended lacks something: one that ends with its connection has no other end than a whole event.
+func (s *stream) brokeOff() bool {
+	return s.reply.stream.framing == framedByClose && len(s.events.pending) > 0
+}
+
 // pieceCame notes a sign of life of the stream's server, and with the first one that it has read the prompt.
 func (p *Proxy) pieceCame(r *request, s *stream) {
 	s.silentFrom = time.Now()
@@ -93,7 +98,9 @@
 			return attempt.Broken
 		}
 	}
-	if !r.byClose {
+	if r.byClose {
+		r.resetOnClose(false)
+	} else {
 		p.write(r, []byte("0\r\n\r\n"))
 	}
 	a := s.reply
@@ -127,7 +134,7 @@
 	r.tried[to.target.id] = true
 	a, outcome := p.send(r, to)
 	if outcome == attempt.Done {
-		outcome = p.checkTakeover(r, to, a)
+		outcome = p.checkTakeover(r, s, to, a)
 	}
 	if outcome != attempt.Done {
 		p.learn(r, to, a, outcome)
@@ -144,13 +151,13 @@
 	*s = stream{to: to, reply: a, nextTry: s.nextTry, silentFrom: time.Now()}
 }
 
-// checkTakeover ends an answer that cannot go on the client's: a whole one, or one whose end cannot be told from a break where the
-// client's answer has an end of its own.
-func (p *Proxy) checkTakeover(r *request, to *routed, a *reply) attempt.Outcome {
+// checkTakeover ends an answer that cannot go on the client's: a whole one, or one that ends with its connection where that of the
+// server that has the stream has an end of its own, so that a break would show.
+func (p *Proxy) checkTakeover(r *request, s *stream, to *routed, a *reply) attempt.Outcome {
 	if a.stream == nil {
 		return attempt.Failed
 	}
-	if a.stream.framing == framedByClose && !r.byClose {
+	if a.stream.framing == framedByClose && s.reply.stream.framing != framedByClose {
 		p.endAttempt(r, to, a.conn, false)
 		return attempt.Failed
 	}
@@ -197,18 +204,7 @@
 func (p *Proxy) passEvents(r *request, s *stream, events []byte) bool {
 	var b []byte
 	if !r.started {
-		b = answerHead(&s.reply.header)
-		if s.reply.stream.framing == framedByClose {
-			r.byClose, r.Closing = true, true
-		} else {
-			b = appendHeader(b, "Transfer-Encoding", "chunked")
-		}
-		if r.Closing {
-			b = appendHeader(b, "Connection", "close")
-		}
-		b = append(b, "\r\n"...)
-		r.started = true
-		r.state.HeadPassed()
+		b = r.beginStream(s.reply)
 	}
 	if r.byClose {
 		b = append(b, events...)
@@ -220,3 +216,21 @@
 	}
 	return p.write(r, b)
 }
+
+// beginStream gives the head of a stream. It goes in chunks however the server frames it, so that no break looks like its end. A client
+// that knows no chunks has the end told by its connection: that is reset wherever the answer ends too early.
+func (r *request) beginStream(a *reply) []byte {
+	b := answerHead(&a.header)
+	if r.Header.IsHTTP11() {
+		b = appendHeader(b, "Transfer-Encoding", "chunked")
+	} else {
+		r.byClose, r.Closing = true, true
+		r.resetOnClose(true)
+	}
+	if r.Closing {
+		b = appendHeader(b, "Connection", "close")
+	}
+	r.started = true
+	r.state.HeadPassed()
+	return append(b, "\r\n"...)
+}
