An end is acknowledged once a majority has it on disk, and is recalled with the table

Cause: an end was acknowledged when a majority had it in memory; recalled tables left ends out, so an older record or a late heartbeat made the server a new one; a member that had not heard of the server dropped its end and counted as having it. The first heartbeat of an unknown instance asks a majority whether it has left.

--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -26,7 +26,8 @@
 // Settings are a table's figures.
 type Settings struct {
 	Silence time.Duration // without a heartbeat for so long, an instance is marked silent
-	Keep    time.Duration // a gone or silent entry is kept this long
+	Keep    time.Duration // a gone or silent entry is kept this long: longer than a heartbeat may be late
+	Ends    int           // entries of gone instances that are kept at the most; the oldest give way
 	Loading time.Duration // the loading of weights is taken for over after this long, whatever was told
 }
 
@@ -44,6 +45,7 @@
 	entries  map[string]*entry
 	revision uint64
 	floor    uint64 // deltas from revisions below this one are not known any more
+	ends     uint64 // rises with each instance that begins to leave or is gone
 }
 
 // New makes an empty table.
@@ -85,18 +87,16 @@
 }
 
 // Take joins an account of an instance into the table, and tells whether anything changed that others must hear of.
-// first says that its heartbeat came just now; otherwise another replica told of it.
+// first says that its heartbeat came just now; otherwise another replica told of it. The end of an instance of which nothing is known is
+// kept too: a heartbeat of before it may still come, and another replica may not know of the end.
 func (t *Table) Take(now time.Duration, in peer.Instance, first bool) bool {
 	e := t.entries[in.ID]
 	if e == nil {
-		if in.State == Gone {
-			return false // nothing is known of it, so nobody was told of it by this replica
+		if in.State != Gone {
+			t.endOthers(now, &in)
 		}
-		t.endOthers(now, &in)
-		e = &entry{instance: in, heard: now}
-		e.instance.Silent = in.Silent && !first
-		t.entries[in.ID] = e
-		t.mark(e)
+		in.Silent = in.Silent && !first
+		t.add(now, in)
 		return true
 	}
 	if first && e.instance.State != Gone {
@@ -120,10 +120,71 @@
 	e.instance = in
 	e.instance.State, e.instance.Loading = state, before.Loading
 	e.instance.Silent = in.Silent && !first
-	if state == Gone && before.State != Gone {
+	t.noteEnd(now, e, before.State)
+	return t.markIfNew(e, &before)
+}
+
+// Restore puts an account into the table as it stood before the process started.
+func (t *Table) Restore(now time.Duration, in peer.Instance) {
+	if e := t.entries[in.ID]; e != nil {
+		before := e.instance.State
+		e.instance.State = max(before, in.State)
+		t.noteEnd(now, e, before)
+		return
+	}
+	t.add(now, in)
+}
+
+// add makes an entry.
+func (t *Table) add(now time.Duration, in peer.Instance) {
+	e := &entry{instance: in, heard: now}
+	t.entries[in.ID] = e
+	t.noteEnd(now, e, Ready)
+	t.mark(e)
+}
+
+// noteEnd notes an instance that has begun to leave or is gone, against its state before.
+func (t *Table) noteEnd(now time.Duration, e *entry, before int) {
+	if e.instance.State == before {
+		return
+	}
+	t.ends++
+	if e.instance.State == Gone {
 		e.ended = now
+		t.boundEnds(e)
 	}
-	return t.markIfNew(e, &before)
+}
+
+// boundEnds forgets the instance that has been gone for longest, where too many are kept beside the newest.
+func (t *Table) boundEnds(newest *entry) {
+	count, oldest := 1, ""
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		e := t.entries[id]
+		if e.instance.State != Gone || e == newest {
+			continue
+		}
+		count++
+		if oldest == "" || e.ended < t.entries[oldest].ended {
+			oldest = id
+		}
+	}
+	if t.set.Ends > 0 && count > t.set.Ends && oldest != "" {
+		t.forget(oldest)
+	}
+}
+
+// EndsRevision rises with each instance that begins to leave or is gone.
+func (t *Table) EndsRevision() uint64 { return t.ends }
+
+// Ended lists the instances that leave or are gone, by identity.
+func (t *Table) Ended() []peer.Instance {
+	var list []peer.Instance
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if in := t.entries[id].instance; in.State != Ready {
+			list = append(list, in)
+		}
+	}
+	return list
 }
 
 func (t *Table) markIfNew(e *entry, before *peer.Instance) bool {
@@ -163,9 +224,8 @@
 func (t *Table) endOthers(now time.Duration, in *peer.Instance) {
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[id]
-		if e.instance.Address == in.Address && e.instance.State != Gone {
-			e.instance.State, e.ended = Gone, now
-			t.mark(e)
+		if e != nil && e.instance.Address == in.Address && e.instance.State != Gone {
+			t.end(now, e)
 		}
 	}
 }
@@ -176,11 +236,17 @@
 	if e == nil || e.instance.State == Gone {
 		return false
 	}
-	e.instance.State, e.ended = Gone, now
-	t.mark(e)
+	t.end(now, e)
 	return true
 }
 
+func (t *Table) end(now time.Duration, e *entry) {
+	before := e.instance.State
+	e.instance.State = Gone
+	t.noteEnd(now, e, before)
+	t.mark(e)
+}
+
 // Heard notes that another replica had a heartbeat of the instance.
 func (t *Table) Heard(now time.Duration, id string) {
 	e := t.entries[id]
@@ -200,9 +266,7 @@
 		e := t.entries[id]
 		switch {
 		case e.instance.State == Gone && now-e.ended > t.set.Keep, now-e.heard > t.set.Silence+t.set.Keep:
-			delete(t.entries, id)
-			t.revision++
-			t.floor = t.revision
+			t.forget(id)
 		case e.instance.State != Gone && !e.instance.Silent && now-e.heard > t.set.Silence:
 			e.instance.Silent = true
 			t.mark(e)
@@ -214,6 +278,13 @@
 	}
 }
 
+// forget drops an entry; replicas and routers that had it need the whole table.
+func (t *Table) forget(id string) {
+	delete(t.entries, id)
+	t.revision++
+	t.floor = t.revision
+}
+
 // Pause is told that this replica stood still or was alone: what was not heard in that time is not silence.
 func (t *Table) Pause(now time.Duration) {
 	for _, e := range t.entries {
--- a/controlplane/registry/registry_test.go
+++ b/controlplane/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -77,6 +78,44 @@
 	must.Len(t, 1, table.Live())
 }
 
+// Guards against a late heartbeat of a server that has left at a replica that never heard of it.
+func TestEndOfAnUnknownInstanceIsKept(t *testing.T) {
+	table := New(set)
+	must.True(t, table.Take(0, peer.Instance{ID: "i1", State: Gone}, false))
+	must.False(t, table.Take(0, instance("i1", 9, Ready), true))
+	must.Len(t, 0, table.Live())
+}
+
+// Restored accounts join in either order: an end holds.
+func TestRestoredEndsHold(t *testing.T) {
+	for _, order := range [][]peer.Instance{
+		{instance("i1", 3, Ready), instance("i1", 2, Draining)}, {instance("i1", 2, Draining), instance("i1", 3, Ready)},
+	} {
+		table := New(set)
+		for _, in := range order {
+			table.Restore(0, in)
+		}
+		in, _ := table.Get("i1")
+		must.Eq(t, Draining, in.State)
+		must.Len(t, 1, table.Ended())
+	}
+}
+
+// However many instances are told to have left, few ends are kept: the newest.
+func TestEndsAreBounded(t *testing.T) {
+	bounded := set
+	bounded.Ends = 10
+	table := New(bounded)
+	table.Take(0, instance("living", 1, Ready), true)
+	for i := range 100 {
+		table.Take(time.Duration(i)*time.Millisecond, peer.Instance{ID: fmt.Sprint("i", i), State: Gone}, true)
+	}
+	must.Eq(t, 11, table.Len())
+	_, ok := table.Get("i99")
+	must.True(t, ok)
+	must.Len(t, 1, table.Live())
+}
+
 func TestSilenceIsMarkedAndTakenBack(t *testing.T) {
 	table := New(set)
 	table.Take(0, instance("i1", 1, Ready), true)
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -57,6 +57,7 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	configs   routerConfigs
+	ends      *endKeeper
 
 	mu           sync.Mutex
 	table        *registry.Table
@@ -97,8 +98,9 @@
 		registers: core.NewRegisters(acceptor, self, caller, log),
 		started:   time.Now(), closed: make(chan struct{}), tableID: self.ID,
 		table: registry.New(registry.Settings{
-			Silence: settings.Millis(silentBeats * set.HeartbeatMs), Keep: keepEntries, Loading: loadingAtMost,
+			Silence: settings.Millis(silentBeats * set.HeartbeatMs), Keep: keepEntries, Ends: mostEnds, Loading: loadingAtMost,
 		}),
+		ends:         newEndKeeper(),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
@@ -178,6 +180,7 @@
 		go c.announce()
 		go c.runRollout()
 		go c.sweep()
+		go c.keepEnds()
 	}
 	go c.runGenesis()
 	c.findMembers()
@@ -364,6 +367,7 @@
 		}
 		c.mu.Unlock()
 		c.notify()
+		c.ends.due()
 		c.remember()
 	}
 }
--- a/controlplane/server/instances.go
+++ b/controlplane/server/instances.go
@@ -10,50 +10,46 @@
 	"moleshift/peer"
 )
 
-// pushWait bounds how long an acknowledgement waits for a majority to keep a change.
+// pushWait bounds how long an acknowledgement waits for a majority to keep an end.
 const pushWait = 600 * time.Millisecond
 
-// beat takes a heartbeat that came here or was passed on. That a server leaves is acknowledged only once a majority of the members
-// knows of it, so that no loss that the system bears makes routers forget it.
+// beat takes a heartbeat that came here or was passed on. That a server leaves is acknowledged only once a majority of the members has it
+// on disk, so that neither a loss that the system bears nor a kill of all makes routers forget it.
 func (c *Controller) beat(in *peer.Beat) (*peer.BeatReply, error) {
 	if c.acceptor == nil {
 		return nil, errNotMember
 	}
-	now := c.now()
-	id, state := in.Instance.ID, in.Instance.State
-	c.mu.Lock()
-	known, exists := c.table.Get(id)
-	if exists && state == registry.Gone {
-		in.Instance = known
-		in.Instance.State = registry.Gone
-	}
-	if state == registry.Gone && !exists {
-		c.mu.Unlock()
-		// This member has not heard of it, or not any more: others may have.
-		if !c.push(in.Instance, false, true) {
-			return nil, fault.New(fault.Unavailable, "no majority of the members knows of the instance's end yet")
-		}
-		return &peer.BeatReply{OK: true}, nil
+	id := in.Instance.ID
+	if in.Instance.State != registry.Gone && !c.knowsInstance(id) {
+		c.askForEnd(id) // it may be a late heartbeat of one that has left
 	}
-	changed := c.table.Take(now, in.Instance, true)
-	if state != registry.Gone {
+	c.mu.Lock()
+	changed := c.table.Take(c.now(), in.Instance, true)
+	current, _ := c.table.Get(id)
+	if in.Instance.State != registry.Gone {
 		c.heard[id] = true
 	}
-	current, exists := c.table.Get(id)
-	unconfirmed := exists && current.State != registry.Ready && c.confirmed[id] < current.State
+	unconfirmed := isEnd(current) && c.confirmed[id] < current.State
 	c.mu.Unlock()
 	if changed {
 		c.notify()
 	}
 	if (changed || unconfirmed) && !c.push(current, false, unconfirmed) {
-		return nil, fault.New(fault.Unavailable, "no majority of the members knows of the instance's end yet")
+		return nil, fault.New(fault.Unavailable, "no majority of the members keeps the instance's end yet")
 	}
 	if unconfirmed {
 		c.mu.Lock()
 		c.confirmed[id] = current.State
 		c.mu.Unlock()
 	}
-	return &peer.BeatReply{OK: true, Owner: c.heartbeatAddress(in.Instance.Service)}, nil
+	return &peer.BeatReply{OK: true, Owner: c.heartbeatAddress(current.Service)}, nil
+}
+
+func (c *Controller) knowsInstance(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.table.Get(id)
+	return known
 }
 
 // heartbeatAddress names the control address of the owner of a service's share of the table.
@@ -66,31 +62,22 @@
 }
 
 // push passes an entry on to the other members; load says that Loading is to be taken over. With wait it returns once a majority of
-// all members has it, or false.
+// all members has it, an end on disk, or false.
 func (c *Controller) push(in peer.Instance, load, wait bool) bool {
 	members := c.registers.Members(core.Config)
 	delivered := make(chan struct{}, len(members))
-	count := 0
 	for _, m := range members {
-		if m.ID == c.acceptor.Identity() {
-			count++
-			continue
-		}
-		c.outboxOf(m).add(in, load, delivered)
-	}
-	if !wait {
-		return true
-	}
-	deadline := time.After(pushWait)
-	for 2*count <= len(members) {
-		select {
-		case <-delivered:
-			count++
-		case <-deadline:
-			return false
+		if m.ID != c.acceptor.Identity() {
+			c.outboxOf(m).add(in, load, delivered)
+		} else if wait {
+			go func() {
+				if c.awaitEnds(pushWait) {
+					delivered <- struct{}{}
+				}
+			}()
 		}
 	}
-	return true
+	return !wait || c.awaitMajority(0, len(members), delivered, pushWait)
 }
 
 // instances takes entries from another member.
@@ -99,7 +86,8 @@
 		return nil, errNotMember
 	}
 	c.takeAll(in.List)
-	reply := &peer.Instances{}
+	reply := &peer.Instances{List: c.endsAmong(in.Ask)}
+	reply.Kept = !slices.ContainsFunc(in.List, isEnd) || c.awaitEnds(keptWait)
 	c.mu.Lock()
 	for i := range in.List {
 		if slices.Contains(in.Load, in.List[i].ID) {
--- a/controlplane/server/outbox.go
+++ b/controlplane/server/outbox.go
@@ -68,13 +68,13 @@
 		if batch == nil {
 			return
 		}
-		if err := o.controller.caller.Call(o.to.Address, peer.CallInstances, message, &peer.Instances{}, core.CallTimeout); err == nil {
-			for _, out := range batch {
-				for _, d := range out.delivered {
-					d <- struct{}{}
-				}
+		reply := &peer.Instances{}
+		err := o.controller.caller.Call(o.to.Address, peer.CallInstances, message, reply, core.CallTimeout)
+		if err == nil {
+			batch = confirm(batch, reply.Kept)
+			if len(batch) == 0 {
+				continue
 			}
-			continue
 		}
 		o.putBack(batch)
 		if !o.controller.pause(outboxPause) {
@@ -83,6 +83,21 @@
 	}
 }
 
+// confirm tells those who wait what the member has, and gives what is to be sent again: ends that are not on its disk.
+func confirm(batch map[string]outgoing, kept bool) map[string]outgoing {
+	left := map[string]outgoing{}
+	for id, out := range batch {
+		if isEnd(out.instance) && !kept {
+			left[id] = out
+			continue
+		}
+		for _, d := range out.delivered {
+			d <- struct{}{}
+		}
+	}
+	return left
+}
+
 // take empties the outbox; nil: there was nothing, and the sender has ended.
 func (o *outbox) take() (map[string]outgoing, *peer.Instances) {
 	o.mu.Lock()
--- a/controlplane/server/recall.go
+++ b/controlplane/server/recall.go
@@ -1,12 +1,10 @@
 package server
 
-import (
-	"moleshift/controlplane/registry"
-	"moleshift/peer"
-)
+import "moleshift/peer"
 
 // instancesRecord keeps the table of servers on disk, so that a whole core that comes back knows where to send before the next
-// heartbeats. It is a hint: what servers say of themselves supersedes it, and a request names the instance that it is meant for.
+// heartbeats. It is a hint: what servers say of themselves supersedes it, and a request names the instance that it is meant for. Ends
+// are no hint: see endsRecord.
 const instancesRecord = "instances"
 
 // remember keeps the table where it has changed since.
@@ -28,27 +26,28 @@
 	c.mu.Unlock()
 }
 
-// recall takes the table over that was kept before the process started.
+// recall takes the table and the ends over that were kept before the process started.
 func (c *Controller) recall() {
 	if c.acceptor == nil {
 		return
 	}
-	var kept peer.Instances
-	if data := c.acceptor.Kept(instancesRecord); data != nil {
-		if _, err := kept.UnmarshalMsg(data); err != nil {
-			c.log.Warn().Err(err).Msg("kept table of servers cannot be read: heartbeats will tell")
-			return
-		}
-	}
-	for _, in := range kept.List {
-		if in.State == registry.Gone {
-			continue
-		}
+	for _, in := range append(c.kept(endsRecord), c.kept(instancesRecord)...) {
 		in.Loading = false
-		c.table.Take(c.now(), in, false)
-		if in.State != registry.Ready {
-			c.confirmed[in.ID] = in.State
-		}
+		c.table.Restore(c.now(), in)
 	}
 	c.remembered = c.table.Digest()
 }
+
+// kept gives the instances in a record on disk.
+func (c *Controller) kept(record string) []peer.Instance {
+	data := c.acceptor.Kept(record)
+	if data == nil {
+		return nil
+	}
+	var list peer.Instances
+	if _, err := list.UnmarshalMsg(data); err != nil {
+		c.log.Warn().Err(err).Str("record", record).Msg("kept record of servers cannot be read: heartbeats will tell")
+		return nil
+	}
+	return list.List
+}
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -68,7 +68,7 @@
 }
 
 // node starts a controller. seeds are the addresses that its settings file names.
-func (l *lan) node(t *testing.T, i int, counts, first bool, store core.Store, seeds ...string) *Controller {
+func (l *lan) node(t testing.TB, i int, counts, first bool, store core.Store, seeds ...string) *Controller {
 	t.Helper()
 	set := settings.Default()
 	set.IP = fmt.Sprintf("10.0.0.%d", i)
@@ -104,7 +104,7 @@
 }
 
 // eventually waits for what comes about within a bound, not at once.
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)), must.Sprint(what))
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -164,11 +164,13 @@
 	Owner string `msg:"w"` // control address for later heartbeats
 }
 
-// Instances passes entries of the table on.
+// Instances passes entries of the table on, and answers that.
 type Instances struct {
 	List []Instance `msg:"l"`
 	Want bool       `msg:"w"` // answer with the whole table
 	Load []string   `msg:"o"` // instances of which Loading is to be taken over too
+	Ask  []string   `msg:"a"` // instances: answer with those of them that are known to leave or to be gone
+	Kept bool       `msg:"k"` // in an answer: the ends that were passed on are on the callee's disk
 }
 
 // Poll asks for what is newer than the caller has, and is held until there is something or WaitMs are over.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1096,9 +1096,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instances) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "l"
-	o = append(o, 0x83, 0xa1, 0x6c)
+	o = append(o, 0x85, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -1116,6 +1116,15 @@
 	for za0002 := range z.Load {
 		o = msgp.AppendString(o, z.Load[za0002])
 	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ask)))
+	for za0003 := range z.Ask {
+		o = msgp.AppendString(o, z.Ask[za0003])
+	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Kept)
 	return
 }
 
@@ -1181,6 +1190,31 @@
 					return
 				}
 			}
+		case "a":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+			if cap(z.Ask) >= int(zb0004) {
+				z.Ask = (z.Ask)[:zb0004]
+			} else {
+				z.Ask = make([]string, zb0004)
+			}
+			for za0003 := range z.Ask {
+				z.Ask[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ask", za0003)
+					return
+				}
+			}
+		case "k":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1203,6 +1237,11 @@
 	for za0002 := range z.Load {
 		s += msgp.StringPrefixSize + len(z.Load[za0002])
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Ask {
+		s += msgp.StringPrefixSize + len(z.Ask[za0003])
+	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
