Of two incarnations at an address the one heard later counts; none ends the other

Cause: an unknown incarnation ended all others at its address, also one from another member's old record, and an end is final. Change: an address ends nobody. What was last heard one and a half heartbeats before another at its address is marked as replaced, routers leave it out, and it is back once it is heard. Records and other members' tables are no sign of life. Silent entries are not compared nor brought back, so that members do not remind one another of a crashed server for ever. Table.End, which only tests called, is gone.

--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -29,11 +30,16 @@
 	Keep    time.Duration // a gone or silent entry is kept this long: longer than a heartbeat may be late
 	Ends    int           // entries of gone instances that are kept at the most; the oldest give way
 	Loading time.Duration // the loading of weights is taken for over after this long, whatever was told
+	Replace time.Duration // of two incarnations at one address, the one heard so much earlier is replaced
 }
 
+// neverHeard is before every heartbeat: an account from disk, or of another replica, is no sign of life.
+const neverHeard = time.Duration(math.MinInt64 / 2)
+
 type entry struct {
 	instance peer.Instance
-	heard    time.Duration // when a heartbeat was last known of, at this replica or at another
+	heard    time.Duration // from when on its silence counts: its last heartbeat, or when this replica learned of it
+	beat     time.Duration // when its last heartbeat came here or to another replica; neverHeard: none that is known of
 	changed  uint64        // revision of the last change that routers must hear of
 	ended    time.Duration // when it became gone
 	loading  time.Duration // since when it loads weights, where it does
@@ -43,13 +49,16 @@
 type Table struct {
 	set      Settings
 	entries  map[string]*entry
+	places   map[string][]*entry // by address
 	revision uint64
 	floor    uint64 // deltas from revisions below this one are not known any more
 	ends     uint64 // rises with each instance that begins to leave or is gone
 }
 
 // New makes an empty table.
-func New(set Settings) *Table { return &Table{set: set, entries: map[string]*entry{}} }
+func New(set Settings) *Table {
+	return &Table{set: set, entries: map[string]*entry{}, places: map[string][]*entry{}}
+}
 
 // Revision rises with every change that routers must hear of.
 func (t *Table) Revision() uint64 { return t.revision }
@@ -68,7 +77,7 @@
 // same tells whether two accounts differ in nothing that routers must hear of.
 func same(a, b *peer.Instance) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.State == b.State && a.Silent == b.Silent && a.Loading == b.Loading && slices.Equal(a.Models, b.Models)
+		a.State == b.State && a.Silent == b.Silent && a.Loading == b.Loading && a.Replaced == b.Replaced && slices.Equal(a.Models, b.Models)
 }
 
 // joinModels gives the newest weights of either account: an incarnation never goes back.
@@ -92,36 +101,82 @@
 func (t *Table) Take(now time.Duration, in peer.Instance, first bool) bool {
 	e := t.entries[in.ID]
 	if e == nil {
-		if in.State != Gone {
-			t.endOthers(now, &in)
+		if !first && in.State == Ready && (in.Silent || in.Replaced) {
+			return false // it will be heard if it lives; replicas that forget at different moments would remind one another for ever
 		}
-		in.Silent = in.Silent && !first
-		t.add(now, in)
+		in.Silent, in.Replaced = false, false
+		e = t.add(now, in)
+		t.sign(now, e, first)
 		return true
 	}
-	if first && e.instance.State != Gone {
-		e.heard = now
-	}
 	before := e.instance
-	if !newer(&e.instance, &in) {
-		if e.instance.State == Gone {
-			return false
-		}
-		e.instance.Silent = e.instance.Silent && !first
-		e.instance.Models = joinModels(in.Models, e.instance.Models)
-		return t.markIfNew(e, &before)
+	if newer(&before, &in) {
+		t.supersede(now, e, in)
+	} else if before.State != Gone {
+		e.instance.Models = joinModels(in.Models, before.Models)
 	}
-	// A draining instance never becomes ready again, whatever a later account says.
-	state := max(before.State, in.State)
+	t.sign(now, e, first)
+	return t.markIfNew(e, &before)
+}
+
+// supersede takes a newer account of an instance over. One that is draining never becomes ready again, whatever a later account says.
+func (t *Table) supersede(now time.Duration, e *entry, in peer.Instance) {
+	before := e.instance
 	if in.Address == "" { // an end that is told by the identity alone
+		state := in.State
 		in = before
+		in.State = state
 	}
 	in.Models = joinModels(before.Models, in.Models)
+	in.State = max(before.State, in.State)
+	in.Silent, in.Loading, in.Replaced = before.Silent, before.Loading, before.Replaced
+	t.leavePlace(e)
 	e.instance = in
-	e.instance.State, e.instance.Loading = state, before.Loading
-	e.instance.Silent = in.Silent && !first
+	t.takePlace(e)
 	t.noteEnd(now, e, before.State)
-	return t.markIfNew(e, &before)
+}
+
+// sign notes a sign of life, where an account came with a heartbeat.
+func (t *Table) sign(now time.Duration, e *entry, first bool) {
+	if first && e.instance.State != Gone {
+		e.heard, e.beat = now, now
+		e.instance.Silent = false
+	}
+	t.settlePlace(e.instance.Address)
+}
+
+func (t *Table) takePlace(e *entry) {
+	address := e.instance.Address
+	t.places[address] = append(t.places[address], e)
+}
+
+func (t *Table) leavePlace(e *entry) {
+	address := e.instance.Address
+	left := slices.DeleteFunc(t.places[address], func(other *entry) bool { return other == e })
+	if len(left) == 0 {
+		delete(t.places, address)
+		return
+	}
+	t.places[address] = left
+}
+
+// settlePlace marks the incarnations at an address that were heard much earlier than another one there: a server restarted. Which one
+// is younger no account tells, and a heartbeat may come late: so that is not final, and nobody that was heard lately is marked.
+func (t *Table) settlePlace(address string) {
+	latest := neverHeard
+	for _, e := range t.places[address] {
+		latest = max(latest, e.beat)
+	}
+	if latest == neverHeard || address == "" {
+		return
+	}
+	for _, e := range t.places[address] {
+		replaced := e.instance.State != Gone && latest-e.beat > t.set.Replace
+		if e.instance.Replaced != replaced {
+			e.instance.Replaced = replaced
+			t.mark(e)
+		}
+	}
 }
 
 // Restore puts an account into the table as it stood before the process started.
@@ -136,11 +191,13 @@
 }
 
 // add makes an entry.
-func (t *Table) add(now time.Duration, in peer.Instance) {
-	e := &entry{instance: in, heard: now}
+func (t *Table) add(now time.Duration, in peer.Instance) *entry {
+	e := &entry{instance: in, heard: now, beat: neverHeard}
 	t.entries[in.ID] = e
+	t.takePlace(e)
 	t.noteEnd(now, e, Ready)
 	t.mark(e)
+	return e
 }
 
 // noteEnd notes an instance that has begun to leave or is gone, against its state before.
@@ -209,55 +266,26 @@
 	}
 }
 
-// Live lists the instances that are neither gone nor silent, by identity.
+// Live lists the instances that are neither gone nor silent nor replaced, by identity.
 func (t *Table) Live() []peer.Instance {
 	var list []peer.Instance
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		if in := t.entries[id].instance; in.State != Gone && !in.Silent {
+		if in := t.entries[id].instance; in.State != Gone && !in.Silent && !in.Replaced {
 			list = append(list, in)
 		}
 	}
 	return list
 }
 
-// endOthers ends the incarnations that had the address of a new one.
-func (t *Table) endOthers(now time.Duration, in *peer.Instance) {
-	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		e := t.entries[id]
-		if e != nil && e.instance.Address == in.Address && e.instance.State != Gone {
-			t.end(now, e)
-		}
-	}
-}
-
-// End marks an instance as gone, and tells whether it was known and not gone.
-func (t *Table) End(now time.Duration, id string) bool {
-	e := t.entries[id]
-	if e == nil || e.instance.State == Gone {
-		return false
-	}
-	t.end(now, e)
-	return true
-}
-
-func (t *Table) end(now time.Duration, e *entry) {
-	before := e.instance.State
-	e.instance.State = Gone
-	t.noteEnd(now, e, before)
-	t.mark(e)
-}
-
 // Heard notes that another replica had a heartbeat of the instance.
 func (t *Table) Heard(now time.Duration, id string) {
 	e := t.entries[id]
 	if e == nil || e.instance.State == Gone {
 		return
 	}
-	e.heard = now
-	if e.instance.Silent {
-		e.instance.Silent = false
-		t.mark(e)
-	}
+	before := e.instance
+	t.sign(now, e, true)
+	t.markIfNew(e, &before)
 }
 
 // Sweep marks instances that have been silent for too long and forgets old entries.
@@ -271,6 +299,7 @@
 			e.instance.Silent = true
 			t.mark(e)
 		}
+		t.settlePlace(e.instance.Address)
 		if e.instance.Loading && now-e.loading > t.set.Loading {
 			e.instance.Loading = false
 			t.mark(e)
@@ -280,6 +309,7 @@
 
 // forget drops an entry; replicas and routers that had it need the whole table.
 func (t *Table) forget(id string) {
+	t.leavePlace(t.entries[id])
 	delete(t.entries, id)
 	t.revision++
 	t.floor = t.revision
@@ -321,7 +351,7 @@
 func (t *Table) Digest() uint64 {
 	var sum uint64
 	for id, e := range t.entries {
-		if e.instance.State == Gone {
+		if e.instance.State == Gone || e.instance.Silent || e.instance.Replaced {
 			continue // they are forgotten at different moments
 		}
 		h := fnv.New64a()
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -32,6 +32,7 @@
 	minSync          = 100 * time.Millisecond
 	maxSync          = 500 * time.Millisecond
 	silentBeats      = 3.5 // heartbeats missed before a server is taken for silent
+	replacedBeats    = 1.5 // heartbeats missed before a server gives way to another incarnation that is heard at its address
 	keepEntries      = time.Minute
 	loadingAtMost    = 3 * time.Second // without word from the node that orders a load
 	sessionsEvery    = 4               // of all syncs carry the sessions
@@ -99,6 +100,7 @@
 		started:   time.Now(), closed: make(chan struct{}), tableID: self.ID,
 		table: registry.New(registry.Settings{
 			Silence: settings.Millis(silentBeats * set.HeartbeatMs), Keep: keepEntries, Ends: mostEnds, Loading: loadingAtMost,
+			Replace: settings.Millis(replacedBeats * set.HeartbeatMs),
 		}),
 		ends:         newEndKeeper(),
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
--- a/controlplane/server/instances.go
+++ b/controlplane/server/instances.go
@@ -34,7 +34,7 @@
 	if changed {
 		c.notify()
 	}
-	if (changed || unconfirmed) && !c.push(current, false, unconfirmed) {
+	if (changed || unconfirmed) && !c.push(current, beatCame, unconfirmed) {
 		return nil, fault.New(fault.Unavailable, "no majority of the members keeps the instance's end yet")
 	}
 	if unconfirmed {
@@ -61,14 +61,14 @@
 	return c.controlAddress(m)
 }
 
-// push passes an entry on to the other members; load says that Loading is to be taken over. With wait it returns once a majority of
+// push passes an entry on to the other members. With wait it returns once a majority of
 // all members has it, an end on disk, or false.
-func (c *Controller) push(in peer.Instance, load, wait bool) bool {
+func (c *Controller) push(in peer.Instance, kind news, wait bool) bool {
 	members := c.registers.Members(core.Config)
 	delivered := make(chan struct{}, len(members))
 	for _, m := range members {
 		if m.ID != c.acceptor.Identity() {
-			c.outboxOf(m).add(in, load, delivered)
+			c.outboxOf(m).add(in, kind, delivered)
 		} else if wait {
 			go func() {
 				if c.awaitEnds(pushWait) {
@@ -89,6 +89,9 @@
 	reply := &peer.Instances{List: c.endsAmong(in.Ask)}
 	reply.Kept = !slices.ContainsFunc(in.List, isEnd) || c.awaitEnds(keptWait)
 	c.mu.Lock()
+	for _, id := range in.Beat {
+		c.table.Heard(c.now(), id)
+	}
 	for i := range in.List {
 		if slices.Contains(in.Load, in.List[i].ID) {
 			c.table.SetLoading(c.now(), in.List[i].ID, in.List[i].Loading)
--- a/controlplane/server/outbox.go
+++ b/controlplane/server/outbox.go
@@ -27,9 +27,18 @@
 	sending bool
 }
 
+// news tells what an entry is passed on for.
+type news int
+
+const (
+	accountOnly news = iota
+	beatCame         // its heartbeat has just come here
+	loadChanged      // Loading is to be taken over too
+)
+
 type outgoing struct {
 	instance  peer.Instance
-	load      bool // Loading is to be taken over too
+	kind      news
 	since     time.Time
 	delivered []chan<- struct{} // told when the member has it; each has room for it
 }
@@ -47,12 +56,12 @@
 }
 
 // add queues an entry; a newer account of the same instance takes the place of one that waits.
-func (o *outbox) add(in peer.Instance, load bool, delivered chan<- struct{}) {
+func (o *outbox) add(in peer.Instance, kind news, delivered chan<- struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := o.pending[in.ID]
 	out.instance, out.since = in, time.Now()
-	out.load = out.load || load
+	out.kind = max(out.kind, kind)
 	out.delivered = append(out.delivered, delivered)
 	o.pending[in.ID] = out
 	if !o.sending {
@@ -111,8 +120,11 @@
 	message := &peer.Instances{}
 	for _, id := range slices.Sorted(maps.Keys(batch)) {
 		message.List = append(message.List, batch[id].instance)
-		if batch[id].load {
+		switch batch[id].kind {
+		case loadChanged:
 			message.Load = append(message.Load, id)
+		case beatCame:
+			message.Beat = append(message.Beat, id)
 		}
 	}
 	return batch, message
@@ -127,7 +139,7 @@
 			continue
 		}
 		if newer, ok := o.pending[id]; ok {
-			newer.load = newer.load || out.load
+			newer.kind = max(newer.kind, out.kind)
 			newer.delivered = append(newer.delivered, out.delivered...)
 			o.pending[id] = newer
 			continue
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -202,7 +202,7 @@
 		loaded := step.Instance
 		loaded.Models, loaded.State = report.Models, registry.Ready
 		c.takeAll([]peer.Instance{loaded})
-		c.push(loaded, false, false)
+		c.push(loaded, accountOnly, false)
 		return
 	}
 }
@@ -228,7 +228,7 @@
 		r.c.mu.Lock()
 		r.c.table.SetLoading(r.c.now(), in.ID, true)
 		r.c.mu.Unlock()
-		r.c.push(in, true, false)
+		r.c.push(in, loadChanged, false)
 	}
 }
 
@@ -238,7 +238,7 @@
 	r.c.table.SetLoading(r.c.now(), in.ID, loading)
 	r.c.mu.Unlock()
 	r.c.notify()
-	r.c.push(in, true, false)
+	r.c.push(in, loadChanged, false)
 }
 
 // order sends an order to the incarnation that it is meant for. Its answer tells whether the order was taken: the call is made alone, so
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -49,7 +49,7 @@
 type Snapshot struct {
 	Table     *routing.Table             // nil: no configuration is known
 	Namings   rollout.Namings            // of weights, with the earliest moment at which this router or a controller knew of each
-	Instances map[string][]peer.Instance // by service, without those that are gone
+	Instances map[string][]peer.Instance // by service, without those that are gone or replaced
 	Nodes     []peer.Node
 }
 
@@ -386,7 +386,7 @@
 	}
 	s.Instances = map[string][]peer.Instance{}
 	for _, id := range slices.Sorted(maps.Keys(f.known)) {
-		if in := f.known[id].instance; in.State != registry.Gone {
+		if in := f.known[id].instance; in.State != registry.Gone && !in.Replaced {
 			s.Instances[in.Service] = append(s.Instances[in.Service], in)
 		}
 	}
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -101,6 +101,19 @@
 	must.Len(t, 0, f.Snapshot().Instances["llm"])
 }
 
+// A server that gave way to another incarnation at its address is not sent to, until it is heard again.
+func TestReplacedServersAreNotUsed(t *testing.T) {
+	f := newFollower(false)
+	younger, older := server("a", registry.Ready, 1), server("b", registry.Ready, 1)
+	older.Replaced = true
+	f.take(time.Now(), instances(2, true, younger, older))
+	must.Len(t, 1, f.Snapshot().Instances["llm"])
+	must.Eq(t, "a", f.Snapshot().Instances["llm"][0].ID)
+	older.Replaced = false
+	f.take(time.Now(), instances(3, false, older))
+	must.Len(t, 2, f.Snapshot().Instances["llm"])
+}
+
 // A reply may share its parts with the table of a controller in the same process: it must not be written to.
 func TestRepliesAreNotWrittenTo(t *testing.T) {
 	f := newFollower(false)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -150,6 +150,7 @@
 	ColdMs   float64 `msg:"c"`
 	Silent   bool    `msg:"x"` // no heartbeat for some time
 	Loading  bool    `msg:"b"` // new weights are being loaded or are about to be
+	Replaced bool    `msg:"r"` // another incarnation at its address was heard after it
 	Models   []Model `msg:"m"`
 }
 
@@ -169,6 +170,7 @@
 	List []Instance `msg:"l"`
 	Want bool       `msg:"w"` // answer with the whole table
 	Load []string   `msg:"o"` // instances of which Loading is to be taken over too
+	Beat []string   `msg:"b"` // instances whose heartbeat has just come
 	Ask  []string   `msg:"a"` // instances: answer with those of them that are known to leave or to be gone
 	Kept bool       `msg:"k"` // in an answer: the ends that were passed on are on the callee's disk
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -900,9 +900,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 12
 	// string "i"
-	o = append(o, 0x8b, 0xa1, 0x69)
+	o = append(o, 0x8c, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -931,6 +931,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBool(o, z.Loading)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Replaced)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
@@ -1024,6 +1027,12 @@
 				err = msgp.WrapError(err, "Loading")
 				return
 			}
+		case "r":
+			z.Replaced, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replaced")
+				return
+			}
 		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1086,7 +1095,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Instance) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Name) + 2 + msgp.Int64Size
 	}
@@ -1096,9 +1105,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instances) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "l"
-	o = append(o, 0x85, 0xa1, 0x6c)
+	o = append(o, 0x86, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -1116,11 +1125,17 @@
 	for za0002 := range z.Load {
 		o = msgp.AppendString(o, z.Load[za0002])
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Beat)))
+	for za0003 := range z.Beat {
+		o = msgp.AppendString(o, z.Beat[za0003])
+	}
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ask)))
-	for za0003 := range z.Ask {
-		o = msgp.AppendString(o, z.Ask[za0003])
+	for za0004 := range z.Ask {
+		o = msgp.AppendString(o, z.Ask[za0004])
 	}
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -1190,22 +1205,41 @@
 					return
 				}
 			}
-		case "a":
+		case "b":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Beat")
+				return
+			}
+			if cap(z.Beat) >= int(zb0004) {
+				z.Beat = (z.Beat)[:zb0004]
+			} else {
+				z.Beat = make([]string, zb0004)
+			}
+			for za0003 := range z.Beat {
+				z.Beat[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Beat", za0003)
+					return
+				}
+			}
+		case "a":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Ask")
 				return
 			}
-			if cap(z.Ask) >= int(zb0004) {
-				z.Ask = (z.Ask)[:zb0004]
+			if cap(z.Ask) >= int(zb0005) {
+				z.Ask = (z.Ask)[:zb0005]
 			} else {
-				z.Ask = make([]string, zb0004)
+				z.Ask = make([]string, zb0005)
 			}
-			for za0003 := range z.Ask {
-				z.Ask[za0003], bts, err = msgp.ReadStringBytes(bts)
+			for za0004 := range z.Ask {
+				z.Ask[za0004], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Ask", za0003)
+					err = msgp.WrapError(err, "Ask", za0004)
 					return
 				}
 			}
@@ -1238,8 +1272,12 @@
 		s += msgp.StringPrefixSize + len(z.Load[za0002])
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Ask {
-		s += msgp.StringPrefixSize + len(z.Ask[za0003])
+	for za0003 := range z.Beat {
+		s += msgp.StringPrefixSize + len(z.Beat[za0003])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Ask {
+		s += msgp.StringPrefixSize + len(z.Ask[za0004])
 	}
 	s += 2 + msgp.BoolSize
 	return
