Tenants that share kept prompts do so under a new salt once one of them is isolated

Cause: only the isolated tenant's salt changed; what it had made stands under the common one, and nobody can tell it apart there. Change: the configuration's state keeps since which version the sharers share, and who has; where one of those is isolated, also after it was removed, they begin anew under another salt. Salts are made from the newest configuration at each attempt. Cost: once for such a change all that the sharers keep is read again, which all of them pay for.

--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -31,6 +31,10 @@
 	Version int64   `msg:"v"`
 	Body    []byte  `msg:"b"` // the whole configuration, as JSON
 	Orders  []Taken `msg:"o"` // the newest orders taken, oldest first
+
+	SharedSince  int64    `msg:"w"` // version since which the tenants that are not isolated share kept prompts with one another; 0: the first
+	Sharers      []string `msg:"s"` // tenants that have shared since then, by name
+	SharingKnown bool     `msg:"k"` // the two above were noted; not by releases that knew nothing of them
 }
 
 // Order is an order of the operator.
@@ -97,11 +101,14 @@
 		}
 		body = patched
 	}
-	if _, err := Parse(body); err != nil {
+	document, err := Parse(body)
+	if err != nil {
 		return nil, 0, err
 	}
 	orders := append([]Taken{}, s.Orders[max(0, len(s.Orders)+1-rememberedOrders):]...)
-	return &State{Version: head.Version, Body: body, Orders: append(orders, Taken{head.Version, hash})}, Applied, nil
+	next := &State{Version: head.Version, Body: body, Orders: append(orders, Taken{head.Version, hash})}
+	next.share(s, document)
+	return next, Applied, nil
 }
 
 // change is the body of a patch.
--- a/controlplane/configuration/state_gen.go
+++ b/controlplane/configuration/state_gen.go
@@ -107,9 +107,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendInt64(o, z.Version)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -126,6 +126,18 @@
 		o = append(o, 0xa1, 0x64)
 		o = msgp.AppendBytes(o, z.Orders[za0001].Hash)
 	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.SharedSince)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Sharers)))
+	for za0002 := range z.Sharers {
+		o = msgp.AppendString(o, z.Sharers[za0002])
+	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.SharingKnown)
 	return
 }
 
@@ -207,6 +219,37 @@
 					}
 				}
 			}
+		case "w":
+			z.SharedSince, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SharedSince")
+				return
+			}
+		case "s":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sharers")
+				return
+			}
+			if cap(z.Sharers) >= int(zb0004) {
+				z.Sharers = (z.Sharers)[:zb0004]
+			} else {
+				z.Sharers = make([]string, zb0004)
+			}
+			for za0002 := range z.Sharers {
+				z.Sharers[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Sharers", za0002)
+					return
+				}
+			}
+		case "k":
+			z.SharingKnown, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SharingKnown")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -225,6 +268,11 @@
 	for za0001 := range z.Orders {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Orders[za0001].Hash)
 	}
+	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Sharers {
+		s += msgp.StringPrefixSize + len(z.Sharers[za0002])
+	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -330,6 +330,7 @@
 	}
 	f.log.Debug().Int64("version", document.Version).Msg("configuration in force")
 	s.Table = routing.Compile(document)
+	s.Table.SharedSince = state.SharedSince
 	return true
 }
 
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -38,6 +38,7 @@
 	targets := p.services[r.service.Name]
 	query := &placement.Query{Service: r.service.Name, Work: r.work, Servers: make([]placement.Server, 0, len(targets))}
 	least := p.leastVersion(r, now, steady)
+	table := p.follow().Table
 	salts := map[int64]string{}
 	for _, t := range targets {
 		standing := p.standing(t, steady)
@@ -49,7 +50,7 @@
 			server.Version = max(t.version(r.model), 1)
 			salt, ok := salts[server.Version]
 			if !ok {
-				salt = r.salt(server.Version)
+				salt = r.salt(table, server.Version)
 				salts[server.Version] = salt
 			}
 			server.Salt = salt
--- a/dataplane/routing/table.go
+++ b/dataplane/routing/table.go
@@ -16,13 +16,15 @@
 
 // Table is a configuration made ready for look-ups.
 type Table struct {
-	Version  int64
-	Limits   configuration.Limits
-	Services map[string]*configuration.Service
-	Stores   []*configuration.Service // stores of kept KV cache
+	Version     int64
+	SharedSince int64 // version since which tenants that are not isolated share kept prompts with one another; 0: the first
+	Limits      configuration.Limits
+	Services    map[string]*configuration.Service
+	Stores      []*configuration.Service // stores of kept KV cache
 
 	hosts   map[string][]*configuration.Route // longest prefix first
 	tenants map[string]*configuration.Tenant  // by key
+	named   map[string]*configuration.Tenant  // by name
 	keyed   bool
 }
 
@@ -30,7 +32,8 @@
 func Compile(d *configuration.Document) *Table {
 	t := &Table{
 		Version: d.Version, Limits: d.Limits, Services: map[string]*configuration.Service{},
-		hosts: map[string][]*configuration.Route{}, tenants: map[string]*configuration.Tenant{}, keyed: len(d.Tenants) > 0,
+		hosts: map[string][]*configuration.Route{}, tenants: map[string]*configuration.Tenant{}, named: map[string]*configuration.Tenant{},
+		keyed: len(d.Tenants) > 0,
 	}
 	for i := range d.Services {
 		s := &d.Services[i]
@@ -47,6 +50,7 @@
 		slices.SortStableFunc(routes, func(a, b *configuration.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
 	for i := range d.Tenants {
+		t.named[d.Tenants[i].Name] = &d.Tenants[i]
 		for _, key := range d.Tenants[i].APIKeys {
 			t.tenants[key] = &d.Tenants[i]
 		}
@@ -86,6 +90,14 @@
 	return tenant, nil
 }
 
+// Isolated tells whether a tenant shares no kept prompts with others; one that is not in the configuration any more is told as it was.
+func (t *Table) Isolated(tenant *configuration.Tenant) bool {
+	if now := t.named[tenant.Name]; now != nil {
+		return now.Isolated
+	}
+	return tenant.Isolated
+}
+
 // Keyed tells whether a request on the route needs a key.
 func (t *Table) Keyed(r *configuration.Route) bool { return t.keyed && !r.Public }
 
