A configuration and the moment of its confirmation are one value; a key is looked up again before the send

Cause: the confirmation was stored before the configuration, and a request read the configuration first. Tests: the change at each look that a request takes.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -61,7 +61,7 @@
 		traffic.Update(s)
 		events.Update(s)
 	}, log)
-	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), follow.Fresh, log)
+	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), log)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
 	control.UseLoads(traffic.RequestsAt)
 	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -45,14 +45,26 @@
 	missingBeats  = 4 // heartbeats after which a server that no controller knows of is forgotten
 )
 
-// Snapshot is the state at one moment. It never changes.
+// Snapshot is the state at one moment, with the moment at which its configuration was known to be in force. It never changes: whoever
+// decides by one look at it does not mix two states.
 type Snapshot struct {
 	Table     *routing.Table             // nil: no configuration is known
+	Confirmed time.Time                  // Table was in force then; zero: that was never confirmed
+	Lease     time.Duration              // how long after Confirmed requests that need a key may be served; 0: for ever
 	Namings   rollout.Namings            // of weights, with the earliest moment at which this router or a controller knew of each
 	Instances map[string][]peer.Instance // by service, without those that are gone or replaced
 	Nodes     []peer.Node
 }
 
+// Fresh tells whether the configuration may be acted upon where requests need a key: always, once there is one, unless the deployment
+// fails closed; then only while no key can have been taken away longer than revoke-ms ago.
+func (s *Snapshot) Fresh(now time.Time) bool {
+	if s.Table == nil {
+		return false
+	}
+	return s.Lease == 0 || !s.Confirmed.IsZero() && now.Sub(s.Confirmed) < s.Lease
+}
+
 // Follower keeps the copy.
 type Follower struct {
 	set       *settings.Settings
@@ -65,10 +77,9 @@
 	started   chan struct{} // closed once there is a configuration
 	onChange  func(s *Snapshot)
 
-	snapshot  atomic.Pointer[Snapshot]
-	confirmed atomic.Int64 // the configuration was in force then: nanoseconds since start; 0: never confirmed
-	fetching  atomic.Bool  // a first configuration is on its way
-	start     time.Time
+	snapshot atomic.Pointer[Snapshot]
+	fetching atomic.Bool // a first configuration is on its way
+	start    time.Time
 
 	mu       sync.Mutex // guards what follows; used by run alone but for tests
 	config   quorum.Ballot
@@ -94,7 +105,11 @@
 		set: set, self: self, caller: caller, directory: dir, local: local, onChange: onChange, log: log,
 		closed: make(chan struct{}), started: make(chan struct{}), start: time.Now(), known: map[string]*known{},
 	}
-	f.snapshot.Store(&Snapshot{Instances: map[string][]peer.Instance{}})
+	first := &Snapshot{Instances: map[string][]peer.Instance{}}
+	if set.Bounds.FailClosed {
+		first.Lease = max(settings.Millis(set.Bounds.RevokeMs)-refreshBefore, 1)
+	}
+	f.snapshot.Store(first)
 	return f
 }
 
@@ -104,26 +119,17 @@
 // Started gives a channel that is closed once there is a configuration.
 func (f *Follower) Started() <-chan struct{} { return f.started }
 
-// Fresh tells whether the configuration may be acted upon where requests need a key: always, once there is one, unless the
-// deployment fails closed; then only while no key can have been taken away longer than revoke-ms ago.
-func (f *Follower) Fresh() bool {
-	if f.Snapshot().Table == nil {
-		return false
-	}
-	if !f.set.Bounds.FailClosed {
-		return true
-	}
-	at := f.confirmed.Load()
-	return at != 0 && time.Since(f.start)-time.Duration(at) < settings.Millis(f.set.Bounds.RevokeMs)-refreshBefore
-}
+// Fresh tells whether the configuration may be acted upon now where requests need a key.
+func (f *Follower) Fresh() bool { return f.Snapshot().Fresh(time.Now()) }
 
 // WriteMetrics writes this router's figures of the configuration as text, in the form of Prometheus.
 func (f *Follower) WriteMetrics(w io.Writer) {
-	if t := f.Snapshot().Table; t != nil {
-		metrics.WriteGaugeUint64(w, "moleshift_config_version", uint64(t.Version))
+	s := f.Snapshot()
+	if s.Table != nil {
+		metrics.WriteGaugeUint64(w, "moleshift_config_version", uint64(s.Table.Version))
 	}
-	if at := f.confirmed.Load(); at != 0 {
-		metrics.WriteGaugeFloat64(w, "moleshift_config_confirmed_age_seconds", (time.Since(f.start) - time.Duration(at)).Seconds())
+	if !s.Confirmed.IsZero() {
+		metrics.WriteGaugeFloat64(w, "moleshift_config_confirmed_age_seconds", time.Since(s.Confirmed).Seconds())
 	}
 }
 
@@ -258,10 +264,7 @@
 	f.mu.Lock()
 	s := *f.Snapshot()
 	changed := f.takeConfig(&s, reply)
-	if reply.Knows && reply.Config == f.config && s.Table != nil {
-		at := began.Sub(f.start) - time.Duration(reply.AgeMs*float64(time.Millisecond))
-		f.confirmed.Store(max(f.confirmed.Load(), int64(at), 1))
-	}
+	confirmed := f.takeConfirmation(&s, began, reply)
 	changed = f.takeWeights(&s, reply) || changed
 	changed = f.takeInstances(&s, reply) || changed
 	if reply.Nodes != nil {
@@ -269,7 +272,7 @@
 		s.Nodes = takeNodes(s.Nodes, reply)
 	}
 	isFirst := s.Table != nil && f.Snapshot().Table == nil
-	if changed {
+	if changed || confirmed {
 		f.snapshot.Store(&s)
 	}
 	if isFirst {
@@ -281,6 +284,20 @@
 	}
 }
 
+// takeConfirmation notes that the snapshot's configuration was in force at some moment after began, less the age that the controller
+// tells.
+func (f *Follower) takeConfirmation(s *Snapshot, began time.Time, reply *peer.PollReply) bool {
+	if !reply.Knows || reply.Config != f.config || s.Table == nil {
+		return false
+	}
+	at := began.Add(-time.Duration(reply.AgeMs * float64(time.Millisecond)))
+	if !at.After(s.Confirmed) {
+		return false
+	}
+	s.Confirmed = at
+	return true
+}
+
 // takeNodes gives the nodes that are known after a reply: those that it tells, and where it may lack some, those that were known
 // besides. At one address there is one node, the one told last.
 func takeNodes(known []peer.Node, reply *peer.PollReply) []peer.Node {
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -115,18 +115,32 @@
 	front  string
 	proxy  *proxy.Proxy
 	server *ingress.Server
-	fresh  bool
 
 	snapshot atomic.Pointer[follower.Snapshot]
+	looks    atomic.Int64
+	onLook   func(n int64) // is called before each look at the snapshot; the proxy may hold its lock
+}
+
+// look gives the snapshot as it is now.
+func (r *router) look() *follower.Snapshot {
+	if n := r.looks.Add(1); r.onLook != nil {
+		r.onLook(n)
+	}
+	return r.snapshot.Load()
 }
 
 // update puts a changed snapshot in force.
 func (r *router) update(change func(s *follower.Snapshot)) {
+	r.proxy.Update(r.publish(change))
+}
+
+// publish changes the snapshot; the proxy has not heard of it yet.
+func (r *router) publish(change func(s *follower.Snapshot)) *follower.Snapshot {
 	s := *r.snapshot.Load()
 	s.Instances = maps.Clone(s.Instances)
 	change(&s)
 	r.snapshot.Store(&s)
-	r.proxy.Update(&s)
+	return &s
 }
 
 // setLoading marks the first server of a service as one that is about to load new weights.
@@ -147,11 +161,11 @@
 	for _, in := range instances {
 		snapshot.Instances[in.Service] = append(snapshot.Instances[in.Service], in)
 	}
-	r := &router{t: t, fresh: true}
+	r := &router{t: t}
 	r.snapshot.Store(snapshot)
 	started := make(chan struct{})
 	close(started)
-	r.proxy = proxy.New(&set, "n0", r.snapshot.Load, started, func() bool { return r.fresh }, zerolog.Nop())
+	r.proxy = proxy.New(&set, "n0", r.look, started, zerolog.Nop())
 	r.proxy.Update(snapshot)
 	r.server = ingress.New(r.proxy, r.snapshot.Load, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -268,7 +282,7 @@
 		must.Eq(t, row.status, resp.StatusCode)
 		must.Eq(t, row.status == 503, resp.Header.Get("Retry-After") != "")
 	}
-	router.fresh = false
+	router.update(func(s *follower.Snapshot) { s.Lease, s.Confirmed = time.Second, time.Now().Add(-time.Second) })
 	c := router.dial()
 	c.send("/once/", "a")
 	resp, _, _ := c.answer()
--- a/dataplane/proxy/client.go
+++ b/dataplane/proxy/client.go
@@ -35,6 +35,9 @@
 	servers []net.Conn // the connections to servers that work on it: two while a stream is taken over
 }
 
+// key gives the client's Authorization header.
+func (e *Exchange) key() string { return string(e.Header.Peek(fasthttp.HeaderAuthorization)) }
+
 // resetOnClose sets whether the client's connection is reset when it is closed, by whatever ends this process too.
 func (e *Exchange) resetOnClose(reset bool) {
 	lingers, ok := e.Conn.(interface{ SetLinger(seconds int) error })
--- a/dataplane/proxy/place_test.go
+++ b/dataplane/proxy/place_test.go
@@ -39,7 +39,7 @@
 	set.Zone, set.Zones = "a", map[string]string{"a": "r"}
 	var fleet []*Proxy
 	for i := range routers {
-		p := New(&set, fmt.Sprint("n", i), func() *follower.Snapshot { return s }, nil, func() bool { return true }, zerolog.Nop())
+		p := New(&set, fmt.Sprint("n", i), func() *follower.Snapshot { return s }, nil, zerolog.Nop())
 		p.Update(s)
 		fleet = append(fleet, p)
 	}
@@ -55,7 +55,7 @@
 	h.Set(headerModel, "m")
 	h.Set(headerTokens, "9000,50")
 	h.Set(headerPrefix, "a1:2500,b2:3500,c3:3000")
-	r, err := newRequest(&Exchange{Header: &h, Arrived: time.Now()}, s, true)
+	r, err := newRequest(&Exchange{Header: &h, Arrived: time.Now()}, s)
 	must.NoError(t, err)
 	return r
 }
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -31,7 +31,6 @@
 	set     *settings.Settings
 	follow  func() *follower.Snapshot
 	started <-chan struct{} // closed once there is a configuration
-	fresh   func() bool     // whether the configuration may be acted upon where a key is needed
 	log     zerolog.Logger
 	began   time.Time
 
@@ -48,10 +47,10 @@
 }
 
 // New makes the proxy of the node with the given ID.
-func New(set *settings.Settings, self string, follow func() *follower.Snapshot, started <-chan struct{}, fresh func() bool, log zerolog.Logger) *Proxy {
+func New(set *settings.Settings, self string, follow func() *follower.Snapshot, started <-chan struct{}, log zerolog.Logger) *Proxy {
 	place := placement.Settings{Router: self, Zone: set.Zone, Zones: set.Zones}
 	return &Proxy{
-		set: set, follow: follow, started: started, fresh: fresh, log: log, began: time.Now(), targets: map[string]*target{},
+		set: set, follow: follow, started: started, log: log, began: time.Now(), targets: map[string]*target{},
 		services: map[string][]*target{}, retries: map[string]*admission.Retries{}, waits: map[string]*longestWait{},
 		placer: placement.New(place, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), outcomes: newOutcomeCounts(),
 		placed: newPlacementCounts(),
@@ -101,7 +100,7 @@
 // Serve answers one request of a client.
 func (p *Proxy) Serve(e *Exchange) {
 	p.awaitStart(e)
-	r, err := newRequest(e, p.follow(), p.fresh())
+	r, err := newRequest(e, p.follow())
 	if err != nil {
 		p.Refuse(e, fault.KindOf(err), err.Error())
 		return
@@ -231,9 +230,16 @@
 	return max(int(connShare*float64(r.service.MaxConnections)/float64(p.placer.Routers())), leastConns)
 }
 
-// maySend tells whether the configuration may still be acted upon for the request, just before it is sent.
+// maySend tells whether the newest configuration still lets the request's key through, just before it is sent.
 func (p *Proxy) maySend(r *request) bool {
-	return r.tenant == nil || p.fresh()
+	if r.tenant == nil {
+		return true
+	}
+	s := p.follow()
+	if !s.Fresh(time.Now()) {
+		return false
+	}
+	return s.Table == r.snapshot.Table || s.Table.Holds(r.tenant.Name, r.key())
 }
 
 // sent puts a request on the server's books.
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"moleshift/controlplane/configuration"
 	"moleshift/dataplane/attempt"
 	"moleshift/dataplane/follower"
@@ -67,21 +65,21 @@
 	lastOutcome attempt.Outcome
 }
 
-// newRequest looks a request up in the configuration. Errors are of package fault's kinds.
-func newRequest(e *Exchange, s *follower.Snapshot, fresh bool) (*request, error) {
+// newRequest looks a request up in the configuration, by one look at it. Errors are of package fault's kinds.
+func newRequest(e *Exchange, s *follower.Snapshot) (*request, error) {
 	if s.Table == nil {
 		return nil, fault.New(fault.NoConfig, "none is known yet")
 	}
 	uri := string(e.Header.RequestURI())
 	path, _, _ := strings.Cut(uri, "?")
 	route := s.Table.Route(string(e.Header.Host()), path)
-	if !fresh && (route == nil || s.Table.Keyed(route)) {
+	if !s.Fresh(time.Now()) && (route == nil || s.Table.Keyed(route)) {
 		return nil, fault.New(fault.NoConfig, "the one known may be out of date")
 	}
 	if route == nil {
 		return nil, fault.New(fault.NoRoute, "%s%s", e.Header.Host(), path)
 	}
-	tenant, err := s.Table.Tenant(route, string(e.Header.Peek(fasthttp.HeaderAuthorization)))
+	tenant, err := s.Table.Tenant(route, e.key())
 	if err != nil {
 		return nil, err
 	}
--- a/dataplane/routing/table.go
+++ b/dataplane/routing/table.go
@@ -77,19 +77,38 @@
 
 // Tenant finds the tenant of an Authorization header; nil with no error where the route needs none.
 func (t *Table) Tenant(r *configuration.Route, authorization string) (*configuration.Tenant, error) {
-	if !t.keyed || r.Public {
+	if !t.Keyed(r) {
 		return nil, nil
 	}
-	if len(authorization) < len(authScheme) || !strings.EqualFold(authorization[:len(authScheme)], authScheme) {
+	key, ok := keyOf(authorization)
+	if !ok {
 		return nil, fault.New(fault.BadKey, "Authorization must be \"Token KEY\"")
 	}
-	tenant := t.tenants[strings.TrimSpace(authorization[len(authScheme):])]
+	tenant := t.tenants[key]
 	if tenant == nil {
 		return nil, fault.New(fault.BadKey, "no tenant holds it")
 	}
 	return tenant, nil
 }
 
+// Holds tells whether the tenant of a name holds the key of an Authorization header.
+func (t *Table) Holds(name, authorization string) bool {
+	key, ok := keyOf(authorization)
+	if !ok {
+		return false
+	}
+	tenant := t.tenants[key]
+	return tenant != nil && tenant.Name == name
+}
+
+// keyOf reads the key in an Authorization header.
+func keyOf(authorization string) (key string, ok bool) {
+	if len(authorization) < len(authScheme) || !strings.EqualFold(authorization[:len(authScheme)], authScheme) {
+		return "", false
+	}
+	return strings.TrimSpace(authorization[len(authScheme):]), true
+}
+
 // Isolated tells whether a tenant shares no kept prompts with others; one that is not in the configuration any more is told as it was.
 func (t *Table) Isolated(tenant *configuration.Tenant) bool {
 	if now := t.named[tenant.Name]; now != nil {
