A configuration with anything but white space behind its end is refused

What callers saw: a body with one closing brace too many was acknowledged, and /config/read answered text that is no JSON. Cause: json.Decoder.More is false before a closing brace. Change: a body is one value.

--- a/controlplane/configuration/configuration_test.go
+++ b/controlplane/configuration/configuration_test.go
@@ -53,6 +53,10 @@
 		"unknown type":          {`non_idempotent`, `sometimes`},
 		"version 0":             {`"version":5`, `"version":0`},
 		"more behind":           {`"api-keys":["k3"]}]}`, `"api-keys":["k3"]}]} {}`},
+		"a brace too many":      {`"api-keys":["k3"]}]}`, `"api-keys":["k3"]}]}}`},
+		"a bracket too many":    {`"api-keys":["k3"]}]}`, `"api-keys":["k3"]}]}]`},
+		"a comma behind":        {`"api-keys":["k3"]}]}`, `"api-keys":["k3"]}]},`},
+		"a NUL behind":          {`"api-keys":["k3"]}]}`, `"api-keys":["k3"]}]}` + "\x00"},
 		"service without name":  {`{"name":"other"}`, `{}`},
 		"timeout of wrong type": {`"timeout-ms":4000`, `"timeout-ms":"long"`},
 	} {
--- a/controlplane/configuration/document.go
+++ b/controlplane/configuration/document.go
@@ -5,7 +5,6 @@
 package configuration
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -116,14 +115,11 @@
 	return &d, nil
 }
 
+// decode reads a body that is one JSON value and nothing more.
 func decode(body []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	if err := decoder.Decode(into); err != nil {
+	if err := json.Unmarshal(body, into); err != nil {
 		return fault.New(fault.BadConfig, "not readable as JSON: %v", err)
 	}
-	if decoder.More() {
-		return fault.New(fault.BadConfig, "more follows after the end of the configuration")
-	}
 	return nil
 }
 
