Deadlines of a client's connection belong to one exchange

What callers saw: a request with Expect: 100-continue on a connection that had rested for over ten seconds got no answer. Cause: the write deadline of the answer before was still set when the 100 was written. Change: both deadlines are set when a body is read, the write deadline is cleared at the end of the exchange. Test: TestExpectOnARestedConnection fails on the text before.

--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// serveOne serves one request; false: the connection is to be closed.
+// serveOne serves one request; false: the connection is to be closed. Deadlines are set for one exchange and cleared behind it.
 func (s *Server) serveOne(c net.Conn, state *connection, reader *bufio.Reader, writer *bufio.Writer) bool {
 	table := s.follow().Table
 	_ = c.SetReadDeadline(time.Now().Add(table.Idle()))
@@ -124,13 +124,14 @@
 	defer s.set(state, false, nil)
 	arrived := time.Now()
 	_ = c.SetReadDeadline(arrived.Add(table.HeadTime()))
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }() // fails only where the connection is closed already
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	e := &proxy.Exchange{Header: &req.Header, Arrived: arrived, Conn: c, Writer: writer}
 	if err := req.Header.Read(reader); err != nil {
 		return s.refuseHead(e, err)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTime))
+	_ = c.SetDeadline(time.Now().Add(bodyTime))
 	if err := readBody(req, reader, writer, table.MaxBody()); err != nil {
 		return s.refuseBody(e, err)
 	}
