Limits of a kept connection are those in force when a request begins

What callers saw: a head that the configuration in force allows was refused with 413 on a connection from before the change (by reading). Cause: the buffer for heads had the size of the moment at which the connection came; the other limits were read before it rested. Change: limits are looked up when a request begins, and the buffer is changed where they differ (dataplane/ingress/stream.go). Test: TestLimitsOfAKeptConnectionAreThoseInForce, higher and lower; it fails on the text before.

--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -92,9 +92,8 @@
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
-	reader := bufio.NewReaderSize(c, s.follow().Table.MaxHeader())
-	writer := bufio.NewWriterSize(c, writerSize)
-	for s.serveOne(c, state, reader, writer) {
+	stream := newStream(c, s.follow().Table.MaxHeader())
+	for s.serveOne(stream, state) {
 	}
 }
 
@@ -109,30 +108,31 @@
 }
 
 // serveOne serves one request; false: the connection is to be closed. Deadlines are set for one exchange and cleared behind it.
-func (s *Server) serveOne(c net.Conn, state *connection, reader *bufio.Reader, writer *bufio.Writer) bool {
-	table := s.follow().Table
-	_ = c.SetReadDeadline(time.Now().Add(table.Idle()))
+func (s *Server) serveOne(c *stream, state *connection) bool {
+	_ = c.SetReadDeadline(time.Now().Add(s.follow().Table.Idle()))
 	// Looked at behind the deadline: whoever sets it ends the read that follows. What was read already, while the last answer was under
 	// way, is answered: its client could not know that it was not taken.
-	if s.ending.Load() && reader.Buffered() == 0 {
+	if s.ending.Load() && c.reader.Buffered() == 0 {
 		return false
 	}
-	if _, err := reader.Peek(1); err != nil {
+	if _, err := c.reader.Peek(1); err != nil {
 		return false
 	}
 	s.set(state, true, nil)
 	defer s.set(state, false, nil)
 	arrived := time.Now()
+	table := s.follow().Table // its limits hold for the whole request
+	c.limitHead(table.MaxHeader())
 	_ = c.SetReadDeadline(arrived.Add(table.HeadTime()))
 	defer func() { _ = c.SetWriteDeadline(time.Time{}) }() // fails only where the connection is closed already
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	e := &proxy.Exchange{Header: &req.Header, Arrived: arrived, Conn: c, Writer: writer}
-	if err := req.Header.Read(reader); err != nil {
+	e := &proxy.Exchange{Header: &req.Header, Arrived: arrived, Conn: c.Conn, Writer: c.writer}
+	if err := req.Header.Read(c.reader); err != nil {
 		return s.refuseHead(e, err)
 	}
 	_ = c.SetDeadline(time.Now().Add(bodyTime))
-	if err := readBody(req, reader, writer, table.MaxBody()); err != nil {
+	if err := readBody(req, c.reader, c.writer, table.MaxBody()); err != nil {
 		return s.refuseBody(e, err)
 	}
 	e.Body, e.Complete = req.Body(), time.Now()
@@ -142,7 +142,7 @@
 	}
 	s.set(state, true, e)
 	_ = c.SetReadDeadline(time.Time{})
-	watched := watch(e, reader)
+	watched := watch(e, c.reader)
 	s.serve(e)
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 	<-watched
--- a/dataplane/ingress/kept_test.go
+++ b/dataplane/ingress/kept_test.go
@@ -5,11 +5,14 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"moleshift/dataplane/follower"
 )
 
 // aging is a connection that can be made to have rested: its write deadlines count on a clock that is moved on.
@@ -104,3 +107,30 @@
 	must.NoError(t, err)
 	must.Eq(t, "next", body)
 }
+
+// Guards against limits of the moment at which a connection came: those in force when a request begins hold for it, higher or lower.
+func TestLimitsOfAKeptConnectionAreThoseInForce(t *testing.T) {
+	s := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "fine") })
+	router := start(t, s.instance("batch"))
+	limit := func(header int) {
+		router.update(func(s *follower.Snapshot) {
+			table := *s.Table
+			table.Limits.MaxHeaderBytes = header
+			s.Table = &table
+		})
+	}
+	status := func(c *client, head int) int {
+		c.send("/once/", "a", "X-Long: "+strings.Repeat("x", head))
+		resp, _, err := c.answer()
+		must.NoError(t, err)
+		return resp.StatusCode
+	}
+	limit(1000)
+	c := router.dial()
+	must.Eq(t, 200, status(c, 10))
+	limit(20000)
+	must.Eq(t, 200, status(c, 15000))
+	limit(2000)
+	must.Eq(t, 200, status(c, 1000))
+	must.Eq(t, 413, status(c, 5000))
+}
