Clients' connections are bounded by the descriptors; an accept that finds none tries again

What callers saw: 4,300 idle connections to a node with 4,100 descriptors ended its process. Cause: the listeners for control, peers and readiness return on any error of accept; limits.max-fds was not used. Change: clients hold half of the descriptors at most. Beyond that the one that rests longest gives way, then new ones are reset. Accept waits and tries again for want of descriptors, on every listener. Counted in the metrics, logged once a second at most.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -34,6 +35,7 @@
 // run assembles a node and runs it until SIGTERM or SIGINT.
 func run(set *settings.Settings, log zerolog.Logger) error {
 	debug.SetMemoryLimit(int64(memoryShare * set.Limits.MemoryMB * megabyte))
+	set.Limits.MaxFDs = min(set.Limits.MaxFDs, openFiles())
 	acceptor, err := openAcceptor(set, log)
 	if err != nil {
 		return trace.Wrap(err)
@@ -64,7 +66,8 @@
 	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), log)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
 	control.UseLoads(traffic.RequestsAt)
-	clients := ingress.New(traffic, follow.Snapshot, follow.Fresh, log)
+	clients := ingress.New(traffic, follow.Snapshot, set.Limits.ClientConnections(), follow.Fresh, log)
+	scarce := newScarcity(log)
 	handlers := control.Handlers()
 	handlers[peer.CallEvents] = events.Handler
 	peers := peer.NewServer(handlers)
@@ -80,19 +83,19 @@
 		if s.address == "" {
 			continue
 		}
-		l, err := sock.Listen(s.address)
+		l, err := sock.Listen(s.address, scarce.note)
 		if err != nil {
 			return trace.Wrap(trace.ConvertSystemError(err), "cannot listen on %s: see whether another process does", s.address)
 		}
 		go func() { failed <- s.serve(l) }()
 	}
 	if address, path, ok := set.MetricsAt(); ok {
-		l, err := sock.Listen(address)
+		l, err := sock.Listen(address, scarce.note)
 		if err != nil {
 			return trace.Wrap(trace.ConvertSystemError(err), "cannot listen on %s for metrics: see whether another process does", address)
 		}
 		go func() {
-			failed <- serveMetrics(l, path, control.WriteMetrics, follow.WriteMetrics, traffic.WriteMetrics)
+			failed <- serveMetrics(l, path, control.WriteMetrics, follow.WriteMetrics, traffic.WriteMetrics, clients.WriteMetrics, scarce.writeMetrics)
 		}()
 	}
 	go control.Run()
@@ -102,6 +105,15 @@
 	return awaitSignal(set, control, clients, failed, log)
 }
 
+// openFiles is how many descriptors the system gives this process.
+func openFiles() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 // awaitSignal returns at SIGTERM or SIGINT, once all that was taken is answered.
 func awaitSignal(set *settings.Settings, control *server.Controller, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 4)
--- a/dataplane/ingress/export_test.go
+++ b/dataplane/ingress/export_test.go
@@ -10,8 +10,11 @@
 func (s *Server) BeginDrain(d admission.Drain) { s.drain.Store(&d) }
 
 // AwaitActive returns once some request is being read or answered.
-func (s *Server) AwaitActive() {
-	for s.active() == 0 {
+func (s *Server) AwaitActive() { s.AwaitActiveOf(1) }
+
+// AwaitActiveOf returns once so many requests are being read or answered.
+func (s *Server) AwaitActiveOf(n int) {
+	for s.active() < n {
 		runtime.Gosched()
 	}
 }
--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -33,24 +33,26 @@
 	follow func() *follower.Snapshot
 	ready  func() bool
 	log    zerolog.Logger
+	scarce zerolog.Logger // for what a flood of connections would tell too often
 
 	drain  atomic.Pointer[admission.Drain] // nil: the process was not told to end
 	ending atomic.Bool                     // no further request is read
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*connection
+	most    int  // connections that may be held
+	closing int  // of conns: those that rested and were told to end
 	expired bool // the time of the process is over: requests that come now are ended at once
-}
 
-// connection is what is known of a client's connection. The server's lock guards it.
-type connection struct {
-	active   bool            // a request is being read or answered
-	exchange *proxy.Exchange // the request that is being answered, once it was read
+	counts connectionCounts
 }
 
-// New makes a server; ready tells whether this node may take clients.
-func New(p *proxy.Proxy, follow func() *follower.Snapshot, ready func() bool, log zerolog.Logger) *Server {
-	return &Server{proxy: p, follow: follow, ready: ready, log: log, conns: map[net.Conn]*connection{}}
+// New makes a server that holds at most so many connections of clients; ready tells whether this node may take clients.
+func New(p *proxy.Proxy, follow func() *follower.Snapshot, most int, ready func() bool, log zerolog.Logger) *Server {
+	return &Server{
+		proxy: p, follow: follow, ready: ready, most: most, conns: map[net.Conn]*connection{},
+		log: log, scarce: log.Sample(&zerolog.BurstSampler{Burst: 1, Period: scarceLogEvery}),
+	}
 }
 
 // Serve takes clients until the listener is closed.
@@ -61,10 +63,11 @@
 			return nil
 		}
 		if err != nil {
-			time.Sleep(10 * time.Millisecond) // out of descriptors, most likely: some will be free soon
-			continue
+			return err
+		}
+		if state := s.admit(c, time.Now()); state != nil {
+			go s.serveConn(c, state)
 		}
-		go s.serveConn(c)
 	}
 }
 
@@ -81,17 +84,9 @@
 	return h.Serve(l)
 }
 
-func (s *Server) serveConn(c net.Conn) {
+func (s *Server) serveConn(c net.Conn, state *connection) {
 	defer c.Close()
-	state := &connection{}
-	s.mu.Lock()
-	s.conns[c] = state
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
+	defer s.forget(c, state)
 	stream := newStream(c, s.follow().Table.MaxHeader())
 	for s.serveOne(stream, state) {
 	}
@@ -102,6 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.active, state.exchange = active, e
+	s.rests(state, !active)
 	if e != nil && s.expired {
 		e.Expire()
 	}
@@ -112,7 +108,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(s.follow().Table.Idle()))
 	// Looked at behind the deadline: whoever sets it ends the read that follows. What was read already, while the last answer was under
 	// way, is answered: its client could not know that it was not taken.
-	if s.ending.Load() && c.reader.Buffered() == 0 {
+	if (s.ending.Load() || s.givesWay(state)) && c.reader.Buffered() == 0 {
 		return false
 	}
 	if _, err := c.reader.Peek(1); err != nil {
--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -38,6 +38,9 @@
 "services":[{"name":"batch","max-connections":100},{"name":"llm","max-connections":100,"engine":{"slots":8,"kv-capacity-tokens":10000,"models":[{"name":"m"}]}}],
 "tenants":[{"name":"walled","api-keys":["key"],"isolated":true}]}`
 
+// mostClients is how many connections the routers of the tests hold.
+const mostClients = 100
+
 // scripted is a server that plays one script for each request that it gets; after the last it repeats it.
 type scripted struct {
 	t        testing.TB
@@ -167,7 +170,7 @@
 	close(started)
 	r.proxy = proxy.New(&set, "n0", r.look, started, zerolog.Nop())
 	r.proxy.Update(snapshot)
-	r.server = ingress.New(r.proxy, r.snapshot.Load, func() bool { return true }, zerolog.Nop())
+	r.server = ingress.New(r.proxy, r.snapshot.Load, mostClients, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	r.front = l.Addr().String()
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -38,13 +38,18 @@
 	return d.Dial("tcp4", address)
 }
 
-// Listen listens on address; accepted connections have the same bounds as dialled ones.
-func Listen(address string) (net.Listener, error) {
+// Listen listens on address; accepted connections have the same bounds as dialled ones. Where one cannot be accepted for want of
+// descriptors or memory, scarce is told and the listener tries again.
+func Listen(address string, scarce func(err error)) (net.Listener, error) {
 	l := net.ListenConfig{
 		Control:         control,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
 	}
-	return l.Listen(context.Background(), "tcp4", address)
+	inner, err := l.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &patientListener{Listener: inner, scarce: scarce}, nil
 }
 
 // Quiet is a logger for libraries whose own lines nobody needs: errors are told where they are handled.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,13 @@
 	DiskMB   float64 `koanf:"disk-mb"`
 }
 
+// clientShare is the share of the descriptors that clients' connections may take. The rest is for servers, other nodes, control, readiness
+// and files.
+const clientShare = 0.5
+
+// ClientConnections is how many connections of clients the process may hold.
+func (l *Limits) ClientConnections() int { return max(int(clientShare*float64(l.MaxFDs)), 1) }
+
 // Bounds holds the figures of the rules in force.
 type Bounds struct {
 	ReuseDelayS      float64 `koanf:"reuse-delay-s"`
