The soak plays surplus answers, streams without a length, servers that leave around kills of the core, a wall, invalid changes

Change: stand-in servers send answers to earlier requests in the place of the next (503, 421, 200, with and without an id), streams without a length, whole and reset; servers come and leave, with and without draining, with late heartbeats, and all nodes that count are killed up to two seconds after the acknowledgement; a tenant is isolated and back; changes with something behind their end are sent. New rules DRAIN, WALL and CONFIG of invalid changes, held by planted histories.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -78,8 +78,11 @@
 	c.sent++
 	r := Request{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Node: at}
 	r.Kind = Kinds()[c.random.IntN(len(Kinds()))]
-	if r.Kind == Keyed {
+	switch r.Kind {
+	case Keyed:
 		r.Key = c.history.someKey(c.random)
+	case Walled:
+		r.Key = wallKeys[c.random.IntN(len(wallKeys))]
 	}
 	events := 1 + c.random.IntN(mostEvents)
 	r.Deadline = c.history.Now() + requestDeadline
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -14,6 +14,31 @@
 	deafEvery    = 14 * time.Second
 	deafMostly   = 9 * time.Second // of these: longer than the bound on versions
 	deafServerOf = 4               // one model server of so many is deaf now and then
+
+	surplusShare  = 0.04 // of the answers of every other server come once more, in the place of the next
+	unframedShare = 0.06 // of the streams have no length; half of these are reset on the way
+)
+
+// surplus is what a server sends in the place where the next answer is due, beside that.
+type surplus int
+
+const (
+	noSurplus       surplus = iota
+	turnedAway              // says that the earlier request was not run
+	misdirected             // the same, in another way
+	answered                // has the earlier request's answer
+	turnedAwayNoID          // says that some request was not run
+	misdirectedNoID         // the same, in another way
+	numSurplus      = iota
+)
+
+// framing is how a stream tells its end.
+type framing int
+
+const (
+	inChunks      framing = iota
+	unframed              // by the end of its connection
+	unframedReset         // the same, and the connection is reset on the way
 )
 
 // breakPoint is where a server closes the connection of a request that it runs.
@@ -27,8 +52,9 @@
 
 // serverFaults draws one server's faults.
 type serverFaults struct {
-	on   bool
-	deaf bool
+	on      bool
+	deaf    bool
+	surplus bool
 
 	draw *lockedRand
 }
@@ -47,7 +73,7 @@
 
 // newServerFaults makes the faults of the server with the given number.
 func newServerFaults(on bool, number int, random *rand.Rand) serverFaults {
-	return serverFaults{on: on, deaf: number%deafServerOf == 0, draw: &lockedRand{random: random}}
+	return serverFaults{on: on, deaf: number%deafServerOf == 0, surplus: number%2 == 0, draw: &lockedRand{random: random}}
 }
 
 // drawBreak draws whether the server breaks off a run.
@@ -64,6 +90,32 @@
 	return noBreak
 }
 
+// drawSurplus draws what the server sends once more behind an answer.
+func (f *serverFaults) drawSurplus() surplus {
+	if !f.on || !f.surplus {
+		return noSurplus
+	}
+	x := f.draw.float() / surplusShare
+	if x >= 1 {
+		return noSurplus
+	}
+	return 1 + surplus(x*(numSurplus-1))
+}
+
+// drawFraming draws how a stream tells its end.
+func (f *serverFaults) drawFraming() framing {
+	if !f.on {
+		return inChunks
+	}
+	switch x := f.draw.float(); {
+	case x < unframedShare/2:
+		return unframedReset
+	case x < unframedShare:
+		return unframed
+	}
+	return inChunks
+}
+
 // isDeaf tells whether the server takes no orders at a moment of the run.
 func (f *serverFaults) isDeaf(now time.Duration) bool {
 	return f.on && f.deaf && now%deafEvery < deafMostly
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -25,13 +25,14 @@
 	Single    Kind = "single"    // a stream that may run once
 	Again     Kind = "again"     // whole answer, may run more than once
 	Keyed     Kind = "keyed"     // whole answer, may run once, on a route that wants a key
+	Walled    Kind = "walled"    // a stream that may run once, of one of two tenants, whose prompt has shared parts
 )
 
 // Kinds lists all kinds of requests.
-func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again, Keyed} }
+func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again, Keyed, Walled} }
 
 // IsStream tells whether the answer is a series of events.
-func (k Kind) IsStream() bool { return k == Resumable || k == Single }
+func (k Kind) IsStream() bool { return k == Resumable || k == Single || k == Walled }
 
 // MayRepeat tells whether such a request may run more than once.
 func (k Kind) MayRepeat() bool { return k == Resumable || k == Again }
@@ -75,6 +76,26 @@
 	Taken     time.Duration // acknowledged
 }
 
+// Use is a request's use of a part of a prompt that a server kept.
+type Use struct {
+	ID     string
+	Tenant string // of the request
+	Maker  string // the tenant whose request made the part
+}
+
+// Isolation is a time in which a tenant shares kept parts with nobody.
+type Isolation struct {
+	Tenant string
+	From   time.Duration // acknowledged
+	Until  time.Duration // the change that ends it was sent first
+}
+
+// End is a server's word that it leaves, acknowledged.
+type End struct {
+	Server string
+	Acked  time.Duration
+}
+
 // never is later than any run.
 const never = time.Hour
 
@@ -122,6 +143,11 @@
 	Changes  []Change
 	Reads    []Read
 	Keys     []Key
+	Uses     []Use
+	Ends     []End
+
+	Isolations []Isolation
+	Invalid    []string // configurations that are invalid and were acknowledged
 }
 
 // Now is the time since the run began.
@@ -205,6 +231,42 @@
 	return newest[random.IntN(len(newest))].Name
 }
 
+func (h *History) addUse(u Use) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Uses = append(h.Uses, u)
+}
+
+func (h *History) addEnd(e End) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Ends = append(h.Ends, e)
+}
+
+func (h *History) addInvalid(what string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Invalid = append(h.Invalid, what)
+}
+
+// isolate records that a tenant is isolated from now on.
+func (h *History) isolate(tenant string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Isolations = append(h.Isolations, Isolation{Tenant: tenant, From: h.Now(), Until: never})
+}
+
+// endIsolation records that the change that ends a tenant's isolation is being sent.
+func (h *History) endIsolation(tenant string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.Isolations {
+		if h.Isolations[i].Tenant == tenant && h.Isolations[i].Until == never {
+			h.Isolations[i].Until = h.Now()
+		}
+	}
+}
+
 func (h *History) addRead(r Read) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -16,6 +16,7 @@
 	Contact   time.Duration // without a strike for so long, a node is in touch
 	Revoke    time.Duration // a request sent later than this after its key was taken away does not run
 	Apply     time.Duration // a read sent later than this after an acknowledgement gives nothing older
+	Drain     time.Duration // no request reaches a server later than this after its end was acknowledged
 	LossSlack time.Duration // a request that crosses the end of its connection by less may not have been read
 }
 
@@ -41,6 +42,7 @@
 	*History
 	bounds Bounds
 	runs   map[string][]Execution
+	uses   map[string][]Use
 	found  []Violation
 	judged Judged
 }
@@ -53,18 +55,26 @@
 
 // Judge gives the rules that a history breaks, and how much of it was judged.
 func Judge(h *History, bounds Bounds) ([]Violation, Judged) {
-	j := &judge{History: h, bounds: bounds, runs: map[string][]Execution{}}
+	j := &judge{History: h, bounds: bounds, runs: map[string][]Execution{}, uses: map[string][]Use{}}
 	for _, run := range h.Runs {
 		j.runs[run.ID] = append(j.runs[run.ID], run)
 	}
+	for _, use := range h.Uses {
+		j.uses[use.ID] = append(j.uses[use.ID], use)
+	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		j.judgeAnswer(r)
 		j.judgeRuns(r)
 		j.judgeVersion(r)
 		j.judgeKey(r)
+		j.judgeEnds(r)
+		j.judgeWall(r)
 	}
 	j.judgeReads()
+	for _, text := range h.Invalid {
+		j.found = append(j.found, Violation{"CONFIG", "an invalid change was acknowledged", []string{text}})
+	}
 	return j.found, j.judged
 }
 
@@ -172,6 +182,38 @@
 	}
 }
 
+// stopped tells whether the node of a request, or one that counts for the quorum, was struck around its time by anything but a reload.
+func (j *judge) stopped(r *Request) bool {
+	return slices.ContainsFunc(j.Strikes, func(s Strike) bool {
+		return s.Name != Reload && (s.Node == r.Node || s.Node < coreNodes) && s.at(r)
+	})
+}
+
+// judgeEnds looks at requests that reach a server whose end was acknowledged.
+func (j *judge) judgeEnds(r *Request) {
+	for _, run := range j.runs[r.ID] {
+		for _, end := range j.Ends {
+			if end.Server == run.Server && r.Sent > end.Acked+j.bounds.Drain && !j.stopped(r) {
+				j.add(r, "DRAIN", "it reached server %s, %v after its end was acknowledged", run.Server, (run.Began - end.Acked).Round(time.Millisecond))
+				return
+			}
+		}
+	}
+}
+
+// judgeWall looks at uses of what another tenant's request made, where one of the two is isolated.
+func (j *judge) judgeWall(r *Request) {
+	for _, use := range j.uses[r.ID] {
+		for _, wall := range j.Isolations {
+			crosses := use.Tenant != use.Maker && (use.Tenant == wall.Tenant || use.Maker == wall.Tenant)
+			if crosses && r.Sent > wall.From+j.bounds.Apply && r.Ended < wall.Until && !j.outOfTouch(r) {
+				j.add(r, "WALL", "a request of %s used what one of %s made", use.Tenant, use.Maker)
+				return
+			}
+		}
+	}
+}
+
 // judgeReads looks at whether what was acknowledged is shown, by every node and at any time, and is there in the end.
 func (j *judge) judgeReads() {
 	asked, answered := false, false
@@ -238,6 +280,11 @@
 			lines = append(lines, line{n.Acked, fmt.Sprintf("naming of version %d acknowledged", n.Version)})
 		}
 	}
+	for _, end := range j.Ends {
+		if slices.ContainsFunc(j.runs[r.ID], func(run Execution) bool { return run.Server == end.Server }) {
+			lines = append(lines, line{end.Acked, "end of server " + end.Server + " acknowledged"})
+		}
+	}
 	for _, s := range j.Strikes {
 		if s.At < r.Ended && s.Until > r.Sent {
 			lines = append(lines, line{s.At, fmt.Sprintf("%s to node %d", s.Name, s.Node)})
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-var testBounds = Bounds{Version: 4 * time.Second, Grace: 6 * time.Second, Contact: 2 * time.Second, Apply: 2 * time.Second, Revoke: 3 * time.Second, LossSlack: 200 * time.Millisecond}
+var testBounds = Bounds{Version: 4 * time.Second, Grace: 6 * time.Second, Contact: 2 * time.Second, Apply: 2 * time.Second, Revoke: 3 * time.Second, Drain: 2 * time.Second, LossSlack: 200 * time.Millisecond}
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -38,41 +38,55 @@
 	keys := []Key{{Name: "k", Given: seconds(1), TakenSent: seconds(9.9), Taken: seconds(10)}}
 	ran := func(at float64) []Execution { return []Execution{run(at, at+0.4, 0)} }
 	changes := []Change{{1, seconds(1)}, {2, seconds(5)}}
+	ends := []End{{"s", seconds(5)}}
+	coreKill := Strike{Node: 0, Name: Kill, At: seconds(5.5), Until: seconds(9)}
+	walls := []Isolation{{"w0", seconds(3), seconds(12)}}
+	use := func(tenant, maker string) []Use { return []Use{{"a", tenant, maker}} }
 	for name, row := range map[string]struct {
 		history *History
 		rule    string
 	}{
-		"served":                                     {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 2, 0)}}, ""},
-		"cut while its server was at work":           {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{run(1, 2, 1)}}, "LOST"},
-		"closed long after it was sent":              {&History{Requests: []Request{request(Once, 1, 1.5, 0, false)}}, "LOST"},
-		"crossed the close of its connection":        {&History{Requests: []Request{request(Once, 1, 1.1, 0, false)}}, ""},
-		"the client left":                            {&History{Requests: []Request{left}, Runs: []Execution{run(1, 2, 1)}}, ""},
-		"cut while its node drains":                  {&History{Requests: []Request{request(Single, 11, 13, 200, false)}, Runs: []Execution{run(11, 13, 1)}, Strikes: []Strike{term}}, "LOST"},
-		"outlasts the grace":                         {&History{Requests: []Request{request(Single, 11, 15.6, 200, false)}, Runs: []Execution{run(11, 15.6, 1)}, Strikes: []Strike{term}}, ""},
-		"begun in the last sixth of the grace":       {&History{Requests: []Request{request(Single, 11, 15.6, 200, false)}, Runs: []Execution{run(15.2, 15.6, 1)}, Strikes: []Strike{term}}, ""},
-		"sent too late to outlast the grace":         {&History{Requests: []Request{request(Single, 13.1, 15.6, 200, false)}, Runs: []Execution{run(13.2, 15.6, 1)}, Strikes: []Strike{term}}, "LOST"},
-		"cut as a process is killed":                 {&History{Requests: []Request{request(Single, 9, 10.1, 200, false)}, Runs: []Execution{run(9, 10.1, 1)}, Strikes: []Strike{kill}}, ""},
-		"broken off by its server within the answer": {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{broken}}, ""},
-		"taken over after a break, and cut then":     {&History{Requests: []Request{request(Resumable, 1, 3, 200, false)}, Runs: []Execution{broken, run(2, 3, 1)}}, "LOST"},
-		"not answered as its server broke off":       {&History{Requests: []Request{request(Single, 1, 2, 0, false)}, Runs: []Execution{broken}}, "LOST"},
-		"sent again after its server broke off":      {&History{Requests: []Request{request(Again, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, ""},
-		"may run once, sent again after a break":     {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, "TWICE"},
-		"a good key":                                 {&History{Requests: []Request{keyed(5, 200)}, Runs: ran(5), Keys: keys}, ""},
-		"its key has just gone":                      {&History{Requests: []Request{keyed(12.9, 200)}, Runs: ran(13), Keys: keys}, ""},
-		"its key went long ago":                      {&History{Requests: []Request{keyed(13.1, 200)}, Runs: ran(13.2), Keys: keys}, "KEY"},
-		"refused as its key has gone":                {&History{Requests: []Request{keyed(14, 401)}, Keys: keys}, ""},
-		"refused as its key has just come":           {&History{Requests: []Request{keyed(2.9, 401)}, Keys: keys}, ""},
-		"refused though its key is good":             {&History{Requests: []Request{keyed(5, 401)}, Keys: keys}, "DENIED"},
-		"the newest is read":                         {&History{Changes: changes, Reads: []Read{{Sent: seconds(8), Status: 200, Version: 2}}}, ""},
-		"an older one is read in time":               {&History{Changes: changes, Reads: []Read{{Sent: seconds(6.9), Status: 200, Version: 1}}}, ""},
-		"an older one is read too late":              {&History{Changes: changes, Reads: []Read{{Sent: seconds(7.1), Status: 200, Version: 1}}}, "CONFIG"},
-		"a node that gives none":                     {&History{Changes: changes, Reads: []Read{{Sent: seconds(9), Status: 503}}}, ""},
-		"acknowledged, and gone in the end":          {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 200, Version: 1, Final: true}}}, "CONFIG"},
-		"nobody has it in the end":                   {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 503, Final: true}}}, "CONFIG"},
-		"answer of another request":                  {&History{Requests: []Request{foreign}}, "MIXED"},
-		"ran twice":                                  {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 0), run(1.3, 2, 0)}}, "TWICE"},
-		"a stream that may be taken over":            {&History{Requests: []Request{request(Resumable, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 1), run(1.3, 2, 1)}}, ""},
-		"refused, and it ran":                        {&History{Requests: []Request{request(Single, 1, 2, 503, true)}, Runs: []Execution{run(1, 2, 1)}}, "REFUSED"},
+		"served":                                      {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 2, 0)}}, ""},
+		"cut while its server was at work":            {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{run(1, 2, 1)}}, "LOST"},
+		"closed long after it was sent":               {&History{Requests: []Request{request(Once, 1, 1.5, 0, false)}}, "LOST"},
+		"crossed the close of its connection":         {&History{Requests: []Request{request(Once, 1, 1.1, 0, false)}}, ""},
+		"the client left":                             {&History{Requests: []Request{left}, Runs: []Execution{run(1, 2, 1)}}, ""},
+		"cut while its node drains":                   {&History{Requests: []Request{request(Single, 11, 13, 200, false)}, Runs: []Execution{run(11, 13, 1)}, Strikes: []Strike{term}}, "LOST"},
+		"outlasts the grace":                          {&History{Requests: []Request{request(Single, 11, 15.6, 200, false)}, Runs: []Execution{run(11, 15.6, 1)}, Strikes: []Strike{term}}, ""},
+		"begun in the last sixth of the grace":        {&History{Requests: []Request{request(Single, 11, 15.6, 200, false)}, Runs: []Execution{run(15.2, 15.6, 1)}, Strikes: []Strike{term}}, ""},
+		"sent too late to outlast the grace":          {&History{Requests: []Request{request(Single, 13.1, 15.6, 200, false)}, Runs: []Execution{run(13.2, 15.6, 1)}, Strikes: []Strike{term}}, "LOST"},
+		"cut as a process is killed":                  {&History{Requests: []Request{request(Single, 9, 10.1, 200, false)}, Runs: []Execution{run(9, 10.1, 1)}, Strikes: []Strike{kill}}, ""},
+		"broken off by its server within the answer":  {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{broken}}, ""},
+		"taken over after a break, and cut then":      {&History{Requests: []Request{request(Resumable, 1, 3, 200, false)}, Runs: []Execution{broken, run(2, 3, 1)}}, "LOST"},
+		"not answered as its server broke off":        {&History{Requests: []Request{request(Single, 1, 2, 0, false)}, Runs: []Execution{broken}}, "LOST"},
+		"sent again after its server broke off":       {&History{Requests: []Request{request(Again, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, ""},
+		"may run once, sent again after a break":      {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, "TWICE"},
+		"reaches a server that leaves, in time":       {&History{Requests: []Request{request(Once, 6.9, 7.3, 200, true)}, Runs: ran(7.2), Ends: ends}, ""},
+		"reaches a server that has left":              {&History{Requests: []Request{request(Once, 7.1, 7.6, 200, true)}, Runs: ran(7.2), Ends: ends}, "DRAIN"},
+		"the same, as all nodes have just come back":  {&History{Requests: []Request{request(Once, 8.9, 9.5, 200, true)}, Runs: ran(9), Ends: ends, Strikes: []Strike{coreKill}}, ""},
+		"the same, when they are in touch again":      {&History{Requests: []Request{request(Once, 9.1, 9.6, 200, true)}, Runs: ran(9.2), Ends: ends, Strikes: []Strike{coreKill}}, "DRAIN"},
+		"uses its own parts behind a wall":            {&History{Requests: []Request{request(Walled, 6, 7, 200, true)}, Runs: ran(6), Uses: use("w0", "w0"), Isolations: walls}, ""},
+		"uses parts across a new wall":                {&History{Requests: []Request{request(Walled, 6, 7, 200, true)}, Runs: ran(6), Uses: use("w1", "w0"), Isolations: walls}, "WALL"},
+		"the same from the other side":                {&History{Requests: []Request{request(Walled, 6, 7, 200, true)}, Runs: ran(6), Uses: use("w0", "w1"), Isolations: walls}, "WALL"},
+		"uses parts across a wall that has just come": {&History{Requests: []Request{request(Walled, 4.9, 6, 200, true)}, Runs: ran(5), Uses: use("w1", "w0"), Isolations: walls}, ""},
+		"uses parts where the wall goes":              {&History{Requests: []Request{request(Walled, 11, 12.1, 200, true)}, Runs: ran(11), Uses: use("w1", "w0"), Isolations: walls}, ""},
+		"an invalid change is acknowledged":           {&History{Invalid: []string{"{}}"}}, "CONFIG"},
+		"a good key":                                  {&History{Requests: []Request{keyed(5, 200)}, Runs: ran(5), Keys: keys}, ""},
+		"its key has just gone":                       {&History{Requests: []Request{keyed(12.9, 200)}, Runs: ran(13), Keys: keys}, ""},
+		"its key went long ago":                       {&History{Requests: []Request{keyed(13.1, 200)}, Runs: ran(13.2), Keys: keys}, "KEY"},
+		"refused as its key has gone":                 {&History{Requests: []Request{keyed(14, 401)}, Keys: keys}, ""},
+		"refused as its key has just come":            {&History{Requests: []Request{keyed(2.9, 401)}, Keys: keys}, ""},
+		"refused though its key is good":              {&History{Requests: []Request{keyed(5, 401)}, Keys: keys}, "DENIED"},
+		"the newest is read":                          {&History{Changes: changes, Reads: []Read{{Sent: seconds(8), Status: 200, Version: 2}}}, ""},
+		"an older one is read in time":                {&History{Changes: changes, Reads: []Read{{Sent: seconds(6.9), Status: 200, Version: 1}}}, ""},
+		"an older one is read too late":               {&History{Changes: changes, Reads: []Read{{Sent: seconds(7.1), Status: 200, Version: 1}}}, "CONFIG"},
+		"a node that gives none":                      {&History{Changes: changes, Reads: []Read{{Sent: seconds(9), Status: 503}}}, ""},
+		"acknowledged, and gone in the end":           {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 200, Version: 1, Final: true}}}, "CONFIG"},
+		"nobody has it in the end":                    {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 503, Final: true}}}, "CONFIG"},
+		"answer of another request":                   {&History{Requests: []Request{foreign}}, "MIXED"},
+		"ran twice":                                   {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 0), run(1.3, 2, 0)}}, "TWICE"},
+		"a stream that may be taken over":             {&History{Requests: []Request{request(Resumable, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 1), run(1.3, 2, 1)}}, ""},
+		"refused, and it ran":                         {&History{Requests: []Request{request(Single, 1, 2, 503, true)}, Runs: []Execution{run(1, 2, 1)}}, "REFUSED"},
 		"begun in time on older weights": {&History{Requests: []Request{request(Single, 5, 9, 200, true)}, Runs: []Execution{run(6.9, 9, 1)},
 			Namings: []Naming{{2, seconds(3)}}}, ""},
 		"begun too late on older weights": {&History{Requests: []Request{request(Single, 5, 9, 200, true)}, Runs: []Execution{run(7.1, 9, 1)},
--- /dev/null
+++ b/lab/soak/leavers.go
@@ -0,0 +1,141 @@
+package soak
+
+// Servers that leave: each comes for a while, says so or ends without a word of draining, and serves on. Some of the time all nodes that
+// count for the quorum are killed at once soon after the acknowledgement, and a heartbeat of before the end comes late.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"moleshift/lab/nodes"
+)
+
+const (
+	leaverServes  = 2500 * time.Millisecond // before it leaves
+	leaverLingers = 9 * time.Second         // after its end was acknowledged
+	leaverPause   = 500 * time.Millisecond  // between two of them
+	killCoreShare = 0.5
+	mostKillDelay = 2 * time.Second // from the acknowledgement to the kill of all
+	lateBeatShare = 0.5
+	leastLateBeat = time.Second
+	mostLateBeat  = 5 * time.Second
+
+	leaverSource   = 4
+	leaverSequence = 1_000_000 // of the calls of its end: higher than those of its heartbeats
+)
+
+// leavers has one server after the other come and leave until the context ends.
+func (s *soak) leavers(ctx context.Context) {
+	random := s.fork(leaverSource)
+	for n := 0; ctx.Err() == nil; n++ {
+		if err := s.leaver(ctx, n, random); err != nil {
+			s.tell("a server that was to leave: %v", err)
+			return
+		}
+		pause(ctx, leaverPause)
+	}
+}
+
+// leaver plays one server that comes and leaves.
+func (s *soak) leaver(ctx context.Context, n int, random *rand.Rand) error {
+	id := fmt.Sprint("i-leaver-", n)
+	server, err := newModelServer(id, batchService, slotsOfServer, 0, s.history, s.fleet, newServerFaults(false, 0, nil))
+	if err != nil {
+		return err
+	}
+	defer server.close()
+	draining, kills, late := random.IntN(2) == 0, random.Float64() < killCoreShare, random.Float64() < lateBeatShare
+	delay := time.Duration(random.Int64N(int64(mostKillDelay)))
+	lateAfter := leastLateBeat + time.Duration(random.Int64N(int64(mostLateBeat-leastLateBeat)))
+	serves, stop := context.WithTimeout(ctx, leaverServes)
+	server.heartbeats(serves)
+	stop()
+	if !server.sayEnd(ctx, draining) {
+		return nil // the run is over
+	}
+	acked := s.history.Now()
+	s.history.addEnd(End{Server: id, Acked: acked})
+	s.tell("end of server %s acknowledged, draining %v", id, draining)
+	if kills && !s.options.Planned && pause(ctx, delay) {
+		s.killCore()
+	}
+	if late && pause(ctx, max(0, acked+lateAfter-s.history.Now())) {
+		server.lateBeat(ctx)
+	}
+	pause(ctx, max(0, acked+leaverLingers-s.history.Now()))
+	return nil
+}
+
+// sayEnd tells nodes that the server leaves until one acknowledges it; false: the context ended.
+func (s *modelServer) sayEnd(ctx context.Context, draining bool) bool {
+	client := newCaller()
+	for at := rand.IntN(s.fleet.Len()); ctx.Err() == nil; at = (at + 1) % s.fleet.Len() {
+		if draining {
+			if s.beat(ctx, client, at, leaverSequence, stateDraining) {
+				return true
+			}
+			continue
+		}
+		status, _ := call(ctx, client, http.MethodPost, "http://"+s.fleet.Address(at, nodes.Control)+"/instances/"+s.id+"/deregister", map[string]any{})
+		if status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// lateBeat sends a heartbeat that the server sent before its end, until some node takes it.
+func (s *modelServer) lateBeat(ctx context.Context) {
+	client := newCaller()
+	first := rand.IntN(s.fleet.Len())
+	for i := range s.fleet.Len() {
+		if s.beat(ctx, client, (first+i)%s.fleet.Len(), 1, stateReady) {
+			return
+		}
+	}
+}
+
+// killCore kills all nodes that count for the quorum at once, where no other strike has one of them, and starts them again.
+func (s *soak) killCore() {
+	if !s.takeCore() {
+		return
+	}
+	s.tell("%s to all nodes that count", Kill)
+	var ends []func(until time.Duration)
+	for i := range coreNodes {
+		ends = append(ends, s.history.strike(Strike{Node: i, Name: Kill, At: s.history.Now()}))
+	}
+	for i := range coreNodes {
+		s.fleet.Kill(i)
+	}
+	for i := range coreNodes {
+		s.restart(i)
+	}
+	until := s.history.Now() + 2*s.options.Bounds.Contact
+	for _, end := range ends {
+		end(until)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range coreNodes {
+		delete(s.busy, i)
+	}
+}
+
+// takeCore claims all nodes that count for a strike.
+func (s *soak) takeCore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range coreNodes {
+		if s.busy[i] {
+			return false
+		}
+	}
+	for i := range coreNodes {
+		s.busy[i] = true
+	}
+	return true
+}
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"moleshift/lab/nodes"
@@ -17,6 +18,40 @@
 // changesAKey is after how many changes of the configuration the keys change.
 const changesAKey = 8
 
+// changesAnIsolation is after how many changes a tenant is isolated, or is not any more.
+const changesAnIsolation = 20
+
+// changesAnInvalid is after how many changes an invalid configuration is sent.
+const changesAnInvalid = 11
+
+// The two tenants whose prompts have parts in common, and their keys.
+var (
+	wallTenants = []string{"w0", "w1"}
+	wallKeys    = []string{"wall-0", "wall-1"}
+)
+
+// wallTenant describes one of them.
+func wallTenant(i int, isolated bool) map[string]any {
+	return map[string]any{"name": wallTenants[i], "api-keys": []string{wallKeys[i]}, "priority": 0, "isolated": isolated}
+}
+
+// post sends a body as it is; 0: no answer.
+func post(ctx context.Context, client *http.Client, url, body string, headers ...string) (status int) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
 // call sends a call with a JSON body; status 0: no answer.
 func call(ctx context.Context, client *http.Client, method, url string, body any, headers ...string) (status int, text string) {
 	encoded, err := json.Marshal(body)
@@ -49,6 +84,7 @@
 	weights int64
 	keys    []string // of the tenant, oldest first
 	given   int      // keys so far
+	walled  bool     // the first of the wall's tenants is isolated
 }
 
 func newOperator(f *nodes.Fleet, h *History, random *rand.Rand) *operator {
@@ -72,7 +108,7 @@
 func route(name, kind, service string, attempts int, resumable bool) map[string]any {
 	return map[string]any{
 		"name": name, "host": "h", "path-prefix": "/" + name + "/", "route-type": kind, "timeout-ms": 8000, "target-latency-ms": 300,
-		"service": service, "max-attempts": attempts, "resumable": resumable, "gap_aim_ms": 250, "public": name != string(Keyed),
+		"service": service, "max-attempts": attempts, "resumable": resumable, "gap_aim_ms": 250, "public": name != string(Keyed) && name != string(Walled),
 	}
 }
 
@@ -88,9 +124,9 @@
 		"routes": []any{
 			route(string(Once), "non_idempotent", batchService, 1, false), route(string(Single), "streaming", modelService, 1, false),
 			route(string(Resumable), "streaming", modelService, 2, true), route(string(Again), "idempotent", batchService, 2, false),
-			route(string(Keyed), "non_idempotent", batchService, 1, false),
+			route(string(Keyed), "non_idempotent", batchService, 1, false), route(string(Walled), "streaming", modelService, 1, false),
 		},
-		"tenants": []any{tenantOf([]string{o.nextKey()})},
+		"tenants": []any{tenantOf([]string{o.nextKey()}), wallTenant(0, false), wallTenant(1, false)},
 		"services": []any{
 			map[string]any{"name": batchService, "max-connections": 200},
 			map[string]any{"name": modelService, "max-connections": 200, "engine": map[string]any{
@@ -147,6 +183,34 @@
 	o.patch(ctx, map[string]any{"routes": []any{route(name, "non_idempotent", batchService, 1, false)}})
 }
 
+// changeWall isolates a tenant, or ends that.
+func (o *operator) changeWall(ctx context.Context) {
+	if o.walled {
+		o.history.endIsolation(wallTenants[0])
+	}
+	if !o.patch(ctx, map[string]any{"tenants": []any{wallTenant(0, !o.walled)}}) {
+		return
+	}
+	if o.walled = !o.walled; o.walled {
+		o.history.isolate(wallTenants[0])
+	}
+}
+
+// sendInvalid sends a change with something behind its end, once: no node may take it.
+func (o *operator) sendInvalid(ctx context.Context) {
+	body := json.RawMessage(fmt.Sprintf(`{"version":%d}`, o.version+1))
+	for _, behind := range []string{"}", "]", " {}"} {
+		at := o.random.IntN(o.fleet.Len())
+		text := string(body) + behind
+		url := "http://" + o.fleet.Address(at, nodes.Control) + "/config/patch"
+		if status := post(ctx, o.client, url, text, "Moleshift-If-Version", strconv.FormatInt(o.version, 10)); status == http.StatusOK {
+			o.history.addInvalid(text)
+			o.version++
+			return
+		}
+	}
+}
+
 // name names new weights.
 func (o *operator) name(ctx context.Context) {
 	next := o.weights + 1
@@ -160,9 +224,14 @@
 func (o *operator) run(ctx context.Context, options *Options) {
 	naming := time.Now().Add(time.Second)
 	for n := 1; pause(ctx, options.ChangeEvery); n++ {
-		if n%changesAKey == 0 {
+		switch {
+		case n%changesAnIsolation == 0:
+			o.changeWall(ctx)
+		case n%changesAnInvalid == 0:
+			o.sendInvalid(ctx)
+		case n%changesAKey == 0:
 			o.changeKeys(ctx)
-		} else {
+		default:
 			o.change(ctx)
 		}
 		if time.Now().After(naming) {
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	sequence int64
 	fence    int64
 	faults   serverFaults
+	parts    map[string]string // of prompts, by salt and part: the tenant whose request made it
 
 	closed chan struct{}  // closed when the server ends
 	ended  bool           // the same, under the lock
@@ -56,7 +58,7 @@
 		return nil, err
 	}
 	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l, faults: faults,
-		closed: make(chan struct{})}
+		parts: map[string]string{}, closed: make(chan struct{})}
 	if service == modelService {
 		s.version = 1
 	}
@@ -66,7 +68,7 @@
 	mux.HandleFunc("POST /order", s.order)
 	mux.HandleFunc("GET /kv-events", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) })
 	mux.HandleFunc("/", s.work)
-	s.http = &http.Server{Handler: mux}
+	s.http = &http.Server{Handler: mux, ConnContext: withConnection}
 	go func() { _ = s.http.Serve(l) }() // returns when the server is closed
 	return s, nil
 }
@@ -82,12 +84,17 @@
 	s.loads.Wait()
 }
 
+// newCaller makes the client of a server's own calls.
+func newCaller() *http.Client {
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // heartbeats tells the nodes of this server until the context ends.
 func (s *modelServer) heartbeats(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newCaller()
 	for at, sequence := rand.IntN(s.fleet.Len()), 1; ; sequence++ {
 		for range s.fleet.Len() {
-			if s.beat(ctx, client, at, sequence) {
+			if s.beat(ctx, client, at, sequence, stateReady) {
 				break
 			}
 			at = (at + 1) % s.fleet.Len()
@@ -100,10 +107,16 @@
 	}
 }
 
-func (s *modelServer) beat(ctx context.Context, client *http.Client, node, sequence int) bool {
+// The states that a heartbeat tells.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+func (s *modelServer) beat(ctx context.Context, client *http.Client, node, sequence int, state string) bool {
 	s.mu.Lock()
 	body := map[string]any{
-		"service": s.service, "address": s.listener.Addr().String(), "zone": "z0", "version": "v1", "slots": s.slots, "state": "ready",
+		"service": s.service, "address": s.listener.Addr().String(), "zone": "z0", "version": "v1", "slots": s.slots, "state": state,
 		"sequence": sequence,
 	}
 	if s.version > 0 {
@@ -170,6 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.ordered = s.ordered, 0
+	clear(s.parts)
 	s.changed.Broadcast()
 }
 
@@ -202,6 +216,9 @@
 func (s *modelServer) work(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	id := r.Header.Get("Moleshift-Request-Id")
+	conn := connectionOf(r)
+	conn.sendSurplus()
+	conn.keepSurplus(s.faults.drawSurplus(), s.id, id)
 	w.Header().Set("Moleshift-Request-Id", id)
 	if r.Header.Get("Moleshift-Expect-Instance") != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -223,6 +240,7 @@
 	defer s.leave()
 	run := s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now()})
 	defer run.end()
+	s.useParts(r, id)
 	broken := s.faults.drawBreak()
 	if broken == beforeAnswer {
 		run.breakOff()
@@ -241,9 +259,30 @@
 		writeNow(w, answer)
 		return
 	}
+	if framing := s.faults.drawFraming(); framing != inChunks && broken == noBreak {
+		s.streamUnframed(ctx, w, r, id, version, run, framing)
+		return
+	}
 	s.streamEvents(ctx, w, r, id, version, run, broken)
 }
 
+// useParts reads a prompt: parts that are kept under its salt, as long as all before them are, are used; the others are made.
+func (s *modelServer) useParts(r *http.Request, id string) {
+	tenant := r.Header.Get("Moleshift-Tenant-Id")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	whole := true
+	for part := range strings.SplitSeq(r.Header.Get("Moleshift-Prompt-Prefix"), ",") {
+		key := r.Header.Get("Cache-Salt") + " " + part
+		maker, kept := s.parts[key]
+		if whole = whole && kept; whole {
+			s.history.addUse(Use{ID: id, Tenant: tenant, Maker: maker})
+			continue
+		}
+		s.parts[key] = tenant
+	}
+}
+
 // writeNow sends what is written at once.
 func writeNow(w http.ResponseWriter, text string) {
 	_, _ = io.WriteString(w, text) // a caller that has left is noticed by the context
@@ -271,6 +310,28 @@
 	}
 }
 
+// streamUnframed sends the events of a request without a length: the stream ends with its connection.
+func (s *modelServer) streamUnframed(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, framing framing) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: %s\r\nMoleshift-Response-Stamp: %s\r\nContent-Type: text/event-stream\r\nVersions: %d\r\n\r\n", id, s.id, version)
+	for n := last + 1; n <= events; n++ {
+		if n > last+1 && !pause(ctx, eventEvery) || framing == unframedReset && n > (last+events)/2 {
+			run.breakOff()
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", n, id); err != nil {
+			return // its caller has left
+		}
+	}
+}
+
 // pause waits; false: the context ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -31,7 +31,7 @@
 }
 
 // DefaultBounds are the bounds that nodes are told and histories are judged by.
-var DefaultBounds = Bounds{Version: 5 * time.Second, Grace: 6 * time.Second, Contact: 1500 * time.Millisecond, LossSlack: 200 * time.Millisecond, Apply: 2 * time.Second, Revoke: 3 * time.Second}
+var DefaultBounds = Bounds{Version: 5 * time.Second, Grace: 6 * time.Second, Contact: 1500 * time.Millisecond, LossSlack: 200 * time.Millisecond, Apply: 2 * time.Second, Revoke: 3 * time.Second, Drain: 2 * time.Second}
 
 const (
 	coreNodes     = 3
@@ -193,7 +193,9 @@
 		c := &client{name: fmt.Sprintf("%d-%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(100 + uint64(i))}
 		requests.Go(func() { c.run(clients) })
 	}
+	s.busy = map[int]bool{}
 	group.Go(func() { s.strike(within) })
+	group.Go(func() { s.leavers(within) })
 	group.Wait()
 	s.struck.Wait()
 	stopClients()
@@ -205,7 +207,6 @@
 
 // strike draws strikes until the context ends.
 func (s *soak) strike(ctx context.Context) {
-	s.busy = map[int]bool{}
 	random := s.fork(2)
 	for pause(ctx, time.Duration(random.ExpFloat64()*float64(s.options.StrikeEvery))) {
 		name, at := s.draw(random), random.IntN(s.fleet.Len())
