--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -109,7 +109,7 @@
 	head := fmt.Sprintf("POST /%s/x?events=%d HTTP/1.1\r\nHost: h\r\nMoleshift-Request-Id: %s\r\nMoleshift-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
 		r.Kind, events, r.ID, requestDeadline.Milliseconds(), len(body))
 	if r.Kind.IsStream() {
-		head += "Moleshift-Model-Id: " + modelName + "\r\nMoleshift-Token-Count: 100,20\r\nMoleshift-Prompt-Prefix: ab:60,cd:40\r\n"
+		head += "Moleshift-Model-Id: " + modelName + "\r\nMoleshift-Token-Count: 100,20\r\nMoleshift-Prompt-Prefix: " + promptOf(r.Kind) + "\r\n"
 	}
 	if r.Key != "" {
 		head += "Authorization: Token " + r.Key + "\r\n"
@@ -127,6 +127,14 @@
 	return err == nil
 }
 
+// promptOf gives the parts of a prompt: the two tenants between whom a wall comes have some in common with each other alone.
+func promptOf(k Kind) string {
+	if k == Walled {
+		return "ee:60,ff:40"
+	}
+	return "ab:60,cd:40"
+}
+
 // readAnswer reads the answer; false: the connection cannot be used any more.
 func (c *client) readAnswer(reader *bufio.Reader, r *Request, events int) bool {
 	resp, err := http.ReadResponse(reader, nil)
--- a/lab/soak/leavers.go
+++ b/lab/soak/leavers.go
@@ -18,7 +18,7 @@
 	leaverLingers = 9 * time.Second         // after its end was acknowledged
 	leaverPause   = 500 * time.Millisecond  // between two of them
 	killCoreShare = 0.5
-	mostKillDelay = 2 * time.Second // from the acknowledgement to the kill of all
+	mostKillDelay = 2 * time.Second // from the acknowledgement to the kill of all; short ones are drawn more often
 	lateBeatShare = 0.5
 	leastLateBeat = time.Second
 	mostLateBeat  = 5 * time.Second
@@ -48,7 +48,8 @@
 	}
 	defer server.close()
 	draining, kills, late := random.IntN(2) == 0, random.Float64() < killCoreShare, random.Float64() < lateBeatShare
-	delay := time.Duration(random.Int64N(int64(mostKillDelay)))
+	x := random.Float64()
+	delay := time.Duration(x * x * float64(mostKillDelay))
 	lateAfter := leastLateBeat + time.Duration(random.Int64N(int64(mostLateBeat-leastLateBeat)))
 	serves, stop := context.WithTimeout(ctx, leaverServes)
 	server.heartbeats(serves)
