--- a/internal/ci/known_red_test.go
+++ b/internal/ci/known_red_test.go
@@ -40,6 +40,9 @@
 		"a rate that is none":                    {"p.TestFails\tcause\t48\tsometimes\n", false, "is no rate such as 3/50"},
 		"a test that does not exist":             {"p.TestFails\tcause\t48\np.TestGone\tcause\t48\n", false, "p.TestGone does not exist"},
 		"a line without an issue":                {"p.TestFails\tcause\n", false, "a test, its cause and its issue are wanted"},
+		"a command that is listed":               {"p.TestFails\tcause\t48\n$ molelab system --seed 7\tLOST once\t65\n", true, "known red, not run: molelab system --seed 7: LOST once (issue 65)"},
+		"a command beside a test not listed":     {"$ molelab system --seed 7\tLOST once\t65\n", false, "a real fault"},
+		"a command without its seed":             {"p.TestFails\tcause\t48\n$ molelab system\tLOST once\t65\n", false, "a command is wanted with its seed"},
 		"four tests":                             {"p.TestFails\tc\t1\np.TestPasses\tc\t1\t1/9\nq.TestAlso\tc\t1\t1/9\np.TestFails\tc\t1\t1/2\n", false, "4 tests, 3 at most"},
 	} {
 		t.Run(name, func(t *testing.T) {
