An end that waits for delivery to a member is not replaced by an older account

What could be seen: an acknowledged end that a member counted as having was never sent to it (DRAIN after a kill of the others). Cause, found on reading the change again: a newer entry in the outbox took the place of one that waits, with those who wait for it. The node that rolls weights out passes its own account of a server on, which may be older than the server's end. Change: the later state holds. TestOutboxKeepsAnEnd fails on the text before, both rows.

--- a/controlplane/server/ends_test.go
+++ b/controlplane/server/ends_test.go
@@ -145,6 +145,35 @@
 	})
 }
 
+// Guards against an end that is acknowledged and was never delivered: another account of the server, made before its end, comes into the
+// outbox behind it, or is there when a delivery failed.
+func TestOutboxKeepsAnEnd(t *testing.T) {
+	before, end := ready("i1", 3).Instance, gone("i1").Instance
+	delivered := make(chan struct{}, 4)
+	for name, fill := range map[string]func(o *outbox){
+		"behind it": func(o *outbox) {
+			o.add(end, beatCame, delivered)
+			o.add(before, loadChanged, delivered)
+		},
+		"when it comes back": func(o *outbox) {
+			o.add(end, beatCame, delivered)
+			batch, _ := o.take()
+			o.add(before, loadChanged, delivered)
+			o.putBack(batch)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := &outbox{pending: map[string]outgoing{}, sending: true} // nothing is sent
+			fill(o)
+			batch, message := o.take()
+			must.Len(t, 1, message.List)
+			must.Eq(t, registry.Gone, message.List[0].State)
+			must.Eq(t, []string{"i1"}, message.Load)
+			must.Len(t, 2, batch["i1"].delivered)
+		})
+	}
+}
+
 // The time from a server's word that it leaves to its acknowledgement, with three members whose disks are real files.
 func BenchmarkAcknowledgedEnd(b *testing.B) {
 	l := newLan()
--- a/controlplane/server/outbox.go
+++ b/controlplane/server/outbox.go
@@ -60,7 +60,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := o.pending[in.ID]
-	out.instance, out.since = in, time.Now()
+	out.instance, out.since = later(out.instance, in), time.Now()
 	out.kind = max(out.kind, kind)
 	out.delivered = append(out.delivered, delivered)
 	o.pending[in.ID] = out
@@ -70,6 +70,13 @@
 	}
 }
 
+// later gives the newer one of two accounts of an instance, which never takes an end of the older one back: whoever waits for that end is
+// told of what is delivered in its place.
+func later(older, newer peer.Instance) peer.Instance {
+	newer.State = max(older.State, newer.State)
+	return newer
+}
+
 // run delivers until nothing is left.
 func (o *outbox) run() {
 	for {
@@ -139,6 +146,7 @@
 			continue
 		}
 		if newer, ok := o.pending[id]; ok {
+			newer.instance = later(out.instance, newer.instance)
 			newer.kind = max(newer.kind, out.kind)
 			newer.delivered = append(newer.delivered, out.delivered...)
 			o.pending[id] = newer
