The soak has clients that rest: more idle ones than a node has descriptors, and some that come back after ten seconds

Cause: nothing in the soak came near the descriptors, and no connection rested for longer than the deadline of the answer before. Change: nodes have 400 descriptors (settings and limit of the process); 450 idle clients come to one of them now and then; two clients rest for 10.5 s and then wait to be told to go on. A node that ends by itself is told from its log; no word on a rested connection is LOST.

--- a/lab/nodes/nodes.go
+++ b/lab/nodes/nodes.go
@@ -44,8 +44,12 @@
 	Core      int // the first so many count for the quorum and keep a disk; they are the seeds
 	Heartbeat time.Duration
 	Bounds    Bounds
+	MaxFDs    int // descriptors of a process
 }
 
+// defaultFDs is how many descriptors a process has where that is not said.
+const defaultFDs = 1000
+
 // Bounds are figures of the rules that nodes are told; those that are 0 are left to the nodes' defaults.
 type Bounds struct {
 	Contact, Grace, Version, Lease, Apply time.Duration
@@ -75,6 +79,9 @@
 	if o.LogLevel == "" {
 		o.LogLevel = "info"
 	}
+	if o.MaxFDs == 0 {
+		o.MaxFDs = defaultFDs
+	}
 	f := &Fleet{options: o}
 	for i := range o.Nodes {
 		f.list = append(f.list, &node{ip: fmt.Sprintf("127.0.%d.%d", 40+os.Getpid()%200, 2+i)})
@@ -141,10 +148,10 @@
 counts-for-quorum: %v
 data-dir: %q
 heartbeat-ms: %d
-limits: {memory-mb: 256, max-fds: 1000, disk-mb: 64}
+limits: {memory-mb: 256, max-fds: %d, disk-mb: 64}
 bounds: {%s}
 `, i, f.list[i].ip, i%zones, f.Address(i, Front), f.Address(i, Ready), f.Address(i, Control), f.port+int(peers), f.port+portsOfNode-1,
-		strings.Join(seeds, ", "), first, i < f.options.Core, f.Data(i), f.options.Heartbeat.Milliseconds(), f.options.Bounds.text())
+		strings.Join(seeds, ", "), first, i < f.options.Core, f.Data(i), f.options.Heartbeat.Milliseconds(), f.options.MaxFDs, f.options.Bounds.text())
 	path = filepath.Join(f.options.Dir, fmt.Sprintf("node-%d.yaml", i))
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
@@ -180,7 +187,11 @@
 		return err
 	}
 	defer log.Close() // the process has its own
-	command := exec.Command(f.options.Program, "--log-level", f.options.LogLevel, "node")
+	if _, err := os.Stat(f.options.Program); err != nil {
+		return fmt.Errorf("%s cannot be started: build it with `make system`: %w", f.options.Program, err)
+	}
+	// The shell bounds the descriptors and gives way to the program.
+	command := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, f.options.MaxFDs), f.options.Program, "--log-level", f.options.LogLevel, "node")
 	command.Env = append(os.Environ(), "MOLESHIFT_BOOT="+path)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -246,7 +257,7 @@
 	}
 }
 
-// Crash is what a node's log tells of a data race or a programming error.
+// Crash is what a node's log tells of a data race, a programming error, or an end by itself.
 type Crash struct {
 	Path  string
 	Sign  string
@@ -258,7 +269,7 @@
 	var found []Crash
 	for i := range f.list {
 		text := f.Log(i)
-		for _, sign := range []string{"WARNING: DATA RACE", "panic:", "programming error"} {
+		for _, sign := range []string{"WARNING: DATA RACE", "panic:", "programming error", "\naccept tcp4"} {
 			if at := strings.Index(text, sign); at >= 0 {
 				found = append(found, Crash{f.LogPath(i), sign, strings.SplitN(text[at:], "\n", logLines)})
 			}
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -50,6 +50,8 @@
 	Whole    bool          // the answer was complete
 	Foreign  bool          // what came belongs to another request, or pieces are missing or come twice
 	Left     bool          // the client closed the connection itself
+
+	Unanswered bool // it waited to be told to go on, and got no word
 }
 
 // Execution is the work of a server on a request.
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -90,8 +90,12 @@
 	if j.unplanned(r) {
 		return
 	}
+	if r.Unanswered && !j.stopped(r) {
+		j.add(r, "LOST", "a request on a connection that had rested got no word")
+		return
+	}
 	j.judged.Lost++
-	if r.Whole || r.Left || r.Ended >= r.Deadline-clockSlack || j.excused(r) || j.brokenOff(r) {
+	if r.Whole || r.Left || r.Unanswered || r.Ended >= r.Deadline-clockSlack || j.excused(r) || j.brokenOff(r) {
 		return
 	}
 	if len(j.runs[r.ID]) == 0 && r.Ended-r.Sent < j.bounds.LossSlack {
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -26,6 +26,8 @@
 	freezeElsewhere := Strike{Node: coreNodes + 1, Name: Freeze, At: seconds(5), Until: seconds(20)}
 	foreign := request(Once, 1, 2, 200, true)
 	foreign.Foreign = true
+	unanswered := request(Once, 1, 1.1, 0, false)
+	unanswered.Unanswered = true
 	left := request(Single, 1, 2, 200, false)
 	left.Left = true
 	broken := run(1, 2, 1)
@@ -83,6 +85,8 @@
 		"a node that gives none":                      {&History{Changes: changes, Reads: []Read{{Sent: seconds(9), Status: 503}}}, ""},
 		"acknowledged, and gone in the end":           {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 200, Version: 1, Final: true}}}, "CONFIG"},
 		"nobody has it in the end":                    {&History{Changes: changes, Reads: []Read{{Sent: seconds(30), Status: 503, Final: true}}}, "CONFIG"},
+		"no word on a connection that had rested":     {&History{Requests: []Request{unanswered}}, "LOST"},
+		"the same, as its node ends":                  {&History{Requests: []Request{unanswered}, Strikes: []Strike{{Node: 0, Name: Terminate, At: seconds(0.9), Until: seconds(9), Planned: true}}}, ""},
 		"answer of another request":                   {&History{Requests: []Request{foreign}}, "MIXED"},
 		"ran twice":                                   {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 0), run(1.3, 2, 0)}}, "TWICE"},
 		"a stream that may be taken over":             {&History{Requests: []Request{request(Resumable, 1, 2, 200, true)}, Runs: []Execution{run(1, 1.2, 1), run(1.3, 2, 1)}}, ""},
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -44,6 +44,8 @@
 	longestFreeze = 5 * time.Second
 	restartPause  = 300 * time.Millisecond
 
+	descriptors = 400 // of a node: few, so that clients that rest use them up
+
 	firstServerSource = 10_000 // numbers of the sources of random numbers of servers
 	readerSource      = 3
 )
@@ -65,7 +67,7 @@
 		return nil, err
 	}
 	fleet, err := nodes.New(nodes.Options{
-		Program: o.Program, Dir: o.Dir, LogLevel: o.LogLevel, Nodes: o.Nodes, Core: coreNodes, Heartbeat: heartbeatEvery,
+		Program: o.Program, Dir: o.Dir, LogLevel: o.LogLevel, Nodes: o.Nodes, Core: coreNodes, Heartbeat: heartbeatEvery, MaxFDs: descriptors,
 		Bounds: nodes.Bounds{Contact: o.Bounds.Contact, Grace: o.Bounds.Grace, Version: o.Bounds.Version, Lease: leaseOfHolder, Apply: o.Bounds.Apply, Revoke: o.Bounds.Revoke},
 	})
 	if err != nil {
@@ -196,6 +198,11 @@
 	s.busy = map[int]bool{}
 	group.Go(func() { s.strike(within) })
 	group.Go(func() { s.leavers(within) })
+	group.Go(func() { s.idleClients(within) })
+	for i := range restingClients {
+		c := &client{name: fmt.Sprintf("%d-r%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(restingSource + uint64(i))}
+		group.Go(func() { c.rest(within) })
+	}
 	group.Wait()
 	s.struck.Wait()
 	stopClients()
