A router whose controller falls silent asks the next ones at once

Cause: Follower.Run kept an index into an order that it sorted anew after each poll. A failure moved the fit controller to the front and the index past it, so a second dead one was polled next, for 1.4 s; a dead controller that is preferred was gone back to every 1.5 s.

Change: a router stays with a controller that is fit; when it fails, the first three are asked at once.

--- a/controlplane/directory/directory.go
+++ b/controlplane/directory/directory.go
@@ -55,6 +55,14 @@
 	d.failed[address] = time.Now()
 }
 
+// Avoids tells whether an address goes last in Try's order, as it failed lately.
+func (d *Directory) Avoids(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.failed[address]
+	return ok && time.Since(at) < avoidFor
+}
+
 // Answered notes that an address answered.
 func (d *Directory) Answered(address string) {
 	d.mu.Lock()
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -35,6 +35,8 @@
 	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
 	firstPoll     = 350 * time.Millisecond // a first poll is not held
 	failPause     = 100 * time.Millisecond
+	failOverWidth = 3                     // controllers that are asked at once when the one that was polled fails
+	returnEvery   = 10 * time.Second      // after which a router looks whether the controller that it prefers is fit again
 	firstPause    = 60 * time.Millisecond // until there is a configuration, at first
 	mostPause     = time.Second
 	firstMost     = 32 << 10                // bytes of a first configuration that every controller may send at once
@@ -133,38 +135,79 @@
 	}
 }
 
-// Run polls until Close.
+// Run polls until Close: the same controller for as long as it is fit, then one of those that answer.
 func (f *Follower) Run() {
 	if !f.first() {
 		return
 	}
-	for at := 0; ; {
-		members := f.order()
-		if at >= len(members) {
-			at = 0
-		}
+	at, returned := f.preferred(), time.Now()
+	for {
 		began := time.Now()
-		reply, err := f.poll(members[at], pollWait, pollMost, pollWait+pollSlack)
+		reply, err := f.poll(at, pollWait, pollMost, pollWait+pollSlack)
 		if err == nil && reply.Size > 0 {
 			began = time.Now()
-			reply, err = f.poll(members[at], 0, 0, pollSlack+core.TransferTime(reply.Size))
+			reply, err = f.poll(at, 0, 0, pollSlack+core.TransferTime(reply.Size))
 		}
 		if err == nil {
 			f.take(began, reply)
 		}
+		switch {
+		case !isFit(reply, err):
+			f.logUnfit(at, began, reply, err)
+			f.directory.Failed(at.Address)
+			if !f.pause(failPause) {
+				return
+			}
+			at, returned = f.failOver(), time.Now()
+		case time.Since(returned) > returnEvery && f.preferred() != at:
+			at, returned = f.failOver(), time.Now()
+		}
 		select {
 		case <-f.closed:
 			return
 		default:
 		}
-		if err != nil || !reply.Knows || reply.AgeMs > float64(staleAfter/time.Millisecond) {
-			f.logUnfit(members[at], began, reply, err)
-			at++
-			if !f.pause(failPause) {
-				return
+	}
+}
+
+// isFit tells whether a controller answered, and was in touch with the others lately.
+func isFit(reply *peer.PollReply, err error) bool {
+	return err == nil && reply.Knows && reply.AgeMs <= float64(staleAfter/time.Millisecond)
+}
+
+// preferred gives the controller that this router polls where nothing speaks against it; the zero Member: none is known.
+func (f *Follower) preferred() quorum.Member {
+	if members := f.order(); len(members) > 0 {
+		return members[0]
+	}
+	return quorum.Member{}
+}
+
+// failOver asks the controllers that come first for this router, all at once and without having them hold the call, and gives the first
+// one that answers and is fit; where none is, the one to try next.
+func (f *Follower) failOver() quorum.Member {
+	members := f.order()
+	members = members[:min(failOverWidth, len(members))]
+	answers := make(chan quorum.Member, len(members))
+	for _, m := range members {
+		go func() {
+			began := time.Now()
+			reply, err := f.poll(m, 0, pollMost, firstPoll)
+			if err == nil && reply.Size == 0 {
+				f.take(began, reply)
 			}
-		}
+			if isFit(reply, err) {
+				answers <- m
+			}
+		}()
 	}
+	select {
+	case m := <-answers:
+		return m
+	case <-f.closed:
+	case <-time.After(firstPoll):
+	}
+	return f.preferred()
 }
 
 // logUnfit tells why another controller is polled from now on.
@@ -225,17 +268,14 @@
 	}
 }
 
-// order gives the controllers to poll: this node's own first, then those of its zone, then the others by rendezvous.
+// order gives the controllers to poll: this node's own first, then the others by rendezvous, and last those that failed lately.
 func (f *Follower) order() []quorum.Member {
 	members := f.directory.Try("poll-" + f.self.Name)
-	rank := func(m quorum.Member) int {
-		if m.Address == f.self.Address && f.local != nil {
-			return 0
-		}
-		return 1
+	own := slices.IndexFunc(members, func(m quorum.Member) bool { return m.Address == f.self.Address })
+	if own < 0 || f.local == nil || f.directory.Avoids(f.self.Address) {
+		return members
 	}
-	slices.SortStableFunc(members, func(a, b quorum.Member) int { return rank(a) - rank(b) })
-	return members
+	return slices.Concat(members[own:own+1], members[:own], members[own+1:])
 }
 
 // poll asks a controller, which holds the call for wait at most where it has no news. most bounds the bytes of a configuration, 0 does
@@ -374,8 +414,8 @@
 }
 
 func (f *Follower) takeInstances(s *Snapshot, reply *peer.PollReply) bool {
-	if reply.Table == "" {
-		return false
+	if reply.Table == "" || !reply.Full && reply.Table != f.tableID {
+		return false // a change to a table that is not the one taken last: what came before it is not known
 	}
 	now := time.Now()
 	listed := map[string]bool{}
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -1,12 +1,15 @@
 package follower
 
 import (
+	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
 
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/delta"
@@ -24,6 +27,70 @@
 	return New(&set, peer.Node{ID: "me"}, nil, directory.New(), nil, func(*Snapshot) {}, zerolog.Nop())
 }
 
+// controllers answers polls; those that are dark take the whole time of a call.
+type controllers struct {
+	state []byte // of the configuration
+
+	mu   sync.Mutex
+	dark map[string]bool
+	list []peer.Instance
+}
+
+var errDark = errors.New("no answer")
+
+func (c *controllers) Call(address, _ string, in msgp.Marshaler, out msgp.Unmarshaler, timeout time.Duration) error {
+	held := time.Millisecond + time.Duration(in.(*peer.Poll).WaitMs)*time.Millisecond
+	time.Sleep(held)
+	c.mu.Lock()
+	dark, list := c.dark[address], c.list
+	c.mu.Unlock()
+	if dark {
+		time.Sleep(timeout - held)
+		return errDark
+	}
+	told := reply(1, nil, 0)
+	told.Content = delta.Whole(c.state)
+	told.Table, told.Revision, told.Full, told.Instances = address, 1, true, list
+	body, err := told.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = out.UnmarshalMsg(body)
+	return err
+}
+
+// Guards against DRAIN: a router whose controller falls silent hears of an end within the time of one poll and one call, also where the
+// next controller in its order is silent too.
+func TestSilentControllersHoldUpNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := &controllers{state: config(t, 3), dark: map[string]bool{}, list: []peer.Instance{server("a", registry.Ready, 1)}}
+		set := settings.Default()
+		dir := directory.New()
+		dir.Set([]quorum.Member{{ID: "1", Address: "n1"}, {ID: "2", Address: "n2"}, {ID: "3", Address: "n3"}})
+		f := New(&set, peer.Node{ID: "me", Name: "me"}, calls, dir, nil, func(*Snapshot) {}, zerolog.Nop())
+		go f.Run()
+		defer time.Sleep(2 * pollWait) // until the last poll has ended
+		defer f.Close()
+		time.Sleep(5500 * time.Millisecond)
+		must.Len(t, 1, f.Snapshot().Instances["llm"])
+		order := dir.Try("poll-me")
+		calls.mu.Lock()
+		calls.dark[order[0].Address], calls.dark[order[1].Address] = true, true
+		calls.list = []peer.Instance{server("a", registry.Gone, 1)}
+		calls.mu.Unlock()
+		silent := time.Now()
+		for len(f.Snapshot().Instances["llm"]) > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.Less(t, pollWait+pollSlack+failPause+firstPoll, time.Since(silent))
+		heard := f.Snapshot().Confirmed
+		for range 40 { // the silent ones are not gone back to
+			time.Sleep(500 * time.Millisecond)
+			must.Less(t, 2*pollWait+firstPoll, time.Since(f.Snapshot().Confirmed), must.Sprint("since ", heard))
+		}
+	})
+}
+
 func config(t *testing.T, version int64) []byte {
 	t.Helper()
 	s := configuration.State{Version: version, Body: []byte(`{"version":` + string(rune('0'+version)) + `,"routes":[],"services":[{"name":"llm"}]}`)}
@@ -88,6 +155,11 @@
 	f := newFollower(false)
 	f.take(time.Now(), instances(2, true, server("a", registry.Ready, 2), server("b", registry.Draining, 1)))
 	must.Len(t, 2, f.Snapshot().Instances["llm"])
+	other := instances(9, false, server("c", registry.Ready, 1))
+	other.Table = "another controller"
+	f.take(time.Now(), other)
+	must.Len(t, 2, f.Snapshot().Instances["llm"], must.Sprint("a change to a table that is not known"))
+	must.Eq(t, 2, f.revision)
 	f.take(time.Now(), instances(3, false, server("a", registry.Ready, 1), server("b", registry.Ready, 1)))
 	must.Eq(t, registry.Draining, f.Snapshot().Instances["llm"][1].State, must.Sprint("leaving is not taken back"))
 	must.Eq(t, 2, rollout.VersionOf(f.Snapshot().Instances["llm"][0].Models, "m"))
