Records that wait share one write and its sync

Cause: each Put of storage/ring wrote and synced by itself, one after the other: the two registers, the ends and the table of servers waited for one another, and with slow disks calls between members were given up before the write that they had asked for began.

Change: what waits when a write ends goes to disk together with the next sync; a Put waits for two writes at the most.

--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -53,6 +53,9 @@
 	mu      sync.Mutex        // short: guards records
 	records map[string][]byte // as they stand on disk; the map is replaced, never changed
 
+	waitingMu sync.Mutex // short: guards waiting
+	waiting   []*pendingPut
+
 	writing  *semaphore.Weighted // of one; held across a write, guards what follows
 	sequence uint64
 	file     File  // the one that is written; nil: the next write begins a new one
@@ -225,64 +228,117 @@
 	r.records = records
 }
 
-// with gives the records with one of them replaced.
-func (r *Ring) with(name string, data []byte) map[string][]byte {
+// pendingPut is a record that waits to be written.
+type pendingPut struct {
+	name    string
+	data    []byte
+	written bool // err is its outcome; guarded by writing
+	err     error
+}
+
+// with gives the records with some of them replaced.
+func (r *Ring) with(puts []*pendingPut) map[string][]byte {
 	records := maps.Clone(r.all())
-	records[name] = slices.Clone(data)
+	for _, p := range puts {
+		records[p.name] = p.data
+	}
 	return records
 }
 
 // Damaged is how many records were found torn when the ring was opened; they had not been acknowledged.
 func (r *Ring) Damaged() int { return r.damaged }
 
-// Put keeps a record and returns when it lasts. After an error the record may or may not last, and the next Put begins a new file.
+// Put keeps a record and returns when it lasts. Records that come while another write is under way go to disk together with one sync, so
+// a Put waits for two writes at the most. After an error the record may or may not last, and the next Put begins a new file.
 func (r *Ring) Put(name string, data []byte) error {
+	p := &pendingPut{name: name, data: slices.Clone(data)}
+	r.enqueue(p)
 	_ = r.writing.Acquire(context.Background(), 1) // fails only where the context ends
 	defer r.writing.Release(1)
-	record := encodeRecord(name, data, r.sequence+1)
-	if r.file == nil || r.offset+int64(len(record)) > r.fileSize {
-		if err := r.turn(name, data); err != nil {
-			return trace.Wrap(trace.ConvertSystemError(err), "disk refuses writes: free space or replace it; the node goes on without its vote")
+	if !p.written {
+		r.commit(r.dequeue())
+	}
+	return p.err
+}
+
+func (r *Ring) enqueue(p *pendingPut) {
+	r.waitingMu.Lock()
+	defer r.waitingMu.Unlock()
+	r.waiting = append(r.waiting, p)
+}
+
+func (r *Ring) dequeue() []*pendingPut {
+	r.waitingMu.Lock()
+	defer r.waitingMu.Unlock()
+	puts := r.waiting
+	r.waiting = nil
+	return puts
+}
+
+// commit writes some records and notes the outcome of each. Where they are too large together, each is written by itself.
+func (r *Ring) commit(puts []*pendingPut) {
+	err := r.writeAll(puts)
+	if len(puts) > 1 && trace.IsLimitExceeded(err) {
+		for _, p := range puts {
+			r.commit([]*pendingPut{p})
 		}
-		return nil
+		return
+	}
+	if err != nil {
+		err = trace.Wrap(trace.ConvertSystemError(err), "disk refuses writes: free space or replace it; the node goes on without its vote")
 	}
-	if err := r.write(record); err != nil {
-		r.drop()
-		return trace.Wrap(trace.ConvertSystemError(err), "disk refuses writes: free space or replace it; the node goes on without its vote")
+	for _, p := range puts {
+		p.written, p.err = true, err
+	}
+}
+
+// writeAll writes some records with one sync, to the file that is written or to a new one.
+func (r *Ring) writeAll(puts []*pendingPut) error {
+	var records []byte
+	for i, p := range puts {
+		records = append(records, encodeRecord(p.name, p.data, r.sequence+1+uint64(i))...)
+	}
+	if r.file == nil || r.offset+int64(len(records)) > r.fileSize {
+		return r.turn(puts)
+	}
+	if err := r.write(records, len(puts)); err != nil {
+		r.drop(len(puts))
+		return err
 	}
-	r.set(r.with(name, data))
+	r.set(r.with(puts))
 	return nil
 }
 
-func (r *Ring) write(record []byte) error {
-	if _, err := r.file.WriteAt(record, r.offset); err != nil {
+// write appends and syncs the bytes of so many records.
+func (r *Ring) write(records []byte, count int) error {
+	if _, err := r.file.WriteAt(records, r.offset); err != nil {
 		return err
 	}
 	if err := r.file.Sync(); err != nil {
 		return err
 	}
-	r.offset += int64(len(record))
-	r.sequence++
+	r.offset += int64(len(records))
+	r.sequence += uint64(count)
 	return nil
 }
 
-// drop closes the file that failed. What it holds past the last acknowledged record may have lasted, so numbers are left out: a
-// record of the new file is never taken for one of the old.
-func (r *Ring) drop() {
+// drop closes the file to which a write of so many records failed. They may have lasted, so their numbers are left out: the snapshot of the
+// next file has a higher number than any of them, and is never taken for a record of the old file.
+func (r *Ring) drop(count int) {
 	if r.file != nil {
 		r.file.Close()
 	}
 	r.file = nil
-	r.sequence += 2
+	r.sequence += uint64(count) + 1
 }
 
-// turn begins the next file of the ring with a snapshot that holds the new record already.
-func (r *Ring) turn(name string, data []byte) error {
+// turn begins the next file of the ring with a snapshot that holds the new records already.
+func (r *Ring) turn(puts []*pendingPut) error {
 	if r.file != nil {
 		r.file.Close()
 		r.file = nil
 	}
-	records := r.with(name, data)
+	records := r.with(puts)
 	snapshot := encodeRecord("", encodeSnapshot(records), r.sequence+1)
 	if int64(len(snapshot)) > r.fileSize {
 		return trace.LimitExceeded("records of %d bytes do not fit into a storage file of %d", len(snapshot), r.fileSize)
@@ -297,11 +353,11 @@
 	r.file, r.offset = f, 0
 	err = r.takeSpace(size)
 	if err == nil {
-		err = r.write(snapshot)
+		err = r.write(snapshot, 1)
 	}
 	if err != nil {
 		r.failed++
-		r.drop()
+		r.drop(1)
 		return err
 	}
 	r.index, r.failed = index, 0
--- a/storage/ring/ring_test.go
+++ b/storage/ring/ring_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -70,6 +73,57 @@
 	return put
 }
 
+// Records that come while a write is under way go to disk together: a Put waits for two writes at the most, however many there are.
+func TestPutsThatWaitShareAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const syncTime, puts = time.Second, 20
+		d := ringtest.New()
+		opened, err := ring.Open(d, 1<<16)
+		must.NoError(t, err)
+		must.NoError(t, opened.Put("first", nil))
+		d.SetWait(func() { time.Sleep(syncTime / 2) }) // of a write and of a sync
+		began := time.Now()
+		var all sync.WaitGroup
+		for i := range puts {
+			all.Go(func() { must.NoError(t, opened.Put(fmt.Sprint("r", i), content("r", i, 50))) })
+		}
+		all.Wait()
+		must.LessEq(t, 2*syncTime, time.Since(began))
+		again, err := ring.Open(d, 1<<16)
+		must.NoError(t, err)
+		for i := range puts {
+			must.NotNil(t, again.Get(fmt.Sprint("r", i)))
+		}
+	})
+}
+
+// Records that were refused together and last all the same are not taken for newer than what was acknowledged after them.
+func TestRefusedRecordsThatLast(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		synctest.Test(t, func(t *testing.T) {
+			d := ringtest.New()
+			opened, err := ring.Open(d, 4096)
+			must.NoError(t, err)
+			must.NoError(t, opened.Put("r0", content("r0", 1, 20)))
+			d.SetWait(func() { time.Sleep(time.Millisecond) })
+			var all sync.WaitGroup
+			all.Go(func() { must.NoError(t, opened.Put("r1", content("r1", 1, 20))) })
+			synctest.Wait()
+			for i := range 2 + r.IntN(6) {
+				all.Go(func() { _ = opened.Put("r0", content("r0", 2+i, 20)) })
+			}
+			time.Sleep(3500 * time.Microsecond) // the second write is done, its sync is not
+			d.Fail(1)
+			all.Wait()
+			must.NoError(t, opened.Put("r0", content("r0", 99, 20)))
+			again, err := ring.Open(d.Cut(r), 4096)
+			must.NoError(t, err)
+			must.Eq(t, 99, numberOf(again.Get("r0")), must.Sprint("seed ", seed))
+		})
+	}
+}
+
 // A disk that refuses writes for a while loses nothing, and takes writes again.
 func TestDiskFullForAWhile(t *testing.T) {
 	d := ringtest.New()
