Orders, ends of servers and a first start go through however slow the disks are

Cause: waits shorter than a write, and retries that began anew. A call of a round was given up after 350 ms and tried again under a higher ballot, which every member had to write again; a member gave an order up with its caller, and the node that had passed it on asked the next member, whose ballot undid the work of the first.

--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"moleshift/fault"
 )
@@ -64,6 +65,12 @@
 	return h.Sum(nil)[:hashBytes]
 }
 
+// Took tells whether this very order is among the newest that were taken.
+func (s *State) Took(o *Order) bool {
+	hash := o.hash()
+	return slices.ContainsFunc(s.Orders, func(taken Taken) bool { return bytes.Equal(taken.Hash, hash) })
+}
+
 // Apply gives the state after an order. The same order has the same outcome however often it comes: Already once it was taken,
 // whatever came later. Errors are of the kinds WrongVersion and BadConfig, and Unavailable for an order so old that whether it was
 // taken is not known any more: it must not be refused.
--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/semaphore"
@@ -43,27 +44,39 @@
 
 var _ Store = (*ring.Ring)(nil)
 
+// NewMemory makes the store of a node without a disk.
+func NewMemory() Store { return &memory{records: map[string][]byte{}} }
+
+// IsEmpty tells whether no acceptor has kept anything in a store yet.
+func IsEmpty(store Store) bool { return store.Get(identityRecord) == nil }
+
 // Acceptor keeps this node's share of every register. A reply leaves only once what it says lasts.
 type Acceptor struct {
 	store    Store
 	identity string
 	fresh    bool // nothing was kept when the process started
 
-	writing *semaphore.Weighted // of one; held across a write to the store
+	writing map[string]*semaphore.Weighted // by register, of one; held across a write to the store
 	writers map[string]*delta.Writer
 
-	mu     sync.Mutex // short: guards states
+	mu     sync.Mutex // short: guards what follows
 	states map[string]quorum.State
+	rivals map[string]rival         // by register: the highest ballot that was asked for in this process
+	took   map[string]time.Duration // by register: how long the last write took
 }
 
 // NewAcceptor opens the acceptor on a store, or a new one with an identity of its own where the store is empty.
 func NewAcceptor(store Store) (*Acceptor, error) {
 	if store == nil {
-		store = &memory{records: map[string][]byte{}}
+		store = NewMemory()
+	}
+	a := &Acceptor{
+		store: store, writing: map[string]*semaphore.Weighted{}, writers: map[string]*delta.Writer{}, states: map[string]quorum.State{},
+		rivals: map[string]rival{}, took: map[string]time.Duration{},
 	}
-	a := &Acceptor{store: store, writing: semaphore.NewWeighted(1), writers: map[string]*delta.Writer{}, states: map[string]quorum.State{}}
 	for _, register := range registers {
 		a.writers[register] = &delta.Writer{}
+		a.writing[register] = semaphore.NewWeighted(1)
 	}
 	if id := store.Get(identityRecord); id != nil {
 		a.identity = string(id)
@@ -114,13 +127,36 @@
 	return len(a.states) == 0
 }
 
-// beginWrite waits for the writes before it.
-func (a *Acceptor) beginWrite() {
-	_ = a.writing.Acquire(context.Background(), 1) // fails only where the context ends
+// beginWrite waits for the writes before it to a register's record; its result ends the write. A register that the acceptor does not
+// know has none.
+func (a *Acceptor) beginWrite(register string) (end func()) {
+	writing := a.writing[register]
+	if writing == nil {
+		return func() {}
+	}
+	_ = writing.Acquire(context.Background(), 1) // fails only where the context ends
+	return func() { writing.Release(1) }
+}
+
+// noteAsked notes the ballot of a call, before what it asks for is written.
+func (a *Acceptor) noteAsked(register string, ballot quorum.Ballot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.rivals[register].ballot.Less(ballot) {
+		a.rivals[register] = rival{ballot, time.Now()}
+	}
+}
+
+// asked gives the highest ballot that was asked for in this process, and how long the last write took.
+func (a *Acceptor) asked(register string) (rival, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rivals[register], a.took[register]
 }
 
 // keep writes a state and then lets others see it.
 func (a *Acceptor) keep(register string, s quorum.State) error {
+	began := time.Now()
 	data, err := encodeRecord(s, a.writers[register])
 	if err != nil {
 		return trace.Wrap(err)
@@ -130,6 +166,7 @@
 	}
 	a.mu.Lock()
 	a.states[register] = s
+	a.took[register] = time.Since(began)
 	a.mu.Unlock()
 	return nil
 }
@@ -141,8 +178,8 @@
 	}
 	s, ok := a.State(in.Register), true
 	if in.Ballot != (quorum.Ballot{}) {
-		a.beginWrite()
-		defer a.writing.Release(1)
+		a.noteAsked(in.Register, in.Ballot)
+		defer a.beginWrite(in.Register)()
 		before := a.State(in.Register)
 		if s, ok = before.Prepare(in.Ballot); ok && s.Promised != before.Promised {
 			if err := a.keep(in.Register, s); err != nil {
@@ -162,10 +199,11 @@
 	if in.Target != a.identity {
 		return &peer.AcceptorReply{Wrong: true}, nil
 	}
-	a.beginWrite()
-	defer a.writing.Release(1)
-	s, ok := a.State(in.Register).Accept(in.Ballot, in.Value)
-	if ok {
+	a.noteAsked(in.Register, in.Ballot)
+	defer a.beginWrite(in.Register)()
+	before := a.State(in.Register)
+	s, ok := before.Accept(in.Ballot, in.Value)
+	if ok && before.Accepted != in.Ballot { // one ballot has one value: a call that came again needs no write
 		if err := a.keep(in.Register, s); err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -214,21 +252,26 @@
 // Install puts the first membership of all into each register of which this acceptor has accepted nothing. It is what every one of the
 // first members has accepted from the beginning, whether it knows that yet or not: a promise that was given before stands.
 func (a *Acceptor) Install(members []quorum.Member) error {
-	a.beginWrite()
-	defer a.writing.Release(1)
-	first := quorum.Ballot{Counter: 1}
+	written := make(chan error, len(registers))
 	for _, register := range registers {
-		s := a.State(register)
-		if s.Accepted != (quorum.Ballot{}) {
-			continue
-		}
-		s.Accepted, s.Value = first, quorum.Value{Members: members}
-		if s.Promised.Less(first) {
-			s.Promised = first
-		}
-		if err := a.keep(register, s); err != nil {
-			return trace.Wrap(err)
-		}
+		go func() { written <- a.install(register, members) }()
 	}
-	return nil
+	var errs []error
+	for range registers {
+		errs = append(errs, <-written)
+	}
+	return trace.NewAggregate(errs...)
+}
+
+func (a *Acceptor) install(register string, members []quorum.Member) error {
+	defer a.beginWrite(register)()
+	s, first := a.State(register), quorum.Ballot{Counter: 1}
+	if s.Accepted != (quorum.Ballot{}) {
+		return nil
+	}
+	s.Accepted, s.Value = first, quorum.Value{Members: members}
+	if s.Promised.Less(first) {
+		s.Promised = first
+	}
+	return a.keep(register, s)
 }
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/semaphore"
@@ -11,7 +13,13 @@
 	"moleshift/peer"
 )
 
-const electorRecord = "elector"
+const (
+	electorRecord = "elector"
+
+	// electorPhase is after which an elector gives a phase of its round up for now: longer than slow disks take, as a new ballot has every
+	// elector write anew.
+	electorPhase = 5 * time.Second
+)
 
 // electorsBallot is the ballot of the electors themselves, who are given: below every ballot of a vote.
 var electorsBallot = quorum.Ballot{Proposer: "electors"}
@@ -28,8 +36,10 @@
 	may     bool                // it remembers all that it voted; never changes
 	writing *semaphore.Weighted // of one; held across a write to the store
 
-	mu    sync.Mutex   // short: guards state
-	state quorum.State // Value.Members are the electors, whether a value is accepted or not
+	mu    sync.Mutex    // short: guards what follows
+	state quorum.State  // Value.Members are the electors, whether a value is accepted or not
+	rival rival         // the highest ballot that was asked for in this process
+	took  time.Duration // how long the last write took
 }
 
 // NewElector makes the elector of a node. bootstrap says that this process was started with the whole system, by whose settings
@@ -76,21 +86,21 @@
 	if !e.may || in.Target != e.address {
 		return &peer.AcceptorReply{Wrong: true}, nil
 	}
+	e.noteAsked(in.Ballot)
 	_ = e.writing.Acquire(context.Background(), 1) // fails only where the context ends
 	defer e.writing.Release(1)
 	state := e.votes()
 	next, ok := state.Prepare(in.Ballot)
+	voted := next.Promised == state.Promised
 	if in.Value != nil {
 		next, ok = state.Accept(in.Ballot, *in.Value)
+		voted = state.Accepted == in.Ballot && bytes.Equal(state.Value.Data, in.Value.Data)
 	}
-	if ok {
-		if err := e.keep(next); err != nil {
+	if ok && !voted { // a call that came again needs no write
+		if err := e.write(next); err != nil {
 			return nil, trace.Wrap(err)
 		}
 		state = next
-		e.mu.Lock()
-		e.state = next
-		e.mu.Unlock()
 	}
 	reply := &peer.AcceptorReply{OK: ok, Promised: state.Promised, Accepted: state.Accepted}
 	if state.Accepted != (quorum.Ballot{}) {
@@ -99,6 +109,34 @@
 	return reply, nil
 }
 
+// write keeps votes and then lets others see them.
+func (e *Elector) write(next quorum.State) error {
+	began := time.Now()
+	if err := e.keep(next); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state, e.took = next, time.Since(began)
+	return nil
+}
+
+// noteAsked notes the ballot of a call, before the vote is written.
+func (e *Elector) noteAsked(ballot quorum.Ballot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rival.ballot.Less(ballot) {
+		e.rival = rival{ballot, time.Now()}
+	}
+}
+
+// Yields tells whether another elector may be in the middle of its round: it is given some times as long as a vote took here.
+func (e *Elector) Yields() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rival.ballot.Proposer != e.address && time.Since(e.rival.at) < yieldPhases*e.took
+}
+
 // keep writes the votes to disk where there is one.
 func (e *Elector) keep(s quorum.State) error {
 	if e.acceptor == nil {
@@ -128,14 +166,14 @@
 		err := caller.Call(m.Address, peer.CallVote, in, &reply, CallTimeout)
 		return &reply, err
 	}
-	playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
+	playPhase(round, electorPhase, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, nil) })
 	if round.Phase == quorum.Prepared {
 		proposal := round.Current()
 		if round.Seen() == electorsBallot {
 			proposal.Data = value
 		}
 		round.Propose(proposal)
-		playPhase(round, phaseTimeout, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, &proposal) })
+		playPhase(round, electorPhase, func(m quorum.Member) (*peer.AcceptorReply, error) { return ask(m, &proposal) })
 	}
 	*above = round.Higher
 	return round.Proposal().Data, round.Phase == quorum.Chosen
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
 	"moleshift/controlplane/delta"
@@ -31,10 +30,10 @@
 
 const (
 	CallTimeout       = 350 * time.Millisecond // of one call to a member
-	phaseTimeout      = 500 * time.Millisecond // of one phase of a round
+	phaseTimeout      = 500 * time.Millisecond // after which a phase of a round is given up for now
 	leastBytesASecond = 400_000                // of a transfer that is waited for: a third of a link of 10 Mbit/s
 
-	retryPause = 4 * time.Millisecond // least pause before a refused round is tried again; up to eight times as long
+	retryPause = 4 * time.Millisecond // least pause before a round is tried again; up to eight times as long
 )
 
 // Caller sends a call to another node. *peer.Client is one.
@@ -59,12 +58,15 @@
 	writers   map[string]*delta.Writer
 	proposing map[string]chan struct{} // one proposal of this node at a time, by register
 
-	mu      sync.Mutex
-	random  *rand.Rand // seeded by the node's ID, so that a play from a seed repeats
-	known   map[string]Known
-	highest map[string]uint64    // highest counter of a ballot met
-	heard   map[string]time.Time // by identity: last answer
-	changed chan struct{}        // closed and replaced when something is newly chosen
+	mu         sync.Mutex
+	random     *rand.Rand // seeded by the node's ID, so that a play from a seed repeats
+	known      map[string]Known
+	highest    map[string]uint64           // highest counter of a ballot met
+	unfinished map[string]*unfinishedRound // by register
+	rivals     map[string]rival            // by register: the highest ballot met of another proposer
+	took       map[string]time.Duration    // by register: how long the last phase of this node took
+	heard      map[string]time.Time        // by identity: last answer
+	changed    chan struct{}               // closed and replaced when something is newly chosen
 }
 
 // NewRegisters makes the driver.
@@ -72,6 +74,7 @@
 	r := &Registers{
 		acceptor: acceptor, self: self, caller: caller, log: log,
 		writers: map[string]*delta.Writer{}, proposing: map[string]chan struct{}{}, known: map[string]Known{}, highest: map[string]uint64{},
+		unfinished: map[string]*unfinishedRound{}, rivals: map[string]rival{}, took: map[string]time.Duration{},
 		heard: map[string]time.Time{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(xxhash.Sum64String(self.ID), 0)),
 	}
 	for _, register := range registers {
@@ -151,13 +154,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.highest[register] = max(r.highest[register], b.Counter)
+	if b.Proposer != r.self.ID && r.rivals[register].ballot.Less(b) {
+		r.rivals[register] = rival{b, time.Now()}
+	}
 }
 
-func (r *Registers) nextBallot(register string) quorum.Ballot {
+// nextBallot gives the ballot of this node's next round, and when members were first asked for a promise under it: that of a round that
+// found no quorum in time, where no higher one was met.
+func (r *Registers) nextBallot(register string, now time.Time) (ballot quorum.Ballot, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	u := r.unfinished[register]
+	delete(r.unfinished, register)
+	if u != nil && u.round.Ballot.Counter == r.highest[register] {
+		return u.round.Ballot, u.asked
+	}
 	r.highest[register]++
-	return quorum.Ballot{Counter: r.highest[register], Proposer: r.self.ID}
+	return quorum.Ballot{Counter: r.highest[register], Proposer: r.self.ID}, now
 }
 
 // alive notes that a member answered.
@@ -180,187 +193,6 @@
 	return time.Since(r.heard[id])
 }
 
-// answer is a member's answer to a call of a phase.
-type answer struct {
-	from  string
-	reply *peer.AcceptorReply // nil: none that counts
-}
-
-// ask sends a phase's call to one member, or to this node's own acceptor. has is the content that the member is expected to have.
-func (r *Registers) ask(m quorum.Member, call string, in peerIn, has []byte) (*peer.AcceptorReply, error) {
-	prepare, isPrepare := in.(*peer.Prepare)
-	if r.acceptor != nil && m.ID == r.acceptor.identity {
-		if isPrepare {
-			return r.acceptor.Prepare(prepare)
-		}
-		return r.acceptor.Accept(in.(*peer.Accept))
-	}
-	var reply peer.AcceptorReply
-	var err error
-	if isPrepare {
-		err = r.caller.Call(m.Address, call, in, &reply, CallTimeout)
-	} else {
-		err = r.sendAccept(m, in.(*peer.Accept), has, &reply)
-	}
-	if err == nil {
-		err = unpack(&reply)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if reply.Wrong {
-		return nil, trace.NotFound("another identity lives at %s", m.Address)
-	}
-	r.alive(m.ID)
-	return &reply, nil
-}
-
-// sendAccept sends a request to accept with its data written against what the member is expected to have, and whole where it has not.
-func (r *Registers) sendAccept(m quorum.Member, in *peer.Accept, has []byte, reply *peer.AcceptorReply) error {
-	bare := *in
-	bare.Value.Data = nil
-	bare.Content = r.writers[in.Register].Write(in.Value.Data, has)
-	err := r.caller.Call(m.Address, peer.CallAccept, &bare, reply, CallTimeout+TransferTime(len(bare.Content.Data)))
-	if err != nil || !reply.Lacks {
-		return err
-	}
-	*reply = peer.AcceptorReply{}
-	bare.Content = r.writers[in.Register].Write(in.Value.Data, nil)
-	return r.caller.Call(m.Address, peer.CallAccept, &bare, reply, CallTimeout+TransferTime(len(bare.Content.Data)))
-}
-
-// TransferTime is how long so many bytes may take between two nodes, beside the usual time of a call.
-func TransferTime(bytes int) time.Duration {
-	return time.Duration(bytes) * time.Second / leastBytesASecond
-}
-
-// phase plays a phase of a round on a register. Members are expected to have the round's current content.
-func (r *Registers) phase(register string, round *quorum.Round, message func(m quorum.Member) (string, peerIn)) {
-	var has []byte
-	size := 0
-	if round.Phase == quorum.Accepting {
-		has = r.writers[register].Learn(round.Current().Data)
-		size = len(r.writers[register].Write(round.Proposal().Data, has).Data)
-	}
-	playPhase(round, phaseTimeout+TransferTime(size), func(m quorum.Member) (*peer.AcceptorReply, error) {
-		call, in := message(m)
-		reply, err := r.ask(m, call, in, has)
-		if err == nil {
-			r.met(register, reply.Promised)
-		}
-		return reply, err
-	})
-}
-
-// playPhase asks all targets of a round at once, and takes answers until the round leaves the phase or the time is over. Who does
-// not answer, or answers that it is somebody else, counts for nothing.
-func playPhase(round *quorum.Round, within time.Duration, ask func(m quorum.Member) (*peer.AcceptorReply, error)) {
-	phase := round.Phase
-	answers := make(chan answer, maxMembers)
-	asked := map[string]bool{}
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	waiting := 0
-	for round.Phase == phase {
-		for _, m := range round.Targets() {
-			if asked[m.ID] {
-				continue
-			}
-			asked[m.ID] = true
-			waiting++
-			go func() {
-				reply, err := ask(m)
-				if err != nil || reply.Wrong {
-					reply = nil
-				}
-				answers <- answer{m.ID, reply}
-			}()
-		}
-		if waiting == 0 {
-			return
-		}
-		select {
-		case a := <-answers:
-			waiting--
-			a.give(round, phase)
-		case <-timer.C:
-			return
-		}
-	}
-}
-
-// give lets a round take an answer of the given phase.
-func (a *answer) give(round *quorum.Round, phase quorum.Phase) {
-	switch {
-	case a.reply == nil:
-	case phase == quorum.Preparing:
-		round.Promise(a.from, a.reply.OK, a.reply.Promised, a.reply.Accepted, a.reply.Value)
-	default:
-		round.Accept(a.from, a.reply.OK, a.reply.Promised)
-	}
-}
-
-// Change changes a register: edit gets the newest value and gives the next. Where edit fails, the register stays as it is, and its
-// error comes back once the value that it saw is chosen. Other errors are of kind Unavailable; then the change may come about or not.
-func (r *Registers) Change(register string, deadline time.Time, edit func(v quorum.Value) (quorum.Value, error)) (quorum.Value, error) {
-	select {
-	case r.proposing[register] <- struct{}{}:
-		defer func() { <-r.proposing[register] }()
-	case <-time.After(time.Until(deadline)):
-		return quorum.Value{}, fault.New(fault.Unavailable, "earlier changes are still under way")
-	}
-	for {
-		v, done, err := r.attempt(register, edit)
-		if done {
-			return v, err
-		}
-		pause := r.drawPause()
-		if time.Now().Add(pause).After(deadline) {
-			return quorum.Value{}, err
-		}
-		time.Sleep(pause)
-	}
-}
-
-// drawPause draws how long to wait before a refused round is tried again.
-func (r *Registers) drawPause() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return retryPause + time.Duration(r.random.Int64N(int64(7*retryPause)))
-}
-
-// attempt plays one round. Where done is false the round came to nothing and another may be tried.
-func (r *Registers) attempt(register string, edit func(v quorum.Value) (quorum.Value, error)) (v quorum.Value, done bool, err error) {
-	began := time.Now()
-	seen, known := r.accepted(register)
-	if len(known.Members) == 0 {
-		return v, false, fault.New(fault.Unavailable, "the members are not known yet")
-	}
-	r.met(register, seen)
-	round := quorum.NewRound(r.nextBallot(register), seen, known)
-	r.phase(register, round, func(m quorum.Member) (string, peerIn) {
-		return peer.CallPrepare, &peer.Prepare{Register: register, Target: m.ID, Ballot: round.Ballot, Have: seen}
-	})
-	if round.Phase != quorum.Prepared {
-		return v, false, fault.New(fault.Unavailable, "no quorum of %d members promised", len(known.All()))
-	}
-	next, editErr := edit(round.Current())
-	if round.Decide(next, editErr != nil) {
-		r.chosen(register, round.Seen(), round.Current(), began)
-		return round.Current(), true, editErr
-	}
-	next = round.Proposal()
-	r.phase(register, round, func(m quorum.Member) (string, peerIn) {
-		return peer.CallAccept, &peer.Accept{Register: register, Target: m.ID, Ballot: round.Ballot, Value: next}
-	})
-	if round.Phase != quorum.Chosen {
-		return v, false, fault.New(fault.Unavailable, "no quorum of %d members accepted", len(next.All()))
-	}
-	r.chosen(register, round.Ballot, next, began)
-	r.tellChosen(register, round.Ballot, next)
-	return next, true, editErr
-}
-
 // tellChosen lets the other members know at once, so that they need not find out at their next look.
 func (r *Registers) tellChosen(register string, b quorum.Ballot, v quorum.Value) {
 	for _, m := range v.Members {
--- a/controlplane/server/genesis.go
+++ b/controlplane/server/genesis.go
@@ -33,7 +33,7 @@
 	slices.SortFunc(electors, func(a, b quorum.Member) int { return cmp.Compare(a.Address, b.Address) })
 	var above quorum.Ballot
 	for len(c.directory.Members()) == 0 {
-		if members := c.proposedMembers(time.Duration(turn) * genesisTurn); members != nil {
+		if members := c.proposedMembers(time.Duration(turn) * genesisTurn); members != nil && !c.elector.Yields() {
 			c.chooseGenesis(members, &above)
 		}
 		if !c.pause(genesisEvery + rand.N(genesisEvery)) {
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"moleshift/controlplane/configuration"
@@ -21,7 +22,7 @@
 )
 
 const (
-	orderDeadline = 900 * time.Millisecond // of the work on an order at a member
+	orderDeadline = 600 * time.Millisecond // of the work on an order at a member: it answers within orderCall
 	orderCall     = 700 * time.Millisecond // of one call with an order
 	orderAll      = 1600 * time.Millisecond
 	mostPassedOn  = 256 << 10 // bytes of a configuration that a node passes on; for a larger one the operator is sent to a member
@@ -52,7 +53,7 @@
 				reply.Redirect = c.controlAddress(m)
 			}
 		}
-		if fault.Kind(reply.Kind) != fault.Unavailable {
+		if fault.Kind(reply.Kind) != fault.Unavailable || reply.Work {
 			return reply
 		}
 	}
@@ -72,17 +73,9 @@
 		return nil, errNotMember
 	}
 	deadline := time.Now().Add(orderDeadline + core.TransferTime(len(in.Body)))
-	var body []byte
-	var err error
-	switch in.Kind {
-	case configuration.Replace, configuration.Patch:
-		err = c.configure(&configuration.Order{Kind: in.Kind, IfVersion: in.IfVersion, Body: in.Body}, deadline)
-	case orderRead:
-		body, err = c.read(deadline)
-	case orderVersion:
-		err = c.nameVersion(in.Body, deadline)
-	default:
-		err = fault.New(fault.UnknownCall, "%q", in.Kind)
+	body, err := c.carryOut(in, deadline)
+	if errors.Is(err, errUnderWay) {
+		return &peer.OrderReply{Kind: int(fault.Unavailable), Text: err.Error(), Work: c.hearsMajority()}, nil
 	}
 	kind, text := fault.KindOf(err), ""
 	if err != nil && kind != fault.None {
@@ -94,14 +87,38 @@
 	return &peer.OrderReply{Kind: int(kind), Text: text, Body: body}, nil
 }
 
+// hearsMajority tells whether a quorum of the configuration's members answered lately.
+func (c *Controller) hearsMajority() bool {
+	known := c.registers.Known(core.Config).Value
+	return known.Quorum(func(id string) bool { return c.registers.Silence(id) < 3*c.syncEvery })
+}
+
+// carryOut does what an order asks for; the body is that of an answered read.
+func (c *Controller) carryOut(in *peer.Order, deadline time.Time) (body []byte, err error) {
+	switch in.Kind {
+	case orderRead:
+		return c.read(deadline)
+	case configuration.Replace, configuration.Patch:
+		order := &configuration.Order{Kind: in.Kind, IfVersion: in.IfVersion, Body: slices.Clone(in.Body)}
+		return nil, c.pending.await(in, deadline, func(patience time.Time) error { return c.configure(order, patience) })
+	case orderVersion:
+		text := slices.Clone(in.Body)
+		return nil, c.pending.await(in, deadline, func(patience time.Time) error { return c.nameVersion(text, patience) })
+	default:
+		return nil, fault.New(fault.UnknownCall, "%q", in.Kind)
+	}
+}
+
 // configure changes the configuration; nil means that the order was taken, now or before.
 func (c *Controller) configure(order *configuration.Order, deadline time.Time) error {
-	_, err := c.registers.Change(core.Config, deadline, func(v quorum.Value) (quorum.Value, error) {
-		var state configuration.State
-		if len(v.Data) > 0 {
-			if _, err := state.UnmarshalMsg(v.Data); err != nil {
-				return v, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
-			}
+	taken := func(v quorum.Value) bool {
+		state, err := readConfiguration(v.Data)
+		return err == nil && state.Took(order)
+	}
+	_, err := c.registers.ChangeUnless(core.Config, deadline, taken, func(v quorum.Value) (quorum.Value, error) {
+		state, err := readConfiguration(v.Data)
+		if err != nil {
+			return v, err
 		}
 		next, result, err := state.Apply(order)
 		if err != nil {
@@ -122,17 +139,27 @@
 	return err
 }
 
+// readConfiguration reads the value of the configuration's register.
+func readConfiguration(data []byte) (*configuration.State, error) {
+	var state configuration.State
+	if len(data) == 0 {
+		return &state, nil
+	}
+	if _, err := state.UnmarshalMsg(data); err != nil {
+		return nil, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
+	}
+	return &state, nil
+}
+
 // read gives the newest configuration.
 func (c *Controller) read(deadline time.Time) ([]byte, error) {
 	k, err := c.registers.Refresh(core.Config, deadline)
 	if err != nil {
 		return nil, err
 	}
-	var state configuration.State
-	if len(k.Value.Data) > 0 {
-		if _, err := state.UnmarshalMsg(k.Value.Data); err != nil {
-			return nil, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
-		}
+	state, err := readConfiguration(k.Value.Data)
+	if err != nil {
+		return nil, err
 	}
 	if state.Version == 0 {
 		return []byte(`{"version":0}`), nil
@@ -149,7 +176,15 @@
 	if err := json.Unmarshal(body, &named); err != nil {
 		return fault.New(fault.BadConfig, "not readable as JSON: %v", err)
 	}
-	err := c.changeWeights(deadline, func(s *rollout.State) (*rollout.State, error) {
+	isNamed := func(v quorum.Value) bool {
+		state, err := readWeights(v.Data)
+		if err != nil {
+			return false
+		}
+		_, same, _ := state.Name(named.Model, named.Version)
+		return same
+	}
+	err := c.changeWeights(deadline, isNamed, func(s *rollout.State) (*rollout.State, error) {
 		next, same, err := s.Name(named.Model, named.Version)
 		if same {
 			return nil, core.ErrUnchanged
@@ -162,9 +197,9 @@
 	return err
 }
 
-// changeWeights changes the register of weights.
-func (c *Controller) changeWeights(deadline time.Time, edit func(s *rollout.State) (*rollout.State, error)) error {
-	_, err := c.registers.Change(core.Weights, deadline, func(v quorum.Value) (quorum.Value, error) {
+// changeWeights changes the register of weights, unless a value that is known to be chosen holds the change.
+func (c *Controller) changeWeights(deadline time.Time, holds func(v quorum.Value) bool, edit func(s *rollout.State) (*rollout.State, error)) error {
+	_, err := c.registers.ChangeUnless(core.Weights, deadline, holds, func(v quorum.Value) (quorum.Value, error) {
 		state, err := readWeights(v.Data)
 		if err != nil {
 			return v, err
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/core"
+	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
 	"moleshift/controlplane/rollout"
 	"moleshift/controlplane/singleton"
@@ -119,7 +120,8 @@
 	if !may || (state.Lease.Holder != c.self.ID && !c.first(core.Weights)) {
 		return false
 	}
-	err := c.changeWeights(time.Now().Add(core.CallTimeout), func(s *rollout.State) (*rollout.State, error) {
+	never := func(quorum.Value) bool { return false }
+	err := c.changeWeights(time.Now().Add(core.CallTimeout), never, func(s *rollout.State) (*rollout.State, error) {
 		if s.Lease != over {
 			return nil, fault.New(fault.WrongVersion, "the lease has changed")
 		}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -222,6 +222,7 @@
 	Text string `msg:"t"`
 	Body []byte `msg:"b"`
 	Size int    `msg:"s"` // bytes of the body, where it was over Most
+	Work bool   `msg:"w"` // the callee goes on working on the order, and hears a majority: others need not be asked
 
 	Redirect string `msg:"-"` // control address that the operator is to ask, set by the node that was asked
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1865,9 +1865,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
+	o = append(o, 0x85, 0xa1, 0x6b)
 	o = msgp.AppendInt(o, z.Kind)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -1878,6 +1878,9 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Size)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Work)
 	return
 }
 
@@ -1923,6 +1926,12 @@
 				err = msgp.WrapError(err, "Size")
 				return
 			}
+		case "w":
+			z.Work, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Work")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1937,7 +1946,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OrderReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Text) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
