An acknowledged end outlasts a lost disk, a missed word and a server that serves on

A member with an empty disk counted as one that knows of no end; a late heartbeat was taken where no majority answered; a member that missed the end of a server which had fallen silent to it kept it as a last resort; ends were forgotten a minute after they came, and beyond 1,024.

Change: a newcomer notes on disk that it may lack ends and counts for nobody until it has enough tables of others; a first heartbeat without a majority gets 503; a sync names the silent servers and is told which have left; an end is remembered for a minute after the server's last call; more than 2,048 ends of unheard instances are refused, none is forgotten for another.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -144,8 +144,22 @@
 	if !set.CountsForQuorum {
 		return nil, nil
 	}
+	store, err := openStore(set, log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !set.Bootstrap {
+		if err := server.PrepareNewcomer(store); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return core.NewAcceptor(store)
+}
+
+// openStore opens the node's disk, or memory where it has none.
+func openStore(set *settings.Settings, log zerolog.Logger) (core.Store, error) {
 	if set.DataDir == "" {
-		return core.NewAcceptor(nil)
+		return core.NewMemory(), nil
 	}
 	dir, err := ring.Folder(set.DataDir)
 	if err != nil {
@@ -158,5 +172,5 @@
 	if n := store.Damaged(); n > 0 {
 		log.Warn().Int("records", n).Msg("torn records on disk were left out: they had not been acknowledged")
 	}
-	return core.NewAcceptor(store)
+	return store, nil
 }
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -27,8 +27,8 @@
 // Settings are a table's figures.
 type Settings struct {
 	Silence time.Duration // without a heartbeat for so long, an instance is marked silent
-	Keep    time.Duration // a gone or silent entry is kept this long: longer than a heartbeat may be late
-	Ends    int           // entries of gone instances that are kept at the most; the oldest give way
+	Keep    time.Duration // a gone or silent entry is kept this long after its last call: longer than a heartbeat may be late
+	Ends    int           // so many ends of instances that were never heard of are kept at the most; more are refused
 	Loading time.Duration // the loading of weights is taken for over after this long, whatever was told
 	Replace time.Duration // of two incarnations at one address, the one heard so much earlier is replaced
 }
@@ -97,13 +97,16 @@
 
 // Take joins an account of an instance into the table, and tells whether anything changed that others must hear of.
 // first says that its heartbeat came just now; otherwise another replica told of it. The end of an instance of which nothing is known is
-// kept too: a heartbeat of before it may still come, and another replica may not know of the end.
+// kept too, unless there are too many ends: a heartbeat of before it may still come, and another replica may not know of the end.
 func (t *Table) Take(now time.Duration, in peer.Instance, first bool) bool {
 	e := t.entries[in.ID]
 	if e == nil {
 		if !first && in.State == Ready && (in.Silent || in.Replaced) {
 			return false // it will be heard if it lives; replicas that forget at different moments would remind one another for ever
 		}
+		if in.State == Gone && t.set.Ends > 0 && t.countGone() >= t.set.Ends {
+			return false // none of the others may be forgotten for it: they were acknowledged
+		}
 		in.Silent, in.Replaced = false, false
 		e = t.add(now, in)
 		t.sign(now, e, first)
@@ -138,7 +141,10 @@
 
 // sign notes a sign of life, where an account came with a heartbeat.
 func (t *Table) sign(now time.Duration, e *entry, first bool) {
-	if first && e.instance.State != Gone {
+	switch {
+	case first && e.instance.State == Gone:
+		e.ended = now // it serves on, or a call of it was late: its end is remembered for as long again
+	case first:
 		e.heard, e.beat = now, now
 		e.instance.Silent = false
 	}
@@ -208,36 +214,31 @@
 	t.ends++
 	if e.instance.State == Gone {
 		e.ended = now
-		t.boundEnds(e)
 	}
 }
 
-// boundEnds forgets the instance that has been gone for longest, where too many are kept beside the newest.
-func (t *Table) boundEnds(newest *entry) {
-	count, oldest := 1, ""
-	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		e := t.entries[id]
-		if e.instance.State != Gone || e == newest {
-			continue
-		}
-		count++
-		if oldest == "" || e.ended < t.entries[oldest].ended {
-			oldest = id
+// countGone counts the entries of gone instances.
+func (t *Table) countGone() int {
+	count := 0
+	for _, e := range t.entries {
+		if e.instance.State == Gone {
+			count++
 		}
 	}
-	if t.set.Ends > 0 && count > t.set.Ends && oldest != "" {
-		t.forget(oldest)
-	}
+	return count
 }
 
 // EndsRevision rises with each instance that begins to leave or is gone.
 func (t *Table) EndsRevision() uint64 { return t.ends }
 
-// Ended lists the instances that leave or are gone, by identity.
+// Ended lists the instances that leave or are gone, by identity; of those that are gone nothing but that.
 func (t *Table) Ended() []peer.Instance {
 	var list []peer.Instance
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		if in := t.entries[id].instance; in.State != Ready {
+		switch in := t.entries[id].instance; in.State {
+		case Gone:
+			list = append(list, peer.Instance{ID: id, State: Gone})
+		case Draining:
 			list = append(list, in)
 		}
 	}
@@ -280,7 +281,7 @@
 // Heard notes that another replica had a heartbeat of the instance.
 func (t *Table) Heard(now time.Duration, id string) {
 	e := t.entries[id]
-	if e == nil || e.instance.State == Gone {
+	if e == nil {
 		return
 	}
 	before := e.instance
@@ -288,12 +289,24 @@
 	t.markIfNew(e, &before)
 }
 
+// Silent lists the instances that are silent and not known to be gone, by identity; so many at the most.
+func (t *Table) Silent(most int) []string {
+	var list []string
+	for id, e := range t.entries {
+		if e.instance.Silent && e.instance.State != Gone {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(most, len(list))]
+}
+
 // Sweep marks instances that have been silent for too long and forgets old entries.
 func (t *Table) Sweep(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
 		e := t.entries[id]
 		switch {
-		case e.instance.State == Gone && now-e.ended > t.set.Keep, now-e.heard > t.set.Silence+t.set.Keep:
+		case e.instance.State == Gone && now-e.ended > t.set.Keep, e.instance.State != Gone && now-e.heard > t.set.Silence+t.set.Keep:
 			t.forget(id)
 		case e.instance.State != Gone && !e.instance.Silent && now-e.heard > t.set.Silence:
 			e.instance.Silent = true
--- a/controlplane/server/api.go
+++ b/controlplane/server/api.go
@@ -124,7 +124,7 @@
 		answerError(ctx, fault.New(fault.UnknownCall, "%s", call))
 		return
 	}
-	reply, err := c.passBeat(&peer.Beat{Instance: in})
+	reply, err := c.Heartbeat(&peer.Beat{Instance: in})
 	if err != nil {
 		answerError(ctx, err)
 		return
@@ -149,8 +149,8 @@
 	return in
 }
 
-// passBeat has a heartbeat taken by this node where it counts, else by a member.
-func (c *Controller) passBeat(in *peer.Beat) (*peer.BeatReply, error) {
+// Heartbeat has a heartbeat taken by this node where it counts, else by a member.
+func (c *Controller) Heartbeat(in *peer.Beat) (*peer.BeatReply, error) {
 	if c.acceptor != nil && c.isMember() {
 		return c.beat(in)
 	}
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -37,6 +37,7 @@
 	loadingAtMost    = 3 * time.Second // without word from the node that orders a load
 	sessionsEvery    = 4               // of all syncs carry the sessions
 	sessionKeep      = 4 * time.Second // a router that has not polled for so long is taken for gone
+	mostSilentAsked  = 256             // silent servers of which other members are asked in one sync whether they have left
 	scrubAfter       = 3               // syncs in a row with other digests before whole tables are exchanged
 	settleAfterFirst = 2               // looks in a row without a chosen newest value before the first live member settles it
 	settleAfterOther = 8               // the same before any other does
@@ -66,6 +67,7 @@
 	tableID      string        // of this replica's revisions
 	tableChanged chan struct{} // closed and replaced when routers must hear of something
 	heard        map[string]bool
+	lacksEnds    bool           // ends that were acknowledged before this node became a member may be unknown to it
 	confirmed    map[string]int // by instance: the state of an end that a majority is known to keep
 	sessions     map[string]session
 	mismatch     map[string]int
@@ -104,6 +106,7 @@
 			Replace: settings.Millis(replacedBeats * set.HeartbeatMs),
 		}),
 		ends:         newEndKeeper(),
+		lacksEnds:    acceptor != nil && len(acceptor.Kept(lacksEndsRecord)) > 0,
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
@@ -185,6 +188,7 @@
 		go c.runRollout()
 		go c.sweep()
 		go c.keepEnds()
+		go c.gatherEnds()
 	}
 	go c.runGenesis()
 	c.findMembers()
@@ -232,7 +236,9 @@
 	c.lastSync = time.Now()
 	heard := slices.Sorted(maps.Keys(c.heard))
 	clear(c.heard)
-	message := &peer.Sync{From: c.self, Digest: c.table.Digest(), Heard: heard, Namings: c.toldNamings()}
+	message := &peer.Sync{
+		From: c.self, Digest: c.table.Digest(), Heard: heard, Namings: c.toldNamings(), Silent: c.table.Silent(mostSilentAsked),
+	}
 	if c.syncs++; c.syncs%sessionsEvery == 0 {
 		message.Sessions = c.ownSessions()
 	}
@@ -240,6 +246,7 @@
 	c.registers.Look(message, func(reply *peer.SyncReply) {
 		c.heardFrom(&reply.From)
 		c.takeNamings(reply.Namings)
+		c.takeAll(reply.Ended)
 		c.compare(&reply.From, reply.Digest)
 	})
 	c.directory.Set(c.registers.Members(core.Config))
@@ -250,7 +257,7 @@
 	c.heardFrom(&in.From)
 	c.noteNamings()
 	c.takeNamings(in.Namings)
-	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads)}
+	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads), Ended: c.endsAmong(in.Silent)}
 	c.mu.Lock()
 	for _, id := range in.Heard {
 		c.table.Heard(now, id)
--- a/controlplane/server/ends.go
+++ b/controlplane/server/ends.go
@@ -3,6 +3,7 @@
 // The ends of servers on this member's disk: an end that was acknowledged must outlast a kill of all members at once.
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,23 +17,24 @@
 	// acknowledged.
 	endsRecord = "ends"
 
-	mostEnds  = 1024
+	mostEnds  = 2048
 	endsRetry = 100 * time.Millisecond // after a write that failed
 	keptWait  = 200 * time.Millisecond // how long another member waits for this one's disk; less than a call takes at the most
 	askWait   = 250 * time.Millisecond // how long the first heartbeat of an instance waits for other members
 )
 
-// endKeeper tells how far the ends in the table are on disk. Those that come while one write is under way go with the next.
+// endKeeper tells which ends are on disk. Those that come while one write is under way go with the next.
 type endKeeper struct {
 	wake chan struct{} // of one: something is to be written
 
-	mu      sync.Mutex
-	kept    uint64        // the table's EndsRevision up to which they are on disk
-	changed chan struct{} // closed and replaced when kept rises
+	mu       sync.Mutex
+	revision uint64         // the table's EndsRevision of the last write
+	kept     map[string]int // by instance: its state on disk
+	changed  chan struct{}  // closed and replaced at each write
 }
 
 func newEndKeeper() *endKeeper {
-	return &endKeeper{wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &endKeeper{wake: make(chan struct{}, 1), kept: map[string]int{}, changed: make(chan struct{})}
 }
 
 // due has the ends written soon.
@@ -43,20 +45,30 @@
 	}
 }
 
-// written notes that the ends up to a revision are on disk.
-func (k *endKeeper) written(revision uint64) {
+// written notes that the ends of a revision are on disk.
+func (k *endKeeper) written(revision uint64, list []peer.Instance) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.kept = max(k.kept, revision)
+	k.revision, k.kept = revision, make(map[string]int, len(list))
+	for _, in := range list {
+		k.kept[in.ID] = in.State
+	}
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
 
-// has tells whether the ends up to a revision are on disk, and gives the channel that is closed at the next write.
-func (k *endKeeper) has(revision uint64) (bool, <-chan struct{}) {
+// has tells whether the ends among some accounts are on disk, and gives the channel that is closed at the next write.
+func (k *endKeeper) has(list []peer.Instance) (bool, <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lacks := func(in peer.Instance) bool { return isEnd(in) && k.kept[in.ID] < in.State }
+	return !slices.ContainsFunc(list, lacks), k.changed
+}
+
+func (k *endKeeper) writtenRevision() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.kept >= revision, k.changed
+	return k.revision
 }
 
 // keepEnds writes ends to disk until Close.
@@ -80,26 +92,23 @@
 	c.mu.Lock()
 	revision, list := c.table.EndsRevision(), c.table.Ended()
 	c.mu.Unlock()
-	if kept, _ := c.ends.has(revision); kept {
+	if revision == c.ends.writtenRevision() {
 		return true
 	}
 	data, err := (&peer.Instances{List: list}).MarshalMsg(nil)
 	if err != nil || c.acceptor.Keep(endsRecord, data) != nil {
 		return false
 	}
-	c.ends.written(revision)
+	c.ends.written(revision, list)
 	return true
 }
 
-// awaitEnds returns once all ends that are known now are on this member's disk; false: they are not within the given time.
-func (c *Controller) awaitEnds(within time.Duration) bool {
-	c.mu.Lock()
-	revision := c.table.EndsRevision()
-	c.mu.Unlock()
+// awaitKept returns once the ends among some accounts are on this member's disk; false: they are not within the given time.
+func (c *Controller) awaitKept(list []peer.Instance, within time.Duration) bool {
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	for {
-		kept, changed := c.ends.has(revision)
+		kept, changed := c.ends.has(list)
 		if kept {
 			return true
 		}
@@ -115,28 +124,31 @@
 }
 
 // askForEnd asks the other members whether they know that an instance leaves or is gone, and returns once a majority has answered: an
-// end that was acknowledged is known to one of them. Where there is no majority to ask, it returns after askWait.
-func (c *Controller) askForEnd(id string) {
+// end that was acknowledged is known to one of them. false: no majority answered within askWait.
+func (c *Controller) askForEnd(id string) bool {
 	members := c.registers.Members(core.Config)
-	if len(members) == 0 {
-		return
-	}
 	answers := make(chan struct{}, len(members))
 	count := 0
 	for _, m := range members {
 		if m.ID == c.acceptor.Identity() {
-			count++
+			if !c.mayLackEnds() {
+				count++
+			}
 			continue
 		}
 		go func() {
 			var reply peer.Instances
-			if err := c.caller.Call(m.Address, peer.CallInstances, &peer.Instances{Ask: []string{id}}, &reply, askWait); err == nil {
-				c.takeAll(reply.List)
+			err := c.caller.Call(m.Address, peer.CallInstances, &peer.Instances{Ask: []string{id}}, &reply, askWait)
+			if err != nil {
+				return
+			}
+			c.takeAll(reply.List)
+			if !reply.Part {
 				answers <- struct{}{}
 			}
 		}()
 	}
-	c.awaitMajority(count, len(members), answers, askWait)
+	return c.awaitMajority(count, len(members), answers, askWait)
 }
 
 // awaitMajority counts answers until they are those of a majority; false: they are not within the given time.
--- a/controlplane/server/genesis.go
+++ b/controlplane/server/genesis.go
@@ -107,6 +107,7 @@
 		if err := c.acceptor.Install(in.Members); err != nil {
 			return nil, err
 		}
+		c.lacksNoEnds() // nothing was acknowledged before the first membership
 	}
 	c.mu.Lock()
 	c.firstMembers = in.Members
--- a/controlplane/server/instances.go
+++ b/controlplane/server/instances.go
@@ -20,17 +20,20 @@
 		return nil, errNotMember
 	}
 	id := in.Instance.ID
-	if in.Instance.State != registry.Gone && !c.knowsInstance(id) {
-		c.askForEnd(id) // it may be a late heartbeat of one that has left
+	if in.Instance.State != registry.Gone && !c.knowsInstance(id) && !c.askForEnd(id) {
+		return nil, fault.New(fault.Unavailable, "no majority of the members can tell whether the instance has left")
 	}
 	c.mu.Lock()
 	changed := c.table.Take(c.now(), in.Instance, true)
-	current, _ := c.table.Get(id)
+	current, known := c.table.Get(id)
 	if in.Instance.State != registry.Gone {
 		c.heard[id] = true
 	}
 	unconfirmed := isEnd(current) && c.confirmed[id] < current.State
 	c.mu.Unlock()
+	if !known {
+		return nil, fault.New(fault.Unavailable, "too many instances have ended lately: this end is not remembered")
+	}
 	if changed {
 		c.notify()
 	}
@@ -71,7 +74,7 @@
 			c.outboxOf(m).add(in, kind, delivered)
 		} else if wait {
 			go func() {
-				if c.awaitEnds(pushWait) {
+				if c.awaitKept([]peer.Instance{in}, pushWait) {
 					delivered <- struct{}{}
 				}
 			}()
@@ -86,8 +89,8 @@
 		return nil, errNotMember
 	}
 	c.takeAll(in.List)
-	reply := &peer.Instances{List: c.endsAmong(in.Ask)}
-	reply.Kept = !slices.ContainsFunc(in.List, isEnd) || c.awaitEnds(keptWait)
+	reply := &peer.Instances{List: c.endsAmong(in.Ask), Part: c.mayLackEnds()}
+	reply.Kept = c.awaitKept(in.List, keptWait)
 	c.mu.Lock()
 	for _, id := range in.Beat {
 		c.table.Heard(c.now(), id)
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -115,6 +115,7 @@
 	Heard    []string  `msg:"h"` // instances whose heartbeats came here since the last Sync
 	Sessions []Node    `msg:"s"` // routers that poll here
 	Namings  []Naming  `msg:"n"` // of weights, lately
+	Silent   []string  `msg:"l"` // instances that are silent here: some may have left unheard
 }
 
 // SyncReply answers Sync.
@@ -123,6 +124,7 @@
 	Reads   []AcceptorReply `msg:"r"`
 	Digest  uint64          `msg:"d"`
 	Namings []Naming        `msg:"n"` // of weights, lately
+	Ended   []Instance      `msg:"e"` // those of Silent that are known to leave or to be gone
 }
 
 // Model is one model's weights on an instance.
@@ -173,6 +175,7 @@
 	Beat []string   `msg:"b"` // instances whose heartbeat has just come
 	Ask  []string   `msg:"a"` // instances: answer with those of them that are known to leave or to be gone
 	Kept bool       `msg:"k"` // in an answer: the ends that were passed on are on the callee's disk
+	Part bool       `msg:"p"` // in an answer: the callee may lack ends that were acknowledged before it became a member
 }
 
 // Poll asks for what is newer than the caller has, and is held until there is something or WaitMs are over.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1105,9 +1105,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instances) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "l"
-	o = append(o, 0x86, 0xa1, 0x6c)
+	o = append(o, 0x87, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
 	for za0001 := range z.List {
 		o, err = z.List[za0001].MarshalMsg(o)
@@ -1140,6 +1140,9 @@
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendBool(o, z.Kept)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.Part)
 	return
 }
 
@@ -1249,6 +1252,12 @@
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
+		case "p":
+			z.Part, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1279,7 +1288,7 @@
 	for za0004 := range z.Ask {
 		s += msgp.StringPrefixSize + len(z.Ask[za0004])
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -2601,9 +2610,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Sync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
+	o = append(o, 0x87, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -2653,6 +2662,12 @@
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendFloat64(o, z.Namings[za0004].AgeMs)
 	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Silent)))
+	for za0005 := range z.Silent {
+		o = msgp.AppendString(o, z.Silent[za0005])
+	}
 	return
 }
 
@@ -2797,6 +2812,25 @@
 					}
 				}
 			}
+		case "l":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
+			if cap(z.Silent) >= int(zb0007) {
+				z.Silent = (z.Silent)[:zb0007]
+			} else {
+				z.Silent = make([]string, zb0007)
+			}
+			for za0005 := range z.Silent {
+				z.Silent[za0005], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Silent", za0005)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2827,15 +2861,19 @@
 	for za0004 := range z.Namings {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Silent {
+		s += msgp.StringPrefixSize + len(z.Silent[za0005])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SyncReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "f"
-	o = append(o, 0x84, 0xa1, 0x66)
+	o = append(o, 0x85, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -2869,6 +2907,16 @@
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendFloat64(o, z.Namings[za0002].AgeMs)
 	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
+	for za0003 := range z.Ended {
+		o, err = z.Ended[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ended", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -2975,6 +3023,25 @@
 					}
 				}
 			}
+		case "e":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
+			if cap(z.Ended) >= int(zb0005) {
+				z.Ended = (z.Ended)[:zb0005]
+			} else {
+				z.Ended = make([]Instance, zb0005)
+			}
+			for za0003 := range z.Ended {
+				bts, err = z.Ended[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2997,6 +3064,10 @@
 	for za0002 := range z.Namings {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Namings[za0002].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Ended {
+		s += z.Ended[za0003].Msgsize()
+	}
 	return
 }
 
