Members that return settle what was left half done, also when nobody asks

Cause: a member that starts only looks until it has seen a configuration confirmed. Where the members that return have accepted different values, as the other holder of the newer one stays away, no look shows one to be chosen, and settling came after the looks: the core rested until an operator's order or read.

Change: the first looks settle too, by the usual rule.

--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -195,12 +195,14 @@
 	if c.acceptor == nil {
 		return
 	}
-	// Until a quorum was heard nothing can be answered, and others may be on their way: look anew without waiting for the last look.
+	// Until a quorum was heard nothing can be answered, and others may be on their way: look anew without waiting for the last look. What
+	// a proposer left half done, and died of, no look shows to be chosen.
 	for pause := firstSync; c.registers.Known(core.Config).Confirmed.IsZero(); pause = min(pause*3/2, c.syncEvery) {
 		go c.syncOnce()
 		if !c.pause(pause) {
 			return
 		}
+		c.settle()
 	}
 	for {
 		c.syncOnce()
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -121,6 +121,32 @@
 	return fault.Kind(c.Order(&peer.Order{Kind: configuration.Replace, IfVersion: ifVersion, Body: []byte(body)}).Kind)
 }
 
+// Guards against a core that rests for ever after a kill of all: the members that return have accepted different values, as the proposer of
+// the newer one does not return, and nobody asks for anything that would settle which holds.
+func TestMembersThatReturnSettleWhatWasLeftHalfDone(t *testing.T) {
+	l := newLan()
+	stores := []core.Store{newStore(), newStore(), newStore()}
+	members := startCore(t, l, true, stores...)
+	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	eventually(t, "all have it", func() bool { return members[1].registers.Known(core.Config).Ballot == members[0].registers.Known(core.Config).Ballot })
+	l.set(members[1].self.Address, true)
+	eventually(t, "a newer one", func() bool {
+		return replace(members[0], 2, `{"version":3,"routes":[],"services":[{"name":"llm"}]}`) == fault.None
+	})
+	l.kill(members...)
+	for i := 1; i < 3; i++ {
+		c := l.node(t, i+1, true, false, stores[i], coreSeeds...)
+		defer c.Close()
+		members[i] = c
+	}
+	for _, c := range members[1:] {
+		eventually(t, "the newer one is known to be chosen", func() bool {
+			state, err := readConfiguration(c.registers.Known(core.Config).Value.Data)
+			return err == nil && state.Version == 3 && !c.registers.Known(core.Config).Confirmed.IsZero()
+		})
+	}
+}
+
 // A core of four with three seeds, one of which is a machine that does not count: one membership of all four, known to everyone.
 func TestFirstMembership(t *testing.T) {
 	l := newLan()
