An accept that reports a network error is tried again

Change: the errors that accept(2) names are passing ones, on every listener.

Measured: TestAcceptOutlastsNetworkErrors fails on the text before (the first ENETDOWN is returned).

--- a/cmd/moleshiftd/scarcity.go
+++ b/cmd/moleshiftd/scarcity.go
@@ -12,7 +12,7 @@
 // scarceLogEvery is between two lines of the log about accepts that failed.
 const scarceLogEvery = time.Second
 
-// scarcity counts the connections that could not be accepted for want of descriptors or memory, on all listeners.
+// scarcity counts the connections that could not be accepted for now, on all listeners: mostly for want of descriptors or memory.
 type scarcity struct {
 	log   zerolog.Logger
 	count atomic.Uint64
@@ -24,7 +24,7 @@
 
 func (s *scarcity) note(err error) {
 	s.count.Add(1)
-	s.log.Warn().Err(err).Msg("a connection could not be accepted, trying again: see the process's limit of open files and limits.max-fds")
+	s.log.Warn().Err(err).Msg("a connection could not be accepted, trying again: where the error names files, see the process's limit of open files and limits.max-fds")
 }
 
 func (s *scarcity) writeMetrics(w io.Writer) {
--- a/internal/sock/listener_test.go
+++ b/internal/sock/listener_test.go
@@ -36,7 +36,7 @@
 		failed := 0
 		l := &patientListener{
 			Listener: &failing{errs: []error{syscall.EMFILE, syscall.EMFILE, syscall.ENOMEM, syscall.ECONNABORTED, nil, syscall.EBADF}},
-			scarce:   func(error) { failed++ },
+			failed:   func(error) { failed++ },
 		}
 		c, err := l.Accept()
 		must.NoError(t, err)
@@ -48,3 +48,19 @@
 		must.ErrorIs(t, err, net.ErrClosed)
 	})
 }
+
+// Guards against the end of a process at an accept that reports an error of the network for a connection that was waiting.
+func TestAcceptOutlastsNetworkErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := []error{
+			syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+			syscall.ENETUNREACH, syscall.EPERM, syscall.ETIMEDOUT, syscall.ECONNRESET,
+		}
+		failed := 0
+		l := &patientListener{Listener: &failing{errs: append(errs, nil)}, failed: func(error) { failed++ }}
+		c, err := l.Accept()
+		must.NoError(t, err)
+		c.Close()
+		must.Eq(t, len(errs), failed)
+	})
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -39,8 +39,8 @@
 }
 
 // Listen listens on address; accepted connections have the same bounds as dialled ones. Where one cannot be accepted for want of
-// descriptors or memory, scarce is told and the listener tries again.
-func Listen(address string, scarce func(err error)) (net.Listener, error) {
+// descriptors or memory, or with an error of the network, failed is told and the listener tries again.
+func Listen(address string, failed func(err error)) (net.Listener, error) {
 	l := net.ListenConfig{
 		Control:         control,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount},
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &patientListener{Listener: inner, scarce: scarce}, nil
+	return &patientListener{Listener: inner, failed: failed}, nil
 }
 
 // Quiet is a logger for libraries whose own lines nobody needs: errors are told where they are handled.
