The worlds have servers that come and go, kills behind their ends, and slow disks

Cause: lab/control judged orders and reads only, so no world showed what becomes of an acknowledged end, or of a core whose disks are slow.

--- a/lab/control/faults.go
+++ b/lab/control/faults.go
@@ -12,29 +12,31 @@
 
 // The kinds of faults.
 const (
-	Kill       Kind = "kill"        // a process on a core machine is killed and starts again
-	Power      Kind = "power"       // a core machine loses power for a time
-	Wipe       Kind = "wipe"        // a core machine loses its disk, right after an acknowledgement where one comes
-	WipeDark   Kind = "wipe-dark"   // the same, and all other machines lose power at that moment
-	KillAll    Kind = "kill-all"    // every process
-	PowerAll   Kind = "power-all"   // every machine
-	Freeze     Kind = "freeze"      // a core machine stands still
-	Cut        Kind = "cut"         // a core machine is cut off from the other core machines
-	CutAll     Kind = "cut-all"     // a core machine is cut off from all machines
-	CutOneWay  Kind = "cut-one-way" // what a core machine sends to the others is lost
-	Split      Kind = "split"       // the core is cut into halves
-	CutRouters Kind = "cut-routers" // some routers are cut off from the core
-	Replace    Kind = "replace"     // a core machine is gone for good, an empty one comes at another address
-	Planned    Kind = "planned"     // the same, the new one comes first and the old one is told to end
-	Roll       Kind = "roll"        // a core machine is told to end and starts again
-	DiskSlow   Kind = "disk-slow"   // a core machine's disk takes long
-	DiskStall  Kind = "disk-stall"  // it answers nothing
-	DiskFull   Kind = "disk-full"   // it refuses writes
-	Lossy      Kind = "lossy"       // messages are lost, doubled and late
-	AckLost    Kind = "ack-lost"    // acknowledgements to the operators are lost
-	Race       Kind = "race"        // two operators change the configuration on top of one version
-	Storm      Kind = "storm"       // changes one after the other
-	SeedsMoved Kind = "seeds-moved" // the settings files name other seeds
+	Kill         Kind = "kill"          // a process on a core machine is killed and starts again
+	Power        Kind = "power"         // a core machine loses power for a time
+	Wipe         Kind = "wipe"          // a core machine loses its disk, right after an acknowledgement where one comes
+	WipeDark     Kind = "wipe-dark"     // the same, and all other machines lose power at that moment
+	KillAll      Kind = "kill-all"      // every process
+	EndKill      Kind = "end-kill"      // the same, up to two seconds after the end of a server was acknowledged
+	PowerAll     Kind = "power-all"     // every machine
+	Freeze       Kind = "freeze"        // a core machine stands still
+	Cut          Kind = "cut"           // a core machine is cut off from the other core machines
+	CutAll       Kind = "cut-all"       // a core machine is cut off from all machines
+	CutOneWay    Kind = "cut-one-way"   // what a core machine sends to the others is lost
+	Split        Kind = "split"         // the core is cut into halves
+	CutRouters   Kind = "cut-routers"   // some routers are cut off from the core
+	Replace      Kind = "replace"       // a core machine is gone for good, an empty one comes at another address
+	Planned      Kind = "planned"       // the same, the new one comes first and the old one is told to end
+	Roll         Kind = "roll"          // a core machine is told to end and starts again
+	DiskSlow     Kind = "disk-slow"     // a core machine's disk takes long
+	DiskStall    Kind = "disk-stall"    // it answers nothing
+	DiskFull     Kind = "disk-full"     // it refuses writes
+	DisksErratic Kind = "disks-erratic" // on every core machine a write takes from 0.1 to 2 s
+	Lossy        Kind = "lossy"         // messages are lost, doubled and late
+	AckLost      Kind = "ack-lost"      // acknowledgements to the operators are lost
+	Race         Kind = "race"          // two operators change the configuration on top of one version
+	Storm        Kind = "storm"         // changes one after the other
+	SeedsMoved   Kind = "seeds-moved"   // the settings files name other seeds
 )
 
 // Step is one fault.
@@ -52,7 +54,7 @@
 }{
 	{Kill, 3}, {Power, 3}, {Wipe, 3}, {WipeDark, 2}, {KillAll, 1}, {PowerAll, 2}, {Freeze, 3}, {Cut, 3}, {CutAll, 2}, {CutOneWay, 2},
 	{Split, 2}, {CutRouters, 1}, {Replace, 3}, {Planned, 3}, {Roll, 3}, {DiskSlow, 1}, {DiskStall, 1}, {DiskFull, 1}, {Lossy, 2},
-	{AckLost, 2}, {Race, 3}, {Storm, 1}, {SeedsMoved, 1},
+	{AckLost, 2}, {Race, 3}, {Storm, 1}, {SeedsMoved, 1}, {EndKill, 3}, {DisksErratic, 1},
 }
 
 const (
@@ -61,6 +63,11 @@
 	crossing   = 600 * time.Millisecond // half of the faults begin so close to another one
 	catchUp    = 4 * time.Second        // bounds.catch-up-s: a lost disk counts until its successor has had that time
 	stormOf    = 300
+	slowFactor = 40              // by which a slow disk takes longer
+	killWithin = 2 * time.Second // of an acknowledgement, at EndKill
+
+	leastErratic = 50 * time.Millisecond // of a write or a sync, at DisksErratic
+	mostErratic  = time.Second
 	// firstFault is when every machine has started once and its elector's record is on disk. A loss of all power before that leaves
 	// no majority of electors that remember their votes, and no first membership (docs/design/hardening.md).
 	firstFault = 500 * time.Millisecond
@@ -132,30 +139,40 @@
 		w.mu.Unlock()
 		if !was {
 			end()
+			w.last(-1)
 		}
 	}
 	w.mu.Lock()
 	w.undo = append(w.undo, once)
 	w.mu.Unlock()
+	w.last(1)
 	begin()
 	w.later(d, once)
 }
 
+// last counts faults that last.
+func (w *World) last(by int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lasting += by
+}
+
 // strike lets one fault happen.
 func (w *World) strike(s Step, m *machine, r *rand.Rand) {
 	switch s.Kind {
 	case Kill:
 		m.kill()
 		w.later(restartAfter+time.Duration(r.Int64N(int64(time.Second))), func() { w.start(m, false) })
+	case EndKill:
+		w.awaitCount(s.For, func(c *Counts) int { return c.Ends })
+		time.Sleep(time.Duration(r.Int64N(int64(killWithin))))
+		w.killAll(r)
 	case Power:
 		w.during(s.For, func() { m.losePower(r) }, func() { w.restore(m) })
 	case Wipe, WipeDark:
 		w.strikeDisk(s, m, r)
 	case KillAll:
-		for _, m := range w.all(func(*machine) bool { return true }) {
-			m.kill()
-			w.later(restartAfter+time.Duration(r.Int64N(int64(time.Second))), func() { w.start(m, false) })
-		}
+		w.killAll(r)
 	case PowerAll:
 		for _, m := range w.all(func(*machine) bool { return true }) {
 			w.during(s.For+time.Duration(r.Int64N(int64(time.Second))), func() { m.losePower(r) }, func() { w.restore(m) })
@@ -165,7 +182,13 @@
 			w.during(s.For, p.freeze, p.thaw)
 		}
 	case Replace, Planned, Roll:
+		w.last(1)
 		w.strikeMember(s, m, r)
+		w.last(-1)
+	case DisksErratic:
+		for _, m := range w.core() {
+			w.strikeWrites(s, m)
+		}
 	case DiskSlow, DiskStall, DiskFull:
 		w.strikeWrites(s, m)
 	case Lossy:
@@ -246,7 +269,7 @@
 	if !w.diskMayGo() {
 		return
 	}
-	w.awaitAck(s.For)
+	w.awaitCount(s.For, func(c *Counts) int { return c.Taken })
 	w.judge.tell("%s loses its disk", m.name)
 	if s.Kind == WipeDark {
 		for _, other := range w.all(func(o *machine) bool { return o != m }) {
@@ -262,12 +285,12 @@
 	})
 }
 
-// awaitAck returns right after the next acknowledgement, or after a time.
-func (w *World) awaitAck(within time.Duration) {
+// awaitCount returns right after a count has risen, or after a time.
+func (w *World) awaitCount(within time.Duration, of func(c *Counts) int) {
 	count := func() int {
 		w.judge.mu.Lock()
 		defer w.judge.mu.Unlock()
-		return w.judge.counts.Taken
+		return of(&w.judge.counts)
 	}
 	before := count()
 	for until := time.Now().Add(within); time.Now().Before(until) && count() == before; {
@@ -275,6 +298,14 @@
 	}
 }
 
+// killAll kills every process; each starts again within a second or so.
+func (w *World) killAll(r *rand.Rand) {
+	for _, m := range w.all(func(*machine) bool { return true }) {
+		m.kill()
+		w.later(restartAfter+time.Duration(r.Int64N(int64(time.Second))), func() { w.start(m, false) })
+	}
+}
+
 // strikeMember has a core machine leave or be replaced.
 func (w *World) strikeMember(s Step, m *machine, r *rand.Rand) {
 	switch s.Kind {
@@ -343,14 +374,16 @@
 	m.mu.Unlock()
 	switch s.Kind {
 	case DiskSlow:
-		w.during(s.For, func() { disk.SetWait(func() { time.Sleep(40 * usualSync) }) }, func() { disk.SetWait(func() { time.Sleep(usualSync) }) })
+		w.during(s.For, func() { disk.SetWait(func() { time.Sleep(slowFactor * m.write / 2) }) }, func() { m.usualWaitOf(disk) })
+	case DisksErratic:
+		w.during(s.For, func() { disk.SetWait(func() { time.Sleep(leastErratic + rand.N(mostErratic-leastErratic)) }) }, func() { m.usualWaitOf(disk) })
 	case DiskFull:
 		w.during(s.For, func() { disk.SetFull(true) }, func() { disk.SetFull(false) })
 	case DiskStall:
 		over := make(chan struct{})
 		w.during(s.For, func() { disk.SetWait(func() { <-over }) }, func() {
 			close(over)
-			disk.SetWait(func() { time.Sleep(usualSync) })
+			m.usualWaitOf(disk)
 		})
 	}
 }
--- a/lab/control/judge.go
+++ b/lab/control/judge.go
@@ -88,9 +88,17 @@
 // Counts counts what was met.
 type Counts struct {
 	Orders, Taken, Refused, Unknown, Reads int
+	Ends                                   int // of servers, acknowledged
 	Faults                                 map[string]int
 }
 
+// countEnd notes an acknowledged end of a server.
+func (j *judge) countEnd() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Ends++
+}
+
 func newJudge() *judge {
 	return &judge{start: time.Now(), seen: map[*process]int64{}, counts: Counts{Faults: map[string]int{}}}
 }
--- a/lab/control/machine.go
+++ b/lab/control/machine.go
@@ -20,7 +20,7 @@
 
 const (
 	fileSize     = 1 << 20
-	usualSync    = time.Millisecond // what a write or sync takes
+	usualWrite   = 2 * time.Millisecond // what keeping a record on disk takes
 	restartAfter = 400 * time.Millisecond
 	startWithin  = 300 * time.Millisecond
 	grace        = 8 * time.Second
@@ -31,6 +31,7 @@
 	name    string
 	address string
 	counts  bool
+	write   time.Duration // what keeping a record on its disk takes: a write and a sync
 
 	mu       sync.Mutex
 	disk     *ringtest.Disk
@@ -170,6 +171,11 @@
 		if err != nil {
 			return err
 		}
+		if !first {
+			if err := server.PrepareNewcomer(store); err != nil {
+				return err
+			}
+		}
 		if p.acceptor, err = core.NewAcceptor(store); err != nil {
 			return err
 		}
@@ -239,7 +245,10 @@
 	m.setUsualDisk()
 }
 
-func (m *machine) setUsualDisk() { m.disk.SetWait(func() { time.Sleep(usualSync) }) }
+func (m *machine) setUsualDisk() { m.usualWaitOf(m.disk) }
+
+// usualWaitOf has a disk of this machine take its usual time.
+func (m *machine) usualWaitOf(disk *ringtest.Disk) { disk.SetWait(func() { time.Sleep(m.write / 2) }) }
 
 // restore gives a machine its power back and starts its process.
 func (w *World) restore(m *machine) {
--- a/lab/control/operator.go
+++ b/lab/control/operator.go
@@ -16,7 +16,7 @@
 const (
 	operatorPause  = 50 * time.Millisecond // first pause after a call without a clear answer
 	operatorPauses = 2 * time.Second       // longest one
-	giveUpAfter    = 12 * time.Second      // an operator sends one order for so long
+	usualPatience  = 12 * time.Second      // an operator sends one order for so long
 	operatorName   = "operator"
 )
 
@@ -28,6 +28,8 @@
 	rand    *rand.Rand
 	orders  int
 	ackLost float64 // share of acknowledgements that are lost
+
+	patience time.Duration // for which an operator sends one order
 }
 
 func (o *operators) draw(n int) int {
@@ -106,7 +108,7 @@
 	in := &peer.Order{Kind: configuration.Replace, IfVersion: base, Body: body(ord, o.w.options.Routes)}
 	began := time.Now()
 	kind := unknown
-	for pause := operatorPause; kind == unknown && time.Since(began) < giveUpAfter && !o.w.over(); pause = min(2*pause, operatorPauses) {
+	for pause := operatorPause; kind == unknown && time.Since(began) < o.patience && !o.w.over(); pause = min(2*pause, operatorPauses) {
 		reply, err := o.call(o.w.anyMachine(o.draw), in)
 		switch {
 		case err != nil || o.loses():
--- a/lab/control/scenarios.go
+++ b/lab/control/scenarios.go
@@ -15,7 +15,7 @@
 // scenario makes a world of some members that may lose so many disks at once.
 func scenario(name, about string, members, disks int, script ...Step) Scenario {
 	return Scenario{name, about, Options{
-		Members: members, Routers: 3, Tolerance: disks, Length: 30 * time.Second, Operators: 2, Gap: 300 * time.Millisecond, Script: script,
+		Members: members, Routers: 3, Tolerance: disks, Length: 30 * time.Second, Operators: 2, Gap: 300 * time.Millisecond, Servers: 4, Script: script,
 	}}
 }
 
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -23,6 +23,8 @@
 	Routes    int           // of each configuration
 	Operators int
 	Gap       time.Duration // between an operator's calls
+	Servers   int           // addresses at which servers come and go
+	Write     time.Duration // what keeping a record on disk takes; 0: usualWrite
 	Script    []Step        // faults; nil: they are drawn
 	Verbose   bool          // the history names every order
 }
@@ -43,6 +45,7 @@
 	network *network
 	judge   *judge
 	ops     *operators
+	servers *instances
 	seeds   []string // control addresses, without port
 	ended   chan struct{}
 	timers  sync.WaitGroup
@@ -50,6 +53,7 @@
 	mu       sync.Mutex
 	machines []*machine
 	wiped    time.Time // when the last disk was lost
+	lasting  int       // faults that last
 	undo     []func()  // what ends faults that still last
 }
 
@@ -75,7 +79,8 @@
 	w := &World{
 		options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
 	}
-	w.ops = &operators{w: w, rand: rand.New(rand.NewPCG(seed, 0x6f706572))}
+	w.ops = &operators{w: w, rand: rand.New(rand.NewPCG(seed, 0x6f706572)), patience: usualPatience}
+	w.servers = newInstances(w, rand.New(rand.NewPCG(seed, 0x696e7374)))
 	for i := range o.Members + o.Routers {
 		w.add(i < o.Members)
 	}
@@ -110,7 +115,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := len(w.machines) + 1
-	m := &machine{name: fmt.Sprintf("m%d", n), address: fmt.Sprintf("10.0.%d.%d", n/200, n%200), counts: counts, power: true}
+	m := &machine{name: fmt.Sprintf("m%d", n), address: fmt.Sprintf("10.0.%d.%d", n/200, n%200), counts: counts, power: true, write: w.options.Write}
+	if m.write == 0 {
+		m.write = usualWrite
+	}
 	m.wipe()
 	w.machines = append(w.machines, m)
 	w.network.mu.Lock()
@@ -172,6 +180,10 @@
 		})
 	}
 	clients.Go(w.sample)
+	for i := range w.options.Servers {
+		clients.Go(func() { w.servers.run(addressOf(i)) })
+	}
+	clients.Go(w.servers.judgeEnds)
 	script := w.options.Script
 	if script == nil {
 		script = w.drawScript()
@@ -264,6 +276,7 @@
 			w.violate("%s has no version %d in force %v after its acknowledgement", m.name, newest, time.Since(acked))
 		}
 	}
+	w.servers.judgeLiving()
 	for _, m := range w.core() {
 		if p, _ := m.running(); p != nil && !w.eventually(settleTime, p.controller.IsMember) {
 			w.violate("%s has not become a member again", m.name)
--- a/lab/control/worlds.go
+++ b/lab/control/worlds.go
@@ -17,7 +17,7 @@
 func Drawn(seed uint64, members []int, routers int, length time.Duration) Options {
 	n := members[seed%uint64(len(members))]
 	return Options{
-		Members: n, Routers: routers, Tolerance: (n - 1) / 2, Length: length, Operators: 2, Gap: 400 * time.Millisecond,
+		Members: n, Routers: routers, Tolerance: (n - 1) / 2, Length: length, Operators: 2, Gap: 400 * time.Millisecond, Servers: 4,
 	}
 }
 
@@ -42,6 +42,7 @@
 	t.Counts.Refused += r.Counts.Refused
 	t.Counts.Unknown += r.Counts.Unknown
 	t.Counts.Reads += r.Counts.Reads
+	t.Counts.Ends += r.Counts.Ends
 	if t.Counts.Faults == nil {
 		t.Counts.Faults = map[string]int{}
 	}
@@ -52,8 +53,8 @@
 
 // Write prints the sums.
 func (t *Total) Write(w io.Writer) {
-	fmt.Fprintf(w, "%d worlds, %d failed %v; %d orders (%d taken, %d refused, %d without a clear answer), %d reads\n",
-		t.Worlds, len(t.Failed), t.Failed, t.Counts.Orders, t.Counts.Taken, t.Counts.Refused, t.Counts.Unknown, t.Counts.Reads)
+	fmt.Fprintf(w, "%d worlds, %d failed %v; %d orders (%d taken, %d refused, %d without a clear answer), %d reads, %d ends\n",
+		t.Worlds, len(t.Failed), t.Failed, t.Counts.Orders, t.Counts.Taken, t.Counts.Refused, t.Counts.Unknown, t.Counts.Reads, t.Counts.Ends)
 	names := slices.Sorted(maps.Keys(t.Counts.Faults))
 	sort.SliceStable(names, func(i, j int) bool { return t.Counts.Faults[names[i]] > t.Counts.Faults[names[j]] })
 	for _, name := range names {
