--- a/lab/soak/leavers.go
+++ b/lab/soak/leavers.go
@@ -17,21 +17,22 @@
 	leaverServes  = 2500 * time.Millisecond // before it leaves
 	leaverLingers = 9 * time.Second         // after its end was acknowledged
 	leaverPause   = 500 * time.Millisecond  // between two of them
+	leaversAtOnce = 3
 	killCoreShare = 0.5
 	mostKillDelay = 2 * time.Second // from the acknowledgement to the kill of all; short ones are drawn more often
-	lateBeatShare = 0.5
+	lateBeatShare = 0.75
 	leastLateBeat = time.Second
 	mostLateBeat  = 5 * time.Second
 
-	leaverSource   = 4
+	leaverSource   = 5000      // number of the first one's source of random numbers
 	leaverSequence = 1_000_000 // of the calls of its end: higher than those of its heartbeats
 )
 
-// leavers has one server after the other come and leave until the context ends.
-func (s *soak) leavers(ctx context.Context) {
-	random := s.fork(leaverSource)
+// leavers has one server after the other come and leave until the context ends; several of these rows of servers run at once.
+func (s *soak) leavers(ctx context.Context, row int) {
+	random := s.fork(leaverSource + uint64(row))
 	for n := 0; ctx.Err() == nil; n++ {
-		if err := s.leaver(ctx, n, random); err != nil {
+		if err := s.leaver(ctx, fmt.Sprintf("i-leaver-%d-%d", row, n), random); err != nil {
 			s.tell("a server that was to leave: %v", err)
 			return
 		}
@@ -40,8 +41,7 @@
 }
 
 // leaver plays one server that comes and leaves.
-func (s *soak) leaver(ctx context.Context, n int, random *rand.Rand) error {
-	id := fmt.Sprint("i-leaver-", n)
+func (s *soak) leaver(ctx context.Context, id string, random *rand.Rand) error {
 	server, err := newModelServer(id, batchService, slotsOfServer, 0, s.history, s.fleet, newServerFaults(false, 0, nil))
 	if err != nil {
 		return err
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -197,7 +197,9 @@
 	}
 	s.busy = map[int]bool{}
 	group.Go(func() { s.strike(within) })
-	group.Go(func() { s.leavers(within) })
+	for row := range leaversAtOnce {
+		group.Go(func() { s.leavers(within, row) })
+	}
 	group.Go(func() { s.idleClients(within) })
 	for i := range restingClients {
 		c := &client{name: fmt.Sprintf("%d-r%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(restingSource + uint64(i))}
