The worlds name versions, and kill all behind any acknowledgement

Change: an operator names versions; once all is mended every router knows the newest that was acknowledged; kills of all follow any of the three acknowledgements, 0 to 2 s later (ack-kill).

--- a/lab/control/faults.go
+++ b/lab/control/faults.go
@@ -17,7 +17,7 @@
 	Wipe         Kind = "wipe"          // a core machine loses its disk, right after an acknowledgement where one comes
 	WipeDark     Kind = "wipe-dark"     // the same, and all other machines lose power at that moment
 	KillAll      Kind = "kill-all"      // every process
-	EndKill      Kind = "end-kill"      // the same, up to two seconds after the end of a server was acknowledged
+	AckKill      Kind = "ack-kill"      // the same, up to two seconds after an acknowledgement to an operator or a server
 	PowerAll     Kind = "power-all"     // every machine
 	Freeze       Kind = "freeze"        // a core machine stands still
 	Cut          Kind = "cut"           // a core machine is cut off from the other core machines
@@ -54,7 +54,7 @@
 }{
 	{Kill, 3}, {Power, 3}, {Wipe, 3}, {WipeDark, 2}, {KillAll, 1}, {PowerAll, 2}, {Freeze, 3}, {Cut, 3}, {CutAll, 2}, {CutOneWay, 2},
 	{Split, 2}, {CutRouters, 1}, {Replace, 3}, {Planned, 3}, {Roll, 3}, {DiskSlow, 1}, {DiskStall, 1}, {DiskFull, 1}, {Lossy, 2},
-	{AckLost, 2}, {Race, 3}, {Storm, 1}, {SeedsMoved, 1}, {EndKill, 3}, {DisksErratic, 1},
+	{AckLost, 2}, {Race, 3}, {Storm, 1}, {SeedsMoved, 1}, {AckKill, 4}, {DisksErratic, 1},
 }
 
 const (
@@ -64,7 +64,7 @@
 	catchUp    = 4 * time.Second        // bounds.catch-up-s: a lost disk counts until its successor has had that time
 	stormOf    = 300
 	slowFactor = 40              // by which a slow disk takes longer
-	killWithin = 2 * time.Second // of an acknowledgement, at EndKill
+	killWithin = 2 * time.Second // of an acknowledgement, at AckKill
 
 	leastErratic = 50 * time.Millisecond // of a write or a sync, at DisksErratic
 	mostErratic  = time.Second
@@ -163,8 +163,8 @@
 	case Kill:
 		m.kill()
 		w.later(restartAfter+time.Duration(r.Int64N(int64(time.Second))), func() { w.start(m, false) })
-	case EndKill:
-		w.awaitCount(s.For, func(c *Counts) int { return c.Ends })
+	case AckKill:
+		w.awaitAck(s.For, r)
 		time.Sleep(time.Duration(r.Int64N(int64(killWithin))))
 		w.killAll(r)
 	case Power:
@@ -298,6 +298,16 @@
 	}
 }
 
+// awaitAck returns right after an acknowledgement of a drawn kind, or after a time.
+func (w *World) awaitAck(within time.Duration, r *rand.Rand) {
+	kinds := []func(c *Counts) int{
+		func(c *Counts) int { return c.Ends },
+		func(c *Counts) int { return c.Taken },
+		func(c *Counts) int { return c.Named },
+	}
+	w.awaitCount(within, kinds[r.IntN(len(kinds))])
+}
+
 // killAll kills every process; each starts again within a second or so.
 func (w *World) killAll(r *rand.Rand) {
 	for _, m := range w.all(func(*machine) bool { return true }) {
--- a/lab/control/judge.go
+++ b/lab/control/judge.go
@@ -70,13 +70,14 @@
 type judge struct {
 	start time.Time
 
-	mu         sync.Mutex
-	operations []porcupine.Operation
-	seen       map[*process]int64 // the newest version that a router had, by incarnation
-	acks       []ack
-	violations []string
-	history    []string
-	counts     Counts
+	mu          sync.Mutex
+	operations  []porcupine.Operation
+	seen        map[*process]int64 // the newest version that a router had, by incarnation
+	acks        []ack
+	newestNamed int64 // of the versions of modelName
+	violations  []string
+	history     []string
+	counts      Counts
 }
 
 // ack is an acknowledged change.
@@ -89,9 +90,25 @@
 type Counts struct {
 	Orders, Taken, Refused, Unknown, Reads int
 	Ends                                   int // of servers, acknowledged
+	Named                                  int // versions of a model, acknowledged
 	Faults                                 map[string]int
 }
 
+// named notes that the operator's naming of a version was acknowledged.
+func (j *judge) named(version int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Named++
+	j.newestNamed = max(j.newestNamed, version)
+}
+
+// namedNewest gives the newest version whose naming was acknowledged.
+func (j *judge) namedNewest() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.newestNamed
+}
+
 // countEnd notes an acknowledged end of a server.
 func (j *judge) countEnd() {
 	j.mu.Lock()
--- a/lab/control/operator.go
+++ b/lab/control/operator.go
@@ -18,6 +18,8 @@
 	operatorPauses = 2 * time.Second       // longest one
 	usualPatience  = 12 * time.Second      // an operator sends one order for so long
 	operatorName   = "operator"
+	namingGap      = 3 * time.Second // between two versions named, at the mean
+	modelName      = "m"
 )
 
 // operators send orders and reads to the machines of a world, as the protocol page says that operators do.
@@ -142,6 +144,22 @@
 	return s, ok
 }
 
+// nameVersions names one version of a model after the other until the world is over; each is sent until it is acknowledged.
+func (o *operators) nameVersions(gap func() time.Duration) {
+	for version := int64(1); !o.w.over(); version++ {
+		time.Sleep(gap())
+		in := &peer.Order{Kind: "version", Body: fmt.Appendf(nil, `{"model":%q,"version":%d}`, modelName, version)}
+		for pause := operatorPause; !o.w.over(); pause = min(2*pause, operatorPauses) {
+			reply, err := o.call(o.w.anyMachine(o.draw), in)
+			if err == nil && fault.Kind(reply.Kind) == fault.None && !o.loses() {
+				o.w.judge.named(version)
+				break
+			}
+			time.Sleep(pause)
+		}
+	}
+}
+
 // run is one operator's day: reads, and changes on what it read, until the world is over.
 func (o *operators) run(client int, gap func() time.Duration) {
 	for !o.w.over() {
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -180,6 +180,10 @@
 		})
 	}
 	clients.Go(w.sample)
+	gaps := rand.New(rand.NewPCG(w.rand.Uint64(), 1))
+	clients.Go(func() {
+		w.ops.nameVersions(func() time.Duration { return time.Duration(gaps.Int64N(int64(2 * namingGap))) })
+	})
 	for i := range w.options.Servers {
 		clients.Go(func() { w.servers.run(addressOf(i)) })
 	}
@@ -276,6 +280,7 @@
 			w.violate("%s has no version %d in force %v after its acknowledgement", m.name, newest, time.Since(acked))
 		}
 	}
+	w.judgeNamings()
 	w.servers.judgeLiving()
 	for _, m := range w.core() {
 		if p, _ := m.running(); p != nil && !w.eventually(settleTime, p.controller.IsMember) {
@@ -285,6 +290,16 @@
 	}
 }
 
+// judgeNamings has every router know the newest version whose naming was acknowledged.
+func (w *World) judgeNamings() {
+	newest := w.judge.namedNewest()
+	for _, m := range w.all(func(*machine) bool { return true }) {
+		if p, _ := m.running(); p == nil || !w.eventually(inForce, func() bool { return p.follower.Snapshot().Namings.Newest(modelName) >= newest }) {
+			w.violate("%s does not know version %d of the model, whose naming was acknowledged", m.name, newest)
+		}
+	}
+}
+
 // describe tells what the members know.
 func (w *World) describe() {
 	for _, m := range w.core() {
--- a/lab/control/worlds.go
+++ b/lab/control/worlds.go
@@ -43,6 +43,7 @@
 	t.Counts.Unknown += r.Counts.Unknown
 	t.Counts.Reads += r.Counts.Reads
 	t.Counts.Ends += r.Counts.Ends
+	t.Counts.Named += r.Counts.Named
 	if t.Counts.Faults == nil {
 		t.Counts.Faults = map[string]int{}
 	}
@@ -53,8 +54,8 @@
 
 // Write prints the sums.
 func (t *Total) Write(w io.Writer) {
-	fmt.Fprintf(w, "%d worlds, %d failed %v; %d orders (%d taken, %d refused, %d without a clear answer), %d reads, %d ends\n",
-		t.Worlds, len(t.Failed), t.Failed, t.Counts.Orders, t.Counts.Taken, t.Counts.Refused, t.Counts.Unknown, t.Counts.Reads, t.Counts.Ends)
+	fmt.Fprintf(w, "%d worlds, %d failed %v; %d orders (%d taken, %d refused, %d without a clear answer), %d reads, %d ends, %d namings\n",
+		t.Worlds, len(t.Failed), t.Failed, t.Counts.Orders, t.Counts.Taken, t.Counts.Refused, t.Counts.Unknown, t.Counts.Reads, t.Counts.Ends, t.Counts.Named)
 	names := slices.Sorted(maps.Keys(t.Counts.Faults))
 	sort.SliceStable(names, func(i, j int) bool { return t.Counts.Faults[names[i]] > t.Counts.Faults[names[j]] })
 	for _, name := range names {
