--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -128,7 +128,9 @@
 	stores := []core.Store{newStore(), newStore(), newStore()}
 	members := startCore(t, l, true, stores...)
 	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
-	eventually(t, "all have it", func() bool { return members[1].registers.Known(core.Config).Ballot == members[0].registers.Known(core.Config).Ballot })
+	eventually(t, "all have it", func() bool {
+		return members[1].registers.Known(core.Config).Ballot == members[0].registers.Known(core.Config).Ballot
+	})
 	l.set(members[1].self.Address, true)
 	eventually(t, "a newer one", func() bool {
 		return replace(members[0], 2, `{"version":3,"routes":[],"services":[{"name":"llm"}]}`) == fault.None
