--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -159,8 +159,8 @@
 				return
 			}
 			at, returned = f.failOver(), time.Now()
-		case time.Since(returned) > returnEvery && f.preferred() != at:
-			at, returned = f.failOver(), time.Now()
+		case time.Since(returned) > returnEvery:
+			at, returned = f.goBack(at), time.Now()
 		}
 		select {
 		case <-f.closed:
@@ -183,11 +183,29 @@
 	return quorum.Member{}
 }
 
-// failOver asks the controllers that come first for this router, all at once and without having them hold the call, and gives the first
-// one that answers and is fit; where none is, the one to try next.
+// failOver gives a fit one of the controllers that come first for this router; where none is, the one to try next.
 func (f *Follower) failOver() quorum.Member {
 	members := f.order()
-	members = members[:min(failOverWidth, len(members))]
+	if m, ok := f.firstFit(members[:min(failOverWidth, len(members))]...); ok {
+		return m
+	}
+	return f.preferred()
+}
+
+// goBack gives the controller that this router prefers where that is fit again, else the one that it polls.
+func (f *Follower) goBack(at quorum.Member) quorum.Member {
+	preferred := f.preferred()
+	if preferred == at {
+		return at
+	}
+	if m, ok := f.firstFit(preferred); ok {
+		return m
+	}
+	return at
+}
+
+// firstFit asks some controllers at once, without having them hold the call, and gives the first one that answers and is fit.
+func (f *Follower) firstFit(members ...quorum.Member) (quorum.Member, bool) {
 	answers := make(chan quorum.Member, len(members))
 	for _, m := range members {
 		go func() {
@@ -201,13 +219,15 @@
 			}
 		}()
 	}
+	timer := time.NewTimer(firstPoll)
+	defer timer.Stop()
 	select {
 	case m := <-answers:
-		return m
+		return m, true
 	case <-f.closed:
-	case <-time.After(firstPoll):
+	case <-timer.C:
 	}
-	return f.preferred()
+	return quorum.Member{}, false
 }
 
 // logUnfit tells why another controller is polled from now on.
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -31,17 +31,27 @@
 type controllers struct {
 	state []byte // of the configuration
 
-	mu   sync.Mutex
-	dark map[string]bool
-	list []peer.Instance
+	slow string // takes longer to answer than the others
+
+	mu    sync.Mutex
+	dark  map[string]bool
+	list  []peer.Instance
+	polls map[string]int // by address
 }
 
 var errDark = errors.New("no answer")
 
 func (c *controllers) Call(address, _ string, in msgp.Marshaler, out msgp.Unmarshaler, timeout time.Duration) error {
 	held := time.Millisecond + time.Duration(in.(*peer.Poll).WaitMs)*time.Millisecond
+	if address == c.slow {
+		held += 20 * time.Millisecond
+	}
 	time.Sleep(held)
 	c.mu.Lock()
+	if c.polls == nil {
+		c.polls = map[string]int{}
+	}
+	c.polls[address]++
 	dark, list := c.dark[address], c.list
 	c.mu.Unlock()
 	if dark {
@@ -91,6 +101,39 @@
 	})
 }
 
+// Guards against routers that drift to the controllers that answer fastest: one goes back to the controller that it prefers, and asks no
+// other while that is fit.
+func TestRouterGoesBackToItsController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := directory.New()
+		dir.Set([]quorum.Member{{ID: "1", Address: "n1"}, {ID: "2", Address: "n2"}, {ID: "3", Address: "n3"}})
+		preferred := dir.Try("poll-me")[0].Address
+		calls := &controllers{state: config(t, 3), slow: preferred, dark: map[string]bool{}}
+		set := settings.Default()
+		f := New(&set, peer.Node{ID: "me", Name: "me"}, calls, dir, nil, func(*Snapshot) {}, zerolog.Nop())
+		go f.Run()
+		defer time.Sleep(2 * pollWait) // until the last poll has ended
+		defer f.Close()
+		setDark := func(dark bool) {
+			calls.mu.Lock()
+			defer calls.mu.Unlock()
+			calls.dark[preferred] = dark
+			calls.polls = nil
+		}
+		time.Sleep(5 * time.Second)
+		setDark(true)
+		time.Sleep(5 * time.Second)
+		setDark(false)
+		time.Sleep(2 * returnEvery)
+		setDark(false)
+		time.Sleep(3 * returnEvery)
+		calls.mu.Lock()
+		defer calls.mu.Unlock()
+		must.MapLen(t, 1, calls.polls)
+		must.MapContainsKey(t, calls.polls, preferred)
+	})
+}
+
 func config(t *testing.T, version int64) []byte {
 	t.Helper()
 	s := configuration.State{Version: version, Body: []byte(`{"version":` + string(rune('0'+version)) + `,"routes":[],"services":[{"name":"llm"}]}`)}
