One type for the round of another proposer; a phase ends where all have answered

Cause: the registers, their acceptor and the elector each kept the highest ballot met with its moment, and two of them the same arithmetic, one without its upper bound. A phase whose members had all answered without being a quorum waited out its time, since calls are repeated.

--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -142,9 +142,7 @@
 func (a *Acceptor) noteAsked(register string, ballot quorum.Ballot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.rivals[register].ballot.Less(ballot) {
-		a.rivals[register] = rival{ballot, time.Now()}
-	}
+	a.rivals[register] = a.rivals[register].met(ballot)
 }
 
 // asked gives the highest ballot that was asked for in this process, and how long the last write took.
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -125,16 +125,14 @@
 func (e *Elector) noteAsked(ballot quorum.Ballot) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.rival.ballot.Less(ballot) {
-		e.rival = rival{ballot, time.Now()}
-	}
+	e.rival = e.rival.met(ballot)
 }
 
 // Yields tells whether another elector may be in the middle of its round: it is given some times as long as a vote took here.
 func (e *Elector) Yields() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rival.ballot.Proposer != e.address && time.Since(e.rival.at) < yieldPhases*e.took
+	return e.rival.ballot.Proposer != e.address && e.rival.left(e.took) > 0
 }
 
 // keep writes the votes to disk where there is one.
--- a/controlplane/core/proposals.go
+++ b/controlplane/core/proposals.go
@@ -16,9 +16,6 @@
 
 	// leastPhase is what a phase is given at the least, however near the deadline is.
 	leastPhase = 50 * time.Millisecond
-
-	yieldPhases = 3                // phases of a round that another proposer is given to end it
-	mostYield   = 12 * time.Second // the same, at the most
 )
 
 // unfinishedRound is a round of this node for which no quorum answered in time. Members may be writing what it asks for: the next attempt
@@ -29,12 +26,6 @@
 	asked time.Time // when members were first asked in this phase
 }
 
-// rival is a ballot of another proposer, and when this node first met it.
-type rival struct {
-	ballot quorum.Ballot
-	at     time.Time
-}
-
 // answer is a member's answer to a call of a phase.
 type answer struct {
 	from  string
@@ -120,17 +111,23 @@
 	over := make(chan struct{})
 	defer close(over)
 	asked := map[string]bool{}
+	waiting := 0
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	for round.Phase == phase {
 		for _, m := range round.Targets() {
 			if !asked[m.ID] {
 				asked[m.ID] = true
+				waiting++
 				go askUntil(over, m, ask, answers)
 			}
 		}
+		if waiting == 0 {
+			return // all have answered, and are no quorum
+		}
 		select {
 		case a := <-answers:
+			waiting--
 			a.give(round, phase)
 		case <-timer.C:
 			return
@@ -322,16 +319,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	other := r.rivals[register]
-	if other.ballot.Less(asked.ballot) && asked.ballot.Proposer != r.self.ID || other.ballot == asked.ballot {
+	if asked.ballot.Proposer != r.self.ID && !asked.ballot.Less(other.ballot) {
 		other = asked
 	}
-	if other.at.IsZero() || !r.known[register].Ballot.Less(other.ballot) {
+	if !r.known[register].Ballot.Less(other.ballot) {
 		return 0
 	}
 	if phase := r.took[register]; phase > 0 && phase < took {
 		took = phase // of this node's disk and of a quorum's the faster one tells: a single disk that hangs is no reason to wait
 	}
-	return min(yieldPhases*took, mostYield) - time.Since(other.at)
+	return other.left(took)
 }
 
 // noteTook notes how long a phase took for which a quorum answered.
--- a/controlplane/core/registers.go
+++ b/controlplane/core/registers.go
@@ -154,8 +154,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.highest[register] = max(r.highest[register], b.Counter)
-	if b.Proposer != r.self.ID && r.rivals[register].ballot.Less(b) {
-		r.rivals[register] = rival{b, time.Now()}
+	if b.Proposer != r.self.ID {
+		r.rivals[register] = r.rivals[register].met(b)
 	}
 }
 
