Orders under way go by the hash that the register remembers; one reader of registers

Cause: pending orders had a key of their own beside the hash of configuration.Order, with a copy of each body in it; the two registers' values were read by two functions of the same lines.

--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -57,7 +57,8 @@
 // hashBytes is how much is kept of an order's hash: orders that collide cannot be made.
 const hashBytes = 20
 
-func (o *Order) hash() []byte {
+// Hash tells orders apart, by all that they say.
+func (o *Order) Hash() []byte {
 	h := sha256.New()
 	h.Write([]byte(o.Kind))
 	h.Write(binary.LittleEndian.AppendUint64(nil, uint64(o.IfVersion)))
@@ -67,7 +68,7 @@
 
 // Took tells whether this very order is among the newest that were taken.
 func (s *State) Took(o *Order) bool {
-	hash := o.hash()
+	hash := o.Hash()
 	return slices.ContainsFunc(s.Orders, func(taken Taken) bool { return bytes.Equal(taken.Hash, hash) })
 }
 
@@ -81,7 +82,7 @@
 	if err := decode(o.Body, &head); err != nil {
 		return nil, 0, err
 	}
-	hash := o.hash()
+	hash := o.Hash()
 	for _, taken := range s.Orders {
 		if taken.Version != head.Version {
 			continue
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -28,7 +28,7 @@
 type Settings struct {
 	Silence time.Duration // without a heartbeat for so long, an instance is marked silent
 	Keep    time.Duration // a gone or silent entry is kept this long after its last call: longer than a heartbeat may be late
-	Ends    int           // so many ends of instances that were never heard of are kept at the most; more are refused
+	Ends    int           // beside so many gone entries, the end of an instance that was never heard of is refused
 	Loading time.Duration // the loading of weights is taken for over after this long, whatever was told
 	Replace time.Duration // of two incarnations at one address, the one heard so much earlier is replaced
 }
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -112,7 +112,7 @@
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
 		incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
 	}
-	c.pending.orders = map[orderKey]*pendingOrder{}
+	c.pending.orders = map[string]*pendingOrder{}
 	c.configs.building = semaphore.NewWeighted(1)
 	c.recall()
 	c.syncEvery = min(max(settings.Millis(set.Bounds.ContactMs/syncsPerContact), minSync), maxSync)
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -4,9 +4,10 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"slices"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/quorum"
@@ -99,11 +100,9 @@
 	case orderRead:
 		return c.read(deadline)
 	case configuration.Replace, configuration.Patch:
-		order := &configuration.Order{Kind: in.Kind, IfVersion: in.IfVersion, Body: slices.Clone(in.Body)}
-		return nil, c.pending.await(in, deadline, func(patience time.Time) error { return c.configure(order, patience) })
+		return nil, c.pending.await(in, deadline, c.configure)
 	case orderVersion:
-		text := slices.Clone(in.Body)
-		return nil, c.pending.await(in, deadline, func(patience time.Time) error { return c.nameVersion(text, patience) })
+		return nil, c.pending.await(in, deadline, c.nameVersion)
 	default:
 		return nil, fault.New(fault.UnknownCall, "%q", in.Kind)
 	}
@@ -141,12 +140,25 @@
 
 // readConfiguration reads the value of the configuration's register.
 func readConfiguration(data []byte) (*configuration.State, error) {
-	var state configuration.State
+	return readState[configuration.State](core.Config, data)
+}
+
+// readWeights reads the value of the register of weights.
+func readWeights(data []byte) (*rollout.State, error) {
+	return readState[rollout.State](core.Weights, data)
+}
+
+// readState reads the value of a register; an empty one is the zero state.
+func readState[State any, PtrState interface {
+	*State
+	msgp.Unmarshaler
+}](register string, data []byte) (*State, error) {
+	var state State
 	if len(data) == 0 {
 		return &state, nil
 	}
-	if _, err := state.UnmarshalMsg(data); err != nil {
-		return nil, fault.New(fault.Unavailable, "the register of the configuration cannot be read: %v", err)
+	if _, err := PtrState(&state).UnmarshalMsg(data); err != nil {
+		return nil, fault.New(fault.Unavailable, "the register %q cannot be read: %v", register, err)
 	}
 	return &state, nil
 }
@@ -168,12 +180,12 @@
 }
 
 // nameVersion notes new weights of a model.
-func (c *Controller) nameVersion(body []byte, deadline time.Time) error {
+func (c *Controller) nameVersion(order *configuration.Order, deadline time.Time) error {
 	var named struct {
 		Model   string `json:"model"`
 		Version int64  `json:"version"`
 	}
-	if err := json.Unmarshal(body, &named); err != nil {
+	if err := json.Unmarshal(order.Body, &named); err != nil {
 		return fault.New(fault.BadConfig, "not readable as JSON: %v", err)
 	}
 	isNamed := func(v quorum.Value) bool {
@@ -217,17 +229,6 @@
 	return err
 }
 
-func readWeights(data []byte) (*rollout.State, error) {
-	var s rollout.State
-	if len(data) == 0 {
-		return &s, nil
-	}
-	if _, err := s.UnmarshalMsg(data); err != nil {
-		return nil, fault.New(fault.Unavailable, "the register of weights cannot be read: %v", err)
-	}
-	return &s, nil
-}
-
 // controlAddress gives a member's control address: ports are alike on all machines.
 func (c *Controller) controlAddress(m quorum.Member) string {
 	host, _, err := net.SplitHostPort(m.Address)
--- a/controlplane/server/pending.go
+++ b/controlplane/server/pending.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -16,14 +18,7 @@
 // pendingOrders are the orders that this member works on. One that is sent again while it is under way waits for the same outcome.
 type pendingOrders struct {
 	mu     sync.Mutex
-	orders map[orderKey]*pendingOrder
-}
-
-// orderKey tells orders apart.
-type orderKey struct {
-	kind      string
-	ifVersion int64
-	body      string
+	orders map[string]*pendingOrder // by their hash
 }
 
 type pendingOrder struct {
@@ -35,7 +30,7 @@
 var errUnderWay = fault.New(fault.Unavailable, "the order is under way")
 
 // await has an order worked on, and gives its outcome; errUnderWay where there is none before the deadline.
-func (p *pendingOrders) await(in *peer.Order, deadline time.Time, work func(patience time.Time) error) error {
+func (p *pendingOrders) await(in *peer.Order, deadline time.Time, work func(order *configuration.Order, patience time.Time) error) error {
 	order := p.begin(in, work)
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
@@ -47,23 +42,25 @@
 	}
 }
 
-// begin has an order worked on unless it is already.
-func (p *pendingOrders) begin(in *peer.Order, work func(patience time.Time) error) *pendingOrder {
-	key := orderKey{in.Kind, in.IfVersion, string(in.Body)}
+// begin has an order worked on unless it is already. It may outlast the call that brought it, so it is worked on as a copy.
+func (p *pendingOrders) begin(in *peer.Order, work func(order *configuration.Order, patience time.Time) error) *pendingOrder {
+	order := &configuration.Order{Kind: in.Kind, IfVersion: in.IfVersion, Body: in.Body}
+	key := string(order.Hash())
 	patience := time.Now().Add(orderPatience + core.TransferTime(len(in.Body)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if order, ok := p.orders[key]; ok {
-		return order
+	if known, ok := p.orders[key]; ok {
+		return known
 	}
-	order := &pendingOrder{done: make(chan struct{})}
-	p.orders[key] = order
+	order.Body = slices.Clone(in.Body)
+	pending := &pendingOrder{done: make(chan struct{})}
+	p.orders[key] = pending
 	go func() {
-		order.err = work(patience)
+		pending.err = work(order, patience)
 		p.mu.Lock()
 		delete(p.orders, key)
 		p.mu.Unlock()
-		close(order.done)
+		close(pending.done)
 	}()
-	return order
+	return pending
 }
