One source of drawn numbers in lab/control; one start of a configured core in tests

Cause: servers and operators of a world locked and drew by lines of the same shape; six tests began with the same two lines; the figures of slow disks were read without their locks; a test read an environment variable that was left from a search.

Change: dice.go; startConfigured, which has every member know the configuration where one did; locks; the variable is gone.

--- a/controlplane/server/ends_test.go
+++ b/controlplane/server/ends_test.go
@@ -29,6 +29,16 @@
 	return members
 }
 
+// startConfigured starts three members with the given stores, all of which know a configuration when it returns.
+func startConfigured(t testing.TB, l *lan, stores ...core.Store) []*Controller {
+	t.Helper()
+	members := startCore(t, l, true, stores...)
+	for _, c := range members {
+		eventually(t, "configuration", func() bool { return replace(c, 0, wholeText) == fault.None })
+	}
+	return members
+}
+
 // kill ends members as a kill of their processes does: nothing that they have not written lasts.
 func (l *lan) kill(members ...*Controller) {
 	for _, c := range members {
@@ -62,8 +72,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := newLan()
 			stores := []core.Store{newStore(), newStore(), newStore()}
-			members := startCore(t, l, true, stores...)
-			eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+			members := startConfigured(t, l, stores...)
 			_, err := members[0].Heartbeat(ready("i1", 1))
 			must.NoError(t, err)
 			for _, c := range members {
@@ -95,8 +104,7 @@
 // Guards against DRAIN: a member that has never heard of a server, and gets a late heartbeat of it, learns from the others that it has left.
 func TestLateHeartbeatAtAMemberThatKnowsNothing(t *testing.T) {
 	l := newLan()
-	members := startCore(t, l, true, newStore(), newStore(), newStore())
-	eventually(t, "configuration", func() bool { return replace(members[2], 0, wholeText) == fault.None })
+	members := startConfigured(t, l, newStore(), newStore(), newStore())
 	for _, c := range members[:2] {
 		c.takeAll([]peer.Instance{gone("i1").Instance})
 	}
@@ -113,8 +121,7 @@
 // server has not left, until it has the others' ends; a late heartbeat is not acknowledged meanwhile.
 func TestNewcomerDoesNotVouchForEndsItNeverHeardOf(t *testing.T) {
 	l := newLan()
-	members := startCore(t, l, true, newStore(), newStore(), newStore())
-	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	members := startConfigured(t, l, newStore(), newStore(), newStore())
 	for _, c := range members[:2] {
 		c.takeAll([]peer.Instance{gone("i1").Instance})
 	}
@@ -141,8 +148,7 @@
 // the silent.
 func TestMissedEndOfASilentServer(t *testing.T) {
 	l := newLan()
-	members := startCore(t, l, true, newStore(), newStore(), newStore())
-	eventually(t, "configuration", func() bool { return replace(members[2], 0, wholeText) == fault.None })
+	members := startConfigured(t, l, newStore(), newStore(), newStore())
 	silent := ready("i1", 1).Instance
 	members[2].mu.Lock()
 	members[2].table.Take(members[2].now()-time.Second, silent, true) // 3.5 heartbeats of 0.2 s ago and more
@@ -172,8 +178,7 @@
 func TestEndIsAcknowledgedOnceAMajorityHasItOnDisk(t *testing.T) {
 	l := newLan()
 	disks := []*fullDisk{{store: newStore()}, {store: newStore()}, {store: newStore()}}
-	members := startCore(t, l, true, disks[0], disks[1], disks[2])
-	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	members := startConfigured(t, l, disks[0], disks[1], disks[2])
 	for _, id := range []string{"i1", "i2"} {
 		_, err := members[0].Heartbeat(ready(id, 1))
 		must.NoError(t, err)
@@ -231,8 +236,7 @@
 		must.NoError(b, err)
 		stores = append(stores, store)
 	}
-	members := startCore(b, l, true, stores...)
-	eventually(b, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	members := startConfigured(b, l, stores...)
 	var took []time.Duration
 	for n := 0; b.Loop(); n++ {
 		id := fmt.Sprint("i", n)
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -126,8 +126,7 @@
 func TestMembersThatReturnSettleWhatWasLeftHalfDone(t *testing.T) {
 	l := newLan()
 	stores := []core.Store{newStore(), newStore(), newStore()}
-	members := startCore(t, l, true, stores...)
-	eventually(t, "configuration", func() bool { return replace(members[0], 0, wholeText) == fault.None })
+	members := startConfigured(t, l, stores...)
 	eventually(t, "all have it", func() bool {
 		return members[1].registers.Known(core.Config).Ballot == members[0].registers.Known(core.Config).Ballot
 	})
--- a/lab/control/control_test.go
+++ b/lab/control/control_test.go
@@ -16,11 +16,7 @@
 const seedsVariable = "CONTROL_SEEDS"
 
 // drawn gives the world of a seed: three to six members.
-func drawn(seed uint64) Options {
-	o := Drawn(seed, []int{3, 4, 5, 6}, 3, 30*time.Second)
-	o.Verbose = os.Getenv("V") != ""
-	return o
-}
+func drawn(seed uint64) Options { return Drawn(seed, []int{3, 4, 5, 6}, 3, 30*time.Second) }
 
 // Drawn faults over the whole control plane: whatever crosses whatever, operators and routers see what the rules promise.
 func TestDrawnWorlds(t *testing.T) {
--- a/lab/control/instances.go
+++ b/lab/control/instances.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,41 +28,22 @@
 // instances plays the servers of a world: each lives for some seconds, ends with or without having said that it drains, and is followed by
 // another one at its address.
 type instances struct {
+	*dice
 	w *World
 
 	mu      sync.Mutex
-	rand    *rand.Rand
 	number  int
 	ended   map[string]time.Time // by identity: when its end was acknowledged
 	living  map[string]time.Time // by identity: its last acknowledged heartbeat, of those that have not begun to end
 	slowest time.Duration        // the longest time from a server's first call of its end to the acknowledgement
 }
 
-func newInstances(w *World, r *rand.Rand) *instances {
-	return &instances{w: w, rand: r, ended: map[string]time.Time{}, living: map[string]time.Time{}}
-}
-
-// between draws a duration.
-func (s *instances) between(least, most time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return least + time.Duration(s.rand.Int64N(int64(most-least)))
+func newInstances(w *World, d *dice) *instances {
+	return &instances{dice: d, w: w, ended: map[string]time.Time{}, living: map[string]time.Time{}}
 }
 
 // machine draws a machine.
-func (s *instances) machine() *machine {
-	return s.w.anyMachine(func(n int) int {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.rand.IntN(n)
-	})
-}
-
-func (s *instances) chance() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rand.IntN(2) == 0
-}
+func (s *instances) machine() *machine { return s.w.anyMachine(s.draw) }
 
 func (s *instances) nextID() string {
 	s.mu.Lock()
@@ -99,14 +79,14 @@
 	delete(s.living, in.ID)
 	s.mu.Unlock()
 	late := in
-	if s.chance() {
+	if s.share(0.5) {
 		in.State = registry.Draining
 		in.Sequence++
 	} else {
 		in = peer.Instance{ID: in.ID, State: registry.Gone}
 	}
 	s.end(in)
-	if s.chance() {
+	if s.share(0.5) {
 		s.w.later(s.between(0, mostLate), func() { s.beat(s.machine(), late) })
 	}
 	time.Sleep(s.between(drainBound, mostLinger))
@@ -156,6 +136,13 @@
 	}
 }
 
+// slowestEnd gives the longest time of an end until it was acknowledged.
+func (s *instances) slowestEnd() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slowest
+}
+
 // endedBefore lists the servers whose end was acknowledged before a moment.
 func (s *instances) endedBefore(at time.Time) map[string]bool {
 	s.mu.Lock()
--- a/lab/control/judge.go
+++ b/lab/control/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,6 +130,13 @@
 	j.history = append(j.history, fmt.Sprintf("%8.3f BROKEN %s", time.Since(j.start).Seconds(), text))
 }
 
+// broken lists the broken rules.
+func (j *judge) broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.violations)
+}
+
 // tell notes what happened.
 func (j *judge) tell(format string, args ...any) {
 	j.mu.Lock()
--- a/lab/control/operator.go
+++ b/lab/control/operator.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -24,22 +23,16 @@
 
 // operators send orders and reads to the machines of a world, as the protocol page says that operators do.
 type operators struct {
+	*dice
 	w *World
 
 	mu      sync.Mutex
-	rand    *rand.Rand
 	orders  int
 	ackLost float64 // share of acknowledgements that are lost
 
 	patience time.Duration // for which an operator sends one order
 }
 
-func (o *operators) draw(n int) int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.rand.IntN(n)
-}
-
 func (o *operators) next() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -49,8 +42,9 @@
 
 func (o *operators) loses() bool {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.rand.Float64() < o.ackLost
+	lost := o.ackLost
+	o.mu.Unlock()
+	return o.share(lost)
 }
 
 func (o *operators) setAckLost(share float64) {
--- a/lab/control/slow.go
+++ b/lab/control/slow.go
@@ -44,7 +44,7 @@
 		times.Order = max(times.Order, time.Since(asked))
 	}
 	time.Sleep(slowLength)
-	times.End = w.servers.slowest
-	times.Violations = w.judge.violations
+	times.End = w.servers.slowestEnd()
+	times.Violations = w.judge.broken()
 	return times
 }
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -79,8 +79,8 @@
 	w := &World{
 		options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
 	}
-	w.ops = &operators{w: w, rand: rand.New(rand.NewPCG(seed, 0x6f706572)), patience: usualPatience}
-	w.servers = newInstances(w, rand.New(rand.NewPCG(seed, 0x696e7374)))
+	w.ops = &operators{dice: newDice(seed, 0x6f706572), w: w, patience: usualPatience}
+	w.servers = newInstances(w, newDice(seed, 0x696e7374))
 	for i := range o.Members + o.Routers {
 		w.add(i < o.Members)
 	}
