The line of a cut answer tells its cause; an order to load without an answer is told

Change: cause, server, error and time since the request came in that line; a line for each order without an answer. No logic changed.

--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -169,6 +169,9 @@
 		c.log.Info().Str("instance", id).Int("status", status).Msg("server did not take the order to load")
 		return
 	}
+	if err != nil {
+		c.log.Info().Str("instance", id).Err(err).Msg("order to load has no answer: the server's report tells whether it was taken")
+	}
 	r.awaitLoaded(step)
 }
 
--- a/dataplane/proxy/client.go
+++ b/dataplane/proxy/client.go
@@ -74,6 +74,13 @@
 	return e.gone
 }
 
+// isExpired tells whether the process is about to end, so that the request was ended.
+func (e *Exchange) isExpired() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.expired
+}
+
 // over tells whether nothing more may be tried: the deadline has passed, or the process is about to end.
 func (e *Exchange) over(deadline time.Time) bool {
 	e.mu.Lock()
--- a/dataplane/proxy/place_test.go
+++ b/dataplane/proxy/place_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moleshift/controlplane/configuration"
+	"moleshift/dataplane/attempt"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/placement"
 	"moleshift/dataplane/routing"
@@ -93,3 +94,17 @@
 	r.started = true
 	must.Eq(t, usual, r.hangLimit(now, longest))
 }
+
+// The line of an answer that was cut tells its cause apart: end of the process, deadline, server, or no server to go on at.
+func TestCauseOfACutAnswer(t *testing.T) {
+	_, snapshot := fleetOf(t, 1, 1)
+	r := requestFor(t, snapshot)
+	before, after := r.deadline.Add(-time.Second), r.deadline.Add(time.Millisecond)
+	r.lastOutcome = attempt.Broken
+	must.Eq(t, cutByServer, r.cutCause(before))
+	must.Eq(t, cutByDeadline, r.cutCause(after))
+	r.lastOutcome = attempt.NotSent
+	must.Eq(t, cutUnplaced, r.cutCause(before))
+	r.Expire()
+	must.Eq(t, cutByEnd, r.cutCause(before))
+}
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -174,7 +174,7 @@
 	p.learn(r, to, a, outcome)
 	room = p.room(r, outcome)
 	action, kind := r.state.Next(outcome, room)
-	r.lastOutcome = outcome
+	r.lastOutcome, r.lastInstance = outcome, to.target.id
 	p.logOutcome(r, to, outcome, action)
 	if action == attempt.Pass {
 		p.pass(r, a)
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -62,7 +62,9 @@
 	started  bool            // the head of the answer has been passed on
 	byClose  bool            // the client knows no chunks: the answer that was begun ends with the connection
 
-	lastOutcome attempt.Outcome
+	lastOutcome  attempt.Outcome
+	lastInstance string // the server of the last attempt
+	lastError    error  // that ended the last stream, for the log
 }
 
 // newRequest looks a request up in the configuration, by one look at it. Errors are of package fault's kinds.
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -4,6 +4,8 @@
 // followed by its id through routers, attempts and servers.
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"moleshift/dataplane/attempt"
@@ -50,11 +52,36 @@
 // logEnd tells how a request ended.
 func (p *Proxy) logEnd(r *request, action attempt.Action, kind fault.Kind) {
 	if action == attempt.Cut && !r.Gone() {
-		p.log.Info().Str("request", r.id).Str("route", r.route.Name).Str("last-event", r.lastID).Stringer("last-outcome", r.lastOutcome).
-			Msg("answer cut")
+		p.log.Info().Str("request", r.id).Str("route", r.route.Name).Str("instance", r.lastInstance).Str("last-event", r.lastID).
+			Stringer("last-outcome", r.lastOutcome).Str("cause", string(r.cutCause(time.Now()))).AnErr("last-error", r.lastError).
+			Dur("after-ms", time.Since(r.Arrived)).Msg("answer cut")
 		return
 	}
 	if event := p.step(r); event != nil {
 		event.Stringer("action", action).Int("status", kind.Answer().Status).Msg("request ended")
 	}
 }
+
+// cutCause is why an answer that had begun was cut.
+type cutCause string
+
+// The causes of a cut.
+const (
+	cutByEnd      cutCause = "end of the process"
+	cutByDeadline cutCause = "deadline of the client or timeout of the route"
+	cutByServer   cutCause = "server broke off"
+	cutUnplaced   cutCause = "no server to go on at"
+)
+
+// cutCause tells why the answer that had begun is cut now.
+func (r *request) cutCause(now time.Time) cutCause {
+	switch {
+	case r.isExpired():
+		return cutByEnd
+	case !now.Before(r.deadline):
+		return cutByDeadline
+	case r.lastOutcome == attempt.Broken || r.lastOutcome == attempt.Failed:
+		return cutByServer
+	}
+	return cutUnplaced
+}
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -57,6 +57,7 @@
 		case isTimeout(err) && !r.Gone() && !r.over(r.deadline):
 			p.takeOver(r, s, admission.Rescue)
 		default:
+			r.lastError = err
 			return s.to, p.failAttempt(r, s.to, s.reply)
 		}
 	}
