--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -64,6 +64,7 @@
 		events.Update(s)
 	}, log)
 	traffic = proxy.New(set, self.ID, follow.Snapshot, follow.Started(), log)
+	follow.UseReporter(traffic)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
 	control.UseLoads(traffic.RequestsAt)
 	clients := ingress.New(traffic, follow.Snapshot, set.Limits.ClientConnections(), follow.Fresh, log)
--- a/controlplane/configuration/document.go
+++ b/controlplane/configuration/document.go
@@ -103,10 +103,15 @@
 	Isolated bool     `json:"isolated"`
 }
 
+// HasService tells whether the configuration names a service whose servers take requests.
+func (d *Document) HasService(name string) bool {
+	return lo.ContainsBy(d.Services, func(s Service) bool { return s.Name == name && s.StoreAddress == "" })
+}
+
 // Parse reads a whole configuration and checks it. Errors are of kind fault.BadConfig and name the item.
 func Parse(body []byte) (*Document, error) {
 	var d Document
-	if err := decode(body, &d); err != nil {
+	if err := Decode(body, &d); err != nil {
 		return nil, err
 	}
 	if err := d.check(); err != nil {
@@ -115,8 +120,8 @@
 	return &d, nil
 }
 
-// decode reads a body that is one JSON value and nothing more.
-func decode(body []byte, into any) error {
+// Decode reads a body that is one JSON value and nothing more.
+func Decode(body []byte, into any) error {
 	if err := json.Unmarshal(body, into); err != nil {
 		return fault.New(fault.BadConfig, "not readable as JSON: %v", err)
 	}
--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -79,7 +79,7 @@
 	var head struct {
 		Version int64 `json:"version"`
 	}
-	if err := decode(o.Body, &head); err != nil {
+	if err := Decode(o.Body, &head); err != nil {
 		return nil, 0, err
 	}
 	hash := o.Hash()
@@ -129,12 +129,12 @@
 // patch gives the configuration after named items were added, replaced or removed. What it does not name stays as it was written.
 func patch(body, by []byte) ([]byte, error) {
 	var c change
-	if err := decode(by, &c); err != nil {
+	if err := Decode(by, &c); err != nil {
 		return nil, err
 	}
 	document := map[string]json.RawMessage{}
 	if len(body) > 0 {
-		if err := decode(body, &document); err != nil {
+		if err := Decode(body, &document); err != nil {
 			return nil, err
 		}
 	}
--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -76,7 +76,7 @@
 
 // same tells whether two accounts differ in nothing that routers must hear of.
 func same(a, b *peer.Instance) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots &&
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Version == b.Version && a.Slots == b.Slots &&
 		a.State == b.State && a.Silent == b.Silent && a.Loading == b.Loading && a.Replaced == b.Replaced && slices.Equal(a.Models, b.Models)
 }
 
--- /dev/null
+++ b/controlplane/release/release.go
@@ -0,0 +1,145 @@
+// Package release decides how a service is brought to another version of its servers' software.
+//
+// It owns the state of each release, which versions of a service's servers may get requests in it, what answers say about the new
+// version, and when a release goes on, is completed or is rolled back. Weights of a model are another matter: package rollout.
+// The package is pure: it takes the time as an argument, and others send, write and count.
+package release
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -file release.go -tests=false -o release_gen.go
+//msgp:ignore Order
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"moleshift/fault"
+)
+
+// Phase is how far a release is. Completed and RolledBack are final.
+type Phase int
+
+// The phases.
+const (
+	Running    Phase = iota + 1 // the target gets a share of the requests, and its answers are watched
+	Switching                   // all requests go to the target; what is under way at other servers ends
+	Completed                   // the target is the version in service
+	RolledBack                  // the target gets nothing
+)
+
+// String gives the phase as the operator's interface tells it.
+func (p Phase) String() string {
+	switch p {
+	case Completed:
+		return "completed"
+	case RolledBack:
+		return "rolled_back"
+	}
+	return "running"
+}
+
+// mostBarred bounds the versions of a service that are remembered as rolled back; the oldest gives way.
+const mostBarred = 8
+
+// Release is the newest order to bring a service to a version, and what became of it.
+type Release struct {
+	Service    string   `msg:"s"`
+	Target     string   `msg:"t"`
+	Number     uint64   `msg:"n"` // rises with each release of the service
+	DeadlineMs float64  `msg:"d"` // after the order
+	Phase      Phase    `msg:"p"`
+	Reason     string   `msg:"r"` // of the last change of phase
+	Barred     []string `msg:"b"` // versions that were rolled back and not ordered since
+}
+
+// Active tells whether the release is under way.
+func (r *Release) Active() bool { return r.Phase == Running || r.Phase == Switching }
+
+// Deadline is how long after the order the release is to be over.
+func (r *Release) Deadline() time.Duration {
+	return time.Duration(r.DeadlineMs * float64(time.Millisecond))
+}
+
+// InService tells whether servers of a version may get any request: while the target is tried those of every other version that was
+// not rolled back, once it has proved itself the target's alone.
+func (r *Release) InService(version string) bool {
+	if r.Phase == Switching || r.Phase == Completed {
+		return version == r.Target
+	}
+	return version != r.Target && !slices.Contains(r.Barred, version)
+}
+
+// Of finds the release of a service; nil: none was ever ordered.
+func Of(releases []Release, service string) *Release {
+	i := slices.IndexFunc(releases, func(r Release) bool { return r.Service == service })
+	if i < 0 {
+		return nil
+	}
+	return &releases[i]
+}
+
+// Order asks for a release.
+type Order struct {
+	Service  string
+	Target   string
+	Deadline time.Duration
+	Repeated bool // an order for the same service and version came so lately that this one may be that one, sent again
+}
+
+// check tells what is wrong with an order; nil: nothing.
+func (o *Order) check() error {
+	switch {
+	case o.Service == "" || o.Target == "":
+		return fault.New(fault.BadConfig, "a service and a target-version are wanted")
+	case o.Deadline <= 0 || o.Deadline > math.MaxInt64/2:
+		return fault.New(fault.BadConfig, "deadline-s must be above 0")
+	}
+	return nil
+}
+
+// Start gives the releases after an order; same tells that it changes nothing, as it was taken before. An error of the kind UnderWay
+// tells that a release of the service has not ended.
+func Start(releases []Release, order Order) (next []Release, same bool, err error) {
+	if err := order.check(); err != nil {
+		return nil, false, err
+	}
+	known := Of(releases, order.Service)
+	started := Release{
+		Service: order.Service, Target: order.Target, Number: 1, Phase: Running,
+		DeadlineMs: float64(order.Deadline) / float64(time.Millisecond),
+	}
+	if known == nil {
+		return append(slices.Clone(releases), started), false, nil
+	}
+	if order.Repeated && known.Target == order.Target {
+		return releases, true, nil
+	}
+	if known.Active() {
+		return nil, false, fault.New(fault.UnderWay, "%s is being brought to %s", known.Service, known.Target)
+	}
+	if known.Target == order.Target && known.Phase == Completed {
+		return releases, true, nil
+	}
+	started.Number = known.Number + 1
+	started.Barred = slices.DeleteFunc(slices.Clone(known.Barred), func(v string) bool { return v == order.Target })
+	next = slices.Clone(releases)
+	*Of(next, order.Service) = started
+	return next, false, nil
+}
+
+// Move gives the releases after a decision about the release of a service with the given number; same tells that it does not hold any
+// more, as another node decided before.
+func Move(releases []Release, service string, number uint64, from, to Phase, reason string) (next []Release, same bool) {
+	known := Of(releases, service)
+	if known == nil || known.Number != number || known.Phase != from {
+		return releases, true
+	}
+	next = slices.Clone(releases)
+	moved := Of(next, service)
+	moved.Phase, moved.Reason = to, reason
+	if to == RolledBack {
+		moved.Barred = append(slices.Clone(moved.Barred), moved.Target)
+		moved.Barred = moved.Barred[max(len(moved.Barred)-mostBarred, 0):]
+	}
+	return next, false
+}
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/lo"
 
+	"moleshift/controlplane/release"
 	"moleshift/controlplane/singleton"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -31,6 +32,28 @@
 type State struct {
 	Versions []peer.Model    `msg:"v"` // the newest version named, by model
 	Lease    singleton.Lease `msg:"l"` // who orders servers to load
+
+	Releases []release.Release `msg:"r"` // of services to other versions of their servers' software; one a service
+}
+
+// clone gives a copy whose fields may be set anew.
+func (s *State) clone() *State {
+	next := *s
+	return &next
+}
+
+// WithLease gives the state with another lease.
+func (s *State) WithLease(lease singleton.Lease) *State {
+	next := s.clone()
+	next.Lease = lease
+	return next
+}
+
+// WithReleases gives the state with other releases.
+func (s *State) WithReleases(releases []release.Release) *State {
+	next := s.clone()
+	next.Releases = releases
+	return next
 }
 
 // Name gives the state after a version was named; same tells that nothing changes by it.
@@ -48,7 +71,9 @@
 	default:
 		versions[i].Version = version
 	}
-	return &State{Versions: versions, Lease: s.Lease}, false, nil
+	next = s.clone()
+	next.Versions = versions
+	return next, false, nil
 }
 
 // Version gives the newest version named of a model; 0 where none was.
--- a/controlplane/rollout/rollout_gen.go
+++ b/controlplane/rollout/rollout_gen.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"moleshift/controlplane/release"
 	"moleshift/peer"
 
 	"github.com/tinylib/msgp/msgp"
@@ -11,9 +12,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
+	o = append(o, 0x83, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		o, err = z.Versions[za0001].MarshalMsg(o)
@@ -29,6 +30,16 @@
 		err = msgp.WrapError(err, "Lease")
 		return
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Releases)))
+	for za0002 := range z.Releases {
+		o, err = z.Releases[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Releases", za0002)
+			return
+		}
+	}
 	return
 }
 
@@ -75,6 +86,25 @@
 				err = msgp.WrapError(err, "Lease")
 				return
 			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Releases")
+				return
+			}
+			if cap(z.Releases) >= int(zb0003) {
+				z.Releases = (z.Releases)[:zb0003]
+			} else {
+				z.Releases = make([]release.Release, zb0003)
+			}
+			for za0002 := range z.Releases {
+				bts, err = z.Releases[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Releases", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -93,7 +123,10 @@
 	for za0001 := range z.Versions {
 		s += z.Versions[za0001].Msgsize()
 	}
-	s += 2 + z.Lease.Msgsize()
+	s += 2 + z.Lease.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Releases {
+		s += z.Releases[za0002].Msgsize()
+	}
 	return
 }
 
--- a/controlplane/server/api.go
+++ b/controlplane/server/api.go
@@ -23,6 +23,8 @@
 	beatAll        = 850 * time.Millisecond // a server waits a second for its acknowledgement
 	ifVersion      = "Moleshift-If-Version"
 	instancePrefix = "/instances/"
+	releasePrefix  = "/rollouts/"
+	readSuffix     = "/read"
 	stateDraining  = "draining"
 )
 
@@ -47,6 +49,11 @@
 		answerOrder(ctx, c.Order(&peer.Order{Kind: orderRead}))
 	case post && path == "/version-put":
 		answerOrder(ctx, c.Order(&peer.Order{Kind: orderVersion, Body: ctx.PostBody()}))
+	case post && path == releasePrefix+"start":
+		answerOrder(ctx, c.Order(&peer.Order{Kind: orderRelease, Body: ctx.PostBody()}))
+	case get && strings.HasPrefix(path, releasePrefix) && strings.HasSuffix(path, readSuffix):
+		service := strings.TrimSuffix(strings.TrimPrefix(path, releasePrefix), readSuffix)
+		answerOrder(ctx, c.Order(&peer.Order{Kind: orderReleaseRead, Body: []byte(service)}))
 	case post && strings.HasPrefix(path, instancePrefix):
 		c.serveInstance(ctx, strings.TrimPrefix(path, instancePrefix))
 	default:
@@ -98,6 +105,7 @@
 	Service  string       `json:"service"`
 	Address  string       `json:"address"`
 	Zone     string       `json:"zone"`
+	Version  softwareText `json:"version"`
 	Slots    int          `json:"slots"`
 	State    string       `json:"state"`
 	ColdMs   float64      `json:"cold-remaining-ms"`
@@ -105,6 +113,19 @@
 	Sequence int64        `json:"sequence"`
 }
 
+// softwareText is the version of a server's software: text, or whatever else JSON holds there, as it is written.
+type softwareText string
+
+// UnmarshalJSON takes any value: a heartbeat is not refused for how its server writes its version.
+func (v *softwareText) UnmarshalJSON(data []byte) error {
+	var text string
+	if json.Unmarshal(data, &text) != nil {
+		text = string(data)
+	}
+	*v = softwareText(text)
+	return nil
+}
+
 func (c *Controller) serveInstance(ctx *fasthttp.RequestCtx, rest string) {
 	id, call, _ := strings.Cut(rest, "/")
 	in := peer.Instance{ID: id, State: registry.Gone}
@@ -141,7 +162,7 @@
 func (h *heartbeat) instance(id string) peer.Instance {
 	in := peer.Instance{
 		ID: id, Service: h.Service, Address: h.Address, Zone: h.Zone, Slots: h.Slots, Sequence: h.Sequence, ColdMs: h.ColdMs,
-		Models: h.Models, State: registry.Ready,
+		Models: h.Models, State: registry.Ready, Version: string(h.Version),
 	}
 	if h.State == stateDraining {
 		in.State = registry.Draining
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -85,6 +85,9 @@
 	namings      rollout.Namings         // when weights were named
 	namingsFrom  quorum.Ballot           // of the value that they were last noted from
 
+	releases      map[string]*releaseCounts // by service: of the releases that are under way
+	releaseStarts rollout.Namings           // when releases were ordered: the service as the model, the release's number as the version
+
 	incarnations incarnations                  // of members
 	loadOf       func(instance string) float64 // requests in flight at a server; set before Run
 }
@@ -109,7 +112,7 @@
 		lacksEnds:    acceptor != nil && len(acceptor.Kept(lacksEndsRecord)) > 0,
 		tableChanged: make(chan struct{}), heard: map[string]bool{}, confirmed: map[string]int{}, sessions: map[string]session{},
 		mismatch: map[string]int{}, applicants: map[string]applicant{}, leavers: map[string]leaver{}, freshNodes: map[string]peer.Node{},
-		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{},
+		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{}, releases: map[string]*releaseCounts{},
 		incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
 	}
 	c.pending.orders = map[string]*pendingOrder{}
@@ -186,6 +189,7 @@
 	if c.acceptor != nil {
 		go c.announce()
 		go c.runRollout()
+		go c.runReleases()
 		go c.sweep()
 		go c.keepEnds()
 		go c.gatherEnds()
@@ -231,6 +235,7 @@
 func (c *Controller) syncOnce() {
 	now := c.now()
 	c.noteNamings()
+	releases := c.noteReleases()
 	c.mu.Lock()
 	if !c.lastSync.IsZero() && time.Since(c.lastSync) > 4*c.syncEvery {
 		c.table.Pause(now) // this process stood still: what it has not heard in that time is no sign of anything
@@ -240,6 +245,7 @@
 	clear(c.heard)
 	message := &peer.Sync{
 		From: c.self, Digest: c.table.Digest(), Heard: heard, Namings: c.toldNamings(), Silent: c.table.Silent(mostSilentAsked),
+		Started: c.releaseStarts.Tell(time.Now(), startedKeep), Releases: c.releaseTotals(releases),
 	}
 	if c.syncs++; c.syncs%sessionsEvery == 0 {
 		message.Sessions = c.ownSessions()
@@ -248,6 +254,7 @@
 	c.registers.Look(message, func(reply *peer.SyncReply) {
 		c.heardFrom(&reply.From)
 		c.takeNamings(reply.Namings)
+		c.takeReleaseStarts(reply.Started)
 		c.takeAll(reply.Ended)
 		c.compare(&reply.From, reply.Digest)
 	})
@@ -259,6 +266,9 @@
 	c.heardFrom(&in.From)
 	c.noteNamings()
 	c.takeNamings(in.Namings)
+	c.noteReleases()
+	c.takeReleaseStarts(in.Started)
+	c.takeTotals(&in.From, in.Releases)
 	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads), Ended: c.endsAmong(in.Silent)}
 	c.mu.Lock()
 	for _, id := range in.Heard {
@@ -271,6 +281,7 @@
 	}
 	reply.Digest = c.table.Digest()
 	reply.Namings = c.toldNamings()
+	reply.Started = c.releaseStarts.Tell(time.Now(), startedKeep)
 	c.mu.Unlock()
 	c.notify()
 	return reply, nil
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -62,7 +62,8 @@
 }
 
 func registerOf(kind string) string {
-	if kind == orderVersion {
+	switch kind {
+	case orderVersion, orderRelease, orderReleaseRead:
 		return core.Weights
 	}
 	return core.Config
@@ -103,6 +104,10 @@
 		return nil, c.pending.await(in, deadline, c.configure)
 	case orderVersion:
 		return nil, c.pending.await(in, deadline, c.nameVersion)
+	case orderRelease:
+		return nil, c.pending.await(in, deadline, c.startRelease)
+	case orderReleaseRead:
+		return c.readRelease(string(in.Body), deadline)
 	default:
 		return nil, fault.New(fault.UnknownCall, "%q", in.Kind)
 	}
--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -28,6 +28,7 @@
 	if c.acceptor == nil {
 		return nil, errNotMember
 	}
+	c.takeReports(in.From.ID, in.Releases)
 	deadline := time.NewTimer(time.Duration(in.WaitMs) * time.Millisecond)
 	defer deadline.Stop()
 	for {
--- /dev/null
+++ b/controlplane/server/releases.go
@@ -0,0 +1,249 @@
+package server
+
+// Releases: a service is brought to another version of its servers' software. What is decided is in package release; this file takes
+// the operator's orders and writes decisions to the register that weights stand in too.
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"moleshift/controlplane/configuration"
+	"moleshift/controlplane/core"
+	"moleshift/controlplane/quorum"
+	"moleshift/controlplane/registry"
+	"moleshift/controlplane/release"
+	"moleshift/controlplane/rollout"
+	"moleshift/fault"
+	"moleshift/peer"
+	"moleshift/settings"
+)
+
+const (
+	orderRelease     = "release"
+	orderReleaseRead = "release-read"
+
+	releaseTick = 100 * time.Millisecond
+	// releaseOwner is the key in whose agreed order the first live member decides about releases.
+	releaseOwner = "releases"
+	// releaseYoung is how long a member that has started hears the others before it decides.
+	releaseYoung = 1200 * time.Millisecond
+	// repeatsWithin is how many times ack-timeout-ms after an order the same order may be that one, sent again.
+	repeatsWithin = 2
+	// startedKeep is how long the moment of an order is told of.
+	startedKeep = 10 * time.Minute
+)
+
+// releaseBody is the body of an order for a release.
+type releaseBody struct {
+	Service   string  `json:"service"`
+	Target    string  `json:"target-version"`
+	DeadlineS float64 `json:"deadline-s"`
+}
+
+// releaseState is the answer to a read of a release.
+type releaseState struct {
+	State  string `json:"state"`
+	Target string `json:"target-version"`
+}
+
+// startRelease takes an order for a release. An order that was taken is acknowledged again for as long as it may be sent again.
+func (c *Controller) startRelease(in *configuration.Order, deadline time.Time) error {
+	began := time.Now()
+	var body releaseBody
+	if err := configuration.Decode(in.Body, &body); err != nil {
+		return err
+	}
+	order := release.Order{Service: body.Service, Target: body.Target, Deadline: settings.Seconds(body.DeadlineS)}
+	if err := c.checkService(body.Service); err != nil {
+		return err
+	}
+	never := func(quorum.Value) bool { return false }
+	var number uint64
+	err := c.changeWeights(deadline, never, func(s *rollout.State) (*rollout.State, error) {
+		order.Repeated = c.isRepeat(release.Of(s.Releases, order.Service))
+		next, same, err := release.Start(s.Releases, order)
+		if err != nil {
+			return nil, err
+		}
+		number = release.Of(next, order.Service).Number
+		if same {
+			return nil, core.ErrUnchanged
+		}
+		return s.WithReleases(next), nil
+	})
+	if errors.Is(err, core.ErrUnchanged) {
+		return nil
+	}
+	if err == nil {
+		c.mu.Lock()
+		c.releaseStarts, _ = c.releaseStarts.Note(order.Service, int64(number), began)
+		c.mu.Unlock()
+		c.log.Info().Str("service", order.Service).Str("version", order.Target).Uint64("release", number).Msg("release ordered")
+	}
+	return err
+}
+
+// checkService tells whether the configuration in force has a service.
+func (c *Controller) checkService(name string) error {
+	k := c.registers.Known(core.Config)
+	if k.Confirmed.IsZero() {
+		return fault.New(fault.Unavailable, "the configuration is not known yet")
+	}
+	state, err := readConfiguration(k.Value.Data)
+	if err != nil {
+		return err
+	}
+	document, err := configuration.Parse(state.Body)
+	if err != nil || !document.HasService(name) {
+		return fault.New(fault.BadConfig, "the configuration in force has no service %q", name)
+	}
+	return nil
+}
+
+// isRepeat tells whether an order that names a known release's service and version may be the one that began it, sent again.
+func (c *Controller) isRepeat(known *release.Release) bool {
+	if known == nil {
+		return false
+	}
+	return c.releaseAge(known) < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
+}
+
+// releaseAge is how long ago a release was ordered, as far as this node knows.
+func (c *Controller) releaseAge(r *release.Release) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.releaseStarts.FirstAbove(r.Service, int64(r.Number)-1)
+	if !ok {
+		return 0
+	}
+	return time.Since(at)
+}
+
+// noteReleases notes when the releases that are known were ordered: at the latest now, where the register holds something new.
+func (c *Controller) noteReleases() []release.Release {
+	state, err := readWeights(c.registers.Known(core.Weights).Value.Data)
+	if err != nil || len(state.Releases) == 0 {
+		return nil
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range state.Releases {
+		r := &state.Releases[i]
+		if c.releaseStarts.Newest(r.Service) < int64(r.Number) {
+			c.releaseStarts, _ = c.releaseStarts.Note(r.Service, int64(r.Number), now)
+		}
+	}
+	return state.Releases
+}
+
+// takeReleaseStarts notes what another node knows of when releases were ordered.
+func (c *Controller) takeReleaseStarts(told []peer.Naming) {
+	if len(told) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseStarts = c.releaseStarts.Take(time.Now(), told)
+}
+
+// readRelease tells how the newest release of a service stands.
+func (c *Controller) readRelease(service string, deadline time.Time) ([]byte, error) {
+	k, err := c.registers.Refresh(core.Weights, deadline)
+	if err != nil {
+		return nil, err
+	}
+	state, err := readWeights(k.Value.Data)
+	if err != nil {
+		return nil, err
+	}
+	r := release.Of(state.Releases, service)
+	if r == nil {
+		return nil, fault.New(fault.NoRelease, "service %q", service)
+	}
+	return json.Marshal(releaseState{State: r.Phase.String(), Target: r.Target})
+}
+
+// runReleases decides about the releases that are under way for as long as this node is the first live member in the agreed order.
+// Two that take themselves for it do no harm: each decision is written over the phase that it follows.
+func (c *Controller) runReleases() {
+	ticker := time.NewTicker(releaseTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-ticker.C:
+		}
+		releases := c.noteReleases()
+		c.mu.Lock()
+		c.forgetReleases(releases)
+		c.mu.Unlock()
+		if c.now() < releaseYoung || !c.first(releaseOwner) {
+			continue
+		}
+		for i := range releases {
+			if decision := c.decideRelease(&releases[i]); decision != nil {
+				c.moveRelease(&releases[i], decision)
+			}
+		}
+	}
+}
+
+// decideRelease tells what becomes of a release now; nil: it goes on as it is.
+func (c *Controller) decideRelease(r *release.Release) *release.Decision {
+	if !r.Active() {
+		return nil
+	}
+	situation := release.Situation{Age: c.releaseAge(r)}
+	members := c.registers.Members(core.Config)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, in := range c.table.Live() {
+		switch {
+		case in.Service != r.Service || in.State != registry.Ready:
+		case in.Version == r.Target:
+			situation.Target++
+		default:
+			situation.InService++
+		}
+	}
+	counts := c.countsOf(r.Service, r.Number)
+	situation.Evidence = &counts.evidence
+	situation.Ended = r.Phase == release.Switching && c.allRoutersEnded(counts, members)
+	return r.Decide(situation)
+}
+
+// allRoutersEnded tells whether every live member has said that none of its routers is waited for. The lock is held.
+func (c *Controller) allRoutersEnded(counts *releaseCounts, members []quorum.Member) bool {
+	if c.routersWaitedFor(counts) > 0 {
+		return false
+	}
+	for _, m := range members {
+		if m.ID == c.acceptor.Identity() || c.registers.Silence(m.ID) > 3*c.syncEvery {
+			continue
+		}
+		if told, ok := counts.members[m.ID]; !ok || told.totals.Waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// moveRelease writes a decision, unless another node has decided meanwhile.
+func (c *Controller) moveRelease(r *release.Release, decision *release.Decision) {
+	never := func(quorum.Value) bool { return false }
+	err := c.changeWeights(time.Now().Add(core.CallTimeout), never, func(s *rollout.State) (*rollout.State, error) {
+		next, same := release.Move(s.Releases, r.Service, r.Number, r.Phase, decision.To, decision.Reason)
+		if same {
+			return nil, core.ErrUnchanged
+		}
+		return s.WithReleases(next), nil
+	})
+	if err != nil {
+		return // the next tick decides again
+	}
+	c.log.Info().Str("service", r.Service).Str("version", r.Target).Uint64("release", r.Number).Stringer("state", decision.To).
+		Bool("switching", decision.To == release.Switching).Str("reason", decision.Reason).Dur("age-ms", c.releaseAge(r)).Msg("release")
+}
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -125,7 +125,7 @@
 		if s.Lease != over {
 			return nil, fault.New(fault.WrongVersion, "the lease has changed")
 		}
-		return &rollout.State{Versions: s.Versions, Lease: next}, nil
+		return s.WithLease(next), nil
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -24,6 +24,7 @@
 	"moleshift/controlplane/directory"
 	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
+	"moleshift/controlplane/release"
 	"moleshift/controlplane/rollout"
 	"moleshift/dataplane/routing"
 	"moleshift/peer"
@@ -32,6 +33,7 @@
 
 const (
 	pollWait      = time.Second
+	reportEvery   = 250 * time.Millisecond // while a release is under way
 	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
 	firstPoll     = 350 * time.Millisecond // a first poll is not held
 	failPause     = 100 * time.Millisecond
@@ -54,6 +56,7 @@
 	Confirmed time.Time                  // Table was in force then; zero: that was never confirmed
 	Lease     time.Duration              // how long after Confirmed requests that need a key may be served; 0: for ever
 	Namings   rollout.Namings            // of weights, with the earliest moment at which this router or a controller knew of each
+	Releases  []release.Release          // of services to other versions of their servers' software
 	Instances map[string][]peer.Instance // by service, without those that are gone or replaced
 	Nodes     []peer.Node
 }
@@ -78,6 +81,7 @@
 	closed    chan struct{}
 	started   chan struct{} // closed once there is a configuration
 	onChange  func(s *Snapshot)
+	reporter  Reporter // nil: there is nothing to report
 
 	snapshot atomic.Pointer[Snapshot]
 	fetching atomic.Bool // a first configuration is on its way
@@ -115,6 +119,15 @@
 	return f
 }
 
+// Reporter tells what the controllers are to know of releases.
+type Reporter interface {
+	ReleaseReports() []peer.ReleaseReport
+	ReleasesReported(reports []peer.ReleaseReport) // a controller has taken them
+}
+
+// UseReporter has reports of releases go with polls. It is to be called before Run.
+func (f *Follower) UseReporter(r Reporter) { f.reporter = r }
+
 // Snapshot gives the state as it is now.
 func (f *Follower) Snapshot() *Snapshot { return f.snapshot.Load() }
 
@@ -143,7 +156,7 @@
 	at, returned := f.preferred(), time.Now()
 	for {
 		began := time.Now()
-		reply, err := f.poll(at, pollWait, pollMost, pollWait+pollSlack)
+		reply, err := f.report(at)
 		if err == nil && reply.Size > 0 {
 			began = time.Now()
 			reply, err = f.poll(at, 0, 0, pollSlack+core.TransferTime(reply.Size))
@@ -170,6 +183,23 @@
 	}
 }
 
+// report polls the controller that this router stays with, and tells it of the releases that are under way.
+func (f *Follower) report(at quorum.Member) (*peer.PollReply, error) {
+	wait := pollWait
+	if slices.ContainsFunc(f.Snapshot().Releases, func(r release.Release) bool { return r.Active() }) {
+		wait = reportEvery
+	}
+	in := f.message(wait, pollMost)
+	if f.reporter != nil {
+		in.Releases = f.reporter.ReleaseReports()
+	}
+	reply, err := f.send(at, in, wait+pollSlack)
+	if err == nil && len(in.Releases) > 0 {
+		f.reporter.ReleasesReported(in.Releases)
+	}
+	return reply, err
+}
+
 // isFit tells whether a controller answered, and was in touch with the others lately.
 func isFit(reply *peer.PollReply, err error) bool {
 	return err == nil && reply.Knows && reply.AgeMs <= float64(staleAfter/time.Millisecond)
@@ -301,12 +331,21 @@
 // poll asks a controller, which holds the call for wait at most where it has no news. most bounds the bytes of a configuration, 0 does
 // not. A reply with a change of a large configuration comes within the time of a call: only a whole one takes longer.
 func (f *Follower) poll(m quorum.Member, wait time.Duration, most int, timeout time.Duration) (*peer.PollReply, error) {
+	return f.send(m, f.message(wait, most), timeout)
+}
+
+// message makes a poll with the versions that this router has.
+func (f *Follower) message(wait time.Duration, most int) *peer.Poll {
 	f.mu.Lock()
-	in := &peer.Poll{
+	defer f.mu.Unlock()
+	return &peer.Poll{
 		From: f.self, Config: f.config, Weights: f.weights, Table: f.tableID, Revision: f.revision, Nodes: f.nodes,
 		WaitMs: int(wait / time.Millisecond), Hash: f.hash, Most: most,
 	}
-	f.mu.Unlock()
+}
+
+// send sends a poll to a controller.
+func (f *Follower) send(m quorum.Member, in *peer.Poll, timeout time.Duration) (*peer.PollReply, error) {
 	if f.local != nil && m.Address == f.self.Address {
 		return f.local(in)
 	}
@@ -414,6 +453,7 @@
 // takeWeights notes the versions that are named now, and when each was named as far as the controller knows.
 func (f *Follower) takeWeights(s *Snapshot, reply *peer.PollReply) bool {
 	now := time.Now()
+	changed := false
 	namings := s.Namings.Take(now, reply.Namings)
 	if len(reply.WeightsIn) > 0 && f.weights.Less(reply.Weights) {
 		var state rollout.State
@@ -421,12 +461,15 @@
 			return false
 		}
 		f.weights = reply.Weights
+		if !reflect.DeepEqual(state.Releases, s.Releases) {
+			s.Releases, changed = state.Releases, true
+		}
 		for _, m := range state.Versions {
 			namings, _ = namings.Note(m.Name, m.Version, now)
 		}
 	}
 	if reflect.DeepEqual(namings, s.Namings) {
-		return false
+		return changed
 	}
 	f.log.Debug().Interface("weights", namings).Msg("heard of new weights")
 	s.Namings = namings
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -33,14 +33,13 @@
 	if c == nil {
 		return nil, attempt.NotSent
 	}
-	if !r.addServer(c) || r.over(r.deadline) || !p.maySend(r) {
+	if !r.addServer(c) || r.over(r.deadline) || !p.maySend(r) || !p.sent(r, to) {
 		r.removeServer(c)
 		p.closeConn(t, c)
 		return nil, attempt.NotSent
 	}
 	now := time.Now()
 	r.limitServer(c.SetDeadline, p.headLimit(r, to, now))
-	p.sent(r, to)
 	p.logSent(r, to)
 	message := r.message(to, r.deadline.Sub(now))
 	if n, err := c.Write(message); err != nil {
@@ -61,6 +60,7 @@
 // readAnswer reads the head of the request's own answer, past surplus ones to earlier requests, and the body where it is no stream.
 func (p *Proxy) readAnswer(r *request, to *routed, a *reply) attempt.Outcome {
 	if !p.readOwnHead(r, a) {
+		to.withdrawn = !to.beginBy.IsZero() && !time.Now().Before(to.beginBy)
 		return p.failAttempt(r, to, a)
 	}
 	p.byteCame(to.target)
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -8,6 +8,7 @@
 
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/registry"
+	"moleshift/controlplane/release"
 	"moleshift/dataplane/outlier"
 	"moleshift/dataplane/placement"
 )
@@ -15,8 +16,13 @@
 // routed is a request on its way to a server.
 type routed struct {
 	placement.Placement
-	target *target
-	sentAt time.Duration // steady clock of the proxy
+	target    *target
+	sentAt    time.Duration // steady clock of the proxy
+	firstAt   time.Duration // when the first event of a stream came; 0: none did
+	lastAt    time.Duration // when the last one did
+	events    int           // of a stream, so far
+	beginBy   time.Time     // the request is withdrawn where it has not begun by then
+	withdrawn bool          // it was
 }
 
 // choose places a request; nil: there is no server for it.
@@ -38,13 +44,17 @@
 	targets := p.services[r.service.Name]
 	query := &placement.Query{Service: r.service.Name, Work: r.work, Servers: make([]placement.Server, 0, len(targets))}
 	least := p.leastVersion(r, now, steady)
-	table := p.follow().Table
+	snapshot := p.follow()
+	table := snapshot.Table
+	split := p.split(r, snapshot, now, steady)
+	current := release.Of(snapshot.Releases, r.service.Name)
 	salts := map[int64]string{}
 	for _, t := range targets {
 		standing := p.standing(t, steady)
 		server := placement.Server{
 			ID: t.instance.ID, Address: t.instance.Address, Zone: t.instance.Zone, Standing: standing,
-			Source: standing <= outlier.Busy, Target: !r.tried[t.instance.ID] && t.instance.State == registry.Ready,
+			Source: standing <= outlier.Busy && !retired(current, t.instance.Version),
+			Target: !r.tried[t.instance.ID] && t.instance.State == registry.Ready && split.Admits(p.canaryServer(t, steady)),
 		}
 		if r.model != "" && r.service.Engine != nil {
 			server.Version = max(t.version(r.model), 1)
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"moleshift/controlplane/registry"
 	"moleshift/dataplane/admission"
 	"moleshift/dataplane/attempt"
+	"moleshift/dataplane/canary"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/placement"
 	"moleshift/fault"
@@ -36,6 +37,8 @@
 
 	mu       sync.Mutex
 	placer   *placement.Placer
+	splitter *canary.Splitter
+	ledger   *canary.Ledger
 	targets  map[string]*target // by instance
 	services map[string][]*target
 	retries  map[string]*admission.Retries
@@ -53,7 +56,8 @@
 		set: set, follow: follow, started: started, log: log, began: time.Now(), targets: map[string]*target{},
 		services: map[string][]*target{}, retries: map[string]*admission.Retries{}, waits: map[string]*longestWait{},
 		placer: placement.New(place, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), outcomes: newOutcomeCounts(),
-		placed: newPlacementCounts(),
+		placed: newPlacementCounts(), ledger: canary.NewLedger(),
+		splitter: canary.NewSplitter(set.Bounds.CanaryShare, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
 
@@ -82,6 +86,7 @@
 		}
 	}
 	p.setStores(s, listed)
+	p.followReleases(s)
 	for id, t := range p.targets {
 		if !listed[id] {
 			stale = append(stale, t.idle...)
@@ -160,12 +165,15 @@
 	a, outcome := p.send(r, to)
 	if outcome == attempt.Done && a.stream != nil {
 		to, outcome = p.relay(r, to, a)
+		p.noteAnswer(r, to, outcome)
 		if outcome == attempt.Done {
 			p.succeeded(to.target)
 			return attempt.Pass, fault.None
 		}
 	} else if r.started && outcome != attempt.NotSent && outcome != attempt.TurnedAway {
 		outcome = attempt.Broken // an answer that is no stream cannot go on one
+	} else {
+		p.noteAnswer(r, to, outcome)
 	}
 	if r.Gone() {
 		r.Closing = true
@@ -242,15 +250,19 @@
 	return s.Table == r.snapshot.Table || s.Table.Holds(r.tenant.Name, r.key())
 }
 
-// sent puts a request on the server's books.
-func (p *Proxy) sent(r *request, to *routed) {
+// sent puts a request on the server's books; false: it must not be sent there any more.
+func (p *Proxy) sent(r *request, to *routed) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := to.target
+	if !p.mayGo(r, t) {
+		return false
+	}
 	to.sentAt = p.now()
 	p.placed.note(&to.Placement)
 	p.placer.Sent(&to.Placement)
 	t.state.Sent(p.now())
+	return true
 }
 
 // ended takes a request off the server's books.
--- /dev/null
+++ b/dataplane/proxy/releases.go
@@ -0,0 +1,163 @@
+package proxy
+
+// Releases of a service to another version of its servers' software, as far as requests go: to which servers one may be sent, and what
+// their answers tell the controllers.
+
+import (
+	"time"
+
+	"moleshift/controlplane/registry"
+	"moleshift/controlplane/release"
+	"moleshift/dataplane/attempt"
+	"moleshift/dataplane/canary"
+	"moleshift/dataplane/follower"
+	"moleshift/dataplane/outlier"
+	"moleshift/peer"
+)
+
+// split tells which servers a request may go to. The lock is held.
+func (p *Proxy) split(r *request, snapshot *follower.Snapshot, now time.Time, steady time.Duration) *canary.Split {
+	service := r.service.Name
+	query := &canary.Query{
+		Now: steady, Service: service, Release: release.Of(snapshot.Releases, service), Heard: now.Sub(snapshot.Confirmed),
+	}
+	if !r.drawn {
+		r.drawn, r.trial = true, p.splitter.Draw(query.Release)
+	}
+	query.Trial = r.trial && len(r.tried) == 0
+	if query.Release != nil {
+		for _, t := range p.services[service] {
+			query.Servers = append(query.Servers, p.canaryServer(t, steady))
+		}
+	}
+	return p.splitter.Split(query)
+}
+
+// canaryServer describes a server to package canary. The lock is held.
+func (p *Proxy) canaryServer(t *target, steady time.Duration) canary.Server {
+	return canary.Server{
+		ID: t.instance.ID, Version: t.instance.Version,
+		Ready: t.instance.State == registry.Ready && p.standing(t, steady) <= outlier.Busy,
+	}
+}
+
+// mayGo tells whether a request may still be sent to a server, by the release as it is known now: it may have gone on since the request
+// was placed. The lock is held.
+func (p *Proxy) mayGo(r *request, t *target) bool {
+	current := release.Of(p.follow().Releases, r.service.Name)
+	if current == nil {
+		return true
+	}
+	switch current.Phase {
+	case release.Switching:
+		return current.InService(t.instance.Version)
+	case release.RolledBack:
+		return t.instance.Version != current.Target
+	}
+	return true
+}
+
+// mustLeave tells whether a stream should be taken over by another server because its own is of a version that goes out of service.
+// The lock is held.
+func (p *Proxy) mustLeave(r *request, t *target) bool {
+	current := release.Of(p.follow().Releases, r.service.Name)
+	return current != nil && current.Phase == release.Switching && t.instance.Version != current.Target
+}
+
+// retired tells whether a server's version has gone out of service: it may end at any moment.
+func retired(current *release.Release, version string) bool {
+	return current != nil && current.Phase == release.Completed && version != current.Target
+}
+
+// followReleases begins and ends the counting for releases, and notes the versions of servers. The lock is held.
+func (p *Proxy) followReleases(s *follower.Snapshot) {
+	steady := p.now()
+	for service, instances := range s.Instances {
+		var versions []string
+		for i := range instances {
+			versions = append(versions, instances[i].Version)
+		}
+		p.splitter.Seen(steady, service, versions)
+	}
+	for i := range s.Releases {
+		if r := &s.Releases[i]; r.Active() {
+			p.ledger.Follow(r.Service, r.Number)
+		} else {
+			p.ledger.Forget(r.Service)
+		}
+	}
+	if s.Table != nil {
+		p.ledger.KeepRoutes(s.Table.HasRoute)
+	}
+}
+
+// noteAnswer has a server's answer counted.
+func (p *Proxy) noteAnswer(r *request, to *routed, outcome attempt.Outcome) {
+	answer := canary.Answer{Service: r.service.Name, Route: r.route.Name}
+	switch outcome {
+	case attempt.Done:
+		answer.Outcome = canary.Whole
+	case attempt.Failed:
+		answer.Outcome = canary.Failed
+	case attempt.Broken:
+		switch {
+		case r.Gone() || r.isExpired() || to.withdrawn:
+			return // it was ended from here
+		case r.over(r.deadline):
+			answer.Outcome = canary.TimedOut
+		default:
+			answer.Outcome = canary.Broken
+		}
+	default:
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current := release.Of(p.follow().Releases, answer.Service); current != nil {
+		answer.Target = to.target.instance.Version == current.Target
+	}
+	answer.First, answer.Pace = to.times(p.now())
+	p.ledger.Note(&answer)
+}
+
+// times gives how long the first event of a stream took and the mean time between its events, or how long an answer that is none took.
+func (to *routed) times(now time.Duration) (first, pace time.Duration) {
+	if to.firstAt == 0 {
+		return 0, now - to.sentAt
+	}
+	if to.events > 1 {
+		pace = (to.lastAt - to.firstAt) / time.Duration(to.events-1)
+	}
+	return to.firstAt - to.sentAt, pace
+}
+
+// ReleaseReports tells what the controllers are to know of the releases that are under way.
+func (p *Proxy) ReleaseReports() []peer.ReleaseReport {
+	var reports []peer.ReleaseReport
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.follow().Releases {
+		if !r.Active() {
+			continue
+		}
+		open := 0
+		for _, t := range p.services[r.Service] {
+			if t.instance.Version != r.Target {
+				open += p.placer.Loads().Own(t.instance.ID).Requests
+			}
+		}
+		reports = append(reports, peer.ReleaseReport{
+			Service: r.Service, Number: r.Number, Phase: int(r.Phase), Open: open, Counts: p.ledger.Counts(r.Service),
+		})
+	}
+	return reports
+}
+
+// ReleasesReported notes that controllers have taken reports.
+func (p *Proxy) ReleasesReported(reports []peer.ReleaseReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range reports {
+		p.ledger.Told(reports[i].Service, reports[i].Number, reports[i].Counts)
+	}
+}
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -60,6 +60,8 @@
 	tried    map[string]bool // servers that it was sent to or could not reach
 	lastID   string          // id of the last event passed on
 	started  bool            // the head of the answer has been passed on
+	drawn    bool            // it is decided whether it is part of the share of a version on trial
+	trial    bool            // it is
 	byClose  bool            // the client knows no chunks: the answer that was begun ends with the connection
 
 	lastOutcome  attempt.Outcome
@@ -142,6 +144,7 @@
 		return limit
 	}
 	if by := p.beginBy(r, to.Version, now); by.Before(limit) {
+		to.beginBy = by
 		return by
 	}
 	return limit
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -3,6 +3,7 @@
 // A stream on its way from a server to its client, and its takeover by another server.
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -72,6 +73,9 @@
 func (p *Proxy) pieceCame(r *request, s *stream) {
 	s.silentFrom = time.Now()
 	p.byteCame(s.to.target)
+	if s.to.lastAt = p.now(); s.to.firstAt == 0 {
+		s.to.firstAt = s.to.lastAt
+	}
 	if !s.begun {
 		s.begun = true
 		p.promptRead(r, s.to)
@@ -81,7 +85,9 @@
 // passPiece takes bytes of a stream and gives the client the events that are whole by now; false: the client does not take them.
 func (p *Proxy) passPiece(r *request, s *stream, piece []byte) bool {
 	s.events.pending = append(s.events.pending, piece...)
-	if whole := s.events.whole(); whole != nil && !p.passEvents(r, s, whole) {
+	whole := s.events.whole()
+	s.to.events += bytes.Count(whole, []byte("\n\n"))
+	if whole != nil && !p.passEvents(r, s, whole) {
 		return false
 	}
 	if s.events.lastID != "" {
@@ -118,7 +124,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return s.to.target.instance.Loading
+	return s.to.target.instance.Loading || p.mustLeave(r, s.to.target)
 }
 
 // takeOver tries to have a stream taken over by another server behind the last event passed on. The server that has it is left only
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,8 @@
 	Unavailable        // no quorum, or this node cannot serve the call now
 	UnknownCall        // no such interface
 	NotRegistered      // the instance is not known
+	UnderWay           // a release of the service has not ended
+	NoRelease          // no release of the service was ever ordered
 	Leaving            // this process is about to end and the request may outlast it
 	numKinds
 )
@@ -63,6 +65,8 @@
 	Unavailable:   {Status: 503, Promise: true, RetryAfter: 200 * time.Millisecond, Text: "not available now", Remedy: "send it again, to any node"},
 	UnknownCall:   {Status: 404, Text: "no such interface", Remedy: "see docs/system.md for what is served"},
 	NotRegistered: {Status: 404, Text: "instance is not known", Remedy: "let the server send a heartbeat first"},
+	UnderWay:      {Status: 409, Text: "a release is under way", Remedy: "read its state, and order the next one once it has ended"},
+	NoRelease:     {Status: 404, Text: "no release of the service was ordered", Remedy: "compare the service with those of GET /config/read"},
 	Leaving:       {Status: 503, Promise: true, RetryAfter: 20 * time.Millisecond, Text: "this router is about to end", Remedy: "nothing: the client comes back to another router"},
 }
 
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -116,6 +116,9 @@
 	Sessions []Node    `msg:"s"` // routers that poll here
 	Namings  []Naming  `msg:"n"` // of weights, lately
 	Silent   []string  `msg:"l"` // instances that are silent here: some may have left unheard
+
+	Started  []Naming        `msg:"o"` // when releases were ordered: the service as the model, the release's number as the version
+	Releases []ReleaseTotals `msg:"e"` // of the routers that poll here
 }
 
 // SyncReply answers Sync.
@@ -125,6 +128,7 @@
 	Digest  uint64          `msg:"d"`
 	Namings []Naming        `msg:"n"` // of weights, lately
 	Ended   []Instance      `msg:"e"` // those of Silent that are known to leave or to be gone
+	Started []Naming        `msg:"o"` // when releases were ordered
 }
 
 // Model is one model's weights on an instance.
@@ -140,6 +144,55 @@
 	AgeMs   float64 `msg:"a"`
 }
 
+// RouteCounts are answers of servers on one route: of those of a release's target version, or of the version in service.
+type RouteCounts struct {
+	Route  string `msg:"r"`
+	Target bool   `msg:"t"`
+	Good   int    `msg:"g"`
+	Slow   int    `msg:"s"` // several times slower than is usual on the route
+	Failed int    `msg:"f"` // whole answers with a failure of the server's own
+	Broken int    `msg:"b"` // answers that broke off
+}
+
+// SameKind tells whether other counts are of the same route and side.
+func (c *RouteCounts) SameKind(other RouteCounts) bool {
+	return c.Route == other.Route && c.Target == other.Target
+}
+
+// Add adds other counts.
+func (c *RouteCounts) Add(other *RouteCounts) {
+	c.Good += other.Good
+	c.Slow += other.Slow
+	c.Failed += other.Failed
+	c.Broken += other.Broken
+}
+
+// Less gives the counts less others.
+func (c RouteCounts) Less(other *RouteCounts) RouteCounts {
+	c.Good -= other.Good
+	c.Slow -= other.Slow
+	c.Failed -= other.Failed
+	c.Broken -= other.Broken
+	return c
+}
+
+// ReleaseReport is what a router tells of a release that is under way.
+type ReleaseReport struct {
+	Service string        `msg:"s"`
+	Number  uint64        `msg:"n"`
+	Phase   int           `msg:"p"` // by which the router sends requests now
+	Open    int           `msg:"o"` // requests under way at servers that are not of the target version
+	Counts  []RouteCounts `msg:"c"` // answers since the last poll that was answered
+}
+
+// ReleaseTotals is what a member knows of a release from the routers that poll it.
+type ReleaseTotals struct {
+	Service string        `msg:"s"`
+	Number  uint64        `msg:"n"`
+	Waiting int           `msg:"w"` // routers that send by an earlier phase, or have requests under way at servers of other versions
+	Counts  []RouteCounts `msg:"c"` // all answers since the member began to count
+}
+
 // Instance is one incarnation of a server, as its newest heartbeat told.
 type Instance struct {
 	ID       string  `msg:"i"`
@@ -154,6 +207,7 @@
 	Loading  bool    `msg:"b"` // new weights are being loaded or are about to be
 	Replaced bool    `msg:"r"` // another incarnation at its address was heard after it
 	Models   []Model `msg:"m"`
+	Version  string  `msg:"e"` // of its software
 }
 
 // Beat passes a heartbeat on.
@@ -189,6 +243,8 @@
 	Nodes    uint64        `msg:"n"` // hash of the list of nodes that the caller has
 	Hash     []byte        `msg:"h"` // of the configuration that the caller has; empty: none
 	Most     int           `msg:"b"` // bytes of the configuration that the callee may send; 0: any number
+
+	Releases []ReleaseReport `msg:"e"` // those under way
 }
 
 // PollReply answers Poll.
@@ -213,7 +269,7 @@
 
 // Order passes an order of the operator on.
 type Order struct {
-	Kind      string `msg:"k"` // replace, patch, read, version
+	Kind      string `msg:"k"` // replace, patch, read, version, release, release-read
 	IfVersion int64  `msg:"v"`
 	Body      []byte `msg:"b"`
 	Most      int    `msg:"m"` // bytes of a reply's body that the caller takes; 0: any number
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -900,9 +900,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Instance) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "i"
-	o = append(o, 0x8c, 0xa1, 0x69)
+	o = append(o, 0x8d, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -946,6 +946,9 @@
 		o = append(o, 0xa1, 0x76)
 		o = msgp.AppendInt64(o, z.Models[za0001].Version)
 	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendString(o, z.Version)
 	return
 }
 
@@ -1081,6 +1084,12 @@
 					}
 				}
 			}
+		case "e":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1099,6 +1108,7 @@
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Name) + 2 + msgp.Int64Size
 	}
+	s += 2 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -1962,9 +1972,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Poll) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "f"
-	o = append(o, 0x89, 0xa1, 0x66)
+	o = append(o, 0x8a, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -2002,6 +2012,16 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendInt(o, z.Most)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Releases)))
+	for za0001 := range z.Releases {
+		o, err = z.Releases[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Releases", za0001)
+			return
+		}
+	}
 	return
 }
 
@@ -2077,6 +2097,25 @@
 				err = msgp.WrapError(err, "Most")
 				return
 			}
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Releases")
+				return
+			}
+			if cap(z.Releases) >= int(zb0002) {
+				z.Releases = (z.Releases)[:zb0002]
+			} else {
+				z.Releases = make([]ReleaseReport, zb0002)
+			}
+			for za0001 := range z.Releases {
+				bts, err = z.Releases[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Releases", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2091,7 +2130,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Poll) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.IntSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Config.Msgsize() + 2 + z.Weights.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Table) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Hash) + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Releases {
+		s += z.Releases[za0001].Msgsize()
+	}
 	return
 }
 
@@ -2537,6 +2579,316 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ReleaseReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "s"
+	o = append(o, 0x85, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Phase)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt(o, z.Open)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		o, err = z.Counts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Counts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReleaseReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "p":
+			z.Phase, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "o":
+			z.Open, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Open")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]RouteCounts, zb0002)
+			}
+			for za0001 := range z.Counts {
+				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReleaseReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += z.Counts[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReleaseTotals) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Waiting)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		o, err = z.Counts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Counts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReleaseTotals) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "w":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]RouteCounts, zb0002)
+			}
+			for za0001 := range z.Counts {
+				bts, err = z.Counts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReleaseTotals) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += z.Counts[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RouteCounts) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "r"
+	o = append(o, 0x86, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Route)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.Target)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt(o, z.Good)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Slow)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Failed)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.Broken)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RouteCounts) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Route, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Route")
+				return
+			}
+		case "t":
+			z.Target, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "g":
+			z.Good, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Good")
+				return
+			}
+		case "s":
+			z.Slow, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slow")
+				return
+			}
+		case "f":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "b":
+			z.Broken, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Broken")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RouteCounts) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2610,9 +2962,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Sync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "f"
-	o = append(o, 0x87, 0xa1, 0x66)
+	o = append(o, 0x89, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -2668,6 +3020,31 @@
 	for za0005 := range z.Silent {
 		o = msgp.AppendString(o, z.Silent[za0005])
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Started)))
+	for za0006 := range z.Started {
+		// map header, size 3
+		// string "n"
+		o = append(o, 0x83, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Started[za0006].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.Started[za0006].Version)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendFloat64(o, z.Started[za0006].AgeMs)
+	}
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Releases)))
+	for za0007 := range z.Releases {
+		o, err = z.Releases[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Releases", za0007)
+			return
+		}
+	}
 	return
 }
 
@@ -2831,6 +3208,79 @@
 					return
 				}
 			}
+		case "o":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+			if cap(z.Started) >= int(zb0008) {
+				z.Started = (z.Started)[:zb0008]
+			} else {
+				z.Started = make([]Naming, zb0008)
+			}
+			for za0006 := range z.Started {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Started", za0006)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Started", za0006)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Started[za0006].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0006, "Model")
+							return
+						}
+					case "v":
+						z.Started[za0006].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0006, "Version")
+							return
+						}
+					case "a":
+						z.Started[za0006].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0006, "AgeMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0006)
+							return
+						}
+					}
+				}
+			}
+		case "e":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Releases")
+				return
+			}
+			if cap(z.Releases) >= int(zb0010) {
+				z.Releases = (z.Releases)[:zb0010]
+			} else {
+				z.Releases = make([]ReleaseTotals, zb0010)
+			}
+			for za0007 := range z.Releases {
+				bts, err = z.Releases[za0007].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Releases", za0007)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2865,15 +3315,23 @@
 	for za0005 := range z.Silent {
 		s += msgp.StringPrefixSize + len(z.Silent[za0005])
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Started {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Started[za0006].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Releases {
+		s += z.Releases[za0007].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SyncReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
+	o = append(o, 0x86, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -2917,6 +3375,21 @@
 			return
 		}
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Started)))
+	for za0004 := range z.Started {
+		// map header, size 3
+		// string "n"
+		o = append(o, 0x83, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Started[za0004].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.Started[za0004].Version)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendFloat64(o, z.Started[za0004].AgeMs)
+	}
 	return
 }
 
@@ -3042,6 +3515,60 @@
 					return
 				}
 			}
+		case "o":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+			if cap(z.Started) >= int(zb0006) {
+				z.Started = (z.Started)[:zb0006]
+			} else {
+				z.Started = make([]Naming, zb0006)
+			}
+			for za0004 := range z.Started {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Started", za0004)
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Started", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Started[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0004, "Model")
+							return
+						}
+					case "v":
+						z.Started[za0004].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0004, "Version")
+							return
+						}
+					case "a":
+						z.Started[za0004].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0004, "AgeMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Started", za0004)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3068,6 +3595,10 @@
 	for za0003 := range z.Ended {
 		s += z.Ended[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Started {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Started[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+	}
 	return
 }
 
