--- a/controlplane/release/release.go
+++ b/controlplane/release/release.go
@@ -69,6 +69,9 @@
 	return version != r.Target && !slices.Contains(r.Barred, version)
 }
 
+// Retired tells whether a version has gone out of service: its servers may end at any moment.
+func (r *Release) Retired(version string) bool { return r.Phase == Completed && version != r.Target }
+
 // Of finds the release of a service; nil: none was ever ordered.
 func Of(releases []Release, service string) *Release {
 	i := slices.IndexFunc(releases, func(r Release) bool { return r.Service == service })
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -212,7 +212,7 @@
 		c.syncOnce()
 		c.settle()
 		c.manageMembers()
-		if !c.pause(c.syncEvery) {
+		if !c.pause(c.lookPause()) {
 			return
 		}
 	}
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -8,6 +8,8 @@
 	"errors"
 	"time"
 
+	"github.com/samber/lo"
+
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/quorum"
@@ -30,6 +32,8 @@
 	releaseYoung = 1200 * time.Millisecond
 	// repeatsWithin is how many times ack-timeout-ms after an order the same order may be that one, sent again.
 	repeatsWithin = 2
+	// lookSwitching is between two looks at the other members while a release switches.
+	lookSwitching = 150 * time.Millisecond
 	// startedKeep is how long the moment of an order is told of.
 	startedKeep = 10 * time.Minute
 )
@@ -122,20 +126,17 @@
 
 // noteReleases notes when the releases that are known were ordered: at the latest now, where the register holds something new.
 func (c *Controller) noteReleases() []release.Release {
-	state, err := readWeights(c.registers.Known(core.Weights).Value.Data)
-	if err != nil || len(state.Releases) == 0 {
-		return nil
-	}
+	releases := c.releasesKnown()
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i := range state.Releases {
-		r := &state.Releases[i]
+	for i := range releases {
+		r := &releases[i]
 		if c.releaseStarts.Newest(r.Service) < int64(r.Number) {
 			c.releaseStarts, _ = c.releaseStarts.Note(r.Service, int64(r.Number), now)
 		}
 	}
-	return state.Releases
+	return releases
 }
 
 // takeReleaseStarts notes what another node knows of when releases were ordered.
@@ -148,6 +149,34 @@
 	c.releaseStarts = c.releaseStarts.Take(time.Now(), told)
 }
 
+// lookPause is how long after a look at the other members the next one follows: sooner while a release switches, as every request meets
+// the new version then.
+func (c *Controller) lookPause() time.Duration {
+	for _, r := range c.releasesKnown() {
+		if r.Phase == release.Switching {
+			return min(c.syncEvery, lookSwitching)
+		}
+	}
+	return c.syncEvery
+}
+
+// releasesKnown gives the releases that are known to be chosen.
+func (c *Controller) releasesKnown() []release.Release {
+	state, err := readWeights(c.registers.Known(core.Weights).Value.Data)
+	if err != nil {
+		return nil
+	}
+	return state.Releases
+}
+
+// withoutRetired leaves out the servers whose version has gone out of service: they end without a word.
+func withoutRetired(list []peer.Instance, releases []release.Release) []peer.Instance {
+	return lo.Reject(list, func(in peer.Instance, _ int) bool {
+		r := release.Of(releases, in.Service)
+		return r != nil && r.Retired(in.Version)
+	})
+}
+
 // readRelease tells how the newest release of a service stands.
 func (c *Controller) readRelease(service string, deadline time.Time) ([]byte, error) {
 	k, err := c.registers.Refresh(core.Weights, deadline)
--- a/controlplane/server/rollout.go
+++ b/controlplane/server/rollout.go
@@ -77,7 +77,7 @@
 	}
 	r.c.mu.Lock()
 	r.watch.Observe(r.c.now(), state.Lease)
-	live := r.c.table.Live()
+	live := withoutRetired(r.c.table.Live(), state.Releases)
 	r.c.mu.Unlock()
 	if !slices.ContainsFunc(live, func(in peer.Instance) bool { _, behind := state.Behind(&in, nil); return behind }) {
 		return
--- a/dataplane/canary/canary.go
+++ b/dataplane/canary/canary.go
@@ -18,8 +18,9 @@
 
 const (
 	// sentShare is the part of the share that a version may get while it is tried that is sent to it: every router draws for each
-	// request by itself, and the rest is for what chance adds over all.
-	sentShare = 0.8
+	// request by itself. The rest is for what chance adds over all, and for the requests of the moments after the target takes all,
+	// should it turn bad just then.
+	sentShare = 0.45
 	// unknownFor is how long servers of a version that was never seen before get nothing unless a release names it: word of servers may
 	// come before word of the order that they were started for.
 	unknownFor = 3 * time.Second
--- a/dataplane/canary/ledger.go
+++ b/dataplane/canary/ledger.go
@@ -26,10 +26,10 @@
 
 // The outcomes that say something about a server's version.
 const (
-	Whole  Outcome = iota // a whole answer with success
-	Failed                // a whole answer with a failure of the server's own
-	Broken                // it broke off
-	TimedOut              // it was not whole when its time was over
+	Whole    Outcome = iota // a whole answer with success
+	Failed                  // a whole answer with a failure of the server's own
+	Broken                  // it broke off
+	TimedOut                // it was not whole when its time was over
 )
 
 // Answer is one answer of a server.
@@ -154,7 +154,7 @@
 		return nil
 	}
 	list := slices.Clone(c.counts)
-	slices.SortFunc(list, func(a, b peer.RouteCounts) int { return cmp.Compare(a.Route, b.Route) })
+	slices.SortStableFunc(list, func(a, b peer.RouteCounts) int { return cmp.Compare(a.Route, b.Route) })
 	return list
 }
 
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -32,21 +32,23 @@
 )
 
 const (
-	pollWait      = time.Second
-	reportEvery   = 250 * time.Millisecond // while a release is under way
-	pollSlack     = 400 * time.Millisecond // beyond the wait, before a poll is given up
-	firstPoll     = 350 * time.Millisecond // a first poll is not held
-	failPause     = 100 * time.Millisecond
-	failOverWidth = 3                     // controllers that are asked at once when the one that was polled fails
-	returnEvery   = 10 * time.Second      // after which a router looks whether the controller that it prefers is fit again
-	firstPause    = 60 * time.Millisecond // until there is a configuration, at first
-	mostPause     = time.Second
-	firstMost     = 32 << 10                // bytes of a first configuration that every controller may send at once
-	pollMost      = 256 << 10               // bytes of a configuration that come with a held poll; a larger one is fetched by a call of its own
-	staleAfter    = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
-	refreshBefore = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
-	tombstoneKeep = time.Minute
-	missingBeats  = 4 // heartbeats after which a server that no controller knows of is forgotten
+	pollWait    = time.Second
+	reportEvery = 250 * time.Millisecond // while a release is under way
+	// reportSwitching is the same while every request goes to the new version.
+	reportSwitching = 120 * time.Millisecond
+	pollSlack       = 400 * time.Millisecond // beyond the wait, before a poll is given up
+	firstPoll       = 350 * time.Millisecond // a first poll is not held
+	failPause       = 100 * time.Millisecond
+	failOverWidth   = 3                     // controllers that are asked at once when the one that was polled fails
+	returnEvery     = 10 * time.Second      // after which a router looks whether the controller that it prefers is fit again
+	firstPause      = 60 * time.Millisecond // until there is a configuration, at first
+	mostPause       = time.Second
+	firstMost       = 32 << 10                // bytes of a first configuration that every controller may send at once
+	pollMost        = 256 << 10               // bytes of a configuration that come with a held poll; a larger one is fetched by a call of its own
+	staleAfter      = 1200 * time.Millisecond // a controller that was confirmed longer ago has lost the others
+	refreshBefore   = 1000 * time.Millisecond // the lease on the configuration ends this long before revoke-ms
+	tombstoneKeep   = time.Minute
+	missingBeats    = 4 // heartbeats after which a server that no controller knows of is forgotten
 )
 
 // Snapshot is the state at one moment, with the moment at which its configuration was known to be in force. It never changes: whoever
@@ -186,8 +188,13 @@
 // report polls the controller that this router stays with, and tells it of the releases that are under way.
 func (f *Follower) report(at quorum.Member) (*peer.PollReply, error) {
 	wait := pollWait
-	if slices.ContainsFunc(f.Snapshot().Releases, func(r release.Release) bool { return r.Active() }) {
-		wait = reportEvery
+	for _, r := range f.Snapshot().Releases {
+		switch r.Phase {
+		case release.Running:
+			wait = min(wait, reportEvery)
+		case release.Switching:
+			wait = min(wait, reportSwitching)
+		}
 	}
 	in := f.message(wait, pollMost)
 	if f.reporter != nil {
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -53,7 +53,7 @@
 		standing := p.standing(t, steady)
 		server := placement.Server{
 			ID: t.instance.ID, Address: t.instance.Address, Zone: t.instance.Zone, Standing: standing,
-			Source: standing <= outlier.Busy && !retired(current, t.instance.Version),
+			Source: standing <= outlier.Busy && (current == nil || !current.Retired(t.instance.Version)),
 			Target: !r.tried[t.instance.ID] && t.instance.State == registry.Ready && split.Admits(p.canaryServer(t, steady)),
 		}
 		if r.model != "" && r.service.Engine != nil {
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -64,11 +64,6 @@
 	return current != nil && current.Phase == release.Switching && t.instance.Version != current.Target
 }
 
-// retired tells whether a server's version has gone out of service: it may end at any moment.
-func retired(current *release.Release, version string) bool {
-	return current != nil && current.Phase == release.Completed && version != current.Target
-}
-
 // followReleases begins and ends the counting for releases, and notes the versions of servers. The lock is held.
 func (p *Proxy) followReleases(s *follower.Snapshot) {
 	steady := p.now()
