Releases: few failures show too, finer ranges of time, moves told by every member

Change: a test for few failures, ranges of time of 1.35 in place of 1.5, versions on trial carry no less a server than those in service, releases that move on are logged by every member.

--- a/controlplane/release/evidence.go
+++ b/controlplane/release/evidence.go
@@ -15,16 +15,15 @@
 const (
 	// Answers of the version in service are looked at over two times, and what is worse of both counts: over the short one trouble of
 	// the whole fleet shows as soon as at the target, over the long one there is enough of them.
-	shortOver  = 700 * time.Millisecond
-	longOver   = 4 * time.Second
-	allRoutes  = ""  // the key of what is counted over all routes
-	doubtShare = 0.4 // of a test's limit, from which a release does not go on before the test has decided
+	shortOver = 700 * time.Millisecond
+	longOver  = 4 * time.Second
+	allRoutes = "" // the key of what is counted over all routes
 	// credited is how many good answers the version in service is credited with.
 	credited = 10.0
 	// leastTimed is how many timed answers of the version in service tell what is usual.
 	leastTimed  = 15.0
-	slowBuckets = 3 // ranges of time above the usual one from which an answer is slow: 3.4 times
-	lateBuckets = 5 // the same for the first event of a stream, which takes longer at a server that keeps little of a prompt: 7.6 times
+	slowBuckets = 3 // ranges of time above the usual one from which an answer is slow: 2.5 times
+	lateBuckets = 7 // the same for the first event of a stream, which takes longer at a server that keeps little of a prompt: 8 times
 )
 
 // badness is one way in which answers are bad, and when it condemns a version.
@@ -34,22 +33,26 @@
 	floor float64 // a share of the version in service's answers below this one counts as this one
 	rise  float64 // what is looked for: so large a share of the target's good answers has become bad
 	limit float64 // of the test: the logarithm of how often it is looked for in vain before a false verdict
+	doubt float64 // of the test, from which a release does not go on before the test has decided
 }
 
 var badnesses = [...]badness{
 	{"failures", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Failed), float64(c.Answers())
-	}, 0.03, 0.2, 7.6},
+	}, 0.03, 0.2, 7.6, 3.7},
+	{"failures, if few,", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
+		return float64(c.Failed), float64(c.Answers())
+	}, 0.005, 0.05, 11, 8},
 	{"broken answers", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Broken), float64(c.Answers())
-	}, 0.1, 0.25, 8},
+	}, 0.1, 0.25, 8, 3.2},
 	{"slow answers", func(c *peer.RouteCounts, slow limits) (bad, of float64) {
 		above, all := countAbove(c.Pace, slow.pace)
 		return above + float64(c.Late), all + float64(c.Late)
-	}, 0.05, 0.2, 7.6},
+	}, 0.05, 0.2, 7.6, 3.8},
 	{"late first events", func(c *peer.RouteCounts, slow limits) (bad, of float64) {
 		return countAbove(c.First, slow.first)
-	}, 0.08, 0.25, 9},
+	}, 0.08, 0.25, 9, 4},
 }
 
 // limits are the ranges of time above which answers are slow; peer.TimeBuckets: it is not known yet what is usual.
@@ -218,18 +221,22 @@
 }
 
 // Bad tells whether the target is worse than the version in service, and why.
-func (e *Evidence) Bad() (reason string, bad bool) { return e.reaches(1) }
+func (e *Evidence) Bad() (reason string, bad bool) {
+	return e.reaches(func(b *badness) float64 { return b.limit })
+}
 
 // Doubtful tells whether the target may be worse: a few answers more will tell.
-func (e *Evidence) Doubtful() (reason string, doubtful bool) { return e.reaches(doubtShare) }
+func (e *Evidence) Doubtful() (reason string, doubtful bool) {
+	return e.reaches(func(b *badness) float64 { return b.doubt })
+}
 
-// reaches tells which test has reached a share of its limit, in a fixed order.
-func (e *Evidence) reaches(share float64) (reason string, reached bool) {
+// reaches tells which test has reached a score, in a fixed order.
+func (e *Evidence) reaches(score func(b *badness) float64) (reason string, reached bool) {
 	for _, name := range slices.Sorted(maps.Keys(e.routes)) {
 		r := e.routes[name]
 		for kind := range badnesses {
 			s := r.tests[kind]
-			if s.score < share*badnesses[kind].limit {
+			if s.score < score(&badnesses[kind]) {
 				continue
 			}
 			where := "all routes"
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -199,6 +199,7 @@
 func (c *Controller) runReleases() {
 	ticker := time.NewTicker(releaseTick)
 	defer ticker.Stop()
+	var known []release.Release
 	for {
 		select {
 		case <-c.closed:
@@ -206,6 +207,8 @@
 		case <-ticker.C:
 		}
 		releases := c.noteReleases()
+		c.logReleases(known, releases)
+		known = releases
 		c.mu.Lock()
 		c.forgetReleases(releases)
 		c.mu.Unlock()
@@ -271,8 +274,19 @@
 		return s.WithReleases(next), nil
 	})
 	if err != nil {
-		return // the next tick decides again
+		c.log.Debug().Str("service", r.Service).Err(err).Msg("decision about a release is not known to be written") // the next tick sees
+	}
+}
+
+// logReleases tells of releases that have moved on, whichever member decided it.
+func (c *Controller) logReleases(before, now []release.Release) {
+	for i := range now {
+		r := &now[i]
+		known := release.Of(before, r.Service)
+		if known != nil && known.Number == r.Number && known.Phase == r.Phase {
+			continue
+		}
+		c.log.Info().Str("service", r.Service).Str("version", r.Target).Uint64("release", r.Number).Stringer("state", r.Phase).
+			Bool("switching", r.Phase == release.Switching).Str("reason", r.Reason).Dur("age-ms", c.releaseAge(r)).Msg("release")
 	}
-	c.log.Info().Str("service", r.Service).Str("version", r.Target).Uint64("release", r.Number).Stringer("state", decision.To).
-		Bool("switching", decision.To == release.Switching).Str("reason", decision.Reason).Dur("age-ms", c.releaseAge(r)).Msg("release")
 }
--- a/dataplane/canary/canary.go
+++ b/dataplane/canary/canary.go
@@ -217,7 +217,7 @@
 	return ok && s.query.Now-since >= unknownFor || len(s.known) <= 1
 }
 
-// trial gives the servers of the version on trial that carry its share: as few as bear each what a server in service bears, so that a
+// trial gives the servers of the version on trial that carry its share: as few as bear each no less than a server in service, so that a
 // version that is bad under load only shows it. All routers find the same ones, by rendezvous hash.
 func (s *Splitter) trial(q *Query) map[string]bool {
 	var ready, others []Server
@@ -239,7 +239,7 @@
 	slices.SortFunc(ready, func(a, b Server) int {
 		return cmp.Compare(directory.Weight(b.ID, q.Service), directory.Weight(a.ID, q.Service))
 	})
-	most := max(int(math.Ceil(s.trialShare(q.Now, q.Release, q.Routers)*float64(inService))), 1)
+	most := max(int(s.trialShare(q.Now, q.Release, q.Routers)*float64(inService)), 1)
 	chosen := map[string]bool{}
 	for _, server := range ready[:min(most, len(ready))] {
 		chosen[server.ID] = true
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -163,8 +163,8 @@
 
 // TimeBuckets is how many ranges of time answers are sorted into; each reaches timeRatio times as far as the one before.
 const (
-	TimeBuckets = 28
-	timeRatio   = 1.5
+	TimeBuckets = 36
+	timeRatio   = 1.35
 )
 
 // TimeBucket gives the range that a time lies in, from 0: up to a millisecond.
