Releases: hung requests and the first events of streams tell of slow versions

Requests given up for silence counted as broken by the version. Change: the ledger follows requests from their sending: one without a first event after a second counts as hung at once, a stream's pace is known after five events; what was given up here does not count as broken. A decision tells the counts it rests on.

--- a/controlplane/release/decide.go
+++ b/controlplane/release/decide.go
@@ -50,11 +50,11 @@
 		return nil
 	}
 	if reason, bad := s.Evidence.Bad(); bad {
-		return &Decision{RolledBack, reason}
+		return &Decision{RolledBack, reason + " (" + s.Evidence.String() + ")"}
 	}
 	if r.Phase == Switching {
 		if s.Ended || s.Age >= PlanOf(r.Deadline()).Complete {
-			return &Decision{Completed, "answers were as good as those of the version in service"}
+			return &Decision{Completed, "as good as the version in service: " + s.Evidence.String()}
 		}
 		return nil
 	}
@@ -70,7 +70,7 @@
 		if s.Age < plan.Doubt {
 			return nil
 		}
-		return &Decision{RolledBack, "not decided in time: " + reason}
+		return &Decision{RolledBack, "not decided in time: " + reason + " (" + s.Evidence.String() + ")"}
 	}
 	switch {
 	case s.Age >= r.Deadline():
@@ -78,5 +78,5 @@
 	case s.Target == 0 || float64(s.Target) < leastServers*float64(s.InService):
 		return &Decision{RolledBack, "too few servers of the version stand ready"}
 	}
-	return &Decision{Switching, "answers are as good as those of the version in service"}
+	return &Decision{Switching, "as good as the version in service: " + s.Evidence.String()}
 }
--- a/controlplane/release/evidence.go
+++ b/controlplane/release/evidence.go
@@ -22,7 +22,7 @@
 	credited = 10.0
 	// leastTimed is how many timed answers of the version in service tell what is usual.
 	leastTimed  = 15.0
-	slowBuckets = 3 // ranges of time above the usual one from which an answer is slow: 2.5 times
+	slowBuckets = 4 // ranges of time above the usual one from which an answer is slow: 3.3 times
 	lateBuckets = 7 // the same for the first event of a stream, which takes longer at a server that keeps little of a prompt: 8 times
 )
 
@@ -50,6 +50,9 @@
 		above, all := countAbove(c.Pace, slow.pace)
 		return above + float64(c.Late), all + float64(c.Late)
 	}, 0.05, 0.2, 7.6, 3.8},
+	{"hung requests", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
+		return float64(c.Hung), float64(c.Hung + c.Soon)
+	}, 0.05, 0.25, 9, 4},
 	{"late first events", func(c *peer.RouteCounts, slow limits) (bad, of float64) {
 		return countAbove(c.First, slow.first)
 	}, 0.08, 0.25, 9, 4},
@@ -190,6 +193,16 @@
 type Evidence struct {
 	number uint64
 	routes map[string]*routeEvidence
+
+	target, inService peer.RouteCounts // in all
+}
+
+// String sums up what is known, for the log.
+func (e *Evidence) String() string {
+	told := func(c *peer.RouteCounts) string {
+		return fmt.Sprintf("%d answers, %d failed, %d broken, %d late, %d hung", c.Answers(), c.Failed, c.Broken, c.Late, c.Hung)
+	}
+	return "target: " + told(&e.target) + "; in service: " + told(&e.inService)
 }
 
 // Take adds answers to what is known of the release with the given number; what was known of another one is dropped.
@@ -199,12 +212,14 @@
 	}
 	for i := range counts {
 		if !counts[i].Target {
+			e.inService.Add(&counts[i])
 			e.route(now, counts[i].Route).takeInService(now, &counts[i])
 			e.route(now, allRoutes).takeInService(now, &counts[i])
 		}
 	}
 	for i := range counts {
 		if counts[i].Target {
+			e.target.Add(&counts[i])
 			e.route(now, counts[i].Route).takeTarget(&counts[i])
 			e.route(now, allRoutes).takeTarget(&counts[i])
 		}
--- a/dataplane/canary/canary_test.go
+++ b/dataplane/canary/canary_test.go
@@ -131,41 +131,72 @@
 	must.Eq(t, 3, both)
 }
 
-func answer(route string, target bool, pace time.Duration) *Answer {
-	return &Answer{Service: "llm", Route: route, Target: target, Outcome: Whole, Pace: pace}
+// play has the ledger follow one request: when each event came, when it ended and how.
+func play(l *Ledger, route string, target bool, end time.Duration, outcome Outcome, events ...time.Duration) {
+	a := &Attempt{Service: "llm", Route: route, Target: target}
+	l.Begin(time.Minute, a)
+	for _, at := range events {
+		l.Event(time.Minute+at, a, 1)
+	}
+	l.End(time.Minute+end, a, outcome)
 }
 
 func TestLedgerCountsAnswers(t *testing.T) {
+	const ms = time.Millisecond
 	l := NewLedger()
-	l.Note(answer("r", false, 100*time.Millisecond))
-	must.SliceEmpty(t, l.Counts("llm"), must.Sprint("no release is under way"))
+	play(l, "r", false, 100*ms, Whole)
+	must.SliceEmpty(t, l.Counts(time.Hour, "llm"), must.Sprint("no release is under way"))
 	l.Follow("llm", 1)
-	l.Note(answer("r", true, time.Millisecond))
-	l.Note(answer("r", false, 3*time.Millisecond))
-	l.Note(&Answer{Service: "llm", Route: "r", Target: true, Outcome: Whole, First: 2 * time.Millisecond})
-	l.Note(&Answer{Service: "llm", Route: "r", Target: true, Outcome: Failed})
-	l.Note(&Answer{Service: "llm", Route: "r", Target: true, Outcome: Broken})
-	l.Note(&Answer{Service: "llm", Route: "r", Target: true, Outcome: TimedOut})
-	told := l.Counts("llm")
+	play(l, "r", true, ms, Whole)
+	play(l, "r", true, 6*ms, Whole, ms, 3*ms) // two events of a stream
+	play(l, "r", true, 2*time.Second, Failed)
+	play(l, "r", true, ms, Broken)
+	play(l, "r", true, 3*time.Second, TimedOut)
+	play(l, "r", true, ms, Unknown)
+	play(l, "r", false, ms, Whole)
+	told := l.Counts(time.Hour, "llm")
 	must.Eq(t, []peer.RouteCounts{
-		{Route: "r", Target: true, Good: 2, Late: 1, Failed: 1, Broken: 1, Pace: []int{1}, First: []int{0, 0, 0, 1}},
-		{Route: "r", Good: 1, Pace: []int{0, 0, 0, 0, 1}},
+		{Route: "r", Target: true, Good: 2, Late: 1, Failed: 1, Broken: 1, Soon: 3, Hung: 2, First: []int{1}, Pace: told[0].Pace},
+		{Route: "r", Good: 1, Soon: 1, Pace: []int{1}},
 	}, told)
 
-	l.Note(answer("r", true, time.Millisecond))
+	play(l, "r", true, ms, Whole)
 	l.Told("llm", 1, told)
-	left := l.Counts("llm")
+	left := l.Counts(time.Hour, "llm")
 	must.Len(t, 1, left, must.Sprint("what came meanwhile is left"))
 	must.Eq(t, 1, left[0].Good)
-	must.Eq(t, []int{1}, left[0].Pace)
+	must.Eq(t, 1, left[0].Pace[0])
 	l.Told("llm", 2, told)
-	must.Len(t, 1, l.Counts("llm"), must.Sprint("of another release"))
+	must.Len(t, 1, l.Counts(time.Hour, "llm"), must.Sprint("of another release"))
 	for i := range 100 {
-		l.Note(answer(fmt.Sprint("many", i), true, 0))
+		play(l, fmt.Sprint("many", i), true, ms, Whole)
 	}
-	must.LessEq(t, 2*mostRoutes+1, len(l.Counts("llm")))
+	must.LessEq(t, 2*mostRoutes+1, len(l.Counts(time.Hour, "llm")))
 	l.Forget("llm")
-	must.SliceEmpty(t, l.Counts("llm"))
+	must.SliceEmpty(t, l.Counts(time.Hour, "llm"))
+	must.MapEmpty(t, l.open)
+}
+
+// What is slow shows before it has ended: a request without a first event after a second, a stream by its first events.
+func TestSlowAttemptsShowBeforeTheyEnd(t *testing.T) {
+	l := NewLedger()
+	l.Follow("llm", 1)
+	silent, stream := &Attempt{Service: "llm", Route: "r", Target: true}, &Attempt{Service: "llm", Route: "r", Target: true}
+	l.Begin(0, silent)
+	l.Begin(0, stream)
+	for i := range paceAfter {
+		l.Event(time.Duration(i+1)*100*time.Millisecond, stream, 1)
+	}
+	counts := l.Counts(2*time.Second, "llm")
+	must.Eq(t, 1, counts[0].Hung)
+	must.Eq(t, 1, counts[0].Soon)
+	must.Eq(t, 0, counts[0].Good)
+	must.Eq(t, 1, counts[0].Pace[peer.TimeBucket(100*time.Millisecond)])
+	l.End(3*time.Second, silent, Unknown)
+	l.End(3*time.Second, stream, Whole)
+	counts = l.Counts(3*time.Second, "llm")
+	must.Eq(t, 1, counts[0].Hung, must.Sprint("counted once"))
+	must.Eq(t, 1, counts[0].Good)
 }
 
 // Requests on rare routes are drawn more often, and all of them together no more often for it.
--- a/dataplane/canary/ledger.go
+++ b/dataplane/canary/ledger.go
@@ -25,8 +25,29 @@
 	Failed                  // a whole answer with a failure of the server's own
 	Broken                  // it broke off
 	TimedOut                // it was not whole when its time was over
+	Unknown                 // it was ended from here, or there was none
 )
 
+const (
+	// soon is how long after a request was sent its first event, or its whole answer, is to be there: what does not come is not counted
+	// as slow before it has come, and that would be too late.
+	soon = time.Second
+	// paceAfter is how many events tell the pace of a stream.
+	paceAfter = 5
+)
+
+// Attempt is one request on its way at a server, as far as the ledger follows it.
+type Attempt struct {
+	Service string
+	Route   string
+	Target  bool          // at a server of the version on trial
+	sent    time.Duration // when
+	first   time.Duration // when the first event came; 0: none did
+	events  int
+	started bool // counted as Soon or Hung
+	paced   bool // its pace is counted
+}
+
 // Answer is one answer of a server.
 type Answer struct {
 	Service string
@@ -34,7 +55,7 @@
 	Target  bool // of a server of the version on trial
 	Outcome Outcome
 	First   time.Duration // to the first event of a stream, from the sending; 0: no stream
-	Pace    time.Duration // between events of a stream, at the mean, or the duration of an answer that is none; 0: not known
+	Pace    time.Duration // between events of a stream, at the mean, or the duration of an answer that is none; 0: not known, or counted
 }
 
 // counted is what was counted of a release.
@@ -46,10 +67,13 @@
 // Ledger counts answers while releases are under way.
 type Ledger struct {
 	releases map[string]*counted // by service: of the release under way
+	open     map[*Attempt]bool
 }
 
 // NewLedger makes a ledger.
-func NewLedger() *Ledger { return &Ledger{releases: map[string]*counted{}} }
+func NewLedger() *Ledger {
+	return &Ledger{releases: map[string]*counted{}, open: map[*Attempt]bool{}}
+}
 
 // Follow begins to count for a release that is under way; what was counted for another one of the service is dropped.
 func (l *Ledger) Follow(service string, number uint64) {
@@ -61,6 +85,86 @@
 // Forget ends the counting for a service.
 func (l *Ledger) Forget(service string) { delete(l.releases, service) }
 
+// Begin follows a request that is sent to a server.
+func (l *Ledger) Begin(now time.Duration, a *Attempt) {
+	a.sent = now
+	l.open[a] = true
+}
+
+// Event notes events of an attempt's stream.
+func (l *Ledger) Event(now time.Duration, a *Attempt, events int) {
+	if a.first == 0 {
+		a.first = now
+		l.start(now, a)
+	}
+	a.events += events
+	if !a.paced && a.events >= paceAfter {
+		l.pace(now, a)
+	}
+}
+
+// Drop ends the following of an attempt.
+func (l *Ledger) Drop(a *Attempt) { delete(l.open, a) }
+
+// End notes how an attempt ended. One that says nothing of its server's version is only forgotten.
+func (l *Ledger) End(now time.Duration, a *Attempt, outcome Outcome) {
+	l.Drop(a)
+	if outcome != Unknown || a.first == 0 && now-a.sent > soon {
+		l.start(now, a)
+	}
+	if outcome == Unknown {
+		return
+	}
+	answer := Answer{Service: a.Service, Route: a.Route, Target: a.Target, Outcome: outcome}
+	if a.first > 0 {
+		answer.First = a.first - a.sent
+	}
+	if !a.paced {
+		l.pace(now, a)
+	}
+	l.Note(&answer)
+}
+
+// pace counts the pace of an attempt's stream, or the duration of an answer that is none.
+func (l *Ledger) pace(now time.Duration, a *Attempt) {
+	a.paced = true
+	c := l.releases[a.Service]
+	if c == nil {
+		return
+	}
+	pace := now - a.sent
+	if a.first > 0 {
+		if a.events < 2 {
+			return
+		}
+		pace = (now - a.first) / time.Duration(a.events-1)
+	}
+	peer.CountTime(&c.of(a.Route, a.Target).Pace, max(pace, 1))
+}
+
+// start counts whether an attempt has brought something soon.
+func (l *Ledger) start(now time.Duration, a *Attempt) {
+	c := l.releases[a.Service]
+	if a.started || c == nil {
+		return
+	}
+	a.started = true
+	if counts := c.of(a.Route, a.Target); now-a.sent <= soon {
+		counts.Soon++
+	} else {
+		counts.Hung++
+	}
+}
+
+// countHung counts the attempts that have brought nothing for too long.
+func (l *Ledger) countHung(now time.Duration) {
+	for a := range l.open {
+		if a.first == 0 && now-a.sent > soon {
+			l.start(now, a)
+		}
+	}
+}
+
 // Note takes an answer.
 func (l *Ledger) Note(a *Answer) {
 	c := l.releases[a.Service]
@@ -101,7 +205,8 @@
 }
 
 // Counts lists what was counted for a release and not yet told.
-func (l *Ledger) Counts(service string) []peer.RouteCounts {
+func (l *Ledger) Counts(now time.Duration, service string) []peer.RouteCounts {
+	l.countHung(now)
 	c := l.releases[service]
 	if c == nil {
 		return nil
@@ -125,5 +230,5 @@
 		counts := c.of(told[i].Route, told[i].Target)
 		*counts = counts.Less(&told[i])
 	}
-	c.counts = slices.DeleteFunc(c.counts, func(x peer.RouteCounts) bool { return x.Answers() == 0 })
+	c.counts = slices.DeleteFunc(c.counts, func(x peer.RouteCounts) bool { return x.IsZero() })
 }
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -23,7 +23,8 @@
 	body   []byte      // whole, where the answer is no stream
 	stream *bodyReader // where it is one
 	conn   *serverConn
-	odd    bool // the connection must not be used again
+	odd    bool  // the connection must not be used again
+	err    error // that ended the reading of the head
 }
 
 // send writes the request to a server and reads the answer: its head, and its body unless that is a stream.
@@ -60,7 +61,7 @@
 // readAnswer reads the head of the request's own answer, past surplus ones to earlier requests, and the body where it is no stream.
 func (p *Proxy) readAnswer(r *request, to *routed, a *reply) attempt.Outcome {
 	if !p.readOwnHead(r, a) {
-		to.withdrawn = !to.beginBy.IsZero() && !time.Now().Before(to.beginBy)
+		to.gaveUp = isTimeout(a.err)
 		return p.failAttempt(r, to, a)
 	}
 	p.byteCame(to.target)
@@ -84,7 +85,7 @@
 // passed over leaves the connection unfit for another request.
 func (p *Proxy) readOwnHead(r *request, a *reply) bool {
 	for range maxSurplus + 1 {
-		if p.readHead(a) != nil {
+		if a.err = p.readHead(a); a.err != nil {
 			return false
 		}
 		owner := ownerOf(&a.header, r.id, a.conn.kept())
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -9,6 +9,7 @@
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/registry"
 	"moleshift/controlplane/release"
+	"moleshift/dataplane/canary"
 	"moleshift/dataplane/outlier"
 	"moleshift/dataplane/placement"
 )
@@ -16,13 +17,10 @@
 // routed is a request on its way to a server.
 type routed struct {
 	placement.Placement
-	target    *target
-	sentAt    time.Duration // steady clock of the proxy
-	firstAt   time.Duration // when the first event of a stream came; 0: none did
-	lastAt    time.Duration // when the last one did
-	events    int           // of a stream, so far
-	beginBy   time.Time     // the request is withdrawn where it has not begun by then
-	withdrawn bool          // it was
+	target  *target
+	sentAt  time.Duration // steady clock of the proxy
+	attempt canary.Attempt
+	gaveUp  bool // nothing came for so long that it was not waited for any more
 }
 
 // choose places a request; nil: there is no server for it.
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -264,6 +264,7 @@
 	p.placed.note(&to.Placement)
 	p.placer.Sent(&to.Placement)
 	t.state.Sent(p.now())
+	p.beginAttempt(r, to)
 	return true
 }
 
@@ -272,6 +273,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Ended(&to.Placement)
+	p.ledger.Drop(&to.attempt)
 	to.target.state.Ended()
 }
 
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -84,44 +84,42 @@
 	}
 }
 
-// noteAnswer has a server's answer counted.
-func (p *Proxy) noteAnswer(r *request, to *routed, outcome attempt.Outcome) {
-	answer := canary.Answer{Service: r.service.Name, Route: r.route.Name}
-	switch outcome {
-	case attempt.Done:
-		answer.Outcome = canary.Whole
-	case attempt.Failed:
-		answer.Outcome = canary.Failed
-	case attempt.Broken:
-		switch {
-		case r.Gone() || r.isExpired() || to.withdrawn:
-			return // it was ended from here
-		case r.over(r.deadline):
-			answer.Outcome = canary.TimedOut
-		default:
-			answer.Outcome = canary.Broken
-		}
-	default:
+// beginAttempt has the ledger follow a request that is sent to a server. The lock is held.
+func (p *Proxy) beginAttempt(r *request, to *routed) {
+	to.attempt = canary.Attempt{Service: r.service.Name, Route: r.route.Name}
+	if current := release.Of(p.follow().Releases, r.service.Name); current != nil {
+		to.attempt.Target = to.target.instance.Version == current.Target
+	}
+	p.ledger.Begin(p.now(), &to.attempt)
+}
+
+// noteEvents tells the ledger of events of a stream.
+func (p *Proxy) noteEvents(to *routed, events int) {
+	if events == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if current := release.Of(p.follow().Releases, answer.Service); current != nil {
-		answer.Target = to.target.instance.Version == current.Target
-	}
-	answer.First, answer.Pace = to.times(p.now())
-	p.ledger.Note(&answer)
+	p.ledger.Event(p.now(), &to.attempt, events)
 }
 
-// times gives how long the first event of a stream took and the mean time between its events, or how long an answer that is none took.
-func (to *routed) times(now time.Duration) (first, pace time.Duration) {
-	if to.firstAt == 0 {
-		return 0, now - to.sentAt
-	}
-	if to.events > 1 {
-		pace = (to.lastAt - to.firstAt) / time.Duration(to.events-1)
+// noteAnswer tells the ledger how a request ended at a server.
+func (p *Proxy) noteAnswer(r *request, to *routed, outcome attempt.Outcome) {
+	ended := canary.Unknown
+	switch {
+	case outcome == attempt.Done:
+		ended = canary.Whole
+	case outcome == attempt.Failed:
+		ended = canary.Failed
+	case outcome != attempt.Broken || r.Gone() || r.isExpired() || to.gaveUp:
+	case r.over(r.deadline):
+		ended = canary.TimedOut
+	default:
+		ended = canary.Broken
 	}
-	return to.firstAt - to.sentAt, pace
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ledger.End(p.now(), &to.attempt, ended)
 }
 
 // ReleaseReports tells what the controllers are to know of the releases that are under way.
@@ -140,7 +138,7 @@
 			}
 		}
 		reports = append(reports, peer.ReleaseReport{
-			Service: r.Service, Number: r.Number, Phase: int(r.Phase), Open: open, Counts: p.ledger.Counts(r.Service),
+			Service: r.Service, Number: r.Number, Phase: int(r.Phase), Open: open, Counts: p.ledger.Counts(p.now(), r.Service),
 		})
 	}
 	return reports
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -144,7 +144,6 @@
 		return limit
 	}
 	if by := p.beginBy(r, to.Version, now); by.Before(limit) {
-		to.beginBy = by
 		return by
 	}
 	return limit
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -73,9 +73,6 @@
 func (p *Proxy) pieceCame(r *request, s *stream) {
 	s.silentFrom = time.Now()
 	p.byteCame(s.to.target)
-	if s.to.lastAt = p.now(); s.to.firstAt == 0 {
-		s.to.firstAt = s.to.lastAt
-	}
 	if !s.begun {
 		s.begun = true
 		p.promptRead(r, s.to)
@@ -86,7 +83,7 @@
 func (p *Proxy) passPiece(r *request, s *stream, piece []byte) bool {
 	s.events.pending = append(s.events.pending, piece...)
 	whole := s.events.whole()
-	s.to.events += bytes.Count(whole, []byte("\n\n"))
+	p.noteEvents(s.to, bytes.Count(whole, []byte("\n\n")))
 	if whole != nil && !p.passEvents(r, s, whole) {
 		return false
 	}
@@ -145,11 +142,13 @@
 	}
 	if outcome != attempt.Done {
 		p.learn(r, to, a, outcome)
+		p.noteAnswer(r, to, outcome)
 		r.state.NotTakenOver(outcome)
 		p.logOutcome(r, to, outcome, attempt.Stay)
 		return
 	}
 	r.state.TakenOver()
+	p.noteAnswer(r, s.to, attempt.NotSent) // it was left: that says nothing of its server
 	p.logOutcome(r, s.to, outcome, attempt.Resume)
 	p.endAttempt(r, s.to, s.reply.conn, false)
 	if purpose == admission.Rescue {
--- a/lab/releases/releases.go
+++ b/lab/releases/releases.go
@@ -79,10 +79,11 @@
 
 // arrival is an answer on its way to a router.
 type arrival struct {
-	at     time.Duration
-	router *router
-	answer canary.Answer
-	bad    bool
+	at      time.Duration
+	router  *router
+	attempt canary.Attempt
+	outcome canary.Outcome
+	bad     bool
 }
 
 // told is a report on its way to whoever decides.
@@ -117,7 +118,7 @@
 	now       time.Duration // since the order
 	release   release.Release
 	evidence  release.Evidence
-	arrivals  []arrival
+	arrivals  []*arrival
 	reports   []told
 	badServed []time.Duration // when the target gave bad answers
 	atTarget  []time.Duration // when requests were sent to it
@@ -228,19 +229,20 @@
 	name := fmt.Sprint("r", route)
 	r.splitter.Request(p.now, service, name)
 	toTarget := r.phase == release.Switching || r.phase == release.Completed || r.splitter.Draw(p.now, &known, name, len(p.routers))
-	a := canary.Answer{Service: service, Route: name, Target: toTarget}
-	a.Pace = time.Duration(float64(100*time.Millisecond) * (0.5 + p.random.ExpFloat64()/2))
-	bad := false
+	a := &arrival{router: r, attempt: canary.Attempt{Service: service, Route: name, Target: toTarget}}
+	takes := time.Duration(float64(100*time.Millisecond) * (0.5 + p.random.ExpFloat64()/2))
 	if toTarget {
 		p.atTarget = append(p.atTarget, p.now)
-		bad = p.isBad(route)
+		a.bad = p.isBad(route)
 	}
-	if bad {
-		p.spoil(&a)
+	if a.bad {
+		takes = p.spoil(a, takes)
 	} else if p.random.Float64() < p.usualBad || p.now >= p.troubled[0] && p.now < p.troubled[1] && p.random.Float64() < 0.3 {
-		a.Outcome = canary.Failed
+		a.outcome = canary.Failed
 	}
-	p.arrivals = append(p.arrivals, arrival{p.now + a.Pace, r, a, bad})
+	a.at = p.now + takes
+	r.ledger.Begin(p.now, &a.attempt)
+	p.arrivals = append(p.arrivals, a)
 }
 
 // isBad draws whether the target answers a request badly.
@@ -251,16 +253,17 @@
 	return p.random.Float64() < p.badShare
 }
 
-// spoil makes an answer a bad one of the kind that is played.
-func (p *play) spoil(a *canary.Answer) {
+// spoil makes an answer a bad one of the kind that is played, and gives how long it takes.
+func (p *play) spoil(a *arrival, takes time.Duration) time.Duration {
 	switch p.options.Kind {
 	case Slow:
-		a.Pace = time.Duration(float64(a.Pace) * p.slowBy)
+		return time.Duration(float64(takes) * p.slowBy)
 	case BreaksOff:
-		a.Outcome = canary.Broken
+		a.outcome = canary.Broken
 	default:
-		a.Outcome = canary.Failed
+		a.outcome = canary.Failed
 	}
+	return takes
 }
 
 // takeAnswers has routers note the answers that are there by now.
@@ -271,7 +274,7 @@
 			left = append(left, a)
 			continue
 		}
-		a.router.ledger.Note(&a.answer)
+		a.router.ledger.End(p.now, &a.attempt, a.outcome)
 		if a.bad {
 			p.badServed = append(p.badServed, p.now)
 		}
@@ -290,7 +293,7 @@
 			each, way = reportSoon, wayMostNow
 		}
 		r.report = p.now + each
-		if counts := r.ledger.Counts(service); len(counts) > 0 {
+		if counts := r.ledger.Counts(p.now, service); len(counts) > 0 {
 			r.ledger.Told(service, 1, counts)
 			p.reports = append(p.reports, told{p.now + 10*time.Millisecond + time.Duration(p.random.Int64N(int64(way))), counts})
 		}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -154,6 +154,8 @@
 	Target bool   `msg:"t"`
 	Good   int    `msg:"g"`
 	Late   int    `msg:"s"` // not whole when their time was over
+	Soon   int    `msg:"n"` // requests that brought a first event, or a whole answer, within the second
+	Hung   int    `msg:"h"` // requests that did not
 	Failed int    `msg:"f"` // whole answers with a failure of the server's own
 	Broken int    `msg:"b"` // answers that broke off
 
@@ -206,12 +208,20 @@
 func (c *RouteCounts) Add(other *RouteCounts) {
 	c.Good += other.Good
 	c.Late += other.Late
+	c.Soon += other.Soon
+	c.Hung += other.Hung
 	c.Failed += other.Failed
 	c.Broken += other.Broken
 	c.First = addTimes(c.First, other.First, 1)
 	c.Pace = addTimes(c.Pace, other.Pace, 1)
 }
 
+// IsZero tells whether nothing was counted.
+func (c *RouteCounts) IsZero() bool {
+	counted := func(n int) bool { return n != 0 }
+	return c.Answers()+c.Soon+c.Hung == 0 && !slices.ContainsFunc(c.Pace, counted)
+}
+
 // Answers is how many answers came, of whatever kind.
 func (c *RouteCounts) Answers() int { return c.Good + c.Late + c.Failed + c.Broken }
 
@@ -219,6 +229,8 @@
 func (c RouteCounts) Less(other *RouteCounts) RouteCounts {
 	c.Good -= other.Good
 	c.Late -= other.Late
+	c.Soon -= other.Soon
+	c.Hung -= other.Hung
 	c.Failed -= other.Failed
 	c.Broken -= other.Broken
 	c.First = addTimes(c.First, other.First, -1)
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -2795,9 +2795,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RouteCounts) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "r"
-	o = append(o, 0x88, 0xa1, 0x72)
+	o = append(o, 0x8a, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Route)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -2808,6 +2808,12 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Late)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt(o, z.Soon)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.Hung)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendInt(o, z.Failed)
@@ -2871,6 +2877,18 @@
 				err = msgp.WrapError(err, "Late")
 				return
 			}
+		case "n":
+			z.Soon, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Soon")
+				return
+			}
+		case "h":
+			z.Hung, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hung")
+				return
+			}
 		case "f":
 			z.Failed, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2935,7 +2953,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RouteCounts) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize + (len(z.First) * (msgp.IntSize)) + 2 + msgp.ArrayHeaderSize + (len(z.Pace) * (msgp.IntSize))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize + (len(z.First) * (msgp.IntSize)) + 2 + msgp.ArrayHeaderSize + (len(z.Pace) * (msgp.IntSize))
 	return
 }
 
