Releases: when all requests go to cold servers, pace condemns nobody; two on trial

Change: pace and first events are compared only while most requests go to the version in service; at least two servers are on trial; servers are described to the split only where it asks for them.

--- a/controlplane/release/decide.go
+++ b/controlplane/release/decide.go
@@ -49,7 +49,7 @@
 	if !r.Active() {
 		return nil
 	}
-	if reason, bad := s.Evidence.Bad(); bad {
+	if reason, bad := s.Evidence.Bad(r.Phase); bad {
 		return &Decision{RolledBack, reason + " (" + s.Evidence.String() + ")"}
 	}
 	if r.Phase == Switching {
--- a/controlplane/release/evidence.go
+++ b/controlplane/release/evidence.go
@@ -34,28 +34,32 @@
 	rise  float64 // what is looked for: so large a share of the target's good answers has become bad
 	limit float64 // of the test: the logarithm of how often it is looked for in vain before a false verdict
 	doubt float64 // of the test, from which a release does not go on before the test has decided
+
+	// beside tells that the test holds only while most requests go to the version in service: once all go to servers that keep nothing of
+	// any prompt, those read more, and every answer is slower.
+	beside bool
 }
 
 var badnesses = [...]badness{
 	{"failures", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Failed), float64(c.Answers())
-	}, 0.03, 0.2, 7.6, 3.7},
+	}, 0.03, 0.2, 7.6, 3.7, false},
 	{"failures, if few,", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Failed), float64(c.Answers())
-	}, 0.005, 0.05, 11, 8},
+	}, 0.005, 0.05, 11, 8, false},
 	{"broken answers", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Broken), float64(c.Answers())
-	}, 0.1, 0.25, 8, 3.2},
+	}, 0.1, 0.25, 8, 3.2, false},
 	{"slow answers", func(c *peer.RouteCounts, slow limits) (bad, of float64) {
 		above, all := countAbove(c.Pace, slow.pace)
 		return above + float64(c.Late), all + float64(c.Late)
-	}, 0.05, 0.2, 7.6, 3.8},
+	}, 0.05, 0.25, 8.5, 3.8, true},
 	{"hung requests", func(c *peer.RouteCounts, _ limits) (bad, of float64) {
 		return float64(c.Hung), float64(c.Hung + c.Soon)
-	}, 0.05, 0.25, 9, 4},
+	}, 0.05, 0.25, 9, 4, false},
 	{"late first events", func(c *peer.RouteCounts, slow limits) (bad, of float64) {
 		return countAbove(c.First, slow.first)
-	}, 0.08, 0.25, 9, 4},
+	}, 0.08, 0.3, 9, 4.5, true},
 }
 
 // limits are the ranges of time above which answers are slow; peer.TimeBuckets: it is not known yet what is usual.
@@ -236,8 +240,13 @@
 }
 
 // Bad tells whether the target is worse than the version in service, and why.
-func (e *Evidence) Bad() (reason string, bad bool) {
-	return e.reaches(func(b *badness) float64 { return b.limit })
+func (e *Evidence) Bad(phase Phase) (reason string, bad bool) {
+	return e.reaches(func(b *badness) float64 {
+		if b.beside && phase != Running {
+			return math.Inf(1)
+		}
+		return b.limit
+	})
 }
 
 // Doubtful tells whether the target may be worse: a few answers more will tell.
--- a/dataplane/canary/canary.go
+++ b/dataplane/canary/canary.go
@@ -27,6 +27,8 @@
 	spentSlack = 0.8
 	// rateOver is the time over which a router's requests are averaged.
 	rateOver = 4 * time.Second
+	// leastServers carry what a version gets while it is tried, where there are so many: one may be slow by itself.
+	leastServers = 2
 	// leastCounted is the mean of requests from which a route is counted.
 	leastCounted = 0.01
 	// unknownFor is how long servers of a version that was never seen before get nothing unless a release names it: word of servers may
@@ -170,7 +172,12 @@
 	Heard   time.Duration    // how long ago the controllers were heard
 	Routers int              // that send requests, this one included
 	Trial   bool             // the request is part of the share of the version on trial
-	Servers []Server
+	Servers []Server         // where NeedsServers tells that they are wanted
+}
+
+// NeedsServers tells whether the servers of the service are wanted in a query.
+func (q *Query) NeedsServers() bool {
+	return q.Release != nil && (q.Release.Phase == release.Completed || q.Release.Phase == release.Running && q.Trial)
 }
 
 // Split tells which servers of a service a request may go to.
@@ -198,22 +205,22 @@
 }
 
 // Admits tells whether the request may go to a server.
-func (s *Split) Admits(server Server) bool {
+func (s *Split) Admits(id, version string) bool {
 	r := s.query.Release
 	if len(s.trial) > 0 {
-		return s.trial[server.ID]
+		return s.trial[id]
 	}
 	if r != nil && s.only {
-		if !r.InService(server.Version) {
+		if !r.InService(version) {
 			return false
 		}
-		if server.Version == r.Target {
+		if version == r.Target {
 			return true
 		}
-	} else if r != nil && slices.Contains(r.Barred, server.Version) {
+	} else if r != nil && slices.Contains(r.Barred, version) {
 		return false
 	}
-	since, ok := s.known[server.Version]
+	since, ok := s.known[version]
 	return ok && s.query.Now-since >= unknownFor || len(s.known) <= 1
 }
 
@@ -239,7 +246,7 @@
 	slices.SortFunc(ready, func(a, b Server) int {
 		return cmp.Compare(directory.Weight(b.ID, q.Service), directory.Weight(a.ID, q.Service))
 	})
-	most := max(int(s.trialShare(q.Now, q.Release, q.Routers)*float64(inService)), 1)
+	most := max(int(s.trialShare(q.Now, q.Release, q.Routers)*float64(inService)), leastServers)
 	chosen := map[string]bool{}
 	for _, server := range ready[:min(most, len(ready))] {
 		chosen[server.ID] = true
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -52,7 +52,7 @@
 		server := placement.Server{
 			ID: t.instance.ID, Address: t.instance.Address, Zone: t.instance.Zone, Standing: standing,
 			Source: standing <= outlier.Busy && (current == nil || !current.Retired(t.instance.Version)),
-			Target: !r.tried[t.instance.ID] && t.instance.State == registry.Ready && split.Admits(p.canaryServer(t, steady)),
+			Target: !r.tried[t.instance.ID] && t.instance.State == registry.Ready && split.Admits(t.instance.ID, t.instance.Version),
 		}
 		if r.model != "" && r.service.Engine != nil {
 			server.Version = max(t.version(r.model), 1)
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -26,7 +26,7 @@
 		r.drawn, r.trial = true, p.splitter.Draw(steady, query.Release, r.route.Name, query.Routers)
 	}
 	query.Trial = r.trial && len(r.tried) == 0
-	if query.Release != nil {
+	if query.NeedsServers() {
 		for _, t := range p.services[service] {
 			query.Servers = append(query.Servers, p.canaryServer(t, steady))
 		}
