Releases: services with few requests try a version on more of them

Change: the share on trial is what bound, slack, traffic and deadline leave, up to a quarter of the requests; an answer is slow from 2.5 times the usual pace. Result: TestMeasuredSharesAddUp (routers that measure their own rates stay within bound and slack).

--- a/controlplane/release/evidence.go
+++ b/controlplane/release/evidence.go
@@ -22,7 +22,7 @@
 	credited = 10.0
 	// leastTimed is how many timed answers of the version in service tell what is usual.
 	leastTimed  = 15.0
-	slowBuckets = 4 // ranges of time above the usual one from which an answer is slow: 3.3 times
+	slowBuckets = 3 // ranges of time above the usual one from which an answer is slow: 2.5 times
 	lateBuckets = 7 // the same for the first event of a stream, which takes longer at a server that keeps little of a prompt: 8 times
 )
 
--- a/dataplane/canary/canary.go
+++ b/dataplane/canary/canary.go
@@ -18,9 +18,11 @@
 
 const (
 	// A version on trial gets what is left of its share for the requests of the moments after it takes all, should it turn bad just
-	// then: within these parts of bounds.canary-share.
+	// then: no less than this part of bounds.canary-share, and no more than this share of the requests.
 	leastTrial = 0.3
-	mostTrial  = 0.8
+	mostTrial  = 0.25
+	// unknownTrial is the part of bounds.canary-share where no request has come yet.
+	unknownTrial = 0.8
 	// withdrawnIn is how long such a version goes on to get all requests.
 	withdrawnIn = 800 * time.Millisecond
 	// spentSlack is the part of bounds.canary-slack that is counted on: the rest is for what chance adds over all routers.
@@ -154,14 +156,13 @@
 // trialShare is the share of the requests that the version on trial gets. Where there are few requests, the slack allows for more: a
 // version must be seen to be bad by a few answers.
 func (s *Splitter) trialShare(now time.Duration, r *release.Release, routers int) float64 {
-	most := mostTrial * s.set.Share
 	own := s.rates[r.Service]
 	if own == nil {
-		return most
+		return unknownTrial * s.set.Share
 	}
 	all := own.perSecond(now) * float64(routers) * r.Deadline().Seconds()
 	free := s.set.Share + spentSlack*s.set.Slack/max(all, 1) - withdrawnIn.Seconds()/max(r.Deadline().Seconds(), 1)
-	return min(max(free, leastTrial*s.set.Share), most)
+	return min(max(free, leastTrial*s.set.Share), mostTrial)
 }
 
 // Query is what depends on a release when a request is placed.
