A late repeat of an order does not begin a version anew that was rolled back

What callers would see: a bad version that was rolled back gets requests again. Cause: an order that a member cut off from the others still worked on, or that came late, for a version that another order had followed meanwhile counted as a new one. Change: a release remembers the orders before it; an order for a version ordered within twice ack-timeout-ms is a repeat, whatever came since. The worlds of lab/control have an operator that orders releases, and readers: an acknowledged release is never lost, ends, and keeps its end.

--- a/controlplane/release/release.go
+++ b/controlplane/release/release.go
@@ -38,6 +38,15 @@
 	return "running"
 }
 
+// mostOrdered bounds the orders of a service that are remembered to know repeats of them.
+const mostOrdered = 8
+
+// Ordered is one order that was taken.
+type Ordered struct {
+	Target string `msg:"t"`
+	Number uint64 `msg:"n"`
+}
+
 // mostBarred bounds the versions of a service that are remembered as rolled back; the oldest gives way.
 const mostBarred = 8
 
@@ -50,6 +59,21 @@
 	Phase      Phase    `msg:"p"`
 	Reason     string   `msg:"r"` // of the last change of phase
 	Barred     []string `msg:"b"` // versions that were rolled back and not ordered since
+
+	Ordered []Ordered `msg:"o"` // the orders before this one, the newest last
+}
+
+// LastOrder gives the number of the newest order for a version; ok is false where none is remembered.
+func (r *Release) LastOrder(target string) (number uint64, ok bool) {
+	if r.Target == target {
+		return r.Number, true
+	}
+	for _, o := range slices.Backward(r.Ordered) {
+		if o.Target == target {
+			return o.Number, true
+		}
+	}
+	return 0, false
 }
 
 // Active tells whether the release is under way.
@@ -86,7 +110,7 @@
 	Service  string
 	Target   string
 	Deadline time.Duration
-	Repeated bool // an order for the same service and version came so lately that this one may be that one, sent again
+	Repeated bool // an order for the same service and version was taken so lately that this one may be that one, sent again or late
 }
 
 // check tells what is wrong with an order; nil: nothing.
@@ -114,7 +138,7 @@
 	if known == nil {
 		return append(slices.Clone(releases), started), false, nil
 	}
-	if order.Repeated && known.Target == order.Target {
+	if order.Repeated {
 		return releases, true, nil
 	}
 	if known.Active() {
@@ -125,6 +149,8 @@
 	}
 	started.Number = known.Number + 1
 	started.Barred = slices.DeleteFunc(slices.Clone(known.Barred), func(v string) bool { return v == order.Target })
+	started.Ordered = append(slices.Clone(known.Ordered), Ordered{known.Target, known.Number})
+	started.Ordered = started.Ordered[max(len(started.Ordered)-mostOrdered, 0):]
 	next = slices.Clone(releases)
 	*Of(next, order.Service) = started
 	return next, false, nil
--- a/controlplane/release/release_gen.go
+++ b/controlplane/release/release_gen.go
@@ -6,6 +6,67 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z Ordered) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "t"
+	o = append(o, 0x82, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Ordered) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "t":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Ordered) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Phase) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -37,9 +98,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Release) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "s"
-	o = append(o, 0x87, 0xa1, 0x73)
+	o = append(o, 0x88, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -62,6 +123,18 @@
 	for za0001 := range z.Barred {
 		o = msgp.AppendString(o, z.Barred[za0001])
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ordered)))
+	for za0002 := range z.Ordered {
+		// map header, size 2
+		// string "t"
+		o = append(o, 0x82, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Ordered[za0002].Target)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Ordered[za0002].Number)
+	}
 	return
 }
 
@@ -142,6 +215,54 @@
 					return
 				}
 			}
+		case "o":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+			if cap(z.Ordered) >= int(zb0004) {
+				z.Ordered = (z.Ordered)[:zb0004]
+			} else {
+				z.Ordered = make([]Ordered, zb0004)
+			}
+			for za0002 := range z.Ordered {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ordered", za0002)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ordered", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "t":
+						z.Ordered[za0002].Target, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Ordered", za0002, "Target")
+							return
+						}
+					case "n":
+						z.Ordered[za0002].Number, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Ordered", za0002, "Number")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Ordered", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -160,5 +281,9 @@
 	for za0001 := range z.Barred {
 		s += msgp.StringPrefixSize + len(z.Barred[za0001])
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Ordered {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Ordered[za0002].Target) + 2 + msgp.Uint64Size
+	}
 	return
 }
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -65,7 +65,7 @@
 	never := func(quorum.Value) bool { return false }
 	var number uint64
 	err := c.changeWeights(deadline, never, func(s *rollout.State) (*rollout.State, error) {
-		order.Repeated = c.isRepeat(release.Of(s.Releases, order.Service))
+		order.Repeated = c.isRepeat(release.Of(s.Releases, order.Service), order.Target)
 		next, same, err := release.Start(s.Releases, order)
 		if err != nil {
 			return nil, err
@@ -105,19 +105,26 @@
 	return nil
 }
 
-// isRepeat tells whether an order that names a known release's service and version may be the one that began it, sent again.
-func (c *Controller) isRepeat(known *release.Release) bool {
+// isRepeat tells whether an order for a version may be one that was taken, sent again, or a late call with it: a member that was cut off
+// may still work on what another has taken meanwhile.
+func (c *Controller) isRepeat(known *release.Release, target string) bool {
 	if known == nil {
 		return false
 	}
-	return c.releaseAge(known) < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
+	number, ok := known.LastOrder(target)
+	return ok && c.orderAge(known.Service, number) < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
 }
 
 // releaseAge is how long ago a release was ordered, as far as this node knows.
 func (c *Controller) releaseAge(r *release.Release) time.Duration {
+	return c.orderAge(r.Service, r.Number)
+}
+
+// orderAge is how long ago the order of a number was taken, as far as this node knows; 0: it has not heard.
+func (c *Controller) orderAge(service string, number uint64) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.releaseStarts.FirstAbove(r.Service, int64(r.Number)-1)
+	at, ok := c.releaseStarts.FirstAbove(service, int64(number)-1)
 	if !ok {
 		return 0
 	}
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -46,9 +46,11 @@
 	judge   *judge
 	ops     *operators
 	servers *instances
-	seeds   []string // control addresses, without port
-	ended   chan struct{}
-	timers  sync.WaitGroup
+
+	releases *releaseJudge
+	seeds    []string // control addresses, without port
+	ended    chan struct{}
+	timers   sync.WaitGroup
 
 	mu       sync.Mutex
 	machines []*machine
@@ -78,6 +80,7 @@
 	r := rand.New(rand.NewPCG(seed, 0x636f6e74))
 	w := &World{
 		options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
+		releases: &releaseJudge{ended: map[int]string{}},
 	}
 	w.ops = &operators{dice: newDice(seed, 0x6f706572), w: w, patience: usualPatience}
 	w.servers = newInstances(w, newDice(seed, 0x696e7374))
@@ -184,6 +187,11 @@
 	clients.Go(func() {
 		w.ops.nameVersions(func() time.Duration { return time.Duration(gaps.Int64N(int64(2 * namingGap))) })
 	})
+	pauses := rand.New(rand.NewPCG(w.rand.Uint64(), 2))
+	clients.Go(func() {
+		w.ops.orderReleases(func() time.Duration { return time.Duration(pauses.Int64N(int64(2 * releaseGap))) })
+	})
+	clients.Go(func() { w.ops.readReleases(func() time.Duration { return sampleEvery }) })
 	for i := range w.options.Servers {
 		clients.Go(func() { w.servers.run(addressOf(i)) })
 	}
@@ -281,6 +289,7 @@
 		}
 	}
 	w.judgeNamings()
+	w.judgeReleases()
 	w.servers.judgeLiving()
 	for _, m := range w.core() {
 		if p, _ := m.running(); p != nil && !w.eventually(settleTime, p.controller.IsMember) {
