An order that comes late begins no version anew that was rolled back within a minute

What callers would see: a bad version that was rolled back gets requests again, seconds later. Cause: a member that stood still takes up an order that came before, more than twice ack-timeout-ms after it had been taken elsewhere. Change: an order for a version that was rolled back gets 409 within a minute of its last order; a member that has just stood still takes no orders for releases, and none is carried out after its patience. The operator of the worlds sends an order again for ack-timeout-ms only, as the protocol says.

--- a/controlplane/release/release.go
+++ b/controlplane/release/release.go
@@ -110,7 +110,8 @@
 	Service  string
 	Target   string
 	Deadline time.Duration
-	Repeated bool // an order for the same service and version was taken so lately that this one may be that one, sent again or late
+	Repeated bool // an order for the same service and version was taken so lately that this one may be that one, sent again
+	Late     bool // the same, or a call with it that comes late
 }
 
 // check tells what is wrong with an order; nil: nothing.
@@ -141,6 +142,9 @@
 	if order.Repeated {
 		return releases, true, nil
 	}
+	if order.Late && slices.Contains(known.Barred, order.Target) {
+		return nil, false, fault.New(fault.TooSoon, "%s of %s", order.Target, order.Service)
+	}
 	if known.Active() {
 		return nil, false, fault.New(fault.UnderWay, "%s is being brought to %s", known.Service, known.Target)
 	}
--- a/controlplane/release/release_test.go
+++ b/controlplane/release/release_test.go
@@ -45,6 +45,10 @@
 	_, same, err = Start(back, repeated)
 	must.NoError(t, err)
 	must.True(t, same, must.Sprint("a late repeat must not begin a bad version anew"))
+	late := order("v2")
+	late.Late = true
+	_, _, err = Start(back, late)
+	must.Eq(t, fault.TooSoon, fault.KindOf(err), must.Sprint("a late call can't be told from a new order"))
 	again := started(t, back, order("v2"))
 	must.Eq(t, 2, again[0].Number)
 	must.SliceEmpty(t, again[0].Barred, must.Sprint("it was ordered again"))
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -72,6 +72,7 @@
 	sessions     map[string]session
 	mismatch     map[string]int
 	lastSync     time.Time
+	resumed      time.Time // when this process last went on after it had stood still
 	syncs        int
 	applicants   map[string]applicant
 	leavers      map[string]leaver    // members that are about to end, by identity
@@ -237,8 +238,9 @@
 	c.noteNamings()
 	releases := c.noteReleases()
 	c.mu.Lock()
-	if !c.lastSync.IsZero() && time.Since(c.lastSync) > 4*c.syncEvery {
-		c.table.Pause(now) // this process stood still: what it has not heard in that time is no sign of anything
+	if c.stoodStill() {
+		c.table.Pause(now) // what it has not heard in that time is no sign of anything
+		c.resumed = time.Now()
 	}
 	c.lastSync = time.Now()
 	heard := slices.Sorted(maps.Keys(c.heard))
@@ -261,6 +263,11 @@
 	c.directory.Set(c.registers.Members(core.Config))
 }
 
+// stoodStill tells whether this process has not run for some time. The lock is held.
+func (c *Controller) stoodStill() bool {
+	return !c.lastSync.IsZero() && time.Since(c.lastSync) > 4*c.syncEvery
+}
+
 func (c *Controller) sync(in *peer.Sync) (*peer.SyncReply, error) {
 	now := c.now()
 	c.heardFrom(&in.From)
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -34,6 +34,11 @@
 	repeatsWithin = 2
 	// lookSwitching is between two looks at the other members while a release switches.
 	lookSwitching = 150 * time.Millisecond
+	// lateWithin is how long after an order a call with it may still come, by a machine that stood still: a version that was rolled back
+	// is not begun anew by an order within that time.
+	lateWithin = time.Minute
+	// resumedFor is how long after it stood still a member takes no orders for releases.
+	resumedFor = time.Second
 	// startedKeep is how long the moment of an order is told of.
 	startedKeep = 10 * time.Minute
 )
@@ -54,6 +59,9 @@
 // startRelease takes an order for a release. An order that was taken is acknowledged again for as long as it may be sent again.
 func (c *Controller) startRelease(in *configuration.Order, deadline time.Time) error {
 	began := time.Now()
+	if c.hasJustResumed() {
+		return fault.New(fault.Unavailable, "this member stood still: the order may be an old one")
+	}
 	var body releaseBody
 	if err := configuration.Decode(in.Body, &body); err != nil {
 		return err
@@ -65,7 +73,12 @@
 	never := func(quorum.Value) bool { return false }
 	var number uint64
 	err := c.changeWeights(deadline, never, func(s *rollout.State) (*rollout.State, error) {
-		order.Repeated = c.isRepeat(release.Of(s.Releases, order.Service), order.Target)
+		if time.Now().After(deadline) || c.hasJustResumed() {
+			return nil, fault.New(fault.Unavailable, "the order has waited for too long")
+		}
+		age, known := c.lastOrderAge(release.Of(s.Releases, order.Service), order.Target)
+		order.Repeated = known && age < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
+		order.Late = known && age < lateWithin
 		next, same, err := release.Start(s.Releases, order)
 		if err != nil {
 			return nil, err
@@ -88,6 +101,13 @@
 	return err
 }
 
+// hasJustResumed tells whether this process stood still until lately: what it takes up now may have come long ago.
+func (c *Controller) hasJustResumed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stoodStill() || time.Since(c.resumed) < resumedFor
+}
+
 // checkService tells whether the configuration in force has a service.
 func (c *Controller) checkService(name string) error {
 	k := c.registers.Known(core.Config)
@@ -105,14 +125,13 @@
 	return nil
 }
 
-// isRepeat tells whether an order for a version may be one that was taken, sent again, or a late call with it: a member that was cut off
-// may still work on what another has taken meanwhile.
-func (c *Controller) isRepeat(known *release.Release, target string) bool {
+// lastOrderAge is how long ago a version was last ordered; ok is false where no order for it is remembered.
+func (c *Controller) lastOrderAge(known *release.Release, target string) (age time.Duration, ok bool) {
 	if known == nil {
-		return false
+		return 0, false
 	}
 	number, ok := known.LastOrder(target)
-	return ok && c.orderAge(known.Service, number) < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
+	return c.orderAge(known.Service, number), ok
 }
 
 // releaseAge is how long ago a release was ordered, as far as this node knows.
--- a/lab/control/releases.go
+++ b/lab/control/releases.go
@@ -18,6 +18,7 @@
 	releaseDeadline = 2.0             // seconds
 	releasedService = "s"
 	releaseRunning  = "running"
+	ackTimeout      = 4 * time.Second // bounds.ack-timeout-ms: an order is not sent again later
 )
 
 // releaseJudge knows which releases were acknowledged, and how they were seen to end.
@@ -57,12 +58,14 @@
 	return ""
 }
 
-// orderReleases orders one release after the other until the world is over; each is sent until it is acknowledged.
+// orderReleases orders one release after the other until the world is over; each is sent until it is acknowledged, for as long as an order
+// may be sent again.
 func (o *operators) orderReleases(gap func() time.Duration) {
 	for n := 1; !o.w.over(); n++ {
 		time.Sleep(gap())
 		in := &peer.Order{Kind: "release", Body: fmt.Appendf(nil, `{"service":%q,"target-version":"v%d","deadline-s":%g}`, releasedService, n, releaseDeadline)}
-		for pause := operatorPause; !o.w.over(); pause = min(2*pause, operatorPauses) {
+		began := time.Now()
+		for pause := operatorPause; time.Since(began) < ackTimeout && !o.w.over(); pause = min(2*pause, operatorPauses) {
 			m := o.w.anyMachine(o.draw)
 			reply, err := o.call(m, in)
 			if err == nil && fault.Kind(reply.Kind) == fault.None && !o.loses() {
