An order for a release is refused only by what a quorum knows of the services

What callers saw: POST /rollouts/start answered 400, no such service, which ends the operator's call. Cause: the member that took the order looked at the configuration as it knew it, and had not heard of the one that brought the service. Change: a service that this member does not know is looked for in the newest configuration of a quorum before the order is refused.

--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	order := release.Order{Service: body.Service, Target: body.Target, Deadline: settings.Seconds(body.DeadlineS)}
-	if err := c.checkService(body.Service); err != nil {
+	if err := c.checkService(body.Service, deadline); err != nil {
 		return err
 	}
 	never := func(quorum.Value) bool { return false }
@@ -108,23 +108,32 @@
 	return c.stoodStill() || time.Since(c.resumed) < resumedFor
 }
 
-// checkService tells whether the configuration in force has a service.
-func (c *Controller) checkService(name string) error {
-	k := c.registers.Known(core.Config)
-	if k.Confirmed.IsZero() {
-		return fault.New(fault.Unavailable, "the configuration is not known yet")
+// checkService tells whether the configuration in force has a service. What this node knows may be out of date: an order is refused only by
+// what a quorum shows to be the newest.
+func (c *Controller) checkService(name string, deadline time.Time) error {
+	if hasService(c.registers.Known(core.Config), name) {
+		return nil
 	}
-	state, err := readConfiguration(k.Value.Data)
+	k, err := c.registers.Refresh(core.Config, deadline)
 	if err != nil {
 		return err
 	}
-	document, err := configuration.Parse(state.Body)
-	if err != nil || !document.HasService(name) {
+	if !hasService(k, name) {
 		return fault.New(fault.BadConfig, "the configuration in force has no service %q", name)
 	}
 	return nil
 }
 
+// hasService tells whether a value of the configuration's register has a service.
+func hasService(k core.Known, name string) bool {
+	state, err := readConfiguration(k.Value.Data)
+	if err != nil {
+		return false
+	}
+	document, err := configuration.Parse(state.Body)
+	return err == nil && document.HasService(name)
+}
+
 // lastOrderAge is how long ago a version was last ordered; ok is false where no order for it is remembered.
 func (c *Controller) lastOrderAge(known *release.Release, target string) (age time.Duration, ok bool) {
 	if known == nil {
--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
+	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
+	"moleshift/fault"
 )
 
 // callAPI makes one call of the operator's interface.
@@ -70,3 +73,16 @@
 	must.Eq(t, 200, status)
 	must.Eq(t, `{"state":"rolled_back","target-version":"v2"}`, answer, must.Sprint("a late repeat begins nothing anew"))
 }
+
+// Guards against a proper order that is refused: the member that takes it has not yet heard of the configuration that brought the service.
+func TestOrderAtAMemberThatLacksTheConfiguration(t *testing.T) {
+	l := newLan()
+	members := startConfigured(t, l, newStore(), newStore(), newStore())
+	late := members[2]
+	l.set(late.self.Address, true)
+	must.Eq(t, fault.None, replace(members[0], 2, `{"version":3,"routes":[],"services":[{"name":"llm"},{"name":"new"}]}`))
+	l.set(late.self.Address, false)
+	must.NoError(t, late.startRelease(&configuration.Order{Body: []byte(`{"service":"new","target-version":"v2","deadline-s":12}`)}, time.Now().Add(time.Second)))
+	err := late.startRelease(&configuration.Order{Body: []byte(`{"service":"none","target-version":"v2","deadline-s":12}`)}, time.Now().Add(time.Second))
+	must.Eq(t, fault.BadConfig, fault.KindOf(err))
+}
