A test of resting connections waits until each rests

Cause: a client has its answer a moment before its connection counts as resting; the next client's may rest first, and then another one gives way than the test expects. Change: the test waits for the rest of each connection before the next step; it asserts the same. No program code changed.

--- a/dataplane/ingress/connections_test.go
+++ b/dataplane/ingress/connections_test.go
@@ -58,9 +58,11 @@
 	for _, id := range []string{"a", "b", "c"} {
 		c := router.dial()
 		c.served(id)
+		server.AwaitRest()
 		clients = append(clients, c)
 	}
 	clients[0].served("a again") // b has rested for longest now
+	server.AwaitRest()
 	late := router.dial()
 	late.served("d")
 	clients[1].isClosed()
