The worlds take a release without a clear answer for one that may come at any time

A change without a clear answer may be in force or not (PROTOCOL), at any later moment, as the judge of configurations has it; the judge of releases forbade it. Change: only an order that got a clear answer must not be the newest behind a later acknowledged one. One that was acknowledged and comes again, or a lost one, breaks the rule as before. No program code changed.

--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -80,7 +80,7 @@
 	r := rand.New(rand.NewPCG(seed, 0x636f6e74))
 	w := &World{
 		options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
-		releases: &releaseJudge{ended: map[int]string{}},
+		releases: &releaseJudge{clear: map[int]bool{}, ended: map[int]string{}},
 	}
 	w.ops = &operators{dice: newDice(seed, 0x6f706572), w: w, patience: usualPatience}
 	w.servers = newInstances(w, newDice(seed, 0x696e7374))
