review: a system killed right after its first start never comes up

Cause: a seed votes on the first membership only with what it remembers; where a majority of them are killed before their first record lasts, none ever votes again, and there is no other way to a membership.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -51,6 +51,7 @@
 	"reload":  playReload,
 	"weights": playWeights,
 	"early":   playEarly,
+	"first":   playFirst,
 }
 
 func main() {
@@ -103,12 +104,17 @@
 	tryEvery   = 100 * time.Millisecond
 )
 
-// startFleet starts a small deployment, as at the first start of the whole system.
-func (p *play) startFleet() (*nodes.Fleet, error) {
-	fleet, err := nodes.New(nodes.Options{
+// fleetOptions are the settings of a small deployment.
+func (p *play) fleetOptions() nodes.Options {
+	return nodes.Options{
 		Program: p.program, Dir: p.dir, Nodes: nodesInAll, Core: nodesInAll, Heartbeat: beatEvery,
 		Bounds: nodes.Bounds{Contact: 3 * time.Second, Grace: 8 * time.Second, Version: versionMs, Lease: 3 * time.Second, Apply: 2 * time.Second},
-	})
+	}
+}
+
+// startFleet starts a small deployment, as at the first start of the whole system.
+func (p *play) startFleet() (*nodes.Fleet, error) {
+	fleet, err := nodes.New(p.fleetOptions())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errSetup, err)
 	}
