A new order for a release no longer passes for an old one behind a kill of all

Without a kill, a version that had been rolled back was refused with 409 for a minute, which ends an operator's call.

Cause: whether an order is a repeat was decided by the age of the last order for its version, a moment in memory. A process that was not told took its own start for it. Excluded: that the register lost the order (no write behind it), that it was refused.

Change: how old each remembered order is at the least stands in the register, in whole seconds until it matters no more, written by the first live member; a restart forgets a second at the most. What may be a repeat gets 200 only where what it asks for is under way or completed, else 503 until the doubt is over, and begins nothing. An order names the newest release that its first node knew when the call came; where others were carried out since, it begins nothing. The 409 for a minute is gone (fault kind TooSoon becomes MayBeRepeat, 503). The log tells what an order was decided from.

Why it works: a lower bound of an age errs towards doubt only, doubt is never acknowledged, and what has passed is written down.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -13,6 +13,7 @@
 
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/directory"
+	"moleshift/controlplane/release"
 	"moleshift/controlplane/server"
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/ingress"
@@ -67,6 +68,7 @@
 	follow.UseReporter(traffic)
 	events = kvevents.New(set.IP, self, caller, traffic, log)
 	control.UseLoads(traffic.RequestsAt)
+	control.UseReleases(func() []release.Release { return follow.Snapshot().Releases })
 	clients := ingress.New(traffic, follow.Snapshot, set.Limits.ClientConnections(), follow.Fresh, log)
 	scarce := newScarcity(log)
 	handlers := control.Handlers()
--- a/controlplane/configuration/state.go
+++ b/controlplane/configuration/state.go
@@ -41,7 +41,7 @@
 // Order is an order of the operator.
 type Order struct {
 	Kind      string // Replace or Patch
-	IfVersion int64  // the version that it builds on
+	IfVersion int64  // what it builds on: see peer.Order
 	Body      []byte
 }
 
--- a/controlplane/release/release.go
+++ b/controlplane/release/release.go
@@ -76,6 +76,14 @@
 	return 0, false
 }
 
+// oldestOrder gives the number of the oldest order that is remembered.
+func (r *Release) oldestOrder() uint64 {
+	if len(r.Ordered) > 0 {
+		return r.Ordered[0].Number
+	}
+	return r.Number
+}
+
 // Active tells whether the release is under way.
 func (r *Release) Active() bool { return r.Phase == Running || r.Phase == Switching }
 
@@ -110,8 +118,11 @@
 	Service  string
 	Target   string
 	Deadline time.Duration
-	Repeated bool // an order for the same service and version was taken so lately that this one may be that one, sent again
-	Late     bool // the same, or a call with it that comes late
+
+	// MayBeRepeat tells that the order may be an earlier one for the same service and version, sent again.
+	MayBeRepeat bool
+	// Newest is the number of the newest release of the service that was known where the call with the order came.
+	Newest uint64
 }
 
 // check tells what is wrong with an order; nil: nothing.
@@ -125,8 +136,8 @@
 	return nil
 }
 
-// Start gives the releases after an order; same tells that it changes nothing, as it was taken before. An error of the kind UnderWay
-// tells that a release of the service has not ended.
+// Start gives the releases after an order; same tells that it changes nothing, as what it asks for is under way or has come about. An error of the kind UnderWay tells that a release of the service has not ended; one of the kind MayBeRepeat, that
+// the order begins nothing now and will once it is certain to be a new one.
 func Start(releases []Release, order Order) (next []Release, same bool, err error) {
 	if err := order.check(); err != nil {
 		return nil, false, err
@@ -139,17 +150,17 @@
 	if known == nil {
 		return append(slices.Clone(releases), started), false, nil
 	}
-	if order.Repeated {
+	if known.fulfils(order) {
 		return releases, true, nil
 	}
-	if order.Late && slices.Contains(known.Barred, order.Target) {
-		return nil, false, fault.New(fault.TooSoon, "%s of %s", order.Target, order.Service)
-	}
 	if known.Active() {
 		return nil, false, fault.New(fault.UnderWay, "%s is being brought to %s", known.Service, known.Target)
 	}
-	if known.Target == order.Target && known.Phase == Completed {
-		return releases, true, nil
+	if order.MayBeRepeat {
+		return nil, false, fault.New(fault.MayBeRepeat, "%s of %s was ordered lately", order.Target, order.Service)
+	}
+	if order.Newest < known.Number { // the call was on its way while others were carried out
+		return nil, false, fault.New(fault.MayBeRepeat, "%s was brought to %s since the order came", known.Service, known.Target)
 	}
 	started.Number = known.Number + 1
 	started.Barred = slices.DeleteFunc(slices.Clone(known.Barred), func(v string) bool { return v == order.Target })
@@ -160,6 +171,14 @@
 	return next, false, nil
 }
 
+// fulfils tells whether the release is what an order asks for: under way, where the order may be the one that began it, or completed.
+func (r *Release) fulfils(order Order) bool {
+	if r.Target != order.Target {
+		return false
+	}
+	return r.Phase == Completed || r.Active() && order.MayBeRepeat
+}
+
 // Move gives the releases after a decision about the release of a service with the given number; same tells that it does not hold any
 // more, as another node decided before.
 func Move(releases []Release, service string, number uint64, from, to Phase, reason string) (next []Release, same bool) {
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -34,6 +34,10 @@
 	Lease    singleton.Lease `msg:"l"` // who orders servers to load
 
 	Releases []release.Release `msg:"r"` // of services to other versions of their servers' software; one a service
+
+	// OrderAges is how old the orders for releases are at the least: they were so old when this was written, so that the time that has
+	// passed since an order is not forgotten with the processes that saw it pass.
+	OrderAges []peer.OrderAge `msg:"o"`
 }
 
 // clone gives a copy whose fields may be set anew.
@@ -56,6 +60,13 @@
 	return next
 }
 
+// WithOrderAges gives the state with other ages of orders.
+func (s *State) WithOrderAges(ages []peer.OrderAge) *State {
+	next := s.clone()
+	next.OrderAges = ages
+	return next
+}
+
 // Name gives the state after a version was named; same tells that nothing changes by it.
 func (s *State) Name(model string, version int64) (next *State, same bool, err error) {
 	if model == "" || version < 1 {
--- a/controlplane/rollout/rollout_gen.go
+++ b/controlplane/rollout/rollout_gen.go
@@ -12,9 +12,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
+	o = append(o, 0x84, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		o, err = z.Versions[za0001].MarshalMsg(o)
@@ -40,6 +40,16 @@
 			return
 		}
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.OrderAges)))
+	for za0003 := range z.OrderAges {
+		o, err = z.OrderAges[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "OrderAges", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -105,6 +115,25 @@
 					return
 				}
 			}
+		case "o":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrderAges")
+				return
+			}
+			if cap(z.OrderAges) >= int(zb0004) {
+				z.OrderAges = (z.OrderAges)[:zb0004]
+			} else {
+				z.OrderAges = make([]peer.OrderAge, zb0004)
+			}
+			for za0003 := range z.OrderAges {
+				bts, err = z.OrderAges[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OrderAges", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -127,6 +156,10 @@
 	for za0002 := range z.Releases {
 		s += z.Releases[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.OrderAges {
+		s += z.OrderAges[za0003].Msgsize()
+	}
 	return
 }
 
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -20,6 +20,7 @@
 	"moleshift/controlplane/directory"
 	"moleshift/controlplane/quorum"
 	"moleshift/controlplane/registry"
+	"moleshift/controlplane/release"
 	"moleshift/controlplane/rollout"
 	"moleshift/fault"
 	"moleshift/peer"
@@ -87,10 +88,12 @@
 	namingsFrom  quorum.Ballot           // of the value that they were last noted from
 
 	releases      map[string]*releaseCounts // by service: of the releases that are under way
-	releaseStarts rollout.Namings           // when releases were ordered: the service as the model, the release's number as the version
+	orderTimes    release.OrderTimes        // when releases were ordered
+	readsReleases bool                      // this process has read the newest releases: one that it reads later is a new one
 
 	incarnations incarnations                  // of members
 	loadOf       func(instance string) float64 // requests in flight at a server; set before Run
+	releasesHere func() []release.Release      // what this node knows of releases; set before Run
 }
 
 type session struct {
@@ -116,6 +119,7 @@
 		unsettled: map[string]int{}, outboxes: map[string]*outbox{}, turns: map[string]rollout.Turn{}, releases: map[string]*releaseCounts{},
 		incarnations: newIncarnations(), loadOf: func(string) float64 { return 0 },
 	}
+	c.releasesHere = c.releasesKnown
 	c.pending.orders = map[string]*pendingOrder{}
 	c.configs.building = semaphore.NewWeighted(1)
 	c.recall()
@@ -126,6 +130,14 @@
 // UseLoads has the rollout begin with the servers that have the fewest requests in flight. It is to be called before Run.
 func (c *Controller) UseLoads(requests func(instance string) float64) { c.loadOf = requests }
 
+// UseReleases has orders for releases go by what the node knows of releases as a router, where it is no member. It is to be called before
+// Run.
+func (c *Controller) UseReleases(known func() []release.Release) {
+	if c.acceptor == nil {
+		c.releasesHere = known
+	}
+}
+
 // now is the controller's steady clock.
 func (c *Controller) now() time.Duration { return time.Since(c.started) }
 
@@ -191,6 +203,7 @@
 		go c.announce()
 		go c.runRollout()
 		go c.runReleases()
+		go c.keepAges()
 		go c.sweep()
 		go c.keepEnds()
 		go c.gatherEnds()
@@ -247,7 +260,7 @@
 	clear(c.heard)
 	message := &peer.Sync{
 		From: c.self, Digest: c.table.Digest(), Heard: heard, Namings: c.toldNamings(), Silent: c.table.Silent(mostSilentAsked),
-		Started: c.releaseStarts.Tell(time.Now(), startedKeep), Releases: c.releaseTotals(releases),
+		Started: c.orderTimes.Tell(time.Now()), Releases: c.releaseTotals(releases),
 	}
 	if c.syncs++; c.syncs%sessionsEvery == 0 {
 		message.Sessions = c.ownSessions()
@@ -256,7 +269,7 @@
 	c.registers.Look(message, func(reply *peer.SyncReply) {
 		c.heardFrom(&reply.From)
 		c.takeNamings(reply.Namings)
-		c.takeReleaseStarts(reply.Started)
+		c.takeOrderAges(reply.Started)
 		c.takeAll(reply.Ended)
 		c.compare(&reply.From, reply.Digest)
 	})
@@ -274,7 +287,7 @@
 	c.noteNamings()
 	c.takeNamings(in.Namings)
 	c.noteReleases()
-	c.takeReleaseStarts(in.Started)
+	c.takeOrderAges(in.Started)
 	c.takeTotals(&in.From, in.Releases)
 	reply := &peer.SyncReply{From: c.self, Reads: c.registers.AnswerReads(in.Reads), Ended: c.endsAmong(in.Silent)}
 	c.mu.Lock()
@@ -288,7 +301,7 @@
 	}
 	reply.Digest = c.table.Digest()
 	reply.Namings = c.toldNamings()
-	reply.Started = c.releaseStarts.Tell(time.Now(), startedKeep)
+	reply.Started = c.orderTimes.Tell(time.Now())
 	c.mu.Unlock()
 	c.notify()
 	return reply, nil
--- a/controlplane/server/orders.go
+++ b/controlplane/server/orders.go
@@ -32,6 +32,11 @@
 // Order has an order of the operator carried out, by the owner of its register where that answers, else by the next member.
 func (c *Controller) Order(in *peer.Order) *peer.OrderReply {
 	began, transfer := time.Now(), core.TransferTime(len(in.Body))
+	if in.Kind == orderRelease {
+		known := *in
+		known.IfVersion = c.newestRelease(in.Body)
+		in = &known
+	}
 	reply := &peer.OrderReply{Kind: int(fault.Unavailable), Text: "the members are not known yet"}
 	for _, m := range c.directory.Try("order-" + registerOf(in.Kind)) {
 		if time.Since(began) > orderAll+transfer {
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -30,17 +30,10 @@
 	releaseOwner = "releases"
 	// releaseYoung is how long a member that has started hears the others before it decides.
 	releaseYoung = 1200 * time.Millisecond
-	// repeatsWithin is how many times ack-timeout-ms after an order the same order may be that one, sent again.
-	repeatsWithin = 2
 	// lookSwitching is between two looks at the other members while a release switches.
 	lookSwitching = 150 * time.Millisecond
-	// lateWithin is how long after an order a call with it may still come, by a machine that stood still: a version that was rolled back
-	// is not begun anew by an order within that time.
-	lateWithin = time.Minute
 	// resumedFor is how long after it stood still a member takes no orders for releases.
 	resumedFor = time.Second
-	// startedKeep is how long the moment of an order is told of.
-	startedKeep = 10 * time.Minute
 )
 
 // releaseBody is the body of an order for a release.
@@ -56,51 +49,110 @@
 	Target string `json:"target-version"`
 }
 
-// startRelease takes an order for a release. An order that was taken is acknowledged again for as long as it may be sent again.
+// releaseID names one release.
+type releaseID struct {
+	service string
+	number  uint64
+}
+
+// startRelease takes an order for a release. An order that was taken is acknowledged again for as long as it is carried out, and left without
+// a clear answer afterwards, as it may as well be a new one.
 func (c *Controller) startRelease(in *configuration.Order, deadline time.Time) error {
-	began := time.Now()
+	came := time.Now()
 	if c.hasJustResumed() {
 		return fault.New(fault.Unavailable, "this member stood still: the order may be an old one")
 	}
-	var body releaseBody
-	if err := configuration.Decode(in.Body, &body); err != nil {
+	order, err := readReleaseOrder(in)
+	if err != nil {
 		return err
 	}
-	order := release.Order{Service: body.Service, Target: body.Target, Deadline: settings.Seconds(body.DeadlineS)}
-	if err := c.checkService(body.Service, deadline); err != nil {
+	if err := c.checkService(order.Service, deadline); err != nil {
 		return err
 	}
 	never := func(quorum.Value) bool { return false }
-	var number uint64
-	err := c.changeWeights(deadline, never, func(s *rollout.State) (*rollout.State, error) {
+	var id releaseID
+	err = c.changeWeights(deadline, never, func(s *rollout.State) (*rollout.State, error) {
 		if time.Now().After(deadline) || c.hasJustResumed() {
 			return nil, fault.New(fault.Unavailable, "the order has waited for too long")
 		}
-		age, known := c.lastOrderAge(release.Of(s.Releases, order.Service), order.Target)
-		order.Repeated = known && age < time.Duration(repeatsWithin*float64(settings.Millis(c.set.Bounds.AckTimeoutMs)))
-		order.Late = known && age < lateWithin
+		order.MayBeRepeat = c.mayRepeat(release.Of(s.Releases, order.Service), order.Target, came, s.OrderAges)
 		next, same, err := release.Start(s.Releases, order)
 		if err != nil {
 			return nil, err
 		}
-		number = release.Of(next, order.Service).Number
+		id = releaseID{order.Service, release.Of(next, order.Service).Number}
 		if same {
 			return nil, core.ErrUnchanged
 		}
 		return s.WithReleases(next), nil
 	})
+	c.logOrder(order, id, err)
 	if errors.Is(err, core.ErrUnchanged) {
 		return nil
 	}
 	if err == nil {
-		c.mu.Lock()
-		c.releaseStarts, _ = c.releaseStarts.Note(order.Service, int64(number), began)
-		c.mu.Unlock()
-		c.log.Info().Str("service", order.Service).Str("version", order.Target).Uint64("release", number).Msg("release ordered")
+		c.takeOrderAges([]peer.OrderAge{{Service: id.service, Number: id.number, Witnessed: true}})
 	}
 	return err
 }
 
+// readReleaseOrder reads an order for a release.
+func readReleaseOrder(in *configuration.Order) (release.Order, error) {
+	var body releaseBody
+	if err := configuration.Decode(in.Body, &body); err != nil {
+		return release.Order{}, err
+	}
+	return release.Order{
+		Service: body.Service, Target: body.Target, Deadline: settings.Seconds(body.DeadlineS), Newest: uint64(in.IfVersion),
+	}, nil
+}
+
+// newestRelease gives the number of the newest release that this node knows of the service that an order is for; 0 where it knows none.
+func (c *Controller) newestRelease(body []byte) int64 {
+	order, err := readReleaseOrder(&configuration.Order{Body: body})
+	if err != nil {
+		return 0 // the member that takes the order tells what is wrong with it
+	}
+	r := release.Of(c.releasesHere(), order.Service)
+	if r == nil {
+		return 0
+	}
+	return int64(r.Number)
+}
+
+// mayRepeat tells whether an order for a version, with which a call came at the given moment, may be the last one for that version, sent
+// again. How old that one is at the least is known from members that were there and from the register.
+func (c *Controller) mayRepeat(known *release.Release, target string, came time.Time, recorded []peer.OrderAge) bool {
+	if known == nil {
+		return false
+	}
+	number, ok := known.LastOrder(target)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orderTimes.Take(time.Now(), recorded)
+	return c.orderTimes.AtLeast(known.Service, number, came) < c.settledAfter()
+}
+
+// logOrder tells what became of an order, and what that was decided from.
+func (c *Controller) logOrder(order release.Order, id releaseID, err error) {
+	now := time.Now()
+	c.mu.Lock()
+	age := c.orderTimes.AtLeast(id.service, id.number, now)
+	c.mu.Unlock()
+	event, message := c.log.Info(), "release ordered"
+	switch {
+	case errors.Is(err, core.ErrUnchanged):
+		message = "order for a release changes nothing"
+	case err != nil:
+		event, message = event.Err(err), "order for a release is not taken"
+	}
+	event.Str("service", order.Service).Str("version", order.Target).Uint64("release", id.number).Dur("known-for-ms", age).
+		Uint64("newest-known", order.Newest).Bool("may-be-repeat", order.MayBeRepeat).Msg(message)
+}
+
 // hasJustResumed tells whether this process stood still until lately: what it takes up now may have come long ago.
 func (c *Controller) hasJustResumed() bool {
 	c.mu.Lock()
@@ -134,54 +186,21 @@
 	return err == nil && document.HasService(name)
 }
 
-// lastOrderAge is how long ago a version was last ordered; ok is false where no order for it is remembered.
-func (c *Controller) lastOrderAge(known *release.Release, target string) (age time.Duration, ok bool) {
-	if known == nil {
-		return 0, false
-	}
-	number, ok := known.LastOrder(target)
-	return c.orderAge(known.Service, number), ok
-}
-
 // releaseAge is how long ago a release was ordered, as far as this node knows.
 func (c *Controller) releaseAge(r *release.Release) time.Duration {
-	return c.orderAge(r.Service, r.Number)
-}
-
-// orderAge is how long ago the order of a number was taken, as far as this node knows; 0: it has not heard.
-func (c *Controller) orderAge(service string, number uint64) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.releaseStarts.FirstAbove(service, int64(number)-1)
-	if !ok {
-		return 0
-	}
-	return time.Since(at)
-}
-
-// noteReleases notes when the releases that are known were ordered: at the latest now, where the register holds something new.
-func (c *Controller) noteReleases() []release.Release {
-	releases := c.releasesKnown()
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range releases {
-		r := &releases[i]
-		if c.releaseStarts.Newest(r.Service) < int64(r.Number) {
-			c.releaseStarts, _ = c.releaseStarts.Note(r.Service, int64(r.Number), now)
-		}
-	}
-	return releases
+	return c.orderTimes.AtLeast(r.Service, r.Number, time.Now())
 }
 
-// takeReleaseStarts notes what another node knows of when releases were ordered.
-func (c *Controller) takeReleaseStarts(told []peer.Naming) {
+// takeOrderAges notes what another node knows of when releases were ordered.
+func (c *Controller) takeOrderAges(told []peer.OrderAge) {
 	if len(told) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.releaseStarts = c.releaseStarts.Take(time.Now(), told)
+	c.orderTimes.Take(time.Now(), told)
 }
 
 // lookPause is how long after a look at the other members the next one follows: sooner while a release switches, as every request meets
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -32,7 +32,7 @@
 	UnknownCall        // no such interface
 	NotRegistered      // the instance is not known
 	UnderWay           // a release of the service has not ended
-	TooSoon            // a version that was rolled back a short while ago
+	MayBeRepeat        // an order that may be an earlier one, sent again or late
 	NoRelease          // no release of the service was ever ordered
 	Leaving            // this process is about to end and the request may outlast it
 	numKinds
@@ -67,7 +67,7 @@
 	UnknownCall:   {Status: 404, Text: "no such interface", Remedy: "see docs/system.md for what is served"},
 	NotRegistered: {Status: 404, Text: "instance is not known", Remedy: "let the server send a heartbeat first"},
 	UnderWay:      {Status: 409, Text: "a release is under way", Remedy: "read its state, and order the next one once it has ended"},
-	TooSoon:       {Status: 409, Text: "the version was rolled back a short while ago", Remedy: "order it again a minute after its last order: until then a late call cannot be told from a new one"},
+	MayBeRepeat:   {Status: 503, Promise: true, RetryAfter: 500 * time.Millisecond, Text: "this may be an earlier order, sent again", Remedy: "send it again until it has another answer: it begins nothing until no repeat of the earlier order can come any more"},
 	NoRelease:     {Status: 404, Text: "no release of the service was ordered", Remedy: "compare the service with those of GET /config/read"},
 	Leaving:       {Status: 503, Promise: true, RetryAfter: 20 * time.Millisecond, Text: "this router is about to end", Remedy: "nothing: the client comes back to another router"},
 }
--- a/lab/control/machine.go
+++ b/lab/control/machine.go
@@ -10,6 +10,7 @@
 
 	"moleshift/controlplane/core"
 	"moleshift/controlplane/directory"
+	"moleshift/controlplane/release"
 	"moleshift/controlplane/server"
 	"moleshift/dataplane/follower"
 	"moleshift/peer"
@@ -193,6 +194,7 @@
 		local = p.controller.Poll
 	}
 	p.follower = follower.New(set, self, calls, dir, local, func(s *follower.Snapshot) { w.judge.snapshot(p, s) }, zerolog.Nop())
+	p.controller.UseReleases(func() []release.Release { return p.follower.Snapshot().Releases })
 	p.handlers = p.controller.Handlers()
 	return nil
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -121,7 +121,7 @@
 	Namings  []Naming  `msg:"n"` // of weights, lately
 	Silent   []string  `msg:"l"` // instances that are silent here: some may have left unheard
 
-	Started  []Naming        `msg:"o"` // when releases were ordered: the service as the model, the release's number as the version
+	Started  []OrderAge      `msg:"o"` // of releases
 	Releases []ReleaseTotals `msg:"e"` // of the routers that poll here
 }
 
@@ -132,7 +132,7 @@
 	Digest  uint64          `msg:"d"`
 	Namings []Naming        `msg:"n"` // of weights, lately
 	Ended   []Instance      `msg:"e"` // those of Silent that are known to leave or to be gone
-	Started []Naming        `msg:"o"` // when releases were ordered
+	Started []OrderAge      `msg:"o"` // of releases
 }
 
 // Model is one model's weights on an instance.
@@ -148,6 +148,14 @@
 	AgeMs   float64 `msg:"a"`
 }
 
+// OrderAge tells how long ago the order for a release was taken: it may be older, and is no younger.
+type OrderAge struct {
+	Service   string  `msg:"s"`
+	Number    uint64  `msg:"n"` // of the release
+	AgeMs     float64 `msg:"a"`
+	Witnessed bool    `msg:"w"` // a process that ran when the order was taken has told
+}
+
 // RouteCounts are answers of servers on one route: of those of a release's target version, or of the version in service.
 type RouteCounts struct {
 	Route  string `msg:"r"`
@@ -332,7 +340,7 @@
 // Order passes an order of the operator on.
 type Order struct {
 	Kind      string `msg:"k"` // replace, patch, read, version, release, release-read
-	IfVersion int64  `msg:"v"`
+	IfVersion int64  `msg:"v"` // what the order builds on: a version of the configuration; of a release, the number of the newest one known where the call came
 	Body      []byte `msg:"b"`
 	Most      int    `msg:"m"` // bytes of a reply's body that the caller takes; 0: any number
 }
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -1881,6 +1881,85 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *OrderAge) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendFloat64(o, z.AgeMs)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Witnessed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OrderAge) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "a":
+			z.AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "w":
+			z.Witnessed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Witnessed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OrderAge) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint64Size + 2 + msgp.Float64Size + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3092,16 +3171,11 @@
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Started)))
 	for za0006 := range z.Started {
-		// map header, size 3
-		// string "n"
-		o = append(o, 0x83, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Started[za0006].Model)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Started[za0006].Version)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendFloat64(o, z.Started[za0006].AgeMs)
+		o, err = z.Started[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Started", za0006)
+			return
+		}
 	}
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -3286,61 +3360,26 @@
 			if cap(z.Started) >= int(zb0008) {
 				z.Started = (z.Started)[:zb0008]
 			} else {
-				z.Started = make([]Naming, zb0008)
+				z.Started = make([]OrderAge, zb0008)
 			}
 			for za0006 := range z.Started {
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Started[za0006].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Started", za0006)
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Started", za0006)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Started[za0006].Model, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0006, "Model")
-							return
-						}
-					case "v":
-						z.Started[za0006].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0006, "Version")
-							return
-						}
-					case "a":
-						z.Started[za0006].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0006, "AgeMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0006)
-							return
-						}
-					}
-				}
 			}
 		case "e":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Releases")
 				return
 			}
-			if cap(z.Releases) >= int(zb0010) {
-				z.Releases = (z.Releases)[:zb0010]
+			if cap(z.Releases) >= int(zb0009) {
+				z.Releases = (z.Releases)[:zb0009]
 			} else {
-				z.Releases = make([]ReleaseTotals, zb0010)
+				z.Releases = make([]ReleaseTotals, zb0009)
 			}
 			for za0007 := range z.Releases {
 				bts, err = z.Releases[za0007].UnmarshalMsg(bts)
@@ -3385,7 +3424,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0006 := range z.Started {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Started[za0006].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+		s += z.Started[za0006].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0007 := range z.Releases {
@@ -3447,16 +3486,11 @@
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Started)))
 	for za0004 := range z.Started {
-		// map header, size 3
-		// string "n"
-		o = append(o, 0x83, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Started[za0004].Model)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Started[za0004].Version)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendFloat64(o, z.Started[za0004].AgeMs)
+		o, err = z.Started[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Started", za0004)
+			return
+		}
 	}
 	return
 }
@@ -3593,49 +3627,14 @@
 			if cap(z.Started) >= int(zb0006) {
 				z.Started = (z.Started)[:zb0006]
 			} else {
-				z.Started = make([]Naming, zb0006)
+				z.Started = make([]OrderAge, zb0006)
 			}
 			for za0004 := range z.Started {
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Started[za0004].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Started", za0004)
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Started", za0004)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Started[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0004, "Model")
-							return
-						}
-					case "v":
-						z.Started[za0004].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0004, "Version")
-							return
-						}
-					case "a":
-						z.Started[za0004].AgeMs, bts, err = msgp.ReadFloat64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0004, "AgeMs")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Started", za0004)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -3665,7 +3664,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.Started {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Started[za0004].Model) + 2 + msgp.Int64Size + 2 + msgp.Float64Size
+		s += z.Started[za0004].Msgsize()
 	}
 	return
 }
