A release keeps its deadline behind a kill of all

What callers saw: a release with a deadline of 8 s, all members killed 4 s after the order and back half a second later, ended 10.15 s after it: late for the operator, and a bad version would have been exposed past its deadline.

Change: decisions go by the age in the register, with half a second for the record's step and half a second for the time away where no process that runs was there. The counts of answers are lost with the members: the switch waits for 1.5 s of new ones, at most until doubts end, and is rolled back then.

Tests: TestDeadlineOfAReleaseOutlastsAKillOfAll (without servers and with good ones; fails on the text before with 10.15 s), TestDecisions.

Measured: both ends come before the deadline in virtual time. Real processes were not played yet.

--- a/controlplane/release/decide.go
+++ b/controlplane/release/decide.go
@@ -8,8 +8,9 @@
 	switchShare  = 0.2                    // of the time that a release has is for the old servers to end what they have
 	leastSwitch  = 1200 * time.Millisecond
 	mostSwitch   = 3500 * time.Millisecond
-	doubtMost    = 700 * time.Millisecond // for which a decision is put off while a test has not decided
-	leastServers = 0.5                    // of the servers in service must stand ready with the target version
+	doubtMost    = 700 * time.Millisecond  // for which a decision is put off while a test has not decided
+	leastServers = 0.5                     // of the servers in service must stand ready with the target version
+	leastWatch   = 1500 * time.Millisecond // for which answers are watched before the target takes everything
 )
 
 // Plan is when, after the order, what is decided.
@@ -31,6 +32,7 @@
 // Situation is what a decision rests on.
 type Situation struct {
 	Age       time.Duration // since the order
+	Watched   time.Duration // since which answers are counted: as long as Age, unless those who counted before are gone
 	Target    int           // servers of the target version that take requests
 	InService int           // servers of other versions that do
 	Evidence  *Evidence
@@ -75,6 +77,10 @@
 	switch {
 	case s.Age >= r.Deadline():
 		return &Decision{RolledBack, "the deadline passed before anybody could decide"}
+	case s.Watched < min(leastWatch, plan.Decide) && s.Age < plan.Doubt:
+		return nil
+	case s.Watched < min(leastWatch, plan.Decide):
+		return &Decision{RolledBack, "what was counted before the members restarted is lost, and too little came since"}
 	case s.Target == 0 || float64(s.Target) < leastServers*float64(s.InService):
 		return &Decision{RolledBack, "too few servers of the version stand ready"}
 	}
--- a/controlplane/release/decide_test.go
+++ b/controlplane/release/decide_test.go
@@ -100,6 +100,10 @@
 		{"no servers", Running, Situation{Age: plan.Decide, InService: 4, Evidence: &Evidence{}}, RolledBack},
 		{"few servers", Running, Situation{Age: plan.Decide, Target: 1, InService: 4, Evidence: &good}, RolledBack},
 		{"nobody decided in time", Running, Situation{Age: r.Deadline(), Target: 4, InService: 4, Evidence: &good}, RolledBack},
+		{"members restarted lately", Running, Situation{Age: plan.Decide, Watched: leastWatch - 1, Target: 4, InService: 4, Evidence: &good}, 0},
+		{"members restarted a while ago", Running, Situation{Age: plan.Decide, Watched: leastWatch, Target: 4, InService: 4, Evidence: &good}, Switching},
+		{"members restarted, and it is late", Running, Situation{Age: plan.Doubt, Watched: leastWatch - 1, Target: 4, InService: 4, Evidence: &good}, RolledBack},
+		{"members restarted while it switched", Switching, Situation{Age: plan.Complete, Watched: 1, Target: 4, InService: 4, Evidence: &Evidence{}}, Completed},
 		{"requests under way", Switching, Situation{Age: plan.Decide, Target: 4, InService: 4, Evidence: &good}, 0},
 		{"none under way", Switching, Situation{Age: plan.Decide, Target: 4, Evidence: &good, Ended: true}, Completed},
 		{"time to tell", Switching, Situation{Age: plan.Complete, Target: 4, InService: 4, Evidence: &good}, Completed},
@@ -108,6 +112,9 @@
 		{"completed is final", Completed, Situation{Age: time.Hour, Target: 4, Evidence: &bad, Ended: true}, 0},
 	} {
 		r.Phase = row.phase
+		if row.s.Watched == 0 {
+			row.s.Watched = row.s.Age
+		}
 		decision := r.Decide(row.s)
 		if row.to == 0 {
 			must.Nil(t, decision, must.Sprint(row.name))
--- a/controlplane/server/ages.go
+++ b/controlplane/server/ages.go
@@ -17,6 +17,9 @@
 const (
 	// ageStep is by how much an age in the register may lag behind.
 	ageStep = time.Second
+	// unrecordedAge is what an age in the register is likely to lack behind a restart of all: half of a step, and half of the second within
+	// which processes return.
+	unrecordedAge = ageStep/2 + 500*time.Millisecond
 	// ageTick is between two looks at whether it does.
 	ageTick = 250 * time.Millisecond
 	// settledAt is how many times ack-timeout-ms old an order is when no repeat of it comes any more: none is sent later than once that
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -186,11 +186,18 @@
 	return err == nil && document.HasService(name)
 }
 
-// releaseAge is how long ago a release was ordered, as far as this node knows.
-func (c *Controller) releaseAge(r *release.Release) time.Duration {
+// releaseAge is how long ago a release was ordered, as far as this node knows, and for how long its answers have been counted. Where no
+// process that runs was there when it was ordered, the age is what the register tells, with what it is likely to lack.
+func (c *Controller) releaseAge(r *release.Release) (age, watched time.Duration) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.orderTimes.AtLeast(r.Service, r.Number, time.Now())
+	age = c.orderTimes.AtLeast(r.Service, r.Number, now)
+	if c.orderTimes.Witnessed(r.Service, r.Number) {
+		return age, age
+	}
+	age += unrecordedAge
+	return age, min(age, now.Sub(c.started))
 }
 
 // takeOrderAges notes what another node knows of when releases were ordered.
@@ -282,7 +289,8 @@
 	if !r.Active() {
 		return nil
 	}
-	situation := release.Situation{Age: c.releaseAge(r)}
+	age, watched := c.releaseAge(r)
+	situation := release.Situation{Age: age, Watched: watched}
 	members := c.registers.Members(core.Config)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -340,7 +348,8 @@
 		if known != nil && known.Number == r.Number && known.Phase == r.Phase {
 			continue
 		}
+		age, _ := c.releaseAge(r)
 		c.log.Info().Str("service", r.Service).Str("version", r.Target).Uint64("release", r.Number).Stringer("state", r.Phase).
-			Bool("switching", r.Phase == release.Switching).Str("reason", r.Reason).Dur("age-ms", c.releaseAge(r)).Msg("release")
+			Bool("switching", r.Phase == release.Switching).Str("reason", r.Reason).Dur("age-ms", age).Msg("release")
 	}
 }
--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
 	"moleshift/fault"
+	"moleshift/peer"
 )
 
 // callAPI makes one call of the operator's interface.
@@ -147,6 +149,54 @@
 	})
 }
 
+// sendBeats sends a heartbeat of one server of each version to a member.
+func sendBeats(t *testing.T, c *Controller, sequence int64, versions ...string) {
+	t.Helper()
+	for i, version := range versions {
+		beat := &peer.Beat{Instance: peer.Instance{
+			ID: "i-" + version, Service: "llm", Version: version, Address: fmt.Sprintf("10.1.0.%d:80", i+1), Sequence: sequence,
+		}}
+		_, err := c.Heartbeat(beat)
+		must.NoError(t, err)
+	}
+}
+
+// Guards against a release that goes on for its whole deadline once more behind a kill of all: late for the operator, and a bad version is
+// exposed past its deadline.
+func TestDeadlineOfAReleaseOutlastsAKillOfAll(t *testing.T) {
+	const deadline, killedAt, downFor = 8 * time.Second, 4 * time.Second, 500 * time.Millisecond
+	for _, row := range []struct {
+		versions []string // of the servers
+		end      string
+	}{
+		{[]string{"v1"}, wentBack},
+		{[]string{"v1", "v2"}, `{"state":"completed","target-version":"v2"}`},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLan()
+			stores := []core.Store{newStore(), newStore(), newStore()}
+			members := startConfigured(t, l, stores...)
+			ordered := time.Now()
+			status, answer := callAPI(members[0], "POST", "/rollouts/start", `{"service":"llm","target-version":"v2","deadline-s":8}`)
+			must.Eq(t, 200, status, must.Sprint(answer))
+			time.Sleep(killedAt)
+			l.kill(members...)
+			time.Sleep(downFor)
+			for i := range members {
+				members[i] = l.node(t, i+1, true, false, stores[i], coreSeeds...)
+			}
+			for releaseOf(members[0]) != row.end && time.Since(ordered) < 2*deadline {
+				if members[1].IsMember() {
+					sendBeats(t, members[1], int64(time.Since(ordered)), row.versions...)
+				}
+				time.Sleep(operatorPause / 5)
+			}
+			must.Eq(t, row.end, releaseOf(members[0]))
+			must.Less(t, deadline, time.Since(ordered))
+		})
+	}
+}
+
 // Guards against a proper order that is refused: the member that takes it has not yet heard of the configuration that brought the service.
 func TestOrderAtAMemberThatLacksTheConfiguration(t *testing.T) {
 	l := newLan()
