Weights named long ago stay so for whoever starts, and behind a kill of all

A kill of the whole core had the same effect at any age.

When weights were named stood in memory, was told for four times version-ms only, and was "now" for whoever was not told.

Change: the newest naming is told whatever its age; the register holds how old namings are at the least, in whole seconds up to version-ms, and a router that starts reads it with the weights. Ages and leases wake no router's poll any more.

TestVersionOrderedAgainBehindAKillOfAll waited for one member where it asked another; it waits for all now.

--- a/controlplane/rollout/namings.go
+++ b/controlplane/rollout/namings.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -98,12 +99,13 @@
 	return next
 }
 
-// Tell lists the namings that are not older than most, for other processes, in a fixed order.
+// Tell lists the namings that are not older than most, and the newest of each model whatever its age, for other processes, in a fixed
+// order: whoever is not told of the newest would take it for named just now.
 func (n Namings) Tell(now time.Time, most time.Duration) []peer.Naming {
 	var told []peer.Naming
 	for _, model := range slices.Sorted(maps.Keys(n)) {
-		for _, naming := range n[model] {
-			if age := now.Sub(naming.At); age <= most {
+		for i, naming := range n[model] {
+			if age := now.Sub(naming.At); age <= most || i == len(n[model])-1 {
 				told = append(told, peer.Naming{Model: model, Version: naming.Version, AgeMs: float64(age) / float64(time.Millisecond)})
 			}
 		}
@@ -111,6 +113,29 @@
 	return told
 }
 
+// Record gives what the register is to hold of how old the namings are, where it holds some: whole steps, so that it changes no more often
+// than once a step, and no more than matters. A naming matters until it is as old as most, and afterwards as the last one of its model
+// that is.
+func (n Namings) Record(now time.Time, held []peer.Naming, most, step time.Duration) []peer.Naming {
+	record := n.Without(now.Add(-most)).Tell(now, math.MaxInt64)
+	for i := range record {
+		age := time.Duration(record[i].AgeMs * float64(time.Millisecond))
+		whole := min(age, most+step-1).Truncate(step)
+		record[i].AgeMs = max(float64(whole)/float64(time.Millisecond), ageOf(held, &record[i]))
+	}
+	return record
+}
+
+// ageOf gives the age of a naming in a list, in ms; 0 where it is not there.
+func ageOf(list []peer.Naming, naming *peer.Naming) float64 {
+	for _, known := range list {
+		if known.Model == naming.Model && known.Version == naming.Version {
+			return known.AgeMs
+		}
+	}
+	return 0
+}
+
 // Take notes namings that another process told of.
 func (n Namings) Take(now time.Time, told []peer.Naming) Namings {
 	for _, naming := range told {
--- a/controlplane/rollout/namings_test.go
+++ b/controlplane/rollout/namings_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"moleshift/peer"
 )
 
 func TestNamingsKeepEachMoment(t *testing.T) {
@@ -60,3 +62,22 @@
 		}
 	})
 }
+
+// The newest naming is told whatever its age: whoever is not told of it would take it for named just now. The register holds whole steps,
+// no more than matters, and never less than it held.
+func TestWhatIsToldOfNamings(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	var n Namings
+	for version, moment := range []float64{0, 1, 5, 7.5} {
+		n, _ = n.Note("m", int64(version), at(moment))
+	}
+	must.Eq(t, []peer.Naming{{Model: "m", Version: 3, AgeMs: 92500}}, n.Tell(at(100), 30*time.Second))
+	must.Len(t, 2, n.Tell(at(11), 6*time.Second))
+
+	const bound, step = 8 * time.Second, time.Second
+	record := n.Record(at(11), nil, bound, step)
+	must.Eq(t, []peer.Naming{{Model: "m", Version: 1, AgeMs: 8000}, {Model: "m", Version: 2, AgeMs: 6000}, {Model: "m", Version: 3, AgeMs: 3000}}, record)
+	must.Eq(t, 3500, n.Record(at(11), []peer.Naming{{Model: "m", Version: 3, AgeMs: 3500}}, bound, step)[2].AgeMs)
+	must.Eq(t, []peer.Naming{{Model: "m", Version: 3, AgeMs: 8000}}, n.Record(at(100), record, bound, step))
+}
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"math"
+	"reflect"
 	"slices"
 	"time"
 
@@ -35,9 +36,10 @@
 
 	Releases []release.Release `msg:"r"` // of services to other versions of their servers' software; one a service
 
-	// OrderAges is how old the orders for releases are at the least: they were so old when this was written, so that the time that has
-	// passed since an order is not forgotten with the processes that saw it pass.
-	OrderAges []peer.OrderAge `msg:"o"`
+	// How old the orders for releases and the namings of weights are at the least: they were so old when this was written. So the time that
+	// has passed since is not forgotten with the processes that saw it pass.
+	OrderAges  []peer.OrderAge `msg:"o"`
+	NamingAges []peer.Naming   `msg:"n"`
 }
 
 // clone gives a copy whose fields may be set anew.
@@ -60,13 +62,19 @@
 	return next
 }
 
-// WithOrderAges gives the state with other ages of orders.
-func (s *State) WithOrderAges(ages []peer.OrderAge) *State {
+// WithAges gives the state with other ages of orders and namings.
+func (s *State) WithAges(orders []peer.OrderAge, namings []peer.Naming) *State {
 	next := s.clone()
-	next.OrderAges = ages
+	next.OrderAges, next.NamingAges = orders, namings
 	return next
 }
 
+// SameForRouters tells whether routers act on another state as on this one: leases are none of their matter, and ages are only wanted by
+// those that have just started.
+func (s *State) SameForRouters(other *State) bool {
+	return slices.Equal(s.Versions, other.Versions) && reflect.DeepEqual(s.Releases, other.Releases)
+}
+
 // Name gives the state after a version was named; same tells that nothing changes by it.
 func (s *State) Name(model string, version int64) (next *State, same bool, err error) {
 	if model == "" || version < 1 {
--- a/controlplane/rollout/rollout_gen.go
+++ b/controlplane/rollout/rollout_gen.go
@@ -12,9 +12,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "v"
-	o = append(o, 0x84, 0xa1, 0x76)
+	o = append(o, 0x85, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		o, err = z.Versions[za0001].MarshalMsg(o)
@@ -50,6 +50,16 @@
 			return
 		}
 	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.NamingAges)))
+	for za0004 := range z.NamingAges {
+		o, err = z.NamingAges[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "NamingAges", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -134,6 +144,25 @@
 					return
 				}
 			}
+		case "n":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NamingAges")
+				return
+			}
+			if cap(z.NamingAges) >= int(zb0005) {
+				z.NamingAges = (z.NamingAges)[:zb0005]
+			} else {
+				z.NamingAges = make([]peer.Naming, zb0005)
+			}
+			for za0004 := range z.NamingAges {
+				bts, err = z.NamingAges[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "NamingAges", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -160,6 +189,10 @@
 	for za0003 := range z.OrderAges {
 		s += z.OrderAges[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.NamingAges {
+		s += z.NamingAges[za0004].Msgsize()
+	}
 	return
 }
 
--- a/controlplane/server/ages.go
+++ b/controlplane/server/ages.go
@@ -1,6 +1,6 @@
 package server
 
-// How old orders are stands in the register of weights, beside what each process knows by its own steady clock: a kill of all processes
+// How old orders and namings are stands in the register of weights, beside what each process knows by its own steady clock: a kill of all processes
 // takes what they know.
 
 import (
@@ -30,7 +30,7 @@
 	ageRest = 5
 )
 
-// keepAges writes how old orders are for as long as this node is the first live member in the agreed order.
+// keepAges writes how old orders and namings are for as long as this node is the first live member in the agreed order.
 func (c *Controller) keepAges() {
 	ticker := time.NewTicker(ageTick)
 	defer ticker.Stop()
@@ -50,8 +50,9 @@
 	}
 }
 
-// recordAges writes how old orders are where the register lags behind, and tells whether it did.
+// recordAges writes how old orders and namings are where the register lags behind, and tells whether it did.
 func (c *Controller) recordAges() bool {
+	c.noteNamings()
 	k := c.registers.Known(core.Weights)
 	state, err := readWeights(k.Value.Data)
 	if err != nil || k.Confirmed.IsZero() || c.recorded(state) == nil {
@@ -66,22 +67,24 @@
 		return next, nil
 	})
 	if err != nil {
-		c.log.Debug().Err(err).Msg("how old orders are is not known to be written") // the next tick sees
+		c.log.Debug().Err(err).Msg("ages of orders and namings are not known to be written") // the next tick sees
 	}
 	return true
 }
 
-// recorded gives a state of the register with the ages of orders as they are now; nil: they stand in it.
+// recorded gives a state of the register with the ages of orders and namings as they are now; nil: they stand in it.
 func (c *Controller) recorded(state *rollout.State) *rollout.State {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orderTimes.Take(now, state.OrderAges)
+	c.namings = c.namings.Take(now, state.NamingAges)
 	orders := c.orderTimes.Record(now, state.Releases, c.settledAfter(), ageStep)
-	if slices.Equal(orders, state.OrderAges) {
+	namings := c.namings.Record(now, state.NamingAges, settings.Millis(c.set.Bounds.VersionMs), ageStep)
+	if slices.Equal(orders, state.OrderAges) && slices.Equal(namings, state.NamingAges) {
 		return nil
 	}
-	return state.WithOrderAges(orders)
+	return state.WithAges(orders, namings)
 }
 
 // repeatedFor is how long after it was taken an order may be sent again.
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -86,6 +86,8 @@
 	turns        map[string]rollout.Turn // of instances that this node rolls weights out to
 	namings      rollout.Namings         // when weights were named
 	namingsFrom  quorum.Ballot           // of the value that they were last noted from
+	weightsRead  *rollout.State          // that value; nil: none was read
+	weightsNews  quorum.Ballot           // of the last value that routers were to hear of at once
 
 	releases      map[string]*releaseCounts // by service: of the releases that are under way
 	orderTimes    release.OrderTimes        // when releases were ordered
--- a/controlplane/server/namings.go
+++ b/controlplane/server/namings.go
@@ -10,7 +10,7 @@
 // namingsKeep is how many times version-ms a naming is told of and remembered after it was followed by another one.
 const namingsKeep = 4
 
-// noteNamings notes when weights were named: at the latest now, where the register holds something new.
+// noteNamings notes when weights were named: at the latest now, or so long ago as the register tells, where it holds something new.
 func (c *Controller) noteNamings() {
 	k := c.registers.Known(core.Weights)
 	c.mu.Lock()
@@ -23,7 +23,12 @@
 		return
 	}
 	c.namingsFrom = k.Ballot
+	if c.weightsRead == nil || !c.weightsRead.SameForRouters(state) {
+		c.weightsNews = k.Ballot
+	}
+	c.weightsRead = state
 	now := time.Now()
+	c.namings = c.namings.Take(now, state.NamingAges)
 	for _, m := range state.Versions {
 		c.namings, _ = c.namings.Note(m.Name, m.Version, now)
 	}
--- a/controlplane/server/polls.go
+++ b/controlplane/server/polls.go
@@ -73,12 +73,12 @@
 		reply.Weights = weights.Ballot
 		if in.Weights.Less(weights.Ballot) {
 			reply.WeightsIn = weights.Value.Data
-			news = news || len(reply.WeightsIn) > 0
 		}
 	}
 	c.noteNamings()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	news = news || len(reply.WeightsIn) > 0 && in.Weights.Less(c.weightsNews)
 	reply.Namings = c.toldNamings()
 	reply.Table, reply.Revision = c.tableID, c.table.Revision()
 	since := in.Revision
--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,12 +93,23 @@
 	wentBack   = `{"state":"rolled_back","target-version":"v2"}`
 )
 
-// isTaken sends an order for a release to a member, and tells whether it was acknowledged; any other answer must leave it open.
-func isTaken(t *testing.T, c *Controller) bool {
+// isTaken sends an order for a release to a member, and tells whether it was acknowledged. Any other answer must leave it open: doubt tells
+// that it may be an earlier order; else there was no quorum.
+func isTaken(t *testing.T, c *Controller) (taken, doubt bool) {
 	t.Helper()
 	status, answer := callAPI(c, "POST", "/rollouts/start", shortOrder)
 	must.True(t, status == 200 || status == 503, must.Sprint("a proper order is refused: ", status, answer))
-	return status == 200
+	return status == 200, strings.Contains(answer, "was ordered lately")
+}
+
+// takeNew has an order taken that is certain to be new.
+func takeNew(t *testing.T, c *Controller) {
+	t.Helper()
+	eventually(t, "the order is taken", func() bool {
+		taken, doubt := isTaken(t, c)
+		must.False(t, doubt, must.Sprint("it is no repeat"))
+		return taken
+	})
 }
 
 // Guards against LOST: behind a kill of all members a new order for a version that was ordered before was acknowledged and dropped, as it
@@ -112,22 +124,28 @@
 			for i := range members {
 				members[i] = l.node(t, i+1, true, false, stores[i], coreSeeds...)
 			}
-			eventually(t, "the release is read", func() bool { return releaseOf(members[0]) == wentBack })
+			for _, c := range members {
+				eventually(t, "the release is read", func() bool { return releaseOf(c) == wentBack })
+			}
 		}
 		ordered := time.Now()
-		must.True(t, isTaken(t, members[0]))
+		takeNew(t, members[0])
 		eventually(t, "rolled back, as it has no servers", func() bool { return releaseOf(members[0]) == wentBack })
 		restart()
 
 		// The order that was taken, sent again for as long as it may be: it begins nothing.
 		for time.Since(ordered) < members[0].repeatedFor() {
-			isTaken(t, members[1])
+			taken, _ := isTaken(t, members[1])
+			must.False(t, taken, must.Sprint("it may be a new one, and begins nothing"))
 			must.Eq(t, wentBack, releaseOf(members[1]))
 			time.Sleep(operatorPause)
 		}
 		// What comes later is a new order, and has its answer in time: when it is acknowledged it is carried out.
 		asked := time.Now()
-		eventually(t, "the new order is taken", func() bool { return isTaken(t, members[2]) })
+		eventually(t, "the new order is taken", func() bool {
+			taken, _ := isTaken(t, members[2])
+			return taken
+		})
 		must.Less(t, members[0].repeatedFor(), time.Since(asked))
 		must.Eq(t, runsAgain, releaseOf(members[2]))
 		eventually(t, "rolled back once more", func() bool { return releaseOf(members[2]) == wentBack })
@@ -136,7 +154,7 @@
 		for _, age := range []time.Duration{3 * members[0].repeatedFor(), 11 * time.Minute} {
 			time.Sleep(age)
 			restart()
-			must.True(t, isTaken(t, members[0]), must.Sprint("an order ", age, " old is no repeat"))
+			takeNew(t, members[0])
 			must.Eq(t, runsAgain, releaseOf(members[0]))
 			eventually(t, "rolled back", func() bool { return releaseOf(members[0]) == wentBack })
 		}
@@ -144,7 +162,7 @@
 		l.kill(members[1])
 		members[1] = l.node(t, 2, true, false, stores[1], coreSeeds...)
 		eventually(t, "the release is read", func() bool { return releaseOf(members[1]) == wentBack })
-		must.True(t, isTaken(t, members[1]))
+		takeNew(t, members[1])
 		must.Eq(t, runsAgain, releaseOf(members[1]))
 	})
 }
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -471,6 +471,7 @@
 		if !reflect.DeepEqual(state.Releases, s.Releases) {
 			s.Releases, changed = state.Releases, true
 		}
+		namings = namings.Take(now, state.NamingAges)
 		for _, m := range state.Versions {
 			namings, _ = namings.Note(m.Name, m.Version, now)
 		}
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -275,6 +275,21 @@
 	must.Eq(t, 4, f.Snapshot().Namings.NamedBy("m", time.Now().Add(-2900*time.Millisecond)), must.Sprint("another controller knew of it earlier"))
 }
 
+// Guards against VERSION: a router that has just started takes weights for old that were named long ago, though no controller that runs
+// was there when they were.
+func TestWeightsNamedLongAgoAreOldForARouterThatStarts(t *testing.T) {
+	f := newFollower(false)
+	data, err := (&rollout.State{
+		Versions: []peer.Model{{Name: "m", Version: 3}}, NamingAges: []peer.Naming{{Model: "m", Version: 2, AgeMs: 9000}, {Model: "m", Version: 3, AgeMs: 4000}},
+	}).MarshalMsg(nil)
+	must.NoError(t, err)
+	f.take(time.Now(), &peer.PollReply{Weights: quorum.Ballot{Counter: 1}, WeightsIn: data})
+	namings := f.Snapshot().Namings
+	must.Eq(t, 3, namings.NamedBy("m", time.Now().Add(-4*time.Second)))
+	must.Eq(t, 2, namings.NamedBy("m", time.Now().Add(-9*time.Second)))
+	must.Eq(t, 3, namings.Newest("m"))
+}
+
 // Some of the nodes take no others away; the whole list does. A router that knew none has what it is told, and grows from there.
 func TestSomeNodesTakeNoOthersAway(t *testing.T) {
 	f := newFollower(false)
