A first membership installed in part is finished; signals are taken from the start

Cause: 1. the first membership is installed register by register; where all members are killed between the two writes, one register has no members for good.

Change: 1. the first membership is kept before it is installed, and the next process finishes the installation. 2. SIGHUP is ignored from the first statement on; SIGTERM and SIGINT are taken before the settings are read.

--- a/cmd/moleshiftd/main.go
+++ b/cmd/moleshiftd/main.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
@@ -32,6 +34,9 @@
 }
 
 func main() {
+	// Nothing is to be done at SIGHUP: what may change while a node runs comes from the controllers, and seeds are read from the file when
+	// they are wanted. Until it is ignored it ends the process, however early it comes.
+	signal.Ignore(syscall.SIGHUP)
 	parser := flags.NewParser(&common, flags.Default)
 	added(parser.AddCommand("node", "run a node", "Runs a node of the system with the settings file that MOLESHIFT_BOOT names, until SIGTERM.", &nodeCommand{}))
 	added(parser.AddCommand("check", "check a settings file", "Reads a settings file and tells what a node would do with it, or what is wrong.", &checkCommand{}))
@@ -63,11 +68,13 @@
 
 // Execute runs a node.
 func (*nodeCommand) Execute([]string) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT) // one that comes during the start ends the node once it runs
 	set, err := settings.Load(os.Getenv(settings.Variable))
 	if err != nil {
 		return err
 	}
-	return run(set, logger().With().Str("node", set.NodeName).Logger())
+	return run(set, signals, logger().With().Str("node", set.NodeName).Logger())
 }
 
 // Execute checks a settings file.
--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -4,7 +4,6 @@
 	"math"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 
@@ -33,8 +32,8 @@
 	megabyte    = 1 << 20
 )
 
-// run assembles a node and runs it until SIGTERM or SIGINT.
-func run(set *settings.Settings, log zerolog.Logger) error {
+// run assembles a node and runs it until one of the signals comes.
+func run(set *settings.Settings, signals <-chan os.Signal, log zerolog.Logger) error {
 	debug.SetMemoryLimit(int64(memoryShare * set.Limits.MemoryMB * megabyte))
 	set.Limits.MaxFDs = min(set.Limits.MaxFDs, openFiles())
 	acceptor, err := openAcceptor(set, log)
@@ -105,7 +104,7 @@
 	go follow.Run()
 	go events.Run()
 	log.Info().Bool("counts", control.Counts()).Bool("fresh", self.Fresh).Msg("started")
-	return awaitSignal(set, control, clients, failed, log)
+	return awaitSignal(set, signals, control, clients, failed, log)
 }
 
 // openFiles is how many descriptors the system gives this process.
@@ -117,28 +116,21 @@
 	return int(limit.Cur)
 }
 
-// awaitSignal returns at SIGTERM or SIGINT, once all that was taken is answered.
-func awaitSignal(set *settings.Settings, control *server.Controller, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for {
-		select {
-		case err := <-failed:
-			return trace.Wrap(err)
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				continue // what may change while a node runs comes from the controllers; seeds are read at the next start
-			}
-			log.Info().Str("signal", s.String()).Msg("draining")
-			released := make(chan struct{})
-			go func() {
-				defer close(released)
-				control.Leave(settings.Seconds(set.Bounds.GraceS))
-			}()
-			clients.Drain(settings.Seconds(set.Bounds.GraceS), released)
-			log.Info().Msg("ended")
-			return nil
-		}
+// awaitSignal returns at a signal, once all that was taken is answered.
+func awaitSignal(set *settings.Settings, signals <-chan os.Signal, control *server.Controller, clients *ingress.Server, failed <-chan error, log zerolog.Logger) error {
+	select {
+	case err := <-failed:
+		return trace.Wrap(err)
+	case s := <-signals:
+		log.Info().Str("signal", s.String()).Msg("draining")
+		released := make(chan struct{})
+		go func() {
+			defer close(released)
+			control.Leave(settings.Seconds(set.Bounds.GraceS))
+		}()
+		clients.Drain(settings.Seconds(set.Bounds.GraceS), released)
+		log.Info().Msg("ended")
+		return nil
 	}
 }
 
--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,10 @@
 	"moleshift/storage/ring"
 )
 
-const identityRecord = "identity"
+const (
+	identityRecord     = "identity"
+	firstMembersRecord = "first-members"
+)
 
 // Store keeps an acceptor's records. *ring.Ring is one.
 type Store interface {
@@ -98,7 +102,7 @@
 		}
 		a.states[register] = s
 	}
-	return a, nil
+	return a, a.finishInstall()
 }
 
 // Identity names this acceptor; it is as old as what the store keeps.
@@ -248,8 +252,41 @@
 }
 
 // Install puts the first membership of all into each register of which this acceptor has accepted nothing. It is what every one of the
-// first members has accepted from the beginning, whether it knows that yet or not: a promise that was given before stands.
+// first members has accepted from the beginning, whether it knows that yet or not: a promise that was given before stands. Once it has
+// begun it is finished, by the next process where this one is killed between two registers.
 func (a *Acceptor) Install(members []quorum.Member) error {
+	if a.installed() {
+		return nil
+	}
+	data, err := (&peer.Genesis{Members: members}).MarshalMsg(nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := a.Keep(firstMembersRecord, data); err != nil {
+		return err
+	}
+	return a.installAll(members)
+}
+
+// finishInstall goes on with an Install that an earlier process began.
+func (a *Acceptor) finishInstall() error {
+	data := a.Kept(firstMembersRecord)
+	if data == nil || a.installed() {
+		return nil
+	}
+	var first peer.Genesis
+	if _, err := first.UnmarshalMsg(data); err != nil {
+		return trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", firstMembersRecord, err)
+	}
+	return a.installAll(first.Members)
+}
+
+// installed tells whether something is accepted in every register.
+func (a *Acceptor) installed() bool {
+	return !slices.ContainsFunc(registers, func(register string) bool { return a.State(register).Accepted == (quorum.Ballot{}) })
+}
+
+func (a *Acceptor) installAll(members []quorum.Member) error {
 	written := make(chan error, len(registers))
 	for _, register := range registers {
 		go func() { written <- a.install(register, members) }()
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -148,6 +149,28 @@
 	}
 }
 
+// Guards against a core that never takes an order: all members are killed after the first membership has reached the disk in one register,
+// and before it has in the other.
+func TestFirstMembershipOutlastsAKillBetweenTwoRegisters(t *testing.T) {
+	for _, lost := range core.Names() {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLan()
+			stores := []core.Store{newStore(), newStore(), newStore()}
+			members := startCore(t, l, true, stores...)
+			for _, c := range members {
+				eventually(t, "the membership is installed", func() bool { return c.acceptor.Kept(core.Config) != nil && c.acceptor.Kept(core.Weights) != nil })
+			}
+			l.kill(members...)
+			for i := range stores {
+				delete(stores[i].(*store).records, lost)
+				members[i] = l.node(t, i+1, true, false, stores[i], coreSeeds...)
+			}
+			eventually(t, "a configuration", func() bool { return replace(members[1], 0, wholeText) == fault.None })
+			name(t, members[2], 2)
+		})
+	}
+}
+
 // A core of four with three seeds, one of which is a machine that does not count: one membership of all four, known to everyone.
 func TestFirstMembership(t *testing.T) {
 	l := newLan()
--- a/lab/control/machine.go
+++ b/lab/control/machine.go
@@ -149,6 +149,9 @@
 	m.starting = false
 	if !m.power || m.gone || disk != m.disk || m.kills != p.killsBefore {
 		p.end()
+		if m.power && !m.gone { // it was killed during its start, which may have waited for its disk: the platform starts it again
+			w.later(restartAfter, func() { w.start(m, first) })
+		}
 		return
 	}
 	if err != nil { // the disk refuses writes: the platform starts the process again
--- a/lab/releases/releases.go
+++ b/lab/releases/releases.go
@@ -314,7 +314,7 @@
 	if p.now >= p.resting[0] && p.now < p.resting[1] {
 		return
 	}
-	decision := p.release.Decide(release.Situation{Age: p.now, Target: 4, InService: 4, Evidence: &p.evidence})
+	decision := p.release.Decide(release.Situation{Age: p.now, Watched: p.now, Target: 4, InService: 4, Evidence: &p.evidence})
 	if decision == nil {
 		return
 	}
