Worlds of a quarter of an hour, in which versions are ordered again after minutes

Change: two scenarios of 15 minutes with orders a minute apart: kills of every process behind acknowledgements, and restarts of one member, a lost disk, replaced members. Options.Releases sets the pace.

--- a/lab/control/control_test.go
+++ b/lab/control/control_test.go
@@ -39,12 +39,16 @@
 	return result
 }
 
-// The failures that operators have met, and those found here, each with three seeds.
+// The failures that operators have met, and those found here, each with three seeds; worlds of many minutes with one.
 func TestScenarios(t *testing.T) {
 	for _, s := range Scenarios {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(3) {
+			seeds := uint64(3)
+			if s.Options.Length > time.Minute {
+				seeds = 1
+			}
+			for seed := range seeds {
 				play(t, seed, s.Options)
 			}
 		})
--- a/lab/control/releases.go
+++ b/lab/control/releases.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	releaseGap      = 4 * time.Second // between two releases, at the mean
+	usualReleases   = 4 * time.Second // between two releases, at the mean
 	releaseDeadline = 2.0             // seconds
 	releasedService = "s"
 	releaseRunning  = "running"
--- a/lab/control/scenarios.go
+++ b/lab/control/scenarios.go
@@ -19,6 +19,13 @@
 	}}
 }
 
+// minutes makes a world of a quarter of an hour, in which little happens but that versions are ordered, and ordered again after minutes.
+func minutes(name, about string, script ...Step) Scenario {
+	return Scenario{name, about, Options{
+		Members: 3, Routers: 1, Tolerance: 1, Length: 15 * time.Minute, Operators: 1, Gap: 20 * time.Second, Releases: time.Minute, Script: script,
+	}}
+}
+
 // Scenarios lists them.
 var Scenarios = []Scenario{
 	scenario("cut-off-twenty-seconds", "a member is cut off from the core for twenty seconds while changes go on", 3, 1,
@@ -58,6 +65,12 @@
 		Step{At: seconds(10.8), Kind: Kill, Which: 0}, Step{At: seconds(12), Kind: Kill, Which: 0}),
 	scenario("power-lost-everywhere", "all machines lose power, twice, with changes under way", 6, 2,
 		Step{At: seconds(6), Kind: Storm}, Step{At: seconds(7), Kind: PowerAll, For: seconds(1)}, Step{At: seconds(14), Kind: PowerAll, For: seconds(1)}),
+	minutes("minutes-and-kills-of-all", "versions are ordered again after minutes, around kills of every process",
+		Step{At: seconds(120), Kind: AckKill, For: seconds(60)}, Step{At: seconds(300), Kind: AckKill, For: seconds(60)},
+		Step{At: seconds(480), Kind: KillAll}, Step{At: seconds(490), Kind: KillAll}, Step{At: seconds(720), Kind: PowerAll, For: seconds(2)}),
+	minutes("minutes-and-single-losses", "versions are ordered again after minutes; one member after the other restarts, loses its disk and is replaced",
+		Step{At: seconds(100), Kind: Kill, Which: 0}, Step{At: seconds(220), Kind: Wipe, For: seconds(1), Which: 1}, Step{At: seconds(340), Kind: Replace, Which: 2},
+		Step{At: seconds(500), Kind: Roll, Which: 0}, Step{At: seconds(620), Kind: Freeze, For: seconds(15), Which: 1}, Step{At: seconds(760), Kind: Planned, Which: 0}),
 	scenario("full-disks", "disks refuse writes one after the other, and one answers nothing", 3, 1,
 		Step{At: seconds(5), Kind: DiskFull, For: seconds(5), Which: 0}, Step{At: seconds(8), Kind: DiskFull, For: seconds(5), Which: 1}, Step{At: seconds(15), Kind: DiskStall, For: seconds(5), Which: 2}),
 }
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -7,6 +7,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,7 @@
 	Gap       time.Duration // between an operator's calls
 	Servers   int           // addresses at which servers come and go
 	Write     time.Duration // what keeping a record on disk takes; 0: usualWrite
+	Releases  time.Duration // between two orders for releases, at the mean; 0: usualReleases
 	Script    []Step        // faults; nil: they are drawn
 	Verbose   bool          // the history names every order
 }
@@ -188,8 +190,9 @@
 		w.ops.nameVersions(func() time.Duration { return time.Duration(gaps.Int64N(int64(2 * namingGap))) })
 	})
 	pauses := rand.New(rand.NewPCG(w.rand.Uint64(), 2))
+	between := cmp.Or(w.options.Releases, usualReleases)
 	clients.Go(func() {
-		w.ops.orderReleases(func() time.Duration { return time.Duration(pauses.Int64N(int64(2 * releaseGap))) })
+		w.ops.orderReleases(func() time.Duration { return time.Duration(pauses.Int64N(int64(2 * between))) })
 	})
 	clients.Go(func() { w.ops.readReleases(func() time.Duration { return sampleEvery }) })
 	for i := range w.options.Servers {
