--- a/controlplane/registry/registry.go
+++ b/controlplane/registry/registry.go
@@ -278,6 +278,17 @@
 	return list
 }
 
+// Remaining lists the instances that take requests as far as is known, silent ones among them, by identity.
+func (t *Table) Remaining() []peer.Instance {
+	var list []peer.Instance
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if in := t.entries[id].instance; in.State == Ready && !in.Replaced {
+			list = append(list, in)
+		}
+	}
+	return list
+}
+
 // Heard notes that another replica had a heartbeat of the instance.
 func (t *Table) Heard(now time.Duration, id string) {
 	e := t.entries[id]
--- a/controlplane/release/release.go
+++ b/controlplane/release/release.go
@@ -61,6 +61,13 @@
 	Barred     []string `msg:"b"` // versions that were rolled back and not ordered since
 
 	Ordered []Ordered `msg:"o"` // the orders before this one, the newest last
+	Before  []string  `msg:"f"` // versions that were in service when it was ordered, without the target; empty: all but the target
+}
+
+// Baseline is which versions of a service's servers are in service while no release of it was ever ordered.
+type Baseline struct {
+	Service  string   `msg:"s"`
+	Versions []string `msg:"v"` // in order, one at least
 }
 
 // LastOrder gives the number of the newest order for a version; ok is false where none is remembered.
@@ -92,13 +99,16 @@
 	return time.Duration(r.DeadlineMs * float64(time.Millisecond))
 }
 
-// InService tells whether servers of a version may get any request: while the target is tried those of every other version that was
-// not rolled back, once it has proved itself the target's alone.
+// InService tells whether servers of a version may get any request: while the target is tried those of the versions that were in service
+// before, once it has proved itself the target's alone.
 func (r *Release) InService(version string) bool {
 	if r.Phase == Switching || r.Phase == Completed {
 		return version == r.Target
 	}
-	return version != r.Target && !slices.Contains(r.Barred, version)
+	if version == r.Target || slices.Contains(r.Barred, version) {
+		return false
+	}
+	return len(r.Before) == 0 || slices.Contains(r.Before, version)
 }
 
 // Retired tells whether a version has gone out of service: its servers may end at any moment.
@@ -123,6 +133,8 @@
 	MayBeRepeat bool
 	// Newest is the number of the newest release of the service that was known where the call with the order came.
 	Newest uint64
+	// Baseline are the versions in service where no release of the service was ever ordered; empty: they are not known.
+	Baseline []string
 }
 
 // check tells what is wrong with an order; nil: nothing.
@@ -136,8 +148,9 @@
 	return nil
 }
 
-// Start gives the releases after an order; same tells that it changes nothing, as what it asks for is under way or has come about. An error of the kind UnderWay tells that a release of the service has not ended; one of the kind MayBeRepeat, that
-// the order begins nothing now and will once it is certain to be a new one.
+// Start gives the releases after an order; same tells that it changes nothing, as what it asks for is under way or has come about. An error
+// of the kind UnderWay tells that a release of the service has not ended; one of the kind MayBeRepeat, that the order begins nothing now
+// and will once it is certain to be a new one.
 func Start(releases []Release, order Order) (next []Release, same bool, err error) {
 	if err := order.check(); err != nil {
 		return nil, false, err
@@ -148,6 +161,7 @@
 		DeadlineMs: float64(order.Deadline) / float64(time.Millisecond),
 	}
 	if known == nil {
+		started.begin(order.Baseline)
 		return append(slices.Clone(releases), started), false, nil
 	}
 	if known.fulfils(order) {
@@ -166,11 +180,28 @@
 	started.Barred = slices.DeleteFunc(slices.Clone(known.Barred), func(v string) bool { return v == order.Target })
 	started.Ordered = append(slices.Clone(known.Ordered), Ordered{known.Target, known.Number})
 	started.Ordered = started.Ordered[max(len(started.Ordered)-mostOrdered, 0):]
+	started.begin(known.versionsInService())
 	next = slices.Clone(releases)
 	*Of(next, order.Service) = started
 	return next, false, nil
 }
 
+// begin begins a release beside the versions in service; empty: they are not known. One to the only version in service is completed.
+func (r *Release) begin(inService []string) {
+	r.Before = slices.DeleteFunc(slices.Clone(inService), func(v string) bool { return v == r.Target })
+	if len(inService) > 0 && len(r.Before) == 0 {
+		r.Phase, r.Reason = Completed, "it is the only version in service"
+	}
+}
+
+// versionsInService gives the versions in service behind a release that has ended; empty: they are not known.
+func (r *Release) versionsInService() []string {
+	if r.Phase == Completed {
+		return []string{r.Target}
+	}
+	return r.Before
+}
+
 // fulfils tells whether the release is what an order asks for: under way, where the order may be the one that began it, or completed.
 func (r *Release) fulfils(order Order) bool {
 	if r.Target != order.Target {
--- a/controlplane/release/release_gen.go
+++ b/controlplane/release/release_gen.go
@@ -6,6 +6,86 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Baseline) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "s"
+	o = append(o, 0x82, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		o = msgp.AppendString(o, z.Versions[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Baseline) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "v":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if cap(z.Versions) >= int(zb0002) {
+				z.Versions = (z.Versions)[:zb0002]
+			} else {
+				z.Versions = make([]string, zb0002)
+			}
+			for za0001 := range z.Versions {
+				z.Versions[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Baseline) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Versions {
+		s += msgp.StringPrefixSize + len(z.Versions[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Ordered) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -98,9 +178,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Release) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "s"
-	o = append(o, 0x88, 0xa1, 0x73)
+	o = append(o, 0x89, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -135,6 +215,12 @@
 		o = append(o, 0xa1, 0x6e)
 		o = msgp.AppendUint64(o, z.Ordered[za0002].Number)
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Before)))
+	for za0003 := range z.Before {
+		o = msgp.AppendString(o, z.Before[za0003])
+	}
 	return
 }
 
@@ -263,6 +349,25 @@
 					}
 				}
 			}
+		case "f":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+			if cap(z.Before) >= int(zb0006) {
+				z.Before = (z.Before)[:zb0006]
+			} else {
+				z.Before = make([]string, zb0006)
+			}
+			for za0003 := range z.Before {
+				z.Before[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Before", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -285,5 +390,9 @@
 	for za0002 := range z.Ordered {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Ordered[za0002].Target) + 2 + msgp.Uint64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Before {
+		s += msgp.StringPrefixSize + len(z.Before[za0003])
+	}
 	return
 }
--- a/controlplane/rollout/rollout.go
+++ b/controlplane/rollout/rollout.go
@@ -34,7 +34,8 @@
 	Versions []peer.Model    `msg:"v"` // the newest version named, by model
 	Lease    singleton.Lease `msg:"l"` // who orders servers to load
 
-	Releases []release.Release `msg:"r"` // of services to other versions of their servers' software; one a service
+	Releases  []release.Release  `msg:"r"` // of services to other versions of their servers' software; one a service
+	Baselines []release.Baseline `msg:"b"` // versions in service of services that no release was ordered for
 
 	// How old the orders for releases and the namings of weights are at the least: they were so old when this was written. So the time that
 	// has passed since is not forgotten with the processes that saw it pass.
@@ -62,6 +63,13 @@
 	return next
 }
 
+// WithBaselines gives the state with other versions in service.
+func (s *State) WithBaselines(baselines []release.Baseline) *State {
+	next := s.clone()
+	next.Baselines = baselines
+	return next
+}
+
 // WithAges gives the state with other ages of orders and namings.
 func (s *State) WithAges(orders []peer.OrderAge, namings []peer.Naming) *State {
 	next := s.clone()
@@ -72,7 +80,8 @@
 // SameForRouters tells whether routers act on another state as on this one: leases are none of their matter, and ages are only wanted by
 // those that have just started.
 func (s *State) SameForRouters(other *State) bool {
-	return slices.Equal(s.Versions, other.Versions) && reflect.DeepEqual(s.Releases, other.Releases)
+	return slices.Equal(s.Versions, other.Versions) && reflect.DeepEqual(s.Releases, other.Releases) &&
+		reflect.DeepEqual(s.Baselines, other.Baselines)
 }
 
 // Name gives the state after a version was named; same tells that nothing changes by it.
--- a/controlplane/rollout/rollout_gen.go
+++ b/controlplane/rollout/rollout_gen.go
@@ -12,9 +12,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		o, err = z.Versions[za0001].MarshalMsg(o)
@@ -40,23 +40,33 @@
 			return
 		}
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Baselines)))
+	for za0003 := range z.Baselines {
+		o, err = z.Baselines[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Baselines", za0003)
+			return
+		}
+	}
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.OrderAges)))
-	for za0003 := range z.OrderAges {
-		o, err = z.OrderAges[za0003].MarshalMsg(o)
+	for za0004 := range z.OrderAges {
+		o, err = z.OrderAges[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "OrderAges", za0003)
+			err = msgp.WrapError(err, "OrderAges", za0004)
 			return
 		}
 	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.NamingAges)))
-	for za0004 := range z.NamingAges {
-		o, err = z.NamingAges[za0004].MarshalMsg(o)
+	for za0005 := range z.NamingAges {
+		o, err = z.NamingAges[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "NamingAges", za0004)
+			err = msgp.WrapError(err, "NamingAges", za0005)
 			return
 		}
 	}
@@ -125,41 +135,60 @@
 					return
 				}
 			}
-		case "o":
+		case "b":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OrderAges")
+				err = msgp.WrapError(err, "Baselines")
 				return
 			}
-			if cap(z.OrderAges) >= int(zb0004) {
-				z.OrderAges = (z.OrderAges)[:zb0004]
+			if cap(z.Baselines) >= int(zb0004) {
+				z.Baselines = (z.Baselines)[:zb0004]
 			} else {
-				z.OrderAges = make([]peer.OrderAge, zb0004)
+				z.Baselines = make([]release.Baseline, zb0004)
 			}
-			for za0003 := range z.OrderAges {
-				bts, err = z.OrderAges[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Baselines {
+				bts, err = z.Baselines[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OrderAges", za0003)
+					err = msgp.WrapError(err, "Baselines", za0003)
 					return
 				}
 			}
-		case "n":
+		case "o":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrderAges")
+				return
+			}
+			if cap(z.OrderAges) >= int(zb0005) {
+				z.OrderAges = (z.OrderAges)[:zb0005]
+			} else {
+				z.OrderAges = make([]peer.OrderAge, zb0005)
+			}
+			for za0004 := range z.OrderAges {
+				bts, err = z.OrderAges[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OrderAges", za0004)
+					return
+				}
+			}
+		case "n":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "NamingAges")
 				return
 			}
-			if cap(z.NamingAges) >= int(zb0005) {
-				z.NamingAges = (z.NamingAges)[:zb0005]
+			if cap(z.NamingAges) >= int(zb0006) {
+				z.NamingAges = (z.NamingAges)[:zb0006]
 			} else {
-				z.NamingAges = make([]peer.Naming, zb0005)
+				z.NamingAges = make([]peer.Naming, zb0006)
 			}
-			for za0004 := range z.NamingAges {
-				bts, err = z.NamingAges[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.NamingAges {
+				bts, err = z.NamingAges[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "NamingAges", za0004)
+					err = msgp.WrapError(err, "NamingAges", za0005)
 					return
 				}
 			}
@@ -186,12 +215,16 @@
 		s += z.Releases[za0002].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.OrderAges {
-		s += z.OrderAges[za0003].Msgsize()
+	for za0003 := range z.Baselines {
+		s += z.Baselines[za0003].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.OrderAges {
+		s += z.OrderAges[za0004].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.NamingAges {
-		s += z.NamingAges[za0004].Msgsize()
+	for za0005 := range z.NamingAges {
+		s += z.NamingAges[za0005].Msgsize()
 	}
 	return
 }
--- a/controlplane/server/ages.go
+++ b/controlplane/server/ages.go
@@ -1,7 +1,7 @@
 package server
 
-// How old orders and namings are stands in the register of weights, beside what each process knows by its own steady clock: a kill of all processes
-// takes what they know.
+// What only time shows stands in the register of weights, beside what each process knows by its own steady clock, as a kill of all processes
+// takes that: how old orders and namings are, and which versions of a service's servers are in service without an order.
 
 import (
 	"slices"
@@ -40,6 +40,7 @@
 			return
 		case <-ticker.C:
 		}
+		c.takeCensus()
 		if c.now() < releaseYoung || !c.first(releaseOwner) {
 			continue
 		}
@@ -50,7 +51,19 @@
 	}
 }
 
-// recordAges writes how old orders and namings are where the register lags behind, and tells whether it did.
+// takeCensus notes the versions of servers.
+func (c *Controller) takeCensus() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var servers []release.Server
+	for _, in := range c.table.Remaining() {
+		servers = append(servers, release.Server{Service: in.Service, Version: in.Version, Silent: in.Silent})
+	}
+	c.census.Take(now, servers)
+}
+
+// recordAges writes what only time shows where the register lags behind, and tells whether it did.
 func (c *Controller) recordAges() bool {
 	c.noteNamings()
 	k := c.registers.Known(core.Weights)
@@ -72,7 +85,8 @@
 	return true
 }
 
-// recorded gives a state of the register with the ages of orders and namings as they are now; nil: they stand in it.
+// recorded gives a state of the register with the ages of orders and namings and the versions in service as they are now; nil: they stand in
+// it.
 func (c *Controller) recorded(state *rollout.State) *rollout.State {
 	now := time.Now()
 	c.mu.Lock()
@@ -81,10 +95,12 @@
 	c.namings = c.namings.Take(now, state.NamingAges)
 	orders := c.orderTimes.Record(now, state.Releases, c.settledAfter(), ageStep)
 	namings := c.namings.Record(now, state.NamingAges, settings.Millis(c.set.Bounds.VersionMs), ageStep)
-	if slices.Equal(orders, state.OrderAges) && slices.Equal(namings, state.NamingAges) {
+	next := state.WithAges(orders, namings).WithReleases(c.census.Replace(state.Releases))
+	next = next.WithBaselines(c.census.Baselines(state.Baselines, next.Releases))
+	if slices.Equal(orders, state.OrderAges) && slices.Equal(namings, state.NamingAges) && next.SameForRouters(state) {
 		return nil
 	}
-	return state.WithAges(orders, namings)
+	return next
 }
 
 // repeatedFor is how long after it was taken an order may be sent again.
--- a/controlplane/server/controller.go
+++ b/controlplane/server/controller.go
@@ -91,6 +91,7 @@
 
 	releases      map[string]*releaseCounts // by service: of the releases that are under way
 	orderTimes    release.OrderTimes        // when releases were ordered
+	census        release.Census            // of the versions of servers
 	readsReleases bool                      // this process has read the newest releases: one that it reads later is a new one
 
 	incarnations incarnations                  // of members
--- a/controlplane/server/releases.go
+++ b/controlplane/server/releases.go
@@ -76,6 +76,7 @@
 			return nil, fault.New(fault.Unavailable, "the order has waited for too long")
 		}
 		order.MayBeRepeat = c.mayRepeat(release.Of(s.Releases, order.Service), order.Target, came, s.OrderAges)
+		order.Baseline = c.baselineFor(order, s.Baselines)
 		next, same, err := release.Start(s.Releases, order)
 		if err != nil {
 			return nil, err
@@ -107,6 +108,18 @@
 	}, nil
 }
 
+// baselineFor gives the versions in service beside which an order for a service that was never released begins; empty: they are not known.
+// Before they stand in the register they are those that were heard of, but for the target: its servers may have been started for the order.
+func (c *Controller) baselineFor(order release.Order, recorded []release.Baseline) []string {
+	if versions := release.BaselineOf(recorded, order.Service); len(versions) > 0 {
+		return versions
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	initial, _ := c.census.Initial(order.Service)
+	return lo.Without(initial, order.Target)
+}
+
 // newestRelease gives the number of the newest release that this node knows of the service that an order is for; 0 where it knows none.
 func (c *Controller) newestRelease(body []byte) int64 {
 	order, err := readReleaseOrder(&configuration.Order{Body: body})
@@ -299,7 +312,7 @@
 		case in.Service != r.Service || in.State != registry.Ready:
 		case in.Version == r.Target:
 			situation.Target++
-		default:
+		case r.InService(in.Version):
 			situation.InService++
 		}
 	}
--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -12,6 +12,7 @@
 
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
+	"moleshift/controlplane/release"
 	"moleshift/fault"
 	"moleshift/peer"
 )
@@ -215,6 +216,42 @@
 	}
 }
 
+// Guards against ROUTE: which versions are in service without an order stood in each router's memory alone, as long as that lasted. It stands
+// in the register: behind a kill of all members the servers of another version still get nothing, until nothing else is left.
+func TestVersionsInServiceOutlastAKillOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLan()
+		stores := []core.Store{newStore(), newStore(), newStore()}
+		members := startConfigured(t, l, stores...)
+		began := time.Now()
+		inService := func(c *Controller) []string {
+			state, err := readWeights(c.registers.Known(core.Weights).Value.Data)
+			must.NoError(t, err)
+			return release.BaselineOf(state.Baselines, "llm")
+		}
+		beatFor := func(d time.Duration, versions ...string) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(operatorPause) {
+				if members[1].IsMember() {
+					sendBeats(t, members[1], int64(time.Since(began)), versions...)
+				}
+			}
+		}
+		beatFor(4*time.Second, "v1")
+		must.Eq(t, []string{"v1"}, inService(members[0]))
+		beatFor(time.Minute, "v1", "v2")
+		must.Eq(t, []string{"v1"}, inService(members[2]))
+		l.kill(members...)
+		for i := range members {
+			members[i] = l.node(t, i+1, true, false, stores[i], coreSeeds...)
+		}
+		eventually(t, "it is known again", func() bool { return len(inService(members[2])) > 0 })
+		beatFor(time.Minute, "v2", "v1")
+		must.Eq(t, []string{"v1"}, inService(members[2]))
+		beatFor(2*keepEntries, "v2")
+		must.Eq(t, []string{"v2"}, inService(members[0]), must.Sprint("no other server is left"))
+	})
+}
+
 // Guards against a proper order that is refused: the member that takes it has not yet heard of the configuration that brought the service.
 func TestOrderAtAMemberThatLacksTheConfiguration(t *testing.T) {
 	l := newLan()
--- a/dataplane/canary/canary.go
+++ b/dataplane/canary/canary.go
@@ -33,8 +33,8 @@
 	leastServers = 2
 	// leastCounted is the mean of requests from which a route is counted.
 	leastCounted = 0.01
-	// unknownFor is how long servers of a version that was never seen before get nothing unless a release names it: word of servers may
-	// come before word of the order that they were started for.
+	// unknownFor is how long servers of one of several versions get nothing where it is not known which of them are in service: word of
+	// servers may come before word of that, and of the order that they were started for.
 	unknownFor = 3 * time.Second
 	// lapseAfter is how long after the last word of the controllers a version that is tried gets nothing more from here.
 	lapseAfter = 2500 * time.Millisecond
@@ -96,13 +96,20 @@
 type Splitter struct {
 	set      Settings
 	random   *rand.Rand
-	rates    map[string]*rate                    // by service
-	versions map[string]map[string]time.Duration // by service and version: since when it is known
+	rates    map[string]*rate               // by service
+	versions map[string]map[string]sighting // by service and version
+	accounts int                            // of servers that were noted
+}
+
+// sighting is when a version was first heard of.
+type sighting struct {
+	since   time.Duration
+	account int // in which it was
 }
 
 // NewSplitter makes a splitter.
 func NewSplitter(set Settings, random *rand.Rand) *Splitter {
-	return &Splitter{set: set, random: random, rates: map[string]*rate{}, versions: map[string]map[string]time.Duration{}}
+	return &Splitter{set: set, random: random, rates: map[string]*rate{}, versions: map[string]map[string]sighting{}}
 }
 
 // Request notes a request of a client for a service.
@@ -115,23 +122,18 @@
 	r.note(now, route)
 }
 
-// Seen notes the versions of a service's servers. Those that come first are known for as long as need be.
+// Seen notes the versions of a service's servers.
 func (s *Splitter) Seen(now time.Duration, service string, versions []string) {
 	known := s.versions[service]
-	first := known == nil
-	if first {
-		known = map[string]time.Duration{}
+	if known == nil {
+		known = map[string]sighting{}
 		s.versions[service] = known
 	}
+	s.accounts++
 	for _, v := range versions {
-		if _, ok := known[v]; ok {
-			continue
-		}
-		since := now
-		if first {
-			since -= unknownFor
+		if _, ok := known[v]; !ok {
+			known[v] = sighting{now, s.accounts}
 		}
-		known[v] = since
 	}
 	for v := range known {
 		if !slices.Contains(versions, v) {
@@ -170,10 +172,12 @@
 	Now     time.Duration
 	Service string
 	Release *release.Release // the newest of the service; nil: none was ever ordered
-	Heard   time.Duration    // how long ago the controllers were heard
-	Routers int              // that send requests, this one included
-	Trial   bool             // the request is part of the share of the version on trial
-	Servers []Server         // where NeedsServers tells that they are wanted
+	// Baseline are the versions in service where no release was ever ordered; empty: they are not known.
+	Baseline []string
+	Heard    time.Duration // how long ago the controllers were heard
+	Routers  int           // that send requests, this one included
+	Trial    bool          // the request is part of the share of the version on trial
+	Servers  []Server      // where NeedsServers tells that they are wanted
 }
 
 // NeedsServers tells whether the servers of the service are wanted in a query.
@@ -184,7 +188,7 @@
 // Split tells which servers of a service a request may go to.
 type Split struct {
 	query *Query
-	known map[string]time.Duration
+	known map[string]sighting
 	trial map[string]bool // the servers that carry the share of the version on trial
 	only  bool            // servers of the version in service are left, or no others may serve
 }
@@ -208,21 +212,31 @@
 // Admits tells whether the request may go to a server.
 func (s *Split) Admits(id, version string) bool {
 	r := s.query.Release
-	if len(s.trial) > 0 {
+	switch {
+	case len(s.trial) > 0:
 		return s.trial[id]
+	case r == nil && len(s.query.Baseline) > 0:
+		return slices.Contains(s.query.Baseline, version)
+	case r != nil && s.only && !r.InService(version):
+		return false
+	case r != nil && s.only && (version == r.Target || len(r.Before) > 0):
+		return true
+	case r != nil && slices.Contains(r.Barred, version):
+		return false
 	}
-	if r != nil && s.only {
-		if !r.InService(version) {
+	seen, ok := s.known[version]
+	return ok && s.query.Now-seen.since >= unknownFor || s.cameFirst(version)
+}
+
+// cameFirst tells whether a version was known before every other one.
+func (s *Split) cameFirst(version string) bool {
+	seen, ok := s.known[version]
+	for other, o := range s.known {
+		if other != version && (!ok || o.account <= seen.account) {
 			return false
 		}
-		if version == r.Target {
-			return true
-		}
-	} else if r != nil && slices.Contains(r.Barred, version) {
-		return false
 	}
-	since, ok := s.known[version]
-	return ok && s.query.Now-since >= unknownFor || len(s.known) <= 1
+	return true
 }
 
 // trial gives the servers of the version on trial that carry its share: as few as bear each no less than a server in service, so that a
--- a/dataplane/canary/canary_test.go
+++ b/dataplane/canary/canary_test.go
@@ -81,6 +81,25 @@
 	must.Eq(t, map[string]int{"v3": 2}, admitted(s, q), must.Sprint("there is no other"))
 }
 
+// Guards against ROUTE: servers of a version that nobody ordered got requests, from 3 s on, and at once at a router that started.
+func TestVersionThatNobodyOrderedGetsNothing(t *testing.T) {
+	servers := fleet(2, "v1", "v2")
+	later := func(s *Splitter, after time.Duration, baseline []string, r *release.Release) map[string]int {
+		return admitted(s, &Query{Now: after, Service: "llm", Servers: servers, Baseline: baseline, Release: r})
+	}
+	s := NewSplitter(bounds, rand.New(rand.NewPCG(1, 1)))
+	s.Seen(0, "llm", []string{"v1", "v2"})
+	must.MapEmpty(t, later(s, time.Second, nil, nil), must.Sprint("which of them is in service is not known yet"))
+	must.Eq(t, map[string]int{"v1": 2}, later(s, 0, []string{"v1"}, nil))
+	must.Eq(t, map[string]int{"v1": 2}, later(s, time.Hour, []string{"v1"}, nil))
+	must.Eq(t, map[string]int{"v1": 2, "v2": 2}, later(s, 0, []string{"v1", "v2"}, nil))
+
+	other := &release.Release{Service: "llm", Target: "v3", Before: []string{"v1"}, Phase: release.Running}
+	must.Eq(t, map[string]int{"v1": 2}, later(s, time.Hour, nil, other), must.Sprint("while another one is tried"))
+	other.Phase, other.Barred = release.RolledBack, []string{"v3"}
+	must.Eq(t, map[string]int{"v1": 2}, later(s, time.Hour, nil, other))
+}
+
 // The shares of routers that know nothing of one another add up to less than the share of all, whatever each of them sees.
 func TestSharesOfManyRoutersAddUp(t *testing.T) {
 	const routers, share, slack = 300, 0.1, 50
--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -59,6 +59,7 @@
 	Lease     time.Duration              // how long after Confirmed requests that need a key may be served; 0: for ever
 	Namings   rollout.Namings            // of weights, with the earliest moment at which this router or a controller knew of each
 	Releases  []release.Release          // of services to other versions of their servers' software
+	Baselines []release.Baseline         // versions in service of services that no release was ordered for
 	Instances map[string][]peer.Instance // by service, without those that are gone or replaced
 	Nodes     []peer.Node
 }
@@ -471,6 +472,9 @@
 		if !reflect.DeepEqual(state.Releases, s.Releases) {
 			s.Releases, changed = state.Releases, true
 		}
+		if !reflect.DeepEqual(state.Baselines, s.Baselines) {
+			s.Baselines, changed = state.Baselines, true
+		}
 		namings = namings.Take(now, state.NamingAges)
 		for _, m := range state.Versions {
 			namings, _ = namings.Note(m.Name, m.Version, now)
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -20,7 +20,7 @@
 	service := r.service.Name
 	query := &canary.Query{
 		Now: steady, Service: service, Release: release.Of(snapshot.Releases, service), Heard: now.Sub(snapshot.Confirmed),
-		Routers: p.placer.Routers(),
+		Routers: p.placer.Routers(), Baseline: release.BaselineOf(snapshot.Baselines, service),
 	}
 	if !r.drawn {
 		r.drawn, r.trial = true, p.splitter.Draw(steady, query.Release, r.route.Name, query.Routers)
