--- a/dataplane/follower/follower.go
+++ b/dataplane/follower/follower.go
@@ -6,6 +6,7 @@
 package follower
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -18,6 +19,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/core"
@@ -88,7 +90,10 @@
 
 	snapshot atomic.Pointer[Snapshot]
 	fetching atomic.Bool // a first configuration is on its way
-	start    time.Time
+
+	publishing *semaphore.Weighted // of one; held while onChange is told
+
+	start time.Time
 
 	mu       sync.Mutex // guards what follows; used by run alone but for tests
 	config   quorum.Ballot
@@ -113,6 +118,7 @@
 	f := &Follower{
 		set: set, self: self, caller: caller, directory: dir, local: local, onChange: onChange, log: log,
 		closed: make(chan struct{}), started: make(chan struct{}), start: time.Now(), known: map[string]*known{},
+		publishing: semaphore.NewWeighted(1),
 	}
 	first := &Snapshot{Instances: map[string][]peer.Instance{}}
 	if set.Bounds.FailClosed {
@@ -387,10 +393,18 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.onChange(&s)
+		f.publish()
 	}
 }
 
+// publish tells of the newest snapshot. Of two replies that are taken at once, at a start or when a controller has failed, neither is told of
+// behind a newer one.
+func (f *Follower) publish() {
+	_ = f.publishing.Acquire(context.Background(), 1) // fails only where the context ends
+	defer f.publishing.Release(1)
+	f.onChange(f.Snapshot())
+}
+
 // takeConfirmation notes that the snapshot's configuration was in force at some moment after began, less the age that the controller
 // tells.
 func (f *Follower) takeConfirmation(s *Snapshot, began time.Time, reply *peer.PollReply) bool {
--- a/dataplane/follower/follower_test.go
+++ b/dataplane/follower/follower_test.go
@@ -317,3 +317,30 @@
 	must.Eq(t, []string{"a1", "c2"}, known())
 	must.Eq(t, 5, f.nodes)
 }
+
+// Guards against a router that goes on with an older table of servers until the next change: two replies are taken at once, and the older
+// snapshot is told of last.
+func TestSnapshotsAreToldOfInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []*Snapshot
+		held := make(chan struct{})
+		set := settings.Default()
+		f := New(&set, peer.Node{ID: "me"}, nil, directory.New(), nil, func(s *Snapshot) {
+			if len(s.Instances["llm"]) == 1 {
+				<-held
+			}
+			told = append(told, s)
+		}, zerolog.Nop())
+		list := func(revision uint64, instances ...peer.Instance) *peer.PollReply {
+			return &peer.PollReply{Table: "t", Revision: revision, Full: true, Instances: instances}
+		}
+		go f.take(time.Now(), list(1, server("a", registry.Ready, 1)))
+		synctest.Wait()
+		go f.take(time.Now(), list(2, server("a", registry.Ready, 1), server("b", registry.Ready, 1)))
+		synctest.Wait()
+		close(held)
+		synctest.Wait()
+		must.SliceNotEmpty(t, told)
+		must.Len(t, 2, told[len(told)-1].Instances["llm"])
+	})
+}
