The soak of real processes orders releases

Change: a service whose versions change, with servers that stand ready before the order, good and bad versions, versions ordered again, orders sent until ack-timeout-ms, old servers stopped at once on completed, new ones drained on rolled_back; beside kills of all that count, lost disks, restarts and freezes as before. Judged: ROUTE (never ordered, or rolled back), LOST (not shown, never begun, never ended), ACKS, DUTY (late behind one kill of all). TestRulesOfReleases plants a history for each.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -116,6 +116,9 @@
 	return inChunks
 }
 
+// drawBad draws whether an answer of bad software is a failure.
+func (f *serverFaults) drawBad() bool { return f.draw.float() < badAnswerShare }
+
 // isDeaf tells whether the server takes no orders at a moment of the run.
 func (f *serverFaults) isDeaf(now time.Duration) bool {
 	return f.on && f.deaf && now%deafEvery < deafMostly
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -25,11 +25,12 @@
 	Single    Kind = "single"    // a stream that may run once
 	Again     Kind = "again"     // whole answer, may run more than once
 	Keyed     Kind = "keyed"     // whole answer, may run once, on a route that wants a key
+	Released  Kind = "released"  // whole answer, may run once, of a service that is brought to other versions
 	Walled    Kind = "walled"    // a stream that may run once, of one of two tenants, whose prompt has shared parts
 )
 
 // Kinds lists all kinds of requests.
-func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again, Keyed, Walled} }
+func Kinds() []Kind { return []Kind{Once, Resumable, Single, Again, Keyed, Walled, Released} }
 
 // IsStream tells whether the answer is a series of events.
 func (k Kind) IsStream() bool { return k == Resumable || k == Single || k == Walled }
@@ -62,6 +63,8 @@
 	Began   time.Duration
 	Ended   time.Duration
 	Broken  bool // the server broke off: it closed the connection before its answer was complete
+
+	Software string // the version of the server's software
 }
 
 // Change is a version of the configuration that was acknowledged.
@@ -125,6 +128,24 @@
 	Planned bool
 }
 
+// ReleaseOrder is an order to bring the released service to a version.
+type ReleaseOrder struct {
+	Version string
+	Sent    time.Duration // first
+	Acked   time.Duration // 0: it was not
+	Ended   time.Duration // when it was read to have ended; 0: it was not
+	State   string        // that was read then
+}
+
+// ReleaseRead is an answer to a read of the release.
+type ReleaseRead struct {
+	Node    int
+	Sent    time.Duration
+	Status  int // 0: none came
+	State   string
+	Version string
+}
+
 // The names of strikes.
 const (
 	Terminate = "SIGTERM"
@@ -151,6 +172,9 @@
 
 	Isolations []Isolation
 	Invalid    []string // configurations that are invalid and were acknowledged
+
+	Releases     []ReleaseOrder // in the order in which they were sent
+	ReleaseReads []ReleaseRead
 }
 
 // Now is the time since the run began.
@@ -270,6 +294,25 @@
 	}
 }
 
+// orderRelease records that an order is about to be sent; the function that comes back records what becomes of it.
+func (h *History) orderRelease(version string) (note func(edit func(o *ReleaseOrder))) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := len(h.Releases)
+	h.Releases = append(h.Releases, ReleaseOrder{Version: version, Sent: h.Now()})
+	return func(edit func(o *ReleaseOrder)) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		edit(&h.Releases[i])
+	}
+}
+
+func (h *History) addReleaseRead(r ReleaseRead) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ReleaseReads = append(h.ReleaseReads, r)
+}
+
 func (h *History) addRead(r Read) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -70,8 +70,10 @@
 		j.judgeKey(r)
 		j.judgeEnds(r)
 		j.judgeWall(r)
+		j.judgeSoftware(r)
 	}
 	j.judgeReads()
+	j.judgeReleases()
 	for _, text := range h.Invalid {
 		j.found = append(j.found, Violation{"CONFIG", "an invalid change was acknowledged", []string{text}})
 	}
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -130,3 +130,53 @@
 	must.Len(t, 0, found)
 	must.Eq(t, Judged{Lost: 1, Version: 1}, judged)
 }
+
+// orderOf gives a history with one order for v2 that was acknowledged at 1 s and read to have ended.
+func orderOf(ended time.Duration, state string) *History {
+	return &History{Releases: []ReleaseOrder{{Version: "v2", Sent: 900 * time.Millisecond, Acked: time.Second, Ended: ended, State: state}}}
+}
+
+func TestRulesOfReleases(t *testing.T) {
+	read := func(h *History, at time.Duration, status int, state, version string) *History {
+		h.ReleaseReads = append(h.ReleaseReads, ReleaseRead{Sent: at, Status: status, State: state, Version: version})
+		return h
+	}
+	run := func(h *History, at time.Duration) *History {
+		h.Requests = append(h.Requests, Request{ID: "r", Kind: Released, Sent: at, Deadline: at + requestDeadline, Ended: at + time.Second, Status: 200, Whole: true})
+		h.Runs = append(h.Runs, Execution{ID: "r", Server: "s", Software: "v2", Began: at, Ended: at + time.Second})
+		return h
+	}
+	strike := func(h *History, name string, from, until time.Duration) *History {
+		for i := range coreNodes {
+			h.Strikes = append(h.Strikes, Strike{Node: i, Name: name, At: from, Until: until})
+		}
+		return h
+	}
+	unacknowledged := &History{Releases: []ReleaseOrder{{Version: "v2", Sent: 3 * time.Second}}}
+	for _, row := range []struct {
+		name    string
+		history *History
+		want    string
+	}{
+		{"carried out", run(read(orderOf(5*time.Second, completed), 2*time.Second, 200, "running", "v2"), 4*time.Second), ""},
+		{"runs before it is ordered", run(orderOf(5*time.Second, completed), 500*time.Millisecond), "ROUTE"},
+		{"runs after it was rolled back", run(orderOf(3*time.Second, rolledBack), 9*time.Second), "ROUTE"},
+		{"the same right behind", run(orderOf(3*time.Second, rolledBack), 4*time.Second), ""},
+		{"a read shows another one", read(orderOf(5*time.Second, completed), 2*time.Second, 200, completed, "v1"), "LOST"},
+		{"a read shows none", read(orderOf(5*time.Second, completed), 2*time.Second, 404, "", ""), "LOST"},
+		{"no answer to a read", read(orderOf(5*time.Second, completed), 2*time.Second, 0, "", ""), ""},
+		{"begins nothing", read(orderOf(1200*time.Millisecond, rolledBack), 1100*time.Millisecond, 200, rolledBack, "v2"), "LOST"},
+		{"never ends", orderOf(0, ""), "LOST"},
+		{"ends late behind a kill of all", strike(orderOf(11*time.Second, completed), KillAll, 5*time.Second, 7*time.Second), "DUTY"},
+		{"ends late behind a lost disk", strike(orderOf(11*time.Second, completed), Wipe, 5*time.Second, 7*time.Second), ""},
+		{"no acknowledgement", unacknowledged, "ACKS"},
+		{"no acknowledgement while members are away", strike(&History{Releases: unacknowledged.Releases}, KillAll, 5*time.Second, 6*time.Second), ""},
+	} {
+		violations, _ := Judge(row.history, DefaultBounds)
+		rules := ""
+		for _, v := range violations {
+			rules += v.Rule
+		}
+		must.Eq(t, row.want, rules, must.Sprint(row.name, violations))
+	}
+}
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -125,10 +125,11 @@
 			route(string(Once), "non_idempotent", batchService, 1, false), route(string(Single), "streaming", modelService, 1, false),
 			route(string(Resumable), "streaming", modelService, 2, true), route(string(Again), "idempotent", batchService, 2, false),
 			route(string(Keyed), "non_idempotent", batchService, 1, false), route(string(Walled), "streaming", modelService, 1, false),
+			route(string(Released), "non_idempotent", releasedService, 1, false),
 		},
 		"tenants": []any{tenantOf([]string{o.nextKey()}), wallTenant(0, false), wallTenant(1, false)},
 		"services": []any{
-			map[string]any{"name": batchService, "max-connections": 200},
+			map[string]any{"name": batchService, "max-connections": 200}, map[string]any{"name": releasedService, "max-connections": 200},
 			map[string]any{"name": modelService, "max-connections": 200, "engine": map[string]any{
 				"slots": slots, "kv-capacity-tokens": 10000, "models": []any{map[string]any{"name": modelName}}}},
 		},
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -21,8 +21,10 @@
 	modelName      = "m"
 	modelService   = "llm"
 	batchService   = "batch"
-	eventEvery     = 40 * time.Millisecond
-	batchWork      = 60 * time.Millisecond
+
+	releasedService = "released"
+	eventEvery      = 40 * time.Millisecond
+	batchWork       = 60 * time.Millisecond
 )
 
 // modelServer is a stand-in for a model server: slots and a queue in which requests wait, weights that take time to load, heartbeats.
@@ -31,6 +33,7 @@
 	service  string
 	slots    int
 	loadTime time.Duration
+	software software
 	history  *History
 	fleet    *nodes.Fleet
 	http     *http.Server
@@ -52,12 +55,12 @@
 	loads  sync.WaitGroup // under way
 }
 
-func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet, faults serverFaults) (*modelServer, error) {
+func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet, faults serverFaults, runs software) (*modelServer, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, history: h, fleet: f, listener: l, faults: faults,
+	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, software: runs, history: h, fleet: f, listener: l, faults: faults,
 		parts: map[string]string{}, closed: make(chan struct{})}
 	if service == modelService {
 		s.version = 1
@@ -84,6 +87,16 @@
 	s.loads.Wait()
 }
 
+// isClosed tells whether the server has ended.
+func (s *modelServer) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // newCaller makes the client of a server's own calls.
 func newCaller() *http.Client {
 	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -116,7 +129,7 @@
 func (s *modelServer) beat(ctx context.Context, client *http.Client, node, sequence int, state string) bool {
 	s.mu.Lock()
 	body := map[string]any{
-		"service": s.service, "address": s.listener.Addr().String(), "zone": "z0", "version": "v1", "slots": s.slots, "state": state,
+		"service": s.service, "address": s.listener.Addr().String(), "zone": "z0", "version": s.software.version, "slots": s.slots, "state": state,
 		"sequence": sequence,
 	}
 	if s.version > 0 {
@@ -238,7 +251,7 @@
 		return
 	}
 	defer s.leave()
-	run := s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now()})
+	run := s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now(), Software: s.software.version})
 	defer run.end()
 	s.useParts(r, id)
 	broken := s.faults.drawBreak()
@@ -247,8 +260,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Moleshift-Response-Stamp", s.id)
-	if s.service == batchService {
+	if s.service != modelService {
 		pause(ctx, batchWork)
+		if s.isClosed() {
+			run.breakOff()
+			panic(http.ErrAbortHandler)
+		}
+		if s.software.bad && s.faults.drawBad() {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		answer := "answer to " + id
 		if broken == withinAnswer {
 			run.breakOff()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -94,6 +94,7 @@
 	history  *History
 	random   *rand.Rand
 	servers  []*modelServer
+	releaser *releaser
 	struck   sync.WaitGroup
 
 	mu   sync.Mutex
@@ -123,6 +124,11 @@
 		return err
 	}
 	helpers.Go(func() { s.platform.watch(background.Done()) })
+	s.releaser = s.newReleaser()
+	defer s.releaser.close()
+	if err := s.releaser.start(firstSoftware); err != nil {
+		return err
+	}
 	operator := newOperator(s.fleet, s.history, s.fork(1))
 	configured, cancel := context.WithTimeout(ctx, upWithin)
 	defer cancel()
@@ -142,7 +148,7 @@
 		load := leastLoad + time.Duration(s.random.Int64N(int64(mostLoad-leastLoad)))
 		number := len(s.servers)
 		faults := newServerFaults(!s.options.Sound, number, s.fork(firstServerSource+uint64(number)))
-		server, err := newModelServer(id, service, slots, load, s.history, s.fleet, faults)
+		server, err := newModelServer(id, service, slots, load, s.history, s.fleet, faults, software{version: firstSoftware})
 		if err != nil {
 			return err
 		}
@@ -201,6 +207,7 @@
 		group.Go(func() { s.leavers(within, row) })
 	}
 	group.Go(func() { s.idleClients(within) })
+	group.Go(func() { s.releaser.run(within) })
 	for i := range restingClients {
 		c := &client{name: fmt.Sprintf("%d-r%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(restingSource + uint64(i))}
 		group.Go(func() { c.rest(within) })
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -41,6 +41,8 @@
 			must.SliceNotEmpty(t, result.History.Reads)
 			must.SliceNotEmpty(t, result.History.Namings)
 			must.SliceNotEmpty(t, result.History.Strikes)
+			must.SliceNotEmpty(t, result.History.Releases)
+			must.SliceNotEmpty(t, result.History.ReleaseReads)
 			served := 0
 			for _, r := range result.History.Requests {
 				if r.Status == 200 && r.Whole {
