--- a/controlplane/core/acceptor.go
+++ b/controlplane/core/acceptor.go
@@ -108,6 +108,12 @@
 // Identity names this acceptor; it is as old as what the store keeps.
 func (a *Acceptor) Identity() string { return a.identity }
 
+// isLasting tells whether what is kept outlasts the process.
+func (a *Acceptor) isLasting() bool {
+	_, inMemory := a.store.(*memory)
+	return !inMemory
+}
+
 // Fresh tells that the store was empty when the process started.
 func (a *Acceptor) Fresh() bool { return a.fresh }
 
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 
 const (
 	electorRecord = "elector"
+	// recoveringRecord holds the votes of an elector that is recovering.
+	recoveringRecord = "elector-recovering"
 
 	// electorPhase is after which an elector gives a phase of its round up for now: longer than slow disks take, as a new ballot has every
 	// elector write anew.
@@ -28,20 +31,34 @@
 // of them chooses, by ballots as in any register, once.
 //
 // A vote counts only while the elector remembers all that it voted: in the process that was started with the whole system, or on
-// its disk. One that restarted without a disk, or with an empty one, abstains for good.
+// its disk. One that restarted without a disk abstains for good.
+//
+// A seed with a disk that holds nothing has either lost it, or its first process was killed before it wrote anything. It is recovering: it
+// votes only in rounds in which every elector promises. As no more disks are lost than are tolerated, whoever accepted a value that was
+// chosen is among them and tells it; where nobody does, none was chosen. With the value that it accepts in such a round it remembers all
+// that it has to, and votes like the others.
 type Elector struct {
 	address  string    // peer address: the elector's name
 	acceptor *Acceptor // keeps the votes on disk; nil: they are kept in memory
 
-	may     bool                // it remembers all that it voted; never changes
 	writing *semaphore.Weighted // of one; held across a write to the store
 
 	mu    sync.Mutex    // short: guards what follows
+	mode  electorMode   // whether it votes
 	state quorum.State  // Value.Members are the electors, whether a value is accepted or not
 	rival rival         // the highest ballot that was asked for in this process
 	took  time.Duration // how long the last write took
 }
 
+// electorMode is in which rounds an elector votes.
+type electorMode int
+
+const (
+	abstaining  electorMode = iota
+	recovering              // in rounds of all electors
+	remembering             // in every round
+)
+
 // NewElector makes the elector of a node. bootstrap says that this process was started with the whole system, by whose settings
 // the seeds at the given peer addresses are the electors.
 func NewElector(address string, seeds []string, bootstrap bool, acceptor *Acceptor) (*Elector, error) {
@@ -51,30 +68,68 @@
 			if _, err := e.state.UnmarshalMsg(data); err != nil {
 				return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", electorRecord, err)
 			}
-			e.may = true
+			e.mode = remembering
+			return e, nil
+		}
+		if data := acceptor.Kept(recoveringRecord); data != nil {
+			if _, err := e.state.UnmarshalMsg(data); err != nil {
+				return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", recoveringRecord, err)
+			}
+			e.mode = recovering
 			return e, nil
 		}
-	}
-	if !bootstrap {
-		return e, nil
 	}
 	for _, seed := range seeds {
 		e.state.Value.Members = append(e.state.Value.Members, quorum.Member{ID: seed, Address: seed})
 	}
-	if e.may = e.state.Value.Has(address); !e.may {
-		return e, nil
+	switch {
+	case !e.state.Value.Has(address):
+	case bootstrap:
+		e.mode = remembering
+		return e, trace.Wrap(e.keep(electorRecord, e.state))
+	case acceptor != nil && acceptor.isLasting() && acceptor.Empty():
+		e.mode = recovering
 	}
-	return e, trace.Wrap(e.keep(e.state))
+	return e, nil
+}
+
+// IsRecovering tells whether this elector votes only in rounds of all electors.
+func (e *Elector) IsRecovering() bool { return e.currentMode() == recovering }
+
+func (e *Elector) currentMode() electorMode {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mode
 }
 
 // Electors are those who choose, in a fixed order; empty: this node is none of them, or abstains.
 func (e *Elector) Electors() []quorum.Member {
-	if !e.may {
+	if e.currentMode() == abstaining {
 		return nil
 	}
 	return e.votes().Value.Members
 }
 
+// votesIn tells whether this elector votes in the round of a call.
+func (e *Elector) votesIn(in *peer.Vote) bool {
+	electors := e.Electors()
+	if len(in.Unanimous) > 0 && !sameElectors(in.Unanimous, electors) {
+		return false // they were named by other settings: two sets of electors need not meet
+	}
+	switch e.currentMode() {
+	case remembering:
+		return true
+	case recovering:
+		return len(in.Unanimous) > 0 && e.acceptor.Empty()
+	}
+	return false
+}
+
+// sameElectors tells whether two lists name the same electors.
+func sameElectors(a, b []quorum.Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m quorum.Member) bool { return !slices.Contains(b, m) })
+}
+
 func (e *Elector) votes() quorum.State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -83,13 +138,16 @@
 
 // Vote answers a call for a vote. An error means that nothing may be answered.
 func (e *Elector) Vote(in *peer.Vote) (*peer.AcceptorReply, error) {
-	if !e.may || in.Target != e.address {
+	if in.Target != e.address {
 		return &peer.AcceptorReply{Wrong: true}, nil
 	}
 	e.noteAsked(in.Ballot)
 	_ = e.writing.Acquire(context.Background(), 1) // fails only where the context ends
 	defer e.writing.Release(1)
 	state := e.votes()
+	if !e.votesIn(in) || in.Value != nil && e.IsRecovering() && state.Promised != in.Ballot {
+		return &peer.AcceptorReply{Wrong: true}, nil
+	}
 	next, ok := state.Prepare(in.Ballot)
 	voted := next.Promised == state.Promised
 	if in.Value != nil {
@@ -112,12 +170,16 @@
 // write keeps votes and then lets others see them.
 func (e *Elector) write(next quorum.State) error {
 	began := time.Now()
-	if err := e.keep(next); err != nil {
+	record, mode := electorRecord, remembering
+	if e.IsRecovering() && next.Accepted == (quorum.Ballot{}) {
+		record, mode = recoveringRecord, recovering
+	}
+	if err := e.keep(record, next); err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state, e.took = next, time.Since(began)
+	e.state, e.mode, e.took = next, mode, time.Since(began)
 	return nil
 }
 
@@ -136,7 +198,7 @@
 }
 
 // keep writes the votes to disk where there is one.
-func (e *Elector) keep(s quorum.State) error {
+func (e *Elector) keep(record string, s quorum.State) error {
 	if e.acceptor == nil {
 		return nil
 	}
@@ -144,7 +206,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(e.acceptor.Keep(electorRecord, data))
+	return trace.Wrap(e.acceptor.Keep(record, data))
 }
 
 // Choose plays one round for the given value. It returns the value that is chosen, which may be another one; false: none is known
@@ -155,8 +217,13 @@
 		return nil, false
 	}
 	round := quorum.NewRound(above.Next(e.address), electorsBallot, quorum.Value{Members: electors})
+	var unanimous []quorum.Member
+	if e.IsRecovering() {
+		round = quorum.NewUnanimousRound(above.Next(e.address), electorsBallot, quorum.Value{Members: electors})
+		unanimous = electors
+	}
 	ask := func(m quorum.Member, proposal *quorum.Value) (*peer.AcceptorReply, error) {
-		in := &peer.Vote{Target: m.ID, Ballot: round.Ballot, Value: proposal}
+		in := &peer.Vote{Target: m.ID, Ballot: round.Ballot, Value: proposal, Unanimous: unanimous}
 		if m.ID == e.address {
 			return e.Vote(in)
 		}
--- a/controlplane/quorum/quorum.go
+++ b/controlplane/quorum/quorum.go
@@ -130,6 +130,16 @@
 	promised map[string]bool
 	holds    map[string]Ballot // what those who promised had accepted
 	accepted map[string]bool
+
+	unanimous bool // every member has to promise
+}
+
+// NewUnanimousRound begins a round that goes on only where every member promises. With a majority of them it would miss what was accepted by
+// those that have forgotten it.
+func NewUnanimousRound(ballot, seen Ballot, known Value) *Round {
+	r := NewRound(ballot, seen, known)
+	r.unanimous = true
+	return r
 }
 
 // NewRound begins a round. The proposer knows of a value that was accepted under ballot seen; it need not be the newest.
@@ -178,11 +188,19 @@
 		r.seen, r.current = accepted, *v
 	}
 	r.promised[from], r.holds[from] = true, accepted
-	if r.hasBase() && r.current.Quorum(func(id string) bool { return r.promised[id] }) {
+	if r.hasBase() && r.havePromised() {
 		r.Phase = Prepared
 	}
 }
 
+// havePromised tells whether so many have promised that the round goes on.
+func (r *Round) havePromised() bool {
+	if r.unanimous {
+		return len(r.Targets()) == 0
+	}
+	return r.current.Quorum(func(id string) bool { return r.promised[id] })
+}
+
 // hasBase tells whether the members of the current value are those of a value that was accepted somewhere: members that a proposer
 // was only told of are whom to ask, and no quorum.
 func (r *Round) hasBase() bool { return r.seen != Ballot{} }
--- a/controlplane/server/genesis.go
+++ b/controlplane/server/genesis.go
@@ -31,9 +31,13 @@
 		return
 	}
 	slices.SortFunc(electors, func(a, b quorum.Member) int { return cmp.Compare(a.Address, b.Address) })
+	delay := time.Duration(turn) * genesisTurn
+	if c.elector.IsRecovering() {
+		delay += genesisPatience // those that remember their votes come first
+	}
 	var above quorum.Ballot
 	for len(c.directory.Members()) == 0 {
-		if members := c.proposedMembers(time.Duration(turn) * genesisTurn); members != nil && !c.elector.Yields() {
+		if members := c.proposedMembers(delay); members != nil && !c.elector.Yields() {
 			c.chooseGenesis(members, &above)
 		}
 		if !c.pause(genesisEvery + rand.N(genesisEvery)) {
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against a system that never comes up: every process is killed at the first start of all, some before they have written anything, some
+// between two writes, some behind both. A node that comes with an empty disk afterwards is taken in as before.
+func TestSystemKilledAtItsFirstStartComesUp(t *testing.T) {
+	const elector = "elector" // the record
+	for started := range 4 {
+		for identified := range started + 1 { // of those that started: killed between the two first writes
+			synctest.Test(t, func(t *testing.T) {
+				l := newLan()
+				stores := []core.Store{newStore(), newStore(), newStore()}
+				members := make([]*Controller, len(stores))
+				for i := range started {
+					members[i] = l.node(t, i+1, true, true, stores[i], coreSeeds...)
+				}
+				l.kill(members[:started]...)
+				for i := range stores {
+					if i < identified {
+						delete(stores[i].(*store).records, elector)
+					}
+					members[i] = l.node(t, i+1, true, false, stores[i], coreSeeds...)
+				}
+				what := fmt.Sprintf("a configuration, %d started before, %d of them killed between two writes", started, identified)
+				eventually(t, what, func() bool { return replace(members[1], 0, wholeText) == fault.None })
+				l.kill(members[0])
+				members[0] = l.node(t, 1, true, false, newStore(), coreSeeds...)
+				eventually(t, "it is taken in", members[0].IsMember)
+				must.Eq(t, fault.None, replace(members[0], 2, `{"version":3,"routes":[],"services":[]}`))
+			})
+		}
+	}
+}
+
 // A core of four with three seeds, one of which is a machine that does not count: one membership of all four, known to everyone.
 func TestFirstMembership(t *testing.T) {
 	l := newLan()
--- a/lab/control/faults.go
+++ b/lab/control/faults.go
@@ -68,9 +68,11 @@
 
 	leastErratic = 50 * time.Millisecond // of a write or a sync, at DisksErratic
 	mostErratic  = time.Second
-	// firstFault is when every machine has started once and its elector's record is on disk. A loss of all power before that leaves
-	// no majority of electors that remember their votes, and no first membership (docs/design/hardening.md).
+	// firstFault is when every machine has started once and its elector's record is on disk. Where a seed keeps no disk, a loss of all power
+	// before that leaves no majority of electors that remember their votes, and no first membership (docs/design/hardening.md).
 	firstFault = 500 * time.Millisecond
+	// startFault is the same where every seed keeps a disk.
+	startFault = time.Millisecond
 	lastFault  = 500 * time.Millisecond // before the end, so that every fault has begun when all is mended
 )
 
@@ -90,13 +92,21 @@
 		for ; pick >= kinds[i].weight; i++ {
 			pick -= kinds[i].weight
 		}
-		at = min(max(at, firstFault), w.options.Length-lastFault)
+		at = min(max(at, w.earliestFault()), w.options.Length-lastFault)
 		script = append(script, Step{At: at, Kind: kinds[i].kind, For: w.drawLength(), Which: -1})
 	}
 	slices.SortStableFunc(script, func(a, b Step) int { return int(a.At - b.At) })
 	return script
 }
 
+// earliestFault is when the first fault may strike.
+func (w *World) earliestFault() time.Duration {
+	if len(w.all(func(m *machine) bool { return m.counts && slices.Contains(w.seeds, m.address) })) == len(w.seeds) {
+		return startFault
+	}
+	return firstFault
+}
+
 // drawLength draws how long a fault lasts: mostly some seconds, at times twenty.
 func (w *World) drawLength() time.Duration {
 	if w.rand.IntN(5) == 0 {
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -67,6 +67,8 @@
 	Target string        `msg:"t"` // peer address of the elector that is meant
 	Ballot quorum.Ballot `msg:"b"`
 	Value  *quorum.Value `msg:"v"`
+
+	Unanimous []quorum.Member `msg:"u"` // all electors, of a round that goes on only where every one of them promises; empty: a majority is enough
 }
 
 // Genesis is the first membership of all, chosen by a majority of the electors.
--- a/peer/messages_gen.go
+++ b/peer/messages_gen.go
@@ -3672,9 +3672,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Vote) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "t"
-	o = append(o, 0x83, 0xa1, 0x74)
+	o = append(o, 0x84, 0xa1, 0x74)
 	o = msgp.AppendString(o, z.Target)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3694,6 +3694,16 @@
 			return
 		}
 	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unanimous)))
+	for za0001 := range z.Unanimous {
+		o, err = z.Unanimous[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Unanimous", za0001)
+			return
+		}
+	}
 	return
 }
 
@@ -3744,6 +3754,25 @@
 					return
 				}
 			}
+		case "u":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unanimous")
+				return
+			}
+			if cap(z.Unanimous) >= int(zb0002) {
+				z.Unanimous = (z.Unanimous)[:zb0002]
+			} else {
+				z.Unanimous = make([]quorum.Member, zb0002)
+			}
+			for za0001 := range z.Unanimous {
+				bts, err = z.Unanimous[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unanimous", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3764,6 +3793,10 @@
 	} else {
 		s += z.Value.Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Unanimous {
+		s += z.Unanimous[za0001].Msgsize()
+	}
 	return
 }
 
