A test that a register at rest is not written

Cause: ages and versions in service are written to the register of weights by ticks; a comparison that never holds would write it four times a second for ever, and no test would have told.

Change: TestRegisterAtRestIsNotWritten. Measured: it passes; the ballot stays for a minute.

--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -264,3 +264,32 @@
 	err := late.startRelease(&configuration.Order{Body: []byte(`{"service":"none","target-version":"v2","deadline-s":12}`)}, time.Now().Add(time.Second))
 	must.Eq(t, fault.BadConfig, fault.KindOf(err))
 }
+
+// What only time shows is written to the register until it matters no more: a system at rest writes nothing, so that its disks and orders are left
+// alone.
+func TestRegisterAtRestIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLan()
+		members := startConfigured(t, l, newStore(), newStore(), newStore())
+		began := time.Now()
+		beatFor := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(operatorPause) {
+				beat := peer.Instance{ID: "i-other", Service: "other", Version: "v1", Address: "10.1.0.9:80", Sequence: int64(time.Since(began))}
+				_, err := members[1].Heartbeat(&peer.Beat{Instance: beat})
+				must.NoError(t, err)
+				sendBeats(t, members[1], int64(time.Since(began)), "v1")
+			}
+		}
+		takeNew(t, members[0])
+		name(t, members[0], 2)
+		beatFor(time.Minute)
+		must.Eq(t, wentBack, releaseOf(members[0]))
+		before := members[0].registers.Known(core.Weights).Ballot
+		beatFor(time.Minute)
+		after := members[0].registers.Known(core.Weights)
+		must.Eq(t, before, after.Ballot)
+		state, err := readWeights(after.Value.Data)
+		must.NoError(t, err)
+		must.Eq(t, []release.Baseline{{Service: "other", Versions: []string{"v1"}}}, state.Baselines)
+	})
+}
