A seed that is a member takes no part in a round of recovering electors

Cause: by reading. With two losses tolerated, a majority of three electors may lose their disks at once; were they cut off from all that know the members for six seconds, and heard the third elector alone, they could choose a second membership with it, though it was a member.

Change: no elector votes in such a round on a node that has accepted a register's members, whether it remembers its votes or not.

Test: TestElectorThatIsAMemberAbstains, for both.

--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -112,17 +112,13 @@
 
 // votesIn tells whether this elector votes in the round of a call.
 func (e *Elector) votesIn(in *peer.Vote) bool {
-	electors := e.Electors()
-	if len(in.Unanimous) > 0 && !sameElectors(in.Unanimous, electors) {
-		return false // they were named by other settings: two sets of electors need not meet
-	}
-	switch e.currentMode() {
-	case remembering:
-		return true
-	case recovering:
-		return len(in.Unanimous) > 0 && e.acceptor.Empty()
+	mode := e.currentMode()
+	if len(in.Unanimous) == 0 {
+		return mode == remembering
 	}
-	return false
+	// There is a membership where the node is a member, and electors that were named by other settings need not meet these.
+	isMember := e.acceptor != nil && !e.acceptor.Empty()
+	return mode != abstaining && !isMember && sameElectors(in.Unanimous, e.Electors())
 }
 
 // sameElectors tells whether two lists name the same electors.
--- a/controlplane/core/elector_test.go
+++ b/controlplane/core/elector_test.go
@@ -159,11 +159,15 @@
 // A seed that is a member of a running system, or whose settings name other seeds, takes no part in a first membership.
 func TestElectorThatIsAMemberAbstains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newElectorWorld(t)
-		w.restart()
-		must.NoError(t, w.electors["b"].acceptor.Install([]quorum.Member{{ID: "x", Address: "x"}}))
-		_, ok := w.choose("a", 2)
-		must.False(t, ok)
+		var w *electorWorld
+		for _, remembers := range []bool{false, true} {
+			w = newElectorWorld(t)
+			w.start("b", remembers)
+			w.restart()
+			must.NoError(t, w.electors["b"].acceptor.Install([]quorum.Member{{ID: "x", Address: "x"}}))
+			_, ok := w.choose("a", 2)
+			must.False(t, ok, must.Sprint("b remembers its votes: ", remembers))
+		}
 		acceptor, err := NewAcceptor(newDisk())
 		must.NoError(t, err)
 		for _, seeds := range [][]string{{"b", "c", "d"}, {}} {
