--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -22,6 +22,7 @@
 	badAnswerShare   = 0.5
 	orderedAgain     = 0.5 // of the orders are for a version that was ordered before, where there is one
 	releaseDeadline  = 5 * time.Second
+	firstRelease     = 3 * time.Second         // after the nodes are ready: versions that are heard with the first one are in service without an order (docs/releases.md)
 	mostStanding     = 1500 * time.Millisecond // for which servers of a version stand ready before the order
 	mostRest         = 2 * time.Second         // between the end of a release and the next order
 	releaseReadEvery = 100 * time.Millisecond
@@ -75,6 +76,7 @@
 
 // run orders one release after the other until the context ends, and then waits for the end of the last one.
 func (r *releaser) run(ctx context.Context) {
+	pause(ctx, firstRelease)
 	for pause(ctx, time.Duration(r.random.Int64N(int64(mostRest)))) {
 		version := r.draw()
 		if err := r.start(version); err != nil {
