--- a/lab/soak/leavers.go
+++ b/lab/soak/leavers.go
@@ -42,7 +42,9 @@
 
 // leaver plays one server that comes and leaves.
 func (s *soak) leaver(ctx context.Context, id string, random *rand.Rand) error {
-	server, err := newModelServer(id, batchService, slotsOfServer, 0, s.history, s.fleet, newServerFaults(false, 0, nil), software{version: firstSoftware})
+	server, err := newModelServer(serverOptions{
+		id: id, service: batchService, software: software{version: firstSoftware}, faults: newServerFaults(false, 0, nil),
+	}, s.history, s.fleet)
 	if err != nil {
 		return err
 	}
--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -121,8 +121,10 @@
 	for range serversOfVersion {
 		r.started++
 		id := fmt.Sprintf("i-%s-%d", version, r.started)
-		server, err := newModelServer(id, releasedService, slotsOfServer, 0, r.soak.history, r.soak.fleet,
-			newServerFaults(false, 0, r.soak.fork(firstServerSource-uint64(r.started))), software{version, r.bad[version]})
+		server, err := newModelServer(serverOptions{
+			id: id, service: releasedService, software: software{version, r.bad[version]},
+			faults: newServerFaults(false, 0, r.soak.fork(firstServerSource-uint64(r.started))),
+		}, r.soak.history, r.soak.fleet)
 		if err != nil {
 			return err
 		}
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -29,11 +29,8 @@
 
 // modelServer is a stand-in for a model server: slots and a queue in which requests wait, weights that take time to load, heartbeats.
 type modelServer struct {
-	id       string
-	service  string
+	serverOptions
 	slots    int
-	loadTime time.Duration
-	software software
 	history  *History
 	fleet    *nodes.Fleet
 	http     *http.Server
@@ -47,7 +44,6 @@
 	ordered  int64 // the version that is being loaded; 0: none
 	sequence int64
 	fence    int64
-	faults   serverFaults
 	parts    map[string]string // of prompts, by salt and part: the tenant whose request made it
 
 	closed chan struct{}  // closed when the server ends
@@ -55,14 +51,23 @@
 	loads  sync.WaitGroup // under way
 }
 
-func newModelServer(id, service string, slots int, loadTime time.Duration, h *History, f *nodes.Fleet, faults serverFaults, runs software) (*modelServer, error) {
+// serverOptions describe a stand-in server.
+type serverOptions struct {
+	id       string
+	service  string
+	software software
+	loadTime time.Duration // that new weights take
+	faults   serverFaults
+}
+
+// newModelServer starts a stand-in server, which nobody is told of yet.
+func newModelServer(o serverOptions, h *History, f *nodes.Fleet) (*modelServer, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &modelServer{id: id, service: service, slots: slots, loadTime: loadTime, software: runs, history: h, fleet: f, listener: l, faults: faults,
-		parts: map[string]string{}, closed: make(chan struct{})}
-	if service == modelService {
+	s := &modelServer{serverOptions: o, slots: slotsOfServer, history: h, fleet: f, listener: l, parts: map[string]string{}, closed: make(chan struct{})}
+	if s.service == modelService {
 		s.version = 1
 	}
 	s.changed = sync.NewCond(&s.mu)
--- a/lab/soak/server_test.go
+++ b/lab/soak/server_test.go
@@ -12,7 +12,9 @@
 
 // A server that is closed while it loads weights leaves nothing behind, however long the load would have taken.
 func TestCloseEndsLoads(t *testing.T) {
-	s, err := newModelServer("i", modelService, 1, time.Hour, &History{began: time.Now()}, nil, newServerFaults(false, 0, nil), software{version: firstSoftware})
+	s, err := newModelServer(serverOptions{
+		id: "i", service: modelService, software: software{version: firstSoftware}, loadTime: time.Hour, faults: newServerFaults(false, 0, nil),
+	}, &History{began: time.Now()}, nil)
 	must.NoError(t, err)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	status, _ := call(context.Background(), client, "POST", "http://"+s.listener.Addr().String()+"/order", map[string]any{"version": 2, "fence-token": 1})
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -144,11 +144,13 @@
 }
 
 func (s *soak) startServers(ctx context.Context, helpers *sync.WaitGroup) error {
-	add := func(id, service string, slots int) error {
+	add := func(id, service string) error {
 		load := leastLoad + time.Duration(s.random.Int64N(int64(mostLoad-leastLoad)))
 		number := len(s.servers)
 		faults := newServerFaults(!s.options.Sound, number, s.fork(firstServerSource+uint64(number)))
-		server, err := newModelServer(id, service, slots, load, s.history, s.fleet, faults, software{version: firstSoftware})
+		server, err := newModelServer(serverOptions{
+			id: id, service: service, software: software{version: firstSoftware}, loadTime: load, faults: faults,
+		}, s.history, s.fleet)
 		if err != nil {
 			return err
 		}
@@ -157,12 +159,12 @@
 		return nil
 	}
 	for i := range s.options.Servers {
-		if err := add(fmt.Sprint("i-model-", i), modelService, slotsOfServer); err != nil {
+		if err := add(fmt.Sprint("i-model-", i), modelService); err != nil {
 			return err
 		}
 	}
 	for i := range max(1, s.options.Servers/3) {
-		if err := add(fmt.Sprint("i-batch-", i), batchService, slotsOfServer); err != nil {
+		if err := add(fmt.Sprint("i-batch-", i), batchService); err != nil {
 			return err
 		}
 	}
