The soak kills all that count while releases are under way and behind them

Change: in runs that are not planned work alone, 0.3 of the releases meet such a kill, 0.4 are followed by one.

--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -24,6 +24,8 @@
 	releaseDeadline  = 5 * time.Second
 	firstRelease     = 3 * time.Second         // after the nodes are ready: versions that are heard with the first one are in service without an order (docs/releases.md)
 	mostStanding     = 1500 * time.Millisecond // for which servers of a version stand ready before the order
+	killWithin       = 0.3                     // of the releases: all nodes that count are killed while they are under way
+	killBehind       = 0.4                     // the same, behind their end
 	mostRest         = 2 * time.Second         // between the end of a release and the next order
 	releaseReadEvery = 100 * time.Millisecond
 	releaseEndWithin = 12 * time.Second // beyond the deadline, however many processes are killed
@@ -152,8 +154,10 @@
 		order(func(o *ReleaseOrder) { o.Acked = r.soak.history.Now() })
 	}
 	r.soak.tell("release of %s ordered, bad %v, acknowledged %v", version, r.bad[version], acked)
+	r.killCore(killWithin, releaseDeadline)
 	state, target := r.await(version, acked)
 	r.soak.tell("release reads %s of %s", state, target)
+	r.killCore(killBehind, time.Millisecond)
 	if target == version {
 		order(func(o *ReleaseOrder) { o.Ended, o.State = r.soak.history.Now(), state })
 	}
@@ -166,6 +170,18 @@
 	r.drain(version)
 }
 
+// killCore has all nodes that count killed with a chance, within some time.
+func (r *releaser) killCore(chance float64, within time.Duration) {
+	drawn, after := r.random.Float64(), time.Duration(r.random.Int64N(int64(within)))
+	if drawn > chance || r.soak.options.Planned {
+		return
+	}
+	r.helpers.Go(func() {
+		time.Sleep(after)
+		r.soak.killCore()
+	})
+}
+
 // drain takes the servers of a version away that did not come into service.
 func (r *releaser) drain(version string) {
 	said, cancel := context.WithTimeout(context.Background(), drainingFor)
