--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -22,7 +22,7 @@
 	badAnswerShare   = 0.5
 	orderedAgain     = 0.5 // of the orders are for a version that was ordered before, where there is one
 	releaseDeadline  = 5 * time.Second
-	firstRelease     = 3 * time.Second         // after the nodes are ready: versions that are heard with the first one are in service without an order (docs/releases.md)
+	firstRelease     = 3 * time.Second         // after the nodes are ready: what is heard in the first 2 s is in service without an order
 	mostStanding     = 1500 * time.Millisecond // for which servers of a version stand ready before the order
 	killWithin       = 0.3                     // of the releases: all nodes that count are killed while they are under way
 	killBehind       = 0.4                     // the same, behind their end
