--- a/lab/soak/releases.go
+++ b/lab/soak/releases.go
@@ -22,11 +22,11 @@
 	badAnswerShare   = 0.5
 	orderedAgain     = 0.5 // of the orders are for a version that was ordered before, where there is one
 	releaseDeadline  = 5 * time.Second
-	firstRelease     = 3 * time.Second         // after the nodes are ready: what is heard in the first 2 s is in service without an order
-	mostStanding     = 1500 * time.Millisecond // for which servers of a version stand ready before the order
-	killWithin       = 0.3                     // of the releases: all nodes that count are killed while they are under way
-	killBehind       = 0.4                     // the same, behind their end
-	mostRest         = 2 * time.Second         // between the end of a release and the next order
+	firstRelease     = 3 * time.Second // after the nodes are ready: what is heard in the first 2 s is in service without an order
+	mostStanding     = 4 * time.Second // for which servers of a version stand ready before the order
+	killWithin       = 0.3             // of the releases: all nodes that count are killed while they are under way
+	killBehind       = 0.4             // the same, behind their end
+	mostRest         = 2 * time.Second // between the end of a release and the next order
 	releaseReadEvery = 100 * time.Millisecond
 	releaseEndWithin = 12 * time.Second // beyond the deadline, however many processes are killed
 	beforeDraining   = time.Second      // after a version was rolled back its servers are drained
