A known red test: an elector that restarts uses its ballots again

Cause: by reading, on going over the change once more. Each process of an elector begins at the first ballot. One that is killed within its round, after another elector has accepted its value, proposes under the same ballot when it is back; with other members by then, two memberships can be chosen.

--- a/controlplane/core/elector_test.go
+++ b/controlplane/core/elector_test.go
@@ -242,3 +242,29 @@
 	must.True(t, settled, must.Sprintf("seed %d: none is chosen", seed))
 	must.MapLen(t, 1, chosen, must.Sprint(fmt.Sprintf("seed %d: ", seed), chosen))
 }
+
+// Guards against two memberships: an elector that restarts within its round proposes another value under the ballot that it used before, and
+// whoever accepted the first one can't be told from those that accepted the second.
+func TestElectorThatRestartsUsesNoBallotTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newElectorWorld(t)
+		for _, seed := range electorSeeds {
+			w.start(seed, true)
+		}
+		first := quorum.Ballot{}.Next("a") // of a's first process, which ends before it has written its own promise
+		value := quorum.Value{Members: w.electors["c"].Electors(), Data: []byte("another")}
+		for _, in := range []*peer.Vote{
+			{Target: "b", Ballot: first}, {Target: "c", Ballot: first}, {Target: "c", Ballot: first, Value: &value},
+		} {
+			reply, err := w.electors[in.Target].Vote(in)
+			must.NoError(t, err)
+			must.True(t, reply.OK)
+		}
+		w.start("a", false)
+		w.setDown("c", true)
+		chosen, ok := w.choose("a", enoughRounds)
+		must.True(t, ok)
+		must.Eq(t, "a", chosen)
+		must.NotEq(t, first, w.electors["a"].votes().Accepted, must.Sprint("c holds another value under this ballot"))
+	})
+}
