Each promise to a client is counted by its ground, and told where it must not run twice

Cause: nobody who saw REFUSED could tell what the promise rested on; the steps of a request are written at the level debug only, and lack the connection.

Change: moleshift_promises_total by ground (never sent; servers' word with the id; without an id; status of a server passed on), and for requests that must not run twice a line at the level info, by the request's id: each attempt with its server, outcome, why it was not sent, or the answer's status, the id it carried, whether the connection had carried others and the how manyeth message on it was read. No decision is changed.

--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -155,6 +155,12 @@
 }
 
 func start(t testing.TB, instances ...peer.Instance) *router {
+	t.Helper()
+	return startWithLog(t, zerolog.Nop(), instances...)
+}
+
+// startWithLog starts a router that writes to the given log.
+func startWithLog(t testing.TB, log zerolog.Logger, instances ...peer.Instance) *router {
 	t.Helper()
 	set := settings.Default()
 	set.IP, set.Zone, set.Zones = "127.0.0.1", "a", map[string]string{"a": "r"}
@@ -168,7 +174,7 @@
 	r.snapshot.Store(snapshot)
 	started := make(chan struct{})
 	close(started)
-	r.proxy = proxy.New(&set, "n0", r.look, started, zerolog.Nop())
+	r.proxy = proxy.New(&set, "n0", r.look, started, log)
 	r.proxy.Update(snapshot)
 	r.server = ingress.New(r.proxy, r.snapshot.Load, mostClients, func() bool { return true }, zerolog.Nop())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -32,11 +32,13 @@
 	t := to.target
 	c := p.connect(t, p.connLimit(r), r.deadline)
 	if c == nil {
+		to.unsent = noConnection
 		return nil, attempt.NotSent
 	}
 	if !r.addServer(c) || r.over(r.deadline) || !p.maySend(r) || !p.sent(r, to) {
 		r.removeServer(c)
 		p.closeConn(t, c)
+		to.unsent = endedBefore
 		return nil, attempt.NotSent
 	}
 	now := time.Now()
@@ -46,6 +48,7 @@
 	if n, err := c.Write(message); err != nil {
 		p.endAttempt(r, to, c, false)
 		if n == 0 {
+			to.unsent = nothingTaken
 			return nil, attempt.NotSent
 		}
 		p.broke(t)
@@ -60,7 +63,7 @@
 
 // readAnswer reads the head of the request's own answer, past surplus ones to earlier requests, and the body where it is no stream.
 func (p *Proxy) readAnswer(r *request, to *routed, a *reply) attempt.Outcome {
-	if !p.readOwnHead(r, a) {
+	if !p.readOwnHead(r, to, a) {
 		to.gaveUp = isTimeout(a.err)
 		return p.failAttempt(r, to, a)
 	}
@@ -83,11 +86,12 @@
 
 // readOwnHead reads heads until that of the request's own answer; false: none came that is known to be its own. An answer that is
 // passed over leaves the connection unfit for another request.
-func (p *Proxy) readOwnHead(r *request, a *reply) bool {
+func (p *Proxy) readOwnHead(r *request, to *routed, a *reply) bool {
 	for range maxSurplus + 1 {
 		if a.err = p.readHead(a); a.err != nil {
 			return false
 		}
+		to.word = wordOf(a)
 		owner := ownerOf(&a.header, r.id, a.conn.kept())
 		if owner == ownRequest {
 			a.odd = len(a.header.Peek(headerRequestID)) == 0 || a.odd
@@ -135,6 +139,7 @@
 			break
 		}
 	}
+	a.conn.heads++
 	if s := a.header.Peek("Keep-Alive"); len(s) > 0 {
 		if d, ok := keepAlive(string(s)); ok {
 			a.conn.keep = d
--- a/dataplane/proxy/metrics.go
+++ b/dataplane/proxy/metrics.go
@@ -69,6 +69,9 @@
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_requests_total{outcome=%q,status=\"%d\"}", name, kind.Answer().Status), p.outcomes.kinds[i].Load())
 	}
 	metrics.WriteCounterUint64(w, `moleshift_requests_total{outcome="cut"}`, p.outcomes.cut.Load())
+	for ground := range promiseGrounds {
+		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_promises_total{ground=%q}", ground), p.promised[ground].Load())
+	}
 	for _, owner := range []answerOwner{earlierRequest, unknownRequest} {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_unmatched_answers_total{request=%q}", owner), p.unmatched[owner].Load())
 	}
--- a/dataplane/proxy/place.go
+++ b/dataplane/proxy/place.go
@@ -9,6 +9,7 @@
 	"moleshift/controlplane/configuration"
 	"moleshift/controlplane/registry"
 	"moleshift/controlplane/release"
+	"moleshift/dataplane/attempt"
 	"moleshift/dataplane/canary"
 	"moleshift/dataplane/outlier"
 	"moleshift/dataplane/placement"
@@ -21,6 +22,9 @@
 	sentAt  time.Duration // steady clock of the proxy
 	attempt canary.Attempt
 	gaveUp  bool // nothing came for so long that it was not waited for any more
+	outcome attempt.Outcome
+	unsent  unsentCause // where the outcome is NotSent
+	word    serverWord  // the last answer that was read
 }
 
 // choose places a request; nil: there is no server for it.
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -46,7 +46,8 @@
 
 	outcomes  *outcomeCounts
 	placed    *placementCounts
-	unmatched [answerOwners]atomic.Uint64 // answers that were not taken for those of the request that waited
+	promised  [promiseGrounds]atomic.Uint64 // promises given to clients
+	unmatched [answerOwners]atomic.Uint64   // answers that were not taken for those of the request that waited
 }
 
 // New makes the proxy of the node with the given ID.
@@ -112,7 +113,7 @@
 		return
 	}
 	if !e.Drain.Takes(e.Complete, r.deadline) {
-		p.Refuse(e, fault.Leaving, "")
+		p.refuse(e, r, fault.Leaving, "")
 		return
 	}
 	p.mu.Lock()
@@ -126,7 +127,7 @@
 	p.logEnd(r, action, kind)
 	switch action {
 	case attempt.Answer:
-		p.Refuse(e, kind, "")
+		p.refuse(e, r, kind, "")
 	case attempt.Cut:
 		e.Closing = true
 		p.outcomes.cut.Add(1)
@@ -164,6 +165,7 @@
 		return action, kind
 	}
 	r.tried[to.target.id] = true
+	r.attempts = append(r.attempts, to)
 	a, outcome := p.send(r, to)
 	if outcome == attempt.Done && a.stream != nil {
 		to, outcome = p.relay(r, to, a)
@@ -184,9 +186,11 @@
 	p.learn(r, to, a, outcome)
 	room = p.room(r, outcome)
 	action, kind := r.state.Next(outcome, room)
+	to.outcome = outcome
 	r.lastOutcome, r.lastInstance = outcome, to.target.id
 	p.logOutcome(r, to, outcome, action)
 	if action == attempt.Pass {
+		p.notePromise(r.Exchange, r, a.header.StatusCode(), true)
 		p.pass(r, a)
 	}
 	return action, kind
@@ -335,10 +339,14 @@
 	}
 }
 
-// Refuse gives the client an answer of our own, by the table of package fault.
-func (p *Proxy) Refuse(e *Exchange, kind fault.Kind, detail string) {
+// Refuse gives the client of a request that was sent to no server an answer of our own, by the table of package fault.
+func (p *Proxy) Refuse(e *Exchange, kind fault.Kind, detail string) { p.refuse(e, nil, kind, detail) }
+
+// refuse gives the client an answer of our own; r is nil where the request's route is not known.
+func (p *Proxy) refuse(e *Exchange, r *request, kind fault.Kind, detail string) {
 	p.outcomes.kinds[kind].Add(1)
 	answer := kind.Answer()
+	p.notePromise(e, r, answer.Status, false)
 	text := answer.Text
 	if detail != "" {
 		text = detail
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -65,8 +65,9 @@
 	byClose  bool            // the client knows no chunks: the answer that was begun ends with the connection
 
 	lastOutcome  attempt.Outcome
-	lastInstance string // the server of the last attempt
-	lastError    error  // that ended the last stream, for the log
+	lastInstance string    // the server of the last attempt
+	lastError    error     // that ended the last stream, for the log
+	attempts     []*routed // in their order, for what a promise rests on
 }
 
 // newRequest looks a request up in the configuration, by one look at it. Errors are of package fault's kinds.
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -136,10 +136,12 @@
 		return
 	}
 	r.tried[to.target.id] = true
+	r.attempts = append(r.attempts, to)
 	a, outcome := p.send(r, to)
 	if outcome == attempt.Done {
 		outcome = p.checkTakeover(r, s, to, a)
 	}
+	to.outcome = outcome
 	if outcome != attempt.Done {
 		p.learn(r, to, a, outcome)
 		p.noteAnswer(r, to, outcome)
--- a/dataplane/proxy/upstream.go
+++ b/dataplane/proxy/upstream.go
@@ -29,6 +29,7 @@
 	reader *bufio.Reader
 	since  time.Time // idle since; zero: it has carried no request before
 	keep   time.Duration
+	heads  int // of answers that were read on it
 }
 
 // kept tells whether the connection has carried other requests before.
