--- a/dataplane/ingress/promise_test.go
+++ b/dataplane/ingress/promise_test.go
@@ -4,14 +4,18 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+
+	"moleshift/dataplane/follower"
 )
 
 // lockedBuffer takes the lines of a log from several goroutines.
@@ -92,3 +96,70 @@
 	must.StrContains(t, text.String(), "moleshift_promises_total{ground=\"servers' word with the id\"} 3\n")
 	must.StrContains(t, text.String(), "moleshift_promises_total{ground=\"never sent\"} 1\n")
 }
+
+// Guards against REFUSED by a server's own status: only Moleshift-Not-Executed and 421 say that a request has not run.
+func TestStatusOfAServerIsNoPromise(t *testing.T) {
+	for _, status := range []int{503, 429, 408} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			s := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) {
+				fmt.Fprintf(c, "HTTP/1.1 %d Own\r\nMoleshift-Request-Id: %s\r\nMoleshift-Response-Stamp: st\r\nContent-Length: 4\r\n\r\nfail",
+					status, r.Header.Get("Moleshift-Request-Id"))
+			})
+			c := start(t, s.instance("batch")).dial()
+			c.send("/once/", "a")
+			resp, _, _ := c.answer()
+			must.Eq(t, 502, resp.StatusCode)
+			must.Eq(t, "", resp.Header.Get("Moleshift-Response-Stamp"), must.Sprint("a failure with a stamp has its server's status"))
+			c.send("/again/", "b")
+			resp, body, _ := c.answer()
+			must.Eq(t, status, resp.StatusCode, must.Sprint("what may run again is passed on as it came"))
+			must.Eq(t, "st", resp.Header.Get("Moleshift-Response-Stamp"))
+			must.Eq(t, "fail", body)
+		})
+	}
+}
+
+// Guards against TWICE and REFUSED by the beginning of a surplus answer: the answer behind it was read as the rest of its head.
+func TestHeadsThatRunTogetherAreNoPromise(t *testing.T) {
+	for name, begun := range map[string]string{
+		"in the status line":           "HTTP/1.1 421 Misdirected Req",
+		"in the status line of a 503":  "HTTP/1.1 503 Service Unav",
+		"in the status":                "HTTP/1.1 421 ",
+		"in Moleshift-Not-Executed":    "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1",
+		"behind a field's name":        "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nX-Other: ",
+		"in a field's name":            "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nX-Oth",
+		"in another field":             "HTTP/1.1 421 Misdirected Request\r\nContent-Type: text/pl",
+		"in the server's name":         "HTTP/1.1 421 Misdirected Request\r\nServer: s",
+		"in a cookie":                  "HTTP/1.1 421 Misdirected Request\r\nSet-Cookie: a=b",
+		"in the id":                    "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nMoleshift-Request-Id: fir",
+		"behind the id":                "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nMoleshift-Request-Id: first\r\nX: ",
+		"behind a line":                "HTTP/1.1 421 Misdirected Request\r\n",
+		"before the end of the fields": "HTTP/1.1 421 Misdirected Request\r\nX: y\r\n\r",
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := serve(t, "i2", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "of another server") })
+			var router *router
+			s := serve(t, "i1", func(c net.Conn, n int, r *http.Request, _ string) {
+				if n > 0 {
+					router.update(func(s *follower.Snapshot) {
+						s.Instances["batch"] = append(slices.Clone(s.Instances["batch"]), other.instance("batch"))
+					})
+					io.WriteString(c, begun)
+				}
+				ok(c, r, "fine")
+			})
+			router = start(t, s.instance("batch"))
+			c := router.dial()
+			for _, id := range []string{"first", "second"} {
+				c.send("/once/", id)
+				resp, _, err := c.answer()
+				must.NoError(t, err)
+				if id == "second" {
+					must.Eq(t, 502, resp.StatusCode)
+				}
+			}
+			must.Len(t, 2, s.seen())
+			must.Len(t, 0, other.seen(), must.Sprint("a request that the first server runs must not be sent to a second"))
+		})
+	}
+}
