--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -100,7 +100,7 @@
 		a.odd = true
 		p.unmatched[owner].Add(1)
 		p.logUnmatched(r, a, owner)
-		if owner == unknownRequest {
+		if owner != earlierRequest {
 			return false
 		}
 		surplus := newBodyReader(a.conn.reader, &a.header)
--- a/dataplane/proxy/metrics.go
+++ b/dataplane/proxy/metrics.go
@@ -72,7 +72,7 @@
 	for ground := range promiseGrounds {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_promises_total{ground=%q}", ground), p.promised[ground].Load())
 	}
-	for _, owner := range []answerOwner{earlierRequest, unknownRequest} {
+	for _, owner := range []answerOwner{earlierRequest, unknownRequest, severalRequests} {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_unmatched_answers_total{request=%q}", owner), p.unmatched[owner].Load())
 	}
 	p.placed.write(w)
--- a/dataplane/proxy/owner_test.go
+++ b/dataplane/proxy/owner_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bufio"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -42,3 +44,22 @@
 		must.Eq(t, row.owner, ownerOf(&h, "mine", row.kept), must.Sprintf("%+v", row))
 	}
 }
+
+// Guards against the heads of two answers being read as one, whichever of the two has the id, and against taking an ordinary head for
+// such a one.
+func TestHeadsThatRunTogether(t *testing.T) {
+	for text, owner := range map[string]answerOwner{
+		"HTTP/1.1 421 Misdirected ReqHTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine":                  severalRequests,
+		"HTTP/1.1 503 X\r\nMoleshift-Not-Executed: 1HTTP/1.0 500 X\r\nMoleshift-Request-Id: mine":    severalRequests,
+		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nX: HTTP/1.1 503 X\r\nY: 1":                 severalRequests,
+		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nMoleshift-Not-Executed: 1":                 severalRequests,
+		"HTTP/1.1 503 X\r\nMoleshift-Request-Id: other\r\nMoleshift-Request-Id: mine":                severalRequests,
+		"HTTP/1.1 503 X\r\nMoleshift-Request-Id: mine\r\nMoleshift-Request-Id: mine":                 severalRequests,
+		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nVia: HTTP/1.1 gateway\r\nServer: HTTP/1.x": ownRequest,
+		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nLink: <http://h/HTTP/1.1>":                 ownRequest,
+	} {
+		var h fasthttp.ResponseHeader
+		must.NoError(t, h.Read(bufio.NewReader(strings.NewReader(text+"\r\nContent-Length: 0\r\n\r\n"))))
+		must.Eq(t, owner, ownerOf(&h, "mine", true), must.Sprint(text))
+	}
+}
