--- a/dataplane/attempt/attempt.go
+++ b/dataplane/attempt/attempt.go
@@ -14,15 +14,19 @@
 	NotSent    Outcome = iota // no byte of the request left this process
 	TurnedAway                // the server says that it has not run the request: Moleshift-Not-Executed, or 421
 	Failed                    // a whole answer with a failure of the server's own: it counts as run
+	Unpromised                // the same, with a status that would promise the client that it has not run
 	Broken                    // sent, and then a reset, a close, silence or bytes that are no answer
 	Done                      // a whole answer with success
 )
 
 // String gives the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"not sent", "turned away", "failed", "broken", "done"}[o]
+	return [...]string{"not sent", "turned away", "failed", "unpromised", "broken", "done"}[o]
 }
 
+// IsFailure tells whether the outcome is a whole answer with a failure of the server's own.
+func (o Outcome) IsFailure() bool { return o == Failed || o == Unpromised }
+
 // Action is what to do next.
 type Action int
 
@@ -102,13 +106,16 @@
 	switch o {
 	case Done:
 		return Pass, fault.None
-	case Failed:
+	case Failed, Unpromised:
 		if r.repeatable() && !r.passed && r.mayRunAgain(room) {
 			return Again, fault.None
 		}
 		if r.passed {
 			return Cut, fault.None
 		}
+		if o == Unpromised && !r.Repeatable {
+			return Answer, fault.Uncertain
+		}
 		return Pass, fault.None
 	case Broken:
 		if r.repeatable() && r.mayRunAgain(room) {
--- a/dataplane/attempt/attempt_test.go
+++ b/dataplane/attempt/attempt_test.go
@@ -55,6 +55,10 @@
 		{"own failure, no budget", once, Failed, no(all, "budget"), Pass, fault.None},
 		{"own failure on the last attempt", ran, Failed, all, Pass, fault.None},
 		{"own failure within a stream", spent, Failed, all, Cut, fault.None},
+		{"a status that promises, not repeatable", fresh, Unpromised, all, Answer, fault.Uncertain},
+		{"a status that promises, repeatable", once, Unpromised, all, Again, fault.None},
+		{"a status that promises, repeatable, no server left", once, Unpromised, no(all, "server"), Pass, fault.None},
+		{"a status that promises, within a stream", spent, Unpromised, all, Cut, fault.None},
 		{"broken, not repeatable", fresh, Broken, all, Answer, fault.Uncertain},
 		{"broken, no time", fresh, Broken, no(all, "time"), Answer, fault.TimedOut},
 		{"broken, repeatable", once, Broken, all, Again, fault.None},
@@ -142,6 +146,9 @@
 			if action == Answer && kind.Answer().Promise && runs > 0 {
 				t.Fatalf("kind %d promises after %d runs", kind, runs)
 			}
+			if action == Pass && o == Unpromised && !r.Repeatable {
+				t.Fatal("a promise that nobody gave is passed on")
+			}
 			if action != Again && action != Resume {
 				return
 			}
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -121,6 +121,8 @@
 	switch {
 	case turnsAway(h):
 		return attempt.TurnedAway
+	case promises(status):
+		return attempt.Unpromised
 	case status >= 500:
 		return attempt.Failed
 	}
--- a/dataplane/proxy/owner.go
+++ b/dataplane/proxy/owner.go
@@ -14,10 +14,10 @@
 
 // The owners of an answer.
 const (
-	ownRequest     answerOwner = iota // the request that waits for it
-	earlierRequest                    // another one: a surplus answer
-	unknownRequest                    // it cannot be told: it has no id
-	severalRequests                   // its head was put together from two
+	ownRequest      answerOwner = iota // the request that waits for it
+	earlierRequest                     // another one: a surplus answer
+	unknownRequest                     // it cannot be told: it has no id
+	severalRequests                    // its head was put together from two
 	answerOwners
 )
 
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -206,7 +206,7 @@
 			room.Server = true
 		}
 	}
-	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o == attempt.Failed))
+	needed := o == attempt.TurnedAway || (r.state.Repeatable && (o == attempt.Broken || o.IsFailure()))
 	if needed && room.Server && room.Time {
 		room.Budget = p.budget(r.service.Name).Spend(p.now(), p.placer.Routers(), r.purpose())
 	}
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -109,7 +109,7 @@
 	switch {
 	case outcome == attempt.Done:
 		ended = canary.Whole
-	case outcome == attempt.Failed:
+	case outcome.IsFailure():
 		ended = canary.Failed
 	case outcome != attempt.Broken || r.Gone() || r.isExpired() || to.gaveUp:
 	case r.over(r.deadline):
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -80,7 +80,7 @@
 		return cutByEnd
 	case !now.Before(r.deadline):
 		return cutByDeadline
-	case r.lastOutcome == attempt.Broken || r.lastOutcome == attempt.Failed:
+	case r.lastOutcome == attempt.Broken || r.lastOutcome.IsFailure():
 		return cutByServer
 	}
 	return cutUnplaced
