Behind a surplus answer without an id the request's own one is waited for

Change: on a connection that has carried other requests, an answer without an id is passed over like one with another's id, where no other attempt could be made instead; the own one is waited for as long as for a server that hangs (three objectives, a second at least). On a new connection nothing else can be due: there it ends the attempt, as before.

TestAnswerWithoutIDOnANewConnectionEndsTheAttempt.

--- a/dataplane/ingress/promise_test.go
+++ b/dataplane/ingress/promise_test.go
@@ -163,3 +163,14 @@
 		})
 	}
 }
+
+// Guards against waiting for an own answer where none is due: on a new connection an answer without an id is its server's only one.
+func TestAnswerWithoutIDOnANewConnectionEndsTheAttempt(t *testing.T) {
+	s := serve(t, "i1", func(c net.Conn, _ int, _ *http.Request, _ string) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nMoleshift-Response-Stamp: st\r\nContent-Length: 0\r\n\r\n")
+	})
+	c := start(t, s.instance("batch")).dial()
+	c.send("/once/", "a")
+	resp, _, _ := c.answer()
+	must.Eq(t, 502, resp.StatusCode)
+}
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -87,6 +87,7 @@
 // readOwnHead reads heads until that of the request's own answer; false: none came that is known to be its own. An answer that is
 // passed over leaves the connection unfit for another request.
 func (p *Proxy) readOwnHead(r *request, to *routed, a *reply) bool {
+	bounded := false
 	for range maxSurplus + 1 {
 		if a.err = p.readHead(a); a.err != nil {
 			return false
@@ -94,15 +95,22 @@
 		to.word = wordOf(a)
 		owner := ownerOf(&a.header, r.id, a.conn.kept())
 		if owner == ownRequest {
+			if bounded {
+				r.limitServer(a.conn.SetReadDeadline, r.deadline)
+			}
 			a.odd = len(a.header.Peek(headerRequestID)) == 0 || a.odd
 			return true
 		}
 		a.odd = true
 		p.unmatched[owner].Add(1)
 		p.logUnmatched(r, a, owner)
-		if owner != earlierRequest {
+		if !mayPrecedeOwn(r, a, owner) {
 			return false
 		}
+		if owner == unknownRequest {
+			bounded = true
+			r.limitServer(a.conn.SetReadDeadline, r.firstByteLimit(time.Now()))
+		}
 		surplus := newBodyReader(a.conn.reader, &a.header)
 		if _, err := io.Copy(io.Discard, io.LimitReader(surplus, maxBuffered)); err != nil || !surplus.ended {
 			return false
@@ -111,6 +119,13 @@
 	return false
 }
 
+// mayPrecedeOwn tells whether the request's own answer is waited for behind one with the given owner. One without an id may have been the
+// own one: then none follows, so it is waited for on a connection that has carried other requests only, and only where no other attempt
+// could be made instead.
+func mayPrecedeOwn(r *request, a *reply, owner answerOwner) bool {
+	return owner == earlierRequest || owner == unknownRequest && a.conn.kept() && !r.state.MayMove()
+}
+
 // isStream tells whether an answer is passed on event by event.
 func isStream(r *request, h *fasthttp.ResponseHeader) bool {
 	return h.StatusCode() == fasthttp.StatusOK && bytes.HasPrefix(h.ContentType(), []byte("text/event-stream"))
--- a/dataplane/proxy/request.go
+++ b/dataplane/proxy/request.go
@@ -157,16 +157,33 @@
 	if !r.state.MayMove() {
 		return r.deadline
 	}
+	limit := r.firstByteLimit(now)
+	if r.started {
+		return limit
+	}
+	return earlier(r.deadline, later(limit, now.Add(time.Duration(hangWaits*float64(longest)))))
+}
+
+// firstByteLimit is when a server that has sent nothing of the answer by then is taken for one that hangs, by the route's objective.
+func (r *request) firstByteLimit(now time.Time) time.Time {
 	objective := r.route.TargetLatencyMs
 	if objective <= 0 {
 		objective = defaultObjectiveMs
 	}
 	hang := max(leastHang, time.Duration(hangObjectives*objective*float64(time.Millisecond)))
-	if !r.started {
-		hang = max(hang, time.Duration(hangWaits*float64(longest)))
+	return earlier(r.deadline, now.Add(hang))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	if limit := now.Add(hang); limit.Before(r.deadline) {
-		return limit
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return r.deadline
+	return b
 }
