Heads that run together are told by their bytes, not by their fields (REFUSED)

Cause: the mend before looked for a second status line in the fields of a head. Of a field that comes twice, such as Content-Type, the last one stands: the one with the second status line was gone. TestHeadsThatRunTogetherAreNoPromise had drawn 13 places by hand; it plays every place of three surplus answers now, before two forms of own ones, and failed on the text before behind "Server:".

--- a/dataplane/ingress/path_test.go
+++ b/dataplane/ingress/path_test.go
@@ -73,18 +73,21 @@
 			s.done.Go(func() { s.conn(c) })
 		}
 	})
-	t.Cleanup(func() {
-		l.Close()
-		s.mu.Lock()
-		for _, c := range s.open {
-			c.Close()
-		}
-		s.mu.Unlock()
-		s.done.Wait()
-	})
+	t.Cleanup(s.close)
 	return s
 }
 
+// close ends the server and its connections.
+func (s *scripted) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	for _, c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
 func (s *scripted) conn(c net.Conn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
--- a/dataplane/ingress/promise_test.go
+++ b/dataplane/ingress/promise_test.go
@@ -121,47 +121,53 @@
 
 // Guards against TWICE and REFUSED by the beginning of a surplus answer: the answer behind it was read as the rest of its head.
 func TestHeadsThatRunTogetherAreNoPromise(t *testing.T) {
-	for name, begun := range map[string]string{
-		"in the status line":           "HTTP/1.1 421 Misdirected Req",
-		"in the status line of a 503":  "HTTP/1.1 503 Service Unav",
-		"in the status":                "HTTP/1.1 421 ",
-		"in Moleshift-Not-Executed":    "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1",
-		"behind a field's name":        "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nX-Other: ",
-		"in a field's name":            "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nX-Oth",
-		"in another field":             "HTTP/1.1 421 Misdirected Request\r\nContent-Type: text/pl",
-		"in the server's name":         "HTTP/1.1 421 Misdirected Request\r\nServer: s",
-		"in a cookie":                  "HTTP/1.1 421 Misdirected Request\r\nSet-Cookie: a=b",
-		"in the id":                    "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nMoleshift-Request-Id: fir",
-		"behind the id":                "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nMoleshift-Request-Id: first\r\nX: ",
-		"behind a line":                "HTTP/1.1 421 Misdirected Request\r\n",
-		"before the end of the fields": "HTTP/1.1 421 Misdirected Request\r\nX: y\r\n\r",
+	own := map[string]string{
+		"":                       "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: second\r\nMoleshift-Response-Stamp: st\r\nContent-Length: 4\r\n\r\nfine",
+		", with the same fields": "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nServer: s\r\nMoleshift-Request-Id: second\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine",
+	}
+	for kind, surplus := range map[string]string{
+		"turned away": "HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nServer: s\r\nContent-Type: text/plain\r\nMoleshift-Request-Id: first\r\nConnection: close\r\nX: y\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 Misdirected Request\r\nServer: s\r\nContent-Type: text/plain\r\nSet-Cookie: a=b\r\nContent-Length: 0\r\n\r\n",
+		"failed":      "HTTP/1.1 503 Service Unavailable\r\nConnection: keep-alive\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
 	} {
-		t.Run(name, func(t *testing.T) {
-			other := serve(t, "i2", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "of another server") })
-			var router *router
-			s := serve(t, "i1", func(c net.Conn, n int, r *http.Request, _ string) {
-				if n > 0 {
-					router.update(func(s *follower.Snapshot) {
-						s.Instances["batch"] = append(slices.Clone(s.Instances["batch"]), other.instance("batch"))
-					})
-					io.WriteString(c, begun)
-				}
-				ok(c, r, "fine")
-			})
-			router = start(t, s.instance("batch"))
-			c := router.dial()
-			for _, id := range []string{"first", "second"} {
-				c.send("/once/", id)
-				resp, _, err := c.answer()
-				must.NoError(t, err)
-				if id == "second" {
-					must.Eq(t, 502, resp.StatusCode)
-				}
+		for form, answer := range own {
+			for cut := 1; cut < len(surplus); cut++ {
+				checkRunTogether(t, kind+form, surplus[:cut], answer)
 			}
-			must.Len(t, 2, s.seen())
-			must.Len(t, 0, other.seen(), must.Sprint("a request that the first server runs must not be sent to a second"))
+		}
+	}
+}
+
+// checkRunTogether has a server send the beginning of an answer to a first request, and the answer to the second right behind it.
+func checkRunTogether(t *testing.T, name, begun, answer string) {
+	t.Helper()
+	other := serve(t, "i2", func(c net.Conn, _ int, r *http.Request, _ string) { ok(c, r, "of another server") })
+	defer other.close()
+	var router *router
+	s := serve(t, "i1", func(c net.Conn, n int, r *http.Request, _ string) {
+		if n == 0 {
+			ok(c, r, "fine")
+			return
+		}
+		router.update(func(s *follower.Snapshot) {
+			s.Instances["batch"] = append(slices.Clone(s.Instances["batch"]), other.instance("batch"))
 		})
+		io.WriteString(c, begun+answer)
+		c.Close()
+	})
+	defer s.close()
+	router = start(t, s.instance("batch"))
+	c := router.dial()
+	defer c.conn.Close()
+	for _, id := range []string{"first", "second"} {
+		c.send("/once/", id)
+		resp, _, err := c.answer()
+		must.NoError(t, err)
+		if id == "second" && resp.StatusCode != 502 {
+			t.Errorf("%s, broken off behind %q: %d", name, begun, resp.StatusCode)
+		}
 	}
+	must.Len(t, 0, other.seen(), must.Sprintf("%s, broken off behind %q: a request that the first server runs must not be sent to a second", name, begun))
 }
 
 // Guards against waiting for an own answer where none is due: on a new connection an answer without an id is its server's only one.
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -19,12 +19,13 @@
 
 // reply is a server's answer as far as it has been read.
 type reply struct {
-	header fasthttp.ResponseHeader
-	body   []byte      // whole, where the answer is no stream
-	stream *bodyReader // where it is one
-	conn   *serverConn
-	odd    bool  // the connection must not be used again
-	err    error // that ended the reading of the head
+	header   fasthttp.ResponseHeader
+	body     []byte      // whole, where the answer is no stream
+	stream   *bodyReader // where it is one
+	conn     *serverConn
+	odd      bool  // the connection must not be used again
+	holdsTwo bool  // another answer begins within the head that was read last
+	err      error // that ended the reading of the head
 }
 
 // send writes the request to a server and reads the answer: its head, and its body unless that is a stream.
@@ -93,7 +94,7 @@
 			return false
 		}
 		to.word = wordOf(a)
-		owner := ownerOf(&a.header, r.id, a.conn.kept())
+		owner := ownerOf(&a.header, r.id, a.conn.kept(), a.holdsTwo)
 		if owner == ownRequest {
 			if bounded {
 				r.limitServer(a.conn.SetReadDeadline, r.deadline)
@@ -146,7 +147,13 @@
 
 // readHead reads the head of an answer, past those that only tell to go on.
 func (p *Proxy) readHead(a *reply) error {
+	a.holdsTwo = false
 	for {
+		holdsTwo, err := holdsTwoHeads(a.conn.reader)
+		if err != nil {
+			return err
+		}
+		a.holdsTwo = a.holdsTwo || holdsTwo
 		a.header.Reset()
 		a.header.SetNoDefaultContentType(true)
 		if err := a.header.Read(a.conn.reader); err != nil {
--- a/dataplane/proxy/owner.go
+++ b/dataplane/proxy/owner.go
@@ -2,12 +2,7 @@
 
 // Which request an answer on a server's connection belongs to.
 
-import (
-	"bytes"
-	"regexp"
-
-	"github.com/valyala/fasthttp"
-)
+import "github.com/valyala/fasthttp"
 
 // answerOwner is the request that an answer belongs to.
 type answerOwner int
@@ -25,11 +20,11 @@
 func (o answerOwner) String() string { return [...]string{"own", "earlier", "unknown", "several"}[o] }
 
 // ownerOf tells which request an answer belongs to: the one whose id it carries, whatever its status says. kept tells that the
-// connection has carried other requests before. An answer without an id counts as the waiting request's own only where it says that
+// connection has carried other requests before, holdsTwo that another answer begins within the head. An answer without an id counts as the waiting request's own only where it says that
 // the request was not run and nobody else can be meant by that.
-func ownerOf(h *fasthttp.ResponseHeader, id string, kept bool) answerOwner {
+func ownerOf(h *fasthttp.ResponseHeader, id string, kept, holdsTwo bool) answerOwner {
 	switch answered := string(h.Peek(headerRequestID)); {
-	case runsTogether(h):
+	case runsTogether(h, holdsTwo):
 		return severalRequests
 	case answered == id:
 		return ownRequest
@@ -41,26 +36,11 @@
 	return unknownRequest
 }
 
-// statusLine begins an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-
 // runsTogether tells whether a head was put together from two: a server broke off within the head of one answer and sent another one
 // behind it. Such a head has a status line within it, or two ids, or says of a success that its request has not run.
-func runsTogether(h *fasthttp.ResponseHeader) bool {
-	if holdsStatusLine(h.StatusMessage()) || len(h.PeekAll(headerRequestID)) > 1 {
-		return true
-	}
-	for name, value := range h.All() {
-		if holdsStatusLine(name) || holdsStatusLine(value) {
-			return true
-		}
-	}
-	return h.StatusCode() < fasthttp.StatusBadRequest && turnsAway(h)
-}
-
-// holdsStatusLine tells whether an answer begins within a text.
-func holdsStatusLine(text []byte) bool {
-	return bytes.Contains(text, []byte("HTTP/1.")) && statusLine.Match(text)
+func runsTogether(h *fasthttp.ResponseHeader, holdsTwo bool) bool {
+	contradicts := h.StatusCode() < fasthttp.StatusBadRequest && turnsAway(h)
+	return holdsTwo || contradicts || len(h.PeekAll(headerRequestID)) > 1
 }
 
 // turnsAway tells whether an answer says that its request has not run.
--- a/dataplane/proxy/owner_test.go
+++ b/dataplane/proxy/owner_test.go
@@ -41,7 +41,7 @@
 		if row.notExecuted {
 			h.Set(headerNotExecuted, "1")
 		}
-		must.Eq(t, row.owner, ownerOf(&h, "mine", row.kept), must.Sprintf("%+v", row))
+		must.Eq(t, row.owner, ownerOf(&h, "mine", row.kept, false), must.Sprintf("%+v", row))
 	}
 }
 
@@ -55,11 +55,16 @@
 		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nMoleshift-Not-Executed: 1":                 severalRequests,
 		"HTTP/1.1 503 X\r\nMoleshift-Request-Id: other\r\nMoleshift-Request-Id: mine":                severalRequests,
 		"HTTP/1.1 503 X\r\nMoleshift-Request-Id: mine\r\nMoleshift-Request-Id: mine":                 severalRequests,
+		"HTTP/1.1 421 X\r\nServer:HTTP/1.1 200 OK\r\nServer: s\r\nMoleshift-Request-Id: mine":        severalRequests,
+		"\r\n\nHTTP/1.1 200 OK\nMoleshift-Request-Id: mine":                                          ownRequest,
 		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nVia: HTTP/1.1 gateway\r\nServer: HTTP/1.x": ownRequest,
 		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nLink: <http://h/HTTP/1.1>":                 ownRequest,
 	} {
+		reader := bufio.NewReader(strings.NewReader(text + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK"))
+		holdsTwo, err := holdsTwoHeads(reader)
+		must.NoError(t, err)
 		var h fasthttp.ResponseHeader
-		must.NoError(t, h.Read(bufio.NewReader(strings.NewReader(text+"\r\nContent-Length: 0\r\n\r\n"))))
-		must.Eq(t, owner, ownerOf(&h, "mine", true), must.Sprint(text))
+		must.NoError(t, h.Read(reader))
+		must.Eq(t, owner, ownerOf(&h, "mine", true, holdsTwo), must.Sprint(text))
 	}
 }
