The soak plays overload, answers that break off and failures without a promise

Change: servers turn away what is beyond a queue of 8; two more kinds of surplus answers break off within their head, at a drawn place, before the own answer; 3 in 100 runs for whole answers fail with 500, 503, 429 or 504 without Moleshift-Not-Executed; one server of three runs what waits though its caller has left; at drawn times three times as many clients are at work and come back sooner than told (rush.go). What servers answer is in a file of its own.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -30,6 +30,8 @@
 	nodes   *platform
 	history *History
 	random  *rand.Rand
+	kinds   []Kind        // of its requests, drawn by lot
+	hurry   time.Duration // it sends the next request so long behind an answer at the most; 0: as other clients do
 	sent    int
 }
 
@@ -66,7 +68,9 @@
 		if ctx.Err() != nil || !c.request(ctx, at, conn, reader) {
 			return true
 		}
-		if c.random.Float64() < idleShare {
+		if c.hurry > 0 {
+			pause(ctx, time.Duration(c.random.Int64N(int64(c.hurry))))
+		} else if c.random.Float64() < idleShare {
 			pause(ctx, time.Duration(c.random.IntN(400))*time.Millisecond)
 		}
 	}
@@ -77,7 +81,7 @@
 func (c *client) request(ctx context.Context, at int, conn net.Conn, reader *bufio.Reader) bool {
 	c.sent++
 	r := Request{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Node: at}
-	r.Kind = Kinds()[c.random.IntN(len(Kinds()))]
+	r.Kind = c.kinds[c.random.IntN(len(c.kinds))]
 	switch r.Kind {
 	case Keyed:
 		r.Key = c.history.someKey(c.random)
--- a/lab/soak/connection.go
+++ b/lab/soak/connection.go
@@ -30,16 +30,25 @@
 	c.surplus = ""
 }
 
-// keepSurplus keeps a surplus answer to a request until the next one comes.
-func (c *connection) keepSurplus(kind surplus, server, id string) {
+// statusEnd is where the status of an answer ends.
+const statusEnd = len("HTTP/1.1 503")
+
+// keepSurplus keeps a surplus answer to a request, as the server's faults draw it, until the next one comes.
+func (c *connection) keepSurplus(faults *serverFaults, server, id string) {
+	kind := faults.drawSurplus()
+	if kind == noSurplus {
+		return
+	}
 	withID := "Moleshift-Request-Id: " + id + "\r\n"
 	const notExecuted = "503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\n"
 	head := map[surplus]string{
 		turnedAway: notExecuted + withID, misdirected: "421 Misdirected Request\r\n" + withID,
 		answered:       "200 OK\r\nMoleshift-Response-Stamp: " + server + "\r\n" + withID,
 		turnedAwayNoID: notExecuted, misdirectedNoID: "421 Misdirected Request\r\n",
+		turnedAwayBegun: notExecuted + "Content-Type: text/plain\r\n", misdirectedBegun: "421 Misdirected Request\r\nContent-Type: text/plain\r\n",
 	}[kind]
-	if kind != noSurplus {
-		c.surplus = fmt.Sprintf("HTTP/1.1 %sContent-Length: 0\r\n\r\n", head)
+	c.surplus = fmt.Sprintf("HTTP/1.1 %sContent-Length: 0\r\n\r\n", head)
+	if kind == turnedAwayBegun || kind == misdirectedBegun {
+		c.surplus = faults.drawCut(c.surplus, statusEnd)
 	}
 }
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -1,10 +1,11 @@
 package soak
 
-// What the stand-in servers do wrong, drawn from the seed: connections that end behind a request or within an answer, and times in
-// which orders to load weights get no answer.
+// What the stand-in servers do wrong, drawn from the seed: connections that end behind a request or within an answer, answers that come
+// once more or in part, failures of their own, and times in which orders to load weights get no answer.
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -17,19 +18,23 @@
 
 	surplusShare  = 0.04 // of the answers of every other server come once more, in the place of the next
 	unframedShare = 0.06 // of the streams have no length; half of these are reset on the way
+	failureShare  = 0.03 // of the runs for whole answers end with a failure of the server's own
+	deafToLeavers = 3    // one server of so many runs what waits although its caller has left
 )
 
 // surplus is what a server sends in the place where the next answer is due, beside that.
 type surplus int
 
 const (
-	noSurplus       surplus = iota
-	turnedAway              // says that the earlier request was not run
-	misdirected             // the same, in another way
-	answered                // has the earlier request's answer
-	turnedAwayNoID          // says that some request was not run
-	misdirectedNoID         // the same, in another way
-	numSurplus      = iota
+	noSurplus        surplus = iota
+	turnedAway               // says that the earlier request was not run
+	misdirected              // the same, in another way
+	answered                 // has the earlier request's answer
+	turnedAwayNoID           // says that some request was not run
+	misdirectedNoID          // the same, in another way
+	turnedAwayBegun          // says that the earlier request was not run, and breaks off within its head
+	misdirectedBegun         // the same, in another way
+	numSurplus       = iota
 )
 
 // framing is how a stream tells its end.
@@ -55,6 +60,7 @@
 	on      bool
 	deaf    bool
 	surplus bool
+	goesOn  bool // a request that waits is run although its caller has left
 
 	draw *lockedRand
 }
@@ -73,7 +79,10 @@
 
 // newServerFaults makes the faults of the server with the given number.
 func newServerFaults(on bool, number int, random *rand.Rand) serverFaults {
-	return serverFaults{on: on, deaf: number%deafServerOf == 0, surplus: number%2 == 0, draw: &lockedRand{random: random}}
+	return serverFaults{
+		on: on, deaf: number%deafServerOf == 0, surplus: number%2 == 0, goesOn: on && number%deafToLeavers == 0,
+		draw: &lockedRand{random: random},
+	}
 }
 
 // drawBreak draws whether the server breaks off a run.
@@ -102,6 +111,26 @@
 	return 1 + surplus(x*(numSurplus-1))
 }
 
+// drawCut draws where a text that is to break off does, behind its first bytes.
+func (f *serverFaults) drawCut(text string, behind int) string {
+	return text[:behind+int(f.draw.float()*float64(len(text)-behind))]
+}
+
+// ownFailures are statuses of runs that failed. None comes with Moleshift-Not-Executed, so all count as run.
+var ownFailures = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusGatewayTimeout}
+
+// drawFailure draws whether a run ends with a failure of the server's own, and its status.
+func (f *serverFaults) drawFailure() (status int, failed bool) {
+	if !f.on {
+		return 0, false
+	}
+	x := f.draw.float() / failureShare
+	if x >= 1 {
+		return 0, false
+	}
+	return ownFailures[int(x*float64(len(ownFailures)))], true
+}
+
 // drawFraming draws how a stream tells its end.
 func (f *serverFaults) drawFraming() framing {
 	if !f.on {
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -23,8 +22,7 @@
 	batchService   = "batch"
 
 	releasedService = "released"
-	eventEvery      = 40 * time.Millisecond
-	batchWork       = 60 * time.Millisecond
+	queueOfServer   = 8 // requests that may wait for a slot
 )
 
 // modelServer is a stand-in for a model server: slots and a queue in which requests wait, weights that take time to load, heartbeats.
@@ -211,6 +209,9 @@
 	defer stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.running >= s.slots && s.queued >= queueOfServer {
+		return 0, false
+	}
 	s.queued++
 	defer func() { s.queued-- }()
 	for s.ordered == 0 && s.running >= s.slots && ctx.Err() == nil {
@@ -236,18 +237,14 @@
 	id := r.Header.Get("Moleshift-Request-Id")
 	conn := connectionOf(r)
 	conn.sendSurplus()
-	conn.keepSurplus(s.faults.drawSurplus(), s.id, id)
+	conn.keepSurplus(&s.faults, s.id, id)
 	w.Header().Set("Moleshift-Request-Id", id)
 	if r.Header.Get("Moleshift-Expect-Instance") != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	ctx := r.Context()
-	if ms, err := strconv.Atoi(r.Header.Get("Moleshift-Deadline-Ms")); err == nil {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-		defer cancel()
-		ctx = limited
-	}
+	ctx, cancel := s.contextOf(r)
+	defer cancel()
 	expected, _ := strconv.ParseInt(r.Header.Get("Expect-Version"), 10, 64)
 	version, ok := s.enter(ctx, expected)
 	if !ok {
@@ -259,37 +256,20 @@
 	run := s.history.begin(Execution{ID: id, Server: s.id, Version: version, Began: s.history.Now(), Software: s.software.version})
 	defer run.end()
 	s.useParts(r, id)
-	broken := s.faults.drawBreak()
-	if broken == beforeAnswer {
-		run.breakOff()
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Moleshift-Response-Stamp", s.id)
-	if s.service != modelService {
-		pause(ctx, batchWork)
-		if s.isClosed() {
-			run.breakOff()
-			panic(http.ErrAbortHandler)
-		}
-		if s.software.bad && s.faults.drawBad() {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		answer := "answer to " + id
-		if broken == withinAnswer {
-			run.breakOff()
-			w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-			writeNow(w, answer[:len(answer)/2])
-			panic(http.ErrAbortHandler)
-		}
-		writeNow(w, answer)
-		return
+	s.answer(ctx, w, r, id, version, run)
+}
+
+// contextOf gives the context of a request: it ends at its deadline, and for most servers when its caller leaves.
+func (s *modelServer) contextOf(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if s.faults.goesOn {
+		ctx = context.WithoutCancel(ctx)
 	}
-	if framing := s.faults.drawFraming(); framing != inChunks && broken == noBreak {
-		s.streamUnframed(ctx, w, r, id, version, run, framing)
-		return
+	ms, err := strconv.Atoi(r.Header.Get("Moleshift-Deadline-Ms"))
+	if err != nil {
+		return context.WithCancel(ctx)
 	}
-	s.streamEvents(ctx, w, r, id, version, run, broken)
+	return context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 }
 
 // useParts reads a prompt: parts that are kept under its salt, as long as all before them are, are used; the others are made.
@@ -308,62 +288,3 @@
 		s.parts[key] = tenant
 	}
 }
-
-// writeNow sends what is written at once.
-func writeNow(w http.ResponseWriter, text string) {
-	_, _ = io.WriteString(w, text) // a caller that has left is noticed by the context
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
-	}
-}
-
-// streamEvents sends the events of a request from the one behind Last-Event-Id on.
-func (s *modelServer) streamEvents(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, broken breakPoint) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Versions", strconv.FormatInt(version, 10))
-	for n := last + 1; n <= events; n++ {
-		if n > last+1 && !pause(ctx, eventEvery) {
-			panic(http.ErrAbortHandler) // the connection is cut, so that the answer does not look complete
-		}
-		if broken == withinAnswer && n > (last+events)/2 {
-			run.breakOff()
-			writeNow(w, fmt.Sprintf("id: %d\nda", n)) // in the middle of an event
-			panic(http.ErrAbortHandler)
-		}
-		writeNow(w, fmt.Sprintf("id: %d\ndata: %s\n\n", n, id))
-	}
-}
-
-// streamUnframed sends the events of a request without a length: the stream ends with its connection.
-func (s *modelServer) streamUnframed(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, framing framing) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer conn.Close()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: %s\r\nMoleshift-Response-Stamp: %s\r\nContent-Type: text/event-stream\r\nVersions: %d\r\n\r\n", id, s.id, version)
-	for n := last + 1; n <= events; n++ {
-		if n > last+1 && !pause(ctx, eventEvery) || framing == unframedReset && n > (last+events)/2 {
-			run.breakOff()
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			return
-		}
-		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", n, id); err != nil {
-			return // its caller has left
-		}
-	}
-}
-
-// pause waits; false: the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -46,6 +46,7 @@
 
 	descriptors = 400 // of a node: few, so that clients that rest use them up
 
+	clientSource      = 100    // numbers of the sources of random numbers of clients
 	firstServerSource = 10_000 // numbers of the sources of random numbers of servers
 	readerSource      = 3
 )
@@ -177,6 +178,11 @@
 	}
 }
 
+// newClient makes a client that sends requests of all kinds.
+func (s *soak) newClient(name string, source uint64) *client {
+	return &client{name: fmt.Sprintf("%d-%s", s.options.Seed, name), nodes: s.platform, history: s.history, random: s.fork(source), kinds: Kinds()}
+}
+
 func (s *soak) awaitReady(ctx context.Context) error {
 	for {
 		ready := len(s.platform.list())
@@ -200,7 +206,7 @@
 	group.Go(func() { operator.run(within, s.options) })
 	group.Go(func() { reader.run(within) })
 	for i := range s.options.Clients {
-		c := &client{name: fmt.Sprintf("%d-%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(100 + uint64(i))}
+		c := s.newClient(fmt.Sprint(i), clientSource+uint64(i))
 		requests.Go(func() { c.run(clients) })
 	}
 	s.busy = map[int]bool{}
@@ -209,9 +215,10 @@
 		group.Go(func() { s.leavers(within, row) })
 	}
 	group.Go(func() { s.idleClients(within) })
+	group.Go(func() { s.rushes(within) })
 	group.Go(func() { s.releaser.run(within) })
 	for i := range restingClients {
-		c := &client{name: fmt.Sprintf("%d-r%d", s.options.Seed, i), nodes: s.platform, history: s.history, random: s.fork(restingSource + uint64(i))}
+		c := s.newClient(fmt.Sprint("r", i), restingSource+uint64(i))
 		group.Go(func() { c.rest(within) })
 	}
 	group.Wait()
