An elector's ballots name its process (two first memberships)

Cause: a ballot was made of the elector's address and a counter that each process begins anew. One killed within its round, before its own promise was on disk, proposed other members under the ballot that another elector had accepted its first value under.

Change: the ballot names the process, as those of registers do. NewElector takes the node; the two like branches that read a record are one.

--- a/cmd/moleshiftd/run.go
+++ b/cmd/moleshiftd/run.go
@@ -46,7 +46,7 @@
 	if acceptor != nil {
 		self.Acceptor, self.Fresh = acceptor.Identity(), acceptor.Empty()
 	}
-	elector, err := core.NewElector(self.Address, set.SeedPeers(), set.Bootstrap, acceptor)
+	elector, err := core.NewElector(&self, set.SeedPeers(), set.Bootstrap, acceptor)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/controlplane/core/elector.go
+++ b/controlplane/core/elector.go
@@ -39,6 +39,7 @@
 // that it has to, and votes like the others.
 type Elector struct {
 	address  string    // peer address: the elector's name
+	proposer string    // names this process in ballots: one that restarts must use none of those that went before
 	acceptor *Acceptor // keeps the votes on disk; nil: they are kept in memory
 
 	writing *semaphore.Weighted // of one; held across a write to the store
@@ -59,23 +60,20 @@
 	remembering             // in every round
 )
 
-// NewElector makes the elector of a node. bootstrap says that this process was started with the whole system, by whose settings
-// the seeds at the given peer addresses are the electors.
-func NewElector(address string, seeds []string, bootstrap bool, acceptor *Acceptor) (*Elector, error) {
-	e := &Elector{address: address, acceptor: acceptor, writing: semaphore.NewWeighted(1)}
-	if acceptor != nil {
-		if data := acceptor.Kept(electorRecord); data != nil {
-			if _, err := e.state.UnmarshalMsg(data); err != nil {
-				return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", electorRecord, err)
-			}
-			e.mode = remembering
-			return e, nil
+// NewElector makes the elector of a node, which names its process. bootstrap says that this process was started with the whole system, by
+// whose settings the seeds at the given peer addresses are the electors.
+func NewElector(self *peer.Node, seeds []string, bootstrap bool, acceptor *Acceptor) (*Elector, error) {
+	e := &Elector{address: self.Address, proposer: self.ID, acceptor: acceptor, writing: semaphore.NewWeighted(1)}
+	for _, kept := range []struct {
+		record string
+		mode   electorMode
+	}{{electorRecord, remembering}, {recoveringRecord, recovering}} {
+		found, err := e.read(kept.record)
+		if err != nil {
+			return nil, err
 		}
-		if data := acceptor.Kept(recoveringRecord); data != nil {
-			if _, err := e.state.UnmarshalMsg(data); err != nil {
-				return nil, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", recoveringRecord, err)
-			}
-			e.mode = recovering
+		if found {
+			e.mode = kept.mode
 			return e, nil
 		}
 	}
@@ -83,7 +81,7 @@
 		e.state.Value.Members = append(e.state.Value.Members, quorum.Member{ID: seed, Address: seed})
 	}
 	switch {
-	case !e.state.Value.Has(address):
+	case !e.state.Value.Has(self.Address):
 	case bootstrap:
 		e.mode = remembering
 		return e, trace.Wrap(e.keep(electorRecord, e.state))
@@ -93,6 +91,21 @@
 	return e, nil
 }
 
+// read reads the votes of an earlier process; false: the disk has no such record.
+func (e *Elector) read(record string) (bool, error) {
+	if e.acceptor == nil {
+		return false, nil
+	}
+	data := e.acceptor.Kept(record)
+	if data == nil {
+		return false, nil
+	}
+	if _, err := e.state.UnmarshalMsg(data); err != nil {
+		return false, trace.BadParameter("record %q on disk cannot be read (%v): empty the data-dir, the others will restore it", record, err)
+	}
+	return true, nil
+}
+
 // IsRecovering tells whether this elector votes only in rounds of all electors.
 func (e *Elector) IsRecovering() bool { return e.currentMode() == recovering }
 
@@ -190,7 +203,7 @@
 func (e *Elector) Yields() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rival.ballot.Proposer != e.address && e.rival.left(e.took) > 0
+	return e.rival.ballot.Proposer != e.proposer && e.rival.left(e.took) > 0
 }
 
 // keep writes the votes to disk where there is one.
@@ -212,10 +225,11 @@
 	if electors == nil {
 		return nil, false
 	}
-	round := quorum.NewRound(above.Next(e.address), electorsBallot, quorum.Value{Members: electors})
+	ballot := above.Next(e.proposer)
+	round := quorum.NewRound(ballot, electorsBallot, quorum.Value{Members: electors})
 	var unanimous []quorum.Member
 	if e.IsRecovering() {
-		round = quorum.NewUnanimousRound(above.Next(e.address), electorsBallot, quorum.Value{Members: electors})
+		round = quorum.NewUnanimousRound(ballot, electorsBallot, quorum.Value{Members: electors})
 		unanimous = electors
 	}
 	ask := func(m quorum.Member, proposal *quorum.Value) (*peer.AcceptorReply, error) {
--- a/controlplane/core/elector_test.go
+++ b/controlplane/core/elector_test.go
@@ -19,23 +19,36 @@
 var electorSeeds = []string{"a", "b", "c"}
 
 // disk is a store that outlasts processes.
-type disk struct{ Store }
+type disk struct {
+	Store
+	fails bool // every write fails
+}
+
+func newDisk() *disk { return &disk{Store: NewMemory()} }
 
-func newDisk() *disk { return &disk{NewMemory()} }
+// Put writes a record.
+func (d *disk) Put(name string, data []byte) error {
+	if d.fails {
+		return errLost
+	}
+	return d.Store.Put(name, data)
+}
 
 // electorWorld is the electors of a first start, with their disks.
 type electorWorld struct {
 	t     *testing.T
-	disks map[string]Store
+	disks map[string]*disk
 
 	mu       sync.Mutex // guards what follows
 	electors map[string]*Elector
 	down     map[string]bool
-	lose     func() bool // draws whether a call, or its answer, is lost; nil: none is
+	started  int                      // processes so far
+	lose     func() bool              // draws whether a call, or its answer, is lost; nil: none is
+	drop     func(in *peer.Vote) bool // tells whether a call is lost; nil: none is
 }
 
 func newElectorWorld(t *testing.T) *electorWorld {
-	w := &electorWorld{t: t, disks: map[string]Store{}, electors: map[string]*Elector{}, down: map[string]bool{}}
+	w := &electorWorld{t: t, disks: map[string]*disk{}, electors: map[string]*Elector{}, down: map[string]bool{}}
 	for _, seed := range electorSeeds {
 		w.disks[seed] = newDisk()
 	}
@@ -46,10 +59,12 @@
 func (w *electorWorld) start(seed string, bootstrap bool) *Elector {
 	acceptor, err := NewAcceptor(w.disks[seed])
 	must.NoError(w.t, err)
-	e, err := NewElector(seed, electorSeeds, bootstrap, acceptor)
-	must.NoError(w.t, err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.started++
+	self := &peer.Node{ID: fmt.Sprint(seed, w.started), Address: seed}
+	e, err := NewElector(self, electorSeeds, bootstrap, acceptor)
+	must.NoError(w.t, err)
 	w.electors[seed] = e
 	return e
 }
@@ -73,6 +88,7 @@
 	w.mu.Lock()
 	e, down := w.electors[address], w.down[address]
 	lost, unanswered := w.lose != nil && w.lose(), w.lose != nil && w.lose()
+	lost = lost || w.drop != nil && w.drop(in.(*peer.Vote))
 	w.mu.Unlock()
 	if down || lost {
 		return errLost
@@ -171,13 +187,13 @@
 		acceptor, err := NewAcceptor(newDisk())
 		must.NoError(t, err)
 		for _, seeds := range [][]string{{"b", "c", "d"}, {}} {
-			e, err := NewElector("a", seeds, false, acceptor)
+			e, err := NewElector(&peer.Node{ID: "a0", Address: "a"}, seeds, false, acceptor)
 			must.NoError(t, err)
 			must.SliceEmpty(t, e.Electors())
 		}
 		memory, err := NewAcceptor(nil)
 		must.NoError(t, err)
-		e, err := NewElector("a", electorSeeds, false, memory)
+		e, err := NewElector(&peer.Node{ID: "a0", Address: "a"}, electorSeeds, false, memory)
 		must.NoError(t, err)
 		must.SliceEmpty(t, e.Electors(), must.Sprint("without a disk every restart forgets"))
 		other := &peer.Vote{Target: "c", Ballot: quorum.Ballot{Counter: 9}, Unanimous: []quorum.Member{{ID: "c", Address: "c"}}}
@@ -251,20 +267,17 @@
 		for _, seed := range electorSeeds {
 			w.start(seed, true)
 		}
-		first := quorum.Ballot{}.Next("a") // of a's first process, which ends before it has written its own promise
-		value := quorum.Value{Members: w.electors["c"].Electors(), Data: []byte("another")}
-		for _, in := range []*peer.Vote{
-			{Target: "b", Ballot: first}, {Target: "c", Ballot: first}, {Target: "c", Ballot: first, Value: &value},
-		} {
-			reply, err := w.electors[in.Target].Vote(in)
-			must.NoError(t, err)
-			must.True(t, reply.OK)
-		}
+		w.disks["a"].fails = true // its first process ends before it has written its own promise
+		w.drop = func(in *peer.Vote) bool { return in.Target == "b" && in.Value != nil }
+		_, ok := w.electors["a"].Choose(w, []byte("another"), &quorum.Ballot{})
+		must.False(t, ok)
+		must.Eq(t, "another", string(w.electors["c"].votes().Value.Data))
+		w.disks["a"].fails, w.drop = false, nil
 		w.start("a", false)
 		w.setDown("c", true)
 		chosen, ok := w.choose("a", enoughRounds)
 		must.True(t, ok)
 		must.Eq(t, "a", chosen)
-		must.NotEq(t, first, w.electors["a"].votes().Accepted, must.Sprint("c holds another value under this ballot"))
+		must.NotEq(t, w.electors["c"].votes().Accepted, w.electors["a"].votes().Accepted, must.Sprint("c holds another value under this ballot"))
 	})
 }
--- a/controlplane/server/server_test.go
+++ b/controlplane/server/server_test.go
@@ -94,7 +94,7 @@
 		must.NoError(t, err)
 		self.Acceptor, self.Fresh = acceptor.Identity(), acceptor.Empty()
 	}
-	elector, err := core.NewElector(self.Address, set.SeedPeers(), first, acceptor)
+	elector, err := core.NewElector(&self, set.SeedPeers(), first, acceptor)
 	must.NoError(t, err)
 	c := New(&set, set.SeedPeers, self, acceptor, elector, &port{l, self.Address}, directory.New(), zerolog.Nop())
 	l.mu.Lock()
--- a/lab/control/machine.go
+++ b/lab/control/machine.go
@@ -185,7 +185,7 @@
 		}
 		self.Acceptor, self.Fresh = p.acceptor.Identity(), p.acceptor.Empty()
 	}
-	elector, err := core.NewElector(self.Address, set.SeedPeers(), first, p.acceptor)
+	elector, err := core.NewElector(&self, set.SeedPeers(), first, p.acceptor)
 	if err != nil {
 		return err
 	}
