The soak plays early refusals, closing and reset connections, bytes that are no answer

A run notes whether its caller had left before it began; two rows of TestPlantedHistories, one for either side.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -20,6 +20,8 @@
 	requestDeadline = 7 * time.Second
 	mostEvents      = 40
 	slowBodyShare   = 0.1 // of the requests have bodies that come in pieces
+	longBodyShare   = 0.1 // of the requests for whole answers have long bodies
+	mostBody        = 200 << 10
 	leaveShare      = 0.03
 	idleShare       = 0.3
 )
@@ -109,7 +111,10 @@
 
 // write writes the request, some of them slowly; false: it could not be written whole.
 func (c *client) write(ctx context.Context, conn net.Conn, r *Request, events int) bool {
-	const body = "prompt"
+	body := "prompt"
+	if c.random.Float64() < longBodyShare && !r.Kind.IsStream() {
+		body = strings.Repeat("x", longBody+c.random.IntN(mostBody-longBody))
+	}
 	head := fmt.Sprintf("POST /%s/x?events=%d HTTP/1.1\r\nHost: h\r\nMoleshift-Request-Id: %s\r\nMoleshift-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
 		r.Kind, events, r.ID, requestDeadline.Milliseconds(), len(body))
 	if r.Kind.IsStream() {
--- a/lab/soak/connection.go
+++ b/lab/soak/connection.go
@@ -15,6 +15,26 @@
 
 type connectionKey struct{}
 
+// fullListener resets connections that come while its server lets nobody else wait.
+type fullListener struct {
+	net.Listener
+	isFull func() bool
+}
+
+// Accept takes the next connection that is not reset.
+func (l *fullListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || !l.isFull() {
+			return c, err
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only where it is closed already
+		}
+		c.Close()
+	}
+}
+
 // withConnection makes a server's connection known to the requests that come on it.
 func withConnection(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, &connection{conn: c})
@@ -48,6 +68,9 @@
 		turnedAwayBegun: notExecuted + "Content-Type: text/plain\r\n", misdirectedBegun: "421 Misdirected Request\r\nContent-Type: text/plain\r\n",
 	}[kind]
 	c.surplus = fmt.Sprintf("HTTP/1.1 %sContent-Length: 0\r\n\r\n", head)
+	if kind == noAnswer {
+		c.surplus = "\x00\x7f no answer\r\n"
+	}
 	if kind == turnedAwayBegun || kind == misdirectedBegun {
 		c.surplus = faults.drawCut(c.surplus, statusEnd)
 	}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,6 +20,12 @@
 	unframedShare = 0.06 // of the streams have no length; half of these are reset on the way
 	failureShare  = 0.03 // of the runs for whole answers end with a failure of the server's own
 	deafToLeavers = 3    // one server of so many runs what waits although its caller has left
+	closesIdleOf  = 4    // one server of so many closes connections that rest, and tells when
+	lastShare     = 0.05 // of the answers say that their connection is closed behind them
+	earlyShare    = 0.5  // of the requests with long bodies are turned away before these are in
+	longBody      = 16 << 10
+
+	idleTimeout = 2 * time.Second // of servers that close connections that rest
 )
 
 // surplus is what a server sends in the place where the next answer is due, beside that.
@@ -34,6 +40,7 @@
 	misdirectedNoID          // the same, in another way
 	turnedAwayBegun          // says that the earlier request was not run, and breaks off within its head
 	misdirectedBegun         // the same, in another way
+	noAnswer                 // bytes that are none
 	numSurplus       = iota
 )
 
@@ -61,6 +68,8 @@
 	deaf    bool
 	surplus bool
 	goesOn  bool // a request that waits is run although its caller has left
+	resets  bool // connections that come while nobody else may wait are reset
+	idle    bool // connections that rest are closed
 
 	draw *lockedRand
 }
@@ -81,6 +90,7 @@
 func newServerFaults(on bool, number int, random *rand.Rand) serverFaults {
 	return serverFaults{
 		on: on, deaf: number%deafServerOf == 0, surplus: number%2 == 0, goesOn: on && number%deafToLeavers == 0,
+		resets: on && number%2 == 0, idle: on && number%closesIdleOf == 1,
 		draw: &lockedRand{random: random},
 	}
 }
@@ -131,6 +141,14 @@
 	return ownFailures[int(x*float64(len(ownFailures)))], true
 }
 
+// drawLast draws whether a connection is closed behind an answer.
+func (f *serverFaults) drawLast() bool { return f.on && f.draw.float() < lastShare }
+
+// drawEarly draws whether a request with a body of so many bytes is turned away before that is in.
+func (f *serverFaults) drawEarly(body int64) bool {
+	return f.on && body > longBody && f.draw.float() < earlyShare
+}
+
 // drawFraming draws how a stream tells its end.
 func (f *serverFaults) drawFraming() framing {
 	if !f.on {
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -64,6 +64,8 @@
 	Ended   time.Duration
 	Broken  bool // the server broke off: it closed the connection before its answer was complete
 
+	CallerLeft bool // the node had closed the connection before it began
+
 	Software string // the version of the server's software
 }
 
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -134,9 +134,9 @@
 }
 
 // brokenOff tells whether the server that ran a request last broke it off after its answer had begun: what was passed on can only be
-// cut, where no other server took it up.
+// cut, where no other server took it up. A server that began it after its node had left was passing nothing on.
 func (j *judge) brokenOff(r *Request) bool {
-	runs := j.runs[r.ID]
+	runs := slices.DeleteFunc(slices.Clone(j.runs[r.ID]), func(run Execution) bool { return run.CallerLeft })
 	if r.Status != http.StatusOK || len(runs) == 0 {
 		return false
 	}
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -32,6 +32,8 @@
 	left.Left = true
 	broken := run(1, 2, 1)
 	broken.Broken = true
+	abandoned := run(1.5, 1.6, 1)
+	abandoned.CallerLeft = true
 	keyed := func(first float64, status int) Request {
 		r := request(Keyed, first, first+0.5, status, true)
 		r.Key, r.Deadline = "k", seconds(first)+requestDeadline
@@ -60,6 +62,8 @@
 		"sent too late to outlast the grace":          {&History{Requests: []Request{request(Single, 13.1, 15.6, 200, false)}, Runs: []Execution{run(13.2, 15.6, 1)}, Strikes: []Strike{term}}, "LOST"},
 		"cut as a process is killed":                  {&History{Requests: []Request{request(Single, 9, 10.1, 200, false)}, Runs: []Execution{run(9, 10.1, 1)}, Strikes: []Strike{kill}}, ""},
 		"broken off by its server within the answer":  {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{broken}}, ""},
+		"broken off, and run where its node had left": {&History{Requests: []Request{request(Resumable, 1, 2, 200, false)}, Runs: []Execution{broken, abandoned}}, ""},
+		"broken off, and run where its node had not":  {&History{Requests: []Request{request(Resumable, 1, 2, 200, false)}, Runs: []Execution{broken, run(1.5, 1.6, 1)}}, "LOST"},
 		"taken over after a break, and cut then":      {&History{Requests: []Request{request(Resumable, 1, 3, 200, false)}, Runs: []Execution{broken, run(2, 3, 1)}}, "LOST"},
 		"not answered as its server broke off":        {&History{Requests: []Request{request(Single, 1, 2, 0, false)}, Runs: []Execution{broken}}, "LOST"},
 		"sent again after its server broke off":       {&History{Requests: []Request{request(Again, 1, 2, 200, true)}, Runs: []Execution{broken, run(2, 3, 1)}}, ""},
