--- a/dataplane/ingress/promise_test.go
+++ b/dataplane/ingress/promise_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -10,12 +11,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 
 	"moleshift/dataplane/follower"
+	"moleshift/peer"
 )
 
 // lockedBuffer takes the lines of a log from several goroutines.
@@ -34,7 +37,7 @@
 type promiseLine struct {
 	Message  string `json:"message"`
 	Request  string `json:"request"`
-	Status   string `json:"status"`
+	Status   int    `json:"status"`
 	Ground   string `json:"ground"`
 	Route    string `json:"route"`
 	Attempts []struct {
@@ -180,3 +183,114 @@
 	resp, _, _ := c.answer()
 	must.Eq(t, 502, resp.StatusCode)
 }
+
+// Guards against a promise made from our own state: a byte of the request has left, and the rest can't be written before its time is over.
+func TestNoPromiseOnceAByteHasLeft(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	begun := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			close(begun)
+			return
+		}
+		_, _ = c.Read(make([]byte, 1)) // and no more of it
+		begun <- c
+	}()
+	var log lockedBuffer
+	router := startWithLog(t, zerolog.New(&log), peer.Instance{ID: "i1", Service: "batch", Address: l.Addr().String(), Zone: "a"})
+	c := router.dial()
+	const size = 4_000_000 // more than the connection's buffers take
+	fmt.Fprintf(c.conn, "POST /short/ HTTP/1.1\r\nHost: h\r\nMoleshift-Request-Id: a\r\nAuthorization: Token key\r\nContent-Length: %d\r\n\r\n", size)
+	_, err = c.conn.Write(make([]byte, size))
+	must.NoError(t, err)
+	resp, _, _ := c.answer()
+	server := <-begun
+	must.NotNil(t, server)
+	server.Close()
+	must.Eq(t, 504, resp.StatusCode)
+	must.SliceEmpty(t, log.promises(t))
+}
+
+// Guards against TWICE and REFUSED by a surplus answer that breaks off within its body: its length takes bytes of the answer behind it.
+func TestSurplusAnswerThatBreaksOffWithinItsBodyIsNoPromise(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: second\r\nMoleshift-Response-Stamp: st\r\nContent-Length: 4\r\n\r\nfine"
+	for length := 3; length < len(answer)+2*len("or"); length++ {
+		head := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nMoleshift-Not-Executed: 1\r\nMoleshift-Request-Id: first\r\nContent-Length: %d\r\n\r\n", length)
+		checkRunTogether(t, fmt.Sprint("a body of ", length), head+"or", answer)
+	}
+}
+
+// A server that turns a long body away before it has come reads on, and its connection carries the next request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	var turned atomic.Bool
+	var early *scripted
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	early = &scripted{id: "i1", listener: l}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		reader := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.ContentLength > 1000 && turned.CompareAndSwap(false, true) {
+				notExecutedWithID(c, r)
+				_, _ = io.Copy(io.Discard, r.Body)
+				continue
+			}
+			body, _ := io.ReadAll(r.Body)
+			ok(c, r, fmt.Sprint(len(body), " bytes"))
+		}
+	}()
+	router := start(t, early.instance("batch"))
+	c := router.dial()
+	for n, request := range []struct{ size, status int }{{300_000, 503}, {5, 200}, {300_000, 200}} {
+		fmt.Fprintf(c.conn, "POST /once/ HTTP/1.1\r\nHost: h\r\nMoleshift-Request-Id: %d\r\nAuthorization: Token key\r\nContent-Length: %d\r\n\r\n", n, request.size)
+		_, err := c.conn.Write(make([]byte, request.size))
+		must.NoError(t, err)
+		resp, body, err := c.answer()
+		must.NoError(t, err)
+		must.Eq(t, request.status, resp.StatusCode)
+		if request.status == 200 {
+			must.Eq(t, fmt.Sprint(request.size, " bytes"), body)
+		}
+	}
+	router.update(func(s *follower.Snapshot) { s.Instances["batch"] = nil })
+	l.Close()
+	<-ended
+}
+
+// Requests that come before the answer to the one ahead of them are answered in their order, each with its own id.
+func TestRequestsThatComeEarlyAreAnsweredInOrder(t *testing.T) {
+	s := serve(t, "i1", func(c net.Conn, _ int, r *http.Request, _ string) {
+		ok(c, r, "of "+r.Header.Get("Moleshift-Request-Id"))
+	})
+	c := start(t, s.instance("batch")).dial()
+	ids := []string{"a", "b", "c", "d"}
+	for _, id := range ids {
+		path := "/once/"
+		if id == "b" {
+			path = "/unsafe/" // no server
+		}
+		c.send(path, id)
+	}
+	for _, id := range ids {
+		resp, body, err := c.answer()
+		must.NoError(t, err)
+		must.Eq(t, id, resp.Header.Get("Moleshift-Request-Id"))
+		must.Eq(t, id == "b", resp.StatusCode == 503)
+		must.True(t, id == "b" || body == "of "+id)
+	}
+}
--- a/dataplane/proxy/promise.go
+++ b/dataplane/proxy/promise.go
@@ -3,8 +3,6 @@
 // What this router's promises rest on: a client that gets one is told that its request has not run and never will.
 
 import (
-	"strconv"
-
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -107,7 +105,7 @@
 	if r != nil && r.state.Repeatable {
 		return
 	}
-	event := p.log.Info().Bytes("request", e.Header.Peek(headerRequestID)).Str("status", strconv.Itoa(status)).Stringer("ground", ground)
+	event := p.log.Info().Bytes("request", e.Header.Peek(headerRequestID)).Int("status", status).Stringer("ground", ground)
 	if r != nil {
 		event = event.Str("route", r.route.Name)
 	}
