Requests of before an order are no evidence of its version (a good one rolled back)

Cause: a request's side was set by the newest release when it was sent, and counted for the release under way when it ended. Behind a release that brought v3 into service, all that was open at v3 counted against the version ordered next: 27 hung requests 0.26 s after the order, and none in service.

Change: canary.Attempt has the number of the newest release when it was sent; the ledger counts it for that release alone. Answer, which copied an Attempt's fields, is gone.

--- a/dataplane/canary/canary_test.go
+++ b/dataplane/canary/canary_test.go
@@ -185,7 +185,7 @@
 
 // play has the ledger follow one request: when each event came, when it ended and how.
 func play(l *Ledger, route string, target bool, end time.Duration, outcome Outcome, events ...time.Duration) {
-	a := &Attempt{Service: "llm", Route: route, Target: target}
+	a := &Attempt{Service: "llm", Route: route, Target: target, Release: 1}
 	l.Begin(time.Minute, a)
 	for _, at := range events {
 		l.Event(time.Minute+at, a, 1)
@@ -233,7 +233,7 @@
 func TestSlowAttemptsShowBeforeTheyEnd(t *testing.T) {
 	l := NewLedger()
 	l.Follow("llm", 1)
-	silent, stream := &Attempt{Service: "llm", Route: "r", Target: true}, &Attempt{Service: "llm", Route: "r", Target: true}
+	silent, stream := &Attempt{Service: "llm", Route: "r", Target: true, Release: 1}, &Attempt{Service: "llm", Route: "r", Target: true, Release: 1}
 	l.Begin(0, silent)
 	l.Begin(0, stream)
 	for i := range paceAfter {
@@ -294,3 +294,29 @@
 		before = share
 	}
 }
+
+// Guards against a good version rolled back at once: requests sent before its order, at servers that an earlier release had brought into
+// service, were counted as its own.
+func TestRequestsOfAnEarlierReleaseAreNoEvidence(t *testing.T) {
+	l := NewLedger()
+	l.Follow("llm", 1)
+	var sent []*Attempt
+	for _, number := range []uint64{0, 1} { // before any release, and while the last one was the newest
+		for range 20 {
+			a := &Attempt{Service: "llm", Route: "r", Target: number == 1, Release: number}
+			l.Begin(0, a)
+			sent = append(sent, a)
+		}
+	}
+	l.Forget("llm")
+	l.Follow("llm", 2)
+	must.SliceEmpty(t, l.Counts(2*time.Second, "llm"), must.Sprint("they hang since before the order"))
+	for i, a := range sent {
+		l.Event(3*time.Second, a, paceAfter)
+		l.End(4*time.Second, a, Outcome(i%4))
+	}
+	must.SliceEmpty(t, l.Counts(5*time.Second, "llm"))
+	a := &Attempt{Service: "llm", Route: "r", Target: true, Release: 2}
+	l.Begin(5*time.Second, a)
+	must.Eq(t, 1, l.Counts(7*time.Second, "llm")[0].Hung, must.Sprint("a version that hangs from its first request on shows"))
+}
--- a/dataplane/canary/ledger.go
+++ b/dataplane/canary/ledger.go
@@ -41,6 +41,7 @@
 	Service string
 	Route   string
 	Target  bool          // at a server of the version on trial
+	Release uint64        // number of the newest release when it was sent; 0: there was none
 	sent    time.Duration // when
 	first   time.Duration // when the first event came; 0: none did
 	events  int
@@ -48,16 +49,6 @@
 	paced   bool // its pace is counted
 }
 
-// Answer is one answer of a server.
-type Answer struct {
-	Service string
-	Route   string
-	Target  bool // of a server of the version on trial
-	Outcome Outcome
-	First   time.Duration // to the first event of a stream, from the sending; 0: no stream
-	Pace    time.Duration // between events of a stream, at the mean, or the duration of an answer that is none; 0: not known, or counted
-}
-
 // counted is what was counted of a release.
 type counted struct {
 	number uint64
@@ -115,20 +106,25 @@
 	if outcome == Unknown {
 		return
 	}
-	answer := Answer{Service: a.Service, Route: a.Route, Target: a.Target, Outcome: outcome}
-	if a.first > 0 {
-		answer.First = a.first - a.sent
-	}
 	if !a.paced {
 		l.pace(now, a)
 	}
-	l.Note(&answer)
+	l.note(a, outcome)
+}
+
+// countsFor gives the counts that a request belongs to; nil: the release in which it was sent is not under way. What was sent before an
+// order tells nothing of the version that is ordered.
+func (l *Ledger) countsFor(a *Attempt) *counted {
+	if c := l.releases[a.Service]; c != nil && c.number == a.Release {
+		return c
+	}
+	return nil
 }
 
 // pace counts the pace of an attempt's stream, or the duration of an answer that is none.
 func (l *Ledger) pace(now time.Duration, a *Attempt) {
 	a.paced = true
-	c := l.releases[a.Service]
+	c := l.countsFor(a)
 	if c == nil {
 		return
 	}
@@ -144,7 +140,7 @@
 
 // start counts whether an attempt has brought something soon.
 func (l *Ledger) start(now time.Duration, a *Attempt) {
-	c := l.releases[a.Service]
+	c := l.countsFor(a)
 	if a.started || c == nil {
 		return
 	}
@@ -165,14 +161,14 @@
 	}
 }
 
-// Note takes an answer.
-func (l *Ledger) Note(a *Answer) {
-	c := l.releases[a.Service]
+// note counts how an attempt ended.
+func (l *Ledger) note(a *Attempt, outcome Outcome) {
+	c := l.countsFor(a)
 	if c == nil {
 		return
 	}
 	counts := c.of(a.Route, a.Target)
-	switch a.Outcome {
+	switch outcome {
 	case Failed:
 		counts.Failed++
 	case Broken:
@@ -181,11 +177,8 @@
 		counts.Late++
 	default:
 		counts.Good++
-		if a.First > 0 {
-			peer.CountTime(&counts.First, a.First)
-		}
-		if a.Pace > 0 {
-			peer.CountTime(&counts.Pace, a.Pace)
+		if a.first > a.sent {
+			peer.CountTime(&counts.First, a.first-a.sent)
 		}
 	}
 }
--- a/dataplane/proxy/releases.go
+++ b/dataplane/proxy/releases.go
@@ -89,6 +89,7 @@
 	to.attempt = canary.Attempt{Service: r.service.Name, Route: r.route.Name}
 	if current := release.Of(p.follow().Releases, r.service.Name); current != nil {
 		to.attempt.Target = to.target.instance.Version == current.Target
+		to.attempt.Release = current.Number
 	}
 	p.ledger.Begin(p.now(), &to.attempt)
 }
--- a/lab/releases/releases.go
+++ b/lab/releases/releases.go
@@ -229,7 +229,7 @@
 	name := fmt.Sprint("r", route)
 	r.splitter.Request(p.now, service, name)
 	toTarget := r.phase == release.Switching || r.phase == release.Completed || r.splitter.Draw(p.now, &known, name, len(p.routers))
-	a := &arrival{router: r, attempt: canary.Attempt{Service: service, Route: name, Target: toTarget}}
+	a := &arrival{router: r, attempt: canary.Attempt{Service: service, Route: name, Target: toTarget, Release: known.Number}}
 	takes := time.Duration(float64(100*time.Millisecond) * (0.5 + p.random.ExpFloat64()/2))
 	if toTarget {
 		p.atTarget = append(p.atTarget, p.now)
