Time in which a router stood still does not count against a version on trial

Cause: the ledger measured by the steady clock, and looked for what hangs as the first thing after a thaw.

Change: it measures by the time in which its router ran; gaps of over 0.4 s between calls are taken off.

Result: TestTimeInWhichTheRouterStoodStillDoesNotCount failed on the text before; it also holds that a version that hangs is seen a second after the thaw.

--- a/dataplane/canary/ledger.go
+++ b/dataplane/canary/ledger.go
@@ -32,6 +32,8 @@
 	// soon is how long after a request was sent its first event, or its whole answer, is to be there: what does not come is not counted
 	// as slow before it has come, and that would be too late.
 	soon = time.Second
+	// mostGap is the longest time between two calls at a router that runs: it reports more often while a release is under way.
+	mostGap = 400 * time.Millisecond
 	// paceAfter is how many events tell the pace of a stream.
 	paceAfter = 5
 )
@@ -42,8 +44,8 @@
 	Route   string
 	Target  bool          // at a server of the version on trial
 	Release uint64        // number of the newest release when it was sent; 0: there was none
-	sent    time.Duration // when
-	first   time.Duration // when the first event came; 0: none did
+	sent    time.Duration // when, by the time in which the router ran
+	first   time.Duration // when the first event came, likewise; 0: none did
 	events  int
 	started bool // counted as Soon or Hung
 	paced   bool // its pace is counted
@@ -55,10 +57,13 @@
 	counts []peer.RouteCounts
 }
 
-// Ledger counts answers while releases are under way.
+// Ledger counts answers while releases are under way. It measures by the time in which its router ran: one that stood still has not read
+// what came meanwhile.
 type Ledger struct {
 	releases map[string]*counted // by service: of the release under way
 	open     map[*Attempt]bool
+	called   time.Duration // when it was last called
+	stood    time.Duration // for how long in all its router has stood still
 }
 
 // NewLedger makes a ledger.
@@ -76,14 +81,24 @@
 // Forget ends the counting for a service.
 func (l *Ledger) Forget(service string) { delete(l.releases, service) }
 
+// running gives the time in which the router has run, from the steady clock's.
+func (l *Ledger) running(now time.Duration) time.Duration {
+	if gap := now - l.called; gap > mostGap {
+		l.stood += gap - mostGap
+	}
+	l.called = now
+	return now - l.stood
+}
+
 // Begin follows a request that is sent to a server.
 func (l *Ledger) Begin(now time.Duration, a *Attempt) {
-	a.sent = now
+	a.sent = l.running(now)
 	l.open[a] = true
 }
 
 // Event notes events of an attempt's stream.
 func (l *Ledger) Event(now time.Duration, a *Attempt, events int) {
+	now = l.running(now)
 	if a.first == 0 {
 		a.first = now
 		l.start(now, a)
@@ -99,6 +114,7 @@
 
 // End notes how an attempt ended. One that says nothing of its server's version is only forgotten.
 func (l *Ledger) End(now time.Duration, a *Attempt, outcome Outcome) {
+	now = l.running(now)
 	l.Drop(a)
 	if outcome != Unknown || a.first == 0 && now-a.sent > soon {
 		l.start(now, a)
@@ -199,7 +215,7 @@
 
 // Counts lists what was counted for a release and not yet told.
 func (l *Ledger) Counts(now time.Duration, service string) []peer.RouteCounts {
-	l.countHung(now)
+	l.countHung(l.running(now))
 	c := l.releases[service]
 	if c == nil {
 		return nil
