A run whose answer its server spoilt counts as broken off by it

The judge excuses a cut where the server that ran a request last broke it off; a server that sends what spoils its own answer does that too, and the run did not say so. Only answers that have begun are excused by it, as before.

--- a/lab/soak/connection.go
+++ b/lab/soak/connection.go
@@ -11,6 +11,7 @@
 type connection struct {
 	conn    net.Conn
 	surplus string
+	spoils  bool // what is sent once more leaves the answer behind it unreadable
 }
 
 type connectionKey struct{}
@@ -44,10 +45,12 @@
 	return r.Context().Value(connectionKey{}).(*connection)
 }
 
-// sendSurplus sends what was kept, in the place where the next answer is due.
-func (c *connection) sendSurplus() {
+// sendSurplus sends what was kept, in the place where the next answer is due, and tells whether it spoils that one.
+func (c *connection) sendSurplus() (spoils bool) {
 	_, _ = c.conn.Write([]byte(c.surplus)) // a caller that has left is noticed later
-	c.surplus = ""
+	spoils = c.spoils
+	c.surplus, c.spoils = "", false
+	return spoils
 }
 
 // statusEnd is where the status of an answer ends.
@@ -68,6 +71,7 @@
 		turnedAwayBegun: notExecuted + "Content-Type: text/plain\r\n", misdirectedBegun: "421 Misdirected Request\r\nContent-Type: text/plain\r\n",
 	}[kind]
 	c.surplus = fmt.Sprintf("HTTP/1.1 %sContent-Length: 0\r\n\r\n", head)
+	c.spoils = kind == noAnswer || kind == turnedAwayBegun || kind == misdirectedBegun
 	if kind == noAnswer {
 		c.surplus = "\x00\x7f no answer\r\n"
 	}
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -62,7 +62,7 @@
 	Version int64 // of the weights on which it began; 0: the service has none
 	Began   time.Duration
 	Ended   time.Duration
-	Broken  bool // the server broke off: it closed the connection before its answer was complete
+	Broken  bool // the server broke off: it closed the connection before its answer was complete, or had sent what spoils the answer ahead of it
 
 	CallerLeft bool // the node had closed the connection before it began
 
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -256,7 +256,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn := connectionOf(r)
-	conn.sendSurplus()
+	spoilt := conn.sendSurplus()
 	conn.keepSurplus(&s.faults, s.id, id)
 	if r.Header.Get("Moleshift-Expect-Instance") != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -273,7 +273,8 @@
 	}
 	defer s.leave()
 	run := s.history.begin(Execution{
-		ID: id, Server: s.id, Version: version, Began: s.history.Now(), Software: s.software.version, CallerLeft: r.Context().Err() != nil,
+		ID: id, Server: s.id, Version: version, Began: s.history.Now(), Software: s.software.version,
+		Broken: spoilt, CallerLeft: r.Context().Err() != nil,
 	})
 	defer run.end()
 	s.useParts(r, id)
