--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -182,12 +182,15 @@
 // Now is the time since the run began.
 func (h *History) Now() time.Duration { return time.Since(h.began) }
 
-func (h *History) addRequest(r Request) {
+// note adds what was seen to one of a history's lists.
+func note[T any](h *History, list *[]T, seen T) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Requests = append(h.Requests, r)
+	*list = append(*list, seen)
 }
 
+func (h *History) addRequest(r Request) { note(h, &h.Requests, r) }
+
 // execution is a run under way.
 type execution struct {
 	history *History
@@ -217,17 +220,9 @@
 	e.history.Runs[e.index].Broken = true
 }
 
-func (h *History) addNaming(n Naming) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Namings = append(h.Namings, n)
-}
+func (h *History) addNaming(n Naming) { note(h, &h.Namings, n) }
 
-func (h *History) addChange(c Change) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Changes = append(h.Changes, c)
-}
+func (h *History) addChange(c Change) { note(h, &h.Changes, c) }
 
 // giveKey records that the operator's tenant has a key from now on.
 func (h *History) giveKey(name string) {
@@ -260,23 +255,11 @@
 	return newest[random.IntN(len(newest))].Name
 }
 
-func (h *History) addUse(u Use) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Uses = append(h.Uses, u)
-}
+func (h *History) addUse(u Use) { note(h, &h.Uses, u) }
 
-func (h *History) addEnd(e End) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Ends = append(h.Ends, e)
-}
+func (h *History) addEnd(e End) { note(h, &h.Ends, e) }
 
-func (h *History) addInvalid(what string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Invalid = append(h.Invalid, what)
-}
+func (h *History) addInvalid(what string) { note(h, &h.Invalid, what) }
 
 // isolate records that a tenant is isolated from now on.
 func (h *History) isolate(tenant string) {
@@ -309,17 +292,9 @@
 	}
 }
 
-func (h *History) addReleaseRead(r ReleaseRead) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.ReleaseReads = append(h.ReleaseReads, r)
-}
+func (h *History) addReleaseRead(r ReleaseRead) { note(h, &h.ReleaseReads, r) }
 
-func (h *History) addRead(r Read) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Reads = append(h.Reads, r)
-}
+func (h *History) addRead(r Read) { note(h, &h.Reads, r) }
 
 // strike records a strike; the function that comes back records its end.
 func (h *History) strike(s Strike) (end func(until time.Duration)) {
