--- a/controlplane/server/releases_test.go
+++ b/controlplane/server/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -252,6 +253,33 @@
 	})
 }
 
+// Guards against ROUTE by a member that restarts before the versions in service are recorded: it takes servers that came since for some that
+// started beside the first ones.
+func TestMemberThatRestartsBeforeVersionsAreRecordedCountsNoLaterOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLan()
+		stores := []core.Store{newStore(), newStore(), newStore()}
+		members := startConfigured(t, l, stores...)
+		began := time.Now()
+		beatFor := func(d time.Duration, versions ...string) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(operatorPause) {
+				if members[1].IsMember() {
+					sendBeats(t, members[1], int64(time.Since(began)), versions...)
+				}
+			}
+		}
+		beatFor(1300*time.Millisecond, "v1")
+		records := slices.IndexFunc(members, func(c *Controller) bool { return c.first(releaseOwner) })
+		l.kill(members[records])
+		members[records] = l.node(t, records+1, true, false, stores[records], coreSeeds...)
+		beatFor(time.Second, "v1")
+		beatFor(time.Minute, "v1", "v2")
+		state, err := readWeights(members[2].registers.Known(core.Weights).Value.Data)
+		must.NoError(t, err)
+		must.Eq(t, []string{"v1"}, release.BaselineOf(state.Baselines, "llm"))
+	})
+}
+
 // Guards against a proper order that is refused: the member that takes it has not yet heard of the configuration that brought the service.
 func TestOrderAtAMemberThatLacksTheConfiguration(t *testing.T) {
 	l := newLan()
