Some worlds are struck within the first moments of the system

Change: in one world of three, where every seed keeps a disk, one to four kills or losses of power strike within the first second, from a source of random numbers of their own, so that all else of a seed stays.

--- a/lab/control/faults.go
+++ b/lab/control/faults.go
@@ -74,6 +74,13 @@
 	// startFault is the same where every seed keeps a disk.
 	startFault = time.Millisecond
 	lastFault  = 500 * time.Millisecond // before the end, so that every fault has begun when all is mended
+
+	// firstStartIn is in one world of how many the first start itself is struck, in series, where every seed keeps a disk.
+	firstStartIn     = 3
+	mostFirstStrikes = 4
+	firstStartWithin = time.Second
+
+	firstStartSource = 0x66697273 // of random numbers
 )
 
 // drawScript draws the faults of a world.
@@ -95,10 +102,26 @@
 		at = min(max(at, w.earliestFault()), w.options.Length-lastFault)
 		script = append(script, Step{At: at, Kind: kinds[i].kind, For: w.drawLength(), Which: -1})
 	}
+	script = append(script, w.strikesOfTheFirstStart()...)
 	slices.SortStableFunc(script, func(a, b Step) int { return int(a.At - b.At) })
 	return script
 }
 
+// strikesOfTheFirstStart draws kills and losses of power within the first moments of a system, in some of the worlds.
+func (w *World) strikesOfTheFirstStart() []Step {
+	random := rand.New(rand.NewPCG(w.seed, firstStartSource))
+	if random.IntN(firstStartIn) > 0 || w.earliestFault() > startFault {
+		return nil
+	}
+	var script []Step
+	for range 1 + random.IntN(mostFirstStrikes) {
+		kind := []Kind{KillAll, KillAll, Kill, PowerAll}[random.IntN(4)]
+		at := startFault + time.Duration(random.Int64N(int64(firstStartWithin)))
+		script = append(script, Step{At: at, Kind: kind, For: time.Duration(random.Int64N(int64(time.Second))), Which: -1})
+	}
+	return script
+}
+
 // earliestFault is when the first fault may strike.
 func (w *World) earliestFault() time.Duration {
 	if len(w.all(func(m *machine) bool { return m.counts && slices.Contains(w.seeds, m.address) })) == len(w.seeds) {
--- a/lab/control/world.go
+++ b/lab/control/world.go
@@ -42,6 +42,7 @@
 
 // World is one run.
 type World struct {
+	seed    uint64
 	options Options
 	rand    *rand.Rand // of the faults
 	network *network
@@ -81,7 +82,7 @@
 func newWorld(seed uint64, o Options) *World {
 	r := rand.New(rand.NewPCG(seed, 0x636f6e74))
 	w := &World{
-		options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
+		seed: seed, options: o, rand: r, network: newNetwork(rand.New(rand.NewPCG(seed, 0x6e657477))), judge: newJudge(), ended: make(chan struct{}),
 		releases: &releaseJudge{clear: map[int]bool{}, ended: map[int]string{}},
 	}
 	w.ops = &operators{dice: newDice(seed, 0x6f706572), w: w, patience: usualPatience}
