--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -91,6 +91,7 @@
 	bounded := false
 	for range maxSurplus + 1 {
 		if a.err = p.readHead(a); a.err != nil {
+			p.noteMalformed(r, to, a.err)
 			return false
 		}
 		to.word = wordOf(a)
@@ -145,33 +146,6 @@
 	return attempt.Done
 }
 
-// readHead reads the head of an answer, past those that only tell to go on.
-func (p *Proxy) readHead(a *reply) error {
-	a.holdsTwo = false
-	for {
-		holdsTwo, err := holdsTwoHeads(a.conn.reader)
-		if err != nil {
-			return err
-		}
-		a.holdsTwo = a.holdsTwo || holdsTwo
-		a.header.Reset()
-		a.header.SetNoDefaultContentType(true)
-		if err := a.header.Read(a.conn.reader); err != nil {
-			return err
-		}
-		if a.header.StatusCode() >= 200 {
-			break
-		}
-	}
-	a.conn.heads++
-	if s := a.header.Peek("Keep-Alive"); len(s) > 0 {
-		if d, ok := keepAlive(string(s)); ok {
-			a.conn.keep = d
-		}
-	}
-	return nil
-}
-
 // failAttempt ends an attempt that broke after it was sent.
 func (p *Proxy) failAttempt(r *request, to *routed, a *reply) attempt.Outcome {
 	p.endAttempt(r, to, a.conn, false)
--- a/dataplane/proxy/head.go
+++ b/dataplane/proxy/head.go
@@ -1,11 +1,15 @@
 package proxy
 
-// The bytes of an answer's head, as they came: what is read into fields no longer shows that two heads have run into one another.
+// The heads of answers, looked at on their bytes as they came: what is read into fields no longer shows that they were no head, or that two
+// heads have run into one another.
 
 import (
-	"bufio"
 	"bytes"
 	"regexp"
+
+	"github.com/valyala/fasthttp"
+
+	"moleshift/internal/httphead"
 )
 
 // statusLine begins an answer, and protocolName that.
@@ -14,37 +18,38 @@
 	protocolName = []byte("HTTP/1.")
 )
 
-// holdsTwoHeads waits until a head has come whole, or as much of it as the reader holds, and tells whether a second answer begins within
-// it. Nothing of it is taken from the reader. Errors are those of the connection; what is no head at all is left for its parser to tell.
-func holdsTwoHeads(reader *bufio.Reader) (bool, error) {
-	for wanted := 1; ; {
-		if _, err := reader.Peek(wanted); err != nil {
-			return false, err
+// holdsTwoHeads tells whether a second answer begins within the bytes of a head.
+func holdsTwoHeads(head []byte) bool {
+	return bytes.Count(head, protocolName) > 1 && len(statusLine.FindAllIndex(head, 2)) > 1
+}
+
+// readHead reads the head of an answer, past those that only tell to go on. Errors are those of the connection, and of bytes that are no
+// answer: then nothing is known of the request, and the connection must not be used again.
+func (p *Proxy) readHead(a *reply) error {
+	a.holdsTwo = false
+	for {
+		head, raw, err := httphead.PeekResponse(a.conn.reader)
+		if err != nil {
+			return err
 		}
-		come, _ := reader.Peek(reader.Buffered()) // is there: it comes from memory
-		end := headEnd(come)
-		if end < 0 && len(come) < reader.Size() {
-			wanted = len(come) + 1
-			continue
+		a.holdsTwo = a.holdsTwo || holdsTwoHeads(raw)
+		a.header.Reset()
+		a.header.SetNoDefaultContentType(true)
+		if err := a.header.Read(a.conn.reader); err != nil {
+			return err
 		}
-		if end >= 0 {
-			come = come[:end]
+		if head.IsFinal() {
+			break
 		}
-		return bytes.Count(come, protocolName) > 1 && len(statusLine.FindAllIndex(come, 2)) > 1, nil
 	}
+	a.conn.heads++
+	a.conn.noteKeepAlive(&a.header)
+	return nil
 }
 
-// headEnd gives where the empty line behind a head begins, however its lines end; -1: it has not come. Empty lines before a head are none.
-func headEnd(come []byte) int {
-	begins := len(come) - len(bytes.TrimLeft(come, "\r\n"))
-	for at := begins; ; {
-		line := bytes.IndexByte(come[at:], '\n')
-		if line < 0 {
-			return -1
-		}
-		at += line + 1
-		if rest := come[at:]; bytes.HasPrefix(rest, []byte("\n")) || bytes.HasPrefix(rest, []byte("\r\n")) {
-			return at
-		}
+// noteKeepAlive notes how long the server keeps an idle connection, where the answer tells.
+func (c *serverConn) noteKeepAlive(h *fasthttp.ResponseHeader) {
+	if keep, ok := keepAlive(string(h.Peek("Keep-Alive"))); ok {
+		c.keep = keep
 	}
 }
--- a/dataplane/proxy/metrics.go
+++ b/dataplane/proxy/metrics.go
@@ -75,5 +75,6 @@
 	for _, owner := range []answerOwner{earlierRequest, unknownRequest, severalRequests} {
 		metrics.WriteCounterUint64(w, fmt.Sprintf("moleshift_unmatched_answers_total{request=%q}", owner), p.unmatched[owner].Load())
 	}
+	metrics.WriteCounterUint64(w, "moleshift_malformed_answers_total", p.malformed.Load())
 	p.placed.write(w)
 }
--- a/dataplane/proxy/owner_test.go
+++ b/dataplane/proxy/owner_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
+
+	"moleshift/internal/httphead"
 )
 
 // Guards against a promise being read into an answer that belongs to another request, or to nobody.
@@ -61,8 +63,9 @@
 		"HTTP/1.1 200 OK\r\nMoleshift-Request-Id: mine\r\nLink: <http://h/HTTP/1.1>":                 ownRequest,
 	} {
 		reader := bufio.NewReader(strings.NewReader(text + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK"))
-		holdsTwo, err := holdsTwoHeads(reader)
+		_, raw, err := httphead.PeekResponse(reader)
 		must.NoError(t, err)
+		holdsTwo := holdsTwoHeads(raw)
 		var h fasthttp.ResponseHeader
 		must.NoError(t, h.Read(reader))
 		must.Eq(t, owner, ownerOf(&h, "mine", true, holdsTwo), must.Sprint(text))
--- a/dataplane/proxy/proxy.go
+++ b/dataplane/proxy/proxy.go
@@ -48,6 +48,7 @@
 	placed    *placementCounts
 	promised  [promiseGrounds]atomic.Uint64 // promises given to clients
 	unmatched [answerOwners]atomic.Uint64   // answers that were not taken for those of the request that waited
+	malformed atomic.Uint64                 // bytes in the place of an answer that are none
 }
 
 // New makes the proxy of the node with the given ID.
--- a/dataplane/proxy/requestlog.go
+++ b/dataplane/proxy/requestlog.go
@@ -4,12 +4,14 @@
 // followed by its id through routers, attempts and servers.
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"moleshift/dataplane/attempt"
 	"moleshift/fault"
+	"moleshift/internal/httphead"
 )
 
 // step begins the line of a step of a request; nil where the level is off, at the cost of one comparison.
@@ -39,6 +41,18 @@
 	}
 }
 
+// noteMalformed counts and tells of bytes in the place of an answer that are none; other errors are no matter of its own.
+func (p *Proxy) noteMalformed(r *request, to *routed, err error) {
+	var malformed *httphead.Error
+	if !errors.As(err, &malformed) {
+		return
+	}
+	p.malformed.Add(1)
+	if event := p.step(r); event != nil {
+		event.Str("instance", to.target.id).Str("reason", malformed.Reason).Msg("server sent bytes that are no answer: look at the server")
+	}
+}
+
 // logOutcome tells what became of an attempt, and what follows from that.
 func (p *Proxy) logOutcome(r *request, to *routed, outcome attempt.Outcome, action attempt.Action) {
 	if event := p.step(r); event != nil {
