A broken answer acknowledges no order, and is no report, list or member's word

What callers saw: internal/servercall, the call that carries orders to servers and fetches their reports and kept prompts, gave 200 for a status of 000 as a head in front, for names with blanks and folded lines, and the sizes of chunks as body; peer the same for the answer of another member. An order that a broken answer acknowledges is an order that nobody took.

Change: httphead.Conn stands between the socket and the library: behind each write the head of an answer is due, and only the bytes of a sound one can be read. Both clients dial it. The error is that of a connection that broke, so callers do as behind silence (the server's report tells whether an order was taken).

Trailers of such calls are still read by the library: they bear on neither status nor body.

--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -79,9 +79,10 @@
 		come io.Reader
 		want error
 	}{
-		"connection ends":   {strings.NewReader("HTTP/1.1 200 OK\r\nX: 1\r\n"), io.EOF},
-		"connection breaks": {io.MultiReader(strings.NewReader("HTTP/1.1 2"), iotest.ErrReader(cut)), cut},
-		"head is too large": {io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nX: "), bytes.NewReader(bytes.Repeat([]byte("x"), 8<<10))), httphead.ErrTooLarge},
+		"connection ends":        {strings.NewReader("HTTP/1.1 200 OK\r\nX: 1\r\n"), io.ErrUnexpectedEOF},
+		"connection ends before": {strings.NewReader(""), io.EOF},
+		"connection breaks":      {io.MultiReader(strings.NewReader("HTTP/1.1 2"), iotest.ErrReader(cut)), cut},
+		"head is too large":      {io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nX: "), bytes.NewReader(bytes.Repeat([]byte("x"), 8<<10))), httphead.ErrTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, _, err := httphead.PeekResponse(bufio.NewReader(row.come))
--- a/internal/httphead/response.go
+++ b/internal/httphead/response.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"io"
 	"strconv"
 )
 
@@ -73,7 +75,7 @@
 func PeekResponse(reader *bufio.Reader) (head Response, raw []byte, err error) {
 	for wanted := 1; ; {
 		if _, err := reader.Peek(wanted); err != nil {
-			return Response{}, nil, err
+			return Response{}, nil, notEnd(err, wanted)
 		}
 		come, _ := reader.Peek(reader.Buffered()) // comes from memory
 		head, whole, err := ScanResponse(come)
@@ -90,6 +92,14 @@
 	}
 }
 
+// notEnd tells a connection that ends within a head, where so many bytes were wanted, from one that ends in front of it.
+func notEnd(err error, wanted int) error {
+	if wanted > 1 && errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // parseStatusLine gives the status. A reason need not follow it, nor the blank in front of one.
 func parseStatusLine(line []byte) (int, error) {
 	if !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) && !bytes.HasPrefix(line, []byte("HTTP/1.0 ")) {
--- a/internal/servercall/servercall.go
+++ b/internal/servercall/servercall.go
@@ -11,9 +11,12 @@
 
 	"github.com/valyala/fasthttp"
 
+	"moleshift/internal/httphead"
 	"moleshift/internal/sock"
 )
 
+const headSize = 4 << 10 // of the head of an answer, in bytes
+
 // Settings are a client's figures.
 type Settings struct {
 	IP          string        // the IP to dial from
@@ -43,14 +46,23 @@
 	client := func() *fasthttp.Client {
 		return &fasthttp.Client{
 			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: set.PerServer, MaxIdleConnDuration: set.Idle,
-			Dial: func(address string) (net.Conn, error) { return sock.Dial(set.IP, address, set.DialTimeout) },
+			Dial: func(address string) (net.Conn, error) { return dial(&set, address) },
 		}
 	}
 	return &Client{kept: client(), alone: client()}
 }
 
+// dial connects to a server. What comes on the connection is an answer or an error: the library alone would take most broken heads for one.
+func dial(set *Settings, address string) (net.Conn, error) {
+	conn, err := sock.Dial(set.IP, address, set.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewConn(conn, headSize), nil
+}
+
 // Do makes a call and gives the status and the body of its answer. Errors are those of the connection: no answer came in time, or
-// none that can be read.
+// bytes that are none. Then nobody knows whether the server took the call.
 func (c *Client) Do(call *Call) (status int, body []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -11,6 +11,7 @@
 	"github.com/tinylib/msgp/msgp"
 	"github.com/valyala/fasthttp"
 
+	"moleshift/internal/httphead"
 	"moleshift/internal/sock"
 )
 
@@ -19,7 +20,8 @@
 	idleTimeout     = 20 * time.Second
 	connectionsEach = 32
 	maxBody         = 16 << 20
-	compressFrom    = 512 // bytes: smaller bodies are sent as they are
+	compressFrom    = 512     // bytes: smaller bodies are sent as they are
+	bufferSize      = 2 << 10 // bytes
 )
 
 var encodingS2 = []byte("s2")
@@ -38,7 +40,7 @@
 	s := &Server{handlers: handlers}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		MaxRequestBodySize: maxBody, IdleTimeout: 2 * idleTimeout, ReadBufferSize: 2048, WriteBufferSize: 2048,
+		MaxRequestBodySize: maxBody, IdleTimeout: 2 * idleTimeout, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
 		Logger: sock.Quiet{},
 	}
 	return s
@@ -99,14 +101,23 @@
 	if h == nil {
 		h = &fasthttp.HostClient{
 			Addr: address, NoDefaultUserAgentHeader: true, MaxConns: connectionsEach, MaxIdleConnDuration: idleTimeout,
-			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxBody, ReadBufferSize: 2048, WriteBufferSize: 2048,
-			Dial: func(address string) (net.Conn, error) { return sock.Dial(c.from, address, dialTimeout) },
+			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxBody, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
+			Dial: c.dial,
 		}
 		c.hosts[address] = h
 	}
 	return h
 }
 
+// dial connects to another node. The library's parser forgives heads that are none, so they do not reach it.
+func (c *Client) dial(address string) (net.Conn, error) {
+	conn, err := sock.Dial(c.from, address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewConn(conn, bufferSize), nil
+}
+
 // Call sends one call and reads the reply into out. Every call may be repeated, so one that failed at once on a kept connection is
 // sent again on a new one.
 func (c *Client) Call(address, call string, in msgp.Marshaler, out msgp.Unmarshaler, timeout time.Duration) error {
