A test of electors waits for its round's calls before it changes their world

Seen once with -race, beside all tests of the planes: TestElectorThatRestartsUsesNoBallotTwice wrote what goroutines of the round before still read (disk.fails and drop). The round does not wait for calls that it does not need; the program is not concerned. The test waits until they have ended; what it asserts is as it was.

--- a/controlplane/core/elector_test.go
+++ b/controlplane/core/elector_test.go
@@ -272,6 +272,7 @@
 		_, ok := w.electors["a"].Choose(w, []byte("another"), &quorum.Ballot{})
 		must.False(t, ok)
 		must.Eq(t, "another", string(w.electors["c"].votes().Value.Data))
+		synctest.Wait() // calls that the round did not wait for end before the world changes
 		w.disks["a"].fails, w.drop = false, nil
 		w.start("a", false)
 		w.setDown("c", true)
