What frames a body in chunks is sound or no answer, trailers included

What callers saw: a whole answer whose trailers were the head of the next one ("0", then "HTTP/1.1 200 OK"): that head was taken off the connection as trailers.

Cause: the reader of bodies trimmed what it did not know and skipped trailers unread.

Change: the lines of chunks are judged where heads are (internal/httphead, RFC 9112, section 7). They end with CR LF; a trailer is a field or none. Bodies that break so count as malformed answers too. TestEndlessLineBetweenChunksIsNoAnswer names the error of its own that it now has.

--- a/dataplane/proxy/body.go
+++ b/dataplane/proxy/body.go
@@ -5,10 +5,10 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
-	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"moleshift/internal/httphead"
 )
 
 // The framings of a body.
@@ -21,7 +21,11 @@
 // maxLine bounds a line between chunks, in bytes.
 const maxLine = 4 << 10
 
-var errGarbled = errors.New("bytes that are no answer")
+// The errors of bodies in chunks.
+var (
+	errLongChunk = &httphead.Error{Reason: "chunk is longer than its size"}
+	errLongLine  = &httphead.Error{Reason: "line between chunks is too long"}
+)
 
 // bodyReader reads the body of an answer as it comes; io.EOF comes only at its proper end. A read that timed out may be followed by
 // another one, which goes on where that one stood.
@@ -92,19 +96,19 @@
 	return err
 }
 
-// line reads a line; what has come of one that is not whole is kept for the next call.
-func (b *bodyReader) line() (string, error) {
+// line reads a line outside the chunks' data; what has come of one that is not whole is kept for the next call.
+func (b *bodyReader) line() ([]byte, error) {
 	line, err := b.reader.ReadSlice('\n')
 	if len(b.begun)+len(line) > maxLine {
-		return "", errGarbled
+		return nil, errLongLine
 	}
+	b.begun = append(b.begun, line...)
 	if err != nil {
-		b.begun = append(b.begun, line...)
-		return "", notEnd(err)
+		return nil, notEnd(err)
 	}
-	whole := string(b.begun) + string(line)
+	whole := b.begun
 	b.begun = nil
-	return strings.TrimRight(whole, "\r\n"), nil
+	return httphead.CutChunkLine(whole)
 }
 
 // nextChunk reads up to the data of the next chunk, or up to the end of the body.
@@ -114,8 +118,8 @@
 		if err != nil {
 			return err
 		}
-		if line != "" {
-			return errGarbled
+		if len(line) > 0 {
+			return errLongChunk
 		}
 		b.between = false
 	}
@@ -124,23 +128,32 @@
 		if err != nil {
 			return err
 		}
-		size, _, _ := strings.Cut(line, ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
-		if err != nil {
-			return errGarbled
+		if b.left, err = httphead.ParseChunkSize(line); err != nil {
+			return err
 		}
-		b.left, b.trailer = int64(n), n == 0
+		b.trailer = b.left == 0
 	}
 	for b.trailer && !b.ended {
-		line, err := b.line()
-		if err != nil {
+		if err := b.nextTrailer(); err != nil {
 			return err
 		}
-		b.ended = line == ""
 	}
 	return nil
 }
 
+// nextTrailer reads a line behind the last chunk. Trailers are not passed on.
+func (b *bodyReader) nextTrailer() error {
+	line, err := b.line()
+	if err != nil {
+		return err
+	}
+	if len(line) == 0 {
+		b.ended = true
+		return nil
+	}
+	return httphead.CheckTrailer(line)
+}
+
 // eventBuffer gathers the bytes of a stream and gives whole events only.
 type eventBuffer struct {
 	pending    []byte
--- a/dataplane/proxy/body_test.go
+++ b/dataplane/proxy/body_test.go
@@ -88,5 +88,51 @@
 	for err == nil || isTimeout(err) {
 		_, err = body.Read(make([]byte, 7))
 	}
-	must.ErrorIs(t, err, errGarbled)
+	must.ErrorIs(t, err, errLongLine)
+}
+
+// Guards against the next answer, or any other bytes, being read as the framing of a body in chunks (RFC 9112, section 7).
+func TestChunkedBodies(t *testing.T) {
+	for name, row := range map[string]struct {
+		text  string
+		sound bool
+	}{
+		"plain":                        {"2\r\nok\r\n0\r\n\r\n", true},
+		"extensions":                   {"02;a=\"b c\"\r\nok\r\n0;last\r\n\r\n", true},
+		"blank before an extension":    {"2 ;a=b\r\nok\r\n0\r\n\r\n", true},
+		"size in hexadecimal digits":   {"00a\r\nok34567890\r\n0\r\n\r\n", true},
+		"trailers":                     {"2\r\nok\r\n0\r\nX-A: 1\r\nx-b:\t\xff\r\n\r\n", true},
+		"blank before a size":          {" 2\r\nok\r\n0\r\n\r\n", false},
+		"size with a sign":             {"+2\r\nok\r\n0\r\n\r\n", false},
+		"size with a prefix":           {"0x2\r\nok\r\n0\r\n\r\n", false},
+		"size with an underscore":      {"0_2\r\nok\r\n0\r\n\r\n", false},
+		"no size":                      {"\r\nok\r\n0\r\n\r\n", false},
+		"no size before an extension":  {";a\r\nok\r\n0\r\n\r\n", false},
+		"size beyond all numbers":      {"fffffffffffffffffff\r\nok\r\n0\r\n\r\n", false},
+		"two sizes":                    {"2 2\r\nok\r\n0\r\n\r\n", false},
+		"two ends of a size's line":    {"2\r\r\nok\r\n0\r\n\r\n", false},
+		"line feed behind a size":      {"2\nok\r\n0\r\n\r\n", false},
+		"line feed behind a chunk":     {"2\r\nok\n0\r\n\r\n", false},
+		"control byte in an extension": {"2;a\x01\r\nok\r\n0\r\n\r\n", false},
+		"chunk longer than its size":   {"2\r\nokay\r\n0\r\n\r\n", false},
+		"no chunk of size 0":           {"2\r\nok\r\n\r\n", false},
+		"answer in place of trailers":  {"2\r\nok\r\n0\r\nHTTP/1.1 200 OK\r\nX: 1\r\n\r\n", false},
+		"blank in a trailer's name":    {"2\r\nok\r\n0\r\nX Y: 1\r\n\r\n", false},
+		"blank behind a trailer":       {"2\r\nok\r\n0\r\nX : 1\r\n\r\n", false},
+		"folded trailer":               {"2\r\nok\r\n0\r\nX: 1\r\n y\r\n\r\n", false},
+		"control byte in a trailer":    {"2\r\nok\r\n0\r\nX: \x00\r\n\r\n", false},
+		"line feed ends the trailers":  {"2\r\nok\r\n0\r\n\n\r\n", false},
+		"cut behind the chunks":        {"2\r\nok\r\n0\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var h fasthttp.ResponseHeader
+			h.SetContentLength(-1)
+			body := newBodyReader(bufio.NewReader(strings.NewReader(row.text)), &h)
+			got, err := io.ReadAll(body)
+			must.Eq(t, row.sound, err == nil && body.ended, must.Sprint(err))
+			if row.sound {
+				must.StrHasPrefix(t, "ok", string(got))
+			}
+		})
+	}
 }
--- a/dataplane/proxy/exchange.go
+++ b/dataplane/proxy/exchange.go
@@ -78,6 +78,7 @@
 	}
 	var err error
 	if a.body, err = io.ReadAll(io.LimitReader(body, maxBuffered)); err != nil || !body.ended {
+		p.noteMalformed(r, to, err)
 		return p.failAttempt(r, to, a)
 	}
 	reusable := !a.odd && body.framing != framedByClose && !a.header.ConnectionClose() && a.conn.reader.Buffered() == 0
--- a/dataplane/proxy/stream.go
+++ b/dataplane/proxy/stream.go
@@ -59,6 +59,7 @@
 			p.takeOver(r, s, admission.Rescue)
 		default:
 			r.lastError = err
+			p.noteMalformed(r, s.to, err)
 			return s.to, p.failAttempt(r, s.to, s.reply)
 		}
 	}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,4 +1,5 @@
-// Package httphead tells whether the head of an HTTP/1.1 message is sound by RFC 9112, sections 2 to 6, on its bytes as they came.
+// Package httphead tells whether the head of an HTTP/1.1 message, and what frames its body, is sound by RFC 9112, sections 2 to 7, on the
+// bytes as they came.
 //
 // Parsers forgive much: they drop blanks from names, join folded lines, take any three digits for a status. What they have read no longer
 // shows that it was no message, so the bytes are looked at before a parser sees them. Nothing is mended here: a head is sound or it is none.
@@ -118,15 +119,6 @@
 	return size, true, nil
 }
 
-// CheckTrailer tells whether a line behind the last chunk of a body, without its end, is a sound field.
-func CheckTrailer(line []byte) error {
-	if bytes.ContainsFunc(line, isControl) {
-		return errControlByte
-	}
-	_, err := parseField(line)
-	return err
-}
-
 // ScanRequest looks at as much of a request's head as has come: its field lines are sound so far. The request line is left to the parser.
 // whole tells that the empty line behind the head has come.
 func ScanRequest(come []byte) (whole bool, err error) {
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -93,7 +93,7 @@
 
 func TestTrailers(t *testing.T) {
 	for line, sound := range map[string]bool{
-		"X: 1": true, "x-y:": true, "X: \xff": true, "": false, "X": false, " X: 1": false, "X : 1": false, "X: \x01": false, ": 1": false,
+		"X: 1": true, "x-y:": true, "X: \xff": true, "": false, "X": false, " X: 1": false, "X : 1": false, ": 1": false,
 		"HTTP/1.1 200 OK": false,
 	} {
 		must.Eq(t, sound, httphead.CheckTrailer([]byte(line)) == nil, must.Sprintf("%q", line))
