Requests whose fields are none get 400 instead of going to servers as they came

What servers saw: "Content -Length: 9", "Transfer -Encoding: chunked", "Prio rity: 0" and "Moleshift-Tenant -Id: other" of a client, passed on as they came beside the router's own fields; folded lines joined to the value before; a line feed in front of a name.

Cause: as with answers: the parser forgives blanks in names and joins folded lines.

Change: the field lines of a request are looked at as they came, by the rule that holds for answers (internal/httphead), before the parser reads them; 400 otherwise (RFC 9112, section 5.1: MUST). What breaks off or does not fit is told as before (408, 413).

--- a/dataplane/ingress/ingress.go
+++ b/dataplane/ingress/ingress.go
@@ -18,6 +18,7 @@
 	"moleshift/dataplane/follower"
 	"moleshift/dataplane/proxy"
 	"moleshift/fault"
+	"moleshift/internal/httphead"
 	"moleshift/internal/sock"
 )
 
@@ -124,7 +125,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	e := &proxy.Exchange{Header: &req.Header, Arrived: arrived, Conn: c.Conn, Writer: c.writer}
-	if err := req.Header.Read(c.reader); err != nil {
+	if err := readHead(&req.Header, c.reader); err != nil {
 		return s.refuseHead(e, err)
 	}
 	_ = c.SetDeadline(time.Now().Add(bodyTime))
@@ -157,6 +158,14 @@
 	s.proxy.Serve(e)
 }
 
+// readHead reads the head of a request. One whose fields the parser would forgive is refused: servers may read it otherwise.
+func readHead(h *fasthttp.RequestHeader, reader *bufio.Reader) error {
+	if err := httphead.PeekRequest(reader); err != nil {
+		return err
+	}
+	return h.Read(reader)
+}
+
 func readBody(req *fasthttp.Request, reader *bufio.Reader, writer *bufio.Writer, most int) error {
 	if req.MayContinue() {
 		if _, err := writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -5,7 +5,10 @@
 // shows that it was no message, so the bytes are looked at before a parser sees them. Nothing is mended here: a head is sound or it is none.
 package httphead
 
-import "bytes"
+import (
+	"bufio"
+	"bytes"
+)
 
 // Error is the error of bytes that are no head of a message.
 type Error struct {
@@ -129,3 +132,19 @@
 	_, whole, err = scanFields(come, fields, func(field) error { return nil })
 	return whole, err
 }
+
+// PeekRequest waits until the head of a request has come whole and is sound. Nothing of it is taken from the reader. The only errors are of
+// type Error; what else may be wrong, such as a head that breaks off or does not fit, is left to the parser.
+func PeekRequest(reader *bufio.Reader) error {
+	for wanted := 1; ; {
+		if _, err := reader.Peek(wanted); err != nil {
+			return nil
+		}
+		come, _ := reader.Peek(reader.Buffered()) // comes from memory
+		whole, err := ScanRequest(come)
+		if err != nil || whole {
+			return err
+		}
+		wanted = len(come) + 1
+	}
+}
