--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -101,6 +101,25 @@
 	golden.Check(t, "messages", out.String())
 }
 
+// An answer whose status HTTP does not have is none: a probe would take 000 for a success, as it is under 500.
+func TestStatusOfAnAnswer(t *testing.T) {
+	for line, status := range map[string]int{
+		"HTTP/1.1 100 Continue": 100, "HTTP/1.1 200 OK": 200, "HTTP/1.0 200": 200, "HTTP/1.1 204 ": 204, "HTTP/1.1 599 X Y": 599,
+		"HTTP/1.1 000 OK": 0, "HTTP/1.1 099 OK": 0, "HTTP/1.1 600 OK": 0, "HTTP/1.1 999 OK": 0, "HTTP/1.1 +20 OK": 0, "HTTP/1.x 200 OK": 0,
+		"HTTP/1.2 200 OK": 0, "HTTP/1. 200 OK": 0,
+	} {
+		r, p := NewRing(128), Parser{Responses: true}
+		r.Put([]byte(line + "\r\nContent-Length: 0\r\n\r\n"))
+		step, _, err := p.Next(r)
+		if status == 0 && err == nil {
+			t.Errorf("%q: taken, status %d", line, p.Head.Status)
+		}
+		if status > 0 && (err != nil || step != Begun || p.Head.Status != status) {
+			t.Errorf("%q: status %d, %v", line, p.Head.Status, err)
+		}
+	}
+}
+
 var bodies = []string{
 	`{"parts":[{"id":3,"w":0.5,"hint":9000},{"id":9,"w":0.5}],"expr":"c41e77d0"}`,
 	` { "expr" : "a\"b\\\u0041\ud83d\ude00\n" , "x":{"parts":[1]}, "parts":[ {"w":1.0,"id":0,"tag":"00ff","y":[{}]} ] } `,
--- a/codec/http.go
+++ b/codec/http.go
@@ -17,6 +17,8 @@
 	mostHead   = 16 << 10
 	mostFields = 100
 	mostBlank  = 4 // lines before a message
+
+	leastStatus, mostStatus = 100, 599 // that HTTP has
 )
 
 // Fault is a message that can't be taken, with the status that says so.
@@ -223,14 +225,17 @@
 func (p *Parser) start(line string) error {
 	words := strings.Split(line, " ")
 	if p.Responses {
-		if len(words) < 2 || !strings.HasPrefix(words[0], "HTTP/1.") || len(words[1]) != 3 {
+		if len(words) < 2 || words[0] != "HTTP/1.1" && words[0] != "HTTP/1.0" || len(words[1]) != 3 {
 			return fault(http.StatusBadGateway, "the status line is malformed")
 		}
 		n, err := strconv.ParseUint(words[1], 10, 16)
-		p.Head.Status, p.Head.Old = int(n), words[0] == "HTTP/1.0"
 		if err != nil {
 			return fault(http.StatusBadGateway, "the status line is malformed")
 		}
+		if n < leastStatus || n > mostStatus {
+			return fault(http.StatusBadGateway, "the status is none of 100 to 599")
+		}
+		p.Head.Status, p.Head.Old = int(n), words[0] == "HTTP/1.0"
 		return nil
 	}
 	if len(words) != 3 || !isToken(words[0]) || words[1] == "" || strings.ContainsFunc(words[1], isControl) ||
