The soak sends heads that are none, and compares whole answers with what servers sent

Servers record the head of each answer that they send, clients the lines that they get as they came; MIXED where no server sent that status, those names and values. The events of a stream are made in one place for servers and for the judge.

--- a/lab/soak/answers.go
+++ b/lab/soak/answers.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -25,6 +26,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Moleshift-Response-Stamp", s.id)
+	if head := s.faults.drawBrokenHead(); head != nil {
+		s.answerBroken(ctx, w, r, id, version, run, head)
+		return
+	}
 	if s.service != modelService {
 		s.answerWhole(ctx, w, id, run, broken)
 		return
@@ -44,14 +49,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.software.bad && s.faults.drawBad() {
-		w.WriteHeader(http.StatusInternalServerError)
+		s.writeStatus(w, id, http.StatusInternalServerError)
 		return
 	}
 	if status, failed := s.faults.drawFailure(); failed {
-		w.WriteHeader(status)
+		s.writeStatus(w, id, status)
 		return
 	}
-	answer := "answer to " + id
+	s.noteSent(w, id, http.StatusOK)
+	answer := answerTo(id)
 	if broken == withinAnswer {
 		run.breakOff()
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
@@ -61,6 +67,12 @@
 	writeNow(w, answer)
 }
 
+// writeStatus sends an answer that is no success and has no body.
+func (s *modelServer) writeStatus(w http.ResponseWriter, id string, status int) {
+	s.noteSent(w, id, status)
+	w.WriteHeader(status)
+}
+
 // writeNow sends what is written at once.
 func writeNow(w http.ResponseWriter, text string) {
 	_, _ = io.WriteString(w, text) // a caller that has left is noticed by the context
@@ -71,40 +83,41 @@
 
 // streamEvents sends the events of a request from the one behind Last-Event-Id on.
 func (s *modelServer) streamEvents(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, broken breakPoint) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
+	first, last := eventsOf(r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Versions", strconv.FormatInt(version, 10))
-	for n := last + 1; n <= events; n++ {
-		if n > last+1 && !pause(ctx, eventEvery) {
+	s.noteSent(w, id, http.StatusOK)
+	for n := first; n <= last; n++ {
+		if n > first && !pause(ctx, eventEvery) {
 			panic(http.ErrAbortHandler) // the connection is cut, so that the answer does not look complete
 		}
-		if broken == withinAnswer && n > (last+events)/2 {
+		if broken == withinAnswer && n > (first-1+last)/2 {
 			run.breakOff()
 			writeNow(w, fmt.Sprintf("id: %d\nda", n)) // in the middle of an event
 			panic(http.ErrAbortHandler)
 		}
-		writeNow(w, fmt.Sprintf("id: %d\ndata: %s\n\n", n, id))
+		writeNow(w, eventText(id, n))
 	}
 }
 
 // streamUnframed sends the events of a request without a length: the stream ends with its connection.
 func (s *modelServer) streamUnframed(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, version int64, run *execution, framing framing) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	events, _ := strconv.Atoi(r.URL.Query().Get("events"))
+	first, last := eventsOf(r)
+	fields := append(fieldsOf(w.Header()), streamFields(version)...)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nMoleshift-Request-Id: %s\r\nMoleshift-Response-Stamp: %s\r\nContent-Type: text/event-stream\r\nVersions: %d\r\n\r\n", id, s.id, version)
-	for n := last + 1; n <= events; n++ {
-		if n > last+1 && !pause(ctx, eventEvery) || framing == unframedReset && n > (last+events)/2 {
+	s.history.addSent(Sent{ID: id, Status: http.StatusOK, Fields: fields})
+	fmt.Fprintf(conn, "%s\r\n%s\r\n\r\n", soundStatusLine, strings.Join(fields, "\r\n"))
+	for n := first; n <= last; n++ {
+		if n > first && !pause(ctx, eventEvery) || framing == unframedReset && n > (first-1+last)/2 {
 			run.breakOff()
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return
 		}
-		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", n, id); err != nil {
+		if _, err := io.WriteString(conn, eventText(id, n)); err != nil {
 			return // its caller has left
 		}
 	}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -146,11 +146,15 @@
 
 // readAnswer reads the answer; false: the connection cannot be used any more.
 func (c *client) readAnswer(reader *bufio.Reader, r *Request, events int) bool {
+	lines, err := peekHead(reader)
+	if err != nil {
+		return false
+	}
+	r.Status, r.Fields = statusOf(lines[0]), lines[1:]
 	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false
 	}
-	r.Status = resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
 	r.Whole = err == nil
 	var timeout net.Error
@@ -168,13 +172,9 @@
 
 // isAnswerTo tells whether a body is what the servers send for a request, or, where the answer broke off, its beginning.
 func isAnswerTo(r *Request, body string, events int) bool {
-	expected := "answer to " + r.ID
+	expected := answerTo(r.ID)
 	if r.Kind.IsStream() {
-		var b strings.Builder
-		for n := 1; n <= events; n++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, r.ID)
-		}
-		expected = b.String()
+		expected = eventsText(r.ID, 1, events)
 	}
 	if r.Whole {
 		return body == expected
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -24,6 +24,7 @@
 	lastShare     = 0.05 // of the answers say that their connection is closed behind them
 	earlyShare    = 0.5  // of the requests with long bodies are turned away before these are in
 	longBody      = 16 << 10
+	brokenShare   = 0.03 // of the answers to runs, orders and questions for a report have a head that is none
 
 	idleTimeout = 2 * time.Second // of servers that close connections that rest
 )
@@ -149,6 +150,25 @@
 	return f.on && body > longBody && f.draw.float() < earlyShare
 }
 
+// drawBrokenHead draws whether an answer's head is none, and how; nil: it is sound.
+func (f *serverFaults) drawBrokenHead() *brokenAnswer {
+	if !f.on || f.draw.float() >= brokenShare {
+		return nil
+	}
+	return &brokenAnswer{
+		head: brokenHeads[int(f.draw.float()*float64(len(brokenHeads)))], byte: noToken[int(f.draw.float()*float64(len(noToken)))],
+		lingers: f.draw.float() < 0.5,
+	}
+}
+
+// drawOddField draws the name and the value of a field that looks odd and is sound.
+func (f *serverFaults) drawOddField() (name, value string) {
+	if !f.on {
+		return oddNames[0], oddValues[0]
+	}
+	return oddNames[int(f.draw.float()*float64(len(oddNames)))], oddValues[int(f.draw.float()*float64(len(oddValues)))]
+}
+
 // drawFraming draws how a stream tells its end.
 func (f *serverFaults) drawFraming() framing {
 	if !f.on {
--- a/lab/soak/history.go
+++ b/lab/soak/history.go
@@ -48,6 +48,7 @@
 	Deadline time.Duration // counted from its first byte
 	Ended    time.Duration // when the answer was whole, or the connection ended
 	Status   int           // 0: no answer had begun
+	Fields   []string      // lines of the head that came, without the status line; nil: none came
 	Whole    bool          // the answer was complete
 	Foreign  bool          // what came belongs to another request, or pieces are missing or come twice
 	Left     bool          // the client closed the connection itself
@@ -164,6 +165,7 @@
 	began    time.Time
 	Requests []Request
 	Runs     []Execution
+	Sent     []Sent
 	Namings  []Naming
 	Strikes  []Strike
 	Changes  []Change
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -43,6 +43,7 @@
 	bounds Bounds
 	runs   map[string][]Execution
 	uses   map[string][]Use
+	sent   map[string][]Sent
 	found  []Violation
 	judged Judged
 }
@@ -55,16 +56,20 @@
 
 // Judge gives the rules that a history breaks, and how much of it was judged.
 func Judge(h *History, bounds Bounds) ([]Violation, Judged) {
-	j := &judge{History: h, bounds: bounds, runs: map[string][]Execution{}, uses: map[string][]Use{}}
+	j := &judge{History: h, bounds: bounds, runs: map[string][]Execution{}, uses: map[string][]Use{}, sent: map[string][]Sent{}}
 	for _, run := range h.Runs {
 		j.runs[run.ID] = append(j.runs[run.ID], run)
 	}
 	for _, use := range h.Uses {
 		j.uses[use.ID] = append(j.uses[use.ID], use)
 	}
+	for _, sent := range h.Sent {
+		j.sent[sent.ID] = append(j.sent[sent.ID], sent)
+	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		j.judgeAnswer(r)
+		j.judgeHead(r)
 		j.judgeRuns(r)
 		j.judgeVersion(r)
 		j.judgeKey(r)
--- a/lab/soak/judge_test.go
+++ b/lab/soak/judge_test.go
@@ -28,6 +28,14 @@
 	foreign.Foreign = true
 	unanswered := request(Once, 1, 1.1, 0, false)
 	unanswered.Unanswered = true
+	stamped := func(status int, fields ...string) Request {
+		r := request(Once, 1, 2, status, true)
+		r.Fields = append([]string{"Moleshift-Response-Stamp: s"}, fields...)
+		return r
+	}
+	sent := []Sent{{ID: "a", Status: 200, Fields: []string{"Moleshift-Response-Stamp: s"}}, {ID: "a", Status: 500, Fields: []string{"Moleshift-Response-Stamp: s", "X: 1"}}}
+	ownAnswer := request(Once, 1, 2, 502, true)
+	ownAnswer.Fields = []string{"Content-Type: text/plain"}
 	left := request(Single, 1, 2, 200, false)
 	left.Left = true
 	broken := run(1, 2, 1)
@@ -52,6 +60,13 @@
 		rule    string
 	}{
 		"served":                                      {&History{Requests: []Request{request(Once, 1, 2, 200, true)}, Runs: []Execution{run(1, 2, 0)}}, ""},
+		"head as a server sent it":                    {&History{Requests: []Request{stamped(200, "Content-Length: 2")}, Sent: sent}, ""},
+		"failure as a server sent it":                 {&History{Requests: []Request{stamped(500, "x: 1")}, Sent: sent}, ""},
+		"answer of the node's own":                    {&History{Requests: []Request{ownAnswer}, Sent: sent}, ""},
+		"field that no server sent":                   {&History{Requests: []Request{stamped(200, "X Y: 1")}, Sent: sent}, "MIXED"},
+		"field of another answer":                     {&History{Requests: []Request{stamped(200, "X: 1")}, Sent: sent}, "MIXED"},
+		"status that no server sent":                  {&History{Requests: []Request{stamped(404)}, Sent: sent}, "MIXED"},
+		"head of an answer that was none":             {&History{Requests: []Request{stamped(200)}}, "MIXED"},
 		"cut while its server was at work":            {&History{Requests: []Request{request(Single, 1, 2, 200, false)}, Runs: []Execution{run(1, 2, 1)}}, "LOST"},
 		"closed long after it was sent":               {&History{Requests: []Request{request(Once, 1, 1.5, 0, false)}}, "LOST"},
 		"crossed the close of its connection":         {&History{Requests: []Request{request(Once, 1, 1.1, 0, false)}}, ""},
--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -158,6 +158,10 @@
 }
 
 func (s *modelServer) report(w http.ResponseWriter, _ *http.Request) {
+	if broken := s.faults.drawBrokenHead(); broken != nil {
+		broken.send(w, &soundAnswer{body: loadedReport})
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(map[string]any{
@@ -166,6 +170,9 @@
 	})
 }
 
+// loadedReport is a report of weights that no server has: it comes in what is no answer.
+const loadedReport = `{"models":[{"name":"` + modelName + `","version":1000000}],"busy":false,"sequence":1,"running":0,"queued":0}`
+
 // order takes an order to load weights: runs end first, what waits is turned away, then the weights take their time.
 func (s *modelServer) order(w http.ResponseWriter, r *http.Request) {
 	var order struct {
@@ -179,6 +186,10 @@
 	if s.faults.isDeaf(s.history.Now()) {
 		panic(http.ErrAbortHandler) // no answer, and nothing was taken
 	}
+	if broken := s.faults.drawBrokenHead(); broken != nil {
+		broken.send(w, &soundAnswer{}) // acknowledged by what is no answer, and nothing was taken
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -284,6 +295,8 @@
 // setHead sets what every answer to a request carries.
 func (s *modelServer) setHead(w http.ResponseWriter, id string) {
 	w.Header().Set("Moleshift-Request-Id", id)
+	name, value := s.faults.drawOddField()
+	w.Header()[name] = []string{value}
 	if s.faults.idle {
 		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%.0f", idleTimeout.Seconds()))
 	}
