--- a/internal/servercall/servercall_test.go
+++ b/internal/servercall/servercall_test.go
@@ -133,7 +133,7 @@
 func TestOddAnswersToCalls(t *testing.T) {
 	address := serve(t, answerWith(
 		"HTTP/1.1 200\r\ncontent-length: 2\r\n\r\n01",
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTRANSFER-ENCODING: chunked\r\n\r\n1\r\n0\r\n1;x=y\r\n2\r\n0\r\nX-After: 1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nTRANSFER-ENCODING: chunked\r\n\r\n1\r\n0\r\n1;x=y\r\n2\r\n0\r\nX-After: 1\r\n\r\n",
 		"HTTP/1.1 200 \r\nX: a\tb\xff\r\n\r\n03",
 	))
 	client := newClient()
