A stand-in that runs what its caller has left ends those runs when it is closed

Trace: the goroutine stands in streamEvents of a server that goes on though its caller has left; its context was cut off from the request's by WithoutCancel, so only the request's deadline (7 s) ended it, and close does not wait.

Change: such a run has the server's own context, which close ends.

--- a/lab/soak/server.go
+++ b/lab/soak/server.go
@@ -44,6 +44,8 @@
 	fence    int64
 	parts    map[string]string // of prompts, by salt and part: the tenant whose request made it
 
+	life   context.Context // ends when the server ends
+	end    context.CancelFunc
 	closed chan struct{}  // closed when the server ends
 	ended  bool           // the same, under the lock
 	loads  sync.WaitGroup // under way
@@ -69,6 +71,7 @@
 		s.version = 1
 	}
 	s.changed = sync.NewCond(&s.mu)
+	s.life, s.end = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", s.report)
 	mux.HandleFunc("POST /order", s.order)
@@ -99,6 +102,7 @@
 	s.changed.Broadcast()
 	s.mu.Unlock()
 	close(s.closed)
+	s.end()
 	s.http.Close()
 	s.loads.Wait()
 }
@@ -233,11 +237,11 @@
 	}
 }
 
-// contextOf gives the context of a request: it ends at its deadline, and for most servers when its caller leaves.
+// contextOf gives the context of a request: it ends at its deadline and with its server, and for most servers when its caller leaves.
 func (s *modelServer) contextOf(r *http.Request) (context.Context, context.CancelFunc) {
 	ctx := r.Context()
 	if s.faults.goesOn {
-		ctx = context.WithoutCancel(ctx)
+		ctx = s.life
 	}
 	ms, err := strconv.Atoi(r.Header.Get("Moleshift-Deadline-Ms"))
 	if err != nil {
--- a/lab/soak/server_test.go
+++ b/lab/soak/server_test.go
@@ -22,3 +22,20 @@
 	s.close()
 	goleak.VerifyNone(t)
 }
+
+// A server that runs what its caller has left ends that run when it is closed: a stream of an hour leaves nothing behind.
+func TestCloseEndsRuns(t *testing.T) {
+	s, err := newModelServer(serverOptions{
+		id: "i", service: modelService, software: software{version: firstSoftware}, faults: serverFaults{goesOn: true},
+	}, &History{began: time.Now()}, nil)
+	must.NoError(t, err)
+	req, err := http.NewRequest("POST", "http://"+s.listener.Addr().String()+"/resumable/x?events=90000", http.NoBody)
+	must.NoError(t, err)
+	req.Header.Set("Moleshift-Expect-Instance", "i")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	s.close()
+	goleak.VerifyNone(t)
+}
